--- /dev/null
+++ b/Source/Common/EventLoop.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "Common/Types.h"
+
+struct event;
+struct event_base;
+
+// A libevent loop and the handles that it calls back. Everything here belongs to the thread that
+// calls Run.
+namespace Holdpost::Common
+{
+// A timer, signal or descriptor watch; gone when it is destroyed.
+class Watch
+{
+public:
+  explicit Watch(std::function<void()> callback) : m_callback(std::move(callback)) {}
+  ~Watch();
+  Watch(const Watch&) = delete;
+  Watch& operator=(const Watch&) = delete;
+
+  // For timers: fire once after `delay`, replacing what was set before.
+  void FireAfter(Duration delay);
+  void Cancel();
+
+private:
+  friend class EventLoop;
+  static void Fire(int fd, short what, void* self);
+
+  std::function<void()> m_callback;
+  event* m_event = nullptr;
+};
+
+class EventLoop
+{
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  void Run();
+  void Stop();
+  static TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+  std::unique_ptr<Watch> MakeTimer(std::function<void()> callback);
+  std::unique_ptr<Watch> WatchSignal(int signal_number, std::function<void()> callback);
+  std::unique_ptr<Watch> WatchReadable(int fd, std::function<void()> callback);
+  // Runs `callback` once, from the loop, after the present callback has returned.
+  void Defer(std::function<void()> callback) { After(Duration::zero(), std::move(callback)); }
+  // Runs `callback` once after the delay; it can't be taken back.
+  void After(Duration delay, std::function<void()> callback);
+
+  event_base* Base() const { return m_base; }
+
+private:
+  event_base* m_base;
+};
+} // namespace Holdpost::Common
--- /dev/null
+++ b/Source/Common/HttpClient.cpp
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/HttpClient.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+
+namespace Holdpost::Common
+{
+static constexpr std::size_t IDLE_CONNECTIONS_PER_ADDRESS = 8;
+
+struct HttpClient::Pending
+{
+  HttpClient* client = nullptr;
+  CallId id = 0;
+  Address to;
+  bool may_reuse_connection = false;
+  HttpCallbacks callbacks;
+  evhttp_connection* connection = nullptr;
+  evhttp_request* raw = nullptr;
+  bool failed = false;
+};
+
+static evhttp_cmd_type MethodFromName(const std::string& name)
+{
+  static const std::map<std::string, evhttp_cmd_type> METHODS = {
+      {"GET", EVHTTP_REQ_GET},       {"POST", EVHTTP_REQ_POST},   {"PUT", EVHTTP_REQ_PUT},
+      {"DELETE", EVHTTP_REQ_DELETE}, {"PATCH", EVHTTP_REQ_PATCH}, {"HEAD", EVHTTP_REQ_HEAD}};
+  const auto found = METHODS.find(name);
+  return found == METHODS.end() ? EVHTTP_REQ_GET : found->second;
+}
+
+static HttpHeaders ReadHeaders(evhttp_request* raw)
+{
+  HttpHeaders headers;
+  const evkeyvalq* list = evhttp_request_get_input_headers(raw);
+  for (const evkeyval* header = list->tqh_first; header; header = header->next.tqe_next)
+  {
+    std::string name = header->key;
+    std::ranges::transform(name, name.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    headers[name] = header->value;
+  }
+  return headers;
+}
+
+static std::string TakeBody(evhttp_request* raw)
+{
+  evbuffer* buffer = evhttp_request_get_input_buffer(raw);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, body.data(), body.size());
+  return body;
+}
+
+// An answer that ends with the connection could have been cut anywhere, so it is not whole.
+static bool HasMarkedEnd(int status, const HttpHeaders& headers)
+{
+  return headers.contains("content-length") || headers.contains("transfer-encoding") ||
+         status == 204 || status == 304;
+}
+
+HttpClient::HttpClient(EventLoop& loop) : m_loop(loop) {}
+
+HttpClient::~HttpClient()
+{
+  for (const auto& [id, pending] : m_pending)
+    evhttp_connection_free(pending->connection);
+  for (const auto& [address, connections] : m_idle)
+  {
+    for (evhttp_connection* connection : connections)
+      evhttp_connection_free(connection);
+  }
+}
+
+evhttp_connection* HttpClient::Connect(const HttpCall& call)
+{
+  auto& idle = m_idle[call.to];
+  if (call.may_reuse_connection && !idle.empty())
+  {
+    evhttp_connection* connection = idle.back();
+    idle.pop_back();
+    return connection;
+  }
+  return evhttp_connection_base_new(m_loop.Base(), nullptr, call.to.host.c_str(), call.to.port);
+}
+
+HttpClient::CallId HttpClient::Start(HttpCall call, HttpCallbacks callbacks)
+{
+  auto owned = std::make_unique<Pending>();
+  Pending* pending = owned.get();
+  pending->client = this;
+  pending->id = m_next_id++;
+  pending->to = call.to;
+  pending->may_reuse_connection = call.may_reuse_connection;
+  pending->callbacks = std::move(callbacks);
+  pending->connection = Connect(call);
+  pending->raw = evhttp_request_new(&HttpClient::HandleDone, pending);
+  evhttp_request_set_header_cb(pending->raw, &HttpClient::HandleHeaders);
+  evhttp_request_set_error_cb(pending->raw, [](evhttp_request_error error, void* self)
+                              { HandleError(error, self); });
+  if (pending->callbacks.on_chunk)
+    evhttp_request_set_chunked_cb(pending->raw, &HttpClient::HandleChunk);
+  evkeyvalq* headers = evhttp_request_get_output_headers(pending->raw);
+  evhttp_add_header(headers, "Host", call.to.ToString().c_str());
+  evhttp_add_header(headers, "Connection", call.may_reuse_connection ? "keep-alive" : "close");
+  for (const auto& [name, value] : call.headers)
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(pending->raw), call.body.data(), call.body.size());
+  const timeval timeout = {call.idle_timeout.count() / 1000,
+                           (call.idle_timeout.count() % 1000) * 1000};
+  evhttp_connection_set_timeout_tv(pending->connection, &timeout);
+  const CallId id = pending->id;
+  m_pending.emplace(id, std::move(owned));
+  // On failure evhttp has already called HandleDone or will never do so; Defer covers both.
+  if (evhttp_make_request(pending->connection, pending->raw, MethodFromName(call.method),
+                          call.path.c_str()) != 0)
+  {
+    m_loop.Defer(
+        [this, id]
+        {
+          if (const auto found = m_pending.find(id); found != m_pending.end())
+            Finish(*found->second, nullptr);
+        });
+  }
+  return id;
+}
+
+void HttpClient::Cancel(CallId id)
+{
+  const auto found = m_pending.find(id);
+  if (found == m_pending.end())
+    return;
+  const std::unique_ptr<Pending> pending = std::move(found->second);
+  m_pending.erase(found);
+  evhttp_cancel_request(pending->raw);
+  Release(*pending, false);
+}
+
+void HttpClient::Pause(CallId id)
+{
+  const auto found = m_pending.find(id);
+  if (found != m_pending.end())
+    bufferevent_disable(evhttp_connection_get_bufferevent(found->second->connection), EV_READ);
+}
+
+void HttpClient::Resume(CallId id)
+{
+  const auto found = m_pending.find(id);
+  if (found != m_pending.end())
+    bufferevent_enable(evhttp_connection_get_bufferevent(found->second->connection), EV_READ);
+}
+
+void HttpClient::Release(Pending& pending, bool may_be_reused)
+{
+  evhttp_connection* connection = pending.connection;
+  auto& idle = m_idle[pending.to];
+  if (may_be_reused && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
+  {
+    idle.push_back(connection);
+    return;
+  }
+  // evhttp still uses the connection after its callbacks return.
+  m_loop.Defer([connection] { evhttp_connection_free(connection); });
+}
+
+void HttpClient::Finish(Pending& pending, evhttp_request* raw)
+{
+  const auto found = m_pending.find(pending.id);
+  const std::unique_ptr<Pending> owned = std::move(found->second);
+  m_pending.erase(found);
+  const int status = raw ? evhttp_request_get_response_code(raw) : 0;
+  if (owned->failed || status == 0)
+  {
+    Release(*owned, false);
+    owned->callbacks.on_done(Error{ErrorKind::Unreachable,
+                                   fmt::format("no whole answer from {}", owned->to.ToString())});
+    return;
+  }
+  HttpReply reply{status, ReadHeaders(raw), TakeBody(raw)};
+  if (!HasMarkedEnd(status, reply.headers))
+  {
+    Release(*owned, false);
+    owned->callbacks.on_done(
+        Error{ErrorKind::AnswerCut,
+              fmt::format("the answer of {} has no marked end", owned->to.ToString())});
+    return;
+  }
+  const bool closes =
+      reply.headers.contains("connection") && reply.headers["connection"] == "close";
+  Release(*owned, owned->may_reuse_connection && !closes);
+  owned->callbacks.on_done(std::move(reply));
+}
+
+void HttpClient::HandleDone(evhttp_request* raw, void* pending)
+{
+  auto& self = *static_cast<Pending*>(pending);
+  self.client->Finish(self, raw);
+}
+
+int HttpClient::HandleHeaders(evhttp_request* raw, void* pending)
+{
+  const auto& self = *static_cast<Pending*>(pending);
+  if (self.callbacks.on_headers)
+    self.callbacks.on_headers(evhttp_request_get_response_code(raw), ReadHeaders(raw));
+  return 0;
+}
+
+void HttpClient::HandleChunk(evhttp_request* raw, void* pending)
+{
+  const auto& self = *static_cast<Pending*>(pending);
+  self.callbacks.on_chunk(TakeBody(raw));
+}
+
+void HttpClient::HandleError(int /*error*/, void* pending)
+{
+  // evhttp calls HandleDone next, with or without the request; the answer is not whole.
+  static_cast<Pending*>(pending)->failed = true;
+}
+} // namespace Holdpost::Common
--- /dev/null
+++ b/Source/Common/HttpClient.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Common/Error.h"
+#include "Common/EventLoop.h"
+#include "Common/HttpServer.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+// HTTP calls by evhttp on the loop of the calling task.
+namespace Holdpost::Common
+{
+struct HttpCall
+{
+  Address to;
+  std::string method = "GET";
+  std::string path;
+  HttpHeaders headers = {};
+  std::string body = {};
+  // Ends the call when the peer has neither taken nor sent a byte for this long.
+  Milliseconds idle_timeout = Milliseconds(10000);
+  // Set only for calls that may be sent twice: an idle connection may be closed under us.
+  bool may_reuse_connection = false;
+};
+
+struct HttpReply
+{
+  int status = 0;
+  HttpHeaders headers;
+  std::string body; // empty if on_chunk was given
+};
+
+struct HttpCallbacks
+{
+  // Called once, last, unless the call was cancelled. An error if the answer was not whole.
+  std::function<void(Result<HttpReply>)> on_done;
+  std::function<void(int status, const HttpHeaders& headers)> on_headers = nullptr;
+  std::function<void(std::string_view data)> on_chunk = nullptr;
+};
+
+class HttpClient
+{
+public:
+  using CallId = std::uint64_t;
+
+  explicit HttpClient(EventLoop& loop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  CallId Start(HttpCall call, HttpCallbacks callbacks);
+  // No callback follows. Does nothing if the call has ended.
+  void Cancel(CallId id);
+  // Stops and restarts reading the answer; the peer is held back by the kernel's buffers.
+  void Pause(CallId id);
+  void Resume(CallId id);
+
+private:
+  struct Pending;
+
+  static void HandleDone(evhttp_request* raw, void* pending);
+  static int HandleHeaders(evhttp_request* raw, void* pending);
+  static void HandleChunk(evhttp_request* raw, void* pending);
+  static void HandleError(int error, void* pending);
+  evhttp_connection* Connect(const HttpCall& call);
+  void Release(Pending& pending, bool may_be_reused);
+  void Finish(Pending& pending, evhttp_request* raw);
+
+  EventLoop& m_loop;
+  CallId m_next_id = 1;
+  std::map<CallId, std::unique_ptr<Pending>> m_pending;
+  std::map<Address, std::vector<evhttp_connection*>> m_idle;
+};
+} // namespace Holdpost::Common
--- /dev/null
+++ b/Source/Common/HttpServer.h
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Common/Error.h"
+#include "Common/EventLoop.h"
+
+struct evhtp;
+struct evhtp_connection;
+struct evhtp_request;
+
+// HTTP served by libevhtp on the loop of the calling task.
+namespace Holdpost::Common
+{
+// Header names are kept in lower case.
+using HttpHeaders = std::map<std::string, std::string>;
+
+struct HttpRequest
+{
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> query;
+  HttpHeaders headers;
+  std::string body;
+
+  std::string Header(const std::string& lower_case_name) const;
+};
+
+// One request and its answer. May outlive the connection: calls after the caller has gone do
+// nothing.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange>
+{
+public:
+  HttpExchange(evhtp_request* raw, HttpRequest request);
+
+  const HttpRequest& Request() const { return m_request; }
+  // False once the caller has gone or the answer has ended.
+  bool IsOpen() const { return m_raw != nullptr && !m_ended; }
+
+  void Reply(int status, const HttpHeaders& headers, std::string_view body);
+  void StartStream(int status, const HttpHeaders& headers);
+  void SendChunk(std::string_view data);
+  void EndStream();
+  // Sends what is buffered, then closes without the end mark, so that nobody takes the answer for
+  // a whole one.
+  void Cut();
+
+  // Bytes accepted by SendChunk that the caller has not yet taken off the socket's buffer.
+  std::size_t BufferedBytes() const;
+  // Called when everything buffered has been handed to the kernel.
+  void OnDrained(std::function<void()> callback) { m_on_drained = std::move(callback); }
+  // Called if the caller goes away before the answer has ended.
+  void OnGone(std::function<void()> callback) { m_on_gone = std::move(callback); }
+
+private:
+  friend class HttpServer;
+  static std::uint16_t HandleWrite(evhtp_connection* connection, void* self);
+  static std::uint16_t HandleFinished(evhtp_request* raw, void* self);
+  void AddHeaders(const HttpHeaders& headers);
+
+  evhtp_request* m_raw;
+  HttpRequest m_request;
+  bool m_ended = false;
+  bool m_cut_when_drained = false;
+  std::function<void()> m_on_drained;
+  std::function<void()> m_on_gone;
+};
+
+using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+class HttpServer
+{
+public:
+  struct Limits
+  {
+    std::size_t body_bytes = 4 << 20;
+    Seconds idle = Seconds(75);
+  };
+
+  HttpServer(EventLoop& loop, Limits limits, HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Port 0 lets the kernel choose. Returns the address that is listened on.
+  Result<Address> Listen(const Address& address);
+  // Takes no new connections; open ones go on.
+  void StopListening();
+
+private:
+  static void HandleRequest(evhtp_request* raw, void* self);
+  static std::uint16_t HandleHeaders(evhtp_request* raw, void* headers, void* self);
+  static std::uint16_t HandleAccepted(evhtp_connection* connection, void* self);
+
+  evhtp* m_server;
+  Limits m_limits;
+  HttpHandler m_handler;
+};
+
+// Answers with the error's row of the table: status, outcome header, Retry-After and JSON body.
+void ReplyError(HttpExchange& exchange, const Error& error);
+// The JSON body of an error answer; also the data of the last event of a stream that was cut.
+std::string ErrorBody(const Error& error);
+} // namespace Holdpost::Common
--- /dev/null
+++ b/Source/Core/Distribution/Exchange.cpp
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Distribution/Exchange.h"
+
+#include <algorithm>
+
+namespace Holdpost::Distribution
+{
+using Common::Bytes;
+using Common::Digest;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Result;
+using Common::TimePoint;
+
+// How often stalls and patience are looked at while a version is incomplete.
+static constexpr Common::Duration TICK = Common::Milliseconds(50);
+
+Exchange::Exchange(std::string self, std::string hall, std::uint64_t seed)
+    : m_self(std::move(self)), m_hall(std::move(hall)), m_seed(seed)
+{
+}
+
+void Exchange::SetOptions(const ExchangeOptions& options)
+{
+  m_options = options;
+  m_uploads.SetLimits(options.link_bytes_per_second, options.upload_queue_most);
+  m_download.SetRate(options.link_bytes_per_second);
+  for (const auto& [version, swarm] : m_swarms)
+    swarm->SetOptions(options.swarm);
+}
+
+void Exchange::SetPeersOf(Swarm& swarm, TimePoint now, Actions* actions)
+{
+  std::vector<std::string> fetchers;
+  fetchers.reserve(m_candidates.size());
+  for (const NeighbourCandidate& candidate : m_candidates)
+    fetchers.push_back(candidate.instance);
+  swarm.SetPeers(
+      ChooseNeighbours(swarm.Version(), m_self, m_hall, m_candidates, m_options.neighbours),
+      fetchers, now, actions);
+}
+
+void Exchange::SetCandidates(std::vector<NeighbourCandidate> candidates, TimePoint now,
+                             Actions* actions)
+{
+  m_candidates = std::move(candidates);
+  for (const auto& [version, swarm] : m_swarms)
+    SetPeersOf(*swarm, now, actions);
+}
+
+void Exchange::OnViewConfirmed(TimePoint now, Actions* actions)
+{
+  for (const auto& [version, swarm] : m_swarms)
+    swarm->OnViewConfirmed(now, actions);
+}
+
+void Exchange::Want(const Digest& version, TimePoint now, Actions* actions)
+{
+  auto& swarm = m_swarms[version];
+  if (swarm)
+    return;
+  swarm = std::make_unique<Swarm>(version, m_self, m_options.swarm,
+                                  Common::StableHash(m_self, m_seed), &m_next_fetch_id);
+  SetPeersOf(*swarm, now, actions);
+}
+
+void Exchange::KeepOnly(const std::vector<Digest>& versions, Actions* actions)
+{
+  for (auto entry = m_swarms.begin(); entry != m_swarms.end();)
+  {
+    const auto next = std::next(entry);
+    if (std::ranges::find(versions, entry->first) == versions.end())
+    {
+      entry->second->Stop(actions);
+      m_swarms.erase(entry);
+    }
+    entry = next;
+  }
+}
+
+void Exchange::OnAnnouncement(const std::string& peer, const Announcement& announcement,
+                              TimePoint now, Actions* actions)
+{
+  const auto found = m_swarms.find(announcement.version);
+  if (found != m_swarms.end())
+    found->second->OnAnnouncement(peer, announcement, now, actions);
+}
+
+void Exchange::OnPeerLost(const std::string& peer, TimePoint now, Actions* actions)
+{
+  for (const auto& [version, swarm] : m_swarms)
+    swarm->OnPeerLost(peer, now, actions);
+}
+
+void Exchange::GiveToSwarm(FetchId id, const Result<Bytes>& result, TimePoint now, Actions* actions)
+{
+  for (const auto& [version, swarm] : m_swarms)
+  {
+    if (swarm->OwnsFetch(id))
+    {
+      swarm->OnFetched(id, result, now, actions);
+      return;
+    }
+  }
+}
+
+void Exchange::OnFetched(FetchId id, const Result<Bytes>& result, TimePoint now, Actions* actions)
+{
+  const auto* data = std::get_if<Bytes>(&result);
+  const TimePoint due = data ? m_download.BookReceive((*data)->size(), now) : now;
+  if (due <= now)
+  {
+    GiveToSwarm(id, result, now, actions);
+    return;
+  }
+  m_arrivals.push_back({id, result, due});
+}
+
+void Exchange::OnPieceRequest(RequestTag tag, const Digest& version, std::uint32_t piece,
+                              TimePoint now, Actions* actions)
+{
+  const Swarm* swarm = Find(version);
+  const Bytes data = swarm ? swarm->Piece(piece) : nullptr;
+  if (!data)
+  {
+    actions->push_back(AnswerPiece{tag, Error{ErrorKind::PieceNotHeld, "the piece is not held"}});
+    return;
+  }
+  m_uploads.Add(tag, data, now, actions);
+}
+
+void Exchange::OnTick(TimePoint now, Actions* actions)
+{
+  m_uploads.Advance(now, actions);
+  while (!m_arrivals.empty() && m_arrivals.front().due <= now)
+  {
+    const Arrival arrival = std::move(m_arrivals.front());
+    m_arrivals.pop_front();
+    GiveToSwarm(arrival.id, arrival.result, now, actions);
+  }
+  for (const auto& [version, swarm] : m_swarms)
+  {
+    if (!swarm->IsHeld())
+      swarm->OnTick(now, actions);
+  }
+}
+
+std::optional<TimePoint> Exchange::NextWakeup(TimePoint now) const
+{
+  std::optional<TimePoint> next = m_uploads.NextWakeup();
+  const auto sooner = [&next](TimePoint at) { next = next ? std::min(*next, at) : at; };
+  if (!m_arrivals.empty())
+    sooner(m_arrivals.front().due);
+  if (std::ranges::any_of(m_swarms, [](const auto& entry) { return !entry.second->IsHeld(); }))
+    sooner(now + TICK);
+  return next;
+}
+
+const Swarm* Exchange::Find(const Digest& version) const
+{
+  const auto found = m_swarms.find(version);
+  return found == m_swarms.end() ? nullptr : found->second.get();
+}
+} // namespace Holdpost::Distribution
--- /dev/null
+++ b/Source/Core/Distribution/LinkBudget.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+
+#include "Common/Types.h"
+
+// One direction of a link with a limited rate. Work is booked and comes out when the link would
+// have carried it, so bytes over the budget wait instead of crowding out requests.
+namespace Holdpost::Distribution
+{
+class LinkBudget
+{
+public:
+  // Bytes a second; 0 for no limit.
+  void SetRate(std::uint64_t bytes_per_second) { m_rate = bytes_per_second; }
+  // Books a transfer that starts when the link is free; returns when its last byte is through.
+  Common::TimePoint BookSend(std::uint64_t bytes, Common::TimePoint now);
+  // Books a transfer whose last byte has just come; it was on the link while it was being sent, so
+  // it only waits if other transfers used the link meanwhile.
+  Common::TimePoint BookReceive(std::uint64_t bytes, Common::TimePoint now);
+  // The time by which all that is booked is through.
+  Common::TimePoint FreeAt() const { return m_free_at; }
+
+private:
+  Common::Duration TimeFor(std::uint64_t bytes) const;
+
+  std::uint64_t m_rate = 0;
+  Common::TimePoint m_free_at{};
+};
+} // namespace Holdpost::Distribution
--- /dev/null
+++ b/Source/Core/Distribution/Neighbours.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Distribution/Neighbours.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Holdpost::Distribution
+{
+// One link in this many goes to other halls.
+static constexpr std::size_t ACROSS_SHARE = 4;
+
+// Links to both sides of the ring, `count` in all, at distances that all members compute alike.
+static void AddFromRing(std::uint64_t seed, const std::string& self,
+                        const std::vector<std::string>& members, std::size_t count,
+                        std::set<std::string>* chosen)
+{
+  std::vector<std::pair<std::uint64_t, std::string>> ring;
+  for (const std::string& member : members)
+    ring.emplace_back(Common::StableHash(member, seed), member);
+  std::ranges::sort(ring);
+  const auto own = std::ranges::find(ring, self, &std::pair<std::uint64_t, std::string>::second);
+  if (own == ring.end() || ring.size() < 2)
+    return;
+  const auto position = static_cast<std::size_t>(own - ring.begin());
+  const std::size_t half = ring.size() / 2;
+  std::set<std::size_t> distances;
+  for (std::uint64_t i = 0; distances.size() < std::min((count + 1) / 2, half); ++i)
+    distances.insert(i < 2 ? std::min<std::size_t>(i + 1, half)
+                           : 1 + Common::MixHash(seed, i) % half);
+  for (const std::size_t distance : distances)
+  {
+    chosen->insert(ring[(position + distance) % ring.size()].second);
+    chosen->insert(ring[(position + ring.size() - distance) % ring.size()].second);
+  }
+}
+
+std::vector<std::string> ChooseNeighbours(const Common::Digest& version, const std::string& self,
+                                          const std::string& hall,
+                                          const std::vector<NeighbourCandidate>& all,
+                                          std::size_t count)
+{
+  const std::uint64_t seed = Common::StableHash(version.ToHex());
+  std::vector<std::string> everyone = {self};
+  std::vector<std::string> in_hall = {self};
+  for (const NeighbourCandidate& candidate : all)
+  {
+    if (candidate.instance == self)
+      continue;
+    everyone.push_back(candidate.instance);
+    if (candidate.hall == hall)
+      in_hall.push_back(candidate.instance);
+  }
+  std::set<std::string> chosen;
+  const bool has_other_halls = in_hall.size() < everyone.size();
+  const std::size_t across = has_other_halls ? std::max<std::size_t>(2, count / ACROSS_SHARE) : 0;
+  AddFromRing(seed, self, in_hall, count > across ? count - across : 1, &chosen);
+  if (across > 0)
+    AddFromRing(seed + 1, self, everyone, across, &chosen);
+  chosen.erase(self);
+  return {chosen.begin(), chosen.end()};
+}
+} // namespace Holdpost::Distribution
--- /dev/null
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -0,0 +1,570 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Distribution/Swarm.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+#include "Core/Distribution/Ranking.h"
+
+namespace Holdpost::Distribution
+{
+using Common::Bytes;
+using Common::Duration;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Milliseconds;
+using Common::Result;
+using Common::TimePoint;
+
+// A peer that sent this many corrupt pieces is not asked again.
+static constexpr std::uint32_t SHUN_AFTER = 2;
+static constexpr Duration SHUN_TIME = std::chrono::minutes(10);
+static constexpr Duration BUSY_PAUSE = Milliseconds(50);
+static constexpr Duration BACKOFF_LEAST = Milliseconds(100);
+static constexpr Duration BACKOFF_MOST = Milliseconds(5000);
+// Only the last pieces are asked of two peers, so that hedging costs little.
+static constexpr std::uint32_t HEDGED_PIECES = 4;
+
+std::string_view TransferEventName(TransferEvent event)
+{
+  static constexpr std::array<std::string_view, 16> NAMES = {"piece_from_origin",
+                                                             "piece_from_peer",
+                                                             "piece_sent",
+                                                             "piece_corrupt_from_origin",
+                                                             "piece_corrupt_from_peer",
+                                                             "piece_twice",
+                                                             "origin_busy",
+                                                             "origin_failed",
+                                                             "peer_busy",
+                                                             "peer_failed",
+                                                             "peer_stalled",
+                                                             "origin_stalled",
+                                                             "peer_shunned",
+                                                             "takeover",
+                                                             "hedge",
+                                                             "request_refused"};
+  static_assert(NAMES.size() == static_cast<std::size_t>(TransferEvent::RequestRefused) + 1);
+  return NAMES[static_cast<std::size_t>(event)];
+}
+
+Swarm::Swarm(Common::Digest version, std::string self, SwarmOptions options, std::uint64_t seed,
+             FetchId* next_fetch_id)
+    : m_version(version), m_self(std::move(self)), m_options(options), m_random(seed),
+      m_next_fetch_id(next_fetch_id)
+{
+}
+
+void Swarm::SetPeers(const std::vector<std::string>& neighbours,
+                     const std::vector<std::string>& fetchers, TimePoint now, Actions* actions)
+{
+  for (const std::string& name : neighbours)
+  {
+    auto [found, is_new] = m_neighbours.try_emplace(name);
+    if (is_new)
+    {
+      found->second.held = PieceSet(m_held.Size());
+      TellWhole(name, true, actions);
+      found->second.is_told = true;
+    }
+  }
+  if (fetchers != m_fetchers)
+  {
+    m_fetchers = fetchers;
+    ComputeRanks();
+  }
+  Pump(now, actions);
+}
+
+void Swarm::OnViewConfirmed(TimePoint now, Actions* actions)
+{
+  m_is_view_confirmed = true;
+  Pump(now, actions);
+}
+
+bool Swarm::MayDraw(TimePoint now) const
+{
+  const bool is_view_good = m_is_view_confirmed || now - *m_last_new_sight >= m_options.patience;
+  return is_view_good && now >= m_origin_blocked_until;
+}
+
+void Swarm::ComputeRanks()
+{
+  const auto manifest_rank = RankPieces(m_version, 1, m_self, m_fetchers);
+  m_manifest_rank = manifest_rank.front();
+  if (m_manifest)
+    m_ranks = RankPieces(m_version, m_manifest->PieceCount(), m_self, m_fetchers);
+}
+
+Announcement Swarm::WholeAnnouncement(bool wants_reply) const
+{
+  return {m_version, m_held.Size(), true, wants_reply, m_held.ToBitmap(), {}};
+}
+
+void Swarm::TellWhole(const std::string& peer, bool wants_reply, Actions* actions)
+{
+  actions->push_back(SendAnnouncement{peer, WholeAnnouncement(wants_reply)});
+}
+
+void Swarm::TellNewPiece(std::uint32_t piece, Actions* actions)
+{
+  for (const auto& [name, neighbour] : m_neighbours)
+  {
+    // One that holds the piece has no use for the news.
+    if (!neighbour.is_told || neighbour.held.Contains(piece))
+      continue;
+    actions->push_back(
+        SendAnnouncement{name, {m_version, m_held.Size(), false, false, "", {piece}}});
+  }
+}
+
+void Swarm::NoteHolding(Neighbour& neighbour, std::uint32_t piece, TimePoint now)
+{
+  if (!neighbour.held.Insert(piece))
+    return;
+  if (m_availability[piece]++ == 0 && !m_held.Contains(piece))
+    m_last_new_sight = now;
+}
+
+void Swarm::ForgetHoldings(Neighbour& neighbour)
+{
+  for (std::uint32_t piece = 0; piece < neighbour.held.Size(); ++piece)
+  {
+    if (neighbour.held.Contains(piece))
+      --m_availability[piece];
+  }
+  neighbour.held = PieceSet(m_held.Size());
+}
+
+void Swarm::OnAnnouncement(const std::string& peer, const Announcement& announcement, TimePoint now,
+                           Actions* actions)
+{
+  auto [found, is_new] = m_neighbours.try_emplace(peer);
+  Neighbour& neighbour = found->second;
+  if (is_new)
+    neighbour.held = PieceSet(m_held.Size());
+  if (announcement.wants_reply)
+  {
+    TellWhole(peer, false, actions);
+    neighbour.is_told = true;
+  }
+  if (announcement.piece_count > 0)
+    neighbour.has_manifest = true;
+  if (!m_manifest)
+  {
+    // What it holds can't be placed yet; it is asked again once the manifest is here.
+    Pump(now, actions);
+    return;
+  }
+  if (announcement.piece_count == m_held.Size())
+  {
+    if (announcement.is_whole)
+    {
+      ForgetHoldings(neighbour);
+      const PieceSet held = PieceSet::FromBitmap(announcement.bitmap, m_held.Size());
+      for (std::uint32_t piece = 0; piece < held.Size(); ++piece)
+      {
+        if (held.Contains(piece))
+          NoteHolding(neighbour, piece, now);
+      }
+    }
+    for (const std::uint32_t piece : announcement.pieces)
+    {
+      if (piece < m_held.Size())
+        NoteHolding(neighbour, piece, now);
+    }
+  }
+  Pump(now, actions);
+}
+
+void Swarm::OnPeerLost(const std::string& peer, TimePoint now, Actions* actions)
+{
+  const auto found = m_neighbours.find(peer);
+  if (found == m_neighbours.end())
+    return;
+  for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
+  {
+    const auto next = std::next(fetch);
+    if (fetch->second.peer == peer)
+    {
+      actions->push_back(CancelFetch{fetch->first});
+      EndFetch(fetch);
+    }
+    fetch = next;
+  }
+  ForgetHoldings(found->second);
+  m_neighbours.erase(found);
+  Pump(now, actions);
+}
+
+void Swarm::OnTick(TimePoint now, Actions* actions)
+{
+  if (!m_last_new_sight)
+    m_last_new_sight = now;
+  GiveUpStalled(now, actions);
+  Pump(now, actions);
+}
+
+void Swarm::Stop(Actions* actions)
+{
+  for (const auto& [id, fetch] : m_fetches)
+    actions->push_back(CancelFetch{id});
+  m_fetches.clear();
+}
+
+Bytes Swarm::Piece(std::uint32_t piece) const
+{
+  if (piece == MANIFEST_PIECE)
+    return m_manifest_text;
+  return piece < m_pieces.size() ? m_pieces[piece] : nullptr;
+}
+
+void Swarm::Pump(TimePoint now, Actions* actions)
+{
+  if (!m_last_new_sight)
+    m_last_new_sight = now;
+  if (!m_manifest)
+  {
+    PumpManifest(now, actions);
+    return;
+  }
+  if (m_held.IsFull())
+    return;
+  PumpOrigin(now, actions);
+  PumpPeers(now, actions);
+  if (m_options.may_hedge)
+    PumpHedges(now, actions);
+}
+
+void Swarm::PumpManifest(TimePoint now, Actions* actions)
+{
+  if (m_manifest_in_flight > 0)
+    return;
+  for (auto& [name, neighbour] : m_neighbours)
+  {
+    if (neighbour.has_manifest && MayAsk(neighbour, now))
+    {
+      StartFetch(MANIFEST_PIECE, name, now, actions);
+      return;
+    }
+  }
+  if (MayDraw(now) && now - *m_last_new_sight >= m_manifest_rank * m_options.patience)
+    StartFetch(MANIFEST_PIECE, "", now, actions);
+}
+
+std::optional<std::uint32_t> Swarm::NextForOrigin(TimePoint now, bool* is_takeover) const
+{
+  const Duration waited = now - *m_last_new_sight;
+  std::optional<std::uint32_t> takeover;
+  for (const std::uint32_t piece : m_draw_order)
+  {
+    if (m_held.Contains(piece) || m_in_flight[piece] > 0 || m_availability[piece] > 0)
+      continue;
+    if (m_ranks[piece] == 0)
+      return piece;
+    if (!takeover && waited >= m_ranks[piece] * m_options.patience)
+      takeover = piece;
+  }
+  *is_takeover = takeover.has_value();
+  return takeover;
+}
+
+void Swarm::PumpOrigin(TimePoint now, Actions* actions)
+{
+  while (m_origin_outstanding < m_options.window_of_origin && MayDraw(now))
+  {
+    bool is_takeover = false;
+    const auto piece = NextForOrigin(now, &is_takeover);
+    if (!piece)
+      return;
+    if (is_takeover)
+      actions->push_back(CountTransfer{TransferEvent::Takeover});
+    StartFetch(*piece, "", now, actions);
+  }
+}
+
+bool Swarm::MayAsk(const Neighbour& neighbour, TimePoint now) const
+{
+  return neighbour.outstanding < m_options.window_per_peer && now >= neighbour.blocked_until;
+}
+
+std::optional<std::uint32_t> Swarm::RarestPiece(TimePoint now)
+{
+  // Reservoir choice among the rarest, so that peers don't all ask for the same piece.
+  std::optional<std::uint32_t> best;
+  std::uint32_t best_availability = 0;
+  std::uint64_t ties = 0;
+  for (std::uint32_t piece = 0; piece < m_held.Size(); ++piece)
+  {
+    const std::uint32_t availability = m_availability[piece];
+    if (availability == 0 || m_held.Contains(piece) || m_in_flight[piece] > 0)
+      continue;
+    if (best && availability > best_availability)
+      continue;
+    const bool can_be_asked = std::ranges::any_of(
+        m_neighbours, [&](const auto& entry)
+        { return entry.second.held.Contains(piece) && MayAsk(entry.second, now); });
+    if (!can_be_asked)
+      continue;
+    if (!best || availability < best_availability)
+      ties = 0;
+    ++ties;
+    if (ties == 1 || m_random() % ties == 0)
+      best = piece;
+    best_availability = availability;
+  }
+  return best;
+}
+
+std::string Swarm::BestSource(std::uint32_t piece, TimePoint now, const std::string& except)
+{
+  std::string best;
+  std::uint32_t least = 0;
+  std::uint64_t ties = 0;
+  for (const auto& [name, neighbour] : m_neighbours)
+  {
+    if (name == except || !neighbour.held.Contains(piece) || !MayAsk(neighbour, now))
+      continue;
+    if (!best.empty() && neighbour.outstanding > least)
+      continue;
+    if (best.empty() || neighbour.outstanding < least)
+      ties = 0;
+    ++ties;
+    if (ties == 1 || m_random() % ties == 0)
+      best = name;
+    least = neighbour.outstanding;
+  }
+  return best;
+}
+
+void Swarm::PumpPeers(TimePoint now, Actions* actions)
+{
+  while (m_fetches.size() - m_origin_outstanding < m_options.window_in_all)
+  {
+    const auto piece = RarestPiece(now);
+    if (!piece)
+      return;
+    StartFetch(*piece, BestSource(*piece, now, ""), now, actions);
+  }
+}
+
+void Swarm::PumpHedges(TimePoint now, Actions* actions)
+{
+  if (m_held.Size() - m_held.Count() > HEDGED_PIECES)
+    return;
+  std::vector<Fetch> single;
+  for (const auto& [id, fetch] : m_fetches)
+  {
+    if (fetch.piece != MANIFEST_PIECE && m_in_flight[fetch.piece] == 1 &&
+        now - fetch.started >= m_options.stall / 4)
+      single.push_back(fetch);
+  }
+  for (const Fetch& fetch : single)
+  {
+    const std::string source = BestSource(fetch.piece, now, fetch.peer);
+    if (source.empty())
+      continue;
+    actions->push_back(CountTransfer{TransferEvent::Hedge});
+    StartFetch(fetch.piece, source, now, actions);
+  }
+}
+
+void Swarm::StartFetch(std::uint32_t piece, const std::string& peer, TimePoint now,
+                       Actions* actions)
+{
+  const FetchId id = (*m_next_fetch_id)++;
+  m_fetches[id] = {piece, peer, now};
+  if (piece == MANIFEST_PIECE)
+    ++m_manifest_in_flight;
+  else
+    ++m_in_flight[piece];
+  if (peer.empty())
+    ++m_origin_outstanding;
+  else
+    ++m_neighbours[peer].outstanding;
+  actions->push_back(FetchPiece{id, peer, m_version, piece});
+}
+
+void Swarm::EndFetch(std::map<FetchId, Fetch>::iterator fetch)
+{
+  const Fetch& ended = fetch->second;
+  if (ended.piece == MANIFEST_PIECE)
+    --m_manifest_in_flight;
+  else
+    --m_in_flight[ended.piece];
+  const auto neighbour = m_neighbours.find(ended.peer);
+  if (ended.peer.empty())
+    --m_origin_outstanding;
+  else if (neighbour != m_neighbours.end() && neighbour->second.outstanding > 0)
+    --neighbour->second.outstanding;
+  m_fetches.erase(fetch);
+}
+
+void Swarm::CancelOthers(std::uint32_t piece, Actions* actions)
+{
+  for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
+  {
+    const auto next = std::next(fetch);
+    if (fetch->second.piece == piece)
+    {
+      actions->push_back(CancelFetch{fetch->first});
+      EndFetch(fetch);
+    }
+    fetch = next;
+  }
+}
+
+void Swarm::GiveUpStalled(TimePoint now, Actions* actions)
+{
+  for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
+  {
+    const auto next = std::next(fetch);
+    const std::string peer = fetch->second.peer;
+    const auto neighbour = m_neighbours.find(peer);
+    const TimePoint progress = peer.empty()                      ? m_origin_progress
+                               : neighbour == m_neighbours.end() ? TimePoint{}
+                                                                 : neighbour->second.last_progress;
+    // A source that works through its queue for us is slow, not stalled.
+    if (now - std::max(progress, fetch->second.started) >= m_options.stall)
+    {
+      actions->push_back(CancelFetch{fetch->first});
+      actions->push_back(
+          CountTransfer{peer.empty() ? TransferEvent::OriginStalled : TransferEvent::PeerStalled});
+      if (neighbour != m_neighbours.end())
+        neighbour->second.blocked_until = now + 2 * m_options.stall;
+      EndFetch(fetch);
+    }
+    fetch = next;
+  }
+}
+
+void Swarm::OnFetched(FetchId id, const Result<Bytes>& result, TimePoint now, Actions* actions)
+{
+  const auto found = m_fetches.find(id);
+  if (found == m_fetches.end())
+    return;
+  const Fetch fetch = found->second;
+  EndFetch(found);
+  if (const auto* error = std::get_if<Error>(&result))
+    OnFetchFailed(fetch, *error, now, actions);
+  else if (fetch.piece == MANIFEST_PIECE)
+    AcceptManifest(fetch, std::get<Bytes>(result), now, actions);
+  else
+    AcceptPiece(fetch, std::get<Bytes>(result), now, actions);
+  Pump(now, actions);
+}
+
+void Swarm::AcceptManifest(const Fetch& fetch, const Bytes& data, TimePoint now, Actions* actions)
+{
+  if (m_manifest)
+    return;
+  const Result<Manifest> decoded = DecodeManifest(*data);
+  if (Common::Sha256(*data) != m_version || !Common::Succeeded(decoded))
+  {
+    OnCorrupt(fetch, now, actions);
+    return;
+  }
+  m_manifest = std::get<Manifest>(decoded);
+  m_manifest_text = data;
+  const std::uint32_t count = m_manifest->PieceCount();
+  m_held = PieceSet(count);
+  m_pieces.assign(count, nullptr);
+  m_availability.assign(count, 0);
+  m_in_flight.assign(count, 0);
+  m_draw_order.resize(count);
+  std::iota(m_draw_order.begin(), m_draw_order.end(), 0U);
+  std::ranges::shuffle(m_draw_order, m_random);
+  m_last_new_sight = now;
+  ComputeRanks();
+  CancelOthers(MANIFEST_PIECE, actions);
+  // Now that pieces have numbers, tell the neighbours and ask what they hold.
+  for (auto& [name, neighbour] : m_neighbours)
+  {
+    neighbour.held = PieceSet(count);
+    TellWhole(name, true, actions);
+    neighbour.is_told = true;
+  }
+}
+
+void Swarm::AcceptPiece(const Fetch& fetch, const Bytes& data, TimePoint now, Actions* actions)
+{
+  if (m_held.Contains(fetch.piece))
+  {
+    actions->push_back(CountTransfer{TransferEvent::PieceTwice, data->size()});
+    return;
+  }
+  if (data->size() != m_manifest->BytesOf(fetch.piece) ||
+      Common::Sha256(*data) != m_manifest->pieces[fetch.piece])
+  {
+    OnCorrupt(fetch, now, actions);
+    return;
+  }
+  if (fetch.peer.empty())
+  {
+    m_origin_progress = now;
+    m_origin_backoff = Duration::zero();
+    m_last_new_sight = now;
+    actions->push_back(CountTransfer{TransferEvent::PieceFromOrigin, data->size()});
+  }
+  else
+  {
+    m_neighbours[fetch.peer].last_progress = now;
+    actions->push_back(CountTransfer{TransferEvent::PieceFromPeer, data->size()});
+  }
+  m_pieces[fetch.piece] = data;
+  m_held.Insert(fetch.piece);
+  CancelOthers(fetch.piece, actions);
+  TellNewPiece(fetch.piece, actions);
+  if (m_held.IsFull())
+    actions->push_back(VersionHeld{m_version});
+}
+
+void Swarm::OnCorrupt(const Fetch& fetch, TimePoint now, Actions* actions)
+{
+  const auto neighbour = m_neighbours.find(fetch.peer);
+  if (neighbour == m_neighbours.end())
+  {
+    actions->push_back(CountTransfer{TransferEvent::PieceCorruptFromOrigin});
+    m_origin_blocked_until = now + BACKOFF_LEAST;
+    return;
+  }
+  actions->push_back(CountTransfer{TransferEvent::PieceCorruptFromPeer});
+  neighbour->second.blocked_until = now + BUSY_PAUSE;
+  if (++neighbour->second.corrupt_pieces < SHUN_AFTER)
+    return;
+  actions->push_back(CountTransfer{TransferEvent::PeerShunned});
+  neighbour->second.blocked_until = now + SHUN_TIME;
+  ForgetHoldings(neighbour->second);
+}
+
+void Swarm::OnFetchFailed(const Fetch& fetch, const Error& error, TimePoint now, Actions* actions)
+{
+  const bool is_busy = error.kind == ErrorKind::SourceBusy;
+  if (fetch.peer.empty())
+  {
+    actions->push_back(
+        CountTransfer{is_busy ? TransferEvent::OriginBusy : TransferEvent::OriginFailed});
+    m_origin_backoff = std::clamp(m_origin_backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
+    m_origin_blocked_until =
+        now + (error.retry_after ? Duration(*error.retry_after) : m_origin_backoff);
+    return;
+  }
+  const auto found = m_neighbours.find(fetch.peer);
+  if (found == m_neighbours.end())
+    return;
+  actions->push_back(CountTransfer{is_busy ? TransferEvent::PeerBusy : TransferEvent::PeerFailed});
+  found->second.blocked_until =
+      now + (is_busy ? Duration(error.retry_after.value_or(Milliseconds(50))) : BACKOFF_LEAST);
+  if (error.kind == ErrorKind::PieceNotHeld)
+  {
+    // Its holdings were believed wrongly, as after a restart: ask anew.
+    ForgetHoldings(found->second);
+    TellWhole(fetch.peer, true, actions);
+  }
+}
+
+bool Swarm::IsInFlight(std::uint32_t piece) const
+{
+  return piece == MANIFEST_PIECE ? m_manifest_in_flight > 0 : m_in_flight[piece] > 0;
+}
+} // namespace Holdpost::Distribution
--- /dev/null
+++ b/Source/Core/Placement/Placement.cpp
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Placement/Placement.h"
+
+#include <algorithm>
+
+#include "Core/Settings/Effective.h"
+
+namespace Holdpost::Placement
+{
+using Settings::Field;
+
+std::vector<ServicePlan> PlansFor(const Settings::Tree& tree, const std::string& hall)
+{
+  std::vector<ServicePlan> plans;
+  const std::string region = Settings::RegionOf(tree, hall);
+  for (const std::string& service : Settings::ServicesOf(tree, hall))
+  {
+    const Settings::Effective effective(tree, Settings::MakePlace(region, hall, service));
+    if (!effective.Flag(Field::Enabled))
+      continue;
+    ServicePlan plan;
+    plan.service = service;
+    plan.pool = effective.Text(Field::Pool);
+    plan.replicas = static_cast<std::uint32_t>(effective.Integer(Field::Replicas));
+    plan.is_model = effective.Text(Field::Kind) == "model";
+    plan.model = effective.Text(Field::Model);
+    if (plan.is_model)
+      plan.version = effective.DigestAt(Field::Version);
+    plans.push_back(std::move(plan));
+  }
+  return plans;
+}
+
+std::map<std::string, std::string> Place(const std::vector<ServicePlan>& plans,
+                                         const std::vector<Candidate>& candidates)
+{
+  std::map<std::string, std::string> placed;
+  for (const ServicePlan& plan : plans)
+  {
+    const std::uint64_t seed = Common::StableHash(plan.service);
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const Candidate& candidate : candidates)
+    {
+      if (candidate.pool == plan.pool && !placed.contains(candidate.instance))
+        ranked.emplace_back(Common::StableHash(candidate.instance, seed), candidate.instance);
+    }
+    std::ranges::sort(ranked, std::greater<>());
+    const std::size_t count =
+        plan.replicas == 0 ? ranked.size() : std::min<std::size_t>(plan.replicas, ranked.size());
+    for (std::size_t i = 0; i < count; ++i)
+      placed[ranked[i].second] = plan.service;
+  }
+  return placed;
+}
+} // namespace Holdpost::Placement
--- /dev/null
+++ b/Source/Core/Settings/Record.cpp
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Settings/Record.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Common/Mailbox.h"
+
+namespace Holdpost::Settings
+{
+using Common::Error;
+using Common::ErrorKind;
+using Common::Result;
+using nlohmann::json;
+
+static json ToJson(const Values& values)
+{
+  json object = json::object();
+  for (const auto& [field, value] : values)
+  {
+    const std::string name(RuleFor(field).name);
+    std::visit([&](const auto& plain) { object[name] = plain; }, value);
+  }
+  return object;
+}
+
+std::string ValuesToJson(const Values& values)
+{
+  return ToJson(values).dump();
+}
+
+static json ToJson(const NodeChange& node)
+{
+  json object = {{"path", node.path.ToString()}, {"base", node.base}};
+  object["settings"] = node.values ? ToJson(*node.values) : json(nullptr);
+  return object;
+}
+
+std::string EncodeRecord(const Record& record)
+{
+  const json object = std::visit(
+      Common::Overloaded{[](const Change& change)
+                         {
+                           json nodes = json::array();
+                           for (const NodeChange& node : change.nodes)
+                             nodes.push_back(ToJson(node));
+                           return json{{"type", "change"},
+                                       {"id", change.id},
+                                       {"author", change.author},
+                                       {"nodes", nodes}};
+                         },
+                         [](const TargetClaim& claim)
+                         {
+                           return json{{"type", "target"},
+                                       {"id", claim.id},
+                                       {"target", claim.target},
+                                       {"instance", claim.instance}};
+                         },
+                         [](const Snapshot& snapshot) {
+                           return json{{"type", "snapshot"},
+                                       {"offset", snapshot.offset},
+                                       {"state", snapshot.state}};
+                         },
+                         [](const KeyClaims& keys)
+                         {
+                           json claims = json::array();
+                           for (const KeyClaim& claim : keys.claims)
+                           {
+                             claims.push_back({{"id", claim.id},
+                                               {"scope", claim.scope},
+                                               {"key", claim.key},
+                                               {"entry", claim.entry},
+                                               {"address", claim.address}});
+                           }
+                           return json{{"type", "keys"}, {"id", keys.id}, {"claims", claims}};
+                         }},
+      record);
+  return object.dump();
+}
+
+static Value ValueFromJson(const json& value)
+{
+  if (value.is_boolean())
+    return value.get<bool>();
+  if (value.is_number_integer())
+    return value.get<std::int64_t>();
+  return value.get<std::string>();
+}
+
+// Throws json::exception or std::invalid_argument; DecodeRecord turns both into an error.
+static Values ValuesFromJson(const json& object)
+{
+  Values values;
+  for (const auto& [name, value] : object.items())
+  {
+    const FieldRule* rule = FindRule(name);
+    if (!rule)
+      throw std::invalid_argument(fmt::format("{}: unknown field", name));
+    values[rule->field] = ValueFromJson(value);
+  }
+  return values;
+}
+
+static NodeChange NodeFromJson(const json& object)
+{
+  NodeChange node;
+  const std::string path = object.at("path");
+  if (const std::string problem = Path::Explain(path); !problem.empty())
+    throw std::invalid_argument(problem);
+  node.path = *Path::Parse(path);
+  node.base = object.at("base");
+  if (!object.at("settings").is_null())
+    node.values = ValuesFromJson(object.at("settings"));
+  return node;
+}
+
+static Change ChangeFromJson(const json& object)
+{
+  Change change{object.at("id"), object.at("author"), {}};
+  for (const json& node : object.at("nodes"))
+    change.nodes.push_back(NodeFromJson(node));
+  return change;
+}
+
+static KeyClaims KeysFromJson(const json& object)
+{
+  KeyClaims keys{object.at("id"), {}};
+  for (const json& claim : object.at("claims"))
+  {
+    keys.claims.push_back({claim.at("id"), claim.at("scope"), claim.at("key"), claim.at("entry"),
+                           claim.at("address")});
+  }
+  return keys;
+}
+
+static Record RecordFromJson(const json& object)
+{
+  const std::string type = object.at("type");
+  if (type == "change")
+    return ChangeFromJson(object);
+  if (type == "target")
+    return TargetClaim{object.at("id"), object.at("target"), object.at("instance")};
+  if (type == "snapshot")
+    return Snapshot{object.at("offset"), object.at("state")};
+  if (type == "keys")
+    return KeysFromJson(object);
+  throw std::invalid_argument(fmt::format("type: found '{}'", type));
+}
+
+Result<Record> DecodeRecord(const std::string& text)
+{
+  try
+  {
+    return RecordFromJson(json::parse(text));
+  }
+  catch (const std::exception& error)
+  {
+    return Error{ErrorKind::BadSettings, error.what()};
+  }
+}
+} // namespace Holdpost::Settings
--- /dev/null
+++ b/Source/Peers/Engine/EngineClient.h
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Common/Error.h"
+#include "Common/HttpClient.h"
+#include "Core/Distribution/Swarm.h"
+#include "Core/Runs/Runs.h"
+
+// The target of an agent's slot, a model engine or a plain service, over HTTP. Its protocol is
+// described in docs/ENGINE.md.
+namespace Holdpost::EnginePeer
+{
+// Carried by every order; an engine that checks it refuses what is older than the newest it saw.
+struct Fence
+{
+  Common::Offset claim = 0;
+  Common::Offset settings = 0;
+};
+
+struct LoadOrder
+{
+  std::string model;
+  Common::Digest version;
+  Common::Bytes manifest;
+  std::vector<Common::Bytes> pieces;
+  Fence fence;
+  // Asked before each call, so that an agent that was paused past its lease gives no order.
+  std::function<bool()> may_order;
+};
+
+struct RunCallbacks
+{
+  std::function<void(int status, const std::string& content_type, const Common::Digest& version)>
+      on_head;
+  std::function<void(std::string_view data)> on_chunk;
+  // Empty for a whole answer.
+  std::function<void(std::optional<Common::Error>)> on_end;
+};
+
+class EngineClient
+{
+public:
+  using OrderId = std::uint64_t;
+
+  EngineClient(Common::HttpClient& http, Common::Address target)
+      : m_http(http), m_target(std::move(target))
+  {
+  }
+
+  // Sends the weights, then the order to load them. One at a time; a new one drops the old one.
+  void Load(OrderId id, LoadOrder order, std::function<void(Common::Result<std::monostate>)> done);
+  void CancelLoad(OrderId id);
+
+  Common::HttpClient::CallId Run(const Runs::RunRequest& request, RunCallbacks callbacks);
+  void CancelRun(Common::HttpClient::CallId call) { m_http.Cancel(call); }
+  // Stops and restarts reading the answer, so that a slow caller holds the engine back instead of
+  // filling memory.
+  void PauseRun(Common::HttpClient::CallId call) { m_http.Pause(call); }
+  void ResumeRun(Common::HttpClient::CallId call) { m_http.Resume(call); }
+
+private:
+  struct Loading
+  {
+    OrderId id = 0;
+    LoadOrder order;
+    std::size_t next_piece = 0;
+    std::size_t outstanding = 0;
+    std::function<void(Common::Result<std::monostate>)> done;
+  };
+
+  void SendMore();
+  void SendPart(const std::string& name, const Common::Bytes& data);
+  void SendLoad();
+  void OnReply(OrderId id, const Common::Result<Common::HttpReply>& result,
+               std::function<void()> next);
+  void Finish(Common::Result<std::monostate> result);
+
+  Common::HttpClient& m_http;
+  Common::Address m_target;
+  std::unique_ptr<Loading> m_loading;
+};
+} // namespace Holdpost::EnginePeer
--- /dev/null
+++ b/Source/Peers/Instance/Messages.h
@@ -0,0 +1,255 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Error.h"
+#include "Common/Types.h"
+#include "Core/Distribution/Actions.h"
+#include "Core/Membership/Report.h"
+#include "Core/Runs/Runs.h"
+#include "Core/Settings/Fold.h"
+
+// The messages between the task that owns the decisions and the task that owns the RPC sockets.
+namespace Holdpost::InstancePeer
+{
+// Names a call of another instance that is to be answered; chosen by the RPC task.
+using CallTag = std::uint64_t;
+
+// Records after an offset, or a whole state when those records are gone.
+struct LogStretch
+{
+  std::vector<Settings::LogRecord> records;
+  Common::Offset state_position = 0;
+  std::string state;
+};
+
+// To the RPC task: calls to other instances.
+
+struct SendReport
+{
+  std::string to;
+  Common::Address address;
+  Membership::Report report;
+};
+
+struct SendAnnouncement
+{
+  std::string from;
+  std::string to;
+  Common::Address address;
+  Distribution::Announcement announcement;
+};
+
+struct FetchPiece
+{
+  Distribution::FetchId id = 0;
+  std::string from;
+  std::string to;
+  Common::Address address;
+  Common::Digest version;
+  std::uint32_t piece = 0;
+};
+
+struct CancelFetch
+{
+  Distribution::FetchId id = 0;
+};
+
+struct FetchRecords
+{
+  std::string to;
+  Common::Address address;
+  Common::Offset after = 0;
+};
+
+struct StartRun
+{
+  std::string to;
+  Common::Address address;
+  Runs::RunRequest request;
+};
+
+// Takes the next part of an answer off the receiver's hands; without it no further part is asked
+// for.
+struct TakeNextPart
+{
+  std::uint64_t number = 0;
+};
+
+struct CancelRun
+{
+  std::uint64_t number = 0;
+};
+
+struct AskToBar
+{
+  std::string to;
+  Common::Address address;
+  Runs::RunKey key;
+};
+
+// To the RPC task: answers to calls of other instances.
+
+struct AnswerReport
+{
+  CallTag tag = 0;
+  Membership::Report report;
+};
+
+struct AnswerPiece
+{
+  CallTag tag = 0;
+  Common::Result<Common::Bytes> result;
+};
+
+struct AnswerRecords
+{
+  CallTag tag = 0;
+  LogStretch stretch;
+};
+
+struct AnswerHead
+{
+  CallTag tag = 0;
+  int status = 0;
+  std::string content_type;
+  Common::Digest version;
+};
+
+struct AnswerChunk
+{
+  CallTag tag = 0;
+  std::string data;
+};
+
+struct AnswerRunEnd
+{
+  CallTag tag = 0;
+  std::optional<Common::Error> error; // empty for a whole answer
+};
+
+struct AnswerBar
+{
+  CallTag tag = 0;
+  Runs::Standing standing = Runs::Standing::Barred;
+};
+
+struct StopTask
+{
+};
+
+using ToRpc =
+    std::variant<SendReport, SendAnnouncement, FetchPiece, CancelFetch, FetchRecords, StartRun,
+                 TakeNextPart, CancelRun, AskToBar, AnswerReport, AnswerPiece, AnswerRecords,
+                 AnswerHead, AnswerChunk, AnswerRunEnd, AnswerBar, StopTask>;
+
+// From the RPC task: what other instances ask.
+
+struct ReportReceived
+{
+  CallTag tag = 0;
+  Membership::Report report;
+};
+
+struct AnnouncementReceived
+{
+  std::string from;
+  Distribution::Announcement announcement;
+};
+
+struct PieceRequested
+{
+  CallTag tag = 0;
+  std::string from;
+  Common::Digest version;
+  std::uint32_t piece = 0;
+};
+
+struct RecordsRequested
+{
+  CallTag tag = 0;
+  Common::Offset after = 0;
+};
+
+struct RunRequested
+{
+  CallTag tag = 0;
+  Runs::RunRequest request;
+};
+
+// The entry cancelled the run or went away; no answer is wanted any more.
+struct RunAbandoned
+{
+  CallTag tag = 0;
+};
+
+// The entry has taken all parts sent so far.
+struct RunDrained
+{
+  CallTag tag = 0;
+};
+
+struct BarRequested
+{
+  CallTag tag = 0;
+  Runs::RunKey key;
+};
+
+// From the RPC task: answers of other instances.
+
+struct ReportAnswered
+{
+  Membership::Report report;
+};
+
+struct PeerUnreachable
+{
+  std::string instance;
+};
+
+struct PieceFetched
+{
+  Distribution::FetchId id = 0;
+  Common::Result<Common::Bytes> result;
+};
+
+struct RecordsFetched
+{
+  LogStretch stretch;
+};
+
+struct RunHead
+{
+  std::uint64_t number = 0;
+  int status = 0;
+  std::string content_type;
+  Common::Digest version;
+};
+
+struct RunChunk
+{
+  std::uint64_t number = 0;
+  std::string data;
+};
+
+struct RunEnded
+{
+  std::uint64_t number = 0;
+  std::optional<Common::Error> error; // empty for a whole answer
+};
+
+struct BarAnswered
+{
+  std::uint64_t number = 0;
+  Common::Result<Runs::Standing> standing;
+};
+
+using FromRpc = std::variant<ReportReceived, AnnouncementReceived, PieceRequested, RecordsRequested,
+                             RunRequested, RunAbandoned, RunDrained, BarRequested, ReportAnswered,
+                             PeerUnreachable, PieceFetched, RecordsFetched, RunHead, RunChunk,
+                             RunEnded, BarAnswered>;
+} // namespace Holdpost::InstancePeer
--- /dev/null
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Peers/Platform/PlatformClient.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Common/YamlReader.h"
+
+namespace Holdpost::PlatformPeer
+{
+using Common::Bytes;
+using Common::Error;
+using Common::ErrorKind;
+using Common::EventLoop;
+using Common::HttpReply;
+using Common::Milliseconds;
+using Common::Offset;
+using Common::Result;
+using nlohmann::json;
+
+static constexpr Milliseconds CALL_TIMEOUT = Milliseconds(3000);
+// The origin's limit may hold a piece back for a while; stalls are judged by the exchange.
+static constexpr Milliseconds PIECE_TIMEOUT = Milliseconds(60000);
+
+PlatformClient::PlatformClient(Common::HttpClient& http, std::vector<Common::Address> addresses)
+    : m_http(http), m_addresses(std::move(addresses))
+{
+}
+
+static std::optional<Milliseconds> RetryAfter(const HttpReply& reply)
+{
+  const auto found = reply.headers.find("retry-after-ms");
+  if (found == reply.headers.end())
+    return std::nullopt;
+  int milliseconds = 0;
+  const std::string& text = found->second;
+  std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  return Milliseconds(std::max(milliseconds, 1));
+}
+
+static Error ErrorFor(const HttpReply& reply)
+{
+  if (reply.status == 503 || reply.status == 429)
+    return {ErrorKind::SourceBusy, "the platform says to come back later", RetryAfter(reply)};
+  if (reply.status == 404)
+    return {ErrorKind::NotFound, "the platform does not have it"};
+  return {ErrorKind::PlatformUnavailable, fmt::format("the platform answered {}", reply.status)};
+}
+
+Common::HttpClient::CallId PlatformClient::Get(const std::string& path, Milliseconds idle_timeout,
+                                               std::function<void(Result<HttpReply>)> done)
+{
+  Common::HttpCall call;
+  call.to = CurrentAddress();
+  call.path = path;
+  call.idle_timeout = idle_timeout;
+  call.may_reuse_connection = true;
+  Common::HttpCallbacks callbacks;
+  callbacks.on_done = [this, done = std::move(done)](Result<HttpReply> result)
+  {
+    if (auto* error = std::get_if<Error>(&result))
+    {
+      OnFailed();
+      done(Error{ErrorKind::PlatformUnavailable, error->message});
+      return;
+    }
+    const auto& reply = std::get<HttpReply>(result);
+    if (reply.status != 200)
+      done(ErrorFor(reply));
+    else
+      done(std::move(result));
+  };
+  return m_http.Start(std::move(call), std::move(callbacks));
+}
+
+static Result<LogRead> ParseLogRead(const std::string& body, Common::TimePoint sent)
+{
+  try
+  {
+    const json object = json::parse(body);
+    LogRead read;
+    read.sent = sent;
+    read.first = object.at("first");
+    read.head = object.at("head");
+    for (const json& record : object.at("records"))
+      read.records.push_back({record.at("offset"), record.at("text")});
+    return read;
+  }
+  catch (const json::exception& error)
+  {
+    return Error{ErrorKind::PlatformUnavailable, error.what()};
+  }
+}
+
+void PlatformClient::ReadLog(Offset after, Milliseconds wait,
+                             std::function<void(Result<LogRead>)> done)
+{
+  const auto sent = EventLoop::Now();
+  Get(fmt::format("/log?after={}&wait_ms={}", after, wait.count()), CALL_TIMEOUT + wait,
+      [done = std::move(done), sent](Result<HttpReply> result)
+      {
+        if (const auto* error = std::get_if<Error>(&result))
+          done(*error);
+        else
+          done(ParseLogRead(std::get<HttpReply>(result).body, sent));
+      });
+}
+
+static Result<Offset> ParseAppended(const Result<HttpReply>& result)
+{
+  if (const auto* error = std::get_if<Error>(&result))
+    return Error{ErrorKind::PlatformUnavailable, error->message};
+  const auto& reply = std::get<HttpReply>(result);
+  if (reply.status != 200)
+    return ErrorFor(reply);
+  const json object = json::parse(reply.body, nullptr, false);
+  if (!object.is_object() || !object.contains("offset"))
+    return Error{ErrorKind::PlatformUnavailable, "the log's answer cannot be read"};
+  return object["offset"].get<Offset>();
+}
+
+void PlatformClient::Append(const std::string& record, std::function<void(Result<Offset>)> done)
+{
+  Common::HttpCall call;
+  call.to = CurrentAddress();
+  call.method = "POST";
+  call.path = "/log";
+  call.body = record;
+  call.idle_timeout = CALL_TIMEOUT;
+  Common::HttpCallbacks callbacks;
+  callbacks.on_done = [this, done = std::move(done)](Result<HttpReply> result)
+  {
+    if (!Common::Succeeded(result))
+      OnFailed();
+    done(ParseAppended(result));
+  };
+  m_http.Start(std::move(call), std::move(callbacks));
+}
+
+static Membership::ListedInstance ListedFromJson(const json& object)
+{
+  Membership::ListedInstance listed;
+  listed.instance = object.at("instance");
+  listed.hall = object.at("hall");
+  listed.pool = object.value("pool", "");
+  listed.role = object.at("role") == "entry" ? Membership::Role::Entry : Membership::Role::Agent;
+  const std::string address = object.at("address");
+  listed.address = Common::ParseAddress(address).value_or(Common::Address());
+  listed.is_leaving = object.value("state", "live") == "leaving";
+  return listed;
+}
+
+void PlatformClient::ListInstances(
+    std::function<void(Result<std::vector<Membership::ListedInstance>>)> done)
+{
+  Get("/instances", CALL_TIMEOUT,
+      [done = std::move(done)](Result<HttpReply> result)
+      {
+        if (const auto* error = std::get_if<Error>(&result))
+          return done(*error);
+        try
+        {
+          std::vector<Membership::ListedInstance> list;
+          const json body = json::parse(std::get<HttpReply>(result).body);
+          for (const json& object : body.at("instances"))
+            list.push_back(ListedFromJson(object));
+          done(std::move(list));
+        }
+        catch (const json::exception& error)
+        {
+          done(Error{ErrorKind::PlatformUnavailable, error.what()});
+        }
+      });
+}
+
+Common::HttpClient::CallId PlatformClient::FetchPiece(const Common::Digest& version,
+                                                      std::uint32_t piece,
+                                                      std::function<void(Result<Bytes>)> done)
+{
+  const std::string path = piece == Distribution::MANIFEST_PIECE
+                               ? fmt::format("/origin/{}/manifest", version.ToHex())
+                               : fmt::format("/origin/{}/pieces/{}", version.ToHex(), piece);
+  return Get(path, PIECE_TIMEOUT,
+             [done = std::move(done)](Result<HttpReply> result)
+             {
+               if (const auto* error = std::get_if<Error>(&result))
+                 done(*error);
+               else
+                 done(Common::MakeBytes(std::move(std::get<HttpReply>(result).body)));
+             });
+}
+} // namespace Holdpost::PlatformPeer
--- /dev/null
+++ b/Source/Peers/Platform/PlatformClient.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Common/Error.h"
+#include "Common/HttpClient.h"
+#include "Core/Distribution/Actions.h"
+#include "Core/Membership/Report.h"
+#include "Core/Settings/Fold.h"
+
+// The platform's services over HTTP: the append-only log, the list of instances, the origin of
+// weights. Their protocol is described in docs/PLATFORM.md.
+namespace Holdpost::PlatformPeer
+{
+struct LogRead
+{
+  Common::TimePoint sent{}; // when the read left here
+  Common::Offset first = 0; // oldest offset that the log still has; 0 if it is empty
+  Common::Offset head = 0;  // newest offset
+  std::vector<Settings::LogRecord> records;
+};
+
+class PlatformClient
+{
+public:
+  // Several addresses are the same platform; after a failure the next one is used.
+  PlatformClient(Common::HttpClient& http, std::vector<Common::Address> addresses);
+
+  // Records after an offset. Waits up to `wait` for the first one to come.
+  void ReadLog(Common::Offset after, Common::Milliseconds wait,
+               std::function<void(Common::Result<LogRead>)> done);
+  // On an error the record may or may not be in the log: look for its id before appending again.
+  void Append(const std::string& record, std::function<void(Common::Result<Common::Offset>)> done);
+  void
+  ListInstances(std::function<void(Common::Result<std::vector<Membership::ListedInstance>>)> done);
+  // A piece of a version, or its manifest for MANIFEST_PIECE. SourceBusy says when to come back.
+  Common::HttpClient::CallId FetchPiece(const Common::Digest& version, std::uint32_t piece,
+                                        std::function<void(Common::Result<Common::Bytes>)> done);
+  void Cancel(Common::HttpClient::CallId call) { m_http.Cancel(call); }
+
+private:
+  Common::HttpClient::CallId Get(const std::string& path, Common::Milliseconds idle_timeout,
+                                 std::function<void(Common::Result<Common::HttpReply>)> done);
+  const Common::Address& CurrentAddress() const { return m_addresses[m_current]; }
+  void OnFailed() { m_current = (m_current + 1) % m_addresses.size(); }
+
+  Common::HttpClient& m_http;
+  std::vector<Common::Address> m_addresses;
+  std::size_t m_current = 0;
+};
+} // namespace Holdpost::PlatformPeer
