Distribution: Count only instances that want a version as its fetchers

Cause of the slow push: every agent counted as a ranked fetcher, also the one in front of a plain service, so its share of the pieces and sometimes the manifest waited for the patience (1.5 s) of the next rank. Ruled out: the link budget (no limit set) and the RPC (it moves a piece in under a millisecond). Candidates now carry the version that placement gives them in every hall.

--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -20,6 +20,13 @@
 // The hooks are declared without the library's header; their type must still be its own.
 static_assert(std::is_same_v<evhtp_res, std::uint16_t>);
 
+// libevhtp keeps hooks of every signature as one pointer type.
+template <typename Function>
+static evhtp_hook AsHook(Function* function)
+{
+  return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+}
+
 static std::string LowerCase(std::string_view text)
 {
   std::string lower(text);
@@ -199,7 +206,7 @@
   const int on = 1;
   setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
-                            reinterpret_cast<evhtp_hook>(&HttpServer::HandleHeaders), self);
+                            AsHook(&HttpServer::HandleHeaders), self);
   return EVHTP_RES_OK;
 }
 
@@ -231,9 +238,9 @@
   // Freed by HandleFinished, which libevhtp calls exactly once for each request.
   auto* holder = new std::shared_ptr<HttpExchange>(exchange);
   evhtp_request_set_hook(raw, evhtp_hook_on_request_fini,
-                         reinterpret_cast<evhtp_hook>(&HttpExchange::HandleFinished), holder);
+                         AsHook(&HttpExchange::HandleFinished), holder);
   evhtp_connection_set_hook(raw->conn, evhtp_hook_on_write,
-                            reinterpret_cast<evhtp_hook>(&HttpExchange::HandleWrite), holder);
+                            AsHook(&HttpExchange::HandleWrite), holder);
   server->m_handler(exchange);
 }
 
--- a/Source/Core/Distribution/Exchange.cpp
+++ b/Source/Core/Distribution/Exchange.cpp
@@ -31,12 +31,17 @@
 
 void Exchange::SetPeersOf(Swarm& swarm, TimePoint now, Actions* actions)
 {
+  std::vector<NeighbourCandidate> same_version;
   std::vector<std::string> fetchers;
-  fetchers.reserve(m_candidates.size());
   for (const NeighbourCandidate& candidate : m_candidates)
+  {
+    if (candidate.version != swarm.Version())
+      continue;
+    same_version.push_back(candidate);
     fetchers.push_back(candidate.instance);
+  }
   swarm.SetPeers(
-      ChooseNeighbours(swarm.Version(), m_self, m_hall, m_candidates, m_options.neighbours),
+      ChooseNeighbours(swarm.Version(), m_self, m_hall, same_version, m_options.neighbours),
       fetchers, now, actions);
 }
 
--- a/Source/Core/Distribution/Exchange.h
+++ b/Source/Core/Distribution/Exchange.h
@@ -32,7 +32,7 @@
   Exchange(std::string self, std::string hall, std::uint64_t seed);
 
   void SetOptions(const ExchangeOptions& options);
-  // The other agents that want, or may want, the same versions.
+  // The other agents and the version that each wants.
   void SetCandidates(std::vector<NeighbourCandidate> candidates, Common::TimePoint now,
                      Actions* actions);
   // The candidates set last come from a view that is newer than every version wanted so far.
--- a/Source/Core/Distribution/Neighbours.h
+++ b/Source/Core/Distribution/Neighbours.h
@@ -13,6 +13,9 @@
 {
   std::string instance;
   std::string hall;
+  Common::Digest version; // the one it wants
+
+  bool operator==(const NeighbourCandidate&) const = default;
 };
 
 // Both ends of a link compute the same answer, so nobody has to ask. Instances stand on a ring in
--- a/Source/Core/Placement/Placement.cpp
+++ b/Source/Core/Placement/Placement.cpp
@@ -52,4 +52,26 @@
   }
   return placed;
 }
+
+std::map<std::string, Common::Digest> WantedVersions(const Settings::Tree& tree,
+                                                     const std::vector<PlacedAgent>& agents)
+{
+  std::map<std::string, std::vector<Candidate>> by_hall;
+  for (const PlacedAgent& agent : agents)
+    by_hall[agent.hall].push_back({agent.instance, agent.pool});
+  std::map<std::string, Common::Digest> wanted;
+  for (const auto& [hall, candidates] : by_hall)
+  {
+    std::map<std::string, Common::Digest> versions;
+    const std::vector<ServicePlan> plans = PlansFor(tree, hall);
+    for (const ServicePlan& plan : plans)
+      versions[plan.service] = plan.version;
+    for (const auto& [instance, service] : Place(plans, candidates))
+    {
+      if (!versions[service].IsZero())
+        wanted[instance] = versions[service];
+    }
+  }
+  return wanted;
+}
 } // namespace Holdpost::Placement
--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -38,4 +38,17 @@
 // weights. Services take their instances in the order of their names.
 std::map<std::string, std::string> Place(const std::vector<ServicePlan>& plans,
                                          const std::vector<Candidate>& candidates);
+
+// An agent anywhere in the deployment.
+struct PlacedAgent
+{
+  std::string instance;
+  std::string hall;
+  std::string pool;
+};
+
+// The version of weights that the tree wants at each agent of every hall; agents that want none are
+// left out.
+std::map<std::string, Common::Digest> WantedVersions(const Settings::Tree& tree,
+                                                     const std::vector<PlacedAgent>& agents);
 } // namespace Holdpost::Placement
--- a/Source/Node/AgentNode.cpp
+++ b/Source/Node/AgentNode.cpp
@@ -20,6 +20,8 @@
 using Membership::Role;
 using Settings::Field;
 
+// Silence takes an instance out of the candidates without any message.
+static constexpr Milliseconds CANDIDATES_PERIOD = Milliseconds(500);
 static constexpr Milliseconds CLAIM_RETRY = Milliseconds(1000);
 
 AgentNode::AgentNode(AgentConfig config)
@@ -62,11 +64,13 @@
 void AgentNode::OnSettings()
 {
   m_weights.SetOptions(ExchangeOptionsFrom(HallSettings()));
+  m_weights.RefreshCandidates(Tree());
   Replan();
 }
 
 void AgentNode::OnMembership()
 {
+  m_weights.RefreshCandidates(Tree());
   m_weights.OnListRead();
   Replan();
 }
@@ -143,7 +147,11 @@
 
 void AgentNode::OnTick(TimePoint now)
 {
-  m_weights.RefreshCandidates();
+  if (now >= m_candidates_due)
+  {
+    m_weights.RefreshCandidates(Tree());
+    m_candidates_due = now + CANDIDATES_PERIOD;
+  }
   m_runs.Account().ForgetSilentEntries(now, HallSettings().Time(Field::DeadAfterMs));
   Deployment::Actions actions;
   m_deployment.OnTick(now, MayOrder(), true, &actions);
--- a/Source/Node/AgentNode.h
+++ b/Source/Node/AgentNode.h
@@ -49,6 +49,7 @@
   AgentWeights m_weights;
   Deployment::Deployment m_deployment;
   Membership::Lease m_lease;
+  Common::TimePoint m_candidates_due{};
   bool m_is_claiming = false;
   Common::TimePoint m_claim_not_before{};
 };
--- a/Source/Node/AgentWeights.cpp
+++ b/Source/Node/AgentWeights.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "Common/Log.h"
+#include "Core/Placement/Placement.h"
 
 namespace Holdpost::Node
 {
@@ -25,18 +26,22 @@
 {
 }
 
-void AgentWeights::RefreshCandidates()
+void AgentWeights::RefreshCandidates(const Settings::Tree& tree)
 {
-  std::vector<std::pair<std::string, std::string>> names;
-  std::vector<Distribution::NeighbourCandidate> candidates;
+  std::vector<Placement::PlacedAgent> agents;
+  std::map<std::string, std::string> halls;
   for (const Membership::Member* member : m_membership.UsableAgents(EventLoop::Now()))
   {
-    names.emplace_back(member->report.instance, member->report.hall);
-    candidates.push_back({member->report.instance, member->report.hall});
+    const Membership::Report& report = member->report;
+    agents.push_back({report.instance, report.hall, report.pool});
+    halls[report.instance] = report.hall;
   }
-  if (names == m_candidate_names)
+  std::vector<Distribution::NeighbourCandidate> candidates;
+  for (const auto& [instance, version] : Placement::WantedVersions(tree, agents))
+    candidates.push_back({instance, halls[instance], version});
+  if (candidates == m_candidates)
     return;
-  m_candidate_names = std::move(names);
+  m_candidates = candidates;
   Distribution::Actions actions;
   m_exchange.SetCandidates(std::move(candidates), EventLoop::Now(), &actions);
   Carry(std::move(actions));
@@ -44,7 +49,6 @@
 
 void AgentWeights::OnListRead()
 {
-  RefreshCandidates();
   Distribution::Actions actions;
   m_exchange.OnViewConfirmed(EventLoop::Now(), &actions);
   Carry(std::move(actions));
--- a/Source/Node/AgentWeights.h
+++ b/Source/Node/AgentWeights.h
@@ -8,6 +8,7 @@
 #include "Common/Metrics.h"
 #include "Core/Distribution/Exchange.h"
 #include "Core/Membership/Membership.h"
+#include "Core/Settings/Tree.h"
 #include "Peers/Instance/RpcTask.h"
 #include "Peers/Platform/PlatformClient.h"
 
@@ -29,9 +30,9 @@
                Common::Metrics& metrics, Callbacks callbacks);
 
   void SetOptions(const Distribution::ExchangeOptions& options) { m_exchange.SetOptions(options); }
-  // Looks anew who else may hold or want the weights.
-  void RefreshCandidates();
-  // The platform's list has just been read.
+  // Looks anew who else wants which weights.
+  void RefreshCandidates(const Settings::Tree& tree);
+  // The candidates were refreshed from a list that has just been read.
   void OnListRead();
   void Want(const Common::Digest& version);
   void KeepOnly(const std::vector<Common::Digest>& versions);
@@ -62,6 +63,6 @@
   Callbacks m_callbacks;
   std::unique_ptr<Common::Watch> m_timer;
   std::map<Distribution::FetchId, Common::HttpClient::CallId> m_origin_calls;
-  std::vector<std::pair<std::string, std::string>> m_candidate_names;
+  std::vector<Distribution::NeighbourCandidate> m_candidates;
 };
 } // namespace Holdpost::Node
