Node: Decide as state machines that take events and return actions

Weighed: a fake HTTP and RPC layer below the daemons, which would have kept sockets and threads in every scenario.

--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -205,8 +205,8 @@
 {
   const int on = 1;
   setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
-                            AsHook(&HttpServer::HandleHeaders), self);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_headers, AsHook(&HttpServer::HandleHeaders),
+                            self);
   return EVHTP_RES_OK;
 }
 
@@ -237,10 +237,10 @@
   }
   // Freed by HandleFinished, which libevhtp calls exactly once for each request.
   auto* holder = new std::shared_ptr<HttpExchange>(exchange);
-  evhtp_request_set_hook(raw, evhtp_hook_on_request_fini,
-                         AsHook(&HttpExchange::HandleFinished), holder);
-  evhtp_connection_set_hook(raw->conn, evhtp_hook_on_write,
-                            AsHook(&HttpExchange::HandleWrite), holder);
+  evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, AsHook(&HttpExchange::HandleFinished),
+                         holder);
+  evhtp_connection_set_hook(raw->conn, evhtp_hook_on_write, AsHook(&HttpExchange::HandleWrite),
+                            holder);
   server->m_handler(exchange);
 }
 
--- a/Source/Core/Membership/Lease.h
+++ b/Source/Core/Membership/Lease.h
@@ -16,10 +16,7 @@
 class Lease
 {
 public:
-  Lease(std::string target, std::string instance)
-      : m_target(std::move(target)), m_instance(std::move(instance))
-  {
-  }
+  explicit Lease(std::string target) : m_target(std::move(target)) {}
 
   // The id under which the agent's claim was or will be appended.
   void SetClaimId(std::string id) { m_claim_id = std::move(id); }
@@ -37,7 +34,6 @@
 
 private:
   std::string m_target;
-  std::string m_instance;
   std::string m_claim_id;
   Common::Offset m_offset = 0;
   bool m_is_lost = false;
--- /dev/null
+++ b/Source/Core/Node/Follower.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <deque>
+#include <optional>
+
+#include "Common/Metrics.h"
+#include "Core/Node/Events.h"
+#include "Core/Settings/Fold.h"
+
+// Keeps the fold up to date from the platform's log and, while that is away, from other instances.
+namespace Holdpost::NodeCore
+{
+class Follower
+{
+public:
+  struct Progress
+  {
+    // New records were folded; the settings may have changed.
+    bool has_folded = false;
+    // When the read was sent that showed the log up to its head.
+    std::optional<Common::TimePoint> caught_up_at;
+  };
+
+  // The seed sets this instance's jitter.
+  Follower(std::uint64_t seed, Common::Metrics& metrics) : m_seed(seed), m_metrics(metrics) {}
+
+  void Start(Actions* actions) { Read(actions); }
+  Progress OnLogRead(const LogReadDone& done, Common::TimePoint now, Actions* actions);
+  void OnSnapshotWritten(const AppendDone& done);
+  // From a peer that is ahead. Returns true if something was folded.
+  bool OnStretch(const LogStretch& stretch);
+  void OnTick(Common::TimePoint now, Actions* actions);
+
+  // For a peer that is behind: records after `after`, or the whole state if they are not kept.
+  LogStretch StretchAfter(Common::Offset after) const;
+  const Settings::Fold& Fold() const { return m_fold; }
+  // True once the log or a peer has vouched for a state.
+  bool HasState() const { return m_fold.AcceptedOffset() > 0; }
+  bool IsLogReachable() const { return m_is_log_reachable; }
+
+private:
+  void Read(Actions* actions);
+  bool FoldRecords(const std::vector<Settings::LogRecord>& records);
+  void CountVerdict(const Settings::Verdict& verdict);
+  void Keep(const Settings::LogRecord& record);
+  void MaybeWriteSnapshot(Common::Offset first, Actions* actions);
+
+  std::uint64_t m_seed;
+  Common::Metrics& m_metrics;
+  Settings::Fold m_fold;
+  std::deque<Settings::LogRecord> m_recent;
+  std::size_t m_recent_bytes = 0;
+  bool m_is_log_reachable = false;
+  Common::Duration m_backoff{};
+  // When to read again after a failure; empty while a read is under way.
+  std::optional<Common::TimePoint> m_read_due;
+  Common::Offset m_last_snapshot = 0;
+  bool m_is_writing_snapshot = false;
+};
+} // namespace Holdpost::NodeCore
--- a/Source/Peers/Instance/Messages.h
+++ b/Source/Core/Node/InstanceMessages.h
@@ -13,8 +13,9 @@
 #include "Core/Runs/Runs.h"
 #include "Core/Settings/Fold.h"
 
-// The messages between the task that owns the decisions and the task that owns the RPC sockets.
-namespace Holdpost::InstancePeer
+// What instances of the system say to each other, as messages between the task that owns the
+// decisions and whatever carries them: the RPC task here, another transport elsewhere.
+namespace Holdpost::NodeCore
 {
 // Names a call of another instance that is to be answered; chosen by the RPC task.
 using CallTag = std::uint64_t;
@@ -27,7 +28,7 @@
   std::string state;
 };
 
-// To the RPC task: calls to other instances.
+// Calls to other instances.
 
 struct SendReport
 {
@@ -92,7 +93,7 @@
   Runs::RunKey key;
 };
 
-// To the RPC task: answers to calls of other instances.
+// Answers to calls of other instances.
 
 struct AnswerReport
 {
@@ -138,16 +139,7 @@
   Runs::Standing standing = Runs::Standing::Barred;
 };
 
-struct StopTask
-{
-};
-
-using ToRpc =
-    std::variant<SendReport, SendAnnouncement, FetchPiece, CancelFetch, FetchRecords, StartRun,
-                 TakeNextPart, CancelRun, AskToBar, AnswerReport, AnswerPiece, AnswerRecords,
-                 AnswerHead, AnswerChunk, AnswerRunEnd, AnswerBar, StopTask>;
-
-// From the RPC task: what other instances ask.
+// What other instances ask.
 
 struct ReportReceived
 {
@@ -199,7 +191,7 @@
   Runs::RunKey key;
 };
 
-// From the RPC task: answers of other instances.
+// Answers of other instances.
 
 struct ReportAnswered
 {
@@ -248,8 +240,4 @@
   Common::Result<Runs::Standing> standing;
 };
 
-using FromRpc = std::variant<ReportReceived, AnnouncementReceived, PieceRequested, RecordsRequested,
-                             RunRequested, RunAbandoned, RunDrained, BarRequested, ReportAnswered,
-                             PeerUnreachable, PieceFetched, RecordsFetched, RunHead, RunChunk,
-                             RunEnded, BarAnswered>;
-} // namespace Holdpost::InstancePeer
+} // namespace Holdpost::NodeCore
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -17,6 +17,11 @@
 // Weight of the newest sample in the running mean of tokens a second.
 static constexpr double RATE_SMOOTHING = 0.1;
 
+std::string_view RetryReasonName(RetryReason reason)
+{
+  return reason == RetryReason::TargetRefused ? "target_refused" : "unreachable";
+}
+
 static Milliseconds ToMilliseconds(Duration duration)
 {
   return std::max(std::chrono::ceil<Milliseconds>(duration), Milliseconds(1));
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -61,6 +61,8 @@
   Unreachable,
 };
 
+std::string_view RetryReasonName(RetryReason reason);
+
 struct CountRetry
 {
   RetryReason reason;
--- a/Source/Peers/Caller/CallerRequest.cpp
+++ b/Source/Peers/Caller/CallerCodec.cpp
@@ -1,14 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "Peers/Caller/CallerRequest.h"
+#include "Peers/Caller/CallerCodec.h"
 
 #include <charconv>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/Hash.h"
-#include "Core/Placement/Placement.h"
-#include "Core/Settings/Effective.h"
+#include "Core/Settings/Path.h"
 
 namespace Holdpost::CallerPeer
 {
@@ -17,7 +15,7 @@
 using Common::HttpRequest;
 using Common::Result;
 using nlohmann::json;
-using Settings::Field;
+using Routing::CallerRequest;
 
 static constexpr std::string_view COMPLETIONS_PATH = "/v1/completions";
 static constexpr std::string_view SERVICES_PREFIX = "/services/";
@@ -57,7 +55,6 @@
   const auto& text = prompt->get_ref<const std::string&>();
   parsed.cost = tokens + static_cast<std::int64_t>(text.size()) / BYTES_PER_TOKEN;
   parsed.prompt_start = text.substr(0, AFFINITY_BYTES);
-  parsed.is_stream = body.value("stream", json(false)) == true;
   return parsed;
 }
 
@@ -107,30 +104,4 @@
     return ParseServiceCall(request, std::move(parsed));
   return Error{ErrorKind::NotFound, "there is no such path"};
 }
-
-std::string OrganisationFor(const Settings::Tree& tree, const std::string& hall,
-                            const std::string& service, const std::string& credential)
-{
-  const std::string hash = Common::Sha256(credential).ToHex();
-  const std::string region = Settings::RegionOf(tree, hall);
-  for (const std::string& organisation : Settings::OrganisationsOf(tree, hall, service))
-  {
-    const Settings::Effective effective(tree,
-                                        Settings::MakePlace(region, hall, service, organisation));
-    if (effective.Text(Field::CredentialSha256) == hash && effective.Flag(Field::Enabled))
-      return organisation;
-  }
-  return "";
-}
-
-std::string ServiceForModel(const Settings::Tree& tree, const std::string& hall,
-                            const std::string& model)
-{
-  for (const Placement::ServicePlan& plan : Placement::PlansFor(tree, hall))
-  {
-    if (plan.is_model && plan.model == model)
-      return plan.service;
-  }
-  return "";
-}
 } // namespace Holdpost::CallerPeer
--- a/Source/Peers/Engine/EngineClient.cpp
+++ b/Source/Peers/Engine/EngineClient.cpp
@@ -17,25 +17,25 @@
 static constexpr Milliseconds ORDER_TIMEOUT = Milliseconds(120000);
 static constexpr Milliseconds RUN_IDLE_TIMEOUT = Milliseconds(60000);
 
-static Common::HttpHeaders FenceHeaders(const Fence& fence)
+static Common::HttpHeaders FenceHeaders(const NodeCore::Fence& fence)
 {
   return {{"Holdpost-Fence", std::to_string(fence.claim)},
           {"Holdpost-Settings", std::to_string(fence.settings)}};
 }
 
-void EngineClient::Load(OrderId id, LoadOrder order,
+void EngineClient::Load(NodeCore::LoadTarget order, std::function<bool()> may_order,
                         std::function<void(Result<std::monostate>)> done)
 {
   m_loading = std::make_unique<Loading>();
-  m_loading->id = id;
   m_loading->order = std::move(order);
+  m_loading->may_order = std::move(may_order);
   m_loading->done = std::move(done);
   SendPart("manifest", m_loading->order.manifest);
 }
 
 void EngineClient::CancelLoad(OrderId id)
 {
-  if (m_loading && m_loading->id == id)
+  if (m_loading && m_loading->order.order == id)
     m_loading.reset();
 }
 
@@ -47,7 +47,7 @@
 
 void EngineClient::OnReply(OrderId id, const Result<HttpReply>& result, std::function<void()> next)
 {
-  if (!m_loading || m_loading->id != id)
+  if (!m_loading || m_loading->order.order != id)
     return;
   --m_loading->outstanding;
   if (const auto* error = std::get_if<Error>(&result))
@@ -62,7 +62,7 @@
 
 void EngineClient::SendPart(const std::string& name, const Common::Bytes& data)
 {
-  if (!m_loading->order.may_order())
+  if (!m_loading->may_order())
     return Finish(Error{ErrorKind::Fenced, "the lease on the target has lapsed"});
   Common::HttpCall call;
   call.to = m_target;
@@ -73,7 +73,7 @@
   call.idle_timeout = ORDER_TIMEOUT;
   call.may_reuse_connection = true;
   ++m_loading->outstanding;
-  const OrderId id = m_loading->id;
+  const OrderId id = m_loading->order.order;
   m_http.Start(std::move(call), {[this, id](Result<HttpReply> result)
                                  { OnReply(id, result, [this] { SendMore(); }); }});
 }
@@ -92,7 +92,7 @@
 
 void EngineClient::SendLoad()
 {
-  if (!m_loading->order.may_order())
+  if (!m_loading->may_order())
     return Finish(Error{ErrorKind::Fenced, "the lease on the target has lapsed"});
   Common::HttpCall call;
   call.to = m_target;
@@ -103,7 +103,7 @@
       json{{"model", m_loading->order.model}, {"version", m_loading->order.version.ToHex()}}.dump();
   call.idle_timeout = ORDER_TIMEOUT;
   ++m_loading->outstanding;
-  const OrderId id = m_loading->id;
+  const OrderId id = m_loading->order.order;
   m_http.Start(std::move(call), {[this, id](Result<HttpReply> result)
                                  { OnReply(id, result, [this] { Finish(std::monostate{}); }); }});
 }
--- a/Source/Peers/Engine/EngineClient.h
+++ b/Source/Peers/Engine/EngineClient.h
@@ -7,31 +7,12 @@
 
 #include "Common/Error.h"
 #include "Common/HttpClient.h"
-#include "Core/Distribution/Swarm.h"
-#include "Core/Runs/Runs.h"
+#include "Core/Node/TargetMessages.h"
 
 // The target of an agent's slot, a model engine or a plain service, over HTTP. Its protocol is
 // described in docs/ENGINE.md.
 namespace Holdpost::EnginePeer
 {
-// Carried by every order; an engine that checks it refuses what is older than the newest it saw.
-struct Fence
-{
-  Common::Offset claim = 0;
-  Common::Offset settings = 0;
-};
-
-struct LoadOrder
-{
-  std::string model;
-  Common::Digest version;
-  Common::Bytes manifest;
-  std::vector<Common::Bytes> pieces;
-  Fence fence;
-  // Asked before each call, so that an agent that was paused past its lease gives no order.
-  std::function<bool()> may_order;
-};
-
 struct RunCallbacks
 {
   std::function<void(int status, const std::string& content_type, const Common::Digest& version)>
@@ -52,7 +33,10 @@
   }
 
   // Sends the weights, then the order to load them. One at a time; a new one drops the old one.
-  void Load(OrderId id, LoadOrder order, std::function<void(Common::Result<std::monostate>)> done);
+  // `may_order` is asked before each call, so that an agent that was paused past its lease gives no
+  // order.
+  void Load(NodeCore::LoadTarget order, std::function<bool()> may_order,
+            std::function<void(Common::Result<std::monostate>)> done);
   void CancelLoad(OrderId id);
 
   Common::HttpClient::CallId Run(const Runs::RunRequest& request, RunCallbacks callbacks);
@@ -65,8 +49,8 @@
 private:
   struct Loading
   {
-    OrderId id = 0;
-    LoadOrder order;
+    NodeCore::LoadTarget order;
+    std::function<bool()> may_order;
     std::size_t next_piece = 0;
     std::size_t outstanding = 0;
     std::function<void(Common::Result<std::monostate>)> done;
--- a/Source/Peers/Instance/Codec.h
+++ b/Source/Peers/Instance/Codec.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "Peers/Instance/Instance.capnp.h"
-#include "Peers/Instance/Messages.h"
+#include "Peers/Instance/Mail.h"
 
 // Between the wire's structs and the system's own types. Readers of untrusted input never throw on
 // odd values: numbers out of range become the nearest meaning.
--- a/Source/Peers/Instance/RpcClient.h
+++ b/Source/Peers/Instance/RpcClient.h
@@ -11,7 +11,7 @@
 
 #include "Common/Mailbox.h"
 #include "Peers/Instance/Codec.h"
-#include "Peers/Instance/Messages.h"
+#include "Peers/Instance/Mail.h"
 
 // The calls that this instance makes to others, over one connection to each. Belongs to the RPC
 // task.
--- a/Source/Peers/Instance/RpcServer.h
+++ b/Source/Peers/Instance/RpcServer.h
@@ -7,7 +7,7 @@
 
 #include "Common/Mailbox.h"
 #include "Peers/Instance/Codec.h"
-#include "Peers/Instance/Messages.h"
+#include "Peers/Instance/Mail.h"
 
 // The calls that other instances make here. Each becomes a message with a tag; the answer comes
 // back under the tag.
--- a/Source/Peers/Instance/RpcTask.h
+++ b/Source/Peers/Instance/RpcTask.h
@@ -6,7 +6,7 @@
 
 #include "Common/Error.h"
 #include "Common/Mailbox.h"
-#include "Peers/Instance/Messages.h"
+#include "Peers/Instance/Mail.h"
 
 // The task that owns the RPC sockets to and from other instances: one thread with a KJ loop.
 namespace Holdpost::InstancePeer
--- a/Source/Peers/Platform/PlatformClient.h
+++ b/Source/Peers/Platform/PlatformClient.h
@@ -7,21 +7,13 @@
 
 #include "Common/Error.h"
 #include "Common/HttpClient.h"
-#include "Core/Distribution/Actions.h"
-#include "Core/Membership/Report.h"
-#include "Core/Settings/Fold.h"
+#include "Core/Node/PlatformMessages.h"
 
 // The platform's services over HTTP: the append-only log, the list of instances, the origin of
 // weights. Their protocol is described in docs/PLATFORM.md.
 namespace Holdpost::PlatformPeer
 {
-struct LogRead
-{
-  Common::TimePoint sent{}; // when the read left here
-  Common::Offset first = 0; // oldest offset that the log still has; 0 if it is empty
-  Common::Offset head = 0;  // newest offset
-  std::vector<Settings::LogRecord> records;
-};
+using NodeCore::LogRead;
 
 class PlatformClient
 {
