--- a/Source/Core/Distribution/Exchange.cpp
+++ b/Source/Core/Distribution/Exchange.cpp
@@ -13,6 +13,9 @@
 using Common::TimePoint;
 
 // How often stalls and patience are looked at while a version is incomplete.
+// A queued upload waits at most this part of the time after which the receiver would call it
+// stalled.
+static constexpr int UPLOAD_WAIT_SHARE = 3;
 static constexpr Common::Duration TICK = Common::Milliseconds(50);
 
 Exchange::Exchange(std::string self, std::string hall, std::uint64_t seed)
@@ -23,7 +26,8 @@
 void Exchange::SetOptions(const ExchangeOptions& options)
 {
   m_options = options;
-  m_uploads.SetLimits(options.link_bytes_per_second, options.upload_queue_most);
+  m_uploads.SetLimits(options.link_bytes_per_second, options.upload_queue_most,
+                      options.swarm.stall / UPLOAD_WAIT_SHARE);
   m_download.SetRate(options.link_bytes_per_second);
   for (const auto& [version, swarm] : m_swarms)
     swarm->SetOptions(options.swarm);
@@ -118,6 +122,8 @@
     GiveToSwarm(id, result, now, actions);
     return;
   }
+  for (const auto& [version, swarm] : m_swarms)
+    swarm->OnArriving(id, now);
   m_arrivals.push_back({id, result, due});
 }
 
@@ -134,6 +140,11 @@
   m_uploads.Add(tag, data, now, actions);
 }
 
+void Exchange::OnRequestAbandoned(RequestTag tag, TimePoint now)
+{
+  m_uploads.Remove(tag, now);
+}
+
 void Exchange::OnTick(TimePoint now, Actions* actions)
 {
   m_uploads.Advance(now, actions);
--- a/Source/Core/Distribution/Exchange.h
+++ b/Source/Core/Distribution/Exchange.h
@@ -49,6 +49,8 @@
                  Actions* actions);
   void OnPieceRequest(RequestTag tag, const Common::Digest& version, std::uint32_t piece,
                       Common::TimePoint now, Actions* actions);
+  // The peer does not wait for the piece any more.
+  void OnRequestAbandoned(RequestTag tag, Common::TimePoint now);
   void OnTick(Common::TimePoint now, Actions* actions);
   // When OnTick is due next; empty while there is nothing to do.
   std::optional<Common::TimePoint> NextWakeup(Common::TimePoint now) const;
--- a/Source/Core/Distribution/LinkBudget.h
+++ b/Source/Core/Distribution/LinkBudget.h
@@ -19,6 +19,8 @@
   // Books a transfer whose last byte has just come; it was on the link while it was being sent, so
   // it only waits if other transfers used the link meanwhile.
   Common::TimePoint BookReceive(std::uint64_t bytes, Common::TimePoint now);
+  // Takes back what is booked after `free_at`.
+  void Rewind(Common::TimePoint free_at) { m_free_at = free_at; }
   // The time by which all that is booked is through.
   Common::TimePoint FreeAt() const { return m_free_at; }
 
--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -19,6 +19,8 @@
 
 // A peer that sent this many corrupt pieces is not asked again.
 static constexpr std::uint32_t SHUN_AFTER = 2;
+// The pause after a stall doubles up to this many times.
+static constexpr std::uint32_t STALLS_MOST = 5;
 static constexpr Duration SHUN_TIME = std::chrono::minutes(10);
 static constexpr Duration BUSY_PAUSE = Milliseconds(50);
 static constexpr Duration BACKOFF_LEAST = Milliseconds(100);
@@ -258,7 +260,7 @@
   std::optional<std::uint32_t> takeover;
   for (const std::uint32_t piece : m_draw_order)
   {
-    if (m_held.Contains(piece) || m_in_flight[piece] > 0 || m_availability[piece] > 0)
+    if (m_held.Contains(piece) || m_in_flight[piece] > 0 || IsWithinReach(piece))
       continue;
     if (m_ranks[piece] == 0)
       return piece;
@@ -416,6 +418,7 @@
 
 void Swarm::GiveUpStalled(TimePoint now, Actions* actions)
 {
+  std::set<std::string> stalled;
   for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
   {
     const auto next = std::next(fetch);
@@ -425,17 +428,45 @@
                                : neighbour == m_neighbours.end() ? TimePoint{}
                                                                  : neighbour->second.last_progress;
     // A source that works through its queue for us is slow, not stalled.
-    if (now - std::max(progress, fetch->second.started) >= m_options.stall)
+    if (!fetch->second.is_arriving &&
+        now - std::max(progress, fetch->second.started) >= m_options.stall)
     {
       actions->push_back(CancelFetch{fetch->first});
       actions->push_back(
           CountTransfer{peer.empty() ? TransferEvent::OriginStalled : TransferEvent::PeerStalled});
       if (neighbour != m_neighbours.end())
-        neighbour->second.blocked_until = now + 2 * m_options.stall;
+        stalled.insert(peer);
       EndFetch(fetch);
     }
     fetch = next;
   }
+  for (const std::string& peer : stalled)
+  {
+    // Each time in a row it is left alone for longer.
+    Neighbour& neighbour = m_neighbours[peer];
+    neighbour.stalls = std::min(neighbour.stalls + 1, STALLS_MOST);
+    neighbour.blocked_until = now + m_options.stall * (1U << neighbour.stalls);
+  }
+}
+
+void Swarm::OnArriving(FetchId id, TimePoint now)
+{
+  const auto found = m_fetches.find(id);
+  if (found == m_fetches.end())
+    return;
+  found->second.is_arriving = true;
+  OnSourceProgress(found->second.peer, now);
+}
+
+void Swarm::OnSourceProgress(const std::string& peer, TimePoint now)
+{
+  if (peer.empty())
+    m_origin_progress = now;
+  else if (const auto neighbour = m_neighbours.find(peer); neighbour != m_neighbours.end())
+  {
+    neighbour->second.last_progress = now;
+    neighbour->second.stalls = 0;
+  }
 }
 
 void Swarm::OnFetched(FetchId id, const Result<Bytes>& result, TimePoint now, Actions* actions)
@@ -501,16 +532,15 @@
   }
   if (fetch.peer.empty())
   {
-    m_origin_progress = now;
     m_origin_backoff = Duration::zero();
     m_last_new_sight = now;
     actions->push_back(CountTransfer{TransferEvent::PieceFromOrigin, data->size()});
   }
   else
   {
-    m_neighbours[fetch.peer].last_progress = now;
     actions->push_back(CountTransfer{TransferEvent::PieceFromPeer, data->size()});
   }
+  OnSourceProgress(fetch.peer, now);
   m_pieces[fetch.piece] = data;
   m_held.Insert(fetch.piece);
   CancelOthers(fetch.piece, actions);
@@ -532,7 +562,8 @@
   neighbour->second.blocked_until = now + BUSY_PAUSE;
   if (++neighbour->second.corrupt_pieces < SHUN_AFTER)
     return;
-  actions->push_back(CountTransfer{TransferEvent::PeerShunned});
+  if (neighbour->second.corrupt_pieces == SHUN_AFTER)
+    actions->push_back(CountTransfer{TransferEvent::PeerShunned});
   neighbour->second.blocked_until = now + SHUN_TIME;
   ForgetHoldings(neighbour->second);
 }
@@ -563,8 +594,15 @@
   }
 }
 
-bool Swarm::IsInFlight(std::uint32_t piece) const
+bool Swarm::IsWithinReach(std::uint32_t piece) const
 {
-  return piece == MANIFEST_PIECE ? m_manifest_in_flight > 0 : m_in_flight[piece] > 0;
+  return m_availability[piece] > 0 &&
+         std::ranges::any_of(m_neighbours,
+                             [&](const auto& entry)
+                             {
+                               const Neighbour& neighbour = entry.second;
+                               return neighbour.held.Contains(piece) && neighbour.stalls == 0 &&
+                                      neighbour.corrupt_pieces < SHUN_AFTER;
+                             });
 }
 } // namespace Holdpost::Distribution
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -49,6 +49,8 @@
                       Common::TimePoint now, Actions* actions);
   // The peer has gone or cannot be reached.
   void OnPeerLost(const std::string& peer, Common::TimePoint now, Actions* actions);
+  // The bytes are here, but still wait for their turn on the own link: the source is not to blame.
+  void OnArriving(FetchId id, Common::TimePoint now);
   // An answer to a FetchPiece. Late answers to cancelled fetches are dropped.
   void OnFetched(FetchId id, const Common::Result<Common::Bytes>& result, Common::TimePoint now,
                  Actions* actions);
@@ -71,6 +73,7 @@
     bool has_manifest = false;
     std::uint32_t outstanding = 0;
     std::uint32_t corrupt_pieces = 0;
+    std::uint32_t stalls = 0; // since the last piece that came
     // Set once we have told it all that we hold.
     bool is_told = false;
     Common::TimePoint last_progress{};
@@ -82,6 +85,7 @@
     std::uint32_t piece = 0;
     std::string peer; // empty for the origin
     Common::TimePoint started{};
+    bool is_arriving = false;
   };
 
   void Pump(Common::TimePoint now, Actions* actions);
@@ -96,7 +100,9 @@
   // The least loaded neighbour that holds the piece; empty if none may be asked now.
   std::string BestSource(std::uint32_t piece, Common::TimePoint now, const std::string& except);
   bool MayAsk(const Neighbour& neighbour, Common::TimePoint now) const;
-  bool IsInFlight(std::uint32_t piece) const;
+  // Whether some neighbour that may be asked holds the piece.
+  bool IsWithinReach(std::uint32_t piece) const;
+  void OnSourceProgress(const std::string& peer, Common::TimePoint now);
   void StartFetch(std::uint32_t piece, const std::string& peer, Common::TimePoint now,
                   Actions* actions);
   void EndFetch(std::map<FetchId, Fetch>::iterator fetch);
--- a/Source/Core/Distribution/Uploads.cpp
+++ b/Source/Core/Distribution/Uploads.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Core/Distribution/Uploads.h"
 
+#include <algorithm>
+
 namespace Holdpost::Distribution
 {
 using Common::Error;
@@ -8,16 +10,20 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
-void Uploads::SetLimits(std::uint64_t bytes_per_second, std::size_t waiting_most)
+void Uploads::SetLimits(std::uint64_t bytes_per_second, std::size_t waiting_most,
+                        Common::Duration wait_most)
 {
   m_link.SetRate(bytes_per_second);
   m_waiting_most = waiting_most;
+  m_wait_most = wait_most;
 }
 
 void Uploads::Add(RequestTag tag, Common::Bytes data, TimePoint now, Actions* actions)
 {
-  if (m_waiting.size() >= m_waiting_most)
+  const Common::Duration backlog = m_link.FreeAt() - now;
+  if (m_waiting.size() >= m_waiting_most || (m_waiting.size() > 1 && backlog > m_wait_most))
   {
+    // Room comes with every piece that goes out.
     const auto wait = std::chrono::ceil<Milliseconds>(m_waiting.front().due - now);
     actions->push_back(CountTransfer{TransferEvent::RequestRefused});
     actions->push_back(AnswerPiece{tag, Error{ErrorKind::SourceBusy, "the upload queue is full",
@@ -29,6 +35,22 @@
   Advance(now, actions);
 }
 
+void Uploads::Remove(RequestTag tag, TimePoint now)
+{
+  const auto found = std::ranges::find(m_waiting, tag, &Waiting::tag);
+  if (found == m_waiting.end() || found->due <= now)
+    return;
+  // The place on the link goes to those behind, but for the first, which is being sent.
+  const auto gone = static_cast<std::size_t>(found - m_waiting.begin());
+  if (gone == 0)
+    return;
+  m_waiting.erase(found);
+  TimePoint free_at = m_waiting[gone - 1].due;
+  m_link.Rewind(free_at);
+  for (std::size_t i = gone; i < m_waiting.size(); ++i)
+    m_waiting[i].due = m_link.BookSend(m_waiting[i].data->size(), free_at);
+}
+
 void Uploads::Advance(TimePoint now, Actions* actions)
 {
   while (!m_waiting.empty() && m_waiting.front().due <= now)
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -48,6 +48,7 @@
   std::visit(Common::Overloaded{[&](const AnnouncementReceived& m)
                                 { m_weights.Handle(m, now, actions); },
                                 [&](const PieceRequested& m) { m_weights.Handle(m, now, actions); },
+                                [&](const PieceAbandoned& m) { m_weights.Handle(m, now); },
                                 [&](const PieceFetched& m) { m_weights.Handle(m, now, actions); },
                                 [&](const RunRequested& m) { OnRunRequested(m, actions); },
                                 [&](const RunAbandoned& m)
--- a/Source/Core/Node/Events.h
+++ b/Source/Core/Node/Events.h
@@ -22,9 +22,9 @@
     // from the platform
     LogReadDone, AppendDone, ListReadDone,
     // from other instances
-    ReportReceived, AnnouncementReceived, PieceRequested, RecordsRequested, RunRequested,
-    RunAbandoned, BarRequested, ReportAnswered, PeerUnreachable, PieceFetched, RecordsFetched,
-    RunHead, RunChunk, RunEnded, BarAnswered,
+    ReportReceived, AnnouncementReceived, PieceRequested, PieceAbandoned, RecordsRequested,
+    RunRequested, RunAbandoned, BarRequested, ReportAnswered, PeerUnreachable, PieceFetched,
+    RecordsFetched, RunHead, RunChunk, RunEnded, BarAnswered,
     // from the target
     TargetLoaded, TargetRunEnded,
     // from callers
--- a/Source/Core/Node/InstanceMessages.h
+++ b/Source/Core/Node/InstanceMessages.h
@@ -161,6 +161,12 @@
   std::uint32_t piece = 0;
 };
 
+// The peer does not wait for the piece any more.
+struct PieceAbandoned
+{
+  CallTag tag = 0;
+};
+
 struct RecordsRequested
 {
   CallTag tag = 0;
--- a/Source/Core/Routing/Targets.cpp
+++ b/Source/Core/Routing/Targets.cpp
@@ -2,6 +2,7 @@
 #include "Core/Routing/Targets.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Holdpost::Routing
 {
@@ -76,8 +77,8 @@
 
 bool Targets::IsNearAverage(const Target& target) const
 {
-  const double average = static_cast<double>(InUse()) / static_cast<double>(m_targets.size());
-  return target.in_use <= LOAD_BOUND * average + 1;
+  const double average = (InUse() + 1.0) / static_cast<double>(m_targets.size());
+  return target.in_use + 1.0 <= std::ceil(LOAD_BOUND * average);
 }
 
 std::string Targets::Choose(std::uint64_t affinity, const std::set<std::string>& tried,
--- a/Source/Peers/Instance/Mail.h
+++ b/Source/Peers/Instance/Mail.h
@@ -19,8 +19,8 @@
                  TakeNextPart, CancelRun, AskToBar, AnswerReport, AnswerPiece, AnswerRecords,
                  AnswerHead, AnswerChunk, AnswerRunEnd, AnswerBar, StopTask>;
 
-using FromRpc = std::variant<ReportReceived, AnnouncementReceived, PieceRequested, RecordsRequested,
-                             RunRequested, RunAbandoned, RunDrained, BarRequested, ReportAnswered,
-                             PeerUnreachable, PieceFetched, RecordsFetched, RunHead, RunChunk,
-                             RunEnded, BarAnswered>;
+using FromRpc = std::variant<ReportReceived, AnnouncementReceived, PieceRequested, PieceAbandoned,
+                             RecordsRequested, RunRequested, RunAbandoned, RunDrained, BarRequested,
+                             ReportAnswered, PeerUnreachable, PieceFetched, RecordsFetched, RunHead,
+                             RunChunk, RunEnded, BarAnswered>;
 } // namespace Holdpost::InstancePeer
--- a/Source/Peers/Instance/RpcClient.cpp
+++ b/Source/Peers/Instance/RpcClient.cpp
@@ -217,12 +217,13 @@
   call.setSink(kj::heap<AnswerSinkServer>(*this, message.request.key));
   auto ended = call.send().then(
       [this, number](auto&& response) { EndRun(number, Read(response.getFailure())); },
-      [this, number, route](kj::Exception&& exception)
+      [this, number, route,
+       connection = kj::addRef(ConnectionTo(message.address))](kj::Exception&& exception)
       {
-        // A call that failed before it was sent did surely not run, but only a refused connection
-        // shows that; everything else is unknown.
+        // Without a connection the target has surely not got it; everything else is unknown.
+        const bool was_sent = connection->rpc.get() != nullptr;
         EndRun(number,
-               Error{ErrorKind::Unreachable,
+               Error{was_sent ? ErrorKind::Unreachable : ErrorKind::TargetRefused,
                      fmt::format("lost the target: {}", exception.getDescription().cStr())});
         OnLost(route, exception);
       });
--- a/Source/Peers/Instance/RpcServer.cpp
+++ b/Source/Peers/Instance/RpcServer.cpp
@@ -34,10 +34,17 @@
 kj::Promise<Result<Bytes>> OpenCalls::ForPiece(PieceRequested request)
 {
   auto paf = kj::newPromiseAndFulfiller<Result<Bytes>>();
-  request.tag = m_next_tag++;
-  m_pieces.emplace(request.tag, kj::mv(paf.fulfiller));
+  const CallTag tag = m_next_tag++;
+  request.tag = tag;
+  m_pieces.emplace(tag, kj::mv(paf.fulfiller));
   m_outbox.Post(std::move(request));
-  return kj::mv(paf.promise);
+  // Dropped early when the peer cancels or its connection breaks.
+  return paf.promise.attach(kj::defer(
+      [this, tag]
+      {
+        if (m_pieces.erase(tag) > 0)
+          m_outbox.Post(PieceAbandoned{tag});
+      }));
 }
 
 kj::Promise<LogStretch> OpenCalls::ForRecords(Common::Offset after)
