--- a/Source/Common/EventLoop.cpp
+++ b/Source/Common/EventLoop.cpp
@@ -55,6 +55,11 @@
   event_base_dispatch(m_base);
 }
 
+void EventLoop::RunDue()
+{
+  event_base_loop(m_base, EVLOOP_NONBLOCK);
+}
+
 void EventLoop::Stop()
 {
   event_base_loopbreak(m_base);
--- a/Source/Common/EventLoop.h
+++ b/Source/Common/EventLoop.h
@@ -44,6 +44,8 @@
 
   void Run();
   void Stop();
+  // Handles what is due and returns without waiting.
+  void RunDue();
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
   std::unique_ptr<Watch> MakeTimer(std::function<void()> callback);
--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -17,6 +17,8 @@
 namespace Holdpost::Common
 {
 static constexpr int LISTEN_BACKLOG = 1024;
+// A body this many times over the limit is cut off without an answer.
+static constexpr std::size_t BODY_READ_FACTOR = 8;
 // The hooks are declared without the library's header; their type must still be its own.
 static_assert(std::is_same_v<evhtp_res, std::uint16_t>);
 
@@ -172,8 +174,8 @@
       [](evhtp_connection_t* connection, void* self)
       { return static_cast<evhtp_res>(HandleAccepted(connection, self)); },
       this);
-  // libevhtp's own limit closes without an answer; ours answers 413 first, so it sits above.
-  evhtp_set_max_body_size(m_server, 2 * limits.body_bytes + 1);
+  // libevhtp's own limit closes without an answer, so it sits well above ours, which answers 413.
+  evhtp_set_max_body_size(m_server, BODY_READ_FACTOR * limits.body_bytes);
   const timeval idle = {limits.idle.count(), 0};
   evhtp_set_timeouts(m_server, &idle, &idle);
 }
@@ -205,31 +207,27 @@
 {
   const int on = 1;
   setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  evhtp_connection_set_hook(connection, evhtp_hook_on_headers, AsHook(&HttpServer::HandleHeaders),
-                            self);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_read, AsHook(&HttpServer::HandleRead), self);
   return EVHTP_RES_OK;
 }
 
-// Refuses a body that is announced as too large before it is read.
-std::uint16_t HttpServer::HandleHeaders(evhtp_request* raw, void* /*headers*/, void* self)
+// Drops what is over the limit, so that a large body costs no memory. It is still read, as a caller
+// that is cut off while it sends would not see the answer.
+std::uint16_t HttpServer::HandleRead(evhtp_request* raw, evbuffer* data, void* self)
 {
   const auto* server = static_cast<const HttpServer*>(self);
-  if (evhtp_request_content_len(raw) <= server->m_limits.body_bytes)
+  if (raw->conn->body_bytes_read <= server->m_limits.body_bytes)
     return EVHTP_RES_OK;
-  const auto exchange = std::make_shared<HttpExchange>(raw, HttpRequest());
-  ReplyError(*exchange, Error{ErrorKind::TooLarge, fmt::format("the body is over {} bytes",
-                                                               server->m_limits.body_bytes)});
-  exchange->m_raw = nullptr;
+  evbuffer_drain(data, evbuffer_get_length(data));
+  evbuffer_drain(raw->buffer_in, evbuffer_get_length(raw->buffer_in));
   return EVHTP_RES_OK;
 }
 
 void HttpServer::HandleRequest(evhtp_request* raw, void* self)
 {
   auto* server = static_cast<HttpServer*>(self);
-  if (raw->flags & EVHTP_REQ_FLAG_FINISHED)
-    return;
   auto exchange = std::make_shared<HttpExchange>(raw, ReadRequest(raw));
-  if (exchange->m_request.body.size() > server->m_limits.body_bytes)
+  if (raw->conn->body_bytes_read > server->m_limits.body_bytes)
   {
     ReplyError(*exchange, Error{ErrorKind::TooLarge, fmt::format("the body is over {} bytes",
                                                                  server->m_limits.body_bytes)});
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -11,6 +11,7 @@
 #include "Common/Error.h"
 #include "Common/EventLoop.h"
 
+struct evbuffer;
 struct evhtp;
 struct evhtp_connection;
 struct evhtp_request;
@@ -95,7 +96,7 @@
 
 private:
   static void HandleRequest(evhtp_request* raw, void* self);
-  static std::uint16_t HandleHeaders(evhtp_request* raw, void* headers, void* self);
+  static std::uint16_t HandleRead(evhtp_request* raw, evbuffer* data, void* self);
   static std::uint16_t HandleAccepted(evhtp_connection* connection, void* self);
 
   evhtp* m_server;
--- a/Source/Common/Mailbox.h
+++ b/Source/Common/Mailbox.h
@@ -66,4 +66,8 @@
 {
   using Handlers::operator()...;
 };
+
+// Needed by Clang 14; GCC deduces it by itself.
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 } // namespace Holdpost::Common
--- a/Source/Common/Metrics.cpp
+++ b/Source/Common/Metrics.cpp
@@ -23,7 +23,10 @@
   Quantiles() : m_set(acc::extended_p_square_probabilities = PROBABILITIES) {}
 
   void Add(double value) { m_set(value); }
-  double At(std::size_t i) const { return acc::extended_p_square(m_set)[i]; }
+  double At(std::size_t i) const
+  {
+    return acc::extended_p_square(m_set)[static_cast<std::ptrdiff_t>(i)];
+  }
   double Sum() const { return acc::sum(m_set); }
   std::size_t Count() const { return acc::count(m_set); }
 
--- a/Source/Common/YamlReader.cpp
+++ b/Source/Common/YamlReader.cpp
@@ -52,9 +52,9 @@
   return "'" + node.Scalar() + "'";
 }
 
-YamlReader::YamlReader(std::string file, YAML::Node map, std::string prefix, Problems* problems)
-    : m_file(std::move(file)), m_map(std::move(map)), m_prefix(std::move(prefix)),
-      m_problems(problems)
+YamlReader::YamlReader(std::string file, const YAML::Node& map, std::string prefix,
+                       Problems* problems)
+    : m_file(std::move(file)), m_map(map), m_prefix(std::move(prefix)), m_problems(problems)
 {
   if (m_map.IsDefined() && !m_map.IsNull() && !m_map.IsMap())
   {
--- a/Source/Common/YamlReader.h
+++ b/Source/Common/YamlReader.h
@@ -39,7 +39,7 @@
 class YamlReader
 {
 public:
-  YamlReader(std::string file, YAML::Node map, std::string prefix, Problems* problems);
+  YamlReader(std::string file, const YAML::Node& map, std::string prefix, Problems* problems);
 
   bool Has(const std::string& field) const;
   std::string String(const std::string& field, const std::string& fallback);
--- a/Source/Core/Distribution/Exchange.cpp
+++ b/Source/Core/Distribution/Exchange.cpp
@@ -93,6 +93,12 @@
   const auto found = m_swarms.find(announcement.version);
   if (found != m_swarms.end())
     found->second->OnAnnouncement(peer, announcement, now, actions);
+  else if (announcement.wants_reply)
+  {
+    // The peer waits for our word before it draws from the origin: we hold nothing of it.
+    actions->push_back(
+        SendAnnouncement{peer, {announcement.version, 0, true, false, "", {}}});
+  }
 }
 
 void Exchange::OnPeerLost(const std::string& peer, TimePoint now, Actions* actions)
--- a/Source/Core/Distribution/Neighbours.cpp
+++ b/Source/Core/Distribution/Neighbours.cpp
@@ -15,6 +15,7 @@
                         std::set<std::string>* chosen)
 {
   std::vector<std::pair<std::uint64_t, std::string>> ring;
+  ring.reserve(members.size());
   for (const std::string& member : members)
     ring.emplace_back(Common::StableHash(member, seed), member);
   std::ranges::sort(ring);
--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <numeric>
+#include <utility>
 
 #include "Core/Distribution/Ranking.h"
 
@@ -22,6 +23,8 @@
 // The pause after a stall doubles up to this many times.
 static constexpr std::uint32_t STALLS_MOST = 5;
 static constexpr Duration SHUN_TIME = std::chrono::minutes(10);
+// Nothing is drawn from the origin before the neighbours said what they hold, or for so long.
+static constexpr Duration ANSWER_TIME = Milliseconds(300);
 static constexpr Duration BUSY_PAUSE = Milliseconds(50);
 static constexpr Duration BACKOFF_LEAST = Milliseconds(100);
 static constexpr Duration BACKOFF_MOST = Milliseconds(5000);
@@ -80,13 +83,19 @@
 
 void Swarm::OnViewConfirmed(TimePoint now, Actions* actions)
 {
-  m_is_view_confirmed = true;
+  if (!std::exchange(m_is_view_confirmed, true))
+    m_view_confirmed_at = now;
   Pump(now, actions);
 }
 
 bool Swarm::MayDraw(TimePoint now) const
 {
-  const bool is_view_good = m_is_view_confirmed || now - *m_last_new_sight >= m_options.patience;
+  // Neighbours may hold it all already: their word is awaited for a moment.
+  const bool has_word = now - m_view_confirmed_at >= ANSWER_TIME ||
+                        std::ranges::all_of(m_neighbours, [](const auto& entry)
+                                            { return entry.second.has_answered; });
+  const bool is_view_good =
+      (m_is_view_confirmed && has_word) || now - *m_last_new_sight >= m_options.patience;
   return is_view_good && now >= m_origin_blocked_until;
 }
 
@@ -150,6 +159,7 @@
     TellWhole(peer, false, actions);
     neighbour.is_told = true;
   }
+  neighbour.has_answered = true;
   if (announcement.piece_count > 0)
     neighbour.has_manifest = true;
   if (!m_manifest)
@@ -506,12 +516,14 @@
   std::iota(m_draw_order.begin(), m_draw_order.end(), 0U);
   std::ranges::shuffle(m_draw_order, m_random);
   m_last_new_sight = now;
+  m_view_confirmed_at = now;
   ComputeRanks();
   CancelOthers(MANIFEST_PIECE, actions);
   // Now that pieces have numbers, tell the neighbours and ask what they hold.
   for (auto& [name, neighbour] : m_neighbours)
   {
     neighbour.held = PieceSet(count);
+    neighbour.has_answered = false;
     TellWhole(name, true, actions);
     neighbour.is_told = true;
   }
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -74,6 +74,8 @@
     std::uint32_t outstanding = 0;
     std::uint32_t corrupt_pieces = 0;
     std::uint32_t stalls = 0; // since the last piece that came
+    // Set once it has told us what it holds.
+    bool has_answered = false;
     // Set once we have told it all that we hold.
     bool is_told = false;
     Common::TimePoint last_progress{};
@@ -143,6 +145,7 @@
 
   std::map<FetchId, Fetch> m_fetches;
   bool m_is_view_confirmed = false;
+  Common::TimePoint m_view_confirmed_at{};
   std::uint32_t m_origin_outstanding = 0;
   std::uint32_t m_manifest_in_flight = 0;
   Common::TimePoint m_origin_progress{};
--- a/Source/Core/Membership/Membership.cpp
+++ b/Source/Core/Membership/Membership.cpp
@@ -21,9 +21,13 @@
       member.first_seen = now;
     member.is_listed = true;
     member.is_listed_as_leaving = listed.is_leaving;
-    // What an instance says of itself goes before the list, which lags.
-    if (member.last_heard)
+    // What an instance says of itself goes before the list, which lags; but an instance that is
+    // silent and listed elsewhere has been replaced.
+    const bool is_moved = member.report.address != listed.address && !IsAlive(member, now);
+    if (member.last_heard && !is_moved)
       continue;
+    if (is_moved)
+      member = Member{Report(), std::nullopt, std::nullopt, now, true, listed.is_leaving};
     member.report.instance = listed.instance;
     member.report.hall = listed.hall;
     member.report.pool = listed.pool;
@@ -59,6 +63,20 @@
   return true;
 }
 
+void Membership::OnSeen(const std::string& instance, const Common::Address& address,
+                        std::uint64_t incarnation, TimePoint now)
+{
+  const auto found = m_members.find(instance);
+  if (found == m_members.end() || incarnation < found->second.report.incarnation)
+    return;
+  Member& member = found->second;
+  member.report.address = address;
+  member.report.incarnation = incarnation;
+  member.unreachable_since.reset();
+  if (member.last_heard)
+    member.last_heard = now;
+}
+
 void Membership::OnUnreachable(const std::string& instance, TimePoint now)
 {
   const auto found = m_members.find(instance);
--- a/Source/Core/Membership/Membership.h
+++ b/Source/Core/Membership/Membership.h
@@ -32,6 +32,9 @@
   void OnList(const std::vector<ListedInstance>& list, Common::TimePoint now);
   // Returns false for a report of an earlier incarnation, which is dropped.
   bool OnReport(const Report& report, Common::TimePoint now);
+  // A known instance has called, which shows where it is and that it lives.
+  void OnSeen(const std::string& instance, const Common::Address& address,
+              std::uint64_t incarnation, Common::TimePoint now);
   void OnUnreachable(const std::string& instance, Common::TimePoint now);
   void SetDeadAfter(Common::Duration dead_after) { m_dead_after = dead_after; }
 
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -46,7 +46,10 @@
 void Agent::HandleOwn(Event& event, TimePoint now, Actions* actions)
 {
   std::visit(Common::Overloaded{[&](const AnnouncementReceived& m)
-                                { m_weights.Handle(m, now, actions); },
+                 {
+                   m_membership.OnSeen(m.from.instance, m.from.address, m.from.incarnation, now);
+                   m_weights.Handle(m, now, actions);
+                 },
                                 [&](const PieceRequested& m) { m_weights.Handle(m, now, actions); },
                                 [&](const PieceAbandoned& m) { m_weights.Handle(m, now); },
                                 [&](const PieceFetched& m) { m_weights.Handle(m, now, actions); },
@@ -139,7 +142,7 @@
   const auto plan = OwnPlan(now);
   Deployment::Actions made;
   m_deployment.OnPlan(plan, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
   if (plan)
   {
     m_runs.SetSlots(
@@ -168,7 +171,7 @@
   m_runs.ForgetSilentEntries(now, HallSettings().Time(Field::DeadAfterMs));
   Deployment::Actions made;
   m_deployment.OnTick(now, MayOrder(now), true, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
 }
 
 std::optional<TimePoint> Agent::NextWakeup(TimePoint now) const
@@ -183,11 +186,11 @@
     Deployment::Actions made;
     m_deployment.OnVersionHeld(version, now, &made);
     m_deployment.OnTick(now, MayOrder(now), true, &made);
-    Carry(std::move(made), now, actions);
+    Carry(made, now, actions);
   }
 }
 
-void Agent::Carry(Deployment::Actions made, TimePoint now, Actions* actions)
+void Agent::Carry(const Deployment::Actions& made, TimePoint now, Actions* actions)
 {
   for (const Deployment::Action& action : made)
   {
@@ -244,7 +247,7 @@
   }
   Deployment::Actions made;
   m_deployment.OnOrderDone(loaded.order, loaded.result, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
   if (Common::Succeeded(loaded.result) && m_deployment.Serving().is_ready)
   {
     INFO_LOG(AGENT, "Serves {} at version {}.", m_deployment.Serving().service,
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -38,6 +38,7 @@
   const Membership::Lease& TargetLease() const { return m_lease; }
 
 private:
+  void OnStart(const Common::Address& address) override { m_weights.SetAddress(address); }
   void OnSettings(Common::TimePoint now, Actions* actions) override;
   void OnCaughtUp(Common::TimePoint sent, Common::TimePoint now, Actions* actions) override;
   void OnListRead(Common::TimePoint now, Actions* actions) override;
@@ -56,7 +57,7 @@
   void Replan(Common::TimePoint now, Actions* actions);
   std::optional<Placement::ServicePlan> OwnPlan(Common::TimePoint now) const;
   void TakeHeldVersions(Common::TimePoint now, Actions* actions);
-  void Carry(Deployment::Actions made, Common::TimePoint now, Actions* actions);
+  void Carry(const Deployment::Actions& made, Common::TimePoint now, Actions* actions);
   void OrderLoad(const Deployment::OrderLoad& order, Common::TimePoint now, Actions* actions);
   void OnLoaded(const TargetLoaded& loaded, Common::TimePoint now, Actions* actions);
   void OnRunRequested(const RunRequested& requested, Actions* actions);
--- a/Source/Core/Node/AgentWeights.cpp
+++ b/Source/Core/Node/AgentWeights.cpp
@@ -23,8 +23,9 @@
 
 AgentWeights::AgentWeights(std::string self, std::string hall, std::string pool, std::uint64_t seed,
                            const Membership::Membership& membership, Common::Metrics& metrics)
-    : m_self(std::move(self)), m_hall(std::move(hall)), m_pool(std::move(pool)),
-      m_exchange(m_self, m_hall, seed), m_membership(membership), m_metrics(metrics)
+    : m_self(std::move(self)), m_hall(std::move(hall)),
+      m_pool(std::move(pool)), m_sender{m_self, {}, seed}, m_exchange(m_self, m_hall, seed),
+      m_membership(membership), m_metrics(metrics)
 {
 }
 
@@ -97,7 +98,7 @@
 void AgentWeights::Handle(const AnnouncementReceived& message, TimePoint now, Actions* actions)
 {
   Distribution::Actions made;
-  m_exchange.OnAnnouncement(message.from, message.announcement, now, &made);
+  m_exchange.OnAnnouncement(message.from.instance, message.announcement, now, &made);
   Translate(std::move(made), now, actions);
 }
 
@@ -166,7 +167,7 @@
               if (const Membership::Member* member = m_membership.Find(send.peer))
               {
                 m_metrics.Add("holdpost_announcements_sent_total");
-                actions->push_back(SendAnnouncement{m_self, send.peer, member->report.address,
+                actions->push_back(SendAnnouncement{m_sender, send.peer, member->report.address,
                                                     std::move(send.announcement)});
               }
             },
--- a/Source/Core/Node/AgentWeights.h
+++ b/Source/Core/Node/AgentWeights.h
@@ -17,6 +17,8 @@
 class AgentWeights
 {
 public:
+  // Where other instances reach this one; told to those that are announced to.
+  void SetAddress(const Common::Address& address) { m_sender.address = address; }
   AgentWeights(std::string self, std::string hall, std::string pool, std::uint64_t seed,
                const Membership::Membership& membership, Common::Metrics& metrics);
 
@@ -50,6 +52,7 @@
   std::string m_self;
   std::string m_hall;
   std::string m_pool;
+  Sender m_sender;
   Distribution::Exchange m_exchange;
   const Membership::Membership& m_membership;
   Common::Metrics& m_metrics;
--- a/Source/Core/Node/Base.cpp
+++ b/Source/Core/Node/Base.cpp
@@ -19,6 +19,8 @@
 using Membership::Role;
 using Settings::Field;
 
+static constexpr Milliseconds LONG_POLL_MOST = Milliseconds(1000);
+static constexpr int READS_PER_LEASE = 10;
 static constexpr Milliseconds LIST_PERIOD = Milliseconds(1000);
 // Besides the entries of its hall, an instance reports to so many others, which passes the settings
 // on while the platform is away.
@@ -38,6 +40,7 @@
 void Base::Start(const Address& address, TimePoint now, Actions* actions)
 {
   m_address = address;
+  OnStart(address);
   m_follower.Start(actions);
   RefreshList(actions);
   m_report_due = now;
@@ -97,6 +100,8 @@
 void Base::ApplySettings(TimePoint now, Actions* actions)
 {
   m_hall_settings = SettingsAt("");
+  m_follower.SetLongPoll(
+      std::min(LONG_POLL_MOST, m_hall_settings.Time(Field::LeaseMs) / READS_PER_LEASE));
   m_membership.SetDeadAfter(m_hall_settings.Time(Field::DeadAfterMs));
   OnSettings(now, actions);
 }
--- a/Source/Core/Node/Base.h
+++ b/Source/Core/Node/Base.h
@@ -73,6 +73,7 @@
   virtual void OnPeerUnreachable(const std::string& instance, Common::TimePoint now,
                                  Actions* actions) = 0;
   virtual void OnRoleTick(Common::TimePoint now, Actions* actions) = 0;
+  virtual void OnStart(const Common::Address& /*address*/) {}
   // Adds what the role says of itself to every report.
   virtual void FillReport(Membership::Report& report) const = 0;
   // Adds what the report says to one receiver.
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -121,11 +121,11 @@
   m_router.SetRetryPercent(service, settings.Integer(Field::RetryPercent));
   Routing::Actions made;
   m_router.Submit(routed, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
   return std::nullopt;
 }
 
-void Entry::Carry(Routing::Actions made, TimePoint now, Actions* actions)
+void Entry::Carry(const Routing::Actions& made, TimePoint now, Actions* actions)
 {
   for (const Routing::Action& action : made)
   {
@@ -172,7 +172,7 @@
   m_metrics.Add("holdpost_caller_gone_total");
   Routing::Actions made;
   m_router.OnCallerGone(gone.number, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
 }
 
 void Entry::OnHead(const RunHead& head, TimePoint now, Actions* actions)
@@ -215,7 +215,7 @@
   m_open.erase(number);
   Routing::Actions made;
   m_router.OnEnded(number, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
 }
 
 void Entry::Cut(std::uint64_t number, const Error& error, TimePoint now, Actions* actions)
@@ -279,7 +279,7 @@
     m_router.OnNotRun(number, error, now, &made);
   else
     m_router.OnOutcomeUnknown(number, error, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
 }
 
 void Entry::OnPeerReport(const Membership::Report& report, TimePoint now, Actions* actions)
@@ -298,14 +298,14 @@
   }
   else
     m_router.RemoveTarget(report.instance, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
 }
 
 void Entry::OnPeerUnreachable(const std::string& instance, TimePoint now, Actions* actions)
 {
   Routing::Actions made;
   m_router.RemoveTarget(instance, now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
 }
 
 void Entry::DropUnusableTargets(TimePoint now, Actions* actions)
@@ -327,7 +327,7 @@
 {
   Routing::Actions made;
   m_router.OnTick(now, &made);
-  Carry(std::move(made), now, actions);
+  Carry(made, now, actions);
   DropUnusableTargets(now, actions);
 }
 
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -61,7 +61,7 @@
   void Finish(std::uint64_t number, Common::TimePoint now, Actions* actions);
   void Refuse(std::uint64_t number, const Common::Error& error, Actions* actions);
   void DropUnusableTargets(Common::TimePoint now, Actions* actions);
-  void Carry(Routing::Actions made, Common::TimePoint now, Actions* actions);
+  void Carry(const Routing::Actions& made, Common::TimePoint now, Actions* actions);
   void Dispatch(const Routing::Dispatch& dispatch, Common::TimePoint now, Actions* actions);
 
   Routing::Router m_router;
--- a/Source/Core/Node/Follower.cpp
+++ b/Source/Core/Node/Follower.cpp
@@ -14,7 +14,6 @@
 using Common::Offset;
 using Common::TimePoint;
 
-static constexpr Milliseconds LONG_POLL = Milliseconds(1000);
 static constexpr Milliseconds BACKOFF_LEAST = Milliseconds(100);
 static constexpr Milliseconds BACKOFF_MOST = Milliseconds(2000);
 // Enough for neighbours that missed minutes; older ones get the whole state.
@@ -27,7 +26,8 @@
 void Follower::Read(Actions* actions)
 {
   // Until the first answer the log is asked without waiting, so that a start is quick.
-  actions->push_back(ReadLog{m_fold.Position(), m_is_log_reachable ? LONG_POLL : Milliseconds(0)});
+  actions->push_back(
+      ReadLog{m_fold.Position(), m_is_log_reachable ? m_long_poll : Milliseconds(0)});
   m_read_due.reset();
 }
 
--- a/Source/Core/Node/Follower.h
+++ b/Source/Core/Node/Follower.h
@@ -26,6 +26,8 @@
   Follower(std::uint64_t seed, Common::Metrics& metrics) : m_seed(seed), m_metrics(metrics) {}
 
   void Start(Actions* actions) { Read(actions); }
+  // The longest that a read may wait for records; a lease is only as fresh as the last read.
+  void SetLongPoll(Common::Milliseconds wait) { m_long_poll = wait; }
   Progress OnLogRead(const LogReadDone& done, Common::TimePoint now, Actions* actions);
   void OnSnapshotWritten(const AppendDone& done);
   // From a peer that is ahead. Returns true if something was folded.
@@ -51,6 +53,7 @@
   Settings::Fold m_fold;
   std::deque<Settings::LogRecord> m_recent;
   std::size_t m_recent_bytes = 0;
+  Common::Milliseconds m_long_poll{1000};
   bool m_is_log_reachable = false;
   Common::Duration m_backoff{};
   // When to read again after a failure; empty while a read is under way.
--- a/Source/Core/Node/InstanceMessages.h
+++ b/Source/Core/Node/InstanceMessages.h
@@ -28,6 +28,14 @@
   std::string state;
 };
 
+// Who calls: under its name it may have been replaced since it was last heard of.
+struct Sender
+{
+  std::string instance;
+  Common::Address address;
+  std::uint64_t incarnation = 0;
+};
+
 // Calls to other instances.
 
 struct SendReport
@@ -39,7 +47,7 @@
 
 struct SendAnnouncement
 {
-  std::string from;
+  Sender from;
   std::string to;
   Common::Address address;
   Distribution::Announcement announcement;
@@ -149,7 +157,7 @@
 
 struct AnnouncementReceived
 {
-  std::string from;
+  Sender from;
   Distribution::Announcement announcement;
 };
 
--- a/Source/Node/AgentNode.cpp
+++ b/Source/Node/AgentNode.cpp
@@ -7,7 +7,7 @@
 {
 using Common::Result;
 
-AgentNode::AgentNode(AgentConfig config)
+AgentNode::AgentNode(const AgentConfig& config)
     : NodeBase(config.node),
       m_core({MakeIdentity(), config.pool, config.target_name, config.target_checks_fence},
              m_metrics),
--- a/Source/Node/AgentNode.h
+++ b/Source/Node/AgentNode.h
@@ -12,7 +12,7 @@
 class AgentNode final : public NodeBase
 {
 public:
-  explicit AgentNode(AgentConfig config);
+  explicit AgentNode(const AgentConfig& config);
 
 private:
   NodeCore::Base& Core() override { return m_core; }
--- a/Source/Node/EntryNode.cpp
+++ b/Source/Node/EntryNode.cpp
@@ -15,7 +15,7 @@
 // Bytes of one answer that wait for a slow caller before the target is held back.
 static constexpr std::size_t BUFFERED_BYTES_MOST = 256 << 10;
 
-EntryNode::EntryNode(EntryConfig config)
+EntryNode::EntryNode(const EntryConfig& config)
     : NodeBase(config.node), m_caller_listen(config.caller_listen),
       m_core(MakeIdentity(), m_metrics),
       m_server(m_loop, Common::HttpServer::Limits{config.body_bytes_most, Common::Seconds(75)},
--- a/Source/Node/EntryNode.h
+++ b/Source/Node/EntryNode.h
@@ -14,7 +14,7 @@
 class EntryNode final : public NodeBase
 {
 public:
-  explicit EntryNode(EntryConfig config);
+  explicit EntryNode(const EntryConfig& config);
 
 private:
   struct OpenAnswer
--- a/Source/Node/TargetRuns.cpp
+++ b/Source/Node/TargetRuns.cpp
@@ -28,9 +28,9 @@
   callbacks.on_end = [this, tag](std::optional<Error> error)
   {
     if (m_open.erase(tag) > 0)
-      m_on_ended({tag, std::move(error)});
+      m_on_ended(NodeCore::TargetRunEnded{tag, std::move(error)});
   };
-  m_open[tag].call = m_engine.Run(run.request, std::move(callbacks));
+  m_open[tag].call = m_engine.Run(run.request, callbacks);
 }
 
 void TargetRuns::Cancel(CallTag tag)
--- a/Source/Peers/Engine/EngineClient.cpp
+++ b/Source/Peers/Engine/EngineClient.cpp
@@ -45,7 +45,8 @@
   loading->done(std::move(result));
 }
 
-void EngineClient::OnReply(OrderId id, const Result<HttpReply>& result, std::function<void()> next)
+void EngineClient::OnReply(OrderId id, const Result<HttpReply>& result,
+                           const std::function<void()>& next)
 {
   if (!m_loading || m_loading->order.order != id)
     return;
@@ -74,7 +75,7 @@
   call.may_reuse_connection = true;
   ++m_loading->outstanding;
   const OrderId id = m_loading->order.order;
-  m_http.Start(std::move(call), {[this, id](Result<HttpReply> result)
+  m_http.Start(std::move(call), {[this, id](const Result<HttpReply>& result)
                                  { OnReply(id, result, [this] { SendMore(); }); }});
 }
 
@@ -104,12 +105,12 @@
   call.idle_timeout = ORDER_TIMEOUT;
   ++m_loading->outstanding;
   const OrderId id = m_loading->order.order;
-  m_http.Start(std::move(call), {[this, id](Result<HttpReply> result)
+  m_http.Start(std::move(call), {[this, id](const Result<HttpReply>& result)
                                  { OnReply(id, result, [this] { Finish(std::monostate{}); }); }});
 }
 
 Common::HttpClient::CallId EngineClient::Run(const Runs::RunRequest& request,
-                                             RunCallbacks callbacks)
+                                             const RunCallbacks& callbacks)
 {
   Common::HttpCall call;
   call.to = m_target;
--- a/Source/Peers/Engine/EngineClient.h
+++ b/Source/Peers/Engine/EngineClient.h
@@ -39,7 +39,7 @@
             std::function<void(Common::Result<std::monostate>)> done);
   void CancelLoad(OrderId id);
 
-  Common::HttpClient::CallId Run(const Runs::RunRequest& request, RunCallbacks callbacks);
+  Common::HttpClient::CallId Run(const Runs::RunRequest& request, const RunCallbacks& callbacks);
   void CancelRun(Common::HttpClient::CallId call) { m_http.Cancel(call); }
   // Stops and restarts reading the answer, so that a slow caller holds the engine back instead of
   // filling memory.
@@ -60,7 +60,7 @@
   void SendPart(const std::string& name, const Common::Bytes& data);
   void SendLoad();
   void OnReply(OrderId id, const Common::Result<Common::HttpReply>& result,
-               std::function<void()> next);
+               const std::function<void()>& next);
   void Finish(Common::Result<std::monostate> result);
 
   Common::HttpClient& m_http;
--- a/Source/Peers/Instance/Codec.cpp
+++ b/Source/Peers/Instance/Codec.cpp
@@ -121,6 +121,19 @@
   return announcement;
 }
 
+void Write(const Sender& sender, Wire::Sender::Builder out)
+{
+  out.setInstance(sender.instance);
+  out.setHost(sender.address.host);
+  out.setPort(sender.address.port);
+  out.setIncarnation(sender.incarnation);
+}
+
+Sender Read(Wire::Sender::Reader in)
+{
+  return {ToString(in.getInstance()), {ToString(in.getHost()), in.getPort()}, in.getIncarnation()};
+}
+
 void Write(const Common::Error& error, Wire::Failure::Builder out)
 {
   const auto name = Common::AnswerFor(error.kind).name;
--- a/Source/Peers/Instance/Codec.h
+++ b/Source/Peers/Instance/Codec.h
@@ -16,6 +16,9 @@
 void Write(const Distribution::Announcement& announcement, Wire::Announcement::Builder out);
 Distribution::Announcement Read(Wire::Announcement::Reader in);
 
+void Write(const Sender& sender, Wire::Sender::Builder out);
+Sender Read(Wire::Sender::Reader in);
+
 void Write(const Common::Error& error, Wire::Failure::Builder out);
 // Empty if the struct says success.
 std::optional<Common::Error> Read(Wire::Failure::Reader in);
--- a/Source/Peers/Instance/Instance.capnp
+++ b/Source/Peers/Instance/Instance.capnp
@@ -45,6 +45,13 @@
   pieces @5 :List(UInt32);
 }
 
+struct Sender {
+  instance @0 :Text;
+  host @1 :Text;
+  port @2 :UInt16;
+  incarnation @3 :UInt64;
+}
+
 struct Failure {
   kind @0 :Text;           # name in the table of error kinds; empty for success
   message @1 :Text;
@@ -82,7 +89,7 @@
 
 interface Instance {
   report @0 (report :Report) -> (report :Report);
-  announce @1 (from :Text, announcement :Announcement) -> ();
+  announce @1 (from :Sender, announcement :Announcement) -> ();
   piece @2 (from :Text, version :Data, piece :UInt32) -> (failure :Failure, data :Data);
   # Records of the log after an offset, or a state that replaces them.
   records @3 (after :UInt64) -> (records :List(LogRecord), statePosition :UInt64, state :Text);
--- a/Source/Peers/Instance/Instance.capnp.c++
+++ b/Source/Peers/Instance/Instance.capnp.c++
@@ -567,6 +567,96 @@
   0, 6, i_e7db2d264c5e11f3, nullptr, nullptr, { &s_e7db2d264c5e11f3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<79> b_a74f74f11e732f9a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    154,  47, 115,  30, 241, 116,  79, 167,
+     15,   0,   0,   0,   1,   0,   2,   0,
+    101,  79, 232, 210, 167, 201, 241, 179,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73, 110, 115, 116,  97, 110,  99, 101,
+     46,  99,  97, 112, 110, 112,  58,  83,
+    101, 110, 100, 101, 114,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
+    105, 110, 115, 116,  97, 110,  99, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 111, 115, 116,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 111, 114, 116,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a74f74f11e732f9a = b_a74f74f11e732f9a.words;
+#if !CAPNP_LITE
+static const uint16_t m_a74f74f11e732f9a[] = {1, 3, 0, 2};
+static const uint16_t i_a74f74f11e732f9a[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_a74f74f11e732f9a = {
+  0xa74f74f11e732f9a, b_a74f74f11e732f9a.words, 79, nullptr, m_a74f74f11e732f9a,
+  0, 4, i_a74f74f11e732f9a, nullptr, nullptr, { &s_a74f74f11e732f9a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_9692284844ae7372 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     114, 115, 174,  68,  72,  40, 146, 150,
@@ -1438,11 +1528,11 @@
      44,   0,   0,   0,   3,   0,   1,   0,
      56,   0,   0,   0,   2,   0,   1,   0,
     102, 114, 111, 109,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    154,  47, 115,  30, 241, 116,  79, 167,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      97, 110, 110, 111, 117, 110,  99, 101,
@@ -1458,13 +1548,14 @@
 ::capnp::word const* const bp_b00508d03eddf88b = b_b00508d03eddf88b.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_b00508d03eddf88b[] = {
+  &s_a74f74f11e732f9a,
   &s_e7db2d264c5e11f3,
 };
 static const uint16_t m_b00508d03eddf88b[] = {1, 0};
 static const uint16_t i_b00508d03eddf88b[] = {0, 1};
 const ::capnp::_::RawSchema s_b00508d03eddf88b = {
   0xb00508d03eddf88b, b_b00508d03eddf88b.words, 49, d_b00508d03eddf88b, m_b00508d03eddf88b,
-  1, 2, i_b00508d03eddf88b, nullptr, nullptr, { &s_b00508d03eddf88b, nullptr, nullptr, 0, 0, nullptr }
+  2, 2, i_b00508d03eddf88b, nullptr, nullptr, { &s_b00508d03eddf88b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<18> b_da88e3c4c108d579 = {
@@ -1998,6 +2089,14 @@
 constexpr ::capnp::_::RawSchema const* Announcement::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Sender
+constexpr uint16_t Sender::_capnpPrivate::dataWordSize;
+constexpr uint16_t Sender::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Sender::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Sender::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Failure
 constexpr uint16_t Failure::_capnpPrivate::dataWordSize;
 constexpr uint16_t Failure::_capnpPrivate::pointerCount;
--- a/Source/Peers/Instance/Instance.capnp.h
+++ b/Source/Peers/Instance/Instance.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(c08365f980c52fed);
 CAPNP_DECLARE_SCHEMA(f3d689ec00cd7968);
 CAPNP_DECLARE_SCHEMA(e7db2d264c5e11f3);
+CAPNP_DECLARE_SCHEMA(a74f74f11e732f9a);
 CAPNP_DECLARE_SCHEMA(9692284844ae7372);
 CAPNP_DECLARE_SCHEMA(e27c1981da1a1058);
 CAPNP_DECLARE_SCHEMA(8b7be43c0d19563f);
@@ -112,6 +113,21 @@
   };
 };
 
+struct Sender {
+  Sender() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a74f74f11e732f9a, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Failure {
   Failure() = delete;
 
@@ -949,6 +965,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class Sender::Reader {
+public:
+  typedef Sender Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline  ::uint16_t getPort() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Sender::Builder {
+public:
+  typedef Sender Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Sender::Pipeline {
+public:
+  typedef Sender Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Failure::Reader {
 public:
   typedef Failure Reads;
@@ -2039,7 +2156,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline  ::capnp::Text::Reader getFrom() const;
+  inline  ::Holdpost::Wire::Sender::Reader getFrom() const;
 
   inline bool hasAnnouncement() const;
   inline  ::Holdpost::Wire::Announcement::Reader getAnnouncement() const;
@@ -2073,11 +2190,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline  ::capnp::Text::Builder getFrom();
-  inline void setFrom( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+  inline  ::Holdpost::Wire::Sender::Builder getFrom();
+  inline void setFrom( ::Holdpost::Wire::Sender::Reader value);
+  inline  ::Holdpost::Wire::Sender::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::Holdpost::Wire::Sender>&& value);
+  inline ::capnp::Orphan< ::Holdpost::Wire::Sender> disownFrom();
 
   inline bool hasAnnouncement();
   inline  ::Holdpost::Wire::Announcement::Builder getAnnouncement();
@@ -2104,6 +2221,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Holdpost::Wire::Sender::Pipeline getFrom();
   inline  ::Holdpost::Wire::Announcement::Pipeline getAnnouncement();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -3519,6 +3637,102 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Sender::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Sender::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Sender::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Sender::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Sender::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Sender::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Sender::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Sender::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Sender::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Sender::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Sender::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Sender::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Failure::Reader::hasKind() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4310,29 +4524,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Instance::AnnounceParams::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Holdpost::Wire::Sender::Reader Instance::AnnounceParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::Holdpost::Wire::Sender>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Instance::AnnounceParams::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Holdpost::Wire::Sender::Builder Instance::AnnounceParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::Wire::Sender>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Instance::AnnounceParams::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Holdpost::Wire::Sender::Pipeline Instance::AnnounceParams::Pipeline::getFrom() {
+  return  ::Holdpost::Wire::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Instance::AnnounceParams::Builder::setFrom( ::Holdpost::Wire::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::Wire::Sender>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Instance::AnnounceParams::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Holdpost::Wire::Sender::Builder Instance::AnnounceParams::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::Wire::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Instance::AnnounceParams::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::Holdpost::Wire::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::Wire::Sender>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Instance::AnnounceParams::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Holdpost::Wire::Sender> Instance::AnnounceParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::Wire::Sender>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/Source/Peers/Instance/RpcClient.cpp
+++ b/Source/Peers/Instance/RpcClient.cpp
@@ -119,7 +119,7 @@
   m_tasks.add(kj::evalLast([connection = kj::mv(dropped.mapped())] {}));
 }
 
-void RpcClient::Do(SendReport message)
+void RpcClient::Do(const SendReport& message)
 {
   // One at a time, so that a frozen instance costs no memory.
   if (!m_reports_open.insert(message.to).second)
@@ -142,17 +142,17 @@
                       }));
 }
 
-void RpcClient::Do(SendAnnouncement message)
+void RpcClient::Do(const SendAnnouncement& message)
 {
   const Route route = RouteTo(message.to, message.address);
   auto call = ClientFor(message.address).announceRequest();
-  call.setFrom(message.from);
+  Write(message.from, call.initFrom());
   Write(message.announcement, call.initAnnouncement());
   m_tasks.add(call.send().ignoreResult().catch_([this, route](kj::Exception&& exception)
                                                 { OnLost(route, exception); }));
 }
 
-void RpcClient::Do(FetchPiece message)
+void RpcClient::Do(const FetchPiece& message)
 {
   const Route route = RouteTo(message.to, message.address);
   auto call = ClientFor(message.address).pieceRequest();
@@ -188,7 +188,7 @@
   m_fetches.erase(message.id);
 }
 
-void RpcClient::Do(FetchRecords message)
+void RpcClient::Do(const FetchRecords& message)
 {
   const Route route = RouteTo(message.to, message.address);
   auto call = ClientFor(message.address).recordsRequest();
@@ -208,7 +208,7 @@
   return kj::mv(paf.promise);
 }
 
-void RpcClient::Do(StartRun message)
+void RpcClient::Do(const StartRun& message)
 {
   const std::uint64_t number = message.request.key.number;
   const Route route = RouteTo(message.to, message.address);
@@ -250,7 +250,7 @@
   m_runs.erase(message.number);
 }
 
-void RpcClient::Do(AskToBar message)
+void RpcClient::Do(const AskToBar& message)
 {
   const Route route = RouteTo(message.to, message.address);
   auto call = ClientFor(message.address).barRequest();
--- a/Source/Peers/Instance/RpcClient.h
+++ b/Source/Peers/Instance/RpcClient.h
@@ -24,15 +24,15 @@
   ~RpcClient();
   KJ_DISALLOW_COPY(RpcClient);
 
-  void Do(SendReport message);
-  void Do(SendAnnouncement message);
-  void Do(FetchPiece message);
+  void Do(const SendReport& message);
+  void Do(const SendAnnouncement& message);
+  void Do(const FetchPiece& message);
   void Do(CancelFetch message);
-  void Do(FetchRecords message);
-  void Do(StartRun message);
+  void Do(const FetchRecords& message);
+  void Do(const StartRun& message);
   void Do(TakeNextPart message);
   void Do(CancelRun message);
-  void Do(AskToBar message);
+  void Do(const AskToBar& message);
 
 private:
   friend class AnswerSinkServer;
--- a/Source/Peers/Instance/RpcServer.cpp
+++ b/Source/Peers/Instance/RpcServer.cpp
@@ -101,7 +101,7 @@
   Fulfill(m_bars, answer.tag, answer.standing);
 }
 
-void OpenCalls::Answer(AnswerHead answer)
+void OpenCalls::Answer(const AnswerHead& answer)
 {
   const auto found = m_runs.find(answer.tag);
   if (found == m_runs.end())
@@ -114,7 +114,7 @@
   TrackPart(answer.tag, call.send().ignoreResult());
 }
 
-void OpenCalls::Answer(AnswerChunk answer)
+void OpenCalls::Answer(const AnswerChunk& answer)
 {
   const auto found = m_runs.find(answer.tag);
   if (found == m_runs.end())
@@ -175,14 +175,14 @@
 {
   auto report = Read(context.getParams().getReport());
   return m_calls.ForReport(std::move(report))
-      .then([context](Membership::Report own) mutable
+      .then([context](const Membership::Report& own) mutable
             { Write(own, context.getResults().initReport()); });
 }
 
 kj::Promise<void> RpcServer::announce(AnnounceContext context)
 {
   const auto params = context.getParams();
-  m_calls.Announce({std::string(params.getFrom().cStr()), Read(params.getAnnouncement())});
+  m_calls.Announce({Read(params.getFrom()), Read(params.getAnnouncement())});
   return kj::READY_NOW;
 }
 
@@ -211,7 +211,7 @@
 kj::Promise<void> RpcServer::records(RecordsContext context)
 {
   return m_calls.ForRecords(context.getParams().getAfter())
-      .then([context](LogStretch stretch) mutable { Write(stretch, context.getResults()); });
+      .then([context](const LogStretch& stretch) mutable { Write(stretch, context.getResults()); });
 }
 
 kj::Promise<void> RpcServer::run(RunContext context)
--- a/Source/Peers/Instance/RpcServer.h
+++ b/Source/Peers/Instance/RpcServer.h
@@ -31,8 +31,8 @@
   void Answer(AnswerPiece answer);
   void Answer(AnswerRecords answer);
   void Answer(AnswerBar answer);
-  void Answer(AnswerHead answer);
-  void Answer(AnswerChunk answer);
+  void Answer(const AnswerHead& answer);
+  void Answer(const AnswerChunk& answer);
   void Answer(AnswerRunEnd answer);
 
 private:
--- a/Source/Peers/Instance/RpcTask.cpp
+++ b/Source/Peers/Instance/RpcTask.cpp
@@ -32,7 +32,7 @@
 
   void Handle(ToRpc message)
   {
-    std::visit([this](auto&& typed) { Pass(std::move(typed)); }, std::move(message));
+    std::visit([this](auto& typed) { Pass(std::move(typed)); }, message);
   }
 
 private:
--- a/Source/Peers/Platform/PlatformClient.cpp
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -130,7 +130,7 @@
   call.body = record;
   call.idle_timeout = CALL_TIMEOUT;
   Common::HttpCallbacks callbacks;
-  callbacks.on_done = [this, done = std::move(done)](Result<HttpReply> result)
+  callbacks.on_done = [this, done = std::move(done)](const Result<HttpReply>& result)
   {
     if (!Common::Succeeded(result))
       OnFailed();
--- /dev/null
+++ b/Source/UnitTests/Core/DistributionTest.cpp
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "Core/Distribution/Manifest.h"
+#include "Core/Distribution/Neighbours.h"
+#include "Core/Distribution/PieceSet.h"
+#include "Core/Distribution/Ranking.h"
+#include "Core/Distribution/Uploads.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Distribution;
+using Common::Milliseconds;
+
+static std::vector<std::string> MakeNames(int count)
+{
+  std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i)
+    names.push_back("agent-" + std::to_string(i));
+  return names;
+}
+
+TEST_CASE("A manifest names a version")
+{
+  const Manifest manifest = MakeManifest("m", std::string(2500, 'a'), 1024);
+  CHECK(manifest.PieceCount() == 3);
+  CHECK(manifest.BytesOf(2) == 452);
+  CHECK(manifest.BytesOf(3) == 0);
+  const std::string text = EncodeManifest(manifest);
+  REQUIRE(Common::Succeeded(DecodeManifest(text)));
+
+  SUBCASE("one whose parts do not fit together is refused")
+  {
+    Manifest wrong = manifest;
+    SUBCASE("no piece size")
+    {
+      wrong.piece_bytes = 0;
+    }
+    SUBCASE("too few pieces")
+    {
+      wrong.pieces.pop_back();
+    }
+    SUBCASE("no bytes")
+    {
+      wrong.total_bytes = 0;
+    }
+    CHECK_FALSE(Common::Succeeded(DecodeManifest(EncodeManifest(wrong))));
+  }
+  SUBCASE("and so is one that is cut off")
+  {
+    CHECK_FALSE(Common::Succeeded(DecodeManifest(text.substr(0, text.size() / 2))));
+  }
+}
+
+TEST_CASE("Sets of pieces travel as bitmaps")
+{
+  PieceSet set(11);
+  CHECK(set.Insert(0));
+  CHECK(set.Insert(10));
+  CHECK_FALSE(set.Insert(10));
+  CHECK_FALSE(set.Insert(11));
+  const PieceSet same = PieceSet::FromBitmap(set.ToBitmap(), 11);
+  CHECK(same.Count() == 2);
+  CHECK(same.Contains(10));
+  CHECK(PieceSet::FromBitmap(std::string(100, '\xff'), 11).Count() == 11);
+}
+
+TEST_CASE("Everyone computes the same ranks alone")
+{
+  const auto names = MakeNames(16);
+  const Common::Digest version = Common::Sha256("v");
+  std::vector<int> first(200, 0);
+  for (const std::string& name : names)
+  {
+    const auto ranks = RankPieces(version, 200, name, names);
+    const auto own = std::ranges::count(ranks, 0U);
+    CHECK(own > 2);
+    CHECK(own < 30);
+    for (std::size_t piece = 0; piece < 200; ++piece)
+      first[piece] += ranks[piece] == 0 ? 1 : 0;
+  }
+  // Each piece has exactly one first fetcher.
+  CHECK(std::ranges::count(first, 1) == 200);
+}
+
+TEST_CASE("Neighbours")
+{
+  std::vector<NeighbourCandidate> all;
+  for (const std::string& name : MakeNames(128))
+    all.push_back({name, all.size() < 96 ? "oslo-a" : "bergen-a", {}});
+  const Common::Digest version = Common::Sha256("v");
+  std::map<std::string, std::vector<std::string>> chosen;
+  for (const auto& [name, hall, wants] : all)
+    chosen[name] = ChooseNeighbours(version, name, hall, all, 16);
+
+  SUBCASE("are bounded, and both ends choose each other")
+  {
+    for (const auto& [name, neighbours] : chosen)
+    {
+      CHECK(neighbours.size() >= 10);
+      CHECK(neighbours.size() <= 18);
+      for (const std::string& other : neighbours)
+        CHECK(std::ranges::count(chosen[other], name) == 1);
+    }
+  }
+  SUBCASE("reach everyone in a few steps, across halls too")
+  {
+    std::set<std::string> reached = {"agent-0"};
+    int steps = 0;
+    for (; reached.size() < all.size() && steps < 10; ++steps)
+    {
+      for (const std::string& name : std::set<std::string>(reached))
+        reached.insert(chosen[name].begin(), chosen[name].end());
+    }
+    CHECK(steps <= 4);
+  }
+  SUBCASE("of a lone instance are none")
+  {
+    CHECK(ChooseNeighbours(version, "agent-0", "oslo-a", {}, 16).empty());
+  }
+}
+
+TEST_CASE("Uploads keep to the link's budget")
+{
+  const Common::TimePoint start{std::chrono::hours(1)};
+  Uploads uploads;
+  uploads.SetLimits(1000, 10, Milliseconds(1000));
+  const Common::Bytes piece = Common::MakeBytes(std::string(500, 'a'));
+  Actions actions;
+  for (RequestTag tag = 1; tag <= 4; ++tag)
+    uploads.Add(tag, piece, start, &actions);
+
+  SUBCASE("a piece goes out when the link would have carried it")
+  {
+    const auto sent = [&](Milliseconds at)
+    {
+      actions.clear();
+      uploads.Advance(start + at, &actions);
+      return actions.size() / 2; // each with its count
+    };
+    CHECK(sent(Milliseconds(499)) == 0);
+    CHECK(sent(Milliseconds(500)) == 1);
+    CHECK(sent(Milliseconds(1499)) == 1);
+  }
+  SUBCASE("what would wait too long is refused with the time to come back")
+  {
+    const auto* answer = std::get_if<AnswerPiece>(&actions.back());
+    REQUIRE(answer);
+    CHECK(answer->tag == 4);
+    const auto* error = std::get_if<Common::Error>(&answer->result);
+    REQUIRE(error);
+    CHECK(error->kind == Common::ErrorKind::SourceBusy);
+    CHECK(error->retry_after == Milliseconds(500));
+  }
+  SUBCASE("a request that was given up leaves its place to those behind")
+  {
+    uploads.Remove(2, start);
+    actions.clear();
+    uploads.Advance(start + Milliseconds(1000), &actions);
+    REQUIRE(actions.size() == 4);
+    CHECK(std::get<AnswerPiece>(actions[3]).tag == 3);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -0,0 +1,372 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "UnitTests/Process/Hall.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "Common/Hash.h"
+#include "Common/YamlReader.h"
+
+namespace Holdpost::Process
+{
+using Common::Address;
+using Common::Error;
+using Common::HttpReply;
+using Common::Result;
+using nlohmann::json;
+
+static const std::string LISTEN = "127.0.0.1:0";
+static const std::string CREDENTIAL = "credential-of-bygg";
+// Long, as it is no measurement: a slow machine must come to the same verdict.
+static constexpr auto WAIT_MOST = std::chrono::seconds(60);
+
+// Starts a program with its standard output in a pipe. A test may start processes; daemons do not.
+static pid_t Spawn(const std::string& program, const std::vector<std::string>& arguments,
+                   const std::string& error_file, int* output)
+{
+  int ends[2];
+  REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
+  const pid_t pid = fork();
+  REQUIRE(pid >= 0);
+  if (pid == 0)
+  {
+    dup2(ends[1], STDOUT_FILENO);
+    const int errors = open(error_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(errors, STDERR_FILENO);
+    std::vector<char*> argv = {const_cast<char*>(program.c_str())};
+    for (const std::string& argument : arguments)
+      argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    execv(program.c_str(), argv.data());
+    _exit(127);
+  }
+  close(ends[1]);
+  *output = ends[0];
+  return pid;
+}
+
+static int ExitCode(int status)
+{
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::pair<int, std::string> RunProgram(const std::string& program,
+                                       const std::vector<std::string>& arguments,
+                                       const std::string& error_file)
+{
+  int output = -1;
+  const pid_t pid = Spawn(std::string(BIN_DIR) + "/" + program, arguments, error_file, &output);
+  std::string text;
+  char buffer[4096];
+  for (ssize_t count = 0; (count = read(output, buffer, sizeof(buffer))) > 0;)
+    text.append(buffer, static_cast<std::size_t>(count));
+  close(output);
+  int status = 0;
+  waitpid(pid, &status, 0);
+  return {ExitCode(status), text};
+}
+
+Daemon::Daemon(const std::string& program, const std::vector<std::string>& arguments,
+               const std::string& log_file)
+{
+  int output = -1;
+  m_pid = Spawn(std::string(BIN_DIR) + "/" + program, arguments, log_file, &output);
+  FILE* stream = fdopen(output, "r");
+  char line[4096] = "";
+  const char* got = std::fgets(line, sizeof(line), stream);
+  std::fclose(stream);
+  REQUIRE_MESSAGE(got != nullptr, program, " did not start, see ", log_file);
+  std::istringstream words(line);
+  for (std::string word; words >> word;)
+  {
+    const auto equals = word.find('=');
+    if (equals == std::string::npos)
+      continue;
+    if (const auto address = Common::ParseAddress(word.substr(equals + 1)))
+      m_addresses[word.substr(0, equals)].push_back(*address);
+  }
+}
+
+Daemon::~Daemon()
+{
+  Kill();
+}
+
+void Daemon::Signal(int signal_number) const
+{
+  if (!m_is_over)
+    kill(m_pid, signal_number);
+}
+
+void Daemon::Kill()
+{
+  Signal(SIGKILL);
+  Wait();
+}
+
+int Daemon::Wait()
+{
+  if (m_is_over)
+    return m_exit_code;
+  int status = 0;
+  waitpid(m_pid, &status, 0);
+  m_is_over = true;
+  m_exit_code = ExitCode(status);
+  return m_exit_code;
+}
+
+bool Daemon::IsRunning()
+{
+  int status = 0;
+  if (!m_is_over && waitpid(m_pid, &status, WNOHANG) == m_pid)
+  {
+    m_is_over = true;
+    m_exit_code = ExitCode(status);
+  }
+  return !m_is_over;
+}
+
+std::shared_ptr<Result<HttpReply>> Caller::Start(Common::HttpCall call)
+{
+  auto reply = std::make_shared<Result<HttpReply>>(Error{Common::ErrorKind::Internal, "open"});
+  ++m_open;
+  m_http.Start(std::move(call), {[this, reply](Result<HttpReply> result)
+                                 {
+                                   *reply = std::move(result);
+                                   if (--m_open == 0 && m_is_waiting)
+                                     m_loop.Stop();
+                                 }});
+  return reply;
+}
+
+void Caller::Finish()
+{
+  m_is_waiting = true;
+  if (m_open > 0)
+    m_loop.Run();
+  m_is_waiting = false;
+}
+
+Result<HttpReply> Caller::Call(Common::HttpCall call)
+{
+  // On a loop of its own, so that calls that were started before need not end first.
+  Caller alone;
+  const auto reply = alone.Start(std::move(call));
+  alone.Finish();
+  return *reply;
+}
+
+Result<HttpReply> Caller::Get(const Address& address, const std::string& path)
+{
+  Common::HttpCall call;
+  call.to = address;
+  call.path = path;
+  return Call(std::move(call));
+}
+
+json Caller::Json(const Address& address, const std::string& path)
+{
+  const auto reply = Get(address, path);
+  const auto* whole = std::get_if<HttpReply>(&reply);
+  return whole ? json::parse(whole->body, nullptr, false) : json(nullptr);
+}
+
+Hall::Hall(int agents, int entries, const json& platform_extra)
+{
+  std::string pattern = "/tmp/holdpost-test-XXXXXX";
+  REQUIRE(mkdtemp(pattern.data()) != nullptr);
+  m_dir = pattern;
+  std::filesystem::create_directory(Path("weights"));
+  json platform = {{"listen", LISTEN}, {"weights_dir", Path("weights")}};
+  platform.update(platform_extra.is_null() ? json::object() : platform_extra);
+  Start("platform", "holdpost-standin", "platform", platform);
+  for (int i = 1; i <= agents; ++i)
+  {
+    const std::string number = std::to_string(i);
+    StartEngine("engine-" + number);
+    StartAgent("agent-" + number, "engine-" + number, "target-" + number);
+  }
+  for (int i = 1; i <= entries; ++i)
+    StartEntry("entry-" + std::to_string(i));
+}
+
+Hall::~Hall()
+{
+  m_daemons.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(m_dir, ignored);
+}
+
+Daemon& Hall::Start(const std::string& name, const std::string& program,
+                    const std::string& subcommand, const json& config)
+{
+  const std::string file = Path(fmt::format("{}-{}.yaml", name, ++m_starts));
+  std::ofstream(file) << config.dump(); // JSON is YAML
+  std::vector<std::string> arguments;
+  if (!subcommand.empty())
+    arguments.push_back(subcommand);
+  arguments.insert(arguments.end(), {"--config", file});
+  m_daemons[name] = std::make_unique<Daemon>(program, arguments, Path(name + ".log"));
+  return Get(name);
+}
+
+static json NodeConfig(const std::string& name, const Address& platform)
+{
+  return {{"instance", name},
+          {"hall", "oslo-a"},
+          {"listen", LISTEN},
+          {"admin_listen", LISTEN},
+          {"platform", {platform.ToString()}}};
+}
+
+void Hall::List(const std::string& name, const std::string& role)
+{
+  Common::HttpCall call;
+  call.to = Get("platform").At("address");
+  call.method = "PUT";
+  call.path = "/instances/" + name;
+  call.body = json{{"hall", "oslo-a"},
+                   {"role", role},
+                   {"pool", role == "agent" ? "runners" : ""},
+                   {"address", Get(name).At("rpc").ToString()}}
+                  .dump();
+  REQUIRE(Common::Succeeded(m_caller.Call(std::move(call))));
+}
+
+void Hall::StartEngine(const std::string& name, const json& extra)
+{
+  json config = {{"listen", LISTEN}, {"token_ms", 5}};
+  config.update(extra.is_null() ? json::object() : extra);
+  Start(name, "holdpost-standin", "engine", config);
+}
+
+void Hall::StartAgent(const std::string& name, const std::string& engine,
+                      const std::string& target_name, bool checks_fence)
+{
+  json config = NodeConfig(name, Get("platform").At("address"));
+  config["pool"] = "runners";
+  config["target"] = Get(engine).At("address").ToString();
+  config["target_name"] = target_name;
+  config["target_checks_fence"] = checks_fence;
+  Start(name, "holdpost-agent", "", config);
+  List(name, "agent");
+}
+
+void Hall::StartEntry(const std::string& name)
+{
+  json config = NodeConfig(name, Get("platform").At("address"));
+  config["caller_listen"] = LISTEN;
+  Start(name, "holdpost-entry", "", config);
+  List(name, "entry");
+}
+
+std::string Hall::MakeWeights(const std::string& name, std::size_t bytes, std::size_t piece_bytes)
+{
+  std::mt19937_64 random(Common::StableHash(name));
+  std::string data(bytes, '\0');
+  for (char& byte : data)
+    byte = static_cast<char>(random());
+  std::ofstream(Path(name), std::ios::binary) << data;
+  const auto [code, output] =
+      RunProgram("holdpost", {"manifest", Path(name), "--name", name, "--piece-bytes",
+                              std::to_string(piece_bytes), "--out", Path("weights")});
+  REQUIRE(code == 0);
+  return output.substr(0, output.find('\n'));
+}
+
+int Hall::Publish(const std::string& version, const json& root, const json& service)
+{
+  json root_settings = {{"heartbeat_ms", 200}, {"dead_after_ms", 1500}};
+  root_settings.update(root.is_null() ? json::object() : root);
+  json service_settings = {{"pool", "runners"}, {"model", "assist-model"}, {"version", version}};
+  service_settings.update(service.is_null() ? json::object() : service);
+  const json tree = {
+      {"nodes",
+       {{{"path", "/"}, {"settings", root_settings}},
+        {{"path", "/ost"}},
+        {{"path", "/ost/oslo-a"}},
+        {{"path", "/ost/oslo-a/assist"}, {"settings", service_settings}},
+        {{"path", "/*/*/*/bygg"},
+         {"settings", {{"credential_sha256", Common::Sha256(CREDENTIAL).ToHex()}}}}}}};
+  std::ofstream(Path("tree.yaml")) << tree.dump();
+  return RunProgram(
+             "holdpost",
+             {"publish", Path("tree.yaml"), "--platform", Get("platform").At("address").ToString()},
+             Path("publish.log"))
+      .first;
+}
+
+void Hall::SetFaults(const std::string& daemon, const json& faults)
+{
+  Common::HttpCall call;
+  call.to = Get(daemon).At("address");
+  call.method = "POST";
+  call.path = "/faults";
+  call.body = faults.dump();
+  REQUIRE(Common::Succeeded(m_caller.Call(std::move(call))));
+}
+
+json Hall::Status(const std::string& name)
+{
+  return m_caller.Json(Get(name).At("admin"), "/status");
+}
+
+json Hall::Stats(const std::string& name)
+{
+  return m_caller.Json(Get(name).At("address"), "/stats");
+}
+
+bool Hall::Serves(const std::string& agent, const std::string& version)
+{
+  const json status = Status(agent);
+  return status.is_object() && status["ready"] == true && status["serving_version"] == version;
+}
+
+double Hall::CopiesDrawn(const std::string& version)
+{
+  return Stats("platform")["versions"][version]["copies"];
+}
+
+Common::HttpCall Hall::Completion(const std::string& entry, int tokens) const
+{
+  Common::HttpCall call;
+  call.to = m_daemons.at(entry)->At("caller");
+  call.method = "POST";
+  call.path = "/v1/completions";
+  call.headers = {{"Authorization", "Bearer " + CREDENTIAL}, {"Content-Type", "application/json"}};
+  call.body =
+      json{{"model", "assist-model"}, {"prompt", "p"}, {"max_tokens", tokens}, {"stream", true}}
+          .dump();
+  call.idle_timeout = Common::Milliseconds(60000);
+  return call;
+}
+
+void Hall::WaitUntil(const std::string& what, const std::function<bool()>& condition)
+{
+  const auto deadline = std::chrono::steady_clock::now() + WAIT_MOST;
+  while (!condition())
+  {
+    REQUIRE_MESSAGE(std::chrono::steady_clock::now() < deadline, "did not come true: ", what);
+    m_caller.RunDue();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+void Hall::WaitServing(const std::vector<std::string>& agents, const std::string& version)
+{
+  for (const std::string& agent : agents)
+    WaitUntil(agent + " serves " + version, [&] { return Serves(agent, version); });
+}
+} // namespace Holdpost::Process
--- /dev/null
+++ b/Source/UnitTests/Process/RequestsProcessTest.cpp
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <csignal>
+
+#include <doctest/doctest.h>
+
+#include "UnitTests/Process/Hall.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Process;
+using Common::HttpReply;
+using Common::Result;
+using nlohmann::json;
+
+// Requests and answers with real daemons.
+
+static constexpr std::size_t MIB = 1 << 20;
+
+static bool IsWhole(const Result<HttpReply>& result)
+{
+  const auto* reply = std::get_if<HttpReply>(&result);
+  return reply && reply->status == 200 && reply->body.ends_with("data: [DONE]\n\n");
+}
+
+// How often the engines ran each request.
+static std::map<std::string, int> Runs(Hall& hall, const std::vector<std::string>& engines)
+{
+  std::map<std::string, int> runs;
+  for (const std::string& engine : engines)
+  {
+    const json stats = hall.Stats(engine);
+    for (const auto& [request, count] : stats["runs"].items())
+      runs[request] += count.get<int>();
+  }
+  return runs;
+}
+
+// Waits until the entry may send requests to so many agents.
+static void WaitForTargets(Hall& hall, const std::string& entry, int agents)
+{
+  hall.WaitUntil(entry + " has its targets",
+                 [&]
+                 {
+                   const json status = hall.Status(entry);
+                   int ready = 0;
+                   for (const json& instance : status["instances"])
+                     ready += instance.value("ready", false) && instance["credits"] > 0 ? 1 : 0;
+                   return ready == agents;
+                 });
+}
+
+TEST_CASE("A planned stop cuts no running request")
+{
+  Hall hall(2, 2);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1", "agent-2"}, version);
+  WaitForTargets(hall, "entry-1", 2);
+  WaitForTargets(hall, "entry-2", 2);
+  std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+  for (int i = 0; i < 10; ++i)
+    answers.push_back(hall.Http().Start(hall.Completion("entry-1", 100)));
+
+  SUBCASE("of an agent")
+  {
+    hall.WaitUntil("the agent runs some", [&] { return hall.Status("agent-1")["running"] > 0; });
+    hall.Get("agent-1").Signal(SIGTERM);
+    for (int i = 0; i < 5; ++i)
+      answers.push_back(hall.Http().Start(hall.Completion("entry-2", 20)));
+    hall.Http().Finish();
+    for (const auto& answer : answers)
+      CHECK(IsWhole(*answer));
+    CHECK(hall.Get("agent-1").Wait() == 0);
+  }
+  SUBCASE("of an entry, which takes nothing new")
+  {
+    hall.WaitUntil("the entry has some open",
+                   [&] { return hall.Status("entry-1")["open_requests"] == 10; });
+    hall.Get("entry-1").Signal(SIGTERM);
+    hall.Http().Finish();
+    for (const auto& answer : answers)
+      CHECK(IsWhole(*answer));
+    CHECK(hall.Get("entry-1").Wait() == 0);
+  }
+}
+
+TEST_CASE("An agent is killed while answers stream")
+{
+  Hall hall(2, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1", "agent-2"}, version);
+  WaitForTargets(hall, "entry-1", 2);
+  std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+  for (int i = 0; i < 10; ++i)
+    answers.push_back(hall.Http().Start(hall.Completion("entry-1", 200)));
+  hall.WaitUntil("the agent runs some", [&] { return hall.Status("agent-1")["running"] > 1; });
+  hall.Get("agent-1").Kill();
+  hall.Http().Finish();
+  int whole = 0;
+  for (const auto& answer : answers)
+    whole += IsWhole(*answer) ? 1 : 0;
+  // The others ended as cut, not as whole.
+  CHECK(whole >= 1);
+  CHECK(whole < 10);
+  for (const auto& [request, count] : Runs(hall, {"engine-1", "engine-2"}))
+    CHECK_MESSAGE(count == 1, request);
+  // New requests go to the agent that is left.
+  CHECK(IsWhole(hall.Http().Call(hall.Completion("entry-1", 5))));
+}
+
+TEST_CASE("An entry is killed: its requests are not run again")
+{
+  Hall hall(1, 2);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  WaitForTargets(hall, "entry-1", 1);
+  WaitForTargets(hall, "entry-2", 1);
+  const auto lost = hall.Http().Start(hall.Completion("entry-1", 400));
+  hall.WaitUntil("the request runs", [&] { return hall.Status("agent-1")["running"] == 1; });
+  hall.Get("entry-1").Kill();
+  hall.Http().Finish();
+  CHECK_FALSE(IsWhole(*lost));
+  // The agent notices and stops the run.
+  hall.WaitUntil("the run is stopped", [&] { return hall.Status("agent-1")["running"] == 0; });
+  CHECK(IsWhole(hall.Http().Call(hall.Completion("entry-2", 5))));
+  for (const auto& [request, count] : Runs(hall, {"engine-1"}))
+    CHECK_MESSAGE(count == 1, request);
+}
+
+TEST_CASE("A target's stream that breaks is never passed off as whole")
+{
+  Hall hall(1, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  WaitForTargets(hall, "entry-1", 1);
+  hall.SetFaults("engine-1", {{"cut_answers", 1}});
+  const auto cut = hall.Http().Call(hall.Completion("entry-1", 20));
+  CHECK_FALSE(IsWhole(cut));
+  CHECK(IsWhole(hall.Http().Call(hall.Completion("entry-1", 20))));
+}
+
+TEST_CASE("Refusals carry outcome, reason and the time to come back")
+{
+  Hall hall(1, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  WaitForTargets(hall, "entry-1", 1);
+  const auto check = [&](Common::HttpCall call, int status, const std::string& error)
+  {
+    const auto result = hall.Http().Call(std::move(call));
+    REQUIRE(Common::Succeeded(result));
+    const auto& reply = std::get<HttpReply>(result);
+    CHECK(reply.status == status);
+    CHECK(reply.headers.at("holdpost-error") == error);
+    CHECK(reply.headers.at("holdpost-outcome") == "not-run");
+  };
+  SUBCASE("a wrong credential")
+  {
+    auto call = hall.Completion("entry-1", 5);
+    call.headers["Authorization"] = "Bearer wrong";
+    check(std::move(call), 401, "bad_credential");
+  }
+  SUBCASE("no JSON")
+  {
+    auto call = hall.Completion("entry-1", 5);
+    call.body = "{";
+    check(std::move(call), 400, "bad_request");
+  }
+  SUBCASE("a model that the organisation does not know")
+  {
+    auto call = hall.Completion("entry-1", 5);
+    call.body = R"({"model":"other","prompt":""})";
+    check(std::move(call), 401, "bad_credential");
+  }
+  SUBCASE("a body over the limit")
+  {
+    auto call = hall.Completion("entry-1", 5);
+    call.body = std::string(5 * MIB, 'x');
+    check(std::move(call), 413, "too_large");
+  }
+  SUBCASE("no target left")
+  {
+    hall.Get("agent-1").Kill();
+    hall.WaitUntil("the entry knows",
+                   [&]
+                   {
+                     const auto result = hall.Http().Call(hall.Completion("entry-1", 5));
+                     const auto* reply = std::get_if<HttpReply>(&result);
+                     return reply && reply->headers.contains("holdpost-error") &&
+                            reply->headers.at("holdpost-error") == "no_target" &&
+                            reply->headers.at("retry-after") == "2";
+                   });
+  }
+}
+
+TEST_CASE("A caller that goes away stops its run")
+{
+  Hall hall(1, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  WaitForTargets(hall, "entry-1", 1);
+  {
+    Caller impatient;
+    impatient.Start(hall.Completion("entry-1", 5000));
+    hall.WaitUntil("the request runs",
+                   [&]
+                   {
+                     impatient.RunDue();
+                     return hall.Status("agent-1")["running"] == 1;
+                   });
+  }
+  hall.WaitUntil("the run is stopped", [&] { return hall.Status("agent-1")["running"] == 0; });
+}
--- a/Source/UnitTests/Scenario/World.cpp
+++ b/Source/UnitTests/Scenario/World.cpp
@@ -388,7 +388,7 @@
 // Other instances.
 
 void World::Send(Node& from, const std::string& to, const Common::Address& address,
-                 std::function<void(Node&)> deliver, std::function<void()> lost)
+                 std::function<void(Node&)> deliver, const std::function<void()>& lost)
 {
   const auto unreachable = [this, name = from.name, to, lost]
   {
@@ -434,7 +434,7 @@
 void World::Do(Node& node, SendAnnouncement& action)
 {
   Send(node, action.to, action.address,
-       [this, from = node.name, announcement = action.announcement](Node& there) {
+       [this, from = action.from, announcement = action.announcement](Node& there) {
          Feed(there.name, AnnouncementReceived{from, announcement});
        });
 }
@@ -734,12 +734,12 @@
     const std::string part = asked.parts.substr(0, asked.parts.find(';') + 1);
     std::string expected;
     for (int i = 0; i < asked.tokens; ++i)
-      expected += part;
+      expected.append(part);
     if (asked.told == "whole" && asked.parts != expected)
-      return name + " got an answer that is not whole, or mixed: " + asked.parts;
+      return fmt::format("{} got an answer that is not whole, or mixed: {}", name, asked.parts);
     const std::string owner = fmt::format("/{}/{}.{};", asked.organisation, key.first, key.second);
     if (!part.empty() && !part.ends_with(owner))
-      return name + " got a foreign answer: " + part;
+      return fmt::format("{} got a foreign answer: {}", name, part);
   }
   return "";
 }
--- a/Source/UnitTests/Scenario/World.h
+++ b/Source/UnitTests/Scenario/World.h
@@ -149,7 +149,7 @@
   void NoteServing(Node& node);
   // Calls `deliver` at the receiver, or tells the sender that it is out of reach.
   void Send(Node& from, const std::string& to, const Common::Address& address,
-            std::function<void(Node&)> deliver, std::function<void()> lost = nullptr);
+            std::function<void(Node&)> deliver, const std::function<void()>& lost = nullptr);
 
   void Do(Node& node, NodeCore::ReadLog& action);
   void Do(Node& node, NodeCore::AppendRecord& action);
