--- a/Source/Common/EventLoop.cpp
+++ b/Source/Common/EventLoop.cpp
@@ -7,6 +7,13 @@
 
 namespace Holdpost::Common
 {
+struct EventLoop::OneShot
+{
+  EventLoop* loop = nullptr;
+  std::list<std::unique_ptr<OneShot>>::iterator place;
+  std::function<void()> callback;
+};
+
 static timeval ToTimeval(Duration delay)
 {
   const auto micros =
@@ -91,14 +98,19 @@
 
 void EventLoop::After(Duration delay, std::function<void()> callback)
 {
-  auto* owned = new std::function<void()>(std::move(callback));
+  m_one_shots.push_back(std::make_unique<OneShot>());
+  OneShot* one_shot = m_one_shots.back().get();
+  one_shot->loop = this;
+  one_shot->place = std::prev(m_one_shots.end());
+  one_shot->callback = std::move(callback);
   const auto run = [](evutil_socket_t, short, void* argument)
   {
-    const std::unique_ptr<std::function<void()>> taken(
-        static_cast<std::function<void()>*>(argument));
-    (*taken)();
+    auto& due = *static_cast<OneShot*>(argument);
+    const std::unique_ptr<OneShot> taken = std::move(*due.place);
+    due.loop->m_one_shots.erase(due.place);
+    taken->callback();
   };
   const timeval interval = ToTimeval(delay);
-  event_base_once(m_base, -1, EV_TIMEOUT, run, owned, &interval);
+  event_base_once(m_base, -1, EV_TIMEOUT, run, one_shot, &interval);
 }
 } // namespace Holdpost::Common
--- a/Source/Common/EventLoop.h
+++ b/Source/Common/EventLoop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 
 #include "Common/Types.h"
@@ -59,6 +60,10 @@
   event_base* Base() const { return m_base; }
 
 private:
+  struct OneShot;
+
   event_base* m_base;
+  // Those that have not run yet; dropped with the loop.
+  std::list<std::unique_ptr<OneShot>> m_one_shots;
 };
 } // namespace Holdpost::Common
--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -77,6 +77,8 @@
     for (evhttp_connection* connection : connections)
       evhttp_connection_free(connection);
   }
+  for (evhttp_connection* connection : m_ending)
+    evhttp_connection_free(connection);
 }
 
 evhttp_connection* HttpClient::Connect(const HttpCall& call)
@@ -167,7 +169,13 @@
     return;
   }
   // evhttp still uses the connection after its callbacks return.
-  m_loop.Defer([connection] { evhttp_connection_free(connection); });
+  m_ending.insert(connection);
+  m_loop.Defer(
+      [this, connection]
+      {
+        m_ending.erase(connection);
+        evhttp_connection_free(connection);
+      });
 }
 
 void HttpClient::Finish(Pending& pending, evhttp_request* raw)
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,5 +79,7 @@
   CallId m_next_id = 1;
   std::map<CallId, std::unique_ptr<Pending>> m_pending;
   std::map<Address, std::vector<evhttp_connection*>> m_idle;
+  // Done with, to be freed when evhttp is not on the stack any more.
+  std::set<evhttp_connection*> m_ending;
 };
 } // namespace Holdpost::Common
