--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -558,7 +558,10 @@
   CancelOthers(fetch.piece, actions);
   TellNewPiece(fetch.piece, actions);
   if (m_held.IsFull())
+  {
+    m_held_at = now;
     actions->push_back(VersionHeld{m_version});
+  }
 }
 
 void Swarm::OnCorrupt(const Fetch& fetch, TimePoint now, Actions* actions)
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -65,6 +65,8 @@
   // Null if it is not held. Takes MANIFEST_PIECE too.
   Common::Bytes Piece(std::uint32_t piece) const;
   std::uint32_t PiecesHeld() const { return m_held.Count(); }
+  // When the last piece was verified; the start of time before that.
+  Common::TimePoint HeldAt() const { return m_held_at; }
 
 private:
   struct Neighbour
@@ -134,6 +136,7 @@
   Common::Bytes m_manifest_text;
   std::vector<Common::Bytes> m_pieces;
   PieceSet m_held;
+  Common::TimePoint m_held_at{};
 
   std::map<std::string, Neighbour> m_neighbours;
   std::vector<std::string> m_fetchers;
--- a/Source/Node/Status.cpp
+++ b/Source/Node/Status.cpp
@@ -36,8 +36,11 @@
   for (const auto& [version, swarm] : agent.Weights().Versions())
   {
     const auto& manifest = swarm->ManifestHeld();
-    status["versions"].push_back(
-        VersionStatus(version, swarm->PiecesHeld(), manifest ? manifest->PieceCount() : 0));
+    json row = VersionStatus(version, swarm->PiecesHeld(), manifest ? manifest->PieceCount() : 0);
+    // On the machine's monotonic clock, so that benchmarks on one machine can compare.
+    row["held_at_seconds"] =
+        std::chrono::duration<double>(swarm->HeldAt().time_since_epoch()).count();
+    status["versions"].push_back(std::move(row));
   }
   const Membership::ServiceState& serving = agent.TargetState().Serving();
   status["fence"] = agent.TargetLease().FencingToken();
