--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -63,6 +63,16 @@
 void Swarm::SetPeers(const std::vector<std::string>& neighbours,
                      const std::vector<std::string>& fetchers, TimePoint now, Actions* actions)
 {
+  // Links of an earlier view are dropped: who keeps more of them than the others takes more than its
+  // share of the uploads.
+  std::vector<std::string> dropped;
+  for (const auto& [name, neighbour] : m_neighbours)
+  {
+    if (std::ranges::find(neighbours, name) == neighbours.end())
+      dropped.push_back(name);
+  }
+  for (const std::string& name : dropped)
+    Unlink(name, actions);
   for (const std::string& name : neighbours)
   {
     auto [found, is_new] = m_neighbours.try_emplace(name);
@@ -191,9 +201,15 @@
 
 void Swarm::OnPeerLost(const std::string& peer, TimePoint now, Actions* actions)
 {
-  const auto found = m_neighbours.find(peer);
-  if (found == m_neighbours.end())
+  if (!m_neighbours.contains(peer))
     return;
+  Unlink(peer, actions);
+  Pump(now, actions);
+}
+
+void Swarm::Unlink(const std::string& peer, Actions* actions)
+{
+  const auto found = m_neighbours.find(peer);
   for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
   {
     const auto next = std::next(fetch);
@@ -206,7 +222,6 @@
   }
   ForgetHoldings(found->second);
   m_neighbours.erase(found);
-  Pump(now, actions);
 }
 
 void Swarm::OnTick(TimePoint now, Actions* actions)
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -24,7 +24,7 @@
   Common::Duration patience = Common::Milliseconds(1500);
   // A source that owes pieces and delivers nothing for so long is given up.
   Common::Duration stall = Common::Milliseconds(3000);
-  std::uint32_t window_per_peer = 4;
+  std::uint32_t window_per_peer = 1;
   std::uint32_t window_of_origin = 4;
   std::uint32_t window_in_all = 16;
   // Asks a second peer for the last pieces.
@@ -121,6 +121,7 @@
                      Actions* actions);
   void NoteHolding(Neighbour& neighbour, std::uint32_t piece, Common::TimePoint now);
   void ForgetHoldings(Neighbour& neighbour);
+  void Unlink(const std::string& peer, Actions* actions);
   void TellWhole(const std::string& peer, bool wants_reply, Actions* actions);
   void TellNewPiece(std::uint32_t piece, Actions* actions);
   Announcement WholeAnnouncement(bool wants_reply) const;
--- a/Source/Core/Distribution/Uploads.cpp
+++ b/Source/Core/Distribution/Uploads.cpp
@@ -23,8 +23,9 @@
   const Common::Duration backlog = m_link.FreeAt() - now;
   if (m_waiting.size() >= m_waiting_most || (m_waiting.size() > 1 && backlog > m_wait_most))
   {
-    // Room comes with every piece that goes out.
-    const auto wait = std::chrono::ceil<Milliseconds>(m_waiting.front().due - now);
+    // Room comes when the backlog is back under the limit, and with every piece that goes out.
+    const Common::Duration over = std::max(backlog - m_wait_most, m_waiting.front().due - now);
+    const auto wait = std::chrono::ceil<Milliseconds>(over);
     actions->push_back(CountTransfer{TransferEvent::RequestRefused});
     actions->push_back(AnswerPiece{tag, Error{ErrorKind::SourceBusy, "the upload queue is full",
                                               std::max(wait, Milliseconds(1))}});
--- a/Source/Core/Settings/Fields.cpp
+++ b/Source/Core/Settings/Fields.cpp
@@ -105,7 +105,7 @@
              "what a push weighs more: time to N replicas, or bytes drawn from the origin"),
       Integer(Field::Weight, "weight", 1, 1000, 1, Level::Organisation,
               "share of an organisation against the others when requests wait"),
-      Integer(Field::WindowPieces, "window_pieces", 1, 256, 4, Level::DataHall,
+      Integer(Field::WindowPieces, "window_pieces", 1, 256, 1, Level::DataHall,
               "pieces asked of one neighbour at once"),
   };
   return RULES;
--- a/Source/Standin/PlatformStandin.cpp
+++ b/Source/Standin/PlatformStandin.cpp
@@ -203,7 +203,7 @@
   return &version;
 }
 
-void PlatformStandin::SendLimited(const Exchange& exchange, std::string data)
+void PlatformStandin::SendLimited(const Exchange& exchange, std::string data, Version* version)
 {
   const TimePoint now = EventLoop::Now();
   if (m_origin_link.FreeAt() > now + ORIGIN_QUEUE_MOST)
@@ -212,6 +212,7 @@
         std::chrono::ceil<Milliseconds>(m_origin_link.FreeAt() - now - ORIGIN_QUEUE_MOST);
     return exchange->Reply(503, {{"Retry-After-Ms", std::to_string(wait.count())}}, "");
   }
+  version->bytes_drawn += data.size();
   const TimePoint due = m_origin_link.BookSend(data.size(), now);
   m_loop.After(due - now,
                [exchange, data = std::move(data)] {
@@ -242,13 +243,12 @@
   if (kind != "pieces" || number.empty() || start >= version->weights.size())
     return ReplyError(*exchange, {ErrorKind::NotFound, "the version has no such piece"});
   std::string data = version->weights.substr(start, version->piece_bytes);
-  version->bytes_drawn += data.size();
   if (m_faults.corrupt_pieces > 0)
   {
     --m_faults.corrupt_pieces;
     data[data.size() / 2] = static_cast<char>(data[data.size() / 2] ^ 1);
   }
-  SendLimited(exchange, std::move(data));
+  SendLimited(exchange, std::move(data), version);
 }
 
 void PlatformStandin::HandleFaults(const Exchange& exchange)
--- a/Source/Standin/PlatformStandin.h
+++ b/Source/Standin/PlatformStandin.h
@@ -63,7 +63,7 @@
   void HandleOrigin(const Exchange& exchange);
   void HandleFaults(const Exchange& exchange);
   void HandleStats(const Exchange& exchange);
-  void SendLimited(const Exchange& exchange, std::string data);
+  void SendLimited(const Exchange& exchange, std::string data, Version* version);
   Version* FindVersion(const std::string& digest);
 
   Common::EventLoop& m_loop;
--- a/Source/UnitTests/Core/SwarmTest.cpp
+++ b/Source/UnitTests/Core/SwarmTest.cpp
@@ -23,7 +23,9 @@
     for (const Bytes& piece : pieces)
       weights += *piece;
     manifest = Common::MakeBytes(EncodeManifest(MakeManifest("m", weights, 1024)));
-    swarm = std::make_unique<Swarm>(Common::Sha256(*manifest), "self", SwarmOptions(), 1, &next_id);
+    SwarmOptions options;
+    options.window_per_peer = 4;
+    swarm = std::make_unique<Swarm>(Common::Sha256(*manifest), "self", options, 1, &next_id);
   }
 
   // The fetches asked for since the last call.
