--- a/Source/Common/Error.cpp
+++ b/Source/Common/Error.cpp
@@ -23,8 +23,6 @@
     ErrorAnswer{ErrorKind::Leaving, "leaving", 503, Outcome::NotRun, 1000ms},
     ErrorAnswer{ErrorKind::NotReady, "not_ready", 503, Outcome::NotRun, 2000ms},
     ErrorAnswer{ErrorKind::LogUnavailable, "log_unavailable", 503, Outcome::NotRun, 5000ms},
-    ErrorAnswer{ErrorKind::KeyConflict, "key_conflict", 409, Outcome::NotRun, 1000ms},
-    ErrorAnswer{ErrorKind::KeyOutcomeUnknown, "key_outcome_unknown", 502, Outcome::Unknown, 0ms},
     ErrorAnswer{ErrorKind::TargetRefused, "target_refused", 503, Outcome::NotRun, 1000ms},
     ErrorAnswer{ErrorKind::TargetFailed, "target_failed", 502, Outcome::Unknown, 0ms},
     ErrorAnswer{ErrorKind::AnswerCut, "answer_cut", 502, Outcome::Unknown, 0ms},
--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -34,8 +34,6 @@
   Leaving,
   NotReady,
   LogUnavailable,
-  KeyConflict,
-  KeyOutcomeUnknown,
   TargetRefused,
   TargetFailed,
   AnswerCut,
--- a/Source/Core/Deployment/Deployment.cpp
+++ b/Source/Core/Deployment/Deployment.cpp
@@ -67,7 +67,7 @@
   }
   if (!plan->is_model)
   {
-    m_serving = {plan->service, Digest(), true, 0, 0};
+    m_serving = {plan->service, Digest(), true, false, 0, 0};
     m_held.clear();
     actions->push_back(KeepVersions{});
     return;
@@ -111,7 +111,7 @@
   // Ready only if the tree still names what was loaded.
   if (!m_plan || m_plan->version != done.version || m_plan->service != done.service)
     return;
-  m_serving = {done.service, done.version, true, 0, 0};
+  m_serving = {done.service, done.version, true, false, 0, 0};
   KeepWanted(actions);
 }
 } // namespace Holdpost::Deployment
--- a/Source/Core/Distribution/Actions.h
+++ b/Source/Core/Distribution/Actions.h
@@ -21,11 +21,22 @@
 // Names a request of another instance that is still to be answered.
 using RequestTag = std::uint64_t;
 
-// Fetch from a peer, or from the origin if `peer` is empty. The answer goes to OnFetched.
+// The platform's two sources of weights. Both are limited and say when to come back.
+enum class PlatformSource
+{
+  Store,
+  Origin,
+};
+
+constexpr std::size_t PLATFORM_SOURCES = 2;
+
+// Fetch from a peer, or from a source of the platform if `peer` is empty. The answer goes to
+// OnFetched.
 struct FetchPiece
 {
   FetchId id = 0;
   std::string peer;
+  PlatformSource source = PlatformSource::Origin;
   Common::Digest version;
   std::uint32_t piece = 0;
 };
@@ -67,6 +78,7 @@
 enum class TransferEvent
 {
   PieceFromOrigin,
+  PieceFromStore,
   PieceFromPeer,
   PieceSent,
   PieceCorruptFromOrigin,
--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -26,6 +26,7 @@
 // Nothing is drawn from the origin before the neighbours said what they hold, or for so long.
 static constexpr Duration ANSWER_TIME = Milliseconds(300);
 static constexpr Duration BUSY_PAUSE = Milliseconds(50);
+static constexpr Duration ABSENT_PAUSE = std::chrono::seconds(30);
 static constexpr Duration BACKOFF_LEAST = Milliseconds(100);
 static constexpr Duration BACKOFF_MOST = Milliseconds(5000);
 // Only the last pieces are asked of two peers, so that hedging costs little.
@@ -33,7 +34,8 @@
 
 std::string_view TransferEventName(TransferEvent event)
 {
-  static constexpr std::array<std::string_view, 16> NAMES = {"piece_from_origin",
+  static constexpr std::array<std::string_view, 17> NAMES = {"piece_from_origin",
+                                                             "piece_from_store",
                                                              "piece_from_peer",
                                                              "piece_sent",
                                                              "piece_corrupt_from_origin",
@@ -63,8 +65,8 @@
 void Swarm::SetPeers(const std::vector<std::string>& neighbours,
                      const std::vector<std::string>& fetchers, TimePoint now, Actions* actions)
 {
-  // Links of an earlier view are dropped: who keeps more of them than the others takes more than its
-  // share of the uploads.
+  // Links of an earlier view are dropped: who keeps more of them than the others takes more than
+  // its share of the uploads.
   std::vector<std::string> dropped;
   for (const auto& [name, neighbour] : m_neighbours)
   {
@@ -106,7 +108,17 @@
                                             { return entry.second.has_answered; });
   const bool is_view_good =
       (m_is_view_confirmed && has_word) || now - *m_last_new_sight >= m_options.patience;
-  return is_view_good && now >= m_origin_blocked_until;
+  return is_view_good && OpenSource(now).has_value();
+}
+
+std::optional<PlatformSource> Swarm::OpenSource(TimePoint now) const
+{
+  for (const PlatformSource source : {PlatformSource::Store, PlatformSource::Origin})
+  {
+    if (now >= m_sources[static_cast<std::size_t>(source)].blocked_until)
+      return source;
+  }
+  return std::nullopt;
 }
 
 void Swarm::ComputeRanks()
@@ -298,7 +310,7 @@
 
 void Swarm::PumpOrigin(TimePoint now, Actions* actions)
 {
-  while (m_origin_outstanding < m_options.window_of_origin && MayDraw(now))
+  while (m_platform_outstanding < m_options.window_of_platform && MayDraw(now))
   {
     bool is_takeover = false;
     const auto piece = NextForOrigin(now, &is_takeover);
@@ -366,7 +378,7 @@
 
 void Swarm::PumpPeers(TimePoint now, Actions* actions)
 {
-  while (m_fetches.size() - m_origin_outstanding < m_options.window_in_all)
+  while (m_fetches.size() - m_platform_outstanding < m_options.window_in_all)
   {
     const auto piece = RarestPiece(now);
     if (!piece)
@@ -400,16 +412,17 @@
                        Actions* actions)
 {
   const FetchId id = (*m_next_fetch_id)++;
-  m_fetches[id] = {piece, peer, now};
+  const PlatformSource source = OpenSource(now).value_or(PlatformSource::Origin);
+  m_fetches[id] = {piece, peer, source, now};
   if (piece == MANIFEST_PIECE)
     ++m_manifest_in_flight;
   else
     ++m_in_flight[piece];
   if (peer.empty())
-    ++m_origin_outstanding;
+    ++m_platform_outstanding;
   else
     ++m_neighbours[peer].outstanding;
-  actions->push_back(FetchPiece{id, peer, m_version, piece});
+  actions->push_back(FetchPiece{id, peer, source, m_version, piece});
 }
 
 void Swarm::EndFetch(std::map<FetchId, Fetch>::iterator fetch)
@@ -421,7 +434,7 @@
     --m_in_flight[ended.piece];
   const auto neighbour = m_neighbours.find(ended.peer);
   if (ended.peer.empty())
-    --m_origin_outstanding;
+    --m_platform_outstanding;
   else if (neighbour != m_neighbours.end() && neighbour->second.outstanding > 0)
     --neighbour->second.outstanding;
   m_fetches.erase(fetch);
@@ -449,7 +462,7 @@
     const auto next = std::next(fetch);
     const std::string peer = fetch->second.peer;
     const auto neighbour = m_neighbours.find(peer);
-    const TimePoint progress = peer.empty()                      ? m_origin_progress
+    const TimePoint progress = peer.empty() ? StateOf(fetch->second.source).progress
                                : neighbour == m_neighbours.end() ? TimePoint{}
                                                                  : neighbour->second.last_progress;
     // A source that works through its queue for us is slow, not stalled.
@@ -480,14 +493,17 @@
   if (found == m_fetches.end())
     return;
   found->second.is_arriving = true;
-  OnSourceProgress(found->second.peer, now);
+  OnSourceProgress(found->second, now);
 }
 
-void Swarm::OnSourceProgress(const std::string& peer, TimePoint now)
+void Swarm::OnSourceProgress(const Fetch& fetch, TimePoint now)
 {
-  if (peer.empty())
-    m_origin_progress = now;
-  else if (const auto neighbour = m_neighbours.find(peer); neighbour != m_neighbours.end())
+  if (fetch.peer.empty())
+  {
+    StateOf(fetch.source).progress = now;
+    StateOf(fetch.source).backoff = Duration::zero();
+  }
+  else if (const auto neighbour = m_neighbours.find(fetch.peer); neighbour != m_neighbours.end())
   {
     neighbour->second.last_progress = now;
     neighbour->second.stalls = 0;
@@ -559,15 +575,17 @@
   }
   if (fetch.peer.empty())
   {
-    m_origin_backoff = Duration::zero();
     m_last_new_sight = now;
-    actions->push_back(CountTransfer{TransferEvent::PieceFromOrigin, data->size()});
+    actions->push_back(CountTransfer{fetch.source == PlatformSource::Store
+                                         ? TransferEvent::PieceFromStore
+                                         : TransferEvent::PieceFromOrigin,
+                                     data->size()});
   }
   else
   {
     actions->push_back(CountTransfer{TransferEvent::PieceFromPeer, data->size()});
   }
-  OnSourceProgress(fetch.peer, now);
+  OnSourceProgress(fetch, now);
   m_pieces[fetch.piece] = data;
   m_held.Insert(fetch.piece);
   CancelOthers(fetch.piece, actions);
@@ -585,7 +603,7 @@
   if (neighbour == m_neighbours.end())
   {
     actions->push_back(CountTransfer{TransferEvent::PieceCorruptFromOrigin});
-    m_origin_blocked_until = now + BACKOFF_LEAST;
+    StateOf(fetch.source).blocked_until = now + BACKOFF_LEAST;
     return;
   }
   actions->push_back(CountTransfer{TransferEvent::PieceCorruptFromPeer});
@@ -598,16 +616,30 @@
   ForgetHoldings(neighbour->second);
 }
 
+void Swarm::OnPlatformFailed(const Fetch& fetch, const Error& error, TimePoint now,
+                             Actions* actions)
+{
+  SourceState& state = StateOf(fetch.source);
+  const bool is_absent = fetch.source == PlatformSource::Store && error.kind == ErrorKind::NotFound;
+  if (is_absent)
+  {
+    // Not every version is in the weight store; the origin has them all.
+    state.blocked_until = now + ABSENT_PAUSE;
+    return;
+  }
+  const bool is_busy = error.kind == ErrorKind::SourceBusy;
+  actions->push_back(
+      CountTransfer{is_busy ? TransferEvent::OriginBusy : TransferEvent::OriginFailed});
+  state.backoff = std::clamp(state.backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
+  state.blocked_until = now + (error.retry_after ? Duration(*error.retry_after) : state.backoff);
+}
+
 void Swarm::OnFetchFailed(const Fetch& fetch, const Error& error, TimePoint now, Actions* actions)
 {
   const bool is_busy = error.kind == ErrorKind::SourceBusy;
   if (fetch.peer.empty())
   {
-    actions->push_back(
-        CountTransfer{is_busy ? TransferEvent::OriginBusy : TransferEvent::OriginFailed});
-    m_origin_backoff = std::clamp(m_origin_backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
-    m_origin_blocked_until =
-        now + (error.retry_after ? Duration(*error.retry_after) : m_origin_backoff);
+    OnPlatformFailed(fetch, error, now, actions);
     return;
   }
   const auto found = m_neighbours.find(fetch.peer);
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -25,7 +26,7 @@
   // A source that owes pieces and delivers nothing for so long is given up.
   Common::Duration stall = Common::Milliseconds(3000);
   std::uint32_t window_per_peer = 1;
-  std::uint32_t window_of_origin = 4;
+  std::uint32_t window_of_platform = 4;
   std::uint32_t window_in_all = 16;
   // Asks a second peer for the last pieces.
   bool may_hedge = true;
@@ -87,11 +88,25 @@
   struct Fetch
   {
     std::uint32_t piece = 0;
-    std::string peer; // empty for the origin
+    std::string peer; // empty for a source of the platform
+    PlatformSource source = PlatformSource::Origin;
     Common::TimePoint started{};
     bool is_arriving = false;
   };
 
+  struct SourceState
+  {
+    Common::TimePoint progress{};
+    Common::TimePoint blocked_until{};
+    Common::Duration backoff{};
+  };
+
+  SourceState& StateOf(PlatformSource source)
+  {
+    return m_sources[static_cast<std::size_t>(source)];
+  }
+  // The weight store before the origin; empty while both want to be left alone.
+  std::optional<PlatformSource> OpenSource(Common::TimePoint now) const;
   void Pump(Common::TimePoint now, Actions* actions);
   void PumpManifest(Common::TimePoint now, Actions* actions);
   void PumpOrigin(Common::TimePoint now, Actions* actions);
@@ -106,7 +121,7 @@
   bool MayAsk(const Neighbour& neighbour, Common::TimePoint now) const;
   // Whether some neighbour that may be asked holds the piece.
   bool IsWithinReach(std::uint32_t piece) const;
-  void OnSourceProgress(const std::string& peer, Common::TimePoint now);
+  void OnSourceProgress(const Fetch& fetch, Common::TimePoint now);
   void StartFetch(std::uint32_t piece, const std::string& peer, Common::TimePoint now,
                   Actions* actions);
   void EndFetch(std::map<FetchId, Fetch>::iterator fetch);
@@ -117,6 +132,8 @@
   void AcceptPiece(const Fetch& fetch, const Common::Bytes& data, Common::TimePoint now,
                    Actions* actions);
   void OnCorrupt(const Fetch& fetch, Common::TimePoint now, Actions* actions);
+  void OnPlatformFailed(const Fetch& fetch, const Common::Error& error, Common::TimePoint now,
+                        Actions* actions);
   void OnFetchFailed(const Fetch& fetch, const Common::Error& error, Common::TimePoint now,
                      Actions* actions);
   void NoteHolding(Neighbour& neighbour, std::uint32_t piece, Common::TimePoint now);
@@ -150,11 +167,9 @@
   std::map<FetchId, Fetch> m_fetches;
   bool m_is_view_confirmed = false;
   Common::TimePoint m_view_confirmed_at{};
-  std::uint32_t m_origin_outstanding = 0;
+  std::uint32_t m_platform_outstanding = 0;
   std::uint32_t m_manifest_in_flight = 0;
-  Common::TimePoint m_origin_progress{};
-  Common::TimePoint m_origin_blocked_until{};
-  Common::Duration m_origin_backoff{};
+  std::array<SourceState, PLATFORM_SOURCES> m_sources;
   std::optional<Common::TimePoint> m_last_new_sight;
 };
 } // namespace Holdpost::Distribution
--- a/Source/Core/Membership/Report.h
+++ b/Source/Core/Membership/Report.h
@@ -39,6 +39,8 @@
   // The version that the target answers with; zero for plain services and while none is loaded.
   Common::Digest version;
   bool is_ready = false;
+  // The target is loading another version; the one above answers meanwhile.
+  bool is_loading = false;
   std::uint32_t slots = 0;
   std::uint32_t running = 0;
 
@@ -61,6 +63,9 @@
   std::uint32_t credits = 0;
   // Requests that wait at the sender, an entry, for targets like the receiver.
   std::uint32_t demand = 0;
+  // From an entry: the receiver, an agent, may load now without too many of the hall loading at
+  // once.
+  bool may_load = false;
   std::vector<VersionState> versions;
   std::vector<ServiceState> services;
 
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -46,10 +46,11 @@
 void Agent::HandleOwn(Event& event, TimePoint now, Actions* actions)
 {
   std::visit(Common::Overloaded{[&](const AnnouncementReceived& m)
-                 {
-                   m_membership.OnSeen(m.from.instance, m.from.address, m.from.incarnation, now);
-                   m_weights.Handle(m, now, actions);
-                 },
+                                {
+                                  m_membership.OnSeen(m.from.instance, m.from.address,
+                                                      m.from.incarnation, now);
+                                  m_weights.Handle(m, now, actions);
+                                },
                                 [&](const PieceRequested& m) { m_weights.Handle(m, now, actions); },
                                 [&](const PieceAbandoned& m) { m_weights.Handle(m, now); },
                                 [&](const PieceFetched& m) { m_weights.Handle(m, now, actions); },
@@ -143,6 +144,7 @@
   Deployment::Actions made;
   m_deployment.OnPlan(plan, now, &made);
   Carry(made, now, actions);
+  m_switch_most = plan ? plan->switch_most : 0;
   if (plan)
   {
     m_runs.SetSlots(
@@ -159,6 +161,21 @@
   return m_identity.target_checks_fence || m_lease.MayOrder(now);
 }
 
+bool Agent::MaySwitch(TimePoint now) const
+{
+  if (m_switch_most == 0)
+    return true;
+  // All entries that are heard must agree, and by these settings or newer ones. In a hall without
+  // an entry nobody is served, so nothing can be switched off for callers.
+  for (const auto& [entry, word] : m_load_words)
+  {
+    const bool is_fresh = now - word.heard < HallSettings().Time(Field::DeadAfterMs);
+    if (is_fresh && (!word.may_load || word.accepted < m_follower.Fold().AcceptedOffset()))
+      return false;
+  }
+  return true;
+}
+
 void Agent::OnRoleTick(TimePoint now, Actions* actions)
 {
   if (now >= m_candidates_due)
@@ -170,7 +187,7 @@
   TakeHeldVersions(now, actions);
   m_runs.ForgetSilentEntries(now, HallSettings().Time(Field::DeadAfterMs));
   Deployment::Actions made;
-  m_deployment.OnTick(now, MayOrder(now), true, &made);
+  m_deployment.OnTick(now, MayOrder(now), MaySwitch(now), &made);
   Carry(made, now, actions);
 }
 
@@ -185,7 +202,7 @@
   {
     Deployment::Actions made;
     m_deployment.OnVersionHeld(version, now, &made);
-    m_deployment.OnTick(now, MayOrder(now), true, &made);
+    m_deployment.OnTick(now, MayOrder(now), MaySwitch(now), &made);
     Carry(made, now, actions);
   }
 }
@@ -235,6 +252,7 @@
     load.pieces.push_back(swarm->Piece(piece));
   load.fence = {m_lease.FencingToken(), m_follower.Fold().AcceptedOffset()};
   actions->push_back(std::move(load));
+  ReportSoon();
 }
 
 void Agent::OnLoaded(const TargetLoaded& loaded, TimePoint now, Actions* actions)
@@ -289,7 +307,10 @@
 void Agent::OnPeerReport(const Membership::Report& report, TimePoint now, Actions* /*actions*/)
 {
   if (report.role == Role::Entry && report.hall == m_self.hall)
+  {
     m_runs.OnDemand(report.instance, report.demand, now);
+    m_load_words[report.instance] = {report.may_load, report.accepted, now};
+  }
 }
 
 void Agent::FillReport(Membership::Report& report) const
@@ -301,10 +322,11 @@
     report.versions.push_back(
         {version, swarm->PiecesHeld(), manifest ? manifest->PieceCount() : 0});
   }
-  if (m_deployment.Serving().service.empty())
+  if (m_deployment.Serving().service.empty() && !m_deployment.IsLoading())
     return;
   Membership::ServiceState state = m_deployment.Serving();
   state.is_ready = state.is_ready && !IsLeaving();
+  state.is_loading = m_deployment.IsLoading();
   state.running = m_runs.Running();
   report.services.push_back(state);
 }
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -63,12 +63,24 @@
   void OnRunRequested(const RunRequested& requested, Actions* actions);
   void OnRunOver(CallTag tag, std::string_view how);
 
+  // Whether the hall's limit on targets that load at once lets this one load.
+  bool MaySwitch(Common::TimePoint now) const;
+
   AgentIdentity m_identity;
   AgentWeights m_weights;
   Deployment::Deployment m_deployment;
   Membership::Lease m_lease;
   Runs::Runs m_runs;
   std::map<CallTag, Runs::RunKey> m_open_runs;
+  std::uint32_t m_switch_most = 0;
+  // What the entries of the hall said last about loading, with the settings that they went by.
+  struct LoadWord
+  {
+    bool may_load = false;
+    Common::Offset accepted = 0;
+    Common::TimePoint heard{};
+  };
+  std::map<std::string, LoadWord> m_load_words;
   Common::TimePoint m_candidates_due{};
   bool m_is_claiming = false;
   Common::TimePoint m_claim_not_before{};
--- a/Source/Core/Node/AgentWeights.cpp
+++ b/Source/Core/Node/AgentWeights.cpp
@@ -160,7 +160,8 @@
             [&](Distribution::FetchPiece& fetch)
             {
               if (fetch.peer.empty())
-                actions->push_back(FetchFromOrigin{fetch.id, fetch.version, fetch.piece});
+                actions->push_back(
+                    FetchFromPlatform{fetch.id, fetch.source, fetch.version, fetch.piece});
               else
                 FetchFromPeer(fetch, now, actions);
             },
--- a/Source/Core/Node/Base.cpp
+++ b/Source/Core/Node/Base.cpp
@@ -2,6 +2,7 @@
 #include "Core/Node/Base.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
@@ -99,7 +100,12 @@
 
 void Base::ApplySettings(TimePoint now, Actions* actions)
 {
+  const Common::Offset accepted = m_follower.Fold().AcceptedOffset();
+  if (accepted != std::exchange(m_in_force, accepted))
+    m_in_force_since = now;
   m_hall_settings = SettingsAt("");
+  m_follower.SetSnapshotEvery(
+      static_cast<Common::Offset>(m_hall_settings.Integer(Field::SnapshotRecords)));
   m_follower.SetLongPoll(
       std::min(LONG_POLL_MOST, m_hall_settings.Time(Field::LeaseMs) / READS_PER_LEASE));
   m_membership.SetDeadAfter(m_hall_settings.Time(Field::DeadAfterMs));
@@ -168,15 +174,16 @@
 {
   --m_list_reads;
   m_list_due = now + LIST_PERIOD;
-  const auto* list = std::get_if<std::vector<Membership::ListedInstance>>(&done.result);
   // A read that left before the newest one may be older than what is waited for.
-  if (!list || m_list_reads > 0)
+  if (m_list_reads > 0 || std::holds_alternative<Error>(done.result))
     return;
-  m_membership.OnList(*list, now);
+  if (const auto* list = std::get_if<std::vector<Membership::ListedInstance>>(&done.result))
+    m_list = *list;
+  m_membership.OnList(m_list, now);
   OnListRead(now, actions);
   const auto self =
-      std::ranges::find(*list, m_self.instance, &Membership::ListedInstance::instance);
-  if (self != list->end() && self->is_leaving && !m_is_leaving)
+      std::ranges::find(m_list, m_self.instance, &Membership::ListedInstance::instance);
+  if (self != m_list.end() && self->is_leaving && !m_is_leaving)
     BeginLeaving(now, actions);
 }
 
--- a/Source/Core/Node/Base.h
+++ b/Source/Core/Node/Base.h
@@ -45,6 +45,8 @@
   // Empty if the instance is ready, else why it is not.
   virtual std::string NotReadyReason() const = 0;
   bool IsLeaving() const { return m_is_leaving; }
+  // When the settings in force came into force here.
+  Common::TimePoint InForceSince() const { return m_in_force_since; }
   const Follower& Settings() const { return m_follower; }
   const Membership::Membership& Members() const { return m_membership; }
   const Identity& Self() const { return m_self; }
@@ -100,9 +102,12 @@
   Membership::Role m_role;
   Common::Address m_address;
   Settings::Effective m_hall_settings;
+  Common::Offset m_in_force = 0;
+  Common::TimePoint m_in_force_since{};
   Common::TimePoint m_report_due{};
   std::optional<Common::TimePoint> m_list_due;
-  unsigned m_list_reads = 0; // under way
+  unsigned m_list_reads = 0;                      // under way
+  std::vector<Membership::ListedInstance> m_list; // as read last
   bool m_is_leaving = false;
   Common::TimePoint m_leave_deadline{};
   // The peer that records are being fetched from.
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -33,7 +33,7 @@
     std::size_t answer_bytes_most = 0;
   };
 
-  void OnSettings(Common::TimePoint /*now*/, Actions* /*actions*/) override {}
+  void OnSettings(Common::TimePoint now, Actions* /*actions*/) override { PlanLoads(now); }
   void OnListRead(Common::TimePoint now, Actions* actions) override;
   void OnPeerReport(const Membership::Report& report, Common::TimePoint now,
                     Actions* actions) override;
@@ -60,6 +60,8 @@
            Actions* actions);
   void Finish(std::uint64_t number, Common::TimePoint now, Actions* actions);
   void Refuse(std::uint64_t number, const Common::Error& error, Actions* actions);
+  // Works out who of the hall's agents may load the version that the tree wants there.
+  void PlanLoads(Common::TimePoint now);
   void DropUnusableTargets(Common::TimePoint now, Actions* actions);
   void Carry(const Routing::Actions& made, Common::TimePoint now, Actions* actions);
   void Dispatch(const Routing::Dispatch& dispatch, Common::TimePoint now, Actions* actions);
@@ -67,5 +69,7 @@
   Routing::Router m_router;
   std::uint64_t m_next_number = 1;
   std::map<std::uint64_t, OpenRequest> m_open;
+  // Agents of the hall that may load their new version now, and since when.
+  std::map<std::string, Common::TimePoint> m_may_load;
 };
 } // namespace Holdpost::NodeCore
--- a/Source/Core/Node/Events.h
+++ b/Source/Core/Node/Events.h
@@ -40,7 +40,7 @@
 
 using Action = std::variant<
     // to the platform
-    ReadLog, AppendRecord, ReadList, FetchFromOrigin,
+    ReadLog, AppendRecord, ReadList, FetchFromPlatform,
     // to other instances
     SendReport, SendAnnouncement, FetchPiece, CancelFetch, FetchRecords, StartRun, CancelRun,
     AskToBar, AnswerReport, AnswerPiece, AnswerRecords, AnswerRunEnd, AnswerBar,
--- a/Source/Core/Node/Follower.cpp
+++ b/Source/Core/Node/Follower.cpp
@@ -18,10 +18,9 @@
 static constexpr Milliseconds BACKOFF_MOST = Milliseconds(2000);
 // Enough for neighbours that missed minutes; older ones get the whole state.
 static constexpr std::size_t RECENT_BYTES_MOST = 1 << 20;
-// A snapshot is due after so many records; each instance adds its own jitter, so that mostly one
-// writes it.
-static constexpr Offset SNAPSHOT_EVERY = 2000;
-static constexpr Offset SNAPSHOT_JITTER = 1000;
+// Each instance adds its own part of this share to the time when a snapshot is due, so that mostly
+// one writes it.
+static constexpr Offset SNAPSHOT_JITTER_SHARE = 2;
 
 void Follower::Read(Actions* actions)
 {
@@ -89,6 +88,8 @@
 
 void Follower::Keep(const Settings::LogRecord& record)
 {
+  if (const auto offset = Settings::SnapshotOffset(record.text))
+    m_last_snapshot = std::max(m_last_snapshot, *offset);
   m_recent.push_back(record);
   m_recent_bytes += record.text.size();
   while (m_recent_bytes > RECENT_BYTES_MOST && m_recent.size() > 1)
@@ -155,7 +156,8 @@
 void Follower::MaybeWriteSnapshot(Offset first, Actions* actions)
 {
   m_last_snapshot = std::max(m_last_snapshot, first == 0 ? 0 : first - 1);
-  const Offset due = m_last_snapshot + SNAPSHOT_EVERY + m_seed % SNAPSHOT_JITTER;
+  const Offset due =
+      m_last_snapshot + m_snapshot_every + m_seed % (m_snapshot_every / SNAPSHOT_JITTER_SHARE);
   if (m_is_writing_snapshot || m_fold.Position() < due)
     return;
   m_is_writing_snapshot = true;
--- a/Source/Core/Node/Follower.h
+++ b/Source/Core/Node/Follower.h
@@ -27,6 +27,8 @@
 
   void Start(Actions* actions) { Read(actions); }
   // The longest that a read may wait for records; a lease is only as fresh as the last read.
+  // A snapshot is due after so many records.
+  void SetSnapshotEvery(Common::Offset records) { m_snapshot_every = records; }
   void SetLongPoll(Common::Milliseconds wait) { m_long_poll = wait; }
   Progress OnLogRead(const LogReadDone& done, Common::TimePoint now, Actions* actions);
   void OnSnapshotWritten(const AppendDone& done);
@@ -58,6 +60,7 @@
   Common::Duration m_backoff{};
   // When to read again after a failure; empty while a read is under way.
   std::optional<Common::TimePoint> m_read_due;
+  Common::Offset m_snapshot_every = 2000;
   Common::Offset m_last_snapshot = 0;
   bool m_is_writing_snapshot = false;
 };
--- a/Source/Core/Node/PlatformMessages.h
+++ b/Source/Core/Node/PlatformMessages.h
@@ -38,7 +38,6 @@
 {
   ClaimTarget,
   WriteSnapshot,
-  ClaimKeys,
 };
 
 struct AppendRecord
@@ -58,15 +57,24 @@
 {
 };
 
+// The list has not changed since it was read last.
+struct ListUnchanged
+{
+};
+
+using ListRead =
+    std::variant<std::vector<Membership::ListedInstance>, ListUnchanged, Common::Error>;
+
 struct ListReadDone
 {
-  Common::Result<std::vector<Membership::ListedInstance>> result;
+  ListRead result;
 };
 
-// A piece from the origin; the answer is a PieceFetched.
-struct FetchFromOrigin
+// A piece from the weight store or the origin; the answer is a PieceFetched.
+struct FetchFromPlatform
 {
   Distribution::FetchId id = 0;
+  Distribution::PlatformSource source = Distribution::PlatformSource::Origin;
   Common::Digest version;
   std::uint32_t piece = 0;
 };
--- a/Source/Core/Placement/Placement.cpp
+++ b/Source/Core/Placement/Placement.cpp
@@ -2,6 +2,7 @@
 #include "Core/Placement/Placement.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "Core/Settings/Effective.h"
 
@@ -24,6 +25,7 @@
     plan.replicas = static_cast<std::uint32_t>(effective.Integer(Field::Replicas));
     plan.is_model = effective.Text(Field::Kind) == "model";
     plan.model = effective.Text(Field::Model);
+    plan.switch_most = static_cast<std::uint32_t>(effective.Integer(Field::SwitchMost));
     if (plan.is_model)
       plan.version = effective.DigestAt(Field::Version);
     plans.push_back(std::move(plan));
@@ -53,6 +55,25 @@
   return placed;
 }
 
+std::vector<std::string> MayLoadNow(std::vector<LoadCandidate> waiting,
+                                    const Common::Digest& version, std::uint32_t most)
+{
+  const std::uint64_t seed = Common::StableHash(version.ToHex());
+  const auto rank = [seed](const LoadCandidate& candidate)
+  {
+    return std::make_tuple(!candidate.is_loading, candidate.is_overdue,
+                           Common::StableHash(candidate.instance, seed));
+  };
+  std::ranges::sort(waiting, {}, rank);
+  if (most > 0 && waiting.size() > most)
+    waiting.resize(most);
+  std::vector<std::string> names;
+  names.reserve(waiting.size());
+  for (const LoadCandidate& candidate : waiting)
+    names.push_back(candidate.instance);
+  return names;
+}
+
 std::map<std::string, Common::Digest> WantedVersions(const Settings::Tree& tree,
                                                      const std::vector<PlacedAgent>& agents)
 {
--- a/Source/Core/Placement/Placement.h
+++ b/Source/Core/Placement/Placement.h
@@ -20,7 +20,8 @@
   std::uint32_t replicas = 0; // 0: the whole pool
   bool is_model = true;
   std::string model;
-  Common::Digest version; // zero for plain services
+  Common::Digest version;        // zero for plain services
+  std::uint32_t switch_most = 0; // 0: no limit
 
   bool operator==(const ServicePlan&) const = default;
 };
@@ -47,6 +48,21 @@
   std::string pool;
 };
 
+// An agent as an entry of its hall sees it, for the order of loading.
+struct LoadCandidate
+{
+  std::string instance;
+  bool is_loading = false;
+  // It was let load before and did not get done in time.
+  bool is_overdue = false;
+};
+
+// Who of those that still have to load a version may do so now. Those that load already come first,
+// those that are overdue last, the rest in an order that all entries compute alike; at most `most`
+// in all, 0 for no limit.
+std::vector<std::string> MayLoadNow(std::vector<LoadCandidate> waiting,
+                                    const Common::Digest& version, std::uint32_t most);
+
 // The version of weights that the tree wants at each agent of every hall; agents that want none are
 // left out.
 std::map<std::string, Common::Digest> WantedVersions(const Settings::Tree& tree,
--- a/Source/Core/Settings/Record.cpp
+++ b/Source/Core/Settings/Record.cpp
@@ -38,43 +38,29 @@
 
 std::string EncodeRecord(const Record& record)
 {
-  const json object = std::visit(
-      Common::Overloaded{[](const Change& change)
-                         {
-                           json nodes = json::array();
-                           for (const NodeChange& node : change.nodes)
-                             nodes.push_back(ToJson(node));
-                           return json{{"type", "change"},
-                                       {"id", change.id},
-                                       {"author", change.author},
-                                       {"nodes", nodes}};
-                         },
-                         [](const TargetClaim& claim)
-                         {
-                           return json{{"type", "target"},
-                                       {"id", claim.id},
-                                       {"target", claim.target},
-                                       {"instance", claim.instance}};
-                         },
-                         [](const Snapshot& snapshot) {
-                           return json{{"type", "snapshot"},
-                                       {"offset", snapshot.offset},
-                                       {"state", snapshot.state}};
-                         },
-                         [](const KeyClaims& keys)
-                         {
-                           json claims = json::array();
-                           for (const KeyClaim& claim : keys.claims)
-                           {
-                             claims.push_back({{"id", claim.id},
-                                               {"scope", claim.scope},
-                                               {"key", claim.key},
-                                               {"entry", claim.entry},
-                                               {"address", claim.address}});
-                           }
-                           return json{{"type", "keys"}, {"id", keys.id}, {"claims", claims}};
-                         }},
-      record);
+  const json object = std::visit(Common::Overloaded{[](const Change& change)
+                                                    {
+                                                      json nodes = json::array();
+                                                      for (const NodeChange& node : change.nodes)
+                                                        nodes.push_back(ToJson(node));
+                                                      return json{{"type", "change"},
+                                                                  {"id", change.id},
+                                                                  {"author", change.author},
+                                                                  {"nodes", nodes}};
+                                                    },
+                                                    [](const TargetClaim& claim)
+                                                    {
+                                                      return json{{"type", "target"},
+                                                                  {"id", claim.id},
+                                                                  {"target", claim.target},
+                                                                  {"instance", claim.instance}};
+                                                    },
+                                                    [](const Snapshot& snapshot) {
+                                                      return json{{"type", "snapshot"},
+                                                                  {"offset", snapshot.offset},
+                                                                  {"state", snapshot.state}};
+                                                    }},
+                                 record);
   return object.dump();
 }
 
@@ -122,17 +108,6 @@
   return change;
 }
 
-static KeyClaims KeysFromJson(const json& object)
-{
-  KeyClaims keys{object.at("id"), {}};
-  for (const json& claim : object.at("claims"))
-  {
-    keys.claims.push_back({claim.at("id"), claim.at("scope"), claim.at("key"), claim.at("entry"),
-                           claim.at("address")});
-  }
-  return keys;
-}
-
 static Record RecordFromJson(const json& object)
 {
   const std::string type = object.at("type");
@@ -142,8 +117,6 @@
     return TargetClaim{object.at("id"), object.at("target"), object.at("instance")};
   if (type == "snapshot")
     return Snapshot{object.at("offset"), object.at("state")};
-  if (type == "keys")
-    return KeysFromJson(object);
   throw std::invalid_argument(fmt::format("type: found '{}'", type));
 }
 
@@ -158,4 +131,16 @@
     return Error{ErrorKind::BadSettings, error.what()};
   }
 }
+
+std::optional<Common::Offset> SnapshotOffset(const std::string& text)
+{
+  if (text.find(R"("type":"snapshot")") == std::string::npos)
+    return std::nullopt;
+  const Result<Record> decoded = DecodeRecord(text);
+  const auto* record = std::get_if<Record>(&decoded);
+  const auto* snapshot = record ? std::get_if<Snapshot>(record) : nullptr;
+  if (!snapshot)
+    return std::nullopt;
+  return snapshot->offset;
+}
 } // namespace Holdpost::Settings
--- a/Source/Core/Settings/Record.h
+++ b/Source/Core/Settings/Record.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,26 +45,12 @@
   std::string state; // Fold::Serialize
 };
 
-// A keyed request is about to be dispatched; the lowest offset of a key wins.
-struct KeyClaim
-{
-  std::string id;
-  std::string scope; // organisation/service
-  std::string key;   // hash of the caller's key
-  std::string entry; // who answers for the outcome, and where
-  std::string address;
-};
-
-// Written by entries in one record for several keys, so that the log's rate is not the limit.
-struct KeyClaims
-{
-  std::string id;
-  std::vector<KeyClaim> claims;
-};
-
-using Record = std::variant<Change, TargetClaim, Snapshot, KeyClaims>;
+using Record = std::variant<Change, TargetClaim, Snapshot>;
 
 std::string EncodeRecord(const Record& record);
 Common::Result<Record> DecodeRecord(const std::string& text);
+// The offset of a snapshot record; empty for any other. Cheap, as every reader asks it of every
+// record.
+std::optional<Common::Offset> SnapshotOffset(const std::string& text);
 std::string ValuesToJson(const Values& values);
 } // namespace Holdpost::Settings
--- a/Source/Node/NodeBase.cpp
+++ b/Source/Node/NodeBase.cpp
@@ -159,14 +159,14 @@
 
 void NodeBase::DoPlatform(NodeCore::ReadList& /*read*/)
 {
-  m_platform.ListInstances([this](Result<std::vector<Membership::ListedInstance>> result)
+  m_platform.ListInstances([this](NodeCore::ListRead result)
                            { Feed(NodeCore::ListReadDone{std::move(result)}); });
 }
 
-void NodeBase::DoPlatform(NodeCore::FetchFromOrigin& fetch)
+void NodeBase::DoPlatform(NodeCore::FetchFromPlatform& fetch)
 {
   const auto id = fetch.id;
-  m_origin_calls[id] = m_platform.FetchPiece(fetch.version, fetch.piece,
+  m_origin_calls[id] = m_platform.FetchPiece(fetch.source, fetch.version, fetch.piece,
                                              [this, id](Result<Common::Bytes> result)
                                              {
                                                m_origin_calls.erase(id);
--- a/Source/Node/NodeBase.h
+++ b/Source/Node/NodeBase.h
@@ -58,7 +58,7 @@
   void DoPlatform(NodeCore::ReadLog& read);
   void DoPlatform(NodeCore::AppendRecord& append);
   void DoPlatform(NodeCore::ReadList& read);
-  void DoPlatform(NodeCore::FetchFromOrigin& fetch);
+  void DoPlatform(NodeCore::FetchFromPlatform& fetch);
   void CancelFetch(const NodeCore::CancelFetch& cancel);
   void HandleRpc();
   void HandleStopSignal();
--- a/Source/Node/Status.cpp
+++ b/Source/Node/Status.cpp
@@ -14,6 +14,8 @@
           {"role", role},
           {"position", node.Settings().Fold().Position()},
           {"accepted", node.Settings().Fold().AcceptedOffset()},
+          {"in_force_since_seconds",
+           std::chrono::duration<double>(node.InForceSince().time_since_epoch()).count()},
           {"log_reachable", node.Settings().IsLogReachable()},
           {"leaving", node.IsLeaving()},
           {"not_ready", node.NotReadyReason()}};
--- a/Source/OperatorTool/CommandLine.h
+++ b/Source/OperatorTool/CommandLine.h
@@ -74,6 +74,11 @@
 ParseAddresses(const std::vector<std::string>& texts, const std::string& option)
 {
   std::vector<Common::Address> addresses;
+  if (texts.empty())
+  {
+    fmt::print(stderr, "holdpost: --{} is needed, here or in the settings file\n", option);
+    return std::nullopt;
+  }
   for (const std::string& text : texts)
   {
     const auto address = Common::ParseAddress(text);
--- a/Source/OperatorTool/Main.cpp
+++ b/Source/OperatorTool/Main.cpp
@@ -1,11 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include <fmt/format.h>
 
+#include "Common/Log.h"
 #include "Common/Program.h"
 #include "OperatorTool/Commands.h"
+#include "OperatorTool/OperatorConfig.h"
 
 // `holdpost`: the operators' command.
 namespace
@@ -34,28 +39,83 @@
 
 void PrintUsage(FILE* out)
 {
-  fmt::print(out, "usage: holdpost COMMAND [options]\n\n");
+  fmt::print(out, "usage: holdpost [global options] COMMAND [options]\n\n");
   for (const Command& command : COMMANDS)
     fmt::print(out, "  {:<10}{}\n", command.name, command.help);
+  fmt::print(out, "\nGlobal options:\n"
+                  "  --config FILE      platform, nodes and author, in YAML\n"
+                  "  --check            check the settings file and exit\n"
+                  "  --log-level LEVEL  error, warning, info or debug (default: warning)\n"
+                  "  --help, --version\n");
   fmt::print(out, "\nSee holdpost COMMAND --help.\n"
                   "Exit codes: 0 done, 1 failed, 2 bad arguments or tree, 3 lost a race.\n");
 }
+// Options that stand before the command. Holds an exit code if the program is done already.
+std::optional<int> ParseGlobalOptions(std::vector<std::string>* arguments)
+{
+  bool check_only = false;
+  bool has_config = false;
+  const auto take = [&]
+  {
+    std::string text = arguments->empty() ? "" : arguments->front();
+    if (!arguments->empty())
+      arguments->erase(arguments->begin());
+    return text;
+  };
+  while (!arguments->empty() && arguments->front().starts_with("-"))
+  {
+    const std::string option = take();
+    if (option == "--help" || option == "-h")
+    {
+      PrintUsage(stdout);
+      return Common::EXIT_OK;
+    }
+    if (option == "--version")
+    {
+      fmt::print("holdpost {}\n", HOLDPOST_VERSION);
+      return Common::EXIT_OK;
+    }
+    Common::LogLevel level = Common::LogLevel::Warning;
+    if (option == "--check")
+      check_only = true;
+    else if (option == "--log-level" && Common::ParseLogLevel(take(), &level))
+      Common::SetLogLevel(level);
+    else if (option == "--config" || option == "-c")
+    {
+      auto config = OperatorTool::ReadOperatorConfig(take());
+      if (const auto* problems = std::get_if<Common::Problems>(&config))
+      {
+        fmt::print(stderr, "{}", Common::JoinProblems(*problems));
+        return Common::EXIT_BAD_INPUT;
+      }
+      OperatorTool::CurrentConfig() = std::get<OperatorTool::OperatorConfig>(std::move(config));
+      has_config = true;
+    }
+    else
+    {
+      fmt::print(stderr, "holdpost: found '{}', expected an option or a command; see --help\n",
+                 option);
+      return Common::EXIT_BAD_INPUT;
+    }
+  }
+  if (check_only)
+    return has_config ? Common::EXIT_OK : Common::EXIT_BAD_INPUT;
+  return std::nullopt;
+}
 } // namespace
 
 int main(int argc, char** argv)
 {
-  const std::string name = argc > 1 ? argv[1] : "";
-  if (name == "--version")
-  {
-    fmt::print("holdpost {}\n", HOLDPOST_VERSION);
-    return Common::EXIT_OK;
-  }
+  Common::SetLogLevel(Common::LogLevel::Warning);
+  std::vector<std::string> arguments(argv + 1, argv + argc);
+  if (const auto done = ParseGlobalOptions(&arguments))
+    return *done;
+  const std::string name = arguments.empty() ? "" : arguments.front();
   const auto command = std::ranges::find(COMMANDS, name, &Command::name);
   if (command == COMMANDS.end())
   {
-    const bool is_help = name == "--help" || name == "-h";
-    PrintUsage(is_help ? stdout : stderr);
-    return is_help ? Common::EXIT_OK : Common::EXIT_BAD_INPUT;
+    PrintUsage(stderr);
+    return Common::EXIT_BAD_INPUT;
   }
-  return command->run({argv + 2, argv + argc});
+  return command->run({arguments.begin() + 1, arguments.end()});
 }
--- a/Source/OperatorTool/SettingsCommands.cpp
+++ b/Source/OperatorTool/SettingsCommands.cpp
@@ -8,6 +8,7 @@
 #include "Core/Settings/Effective.h"
 #include "Core/Settings/TreeFile.h"
 #include "OperatorTool/CommandLine.h"
+#include "OperatorTool/OperatorConfig.h"
 #include "OperatorTool/Session.h"
 
 namespace Holdpost::OperatorTool
@@ -70,7 +71,7 @@
 {
   std::string path;
   std::string file;
-  std::vector<std::string> platform;
+  std::vector<std::string> platform = CurrentConfig().platform;
   CommandLine line("show PATH",
                    "Prints the settings in force at /region/hall/service/organisation or a place "
                    "above, each with the node that states it.",
@@ -96,11 +97,8 @@
     return Common::EXIT_OK;
   }
   const auto addresses = ParseAddresses(platform, "platform");
-  if (!addresses || addresses->empty())
-  {
-    fmt::print(stderr, "holdpost show: --platform or --tree is needed\n");
+  if (!addresses)
     return Common::EXIT_BAD_INPUT;
-  }
   Session session;
   const auto fold = session.ReadFold(*addresses);
   if (const auto* error = std::get_if<Error>(&fold))
@@ -141,10 +139,10 @@
 int RunDiff(const Arguments& arguments)
 {
   std::string file;
-  std::vector<std::string> platform;
+  std::vector<std::string> platform = CurrentConfig().platform;
   CommandLine line("diff TREE", "Prints what publishing the tree would change.", "tree");
   line.Add()("tree", po::value(&file)->required(), "the tree, in YAML")(
-      "platform", po::value(&platform)->required()->value_name("IP:PORT"), "the platform's log");
+      "platform", po::value(&platform)->value_name("IP:PORT"), "the platform's log");
   if (const auto done = line.Parse(arguments))
     return *done;
   const auto tree = LoadTree(file);
@@ -199,16 +197,16 @@
 int RunPublish(const Arguments& arguments)
 {
   std::string file;
-  std::string author;
-  std::vector<std::string> platform;
+  std::string author = CurrentConfig().author;
+  std::vector<std::string> platform = CurrentConfig().platform;
   Offset base = 0;
   CommandLine line("publish TREE",
                    "Publishes the tree to the platform's log. Of operators who change one node at "
                    "once, one wins; the others get exit code 3 and the winner's offset.",
                    "tree");
   line.Add()("tree", po::value(&file)->required(), "the tree, in YAML")(
-      "platform", po::value(&platform)->required()->value_name("IP:PORT"), "the platform's log")(
-      "author", po::value(&author)->default_value("operator"), "who publishes")(
+      "platform", po::value(&platform)->value_name("IP:PORT"),
+      "the platform's log")("author", po::value(&author), "who publishes")(
       "base", po::value(&base)->value_name("OFFSET"),
       "refuse if a node to be changed has changed after this offset")("json", "print JSON");
   if (const auto done = line.Parse(arguments))
--- a/Source/OperatorTool/StatusCommands.cpp
+++ b/Source/OperatorTool/StatusCommands.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "OperatorTool/CommandLine.h"
+#include "OperatorTool/OperatorConfig.h"
 #include "OperatorTool/Session.h"
 
 namespace Holdpost::OperatorTool
@@ -55,9 +56,9 @@
 
 int RunStatus(const Arguments& arguments)
 {
-  std::vector<std::string> nodes;
+  std::vector<std::string> nodes = CurrentConfig().nodes;
   CommandLine line("status", "Prints what instances are doing.", "");
-  line.Add()("node", po::value(&nodes)->required()->value_name("IP:PORT"),
+  line.Add()("node", po::value(&nodes)->value_name("IP:PORT"),
              "admin address of an instance; may be repeated")("json", "print JSON");
   if (const auto done = line.Parse(arguments))
     return *done;
@@ -122,14 +123,14 @@
 
 int RunWatch(const Arguments& arguments)
 {
-  std::vector<std::string> nodes;
+  std::vector<std::string> nodes = CurrentConfig().nodes;
   Goal goal;
   int timeout_seconds = 600;
   CommandLine line("watch",
                    "Waits until the settings of an offset are in force on every instance named, "
                    "and a version is ready on every agent named. Exit code 1 after the time-out.",
                    "");
-  line.Add()("node", po::value(&nodes)->required()->value_name("IP:PORT"),
+  line.Add()("node", po::value(&nodes)->value_name("IP:PORT"),
              "admin address of an instance; may be repeated")(
       "accepted", po::value(&goal.accepted)->value_name("OFFSET"), "offset to wait for")(
       "ready", po::value(&goal.version)->value_name("VERSION"),
--- a/Source/Peers/Instance/Codec.cpp
+++ b/Source/Peers/Instance/Codec.cpp
@@ -50,6 +50,7 @@
   out.setAccepted(report.accepted);
   out.setCredits(report.credits);
   out.setDemand(report.demand);
+  out.setMayLoad(report.may_load);
   auto versions = out.initVersions(static_cast<unsigned>(report.versions.size()));
   for (unsigned i = 0; i < versions.size(); ++i)
   {
@@ -63,6 +64,7 @@
     services[i].setService(report.services[i].service);
     services[i].setVersion(ToData(report.services[i].version));
     services[i].setIsReady(report.services[i].is_ready);
+    services[i].setIsLoading(report.services[i].is_loading);
     services[i].setSlots(report.services[i].slots);
     services[i].setRunning(report.services[i].running);
   }
@@ -83,6 +85,7 @@
   report.accepted = in.getAccepted();
   report.credits = in.getCredits();
   report.demand = in.getDemand();
+  report.may_load = in.getMayLoad();
   for (const auto version : in.getVersions())
   {
     report.versions.push_back(
@@ -91,7 +94,8 @@
   for (const auto service : in.getServices())
   {
     report.services.push_back({ToString(service.getService()), ToDigest(service.getVersion()),
-                               service.getIsReady(), service.getSlots(), service.getRunning()});
+                               service.getIsReady(), service.getIsLoading(), service.getSlots(),
+                               service.getRunning()});
   }
   return report;
 }
--- a/Source/Peers/Instance/Instance.capnp
+++ b/Source/Peers/Instance/Instance.capnp
@@ -17,6 +17,7 @@
   isReady @2 :Bool;
   slots @3 :UInt32;
   running @4 :UInt32;
+  isLoading @5 :Bool;
 }
 
 struct Report {
@@ -34,6 +35,7 @@
   demand @11 :UInt32;
   versions @12 :List(VersionState);
   services @13 :List(ServiceState);
+  mayLoad @14 :Bool;
 }
 
 struct Announcement {
--- a/Source/Peers/Instance/Instance.capnp.h
+++ b/Source/Peers/Instance/Instance.capnp.h
@@ -600,6 +600,8 @@
 
   inline  ::uint32_t getRunning() const;
 
+  inline bool getIsLoading() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -651,6 +653,9 @@
   inline  ::uint32_t getRunning();
   inline void setRunning( ::uint32_t value);
 
+  inline bool getIsLoading();
+  inline void setIsLoading(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -728,6 +733,8 @@
   inline bool hasServices() const;
   inline  ::capnp::List< ::Holdpost::Wire::ServiceState,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline bool getMayLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -822,6 +829,9 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::Holdpost::Wire::ServiceState,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Holdpost::Wire::ServiceState,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline bool getMayLoad();
+  inline void setMayLoad(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3173,6 +3183,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceState::Reader::getIsLoading() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServiceState::Builder::getIsLoading() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceState::Builder::setIsLoading(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3489,6 +3513,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::getMayLoad() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getMayLoad() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setMayLoad(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Announcement::Reader::hasVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Platform/PlatformClient.cpp
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -50,11 +50,13 @@
 }
 
 Common::HttpClient::CallId PlatformClient::Get(const std::string& path, Milliseconds idle_timeout,
-                                               std::function<void(Result<HttpReply>)> done)
+                                               std::function<void(Result<HttpReply>)> done,
+                                               const Common::HttpHeaders& headers)
 {
   Common::HttpCall call;
   call.to = CurrentAddress();
   call.path = path;
+  call.headers = headers;
   call.idle_timeout = idle_timeout;
   call.may_reuse_connection = true;
   Common::HttpCallbacks callbacks;
@@ -67,7 +69,7 @@
       return;
     }
     const auto& reply = std::get<HttpReply>(result);
-    if (reply.status != 200)
+    if (reply.status != 200 && reply.status != 304)
       done(ErrorFor(reply));
     else
       done(std::move(result));
@@ -152,36 +154,52 @@
   return listed;
 }
 
-void PlatformClient::ListInstances(
-    std::function<void(Result<std::vector<Membership::ListedInstance>>)> done)
+static NodeCore::ListRead ParseList(const std::string& text)
 {
-  Get("/instances", CALL_TIMEOUT,
-      [done = std::move(done)](Result<HttpReply> result)
-      {
-        if (const auto* error = std::get_if<Error>(&result))
-          return done(*error);
-        try
-        {
-          std::vector<Membership::ListedInstance> list;
-          const json body = json::parse(std::get<HttpReply>(result).body);
-          for (const json& object : body.at("instances"))
-            list.push_back(ListedFromJson(object));
-          done(std::move(list));
-        }
-        catch (const json::exception& error)
-        {
-          done(Error{ErrorKind::PlatformUnavailable, error.what()});
-        }
-      });
+  try
+  {
+    std::vector<Membership::ListedInstance> list;
+    const json body = json::parse(text);
+    for (const json& object : body.at("instances"))
+      list.push_back(ListedFromJson(object));
+    return list;
+  }
+  catch (const json::exception& error)
+  {
+    return Error{ErrorKind::PlatformUnavailable, error.what()};
+  }
+}
+
+void PlatformClient::ListInstances(std::function<void(NodeCore::ListRead)> done)
+{
+  Common::HttpHeaders headers;
+  if (!m_list_tag.empty())
+    headers["If-None-Match"] = m_list_tag;
+  const auto on_reply = [this, done = std::move(done)](const Result<HttpReply>& result)
+  {
+    if (const auto* error = std::get_if<Error>(&result))
+      return done(*error);
+    const auto& reply = std::get<HttpReply>(result);
+    if (reply.status == 304)
+      return done(NodeCore::ListUnchanged{});
+    NodeCore::ListRead read = ParseList(reply.body);
+    const auto tag = reply.headers.find("etag");
+    const bool is_good = !std::holds_alternative<Error>(read);
+    m_list_tag = is_good && tag != reply.headers.end() ? tag->second : "";
+    done(std::move(read));
+  };
+  Get("/instances", CALL_TIMEOUT, on_reply, headers);
 }
 
-Common::HttpClient::CallId PlatformClient::FetchPiece(const Common::Digest& version,
+Common::HttpClient::CallId PlatformClient::FetchPiece(Distribution::PlatformSource source,
+                                                      const Common::Digest& version,
                                                       std::uint32_t piece,
                                                       std::function<void(Result<Bytes>)> done)
 {
+  const char* name = source == Distribution::PlatformSource::Store ? "store" : "origin";
   const std::string path = piece == Distribution::MANIFEST_PIECE
-                               ? fmt::format("/origin/{}/manifest", version.ToHex())
-                               : fmt::format("/origin/{}/pieces/{}", version.ToHex(), piece);
+                               ? fmt::format("/{}/{}/manifest", name, version.ToHex())
+                               : fmt::format("/{}/{}/pieces/{}", name, version.ToHex(), piece);
   return Get(path, PIECE_TIMEOUT,
              [done = std::move(done)](Result<HttpReply> result)
              {
--- a/Source/Standin/EngineStandin.cpp
+++ b/Source/Standin/EngineStandin.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "Standin/HealthPages.h"
+
 namespace Holdpost::Standin
 {
 using Common::Error;
@@ -44,6 +46,9 @@
 void EngineStandin::Handle(const Exchange& exchange)
 {
   const std::string& path = exchange->Request().path;
+  if (AnswerHealth(*exchange, fmt::format("standin_runs_total {}\nstandin_fenced_total {}\n",
+                                          m_runs.size(), m_fenced)))
+    return;
   if (path.starts_with("/weights/"))
     return TakeWeights(exchange);
   if (path == "/orders/load")
--- a/Source/Standin/Main.cpp
+++ b/Source/Standin/Main.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "Common/Program.h"
+#include "Standin/BaselineFetchers.h"
 #include "Standin/EngineStandin.h"
 #include "Standin/PlatformStandin.h"
 #include "Standin/ServiceStandin.h"
@@ -56,7 +57,33 @@
   return Common::EXIT_OK;
 }
 
-constexpr const char* USAGE = "usage: holdpost-standin platform|engine|service --config FILE\n\n"
+// Runs a baseline of BurstBench to its end; prints the seconds of each fetcher.
+int RunBaseline(const std::variant<Standin::BaselineConfig, Common::Problems>& config,
+                bool check_only)
+{
+  if (const auto* problems = std::get_if<Common::Problems>(&config))
+  {
+    fmt::print(stderr, "{}", Common::JoinProblems(*problems));
+    return Common::EXIT_BAD_INPUT;
+  }
+  if (check_only)
+    return Common::EXIT_OK;
+  std::signal(SIGPIPE, SIG_IGN);
+  Common::EventLoop loop;
+  Standin::BaselineFetchers fetchers(loop, std::get<Standin::BaselineConfig>(config));
+  const auto result = fetchers.Run();
+  if (const auto* error = std::get_if<Common::Error>(&result))
+  {
+    fmt::print(stderr, "E standin: {}.\n", error->message);
+    return Common::EXIT_FAILED;
+  }
+  for (const double seconds : std::get<std::vector<double>>(result))
+    fmt::print("{:.3f}\n", seconds);
+  return Common::EXIT_OK;
+}
+
+constexpr const char* USAGE = "usage: holdpost-standin platform|engine|service|baseline --config "
+                              "FILE\n\n"
                               "Takes the place of the platform, a model engine or a plain service "
                               "in tests and first runs.\n";
 } // namespace
@@ -64,7 +91,8 @@
 int main(int argc, char** argv)
 {
   const std::string command = argc > 1 ? argv[1] : "";
-  const bool is_known = command == "platform" || command == "engine" || command == "service";
+  const bool is_known =
+      command == "platform" || command == "engine" || command == "service" || command == "baseline";
   if (!is_known && command != "--version")
   {
     const bool is_help = command == "--help" || command == "-h";
@@ -82,6 +110,8 @@
     return Serve<Standin::PlatformStandin>(Standin::ReadPlatformConfig(options.config_file),
                                            options.check_only);
   }
+  if (command == "baseline")
+    return RunBaseline(Standin::ReadBaselineConfig(options.config_file), options.check_only);
   if (command == "engine")
   {
     return Serve<Standin::EngineStandin>(Standin::ReadEngineConfig(options.config_file),
--- a/Source/Standin/PlatformStandin.cpp
+++ b/Source/Standin/PlatformStandin.cpp
@@ -9,6 +9,7 @@
 
 #include "Common/Log.h"
 #include "Core/Distribution/Manifest.h"
+#include "Standin/HealthPages.h"
 
 namespace Holdpost::Standin
 {
@@ -45,6 +46,9 @@
   config.weights_dir = reader.RequiredString("weights_dir");
   config.origin_bytes_per_second =
       static_cast<std::uint64_t>(reader.Integer("origin_bytes_per_second", 0, 0, 1000000000000));
+  config.has_store = reader.Boolean("has_store", false);
+  config.store_bytes_per_second =
+      static_cast<std::uint64_t>(reader.Integer("store_bytes_per_second", 0, 0, 1000000000000));
   config.retain_records =
       static_cast<std::size_t>(reader.Integer("retain_records", 100000, 10, 100000000));
   reader.Finish();
@@ -57,6 +61,7 @@
     : m_loop(loop), m_config(std::move(config)), m_log(m_config.retain_records)
 {
   m_origin_link.SetRate(m_config.origin_bytes_per_second);
+  m_store_link.SetRate(m_config.store_bytes_per_second);
   m_faults.cut.assign(m_config.listen.size(), false);
   for (std::size_t i = 0; i < m_config.listen.size(); ++i)
   {
@@ -86,6 +91,10 @@
     return HandleFaults(exchange);
   if (path == "/stats")
     return HandleStats(exchange);
+  if (AnswerHealth(*exchange,
+                   fmt::format("standin_appends_total {}\nstandin_origin_requests_total {}\n",
+                               m_appends, m_origin_requests)))
+    return;
   if (m_faults.cut[listener])
     return exchange->Cut();
   if (path == "/log")
@@ -93,7 +102,9 @@
   if (path.starts_with("/instances"))
     return HandleInstances(exchange);
   if (path.starts_with("/origin/"))
-    return HandleOrigin(exchange);
+    return HandleWeights(exchange, false);
+  if (path.starts_with("/store/") && m_config.has_store)
+    return HandleWeights(exchange, true);
   ReplyError(*exchange, {ErrorKind::NotFound, "there is no such path"});
 }
 
@@ -165,17 +176,23 @@
       return ReplyError(*exchange, {ErrorKind::BadRequest, "the body is no JSON object"});
     entry["instance"] = name;
     m_instances[name] = std::move(entry);
+    ++m_list_revision;
     return exchange->Reply(200, JSON_TYPE, "{}");
   }
   if (request.method == "DELETE")
   {
     m_instances.erase(name);
+    ++m_list_revision;
     return exchange->Reply(200, JSON_TYPE, "{}");
   }
+  const std::string tag = fmt::format("\"{}\"", m_list_revision);
+  if (request.Header("if-none-match") == tag)
+    return exchange->Reply(304, {{"ETag", tag}}, "");
   json list = json::array();
   for (const auto& [instance, entry] : m_instances)
     list.push_back(entry);
-  exchange->Reply(200, JSON_TYPE, json{{"instances", list}}.dump());
+  exchange->Reply(200, {{"Content-Type", "application/json"}, {"ETag", tag}},
+                  json{{"instances", list}}.dump());
 }
 
 static std::string ReadFile(const std::string& path)
@@ -203,40 +220,45 @@
   return &version;
 }
 
-void PlatformStandin::SendLimited(const Exchange& exchange, std::string data, Version* version)
+void PlatformStandin::SendLimited(const Exchange& exchange, std::string data,
+                                  Distribution::LinkBudget& link, std::uint64_t* drawn)
 {
   const TimePoint now = EventLoop::Now();
-  if (m_origin_link.FreeAt() > now + ORIGIN_QUEUE_MOST)
+  if (link.FreeAt() > now + ORIGIN_QUEUE_MOST)
   {
-    const auto wait =
-        std::chrono::ceil<Milliseconds>(m_origin_link.FreeAt() - now - ORIGIN_QUEUE_MOST);
+    const auto wait = std::chrono::ceil<Milliseconds>(link.FreeAt() - now - ORIGIN_QUEUE_MOST);
     return exchange->Reply(503, {{"Retry-After-Ms", std::to_string(wait.count())}}, "");
   }
-  version->bytes_drawn += data.size();
-  const TimePoint due = m_origin_link.BookSend(data.size(), now);
+  *drawn += data.size();
+  const TimePoint due = link.BookSend(data.size(), now);
   m_loop.After(due - now,
                [exchange, data = std::move(data)] {
                  exchange->Reply(200, {{"Content-Type", "application/octet-stream"}}, data);
                });
 }
 
-void PlatformStandin::HandleOrigin(const Exchange& exchange)
+// Path: /origin/DIGEST/manifest or /origin/DIGEST/pieces/N; the same below /store.
+void PlatformStandin::HandleWeights(const Exchange& exchange, bool is_store)
 {
-  if (m_faults.is_origin_down)
+  if (m_faults.is_origin_down && !is_store)
     return exchange->Cut();
   ++m_origin_requests;
-  std::istringstream parts(exchange->Request().path.substr(std::string("/origin/").size()));
+  std::istringstream parts(exchange->Request().path.substr(1));
+  std::string source;
   std::string digest;
   std::string kind;
   std::string number;
+  std::getline(parts, source, '/');
   std::getline(parts, digest, '/');
   std::getline(parts, kind, '/');
   std::getline(parts, number, '/');
   Version* version = FindVersion(digest);
   if (!version)
-    return ReplyError(*exchange, {ErrorKind::NotFound, "the origin has no such version"});
+    return ReplyError(*exchange, {ErrorKind::NotFound, "there is no such version"});
+  Distribution::LinkBudget& link = is_store ? m_store_link : m_origin_link;
+  std::uint64_t* drawn = is_store ? &version->store_bytes_drawn : &version->bytes_drawn;
   if (kind == "manifest")
-    return exchange->Reply(200, JSON_TYPE, *version->manifest);
+    return SendLimited(exchange, *version->manifest, link, drawn);
   std::uint64_t piece = 0;
   std::from_chars(number.data(), number.data() + number.size(), piece);
   const std::uint64_t start = piece * version->piece_bytes;
@@ -248,7 +270,7 @@
     --m_faults.corrupt_pieces;
     data[data.size() / 2] = static_cast<char>(data[data.size() / 2] ^ 1);
   }
-  SendLimited(exchange, std::move(data), version);
+  SendLimited(exchange, std::move(data), link, drawn);
 }
 
 void PlatformStandin::HandleFaults(const Exchange& exchange)
@@ -276,6 +298,7 @@
   for (const auto& [digest, version] : m_versions)
   {
     versions[digest] = {{"bytes_drawn", version.bytes_drawn},
+                        {"store_bytes_drawn", version.store_bytes_drawn},
                         {"bytes", version.weights.size()},
                         {"copies", static_cast<double>(version.bytes_drawn) /
                                        static_cast<double>(version.weights.size())}};
--- a/Source/Standin/PlatformStandin.h
+++ b/Source/Standin/PlatformStandin.h
@@ -22,6 +22,9 @@
   std::vector<Common::Address> listen;
   std::string weights_dir; // DIGEST.manifest and DIGEST.weights
   std::uint64_t origin_bytes_per_second = 0;
+  // The weight store holds the same versions if it is switched on.
+  bool has_store = false;
+  std::uint64_t store_bytes_per_second = 0;
   std::size_t retain_records = 100000;
 };
 
@@ -50,7 +53,8 @@
     Common::Bytes manifest;
     std::string weights;
     std::uint32_t piece_bytes = 0;
-    std::uint64_t bytes_drawn = 0;
+    std::uint64_t bytes_drawn = 0; // from the origin
+    std::uint64_t store_bytes_drawn = 0;
   };
 
   using Exchange = std::shared_ptr<Common::HttpExchange>;
@@ -60,10 +64,11 @@
   void ReadLog(const Exchange& exchange, Common::Offset after, Common::TimePoint until);
   void AppendLog(const Exchange& exchange);
   void HandleInstances(const Exchange& exchange);
-  void HandleOrigin(const Exchange& exchange);
+  void HandleWeights(const Exchange& exchange, bool is_store);
   void HandleFaults(const Exchange& exchange);
   void HandleStats(const Exchange& exchange);
-  void SendLimited(const Exchange& exchange, std::string data, Version* version);
+  void SendLimited(const Exchange& exchange, std::string data, Distribution::LinkBudget& link,
+                   std::uint64_t* drawn);
   Version* FindVersion(const std::string& digest);
 
   Common::EventLoop& m_loop;
@@ -73,7 +78,9 @@
   std::map<std::string, nlohmann::json> m_instances;
   std::map<std::string, Version> m_versions;
   Distribution::LinkBudget m_origin_link;
+  Distribution::LinkBudget m_store_link;
   Faults m_faults;
+  std::uint64_t m_list_revision = 1;
   std::uint64_t m_appends = 0;
   std::uint64_t m_origin_requests = 0;
 };
--- a/Source/Standin/ServiceStandin.cpp
+++ b/Source/Standin/ServiceStandin.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Standin/HealthPages.h"
+
 namespace Holdpost::Standin
 {
 using Common::Problems;
@@ -36,6 +38,8 @@
 void ServiceStandin::Handle(const std::shared_ptr<Common::HttpExchange>& exchange)
 {
   const auto& request = exchange->Request();
+  if (AnswerHealth(*exchange, "standin_runs_total " + std::to_string(m_runs.size()) + "\n"))
+    return;
   if (request.path == "/stats")
   {
     json runs = json::object();
--- a/Source/UnitTests/Core/RunsTest.cpp
+++ b/Source/UnitTests/Core/RunsTest.cpp
@@ -12,7 +12,7 @@
 {
   Runs::Runs runs;
   runs.SetSlots(2);
-  const Membership::ServiceState serving{"assist", {}, true, 0, 0};
+  const Membership::ServiceState serving{"assist", {}, true, false, 0, 0};
   const auto make = [](std::uint64_t number, std::uint64_t settled_below = 0)
   {
     RunRequest request;
--- a/Source/UnitTests/Core/SwarmTest.cpp
+++ b/Source/UnitTests/Core/SwarmTest.cpp
@@ -184,11 +184,18 @@
 {
   Fixture f;
   f.GetManifest({});
-  const auto fetches = f.Fetches();
-  REQUIRE(!fetches.empty());
-  for (const FetchPiece& fetch : fetches)
-    f.Answer(fetch, Error{ErrorKind::SourceBusy, "", Milliseconds(700)});
-  f.Fetches();
+  // First the weight store, then the origin asks to be left alone.
+  for (const PlatformSource source : {PlatformSource::Store, PlatformSource::Origin})
+  {
+    const auto fetches = f.Fetches();
+    REQUIRE(!fetches.empty());
+    for (const FetchPiece& fetch : fetches)
+    {
+      CHECK(fetch.source == source);
+      f.Answer(fetch, Error{ErrorKind::SourceBusy, "", Milliseconds(700)});
+    }
+  }
+  CHECK(f.Fetches().empty());
   f.Pass(Milliseconds(600));
   CHECK(f.Fetches().empty());
   f.Pass(Milliseconds(100));
--- a/Source/UnitTests/Process/CommandProcessTest.cpp
+++ b/Source/UnitTests/Process/CommandProcessTest.cpp
@@ -52,6 +52,23 @@
   CHECK(text.find(file + ":6: colour: found an unknown field") != std::string::npos);
 }
 
+TEST_CASE("The operators' command takes what is repeated from a settings file")
+{
+  Hall hall(1, 0);
+  const std::string file = hall.Path("operator.yaml");
+  std::ofstream(file) << "platform: [" << hall.Get("platform").At("address").ToString()
+                      << "]\nnodes: [" << hall.Get("agent-1").At("admin").ToString()
+                      << "]\nauthor: kari\n";
+  CHECK(RunProgram("holdpost", {"--config", file, "--check"}).first == 0);
+  const auto [code, output] = RunProgram("holdpost", {"--config", file, "status"});
+  CHECK(code == 0);
+  CHECK(output.find("agent-1") != std::string::npos);
+  std::ofstream(file) << "platforms: []\n";
+  const std::string errors = hall.Path("errors");
+  CHECK(RunProgram("holdpost", {"--config", file, "--check"}, errors).first == 2);
+  CHECK(ReadFile(errors).starts_with(file + ":1: platforms: found an unknown field"));
+}
+
 TEST_CASE("Operators who race learn who won")
 {
   Hall hall(1, 0);
--- a/Source/UnitTests/Process/Hall.cpp
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -253,9 +253,10 @@
 }
 
 void Hall::StartAgent(const std::string& name, const std::string& engine,
-                      const std::string& target_name, bool checks_fence)
+                      const std::string& target_name, bool checks_fence,
+                      std::size_t platform_listener)
 {
-  json config = NodeConfig(name, Get("platform").At("address"));
+  json config = NodeConfig(name, Get("platform").AllAt("address").at(platform_listener));
   config["pool"] = "runners";
   config["target"] = Get(engine).At("address").ToString();
   config["target_name"] = target_name;
--- a/Source/UnitTests/Process/Hall.h
+++ b/Source/UnitTests/Process/Hall.h
@@ -75,7 +75,8 @@
   Hall& operator=(const Hall&) = delete;
 
   void StartAgent(const std::string& name, const std::string& engine,
-                  const std::string& target_name, bool checks_fence = true);
+                  const std::string& target_name, bool checks_fence = true,
+                  std::size_t platform_listener = 0);
   void StartEngine(const std::string& name, const nlohmann::json& extra = {});
   void StartEntry(const std::string& name);
   // Makes weights and returns their version.
--- a/Source/UnitTests/Process/WeightsProcessTest.cpp
+++ b/Source/UnitTests/Process/WeightsProcessTest.cpp
@@ -167,6 +167,70 @@
   CheckNoWrongWeights(hall, 4);
 }
 
+TEST_CASE("The agents that should draw most from the origin are killed at the start")
+{
+  Hall hall(4, 0, {{"origin_bytes_per_second", 4 * MIB}});
+  const std::string version = hall.MakeWeights("v1", 4 * MIB, PIECE);
+  REQUIRE(hall.Publish(version, SLOW_LINK) == 0);
+  hall.WaitUntil("pieces move", [&] { return PiecesHeld(hall, "agent-1") > 0; });
+  hall.Get("agent-2").Kill();
+  hall.Get("agent-3").Kill();
+  hall.WaitServing({"agent-1", "agent-4"}, version);
+  CHECK(hall.CopiesDrawn(version) <= 2);
+  CheckNoWrongWeights(hall, 4);
+}
+
+TEST_CASE("Two faults at once: a corrupt origin and a killed agent, with the log gone")
+{
+  Hall hall(4, 0);
+  const std::string version = hall.MakeWeights("v1", 4 * MIB, PIECE);
+  REQUIRE(hall.Publish(version, SLOW_LINK) == 0);
+  hall.WaitUntil("pieces move", [&] { return PiecesHeld(hall, "agent-1") > 2; });
+  hall.SetFaults("platform", {{"corrupt_pieces", 3}, {"log_down", true}});
+  hall.Get("agent-4").Kill();
+  hall.WaitServing({"agent-1", "agent-2", "agent-3"}, version);
+  CheckNoWrongWeights(hall, 4);
+}
+
+TEST_CASE("The platform cannot be reached by some agents: they live on their peers")
+{
+  Hall hall(2, 0, {{"listeners", 2}});
+  hall.StartEngine("engine-3");
+  hall.StartAgent("agent-3", "engine-3", "target-3", true, 1);
+  const std::string first = hall.MakeWeights("v1", MIB, PIECE);
+  const std::string second = hall.MakeWeights("v2", MIB, PIECE);
+  REQUIRE(hall.Publish(first) == 0);
+  hall.WaitServing({"agent-1", "agent-2", "agent-3"}, first);
+  hall.SetFaults("platform", {{"cut", {1}}});
+  REQUIRE(hall.Publish(second) == 0);
+  hall.WaitServing({"agent-1", "agent-2", "agent-3"}, second);
+  CHECK(hall.Status("agent-3")["log_reachable"] == false);
+}
+
+TEST_CASE("The weight store is drawn from before the origin")
+{
+  Hall hall(3, 0, {{"has_store", true}});
+  const std::string version = hall.MakeWeights("v1", MIB, PIECE);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1", "agent-2", "agent-3"}, version);
+  CHECK(hall.CopiesDrawn(version) == 0);
+}
+
+TEST_CASE("A new agent starts after the log has dropped the first records")
+{
+  Hall hall(2, 0, {{"retain_records", 40}});
+  const std::string version = hall.MakeWeights("v1", MIB, PIECE);
+  REQUIRE(hall.Publish(version, {{"snapshot_records", 10}}) == 0);
+  for (int i = 1; i <= 60; ++i)
+    REQUIRE(hall.Publish(version, {{"snapshot_records", 10}, {"neighbours", i}}) == 0);
+  hall.StartEngine("engine-3");
+  hall.StartAgent("agent-3", "engine-3", "target-3");
+  hall.WaitServing({"agent-3"}, version);
+  hall.WaitUntil(
+      "it has what the others have",
+      [&] { return hall.Status("agent-3")["accepted"] == hall.Status("agent-1")["accepted"]; });
+}
+
 TEST_CASE("Every agent of a hall is replaced")
 {
   Hall hall(2, 0);
--- a/Source/UnitTests/Scenario/Script.cpp
+++ b/Source/UnitTests/Scenario/Script.cpp
@@ -138,6 +138,8 @@
     return ExpectNumber(what, m_world.OpenAsks(), words, 1);
   if (what == "fenced") // fenced [most|least] N
     return ExpectNumber(what, m_world.OrdersFenced(), words, 1);
+  if (what == "loading-at-once") // loading-at-once [most|least] N
+    return ExpectNumber(what, m_world.LoadingAtOnce(), words, 1);
   if (what == "accepted") // accepted NODE N
   {
     const auto offset = m_world.Find(words.at(1))->Settings().Fold().AcceptedOffset();
@@ -205,6 +207,8 @@
        { s.m_world.CutAnswersAt(w.at(1), static_cast<int>(Number(w.at(2)))); }},
       {"origin-rate", [](Script& s, const Words& w)
        { s.m_world.SetOriginRate(static_cast<std::uint64_t>(Number(w.at(1)))); }},
+      {"store", [](Script& s, const Words& w)
+       { s.m_world.AddStore(static_cast<std::uint64_t>(Number(w.at(1)))); }},
       {"targets-without-fence",
        [](Script& s, const Words&) { s.m_world.SetTargetsCheckFence(false); }},
       {"agent", [](Script& s, const Words& w) { s.m_world.AddAgent(w.at(1), w.at(2), w.at(3)); }},
--- a/Source/UnitTests/Scenario/World.cpp
+++ b/Source/UnitTests/Scenario/World.cpp
@@ -356,8 +356,17 @@
         });
 }
 
-void World::Do(Node& node, FetchFromOrigin& action)
+void World::Do(Node& node, FetchFromPlatform& action)
 {
+  const bool is_store = action.source == Distribution::PlatformSource::Store;
+  if (is_store && !m_has_store)
+  {
+    After(TO_PLATFORM,
+          [this, name = node.name, id = action.id] {
+            Feed(name, PieceFetched{id, Error{ErrorKind::NotFound, "not in the store"}});
+          });
+    return;
+  }
   if (IsCut(node.hall, ORIGIN) || IsCut(node.hall, PLATFORM))
   {
     After(TO_PLATFORM,
@@ -371,14 +380,15 @@
   if (action.piece != Distribution::MANIFEST_PIECE)
   {
     data = weights.pieces.at(action.piece);
-    weights.drawn += data->size();
+    (is_store ? weights.drawn_from_store : weights.drawn) += data->size();
     if (m_corrupt_at_origin > 0)
     {
       --m_corrupt_at_origin;
       data = Common::MakeBytes(std::string(data->size(), 'x'));
     }
   }
-  const TimePoint due = m_origin_link.BookSend(data->size(), m_now) + TO_PLATFORM;
+  Distribution::LinkBudget& link = is_store ? m_store_link : m_origin_link;
+  const TimePoint due = link.BookSend(data->size(), m_now) + TO_PLATFORM;
   After(due - m_now,
         [this, name = node.name, id = action.id, data] {
           Feed(name, PieceFetched{id, data});
@@ -580,9 +590,11 @@
 
 void World::Do(Node& node, LoadTarget& action)
 {
+  m_most_loading = std::max(m_most_loading, ++m_loading);
   After(LOAD_TIME,
         [this, name = node.name, load = action]
         {
+          --m_loading;
           Node* agent = Alive(name);
           // The order is on its way only if the agent may still give it.
           if (!agent || agent->is_frozen)
--- a/Source/UnitTests/Scenario/World.h
+++ b/Source/UnitTests/Scenario/World.h
@@ -29,6 +29,12 @@
   void AddEntry(const std::string& name, const std::string& hall);
   void AddWeights(const std::string& name, std::uint32_t pieces, std::uint32_t piece_bytes);
   void SetTargetsCheckFence(bool checks) { m_targets_check_fence = checks; }
+  // The weight store has every version, and sends so many bytes a second.
+  void AddStore(std::uint64_t bytes_per_second)
+  {
+    m_has_store = true;
+    m_store_link.SetRate(bytes_per_second);
+  }
   void SetOriginRate(std::uint64_t bytes_per_second) { m_origin_link.SetRate(bytes_per_second); }
 
   // What happens.
@@ -67,6 +73,8 @@
   int Answers(const std::string& how) const;
   int OpenAsks() const { return m_open_asks; }
   int OrdersFenced() const { return m_orders_fenced; }
+  // The most targets that ever loaded at once.
+  int LoadingAtOnce() const { return m_most_loading; }
   // Empty if no request ran twice, none ran after "not run", and no answer was foreign or mixed.
   std::string FindWrongAnswer() const;
   std::string FindWrongLoad() const { return m_wrong_load; }
@@ -96,6 +104,7 @@
     std::vector<Common::Bytes> pieces;
     std::uint64_t bytes = 0;
     std::uint64_t drawn = 0;
+    std::uint64_t drawn_from_store = 0;
   };
 
   struct Target
@@ -154,7 +163,7 @@
   void Do(Node& node, NodeCore::ReadLog& action);
   void Do(Node& node, NodeCore::AppendRecord& action);
   void Do(Node& node, NodeCore::ReadList& action);
-  void Do(Node& node, NodeCore::FetchFromOrigin& action);
+  void Do(Node& node, NodeCore::FetchFromPlatform& action);
   void Do(Node& node, NodeCore::SendReport& action);
   void Do(Node& node, NodeCore::SendAnnouncement& action);
   void Do(Node& node, NodeCore::FetchPiece& action);
@@ -200,6 +209,8 @@
   Settings::Fold m_log_fold;
   std::map<std::string, Weights> m_weights;
   Distribution::LinkBudget m_origin_link;
+  Distribution::LinkBudget m_store_link;
+  bool m_has_store = false;
   std::map<std::string, Target> m_targets;
   std::set<std::pair<std::string, std::string>> m_cuts;
   std::set<std::string> m_corrupt_agents;
@@ -210,6 +221,8 @@
   int m_lose_append_answers = 0;
   int m_corrupt_at_origin = 0;
   int m_orders_fenced = 0;
+  int m_loading = 0;
+  int m_most_loading = 0;
   std::string m_wrong_load;
 
   NodeCore::CallTag m_next_tag = 1;
