Settings: Check only what a change can have broken

Cause: each record copied the tree and checked every service of every hall (280 places) anew. A change is now applied in place, its own nodes and the services that they decide are checked, and it is taken back if it is no good. 20,000 random changes come to the verdict of the whole check.

--- a/Source/Core/Settings/Fold.cpp
+++ b/Source/Core/Settings/Fold.cpp
@@ -50,24 +50,33 @@
 {
   if (auto conflict = FindConflict(change, offset))
     return *conflict;
-  Tree next = m_tree;
+  // Applied in place and taken back if it is no good: a copy of the tree costs more than the check.
+  Tree before;
+  std::vector<ChangedNode> changed;
   for (const NodeChange& node : change.nodes)
   {
+    const auto found = m_tree.find(node.path);
+    const bool is_new = found == m_tree.end();
+    if (!is_new)
+      before.insert(*found);
+    changed.push_back({node.path, is_new ? Values() : found->second.values, is_new});
     if (node.values)
-      next[node.path] = Node{*node.values, offset};
+      m_tree[node.path] = Node{*node.values, offset};
     else
-      next.erase(node.path);
+      m_tree.erase(node.path);
   }
-  const std::vector<TreeProblem> problems = CheckTree(next);
+  const std::vector<TreeProblem> problems = CheckChanged(m_tree, changed);
   if (!problems.empty())
   {
+    for (const NodeChange& node : change.nodes)
+      m_tree.erase(node.path);
+    m_tree.merge(before);
     const TreeProblem& first = problems.front();
     return Rejected{offset,
                     {ErrorKind::BadSettings,
                      fmt::format("{} {}: {}", first.path.ToString(), first.field, first.text)},
                     0};
   }
-  m_tree = std::move(next);
   for (const NodeChange& node : change.nodes)
     m_node_offsets[node.path] = offset;
   m_accepted_offset = offset;
--- a/Source/Core/Settings/Tree.cpp
+++ b/Source/Core/Settings/Tree.cpp
@@ -139,6 +139,77 @@
   return problems;
 }
 
+static bool DecidesServices(const Values& values)
+{
+  return values.contains(Field::Kind) || values.contains(Field::Pool) ||
+         values.contains(Field::Model) || values.contains(Field::Version);
+}
+
+// Whether a change of the node can make the service at `place` a bad one.
+static bool CanBreakService(const Tree& tree, const ChangedNode& node, const Path& place)
+{
+  if (node.path.Depth() == Level::Organisation)
+    return false;
+  const bool is_new_place =
+      node.is_new && (node.path.Depth() == Level::DataHall || node.path.Depth() == Level::Service);
+  const bool matters =
+      is_new_place || DecidesServices(node.before) || DecidesServices(tree.at(node.path).values);
+  return matters && node.path.Covers(place);
+}
+
+static void CheckServicesOf(const Tree& tree, const std::vector<ChangedNode>& changed,
+                            std::vector<TreeProblem>* problems)
+{
+  const bool may_matter = std::ranges::any_of(changed,
+                                              [&](const ChangedNode& node)
+                                              {
+                                                return node.is_new ||
+                                                       DecidesServices(node.before) ||
+                                                       DecidesServices(tree.at(node.path).values);
+                                              });
+  if (!may_matter)
+    return;
+  for (const auto& [path, node] : tree)
+  {
+    if (path.Depth() != Level::DataHall)
+      continue;
+    for (const std::string& service : ServicesOf(tree, path.Segment(Level::DataHall)))
+    {
+      const Path place =
+          MakePlace(path.Segment(Level::Region), path.Segment(Level::DataHall), service);
+      if (std::ranges::any_of(changed, [&](const ChangedNode& other)
+                              { return CanBreakService(tree, other, place); }))
+        CheckService(tree, place, problems);
+    }
+  }
+}
+
+std::vector<TreeProblem> CheckChanged(const Tree& tree, const std::vector<ChangedNode>& changed)
+{
+  const bool has_removed = std::ranges::any_of(changed, [&](const ChangedNode& node)
+                                               { return !tree.contains(node.path); });
+  if (has_removed)
+    return CheckTree(tree);
+  std::vector<TreeProblem> problems;
+  bool has_hall = false;
+  bool has_credential = false;
+  for (const ChangedNode& node : changed)
+  {
+    const Values& values = tree.at(node.path).values;
+    CheckParents(tree, node.path, &problems);
+    CheckValues(node.path, values, &problems);
+    has_hall = has_hall || node.path.Depth() == Level::DataHall;
+    has_credential = has_credential || values.contains(Field::CredentialSha256);
+  }
+  if (has_hall)
+    CheckHallNames(tree, &problems);
+  if (has_credential)
+    CheckCredentials(tree, &problems);
+  if (problems.empty())
+    CheckServicesOf(tree, changed, &problems);
+  return problems;
+}
+
 std::string RegionOf(const Tree& tree, const std::string& hall)
 {
   for (const auto& [path, node] : tree)
--- a/Source/Core/Settings/Tree.h
+++ b/Source/Core/Settings/Tree.h
@@ -35,6 +35,18 @@
 // reader of the log comes to the same verdict.
 std::vector<TreeProblem> CheckTree(const Tree& tree);
 
+// What a change did to one node of a tree that was good before.
+struct ChangedNode
+{
+  Path path;
+  Values before; // empty if the node is new
+  bool is_new = false;
+};
+
+// The same verdict as CheckTree, for a tree that was good before `changed`; looks only at what they
+// can have broken. Nodes that were removed are looked at with all of the tree.
+std::vector<TreeProblem> CheckChanged(const Tree& tree, const std::vector<ChangedNode>& changed);
+
 // The region that a hall belongs to; empty if the tree does not know the hall.
 std::string RegionOf(const Tree& tree, const std::string& hall);
 // Names of the services and organisations that the tree has for a hall, sorted.
--- a/Source/UnitTests/Core/SettingsFoldTest.cpp
+++ b/Source/UnitTests/Core/SettingsFoldTest.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <random>
+
 #include <doctest/doctest.h>
 
 #include "Core/Settings/Fold.h"
@@ -82,6 +84,67 @@
   }
 }
 
+TEST_CASE("Looking only at what changed comes to the verdict of looking at all")
+{
+  const std::vector<std::string> paths = {"/",        "/a",       "/a/h",    "/b",     "/b/h",
+                                          "/b/i",     "/*/*/s",   "/a/h/s",  "/b/*/t", "/b/i/t",
+                                          "/*/*/*/o", "/a/h/s/o", "/b/i/t/p"};
+  std::mt19937_64 random(7);
+  const auto some_values = [&]
+  {
+    Values values;
+    if (random() % 2)
+      values[Field::Pool] = std::string("p");
+    if (random() % 2)
+      values[Field::Model] = std::string("m");
+    if (random() % 2)
+      values[Field::Version] = std::string(64, 'a');
+    if (random() % 4 == 0)
+      values[Field::Kind] = std::string("plain");
+    if (random() % 4 == 0)
+      values[Field::CredentialSha256] = std::string(64, 'b');
+    return values;
+  };
+  Tree tree;
+  int accepted = 0;
+  for (int round = 0; round < 20000; ++round)
+  {
+    Tree next = tree;
+    std::vector<ChangedNode> changed;
+    for (std::size_t i = 0; i <= random() % 4; ++i)
+    {
+      const Path path = *Path::Parse(paths[random() % paths.size()]);
+      const auto found = tree.find(path);
+      changed.push_back(
+          {path, found == tree.end() ? Values() : found->second.values, found == tree.end()});
+      if (random() % 8 == 0)
+        next.erase(path);
+      else
+        next[path].values = some_values();
+    }
+    const bool is_good = CheckTree(next).empty();
+    REQUIRE(CheckChanged(next, changed).empty() == is_good);
+    if (is_good)
+    {
+      tree = std::move(next);
+      ++accepted;
+    }
+  }
+  CHECK(accepted > 100);
+}
+
+TEST_CASE("A rejected change leaves no trace")
+{
+  Fold fold;
+  fold.Apply(RootChange(1, 0, 100));
+  const std::string before = fold.Serialize();
+  fold.Apply(MakeRecord(
+      2, Change{"id", "kari", {{Path(), 1, Heartbeat(300)}, {*Path::Parse("/a/b"), 0, Values()}}}));
+  CHECK(fold.AcceptedTree().size() == 1);
+  CHECK(fold.AcceptedTree().at(Path()).offset == 1);
+  CHECK(fold.Serialize().substr(0, 20) == before.substr(0, 20));
+}
+
 TEST_CASE("Snapshots carry the state past the log's retention")
 {
   Fold whole;
