--- a/Source/Bench/FoldBench.cpp
+++ b/Source/Bench/FoldBench.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include "Common/Hash.h"
+#include "Core/Distribution/Neighbours.h"
+#include "Core/Distribution/Ranking.h"
 #include "Core/Placement/Placement.h"
 #include "Core/Settings/Effective.h"
 #include "Core/Settings/Fold.h"
@@ -85,6 +87,36 @@
   }
   return {fmt::format("id-{}", number), "bench", {{path, fold.NodeOffset(path), values}}};
 }
+// What an agent works out when the view of the others changes, at three sizes.
+void PrintPlacementCost(const Tree& tree)
+{
+  for (const int count : {300, 1100, 4900})
+  {
+    std::vector<Placement::PlacedAgent> agents;
+    std::vector<Distribution::NeighbourCandidate> candidates;
+    std::vector<std::string> names;
+    for (int i = 0; i < count; ++i)
+    {
+      names.push_back(fmt::format("agent-{}", i));
+      agents.push_back({names.back(), fmt::format("hall-{}", i % HALLS), "pool"});
+      candidates.push_back({names.back(), fmt::format("hall-{}", i % HALLS), {}});
+    }
+    auto start = std::chrono::steady_clock::now();
+    const auto wanted = Placement::WantedVersions(tree, agents);
+    const double wanted_ms = MillisecondsSince(start);
+    start = std::chrono::steady_clock::now();
+    const auto neighbours =
+        Distribution::ChooseNeighbours(Common::Sha256("v"), "agent-0", "hall-0", candidates, 16);
+    const double neighbours_ms = MillisecondsSince(start);
+    start = std::chrono::steady_clock::now();
+    const auto ranks = Distribution::RankPieces(Common::Sha256("v"), 4096, "agent-0", names);
+    const double ranks_ms = MillisecondsSince(start);
+    fmt::print(
+        "{} agents: versions wanted by {} in {:.2f} ms, {} neighbours in {:.2f} ms, ranks of "
+        "{} pieces in {:.1f} ms\n",
+        count, wanted.size(), wanted_ms, neighbours.size(), neighbours_ms, ranks.size(), ranks_ms);
+  }
+}
 } // namespace
 
 int main(int argc, char** argv)
@@ -128,5 +160,6 @@
              adopt_ms);
   fmt::print("plans of one hall, {} services: {:.3f} ms; settings of one request: {:.3f} ms\n",
              plans.size(), plan_ms, effective_ms);
+  PrintPlacementCost(reader.AcceptedTree());
   return 0;
 }
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -19,7 +19,7 @@
 using Settings::Field;
 
 // Silence takes an instance out of the candidates without any message.
-static constexpr Milliseconds CANDIDATES_PERIOD = Milliseconds(500);
+static constexpr Milliseconds CANDIDATES_PERIOD = Milliseconds(2000);
 static constexpr Milliseconds CLAIM_RETRY = Milliseconds(1000);
 
 static std::string ClaimId(const Identity& self)
--- a/Source/Core/Node/Base.cpp
+++ b/Source/Core/Node/Base.cpp
@@ -129,24 +129,41 @@
   return report;
 }
 
+// The `most` members that rank first for this instance, so that all pairs are spread evenly and few
+// change when a member comes or goes.
+static std::vector<const Member*> RankFirst(const std::vector<const Member*>& members,
+                                            const std::string& self, std::size_t most)
+{
+  const std::uint64_t seed = Common::StableHash(self);
+  std::vector<std::pair<std::uint64_t, const Member*>> ranked;
+  ranked.reserve(members.size());
+  for (const Member* member : members)
+    ranked.emplace_back(Common::StableHash(member->report.instance, seed), member);
+  std::ranges::sort(ranked);
+  ranked.resize(std::min(most, ranked.size()));
+  std::vector<const Member*> first;
+  for (const auto& [hash, member] : ranked)
+    first.push_back(member);
+  return first;
+}
+
 std::vector<const Member*> Base::ReportReceivers(TimePoint now) const
 {
-  std::vector<const Member*> receivers;
-  std::vector<std::pair<std::uint64_t, const Member*>> others;
-  const std::uint64_t seed = Common::StableHash(m_self.instance);
+  std::vector<const Member*> entries;
+  std::vector<const Member*> others;
   for (const auto& [name, member] : m_membership.All())
   {
     // One that is out of reach is tried again after a while, or a healed cut would go unseen.
     if (!m_membership.IsAlive(member, now) && !member.is_listed)
       continue;
-    if (member.report.role == Role::Entry && member.report.hall == m_self.hall)
-      receivers.push_back(&member);
-    else
-      others.emplace_back(Common::StableHash(name, seed), &member);
+    const bool is_entry_here =
+        member.report.role == Role::Entry && member.report.hall == m_self.hall;
+    (is_entry_here ? entries : others).push_back(&member);
   }
-  std::ranges::sort(others);
-  for (std::size_t i = 0; i < std::min(GOSSIP_PEERS, others.size()); ++i)
-    receivers.push_back(others[i].second);
+  const auto most = static_cast<std::size_t>(m_hall_settings.Integer(Field::ReportEntries));
+  std::vector<const Member*> receivers = RankFirst(entries, m_self.instance, most);
+  for (const Member* other : RankFirst(others, m_self.instance, GOSSIP_PEERS))
+    receivers.push_back(other);
   return receivers;
 }
 
--- a/Source/Core/Settings/Fields.cpp
+++ b/Source/Core/Settings/Fields.cpp
@@ -81,6 +81,8 @@
               "whether a request may be run again when its outcome is not known"),
       Integer(Field::Replicas, "replicas", 0, 100000, 0, Level::Service,
               "instances in each hall; 0: the whole pool"),
+      Integer(Field::ReportEntries, "report_entries", 1, 1000, 8, Level::DataHall,
+              "entries of its hall that an agent reports to, and that may send it requests"),
       Integer(Field::RetryPercent, "retry_percent", 0, 100, 20, Level::Service,
               "retries allowed, as a share of requests"),
       Integer(Field::ServingSharePercent, "serving_share_percent", 0, 90, 10, Level::DataHall,
--- a/Source/Core/Settings/Fields.h
+++ b/Source/Core/Settings/Fields.h
@@ -34,6 +34,7 @@
   QueueMost,
   Repeatable,
   Replicas,
+  ReportEntries,
   RetryPercent,
   ServingSharePercent,
   SlotsPerTarget,
