--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -67,6 +67,12 @@
                                                            : "whole");
                                   actions->push_back(AnswerRunEnd{m.tag, m.error});
                                 },
+                                [&](const KeyAsked& m)
+                                {
+                                  Claims::KeptAnswer lost;
+                                  lost.state = Claims::KeyState::Lost;
+                                  actions->push_back(AnswerKey{m.tag, lost});
+                                },
                                 [&](const BarRequested& m) {
                                   actions->push_back(AnswerBar{m.tag, m_runs.Bar(m.key)});
                                 },
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -23,8 +23,12 @@
 
 Entry::Entry(Identity identity, Common::Metrics& metrics)
     : Base(std::move(identity), Role::Entry, metrics),
-      m_router(Common::StableHash(m_self.instance, m_self.incarnation))
+      m_router(Common::StableHash(m_self.instance, m_self.incarnation)),
+      m_keyed(m_self.instance, m_self.incarnation)
 {
+  m_follower.SetReader({[this](const Settings::LogRecord& record) { m_keyed.OnRecord(record); },
+                        [this](Common::Offset first) { m_keyed.OnLogFirst(first); },
+                        [this] { return m_keyed.Ledger().Position(); }});
 }
 
 void Entry::Handle(Event event, TimePoint now, Actions* actions)
@@ -54,7 +58,21 @@
                          [&](BarRequested& m) {
                            actions->push_back(AnswerBar{m.tag, Runs::Standing::Barred});
                          },
-                         [&](AppendDone& m) { m_follower.OnSnapshotWritten(m); }, [](auto&) {}},
+                         [&](AppendDone& m)
+                         {
+                           if (m.purpose == AppendPurpose::ClaimKeys)
+                             m_keyed.OnAppendDone();
+                           else
+                             m_follower.OnSnapshotWritten(m);
+                         },
+                         [&](KeyAsked& m) { OnKeyAsked(m, actions); },
+                         [&](KeyAnswered& m)
+                         {
+                           Claims::Actions made;
+                           m_keyed.OnHolderSaid(m.number, m.answer, &made);
+                           CarryClaims(made, now, actions);
+                         },
+                         [](auto&) {}},
       event);
 }
 
@@ -87,15 +105,37 @@
   // One answer for a service that is not there and one that the organisation may not use.
   if (organisation.empty())
     return Error{ErrorKind::BadCredential, "the credential is not known for this service"};
-  if (!request.idempotency_key.empty())
+  const std::string key = request.idempotency_key;
+  OpenRequest& open = m_open[caller.number];
+  open = Prepare(caller, service, organisation, SettingsAt(service, organisation), now);
+  if (key.empty())
   {
-    return Error{ErrorKind::LogUnavailable,
-                 "requests with Idempotency-Key are not taken by this version"};
+    Submit(open, now, actions);
+    return std::nullopt;
   }
-  const Settings::Effective settings = SettingsAt(service, organisation);
-  OpenRequest& open = m_open[caller.number];
+  open.is_keyed = true;
+  const Runs::RunRequest& run = open.run;
+  const Claims::KeyedRequest keyed{
+      caller.number,
+      {organisation + "/" + service, Common::Sha256(key).ToHex()},
+      organisation,
+      Common::Sha256(run.method + " " + run.path + "\n" + run.body).ToHex(),
+      open.routed.deadline};
+  Claims::Actions made;
+  m_keyed.Begin(keyed, CanClaim(), now, &made);
+  CarryClaims(made, now, actions);
+  return std::nullopt;
+}
+
+Entry::OpenRequest Entry::Prepare(CallerArrived& caller, const std::string& service,
+                                  const std::string& organisation,
+                                  const Settings::Effective& settings, TimePoint now) const
+{
+  Routing::CallerRequest& request = caller.request;
+  OpenRequest open;
   open.arrived = now;
   open.answer_bytes_most = static_cast<std::size_t>(settings.Integer(Field::AnswerBytesMost));
+  open.kept_bytes_most = static_cast<std::size_t>(settings.Integer(Field::KeptAnswerBytes));
   open.run = {{m_self.instance, m_self.incarnation, caller.number},
               0,
               service,
@@ -105,8 +145,7 @@
               std::move(request.content_type),
               std::move(request.body),
               static_cast<std::uint32_t>(settings.Integer(Field::Priority))};
-
-  Routing::Request routed;
+  Routing::Request& routed = open.routed;
   routed.number = caller.number;
   routed.organisation = organisation;
   routed.service = service;
@@ -118,16 +157,101 @@
         Common::StableHash(request.prompt_start, Common::StableHash(organisation + "/" + service));
   }
   routed.deadline = now + request.deadline.value_or(settings.Time(Field::DeadlineMs));
-  routed.is_repeatable = settings.Flag(Field::Repeatable);
+  // A keyed request is one that may not run twice, whatever its service says.
+  routed.is_repeatable = settings.Flag(Field::Repeatable) && request.idempotency_key.empty();
   routed.weight = settings.Integer(Field::Weight);
   routed.queue_most = static_cast<std::size_t>(settings.Integer(Field::QueueMost));
-  m_router.SetQuota(organisation, settings.Integer(Field::TokensPerSecond),
+  return open;
+}
+
+void Entry::Submit(const OpenRequest& open, TimePoint now, Actions* actions)
+{
+  const Settings::Effective settings = SettingsAt(open.run.service, open.run.organisation);
+  m_router.SetQuota(open.run.organisation, settings.Integer(Field::TokensPerSecond),
                     settings.Integer(Field::BurstTokens));
-  m_router.SetRetryPercent(service, settings.Integer(Field::RetryPercent));
+  m_router.SetRetryPercent(open.run.service, settings.Integer(Field::RetryPercent));
+  const Routing::Request routed = open.routed; // the open request may be gone before Submit returns
   Routing::Actions made;
   m_router.Submit(routed, now, &made);
   Carry(made, now, actions);
-  return std::nullopt;
+}
+
+bool Entry::CanClaim() const
+{
+  return m_has_caught_up && m_follower.IsLogReachable();
+}
+
+void Entry::OnCaughtUp(TimePoint /*sent*/, TimePoint now, Actions* actions)
+{
+  m_has_caught_up = true;
+  Claims::Actions made;
+  m_keyed.OnLedger(now, &made);
+  CarryClaims(made, now, actions);
+}
+
+void Entry::CarryClaims(const Claims::Actions& made, TimePoint now, Actions* actions)
+{
+  for (const Claims::Action& action : made)
+  {
+    std::visit(
+        Common::Overloaded{
+            [&](const Claims::AppendClaims& append) {
+              actions->push_back(AppendRecord{AppendPurpose::ClaimKeys, append.text});
+            },
+            [&](const Claims::Run& run)
+            {
+              const auto open = m_open.find(run.number);
+              if (open != m_open.end())
+                Submit(open->second, now, actions);
+              else
+                m_keyed.OnOver(run.number, Claims::KeyState::NeverRan, now);
+            },
+            [&](const Claims::Replay& replay) { Replay(replay, actions); },
+            [&](const Claims::RefuseKeyed& refuse)
+            { RefuseOpen(refuse.number, refuse.error, now, actions); },
+            [&](const Claims::AskHolder& ask) { AskHolder(ask, now, actions); }},
+        action);
+  }
+}
+
+void Entry::Replay(const Claims::Replay& replay, Actions* actions)
+{
+  if (m_open.erase(replay.number) == 0)
+    return;
+  m_metrics.Add("holdpost_answers_replayed_total");
+  const Claims::KeptAnswer& answer = replay.answer;
+  actions->push_back(
+      StartAnswer{replay.number, answer.status, answer.content_type, answer.version, "kept"});
+  actions->push_back(PassPart{replay.number, answer.body});
+  actions->push_back(EndAnswer{replay.number});
+}
+
+void Entry::OnKeyAsked(const KeyAsked& asked, Actions* actions) const
+{
+  Claims::KeptAnswer answer;
+  const Claims::KeptAnswer* kept = m_keyed.Kept().Find(asked.key);
+  // Another incarnation has forgotten what the one before did.
+  if (asked.incarnation != m_self.incarnation)
+    answer.state = Claims::KeyState::Lost;
+  else if (kept)
+    answer = *kept;
+  else
+    answer.state = Claims::KeyState::NeverRan;
+  actions->push_back(AnswerKey{asked.tag, std::move(answer)});
+}
+
+void Entry::AskHolder(const Claims::AskHolder& ask, TimePoint now, Actions* actions)
+{
+  const Membership::Member* holder = m_membership.Find(ask.entry);
+  if (holder)
+  {
+    actions->push_back(
+        AskKey{ask.number, ask.entry, holder->report.address, ask.incarnation, ask.key});
+    return;
+  }
+  Claims::Actions made;
+  m_keyed.OnHolderSaid(ask.number, Error{ErrorKind::Unreachable, "the holder is gone"}, &made);
+  CarryClaims(made, now, actions);
 }
 
 void Entry::Carry(const Routing::Actions& made, TimePoint now, Actions* actions)
@@ -138,10 +262,7 @@
         Common::Overloaded{
             [&](const Routing::Dispatch& dispatch) { Dispatch(dispatch, now, actions); },
             [&](const Routing::Refuse& refuse)
-            {
-              if (m_open.erase(refuse.number) > 0)
-                Refuse(refuse.number, refuse.error, actions);
-            },
+            { RefuseOpen(refuse.number, refuse.error, now, actions); },
             [&](const Routing::CancelRun& cancel) { actions->push_back(CancelRun{cancel.number}); },
             [&](const Routing::CountRetry& retry) {
               m_metrics.Add("holdpost_retries_total",
@@ -151,6 +272,15 @@
   }
 }
 
+void Entry::RefuseOpen(std::uint64_t number, const Error& error, TimePoint now, Actions* actions)
+{
+  if (m_open.erase(number) == 0)
+    return;
+  const bool is_not_run = Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun;
+  m_keyed.OnOver(number, is_not_run ? Claims::KeyState::NeverRan : Claims::KeyState::Lost, now);
+  Refuse(number, error, actions);
+}
+
 void Entry::Dispatch(const Routing::Dispatch& dispatch, TimePoint now, Actions* actions)
 {
   const auto found = m_open.find(dispatch.number);
@@ -174,6 +304,9 @@
 {
   if (m_open.erase(gone.number) == 0)
     return;
+  m_keyed.OnCallerGone(gone.number);
+  // Its run is stopped; how far it came is not known.
+  m_keyed.OnOver(gone.number, Claims::KeyState::Lost, now);
   m_metrics.Add("holdpost_caller_gone_total");
   Routing::Actions made;
   m_router.OnCallerGone(gone.number, now, &made);
@@ -190,6 +323,7 @@
   }
   found->second.has_head = true;
   m_router.OnStarted(head.number, now);
+  m_keyed.OnHead(head.number, head.status, head.content_type, head.version);
   m_metrics.Observe("holdpost_first_byte_seconds", now - found->second.arrived);
   actions->push_back(
       StartAnswer{head.number, head.status, head.content_type, head.version, found->second.target});
@@ -212,6 +346,8 @@
         actions);
     return;
   }
+  if (open.is_keyed)
+    m_keyed.OnPart(chunk.number, chunk.data, open.kept_bytes_most);
   actions->push_back(PassPart{chunk.number, std::move(chunk.data)});
 }
 
@@ -226,6 +362,7 @@
 void Entry::Cut(std::uint64_t number, const Error& error, TimePoint now, Actions* actions)
 {
   m_metrics.Add("holdpost_answers_cut_total", Common::Reason(Common::AnswerFor(error.kind).name));
+  m_keyed.OnOver(number, Claims::KeyState::Lost, now);
   actions->push_back(CutAnswer{number, error});
   Finish(number, now, actions);
 }
@@ -242,6 +379,7 @@
   if (!ended.error && open.has_head)
   {
     m_metrics.Add("holdpost_answers_whole_total");
+    m_keyed.OnOver(ended.number, Claims::KeyState::Whole, now);
     actions->push_back(EndAnswer{ended.number});
     Finish(ended.number, now, actions);
     return;
@@ -382,6 +520,10 @@
 
 void Entry::OnRoleTick(TimePoint now, Actions* actions)
 {
+  Claims::Actions claims;
+  m_keyed.OnTick(CanClaim(), now, &claims);
+  CarryClaims(claims, now, actions);
+  m_keyed.Kept().Expire(now, HallSettings().Time(Field::KeptAnswerMs));
   Routing::Actions made;
   m_router.OnTick(now, &made);
   Carry(made, now, actions);
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "Core/Claims/KeyedRequests.h"
 #include "Core/Node/Base.h"
 #include "Core/Routing/Router.h"
 #include "Core/Runs/Runs.h"
@@ -31,9 +32,13 @@
     bool is_asking = false;
     std::size_t answer_bytes = 0;
     std::size_t answer_bytes_most = 0;
+    Routing::Request routed;
+    bool is_keyed = false;
+    std::size_t kept_bytes_most = 0;
   };
 
   void OnSettings(Common::TimePoint now, Actions* /*actions*/) override { PlanLoads(now); }
+  void OnCaughtUp(Common::TimePoint sent, Common::TimePoint now, Actions* actions) override;
   void OnListRead(Common::TimePoint now, Actions* actions) override;
   void OnPeerReport(const Membership::Report& report, Common::TimePoint now,
                     Actions* actions) override;
@@ -47,6 +52,18 @@
 
   void HandleOwn(Event& event, Common::TimePoint now, Actions* actions);
   void OnCaller(CallerArrived& caller, Common::TimePoint now, Actions* actions);
+  OpenRequest Prepare(CallerArrived& caller, const std::string& service,
+                      const std::string& organisation, const Settings::Effective& settings,
+                      Common::TimePoint now) const;
+  void Submit(const OpenRequest& open, Common::TimePoint now, Actions* actions);
+  // Whether keys can be claimed: the log is within reach and read up to its head.
+  bool CanClaim() const;
+  void CarryClaims(const Claims::Actions& made, Common::TimePoint now, Actions* actions);
+  void Replay(const Claims::Replay& replay, Actions* actions);
+  void OnKeyAsked(const KeyAsked& asked, Actions* actions) const;
+  void AskHolder(const Claims::AskHolder& ask, Common::TimePoint now, Actions* actions);
+  void RefuseOpen(std::uint64_t number, const Common::Error& error, Common::TimePoint now,
+                  Actions* actions);
   std::optional<Common::Error> Admit(CallerArrived& caller, Common::TimePoint now,
                                      Actions* actions);
   void OnCallerGone(const CallerGone& gone, Common::TimePoint now, Actions* actions);
@@ -67,6 +84,8 @@
   void Dispatch(const Routing::Dispatch& dispatch, Common::TimePoint now, Actions* actions);
 
   Routing::Router m_router;
+  Claims::KeyedRequests m_keyed;
+  bool m_has_caught_up = false;
   std::uint64_t m_next_number = 1;
   std::map<std::uint64_t, OpenRequest> m_open;
   // Agents of the hall that may load their new version now, and since when.
--- a/Source/Core/Node/Events.h
+++ b/Source/Core/Node/Events.h
@@ -24,7 +24,7 @@
     // from other instances
     ReportReceived, AnnouncementReceived, PieceRequested, PieceAbandoned, RecordsRequested,
     RunRequested, RunAbandoned, BarRequested, ReportAnswered, PeerUnreachable, PieceFetched,
-    RecordsFetched, RunHead, RunChunk, RunEnded, BarAnswered,
+    RecordsFetched, RunHead, RunChunk, RunEnded, BarAnswered, KeyAsked, KeyAnswered,
     // from the target
     TargetLoaded, TargetRunEnded,
     // from callers
@@ -43,7 +43,7 @@
     ReadLog, AppendRecord, ReadList, FetchFromPlatform,
     // to other instances
     SendReport, SendAnnouncement, FetchPiece, CancelFetch, FetchRecords, StartRun, CancelRun,
-    AskToBar, AnswerReport, AnswerPiece, AnswerRecords, AnswerRunEnd, AnswerBar,
+    AskToBar, AskKey, AnswerKey, AnswerReport, AnswerPiece, AnswerRecords, AnswerRunEnd, AnswerBar,
     // to the target
     LoadTarget, CancelLoad, RunOnTarget, CancelTargetRun,
     // to callers
--- a/Source/Core/Node/Follower.cpp
+++ b/Source/Core/Node/Follower.cpp
@@ -25,8 +25,9 @@
 void Follower::Read(Actions* actions)
 {
   // Until the first answer the log is asked without waiting, so that a start is quick.
-  actions->push_back(
-      ReadLog{m_fold.Position(), m_is_log_reachable ? m_long_poll : Milliseconds(0)});
+  const Offset after =
+      m_reader ? std::min(m_fold.Position(), m_reader->position()) : m_fold.Position();
+  actions->push_back(ReadLog{after, m_is_log_reachable ? m_long_poll : Milliseconds(0)});
   m_read_due.reset();
 }
 
@@ -54,13 +55,20 @@
   m_backoff = Duration::zero();
   const auto& read = std::get<LogRead>(done.result);
   Progress progress;
+  if (m_reader)
+  {
+    m_reader->on_first(read.first);
+    for (const Settings::LogRecord& record : read.records)
+      m_reader->on_record(record);
+  }
   progress.has_folded = FoldRecords(read.records);
-  if (m_fold.Position() >= read.head)
+  const bool is_reader_behind = m_reader && m_reader->position() < read.head;
+  if (m_fold.Position() >= read.head && !is_reader_behind)
   {
     progress.caught_up_at = read.sent;
     MaybeWriteSnapshot(read.first, actions);
   }
-  else if (!progress.has_folded)
+  else if (!progress.has_folded && !is_reader_behind)
   {
     // Nothing that can be joined on: never go back, wait for a snapshot or a peer.
     m_read_due = now + BACKOFF_MOST;
--- a/Source/Core/Node/Follower.h
+++ b/Source/Core/Node/Follower.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <optional>
 
 #include "Common/Metrics.h"
@@ -22,10 +23,20 @@
     std::optional<Common::TimePoint> caught_up_at;
   };
 
+  // Takes every record of the log in order, besides the fold.
+  struct RecordReader
+  {
+    std::function<void(const Settings::LogRecord&)> on_record;
+    std::function<void(Common::Offset first)> on_first;
+    std::function<Common::Offset()> position;
+  };
+
   // The seed sets this instance's jitter.
   Follower(std::uint64_t seed, Common::Metrics& metrics) : m_seed(seed), m_metrics(metrics) {}
 
   void Start(Actions* actions) { Read(actions); }
+  // Before Start. The log is then read from where the reader stands, if that is behind the fold.
+  void SetReader(RecordReader reader) { m_reader = std::move(reader); }
   // The longest that a read may wait for records; a lease is only as fresh as the last read.
   // A snapshot is due after so many records.
   void SetSnapshotEvery(Common::Offset records) { m_snapshot_every = records; }
@@ -51,6 +62,7 @@
   void MaybeWriteSnapshot(Common::Offset first, Actions* actions);
 
   std::uint64_t m_seed;
+  std::optional<RecordReader> m_reader;
   Common::Metrics& m_metrics;
   Settings::Fold m_fold;
   std::deque<Settings::LogRecord> m_recent;
--- a/Source/Core/Node/InstanceMessages.h
+++ b/Source/Core/Node/InstanceMessages.h
@@ -8,6 +8,7 @@
 
 #include "Common/Error.h"
 #include "Common/Types.h"
+#include "Core/Claims/KeptAnswers.h"
 #include "Core/Distribution/Actions.h"
 #include "Core/Membership/Report.h"
 #include "Core/Runs/Runs.h"
@@ -103,6 +104,16 @@
 
 // Answers to calls of other instances.
 
+// What became of the request of a key that the receiver, an entry, holds.
+struct AskKey
+{
+  std::uint64_t number = 0; // of the request here that waits for the answer
+  std::string to;
+  Common::Address address;
+  std::uint64_t incarnation = 0; // of the holder when it claimed the key
+  Claims::KeyName key;
+};
+
 struct AnswerReport
 {
   CallTag tag = 0;
@@ -141,6 +152,12 @@
   std::optional<Common::Error> error; // empty for a whole answer
 };
 
+struct AnswerKey
+{
+  CallTag tag = 0;
+  Claims::KeptAnswer answer;
+};
+
 struct AnswerBar
 {
   CallTag tag = 0;
@@ -199,6 +216,13 @@
   CallTag tag = 0;
 };
 
+struct KeyAsked
+{
+  CallTag tag = 0;
+  std::uint64_t incarnation = 0;
+  Claims::KeyName key;
+};
+
 struct BarRequested
 {
   CallTag tag = 0;
@@ -248,6 +272,12 @@
   std::optional<Common::Error> error; // empty for a whole answer
 };
 
+struct KeyAnswered
+{
+  std::uint64_t number = 0;
+  Common::Result<Claims::KeptAnswer> answer;
+};
+
 struct BarAnswered
 {
   std::uint64_t number = 0;
--- a/Source/Core/Node/PlatformMessages.h
+++ b/Source/Core/Node/PlatformMessages.h
@@ -38,6 +38,7 @@
 {
   ClaimTarget,
   WriteSnapshot,
+  ClaimKeys,
 };
 
 struct AppendRecord
--- a/Source/Core/Settings/Fields.h
+++ b/Source/Core/Settings/Fields.h
@@ -23,6 +23,8 @@
   DrainMs,
   Enabled,
   HeartbeatMs,
+  KeptAnswerBytes,
+  KeptAnswerMs,
   Kind,
   LeaseMs,
   LinkBytesPerSecond,
--- a/Source/Core/Settings/Record.cpp
+++ b/Source/Core/Settings/Record.cpp
@@ -4,8 +4,6 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/Mailbox.h"
-
 namespace Holdpost::Settings
 {
 using Common::Error;
@@ -36,32 +34,40 @@
   return object;
 }
 
+static json ToJson(const Change& change)
+{
+  json nodes = json::array();
+  for (const NodeChange& node : change.nodes)
+    nodes.push_back(ToJson(node));
+  return {{"type", "change"}, {"id", change.id}, {"author", change.author}, {"nodes", nodes}};
+}
+
+static json ToJson(const TargetClaim& claim)
+{
+  return {
+      {"type", "target"}, {"id", claim.id}, {"target", claim.target}, {"instance", claim.instance}};
+}
+
+static json ToJson(const Snapshot& snapshot)
+{
+  return {{"type", "snapshot"}, {"offset", snapshot.offset}, {"state", snapshot.state}};
+}
+
+static json ToJson(const KeyClaims& keys)
+{
+  json claims = json::array();
+  for (const KeyClaim& claim : keys.claims)
+    claims.push_back({{"scope", claim.scope}, {"key", claim.key}, {"request", claim.request}});
+  return {{"type", "keys"},
+          {"id", keys.id},
+          {"entry", keys.entry},
+          {"incarnation", keys.incarnation},
+          {"claims", claims}};
+}
+
 std::string EncodeRecord(const Record& record)
 {
-  const json object = std::visit(Common::Overloaded{[](const Change& change)
-                                                    {
-                                                      json nodes = json::array();
-                                                      for (const NodeChange& node : change.nodes)
-                                                        nodes.push_back(ToJson(node));
-                                                      return json{{"type", "change"},
-                                                                  {"id", change.id},
-                                                                  {"author", change.author},
-                                                                  {"nodes", nodes}};
-                                                    },
-                                                    [](const TargetClaim& claim)
-                                                    {
-                                                      return json{{"type", "target"},
-                                                                  {"id", claim.id},
-                                                                  {"target", claim.target},
-                                                                  {"instance", claim.instance}};
-                                                    },
-                                                    [](const Snapshot& snapshot) {
-                                                      return json{{"type", "snapshot"},
-                                                                  {"offset", snapshot.offset},
-                                                                  {"state", snapshot.state}};
-                                                    }},
-                                 record);
-  return object.dump();
+  return std::visit([](const auto& typed) { return ToJson(typed); }, record).dump();
 }
 
 static Value ValueFromJson(const json& value)
@@ -108,6 +114,14 @@
   return change;
 }
 
+static KeyClaims KeysFromJson(const json& object)
+{
+  KeyClaims keys{object.at("id"), object.at("entry"), object.at("incarnation"), {}};
+  for (const json& claim : object.at("claims"))
+    keys.claims.push_back({claim.at("scope"), claim.at("key"), claim.at("request")});
+  return keys;
+}
+
 static Record RecordFromJson(const json& object)
 {
   const std::string type = object.at("type");
@@ -117,6 +131,8 @@
     return TargetClaim{object.at("id"), object.at("target"), object.at("instance")};
   if (type == "snapshot")
     return Snapshot{object.at("offset"), object.at("state")};
+  if (type == "keys")
+    return KeysFromJson(object);
   throw std::invalid_argument(fmt::format("type: found '{}'", type));
 }
 
--- a/Source/Core/Settings/Record.h
+++ b/Source/Core/Settings/Record.h
@@ -45,7 +45,24 @@
   std::string state; // Fold::Serialize
 };
 
-using Record = std::variant<Change, TargetClaim, Snapshot>;
+// The key of a request that is about to be dispatched; the lowest offset of a key wins.
+struct KeyClaim
+{
+  std::string scope;   // organisation/service
+  std::string key;     // hash of the caller's key
+  std::string request; // hash of what is asked under it
+};
+
+// Claims of one entry, several in a record, so that the log's rate is not the limit.
+struct KeyClaims
+{
+  std::string id;
+  std::string entry;
+  std::uint64_t incarnation = 0;
+  std::vector<KeyClaim> claims;
+};
+
+using Record = std::variant<Change, TargetClaim, Snapshot, KeyClaims>;
 
 std::string EncodeRecord(const Record& record);
 Common::Result<Record> DecodeRecord(const std::string& text);
--- a/Source/Peers/Instance/Codec.cpp
+++ b/Source/Peers/Instance/Codec.cpp
@@ -197,6 +197,27 @@
   return request;
 }
 
+void Write(const Claims::KeptAnswer& answer, Wire::Instance::KeyResults::Builder out)
+{
+  out.setState(static_cast<std::uint8_t>(answer.state));
+  out.setStatus(static_cast<std::uint16_t>(answer.status));
+  out.setContentType(answer.content_type);
+  out.setVersion(ToData(answer.version));
+  out.setBody(ToData(answer.body));
+}
+
+Claims::KeptAnswer Read(Wire::Instance::KeyResults::Reader in)
+{
+  Claims::KeptAnswer answer;
+  const int state = std::min<int>(in.getState(), static_cast<int>(Claims::KeyState::Lost));
+  answer.state = static_cast<Claims::KeyState>(state);
+  answer.status = in.getStatus();
+  answer.content_type = ToString(in.getContentType());
+  answer.version = ToDigest(in.getVersion());
+  answer.body = ToString(in.getBody());
+  return answer;
+}
+
 void Write(const LogStretch& stretch, Wire::Instance::RecordsResults::Builder out)
 {
   auto records = out.initRecords(static_cast<unsigned>(stretch.records.size()));
--- a/Source/Peers/Instance/Codec.h
+++ b/Source/Peers/Instance/Codec.h
@@ -29,6 +29,9 @@
 void Write(const Runs::RunRequest& request, Wire::RunRequest::Builder out);
 Runs::RunRequest Read(Wire::RunRequest::Reader in);
 
+void Write(const Claims::KeptAnswer& answer, Wire::Instance::KeyResults::Builder out);
+Claims::KeptAnswer Read(Wire::Instance::KeyResults::Reader in);
+
 void Write(const LogStretch& stretch, Wire::Instance::RecordsResults::Builder out);
 LogStretch Read(Wire::Instance::RecordsResults::Reader in);
 
--- a/Source/Peers/Instance/Instance.capnp
+++ b/Source/Peers/Instance/Instance.capnp
@@ -99,4 +99,7 @@
   run @4 (request :RunRequest, sink :AnswerSink) -> (failure :Failure);
   # 0 barred, 1 running, 2 ended: Runs::Standing.
   bar @5 (key :RunKey) -> (standing :UInt8);
+  # What became of a keyed request; the state is Claims::KeyState.
+  key @6 (incarnation :UInt64, scope :Text, key :Text) -> (state :UInt8, status :UInt16, contentType :Text,
+                                      version :Data, body :Data);
 }
--- a/Source/Peers/Instance/Instance.capnp.c++
+++ b/Source/Peers/Instance/Instance.capnp.c++
@@ -1328,7 +1328,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_f09f51e6be4f23c1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<79> b_a9ec4577befa072e = {
+static const ::capnp::_::AlignedData<89> b_a9ec4577befa072e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      46,   7, 250, 190, 119,  69, 236, 169,
      15,   0,   0,   0,   3,   0,   0,   0,
@@ -1338,62 +1338,70 @@
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   1,   0,   0,
-     13,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   1,   0,   0,
+     53,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      73, 110, 115, 116,  97, 110,  99, 101,
      46,  99,  97, 112, 110, 112,  58,  73,
     110, 115, 116,  97, 110,  99, 101,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      13, 225, 161,   6,  96,  34,  97, 251,
     110, 232,  73, 155,  83,  93,  67, 212,
-    177,   0,   0,   0,  58,   0,   0,   0,
+    209,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     139, 248, 221,  62, 208,   8,   5, 176,
     121, 213,   8, 193, 196, 227, 136, 218,
-    153,   0,   0,   0,  74,   0,   0,   0,
+    185,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      73, 210,  20, 222, 213, 122,  21, 214,
     207, 140, 185, 240,  32,  12, 252, 128,
-    133,   0,   0,   0,  50,   0,   0,   0,
+    165,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    153,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     192,  86, 215, 232,  47,  41, 178, 241,
      33, 110,  79, 182,  44, 169, 234, 231,
-    109,   0,   0,   0,  66,   0,   0,   0,
+    141,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     245, 223, 174, 174, 226, 153, 100, 138,
     148, 168, 134,  95, 186, 134, 142, 164,
-     85,   0,   0,   0,  34,   0,   0,   0,
+    117,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     130,  13, 159, 216, 216, 163,  38, 129,
      64, 111, 107, 217, 249, 127, 231, 169,
-     61,   0,   0,   0,  34,   0,   0,   0,
+     93,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+     54, 120, 162,  35,  65, 240,  85, 217,
+    146, 106, 110, 109, 210,  56, 254, 204,
+     69,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,   7,   0,   0,   0,
+     57,   0,   0,   0,   7,   0,   0,   0,
     114, 101, 112, 111, 114, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 110, 110, 111, 117, 110,  99, 101,
@@ -1407,6 +1415,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      98,  97, 114,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    107, 101, 121,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_a9ec4577befa072e = b_a9ec4577befa072e.words;
@@ -1418,17 +1428,19 @@
   &s_a48e86ba5f86a894,
   &s_a9e77ff9d96b6f40,
   &s_b00508d03eddf88b,
+  &s_ccfe38d26d6e6a92,
   &s_d4435d539b49e86e,
   &s_d6157ad5de14d249,
+  &s_d955f04123a27836,
   &s_da88e3c4c108d579,
   &s_e7eaa92cb64f6e21,
   &s_f1b2292fe8d756c0,
   &s_fb61226006a1e10d,
 };
-static const uint16_t m_a9ec4577befa072e[] = {1, 5, 2, 3, 0, 4};
+static const uint16_t m_a9ec4577befa072e[] = {1, 5, 6, 2, 3, 0, 4};
 const ::capnp::_::RawSchema s_a9ec4577befa072e = {
-  0xa9ec4577befa072e, b_a9ec4577befa072e.words, 79, d_a9ec4577befa072e, m_a9ec4577befa072e,
-  12, 6, nullptr, nullptr, nullptr, { &s_a9ec4577befa072e, nullptr, nullptr, 0, 0, nullptr }
+  0xa9ec4577befa072e, b_a9ec4577befa072e.words, 89, d_a9ec4577befa072e, m_a9ec4577befa072e,
+  14, 7, nullptr, nullptr, nullptr, { &s_a9ec4577befa072e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_fb61226006a1e10d = {
@@ -2080,6 +2092,186 @@
   0, 1, i_a9e77ff9d96b6f40, nullptr, nullptr, { &s_a9e77ff9d96b6f40, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_d955f04123a27836 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     54, 120, 162,  35,  65, 240,  85, 217,
+     24,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73, 110, 115, 116,  97, 110,  99, 101,
+     46,  99,  97, 112, 110, 112,  58,  73,
+    110, 115, 116,  97, 110,  99, 101,  46,
+    107, 101, 121,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115,  99, 111, 112, 101,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    107, 101, 121,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d955f04123a27836 = b_d955f04123a27836.words;
+#if !CAPNP_LITE
+static const uint16_t m_d955f04123a27836[] = {0, 2, 1};
+static const uint16_t i_d955f04123a27836[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_d955f04123a27836 = {
+  0xd955f04123a27836, b_d955f04123a27836.words, 64, nullptr, m_d955f04123a27836,
+  0, 3, i_d955f04123a27836, nullptr, nullptr, { &s_d955f04123a27836, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<94> b_ccfe38d26d6e6a92 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    146, 106, 110, 109, 210,  56, 254, 204,
+     24,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  31,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73, 110, 115, 116,  97, 110,  99, 101,
+     46,  99,  97, 112, 110, 112,  58,  73,
+    110, 115, 116,  97, 110,  99, 101,  46,
+    107, 101, 121,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    133,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    148,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    145,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
+    115, 116,  97, 116, 101,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 116, 117, 115,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 101, 110, 116,  84,
+    121, 112, 101,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 111, 100, 121,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ccfe38d26d6e6a92 = b_ccfe38d26d6e6a92.words;
+#if !CAPNP_LITE
+static const uint16_t m_ccfe38d26d6e6a92[] = {4, 2, 0, 1, 3};
+static const uint16_t i_ccfe38d26d6e6a92[] = {0, 1, 2, 3, 4};
+const ::capnp::_::RawSchema s_ccfe38d26d6e6a92 = {
+  0xccfe38d26d6e6a92, b_ccfe38d26d6e6a92.words, 94, nullptr, m_ccfe38d26d6e6a92,
+  0, 5, i_ccfe38d26d6e6a92, nullptr, nullptr, { &s_ccfe38d26d6e6a92, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2315,6 +2507,16 @@
       "Instance.capnp:Instance", "bar",
       0xa9ec4577befa072eull, 5);
 }
+::capnp::Request< ::Holdpost::Wire::Instance::KeyParams,  ::Holdpost::Wire::Instance::KeyResults>
+Instance::Client::keyRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Holdpost::Wire::Instance::KeyParams,  ::Holdpost::Wire::Instance::KeyResults>(
+      0xa9ec4577befa072eull, 6, sizeHint);
+}
+::kj::Promise<void> Instance::Server::key(KeyContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Instance.capnp:Instance", "key",
+      0xa9ec4577befa072eull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Instance::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2365,6 +2567,12 @@
              ::Holdpost::Wire::Instance::BarParams,  ::Holdpost::Wire::Instance::BarResults>(context)),
         false
       };
+    case 6:
+      return {
+        key(::capnp::Capability::Server::internalGetTypedContext<
+             ::Holdpost::Wire::Instance::KeyParams,  ::Holdpost::Wire::Instance::KeyResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2476,6 +2684,22 @@
 constexpr ::capnp::_::RawSchema const* Instance::BarResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Instance::KeyParams
+constexpr uint16_t Instance::KeyParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Instance::KeyParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Instance::KeyParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Instance::KeyParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Instance::KeyResults
+constexpr uint16_t Instance::KeyResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Instance::KeyResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Instance::KeyResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Instance::KeyResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Source/Peers/Instance/Instance.capnp.h
+++ b/Source/Peers/Instance/Instance.capnp.h
@@ -46,6 +46,8 @@
 CAPNP_DECLARE_SCHEMA(a48e86ba5f86a894);
 CAPNP_DECLARE_SCHEMA(8126a3d8d89f0d82);
 CAPNP_DECLARE_SCHEMA(a9e77ff9d96b6f40);
+CAPNP_DECLARE_SCHEMA(d955f04123a27836);
+CAPNP_DECLARE_SCHEMA(ccfe38d26d6e6a92);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -289,6 +291,8 @@
   struct RunResults;
   struct BarParams;
   struct BarResults;
+  struct KeyParams;
+  struct KeyResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -478,6 +482,36 @@
   };
 };
 
+struct Instance::KeyParams {
+  KeyParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d955f04123a27836, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Instance::KeyResults {
+  KeyResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ccfe38d26d6e6a92, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class VersionState::Reader {
@@ -1932,6 +1966,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Holdpost::Wire::Instance::BarParams,  ::Holdpost::Wire::Instance::BarResults> barRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Holdpost::Wire::Instance::KeyParams,  ::Holdpost::Wire::Instance::KeyResults> keyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1972,6 +2008,10 @@
   typedef  ::Holdpost::Wire::Instance::BarResults BarResults;
   typedef ::capnp::CallContext<BarParams, BarResults> BarContext;
   virtual ::kj::Promise<void> bar(BarContext context);
+  typedef  ::Holdpost::Wire::Instance::KeyParams KeyParams;
+  typedef  ::Holdpost::Wire::Instance::KeyResults KeyResults;
+  typedef ::capnp::CallContext<KeyParams, KeyResults> KeyContext;
+  virtual ::kj::Promise<void> key(KeyContext context);
 
   inline  ::Holdpost::Wire::Instance::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3009,6 +3049,213 @@
 };
 #endif  // !CAPNP_LITE
 
+class Instance::KeyParams::Reader {
+public:
+  typedef KeyParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasScope() const;
+  inline  ::capnp::Text::Reader getScope() const;
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Instance::KeyParams::Builder {
+public:
+  typedef KeyParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasScope();
+  inline  ::capnp::Text::Builder getScope();
+  inline void setScope( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initScope(unsigned int size);
+  inline void adoptScope(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownScope();
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Instance::KeyParams::Pipeline {
+public:
+  typedef KeyParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Instance::KeyResults::Reader {
+public:
+  typedef KeyResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Data::Reader getVersion() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Instance::KeyResults::Builder {
+public:
+  typedef KeyResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasVersion();
+  inline  ::capnp::Data::Builder getVersion();
+  inline void setVersion( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownVersion();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Instance::KeyResults::Pipeline {
+public:
+  typedef KeyResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool VersionState::Reader::hasVersion() const {
@@ -5053,6 +5300,218 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Instance::KeyParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Instance::KeyParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Instance::KeyParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Instance::KeyParams::Reader::hasScope() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::KeyParams::Builder::hasScope() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Instance::KeyParams::Reader::getScope() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Instance::KeyParams::Builder::getScope() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Instance::KeyParams::Builder::setScope( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Instance::KeyParams::Builder::initScope(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Instance::KeyParams::Builder::adoptScope(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Instance::KeyParams::Builder::disownScope() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Instance::KeyParams::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::KeyParams::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Instance::KeyParams::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Instance::KeyParams::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Instance::KeyParams::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Instance::KeyParams::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Instance::KeyParams::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Instance::KeyParams::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t Instance::KeyResults::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Instance::KeyResults::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Instance::KeyResults::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Instance::KeyResults::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Instance::KeyResults::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Instance::KeyResults::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Instance::KeyResults::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::KeyResults::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Instance::KeyResults::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Instance::KeyResults::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Instance::KeyResults::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Instance::KeyResults::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Instance::KeyResults::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Instance::KeyResults::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Instance::KeyResults::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::KeyResults::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Instance::KeyResults::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Instance::KeyResults::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Instance::KeyResults::Builder::setVersion( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Instance::KeyResults::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Instance::KeyResults::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Instance::KeyResults::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Instance::KeyResults::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::KeyResults::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Instance::KeyResults::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Instance::KeyResults::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Instance::KeyResults::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Instance::KeyResults::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Instance::KeyResults::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Instance::KeyResults::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Instance/Mail.h
+++ b/Source/Peers/Instance/Mail.h
@@ -16,11 +16,11 @@
 
 using ToRpc =
     std::variant<SendReport, SendAnnouncement, FetchPiece, CancelFetch, FetchRecords, StartRun,
-                 TakeNextPart, CancelRun, AskToBar, AnswerReport, AnswerPiece, AnswerRecords,
-                 AnswerHead, AnswerChunk, AnswerRunEnd, AnswerBar, StopTask>;
+                 TakeNextPart, CancelRun, AskToBar, AskKey, AnswerKey, AnswerReport, AnswerPiece,
+                 AnswerRecords, AnswerHead, AnswerChunk, AnswerRunEnd, AnswerBar, StopTask>;
 
 using FromRpc = std::variant<ReportReceived, AnnouncementReceived, PieceRequested, PieceAbandoned,
                              RecordsRequested, RunRequested, RunAbandoned, RunDrained, BarRequested,
                              ReportAnswered, PeerUnreachable, PieceFetched, RecordsFetched, RunHead,
-                             RunChunk, RunEnded, BarAnswered>;
+                             RunChunk, RunEnded, BarAnswered, KeyAsked, KeyAnswered>;
 } // namespace Holdpost::InstancePeer
--- a/Source/Peers/Instance/RpcClient.cpp
+++ b/Source/Peers/Instance/RpcClient.cpp
@@ -269,4 +269,25 @@
                         OnLost(route, exception);
                       }));
 }
+
+void RpcClient::Do(const AskKey& message)
+{
+  const Route route = RouteTo(message.to, message.address);
+  auto call = ClientFor(message.address).keyRequest();
+  call.setIncarnation(message.incarnation);
+  call.setScope(message.key.first);
+  call.setKey(message.key.second);
+  const std::uint64_t number = message.number;
+  m_tasks.add(m_timer.timeoutAfter(CALL_TIMEOUT, call.send())
+                  .then(
+                      [this, number](auto&& response) {
+                        m_outbox.Post(KeyAnswered{number, Read(response)});
+                      },
+                      [this, number, route](kj::Exception&& exception)
+                      {
+                        m_outbox.Post(KeyAnswered{
+                            number, Error{ErrorKind::Unreachable, "the entry is out of reach"}});
+                        OnLost(route, exception);
+                      }));
+}
 } // namespace Holdpost::InstancePeer
--- a/Source/Peers/Instance/RpcClient.h
+++ b/Source/Peers/Instance/RpcClient.h
@@ -33,6 +33,7 @@
   void Do(TakeNextPart message);
   void Do(CancelRun message);
   void Do(const AskToBar& message);
+  void Do(const AskKey& message);
 
 private:
   friend class AnswerSinkServer;
--- a/Source/Peers/Instance/RpcServer.cpp
+++ b/Source/Peers/Instance/RpcServer.cpp
@@ -65,6 +65,15 @@
   return kj::mv(paf.promise);
 }
 
+kj::Promise<Claims::KeptAnswer> OpenCalls::ForKey(std::uint64_t incarnation, Claims::KeyName key)
+{
+  auto paf = kj::newPromiseAndFulfiller<Claims::KeptAnswer>();
+  const CallTag tag = m_next_tag++;
+  m_keys.emplace(tag, kj::mv(paf.fulfiller));
+  m_outbox.Post(KeyAsked{tag, incarnation, std::move(key)});
+  return kj::mv(paf.promise);
+}
+
 kj::Promise<std::optional<Error>> OpenCalls::ForRun(Runs::RunRequest request,
                                                     Wire::AnswerSink::Client sink)
 {
@@ -101,6 +110,11 @@
   Fulfill(m_bars, answer.tag, answer.standing);
 }
 
+void OpenCalls::Answer(AnswerKey answer)
+{
+  Fulfill(m_keys, answer.tag, std::move(answer.answer));
+}
+
 void OpenCalls::Answer(const AnswerHead& answer)
 {
   const auto found = m_runs.find(answer.tag);
@@ -237,4 +251,12 @@
       .then([context](Runs::Standing standing) mutable
             { context.getResults().setStanding(static_cast<std::uint8_t>(standing)); });
 }
+
+kj::Promise<void> RpcServer::key(KeyContext context)
+{
+  const auto params = context.getParams();
+  return m_calls.ForKey(params.getIncarnation(), {params.getScope().cStr(), params.getKey().cStr()})
+      .then([context](const Claims::KeptAnswer& answer) mutable
+            { Write(answer, context.getResults()); });
+}
 } // namespace Holdpost::InstancePeer
--- a/Source/Peers/Instance/RpcServer.h
+++ b/Source/Peers/Instance/RpcServer.h
@@ -23,6 +23,7 @@
   kj::Promise<Common::Result<Common::Bytes>> ForPiece(PieceRequested request);
   kj::Promise<LogStretch> ForRecords(Common::Offset after);
   kj::Promise<Runs::Standing> ForBar(Runs::RunKey key);
+  kj::Promise<Claims::KeptAnswer> ForKey(std::uint64_t incarnation, Claims::KeyName key);
   kj::Promise<std::optional<Common::Error>> ForRun(Runs::RunRequest request,
                                                    Wire::AnswerSink::Client sink);
   void Announce(AnnouncementReceived announcement) { m_outbox.Post(std::move(announcement)); }
@@ -31,6 +32,7 @@
   void Answer(AnswerPiece answer);
   void Answer(AnswerRecords answer);
   void Answer(AnswerBar answer);
+  void Answer(AnswerKey answer);
   void Answer(const AnswerHead& answer);
   void Answer(const AnswerChunk& answer);
   void Answer(AnswerRunEnd answer);
@@ -61,6 +63,7 @@
   Fulfillers<Common::Result<Common::Bytes>> m_pieces;
   Fulfillers<LogStretch> m_records;
   Fulfillers<Runs::Standing> m_bars;
+  Fulfillers<Claims::KeptAnswer> m_keys;
   std::map<CallTag, OpenRun> m_runs;
   kj::TaskSet m_tasks;
 };
@@ -76,6 +79,7 @@
   kj::Promise<void> records(RecordsContext context) override;
   kj::Promise<void> run(RunContext context) override;
   kj::Promise<void> bar(BarContext context) override;
+  kj::Promise<void> key(KeyContext context) override;
 
 private:
   OpenCalls& m_calls;
--- a/Source/UnitTests/Process/RequestsProcessTest.cpp
+++ b/Source/UnitTests/Process/RequestsProcessTest.cpp
@@ -215,3 +215,75 @@
   }
   hall.WaitUntil("the run is stopped", [&] { return hall.Status("agent-1")["running"] == 0; });
 }
+
+TEST_CASE("A request under a key runs once through whatever entry it comes")
+{
+  Hall hall(2, 2);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1", "agent-2"}, version);
+  WaitForTargets(hall, "entry-1", 2);
+  WaitForTargets(hall, "entry-2", 2);
+  const auto keyed = [&](const std::string& entry, int tokens)
+  {
+    auto call = hall.Completion(entry, tokens);
+    call.headers["Idempotency-Key"] = "report-17";
+    return call;
+  };
+  const auto total_runs = [&]
+  {
+    int total = 0;
+    for (const auto& [request, count] : Runs(hall, {"engine-1", "engine-2"}))
+      total += count;
+    return total;
+  };
+  const auto error_of = [](const Result<HttpReply>& result)
+  {
+    const auto* reply = std::get_if<HttpReply>(&result);
+    return reply && reply->headers.contains("holdpost-error") ? reply->headers.at("holdpost-error")
+                                                              : std::string();
+  };
+
+  SUBCASE("and a retry gets the kept answer")
+  {
+    const auto first = hall.Http().Call(keyed("entry-1", 10));
+    REQUIRE(IsWhole(first));
+    const auto again = hall.Http().Call(keyed("entry-2", 10));
+    INFO(error_of(again));
+    REQUIRE(IsWhole(again));
+    CHECK(std::get<HttpReply>(first).body == std::get<HttpReply>(again).body);
+    CHECK(total_runs() == 1);
+    CHECK(error_of(hall.Http().Call(keyed("entry-1", 11))) == "key_reused");
+  }
+  SUBCASE("also when the append's answer gets lost")
+  {
+    hall.SetFaults("platform", {{"lose_append_answers", 1}});
+    CHECK(IsWhole(hall.Http().Call(keyed("entry-1", 10))));
+    CHECK(total_runs() == 1);
+  }
+  SUBCASE("and never again after its entry was killed")
+  {
+    const auto lost = hall.Http().Start(keyed("entry-1", 400));
+    hall.WaitUntil("the request runs",
+                   [&] {
+                     return hall.Status("agent-1")["running"] == 1 ||
+                            hall.Status("agent-2")["running"] == 1;
+                   });
+    CHECK(error_of(hall.Http().Call(keyed("entry-2", 400))) == "key_busy");
+    hall.Get("entry-1").Kill();
+    hall.Http().Finish();
+    hall.WaitUntil(
+        "the outcome is called unknown",
+        [&] { return error_of(hall.Http().Call(keyed("entry-2", 400))) == "key_outcome_unknown"; });
+    CHECK(total_runs() == 1);
+  }
+  SUBCASE("and is refused as not run while the log is away")
+  {
+    hall.SetFaults("platform", {{"log_down", true}});
+    hall.WaitUntil("the entry knows",
+                   [&] { return hall.Status("entry-1")["log_reachable"] == false; });
+    CHECK(error_of(hall.Http().Call(keyed("entry-1", 10))) == "log_unavailable");
+    CHECK(IsWhole(hall.Http().Call(hall.Completion("entry-1", 5))));
+    CHECK(total_runs() == 1);
+  }
+}
--- a/Source/UnitTests/Scenario/Script.cpp
+++ b/Source/UnitTests/Scenario/Script.cpp
@@ -225,6 +225,12 @@
       m_world.Ask(words.at(1), "assist", words.at(2), static_cast<int>(Number(words.at(3))));
     return;
   }
+  if (verb == "ask-keyed") // ask-keyed ENTRY ORGANISATION TOKENS KEY
+  {
+    m_world.Ask(words.at(1), "assist", words.at(2), static_cast<int>(Number(words.at(3))),
+                words.at(4));
+    return;
+  }
   if (verb == "expect")
     return Expect({words.begin() + 1, words.end()});
   if (verb == "run")
--- a/Source/UnitTests/Scenario/World.cpp
+++ b/Source/UnitTests/Scenario/World.cpp
@@ -572,6 +572,30 @@
   Return(m_calls, action);
 }
 
+void World::Do(Node& node, AskKey& action)
+{
+  const CallTag tag = m_next_tag++;
+  const std::uint64_t number = action.number;
+  m_calls[tag] = [this, name = node.name, number](Action& answer)
+  {
+    const auto kept = std::get<AnswerKey>(answer).answer;
+    After(TO_PEER, [this, name, number, kept] { Feed(name, KeyAnswered{number, kept}); });
+  };
+  Send(
+      node, action.to, action.address,
+      [this, tag, incarnation = action.incarnation, key = action.key](Node& there) {
+        Feed(there.name, KeyAsked{tag, incarnation, key});
+      },
+      [this, name = node.name, number] {
+        Feed(name, KeyAnswered{number, Error{ErrorKind::Unreachable, "out of reach"}});
+      });
+}
+
+void World::Do(Node& /*node*/, AnswerKey& action)
+{
+  Return(m_calls, action);
+}
+
 void World::Do(Node& /*node*/, AnswerBar& action)
 {
   Return(m_calls, action);
@@ -627,6 +651,8 @@
   const Runs::RunRequest& request = action.request;
   Asked& asked = m_asked[{request.key.entry, request.key.number}];
   ++asked.runs;
+  if (!asked.key.empty())
+    ++m_key_runs[asked.organisation + "/" + asked.key];
   const Digest version = m_targets[node.target].loaded;
   const std::string text = fmt::format("{}/{}/{}.{};", version.Short(), request.organisation,
                                        request.key.entry, request.key.number);
@@ -676,7 +702,7 @@
 // Callers.
 
 void World::Ask(const std::string& entry, const std::string& service,
-                const std::string& organisation, int tokens)
+                const std::string& organisation, int tokens, const std::string& key)
 {
   Node* node = Alive(entry);
   if (!node)
@@ -685,12 +711,14 @@
   Asked& asked = m_asked[{entry, number}];
   asked.organisation = organisation;
   asked.tokens = tokens;
+  asked.key = key;
   ++m_open_asks;
   CallerArrived caller{number, {}};
   caller.request.model = "model-of-" + service;
   caller.request.credential = "credential-of-" + organisation;
   caller.request.cost = tokens;
   caller.request.prompt_start = "prompt";
+  caller.request.idempotency_key = key;
   Feed(entry, std::move(caller));
 }
 
@@ -736,6 +764,11 @@
 
 std::string World::FindWrongAnswer() const
 {
+  for (const auto& [key, runs] : m_key_runs)
+  {
+    if (runs > 1)
+      return fmt::format("the request of key {} ran {} times", key, runs);
+  }
   for (const auto& [key, asked] : m_asked)
   {
     const std::string name = fmt::format("request {}.{}", key.first, key.second);
@@ -749,8 +782,11 @@
       expected.append(part);
     if (asked.told == "whole" && asked.parts != expected)
       return fmt::format("{} got an answer that is not whole, or mixed: {}", name, asked.parts);
-    const std::string owner = fmt::format("/{}/{}.{};", asked.organisation, key.first, key.second);
-    if (!part.empty() && !part.ends_with(owner))
+    // A retry under a key gets the answer of the first request.
+    const std::string owner =
+        asked.key.empty() ? fmt::format("/{}/{}.{};", asked.organisation, key.first, key.second)
+                          : fmt::format("/{}/", asked.organisation);
+    if (!part.empty() && part.find(owner) == std::string::npos)
       return fmt::format("{} got a foreign answer: {}", name, part);
   }
   return "";
--- a/Source/UnitTests/Scenario/World.h
+++ b/Source/UnitTests/Scenario/World.h
@@ -56,7 +56,7 @@
   void StallAt(const std::string& agent) { m_stalled_agents.insert(agent); }
   void CutAnswersAt(const std::string& agent, int count) { m_cut_answers[agent] = count; }
   void Ask(const std::string& entry, const std::string& service, const std::string& organisation,
-           int tokens);
+           int tokens, const std::string& key = "");
   void RunUntil(Common::TimePoint until);
 
   // What can be seen.
@@ -126,6 +126,7 @@
   {
     std::string organisation;
     int tokens = 0;
+    std::string key;
     std::string parts;
     std::string told; // empty while open
     Common::Outcome outcome = Common::Outcome::Unknown;
@@ -172,6 +173,8 @@
   void Do(Node& node, NodeCore::StartRun& action);
   void Do(Node& node, NodeCore::CancelRun& action);
   void Do(Node& node, NodeCore::AskToBar& action);
+  void Do(Node& node, NodeCore::AskKey& action);
+  void Do(Node& node, NodeCore::AnswerKey& action);
   void Do(Node& node, NodeCore::AnswerReport& action);
   void Do(Node& node, NodeCore::AnswerPiece& action);
   void Do(Node& node, NodeCore::AnswerRecords& action);
@@ -232,6 +235,7 @@
       m_fetch_calls;
   std::map<NodeCore::CallTag, Run> m_runs;
   std::map<std::pair<std::string, std::uint64_t>, Asked> m_asked;
+  std::map<std::string, int> m_key_runs; // by organisation and key
   int m_open_asks = 0;
   std::vector<std::string> m_transcript;
 };
