--- a/Source/Core/Node/Base.cpp
+++ b/Source/Core/Node/Base.cpp
@@ -142,6 +142,7 @@
   std::ranges::sort(ranked);
   ranked.resize(std::min(most, ranked.size()));
   std::vector<const Member*> first;
+  first.reserve(ranked.size());
   for (const auto& [hash, member] : ranked)
     first.push_back(member);
   return first;
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -471,6 +471,7 @@
   const std::vector<const Membership::Member*> agents =
       m_membership.Usable(Role::Agent, m_self.hall, now);
   std::vector<Placement::Candidate> candidates;
+  candidates.reserve(agents.size());
   for (const Membership::Member* agent : agents)
     candidates.push_back({agent->report.instance, agent->report.pool});
   const auto placed = Placement::Place(plans, candidates);
--- a/Source/UnitTests/Process/Hall.cpp
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -368,6 +368,6 @@
 void Hall::WaitServing(const std::vector<std::string>& agents, const std::string& version)
 {
   for (const std::string& agent : agents)
-    WaitUntil(agent + " serves " + version, [&] { return Serves(agent, version); });
+    WaitUntil(fmt::format("{} serves {}", agent, version), [&] { return Serves(agent, version); });
 }
 } // namespace Holdpost::Process
--- a/Source/UnitTests/Process/RequestsProcessTest.cpp
+++ b/Source/UnitTests/Process/RequestsProcessTest.cpp
@@ -102,8 +102,8 @@
   // The others ended as cut, not as whole.
   CHECK(whole >= 1);
   CHECK(whole < 10);
-  for (const auto& [request, count] : Runs(hall, {"engine-1", "engine-2"}))
-    CHECK_MESSAGE(count == 1, request);
+  for (const auto& run : Runs(hall, {"engine-1", "engine-2"}))
+    CHECK_MESSAGE(run.second == 1, run.first);
   // New requests go to the agent that is left.
   CHECK(IsWhole(hall.Http().Call(hall.Completion("entry-1", 5))));
 }
@@ -124,8 +124,8 @@
   // The agent notices and stops the run.
   hall.WaitUntil("the run is stopped", [&] { return hall.Status("agent-1")["running"] == 0; });
   CHECK(IsWhole(hall.Http().Call(hall.Completion("entry-2", 5))));
-  for (const auto& [request, count] : Runs(hall, {"engine-1"}))
-    CHECK_MESSAGE(count == 1, request);
+  for (const auto& run : Runs(hall, {"engine-1"}))
+    CHECK_MESSAGE(run.second == 1, run.first);
 }
 
 TEST_CASE("A target's stream that breaks is never passed off as whole")
