Project: Split long files, join doubled logic

Swarm's schedule, an entry's keys and targets, and the scenario's targets and callers stand in files of their own; the operators' commands share how they load a tree and the log, the stand-ins how they check their settings.

--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -18,6 +18,9 @@
 // One instance's part in the exchange of one version of weights.
 namespace Holdpost::Distribution
 {
+// A peer that sent this many corrupt pieces is not asked again for a while.
+constexpr std::uint32_t SHUN_AFTER = 2;
+
 struct SwarmOptions
 {
   // A piece that nobody is seen to hold is drawn by the next ranked fetcher after so long without
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -18,9 +18,6 @@
 using Membership::Role;
 using Settings::Field;
 
-// An agent that was let load and neither loads nor has loaded after so long gives way to others.
-static constexpr Common::Milliseconds GRANT_TIME = Common::Milliseconds(10000);
-
 Entry::Entry(Identity identity, Common::Metrics& metrics)
     : Base(std::move(identity), Role::Entry, metrics),
       m_router(Common::StableHash(m_self.instance, m_self.incarnation)),
@@ -176,84 +173,6 @@
   Carry(made, now, actions);
 }
 
-bool Entry::CanClaim() const
-{
-  return m_has_caught_up && m_follower.IsLogReachable();
-}
-
-void Entry::OnCaughtUp(TimePoint /*sent*/, TimePoint now, Actions* actions)
-{
-  m_has_caught_up = true;
-  Claims::Actions made;
-  m_keyed.OnLedger(now, &made);
-  CarryClaims(made, now, actions);
-}
-
-void Entry::CarryClaims(const Claims::Actions& made, TimePoint now, Actions* actions)
-{
-  for (const Claims::Action& action : made)
-  {
-    std::visit(
-        Common::Overloaded{
-            [&](const Claims::AppendClaims& append) {
-              actions->push_back(AppendRecord{AppendPurpose::ClaimKeys, append.text});
-            },
-            [&](const Claims::Run& run)
-            {
-              const auto open = m_open.find(run.number);
-              if (open != m_open.end())
-                Submit(open->second, now, actions);
-              else
-                m_keyed.OnOver(run.number, Claims::KeyState::NeverRan, now);
-            },
-            [&](const Claims::Replay& replay) { Replay(replay, actions); },
-            [&](const Claims::RefuseKeyed& refuse)
-            { RefuseOpen(refuse.number, refuse.error, now, actions); },
-            [&](const Claims::AskHolder& ask) { AskHolder(ask, now, actions); }},
-        action);
-  }
-}
-
-void Entry::Replay(const Claims::Replay& replay, Actions* actions)
-{
-  if (m_open.erase(replay.number) == 0)
-    return;
-  m_metrics.Add("holdpost_answers_replayed_total");
-  const Claims::KeptAnswer& answer = replay.answer;
-  actions->push_back(
-      StartAnswer{replay.number, answer.status, answer.content_type, answer.version, "kept"});
-  actions->push_back(PassPart{replay.number, answer.body});
-  actions->push_back(EndAnswer{replay.number});
-}
-
-void Entry::OnKeyAsked(const KeyAsked& asked, Actions* actions) const
-{
-  Claims::KeptAnswer answer;
-  const Claims::KeptAnswer* kept = m_keyed.Kept().Find(asked.key);
-  // Another incarnation has forgotten what the one before did.
-  if (asked.incarnation != m_self.incarnation)
-    answer.state = Claims::KeyState::Lost;
-  else if (kept)
-    answer = *kept;
-  else
-    answer.state = Claims::KeyState::NeverRan;
-  actions->push_back(AnswerKey{asked.tag, std::move(answer)});
-}
-
-void Entry::AskHolder(const Claims::AskHolder& ask, TimePoint now, Actions* actions)
-{
-  const Membership::Member* holder = m_membership.Find(ask.entry);
-  if (holder)
-  {
-    actions->push_back(
-        AskKey{ask.number, ask.entry, holder->report.address, ask.incarnation, ask.key});
-    return;
-  }
-  Claims::Actions made;
-  m_keyed.OnHolderSaid(ask.number, Error{ErrorKind::Unreachable, "the holder is gone"}, &made);
-  CarryClaims(made, now, actions);
-}
-
 void Entry::Carry(const Routing::Actions& made, TimePoint now, Actions* actions)
 {
   for (const Routing::Action& action : made)
@@ -425,100 +344,6 @@
   Carry(made, now, actions);
 }
 
-void Entry::OnPeerReport(const Membership::Report& report, TimePoint now, Actions* actions)
-{
-  if (report.role != Role::Agent || report.hall != m_self.hall)
-    return;
-  PlanLoads(now);
-  Routing::Actions made;
-  const Membership::Member* member = m_membership.Find(report.instance);
-  const bool is_offered = member && m_membership.IsUsable(*member, now) &&
-                          !report.services.empty() && report.services.front().is_ready;
-  if (is_offered)
-  {
-    const Membership::ServiceState& service = report.services.front();
-    m_router.SetTarget(service.service, report.instance, {report.credits, service.version}, now,
-                       &made);
-  }
-  else
-    m_router.RemoveTarget(report.instance, now, &made);
-  Carry(made, now, actions);
-}
-
-void Entry::OnPeerUnreachable(const std::string& instance, TimePoint now, Actions* actions)
-{
-  Routing::Actions made;
-  m_router.RemoveTarget(instance, now, &made);
-  Carry(made, now, actions);
-}
-
-// Only agents that hold all of the version count: one that still fetches must not keep others
-// waiting.
-static bool HoldsWhole(const Membership::Report& report, const Common::Digest& version)
-{
-  return std::ranges::any_of(report.versions,
-                             [&](const Membership::VersionState& state)
-                             {
-                               return state.version == version && state.pieces_total > 0 &&
-                                      state.pieces_held == state.pieces_total;
-                             });
-}
-
-void Entry::PlanLoads(TimePoint now)
-{
-  const auto granted = std::exchange(m_may_load, {});
-  const std::vector<Placement::ServicePlan> plans = Placement::PlansFor(Tree(), m_self.hall);
-  const std::vector<const Membership::Member*> agents =
-      m_membership.Usable(Role::Agent, m_self.hall, now);
-  std::vector<Placement::Candidate> candidates;
-  candidates.reserve(agents.size());
-  for (const Membership::Member* agent : agents)
-    candidates.push_back({agent->report.instance, agent->report.pool});
-  const auto placed = Placement::Place(plans, candidates);
-  for (const Placement::ServicePlan& plan : plans)
-  {
-    std::vector<Placement::LoadCandidate> waiting;
-    for (const Membership::Member* agent : agents)
-    {
-      const Membership::Report& report = agent->report;
-      const auto place = placed.find(report.instance);
-      if (place == placed.end() || place->second != plan.service ||
-          !HoldsWhole(report, plan.version))
-        continue;
-      const bool has_it = !report.services.empty() && report.services.front().is_ready &&
-                          report.services.front().version == plan.version;
-      const bool is_loading = !report.services.empty() && report.services.front().is_loading;
-      const auto grant = granted.find(report.instance);
-      const bool is_granted = grant != granted.end();
-      const bool is_overdue = is_granted && !is_loading && now - grant->second >= GRANT_TIME;
-      // One that was told so may have begun, though it did not report it yet.
-      if (!has_it)
-        waiting.push_back({report.instance, is_loading || (is_granted && !is_overdue), is_overdue});
-    }
-    for (const std::string& name :
-         Placement::MayLoadNow(std::move(waiting), plan.version, plan.switch_most))
-    {
-      const auto grant = granted.find(name);
-      m_may_load[name] = grant == granted.end() ? now : grant->second;
-    }
-  }
-}
-
-void Entry::DropUnusableTargets(TimePoint now, Actions* actions)
-{
-  // A leaving mark on the list, or a silence, takes a target out.
-  for (const auto& [name, member] : m_membership.All())
-  {
-    if (!m_membership.IsUsable(member, now))
-      OnPeerUnreachable(name, now, actions);
-  }
-}
-
-void Entry::OnListRead(TimePoint now, Actions* actions)
-{
-  DropUnusableTargets(now, actions);
-}
-
 void Entry::OnRoleTick(TimePoint now, Actions* actions)
 {
   Claims::Actions claims;
--- a/Source/OperatorTool/SettingsCommands.cpp
+++ b/Source/OperatorTool/SettingsCommands.cpp
@@ -107,6 +107,29 @@
   return Common::EXIT_OK;
 }
 
+// A tree as an operator wrote it, and what the log says is in force.
+struct TreeAndFold
+{
+  Tree tree;
+  std::vector<Address> platform;
+  Settings::Fold fold;
+};
+
+static std::variant<TreeAndFold, int>
+LoadBoth(const std::string& file, const std::vector<std::string>& platform, Session& session)
+{
+  const auto tree = LoadTree(file);
+  if (const int* exit_code = std::get_if<int>(&tree))
+    return *exit_code;
+  const auto addresses = ParseAddresses(platform, "platform");
+  if (!addresses)
+    return Common::EXIT_BAD_INPUT;
+  const auto fold = session.ReadFold(*addresses);
+  if (const auto* error = std::get_if<Error>(&fold))
+    return Fail(*error);
+  return TreeAndFold{std::get<Tree>(tree), *addresses, std::get<Settings::Fold>(fold)};
+}
+
 static void PrintChange(const Settings::Fold& fold, const Settings::Change& change)
 {
   for (const Settings::NodeChange& node : change.nodes)
@@ -145,18 +168,12 @@
       "platform", po::value(&platform)->value_name("IP:PORT"), "the platform's log");
   if (const auto done = line.Parse(arguments))
     return *done;
-  const auto tree = LoadTree(file);
-  if (const int* exit_code = std::get_if<int>(&tree))
-    return *exit_code;
-  const auto addresses = ParseAddresses(platform, "platform");
-  if (!addresses)
-    return Common::EXIT_BAD_INPUT;
   Session session;
-  const auto fold = session.ReadFold(*addresses);
-  if (const auto* error = std::get_if<Error>(&fold))
-    return Fail(*error);
-  const auto& known = std::get<Settings::Fold>(fold);
-  PrintChange(known, Settings::ChangeBetween(known, std::get<Tree>(tree)));
+  const auto loaded = LoadBoth(file, platform, session);
+  if (const int* exit_code = std::get_if<int>(&loaded))
+    return *exit_code;
+  const auto& [tree, addresses, fold] = std::get<TreeAndFold>(loaded);
+  PrintChange(fold, Settings::ChangeBetween(fold, tree));
   return Common::EXIT_OK;
 }
 
@@ -211,21 +228,15 @@
       "refuse if a node to be changed has changed after this offset")("json", "print JSON");
   if (const auto done = line.Parse(arguments))
     return *done;
-  const auto tree = LoadTree(file);
-  if (const int* exit_code = std::get_if<int>(&tree))
-    return *exit_code;
-  const auto addresses = ParseAddresses(platform, "platform");
-  if (!addresses)
-    return Common::EXIT_BAD_INPUT;
   Session session;
-  const auto fold = session.ReadFold(*addresses);
-  if (const auto* error = std::get_if<Error>(&fold))
-    return Fail(*error);
-  Settings::Change change =
-      Settings::ChangeBetween(std::get<Settings::Fold>(fold), std::get<Tree>(tree));
+  const auto loaded = LoadBoth(file, platform, session);
+  if (const int* exit_code = std::get_if<int>(&loaded))
+    return *exit_code;
+  const auto& [tree, addresses, fold] = std::get<TreeAndFold>(loaded);
+  Settings::Change change = Settings::ChangeBetween(fold, tree);
   if (change.nodes.empty())
   {
-    fmt::print("nothing to change at offset {}\n", std::get<Settings::Fold>(fold).AcceptedOffset());
+    fmt::print("nothing to change at offset {}\n", fold.AcceptedOffset());
     return Common::EXIT_OK;
   }
   for (const Settings::NodeChange& node : change.nodes)
@@ -239,7 +250,7 @@
   }
   change.id = Common::RandomToken();
   change.author = author;
-  const auto verdict = session.Publish(*addresses, change);
+  const auto verdict = session.Publish(addresses, change);
   if (const auto* error = std::get_if<Error>(&verdict))
     return Fail(*error);
   return ReportVerdict(std::get<Settings::Verdict>(verdict), line.Has("json"));
--- a/Source/Standin/Main.cpp
+++ b/Source/Standin/Main.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <csignal>
 #include <cstdio>
+#include <optional>
 
 #include <fmt/format.h>
 
@@ -25,9 +26,10 @@
   return addresses;
 }
 
-// Listens, prints the addresses and serves until SIGTERM.
-template <typename Standin, typename Config>
-int Serve(const std::variant<Config, Common::Problems>& config, bool check_only)
+// Holds an exit code if the settings are bad, or were only to be checked.
+template <typename Config>
+std::optional<int> FinishEarly(const std::variant<Config, Common::Problems>& config,
+                               bool check_only)
 {
   if (const auto* problems = std::get_if<Common::Problems>(&config))
   {
@@ -36,6 +38,15 @@
   }
   if (check_only)
     return Common::EXIT_OK;
+  return std::nullopt;
+}
+
+// Listens, prints the addresses and serves until SIGTERM.
+template <typename Standin, typename Config>
+int Serve(const std::variant<Config, Common::Problems>& config, bool check_only)
+{
+  if (const auto done = FinishEarly(config, check_only))
+    return *done;
   std::signal(SIGPIPE, SIG_IGN);
   Common::EventLoop loop;
   Standin standin(loop, std::get<Config>(config));
@@ -61,13 +72,8 @@
 int RunBaseline(const std::variant<Standin::BaselineConfig, Common::Problems>& config,
                 bool check_only)
 {
-  if (const auto* problems = std::get_if<Common::Problems>(&config))
-  {
-    fmt::print(stderr, "{}", Common::JoinProblems(*problems));
-    return Common::EXIT_BAD_INPUT;
-  }
-  if (check_only)
-    return Common::EXIT_OK;
+  if (const auto done = FinishEarly(config, check_only))
+    return *done;
   std::signal(SIGPIPE, SIG_IGN);
   Common::EventLoop loop;
   Standin::BaselineFetchers fetchers(loop, std::get<Standin::BaselineConfig>(config));
--- a/Source/UnitTests/Process/RequestsProcessTest.cpp
+++ b/Source/UnitTests/Process/RequestsProcessTest.cpp
@@ -57,6 +57,7 @@
   WaitForTargets(hall, "entry-1", 2);
   WaitForTargets(hall, "entry-2", 2);
   std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+  answers.reserve(15);
   for (int i = 0; i < 10; ++i)
     answers.push_back(hall.Http().Start(hall.Completion("entry-1", 100)));
 
@@ -91,6 +92,7 @@
   hall.WaitServing({"agent-1", "agent-2"}, version);
   WaitForTargets(hall, "entry-1", 2);
   std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+  answers.reserve(15);
   for (int i = 0; i < 10; ++i)
     answers.push_back(hall.Http().Start(hall.Completion("entry-1", 200)));
   hall.WaitUntil("the agent runs some", [&] { return hall.Status("agent-1")["running"] > 1; });
