UnitTests: Let answers stream longer where a test must see them running

Cause looked for: on a slow machine an answer of 100 tokens (0.5 s) could end before the test sees it running, and the verdict would then depend on the machine. Answers now take 4 s (800 tokens of 5 ms); what is checked is the same.

--- a/Source/UnitTests/Process/RequestsProcessTest.cpp
+++ b/Source/UnitTests/Process/RequestsProcessTest.cpp
@@ -14,6 +14,8 @@
 // Requests and answers with real daemons.
 
 static constexpr std::size_t MIB = 1 << 20;
+// Tokens of an answer that still streams when a slow machine gets to look at it: some seconds.
+static constexpr int LONG_ANSWER = 800;
 
 static bool IsWhole(const Result<HttpReply>& result)
 {
@@ -59,7 +61,7 @@
   std::vector<std::shared_ptr<Result<HttpReply>>> answers;
   answers.reserve(15);
   for (int i = 0; i < 10; ++i)
-    answers.push_back(hall.Http().Start(hall.Completion("entry-1", 100)));
+    answers.push_back(hall.Http().Start(hall.Completion("entry-1", LONG_ANSWER)));
 
   SUBCASE("of an agent")
   {
@@ -94,7 +96,7 @@
   std::vector<std::shared_ptr<Result<HttpReply>>> answers;
   answers.reserve(15);
   for (int i = 0; i < 10; ++i)
-    answers.push_back(hall.Http().Start(hall.Completion("entry-1", 200)));
+    answers.push_back(hall.Http().Start(hall.Completion("entry-1", LONG_ANSWER)));
   hall.WaitUntil("the agent runs some", [&] { return hall.Status("agent-1")["running"] > 1; });
   hall.Get("agent-1").Kill();
   hall.Http().Finish();
@@ -118,7 +120,7 @@
   hall.WaitServing({"agent-1"}, version);
   WaitForTargets(hall, "entry-1", 1);
   WaitForTargets(hall, "entry-2", 1);
-  const auto lost = hall.Http().Start(hall.Completion("entry-1", 400));
+  const auto lost = hall.Http().Start(hall.Completion("entry-1", LONG_ANSWER));
   hall.WaitUntil("the request runs", [&] { return hall.Status("agent-1")["running"] == 1; });
   hall.Get("entry-1").Kill();
   hall.Http().Finish();
@@ -265,18 +267,20 @@
   }
   SUBCASE("and never again after its entry was killed")
   {
-    const auto lost = hall.Http().Start(keyed("entry-1", 400));
+    const auto lost = hall.Http().Start(keyed("entry-1", LONG_ANSWER));
     hall.WaitUntil("the request runs",
                    [&] {
                      return hall.Status("agent-1")["running"] == 1 ||
                             hall.Status("agent-2")["running"] == 1;
                    });
-    CHECK(error_of(hall.Http().Call(keyed("entry-2", 400))) == "key_busy");
+    CHECK(error_of(hall.Http().Call(keyed("entry-2", LONG_ANSWER))) == "key_busy");
     hall.Get("entry-1").Kill();
     hall.Http().Finish();
-    hall.WaitUntil(
-        "the outcome is called unknown",
-        [&] { return error_of(hall.Http().Call(keyed("entry-2", 400))) == "key_outcome_unknown"; });
+    hall.WaitUntil("the outcome is called unknown",
+                   [&] {
+                     return error_of(hall.Http().Call(keyed("entry-2", LONG_ANSWER))) ==
+                            "key_outcome_unknown";
+                   });
     CHECK(total_runs() == 1);
   }
   SUBCASE("and is refused as not run while the log is away")
