--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -195,16 +195,7 @@
 void Swarm::Unlink(const std::string& peer, Actions* actions)
 {
   const auto found = m_neighbours.find(peer);
-  for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
-  {
-    const auto next = std::next(fetch);
-    if (fetch->second.peer == peer)
-    {
-      actions->push_back(CancelFetch{fetch->first});
-      EndFetch(fetch);
-    }
-    fetch = next;
-  }
+  CancelWhere([&](const Fetch& fetch) { return fetch.peer == peer; }, actions);
   ForgetHoldings(found->second);
   m_neighbours.erase(found);
 }
@@ -246,12 +237,12 @@
   m_fetches.erase(fetch);
 }
 
-void Swarm::CancelOthers(std::uint32_t piece, Actions* actions)
+void Swarm::CancelWhere(const std::function<bool(const Fetch&)>& is_meant, Actions* actions)
 {
   for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
   {
     const auto next = std::next(fetch);
-    if (fetch->second.piece == piece)
+    if (is_meant(fetch->second))
     {
       actions->push_back(CancelFetch{fetch->first});
       EndFetch(fetch);
@@ -260,6 +251,11 @@
   }
 }
 
+void Swarm::CancelOthers(std::uint32_t piece, Actions* actions)
+{
+  CancelWhere([&](const Fetch& fetch) { return fetch.piece == piece; }, actions);
+}
+
 void Swarm::GiveUpStalled(TimePoint now, Actions* actions)
 {
   std::set<std::string> stalled;
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -128,6 +129,7 @@
   void StartFetch(std::uint32_t piece, const std::string& peer, Common::TimePoint now,
                   Actions* actions);
   void EndFetch(std::map<FetchId, Fetch>::iterator fetch);
+  void CancelWhere(const std::function<bool(const Fetch&)>& is_meant, Actions* actions);
   void CancelOthers(std::uint32_t piece, Actions* actions);
 
   void AcceptManifest(const Fetch& fetch, const Common::Bytes& data, Common::TimePoint now,
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -94,9 +94,8 @@
     return Error{ErrorKind::Leaving, "this entry is leaving"};
   if (!m_follower.HasState())
     return Error{ErrorKind::NotReady, "this entry has no settings yet"};
-  const std::string service = request.model.empty()
-                                  ? request.service
-                                  : Routing::ServiceForModel(Tree(), m_self.hall, request.model);
+  const std::string service =
+      request.model.empty() ? request.service : Routing::ServiceForModel(m_plans, request.model);
   const std::string organisation =
       Routing::OrganisationFor(Tree(), m_self.hall, service, request.credential);
   // One answer for a service that is not there and one that the organisation may not use.
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -5,6 +5,7 @@
 
 #include "Core/Claims/KeyedRequests.h"
 #include "Core/Node/Base.h"
+#include "Core/Placement/Placement.h"
 #include "Core/Routing/Router.h"
 #include "Core/Runs/Runs.h"
 
@@ -37,7 +38,7 @@
     std::size_t kept_bytes_most = 0;
   };
 
-  void OnSettings(Common::TimePoint now, Actions* /*actions*/) override { PlanLoads(now); }
+  void OnSettings(Common::TimePoint now, Actions* actions) override;
   void OnCaughtUp(Common::TimePoint sent, Common::TimePoint now, Actions* actions) override;
   void OnListRead(Common::TimePoint now, Actions* actions) override;
   void OnPeerReport(const Membership::Report& report, Common::TimePoint now,
@@ -87,6 +88,8 @@
   Claims::KeyedRequests m_keyed;
   bool m_has_caught_up = false;
   std::uint64_t m_next_number = 1;
+  // The hall's services by the settings in force; looked at for every request and report.
+  std::vector<Placement::ServicePlan> m_plans;
   std::map<std::uint64_t, OpenRequest> m_open;
   // Agents of the hall that may load their new version now, and since when.
   std::map<std::string, Common::TimePoint> m_may_load;
--- a/Source/Core/Node/EntryTargets.cpp
+++ b/Source/Core/Node/EntryTargets.cpp
@@ -27,18 +27,23 @@
                              });
 }
 
+void Entry::OnSettings(TimePoint now, Actions* /*actions*/)
+{
+  m_plans = Placement::PlansFor(Tree(), m_self.hall);
+  PlanLoads(now);
+}
+
 void Entry::PlanLoads(TimePoint now)
 {
   const auto granted = std::exchange(m_may_load, {});
-  const std::vector<Placement::ServicePlan> plans = Placement::PlansFor(Tree(), m_self.hall);
   const std::vector<const Membership::Member*> agents =
       m_membership.Usable(Role::Agent, m_self.hall, now);
   std::vector<Placement::Candidate> candidates;
   candidates.reserve(agents.size());
   for (const Membership::Member* agent : agents)
     candidates.push_back({agent->report.instance, agent->report.pool});
-  const auto placed = Placement::Place(plans, candidates);
-  for (const Placement::ServicePlan& plan : plans)
+  const auto placed = Placement::Place(m_plans, candidates);
+  for (const Placement::ServicePlan& plan : m_plans)
   {
     std::vector<Placement::LoadCandidate> waiting;
     for (const Membership::Member* agent : agents)
--- a/Source/Core/Routing/Access.h
+++ b/Source/Core/Routing/Access.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
+#include "Core/Placement/Placement.h"
 #include "Core/Settings/Tree.h"
 
 // Who may ask for what, as the tree states it.
@@ -12,7 +14,7 @@
 // the organisation is barred there. Compares the hash of the credential only.
 std::string OrganisationFor(const Settings::Tree& tree, const std::string& hall,
                             const std::string& service, const std::string& credential);
-// The service of a hall that answers for a model; empty if none does.
-std::string ServiceForModel(const Settings::Tree& tree, const std::string& hall,
+// The service that answers for a model, of a hall's services; empty if none does.
+std::string ServiceForModel(const std::vector<Placement::ServicePlan>& plans,
                             const std::string& model);
 } // namespace Holdpost::Routing
