--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -110,7 +110,8 @@
   if (pending->callbacks.on_chunk)
     evhttp_request_set_chunked_cb(pending->raw, &HttpClient::HandleChunk);
   evkeyvalq* headers = evhttp_request_get_output_headers(pending->raw);
-  evhttp_add_header(headers, "Host", call.to.ToString().c_str());
+  if (!call.headers.contains("Host"))
+    evhttp_add_header(headers, "Host", call.to.ToString().c_str());
   evhttp_add_header(headers, "Connection", call.may_reuse_connection ? "keep-alive" : "close");
   for (const auto& [name, value] : call.headers)
     evhttp_add_header(headers, name.c_str(), value.c_str());
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -24,6 +24,7 @@
   Address to;
   std::string method = "GET";
   std::string path;
+  // A `Host` here goes before the address of the peer.
   HttpHeaders headers = {};
   std::string body = {};
   // Ends the call when the peer has neither taken nor sent a byte for this long.
--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -183,6 +183,14 @@
 HttpServer::~HttpServer()
 {
   StopListening();
+  // Freeing a connection takes it off the list.
+  while (!m_connections.empty())
+  {
+    const auto [connection, last] = *m_connections.begin();
+    if (const auto exchange = last.lock())
+      exchange->m_on_gone = nullptr;
+    evhtp_connection_free(connection);
+  }
   evhtp_free(m_server);
 }
 
@@ -208,6 +216,15 @@
   const int on = 1;
   setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   evhtp_connection_set_hook(connection, evhtp_hook_on_read, AsHook(&HttpServer::HandleRead), self);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
+                            AsHook(&HttpServer::HandleClosed), self);
+  static_cast<HttpServer*>(self)->m_connections.try_emplace(connection);
+  return EVHTP_RES_OK;
+}
+
+std::uint16_t HttpServer::HandleClosed(evhtp_connection* connection, void* self)
+{
+  static_cast<HttpServer*>(self)->m_connections.erase(connection);
   return EVHTP_RES_OK;
 }
 
@@ -233,6 +250,7 @@
                                                                  server->m_limits.body_bytes)});
     return;
   }
+  server->m_connections[raw->conn] = exchange;
   // Freed by HandleFinished, which libevhtp calls exactly once for each request.
   auto* holder = new std::shared_ptr<HttpExchange>(exchange);
   evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, AsHook(&HttpExchange::HandleFinished),
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -85,6 +85,8 @@
   };
 
   HttpServer(EventLoop& loop, Limits limits, HttpHandler handler);
+  // Closes all connections. Exchanges that are still open do nothing from then on, and nobody is
+  // told that their callers are gone.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -98,10 +100,13 @@
   static void HandleRequest(evhtp_request* raw, void* self);
   static std::uint16_t HandleRead(evhtp_request* raw, evbuffer* data, void* self);
   static std::uint16_t HandleAccepted(evhtp_connection* connection, void* self);
+  static std::uint16_t HandleClosed(evhtp_connection* connection, void* self);
 
   evhtp* m_server;
   Limits m_limits;
   HttpHandler m_handler;
+  // libevhtp does not keep count of its connections. Each with its last exchange.
+  std::map<evhtp_connection*, std::weak_ptr<HttpExchange>> m_connections;
 };
 
 // Answers with the error's row of the table: status, outcome header, Retry-After and JSON body.
--- a/Source/Common/YamlReader.cpp
+++ b/Source/Common/YamlReader.cpp
@@ -139,6 +139,20 @@
   return fallback;
 }
 
+double YamlReader::Real(const std::string& field, double fallback, double least, double most)
+{
+  const YAML::Node node = Take(field);
+  if (!node.IsDefined())
+    return fallback;
+  double value = 0;
+  if (node.IsScalar() && YAML::convert<double>::decode(node, value) && value >= least &&
+      value <= most)
+    return value;
+  Report(node, field,
+         fmt::format("found {}, expected a number from {} to {}", Describe(node), least, most));
+  return fallback;
+}
+
 bool YamlReader::Boolean(const std::string& field, bool fallback)
 {
   const YAML::Node node = Take(field);
--- a/Source/Common/YamlReader.h
+++ b/Source/Common/YamlReader.h
@@ -46,6 +46,7 @@
   std::string RequiredString(const std::string& field);
   std::int64_t Integer(const std::string& field, std::int64_t fallback, std::int64_t least,
                        std::int64_t most);
+  double Real(const std::string& field, double fallback, double least, double most);
   bool Boolean(const std::string& field, bool fallback);
   // "IP:port"; port 0 is allowed where the kernel may choose.
   Address ReadAddress(const std::string& field, bool required, bool allow_port_zero);
--- /dev/null
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Control/ControlFollower.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace Holdpost::Control
+{
+using Common::Duration;
+using Common::Error;
+using Common::ErrorKind;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::Result;
+using Common::TimePoint;
+using Common::Weight;
+
+static constexpr Duration PAUSE_LEAST = Milliseconds(100);
+// The platform usually tells all processes at nearly the same time.
+static constexpr Duration PLATFORM_HEAD_START = Milliseconds(300);
+static constexpr Duration ASK_PERIOD = Milliseconds(400);
+static constexpr Duration PAUSE_MOST = Milliseconds(1000);
+
+Duration Backoff::Next()
+{
+  m_pause = std::clamp(m_pause * 2, PAUSE_LEAST, PAUSE_MOST);
+  // Between a half and the whole of the pause.
+  const auto half = static_cast<std::uint64_t>(m_pause.count() / 2);
+  return Duration(m_pause.count() / 2 + static_cast<Duration::rep>(m_random() % (half + 1)));
+}
+
+ControlFollower::ControlFollower(FollowerOptions options, std::uint64_t seed)
+    : m_options(options), m_operator_backoff(seed), m_targets_backoff(seed + 1)
+{
+}
+
+void ControlFollower::OnTick(TimePoint now, Actions* actions)
+{
+  if (!m_reads)
+    return;
+  if (!m_is_reading_operator && now >= m_operator_due)
+  {
+    m_is_reading_operator = true;
+    const bool has_state = m_operator_next > 0 && m_document;
+    actions->push_back(ReadOperator{has_state ? m_operator_next : 0,
+                                    has_state ? m_options.long_poll : Milliseconds(0)});
+  }
+  if (!m_is_reading_targets && now >= m_targets_due)
+  {
+    m_is_reading_targets = true;
+    actions->push_back(ReadTargets{m_targets_next});
+  }
+}
+
+TimePoint ControlFollower::NextWakeup() const
+{
+  TimePoint next = TimePoint::max();
+  if (!m_reads)
+    return next;
+  if (!m_is_reading_operator)
+    next = std::min(next, m_operator_due);
+  if (!m_is_reading_targets)
+    next = std::min(next, m_targets_due);
+  return next;
+}
+
+void ControlFollower::SetReading(bool reads)
+{
+  if (std::exchange(m_reads, reads) || !reads)
+    return;
+  // What was written meanwhile is of no interest, only what is newest now. The list is read whole,
+  // as who read it before may have kept targets whose records had lapsed.
+  m_operator_next = 0;
+  m_targets_next = 0;
+  m_operator_due = {};
+  m_targets_due = {};
+  m_operator_backoff.Reset();
+  m_targets_backoff.Reset();
+}
+
+void ControlFollower::NoteReachable(bool is_reachable, TimePoint now)
+{
+  if (std::exchange(m_is_reachable, is_reachable) != is_reachable)
+  {
+    LogEvent(Weight::Important, now, is_reachable ? "platform.regained" : "platform.lost",
+             "settings", Version(), "targets", m_targets.Size());
+  }
+}
+
+bool ControlFollower::OnOperatorRead(const Result<OperatorRead>& result, TimePoint now)
+{
+  m_is_reading_operator = false;
+  if (const auto* error = std::get_if<Error>(&result))
+  {
+    if (error->kind == ErrorKind::PositionGone)
+      m_operator_next = 0;
+    else
+      NoteReachable(false, now);
+    m_operator_due = now + m_operator_backoff.Next();
+    return false;
+  }
+  NoteReachable(true, now);
+  m_last_answer = now;
+  m_operator_backoff.Reset();
+  const auto& read = std::get<OperatorRead>(result);
+  m_operator_next = read.next;
+  // Until the first document is written there is nothing to wait at.
+  m_operator_due = m_document || read.document ? now : now + m_operator_backoff.Next();
+  bool is_new = read.document && OfferDocument(read.document, read.text);
+  for (const NamedWeights& named : read.weights)
+    is_new = OfferWeights(named, now) || is_new;
+  return is_new;
+}
+
+bool ControlFollower::OfferDocument(const std::shared_ptr<const Settings::Document>& document,
+                                    const Common::Bytes& text)
+{
+  if (document->version <= Version())
+    return false;
+  m_version_before = Version();
+  m_text_before = std::exchange(m_document_text, text);
+  m_document = document;
+  return true;
+}
+
+std::optional<Settings::DocumentVersion>
+ControlFollower::OnPeerVersion(Settings::DocumentVersion version, TimePoint now)
+{
+  if (version <= Version())
+  {
+    m_behind_since.reset();
+    return std::nullopt;
+  }
+  if (!m_behind_since)
+    m_behind_since = now;
+  if (now - *m_behind_since < PLATFORM_HEAD_START || now < m_ask_due)
+    return std::nullopt;
+  m_ask_due = now + ASK_PERIOD;
+  return Version();
+}
+
+bool ControlFollower::OfferWeights(const NamedWeights& named, TimePoint known_since)
+{
+  return m_weights[named.model].Offer(named.version, known_since);
+}
+
+bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
+{
+  m_is_reading_targets = false;
+  if (const auto* error = std::get_if<Error>(&result))
+  {
+    if (error->kind == ErrorKind::PositionGone)
+      m_targets_next = 0;
+    else
+      m_targets.OnReadFailed(now);
+    m_targets_due = now + m_targets_backoff.Next();
+    return false;
+  }
+  m_targets_backoff.Reset();
+  m_targets_due = now + m_options.list_period;
+  m_last_answer = now;
+  const bool is_news = m_targets.OnRead(std::get<TargetsRead>(result), now);
+  m_targets_next = m_targets.Known();
+  return is_news;
+}
+
+bool ControlFollower::OfferTargets(const TargetsNews& news)
+{
+  if (!m_targets.Offer(news))
+    return false;
+  m_targets_next = m_targets.Known();
+  return true;
+}
+
+bool ControlFollower::MissesTargets(Position position, Position changed)
+{
+  if (m_targets.Misses(position, changed))
+    return true;
+  m_targets_next = m_targets.Known();
+  return false;
+}
+} // namespace Holdpost::Control
--- /dev/null
+++ b/Source/Core/Control/PeerQuery.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "Common/Types.h"
+
+// Decides when another process is asked for settings and targets, because the platform does not
+// answer here.
+namespace Holdpost::Control
+{
+// How much this process knows without the platform.
+enum class Knowledge
+{
+  // Too little to serve callers.
+  Partial,
+  // What was in force when the platform was last heard.
+  Whole,
+};
+
+class PeerQuery
+{
+public:
+  // The peers may be down or stale, so they are asked in turn.
+  explicit PeerQuery(std::vector<Common::Address> peers) : m_peers(std::move(peers)) {}
+
+  void SetPeers(std::vector<Common::Address> peers)
+  {
+    m_peers = std::move(peers);
+    m_next = 0;
+  }
+  // The peer to ask now; empty if none is due.
+  std::optional<Common::Address> OnTick(bool is_platform_reachable, Knowledge knowledge,
+                                        Common::TimePoint now);
+  Common::TimePoint NextWakeup() const;
+
+private:
+  std::vector<Common::Address> m_peers;
+  std::size_t m_next = 0;
+  // When the next peer is due; empty while the platform answers.
+  std::optional<Common::TimePoint> m_due;
+};
+} // namespace Holdpost::Control
--- /dev/null
+++ b/Source/Core/Control/ReaderDuty.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+#include "Common/Types.h"
+
+// Decides whether this process reads the platform itself or leaves it to another one of its hall,
+// which passes on what it reads. No agreement is needed: two that read at once are only dearer,
+// and each hears of the other soon.
+namespace Holdpost::Control
+{
+// A process's place among those that could read; the least one keeps reading.
+using ReaderRank = std::uint64_t;
+
+class ReaderDuty
+{
+public:
+  // Reads from the start, until another reader is heard.
+  ReaderDuty(ReaderRank rank, std::uint64_t seed) : m_rank(rank), m_random(seed) {}
+
+  // Another process of the hall reads, and had an answer of the platform so long ago.
+  void OnReaderHeard(ReaderRank rank, Common::Duration answer_age, Common::TimePoint now);
+  // Takes over when what readers told is too old. Returns whether that has changed.
+  bool OnTick(Common::TimePoint now);
+  bool Reads() const { return m_reads; }
+  Common::TimePoint NextWakeup() const;
+
+private:
+  bool IsFresh(Common::Duration answer_age) const;
+
+  ReaderRank m_rank;
+  std::mt19937_64 m_random;
+  bool m_reads = true;
+  // Without newer word of a reader this process begins to read.
+  Common::TimePoint m_take_over_at{};
+};
+} // namespace Holdpost::Control
--- /dev/null
+++ b/Source/Core/Control/TargetList.cpp
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Control/TargetList.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/EventLog.h"
+
+namespace Holdpost::Control
+{
+using Common::Duration;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+// A platform that was away for so long may have let records lapse, though their targets live. They
+// write them anew within about two seconds of its return.
+static constexpr Duration OUTAGE_LEAST = Milliseconds(1000);
+static constexpr Duration BACK_WITHIN = Milliseconds(2200);
+
+void TargetList::NoteAnswered(TimePoint now)
+{
+  if (m_failing_since && now - *m_failing_since >= OUTAGE_LEAST)
+    m_lapses_until = now + BACK_WITHIN;
+  m_failing_since.reset();
+}
+
+void TargetList::OnReadFailed(TimePoint now)
+{
+  if (!m_failing_since)
+    m_failing_since = now;
+}
+
+bool TargetList::OnRead(const TargetsRead& read, TimePoint now)
+{
+  NoteAnswered(now);
+  // Another process may have read further meanwhile.
+  if (read.next < m_known)
+    return false;
+  const bool is_first = !std::exchange(m_is_known, true);
+  const TargetsById before = m_targets;
+  std::set<Gateway::TargetId> gone;
+  if (read.is_whole)
+  {
+    for (const auto& [id, target] : m_targets)
+      gone.insert(id);
+  }
+  for (const TargetChange& change : read.changes)
+  {
+    if (!change.target)
+    {
+      gone.insert(change.id);
+      continue;
+    }
+    gone.erase(change.id);
+    m_lapsed.erase(change.id);
+    m_targets[change.id] = *change.target;
+  }
+  KeepLapsed(&gone, now);
+  for (const Gateway::TargetId& id : gone)
+  {
+    m_targets.erase(id);
+    m_lapsed.erase(id);
+  }
+  RemoveLapsed(now);
+  m_known = read.next;
+  if (before == m_targets && !is_first)
+    return false;
+  m_news = read.is_whole ? Whole() : ChangesSince(before, read.next);
+  m_changed = read.next;
+  return true;
+}
+
+void TargetList::KeepLapsed(std::set<Gateway::TargetId>* gone, TimePoint now)
+{
+  if (now >= m_lapses_until)
+    return;
+  struct Count
+  {
+    std::size_t ready = 0;
+    std::size_t gone = 0;
+  };
+  std::map<std::string, Count> services;
+  for (const auto& [id, target] : m_targets)
+  {
+    if (target.state != Gateway::TargetState::Ready)
+      continue;
+    ++services[target.service].ready;
+    services[target.service].gone += gone->contains(id) ? 1 : 0;
+  }
+  std::erase_if(*gone,
+                [&](const Gateway::TargetId& id)
+                {
+                  const auto found = m_targets.find(id);
+                  if (found == m_targets.end() ||
+                      found->second.state != Gateway::TargetState::Ready)
+                    return false;
+                  // Where few are gone, they have left while the platform was out of our reach.
+                  const Count& count = services[found->second.service];
+                  if (2 * count.gone < count.ready)
+                    return false;
+                  if (m_lapsed.insert(id).second)
+                    LogEvent(Weight::Important, now, "target.lapsed", "target", id, "waits_ms",
+                             m_lapses_until - now);
+                  return true;
+                });
+}
+
+void TargetList::RemoveLapsed(TimePoint now)
+{
+  if (now < m_lapses_until)
+    return;
+  for (const Gateway::TargetId& id : m_lapsed)
+    m_targets.erase(id);
+  m_lapsed.clear();
+}
+
+// Most records of the list only say that a target is still there, and several may be of one target:
+// only what has come of them is told.
+TargetsNews TargetList::ChangesSince(const TargetsById& before, Position next) const
+{
+  TargetsNews news{m_changed, next, {}};
+  for (const auto& [id, target] : m_targets)
+  {
+    const auto was = before.find(id);
+    if (was == before.end() || was->second != target)
+      news.changes.push_back({id, target});
+  }
+  for (const auto& [id, target] : before)
+  {
+    if (!m_targets.contains(id))
+      news.changes.push_back({id, std::nullopt});
+  }
+  return news;
+}
+
+TargetsNews TargetList::Whole() const
+{
+  TargetsNews news{0, m_known, {}};
+  news.changes.reserve(m_targets.size());
+  for (const auto& [id, target] : m_targets)
+    news.changes.push_back({id, target});
+  return news;
+}
+
+bool TargetList::Offer(const TargetsNews& news)
+{
+  const bool is_whole = news.base == 0;
+  if (news.position <= m_known || (!is_whole && m_known < news.base))
+    return false;
+  if (is_whole)
+    m_targets.clear();
+  // Whoever read them has waited for those that lapsed.
+  m_lapsed.clear();
+  for (const TargetChange& change : news.changes)
+  {
+    if (change.target)
+      m_targets[change.id] = *change.target;
+    else
+      m_targets.erase(change.id);
+  }
+  m_known = news.position;
+  m_changed = news.position;
+  m_is_known = true;
+  return true;
+}
+
+bool TargetList::Misses(Position position, Position changed)
+{
+  if (m_known < changed || !m_is_known)
+    return position > m_known;
+  m_known = std::max(m_known, position);
+  return false;
+}
+
+std::vector<Gateway::ListedTarget> TargetList::All() const
+{
+  std::vector<Gateway::ListedTarget> list;
+  list.reserve(m_targets.size());
+  for (const auto& [id, target] : m_targets)
+    list.push_back(target);
+  return list;
+}
+} // namespace Holdpost::Control
--- a/Source/Core/Distribution/Actions.h
+++ b/Source/Core/Distribution/Actions.h
@@ -55,6 +55,8 @@
   bool wants_reply = false;      // the sender does not know what the receiver holds
   std::string bitmap;
   std::vector<std::uint32_t> pieces;
+  // Pieces that the sender is bringing into the hall.
+  std::vector<std::uint32_t> claimed;
 };
 
 struct SendAnnouncement
@@ -69,6 +71,14 @@
   Common::Result<Common::Bytes> result;
 };
 
+// A piece is held and verified.
+struct PieceHeld
+{
+  Common::Digest version;
+  std::uint32_t piece = 0;
+  Common::Bytes data;
+};
+
 // Every piece of the version is held and verified.
 struct VersionHeld
 {
@@ -94,6 +104,7 @@
   Takeover,
   Hedge,
   RequestRefused,
+  ManifestDoubted,
 };
 
 // For the counters; `bytes` is 0 where no bytes moved.
@@ -103,8 +114,8 @@
   std::uint64_t bytes = 0;
 };
 
-using Action = std::variant<FetchPiece, CancelFetch, SendAnnouncement, AnswerPiece, VersionHeld,
-                            CountTransfer>;
+using Action = std::variant<FetchPiece, CancelFetch, SendAnnouncement, AnswerPiece, PieceHeld,
+                            VersionHeld, CountTransfer>;
 using Actions = std::vector<Action>;
 
 std::string_view TransferEventName(TransferEvent event);
--- a/Source/Core/Distribution/Exchange.cpp
+++ b/Source/Core/Distribution/Exchange.cpp
@@ -26,9 +26,11 @@
 void Exchange::SetOptions(const ExchangeOptions& options)
 {
   m_options = options;
-  m_uploads.SetLimits(options.link_bytes_per_second, options.upload_queue_most,
+  m_uploads.SetLimits(options.link_bytes_per_second, options.link_pacing, options.upload_queue_most,
                       options.swarm.stall / UPLOAD_WAIT_SHARE);
-  m_download.SetRate(options.link_bytes_per_second);
+  m_uploads.SetUnconfirmedMost(options.uploads_unconfirmed_most, options.swarm.piece_time);
+  m_download.SetRate(options.link_pacing == LinkPacing::Budget ? options.link_bytes_per_second : 0);
+  m_shared.downloads.SetPieceTime(options.swarm.piece_time);
   for (const auto& [version, swarm] : m_swarms)
     swarm->SetOptions(options.swarm);
 }
@@ -36,13 +38,15 @@
 void Exchange::SetPeersOf(Swarm& swarm, TimePoint now, Actions* actions)
 {
   std::vector<NeighbourCandidate> same_version;
-  std::vector<std::string> fetchers;
+  std::vector<Fetcher> fetchers;
   for (const NeighbourCandidate& candidate : m_candidates)
   {
     if (candidate.version != swarm.Version())
       continue;
-    same_version.push_back(candidate);
-    fetchers.push_back(candidate.instance);
+    fetchers.push_back({candidate.instance, candidate.hall});
+    // Where crossings are shared, only those of the own hall are neighbours for all pieces.
+    if (!m_options.swarm.shares_crossings || candidate.hall == m_hall)
+      same_version.push_back(candidate);
   }
   swarm.SetPeers(
       ChooseNeighbours(swarm.Version(), m_self, m_hall, same_version, m_options.neighbours),
@@ -68,8 +72,8 @@
   auto& swarm = m_swarms[version];
   if (swarm)
     return;
-  swarm = std::make_unique<Swarm>(version, m_self, m_options.swarm,
-                                  Common::StableHash(m_self, m_seed), &m_next_fetch_id);
+  swarm = std::make_unique<Swarm>(version, Fetcher{m_self, m_hall}, m_options.swarm,
+                                  Common::StableHash(m_self, m_seed), &m_shared);
   SetPeersOf(*swarm, now, actions);
 }
 
@@ -96,7 +100,7 @@
   else if (announcement.wants_reply)
   {
     // The peer waits for our word before it draws from the origin: we hold nothing of it.
-    actions->push_back(SendAnnouncement{peer, {announcement.version, 0, true, false, "", {}}});
+    actions->push_back(SendAnnouncement{peer, {announcement.version, 0, true, false, "", {}, {}}});
   }
 }
 
@@ -133,7 +137,7 @@
 }
 
 void Exchange::OnPieceRequest(RequestTag tag, const Digest& version, std::uint32_t piece,
-                              TimePoint now, Actions* actions)
+                              bool is_urgent, TimePoint now, Actions* actions)
 {
   const Swarm* swarm = Find(version);
   const Bytes data = swarm ? swarm->Piece(piece) : nullptr;
@@ -142,12 +146,20 @@
     actions->push_back(AnswerPiece{tag, Error{ErrorKind::PieceNotHeld, "the piece is not held"}});
     return;
   }
-  m_uploads.Add(tag, data, now, actions);
+  m_uploads.Add(tag, data, is_urgent, now, actions);
 }
 
-void Exchange::OnRequestAbandoned(RequestTag tag, TimePoint now)
+void Exchange::OnRequestAbandoned(RequestTag tag, TimePoint now, Actions* actions)
 {
   m_uploads.Remove(tag, now);
+  m_uploads.Advance(now, actions);
+}
+
+void Exchange::OfferPiece(const Digest& version, std::uint32_t piece, const Bytes& data,
+                          TimePoint now, Actions* actions)
+{
+  if (const auto found = m_swarms.find(version); found != m_swarms.end())
+    found->second->OfferPiece(piece, data, now, actions);
 }
 
 void Exchange::OnTick(TimePoint now, Actions* actions)
@@ -172,11 +184,22 @@
   const auto sooner = [&next](TimePoint at) { next = next ? std::min(*next, at) : at; };
   if (!m_arrivals.empty())
     sooner(m_arrivals.front().due);
-  if (std::ranges::any_of(m_swarms, [](const auto& entry) { return !entry.second->IsHeld(); }))
-    sooner(now + TICK);
+  for (const auto& [version, swarm] : m_swarms)
+  {
+    if (!swarm->IsHeld())
+      sooner(std::min(now + TICK, std::max(now, swarm->NextTurn())));
+  }
   return next;
 }
 
+Common::Duration Exchange::InboundDelay(TimePoint now) const
+{
+  std::size_t open = 0;
+  for (const auto& [version, swarm] : m_swarms)
+    open += swarm->OpenAtOrigin() + swarm->OpenAtPeers();
+  return static_cast<Common::Duration::rep>(open + 1) * NarrowPieceTime(now);
+}
+
 const Swarm* Exchange::Find(const Digest& version) const
 {
   const auto found = m_swarms.find(version);
--- a/Source/Core/Distribution/Exchange.h
+++ b/Source/Core/Distribution/Exchange.h
@@ -24,6 +24,9 @@
   std::size_t neighbours = 16;
   std::size_t upload_queue_most = 64;
   std::uint64_t link_bytes_per_second = 0; // in each direction; 0 for no limit
+  LinkPacing link_pacing = LinkPacing::Budget;
+  // See Uploads::SetUnconfirmedMost; 0 if receivers say nothing.
+  std::size_t uploads_unconfirmed_most = 0;
 };
 
 class Exchange
@@ -47,14 +50,25 @@
   void OnPeerLost(const std::string& peer, Common::TimePoint now, Actions* actions);
   void OnFetched(FetchId id, const Common::Result<Common::Bytes>& result, Common::TimePoint now,
                  Actions* actions);
+  // `is_urgent`: the piece is for a whole hall that lacks it.
   void OnPieceRequest(RequestTag tag, const Common::Digest& version, std::uint32_t piece,
-                      Common::TimePoint now, Actions* actions);
-  // The peer does not wait for the piece any more.
-  void OnRequestAbandoned(RequestTag tag, Common::TimePoint now);
+                      bool is_urgent, Common::TimePoint now, Actions* actions);
+  // The peer does not wait for the piece any more, or has it.
+  void OnRequestAbandoned(RequestTag tag, Common::TimePoint now, Actions* actions);
+  // A piece from an earlier life, if it is of the version.
+  void OfferPiece(const Common::Digest& version, std::uint32_t piece, const Common::Bytes& data,
+                  Common::TimePoint now, Actions* actions);
   void OnTick(Common::TimePoint now, Actions* actions);
   // When OnTick is due next; empty while there is nothing to do.
   std::optional<Common::TimePoint> NextWakeup(Common::TimePoint now) const;
 
+  // How long one piece takes on the own link if that is narrower than it should be; else zero.
+  Common::Duration NarrowPieceTime(Common::TimePoint now) const
+  {
+    return m_shared.downloads.NarrowPieceTime(now);
+  }
+  // How long a message to this instance may share a narrow link with pieces; zero on a good link.
+  Common::Duration InboundDelay(Common::TimePoint now) const;
   const Swarm* Find(const Common::Digest& version) const;
   const std::map<Common::Digest, std::unique_ptr<Swarm>>& Versions() const { return m_swarms; }
 
@@ -75,7 +89,7 @@
   std::string m_hall;
   std::uint64_t m_seed;
   ExchangeOptions m_options;
-  FetchId m_next_fetch_id = 1;
+  SwarmShared m_shared;
   std::vector<NeighbourCandidate> m_candidates;
   std::map<Common::Digest, std::unique_ptr<Swarm>> m_swarms;
   Uploads m_uploads;
--- a/Source/Core/Distribution/LinkBudget.h
+++ b/Source/Core/Distribution/LinkBudget.h
@@ -9,6 +9,17 @@
 // have carried it, so bytes over the budget wait instead of crowding out requests.
 namespace Holdpost::Distribution
 {
+// How the rate of a link comes about.
+enum class LinkPacing
+{
+  // The operator grants a part of a faster link: bytes come out when a link of that rate would have
+  // carried them.
+  Budget,
+  // The wire itself has the rate: a piece is handed over once those before it are through, and what
+  // has arrived has arrived.
+  Wire,
+};
+
 class LinkBudget
 {
 public:
--- /dev/null
+++ b/Source/Core/Distribution/LinkWatch.h
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+#include "Common/Types.h"
+
+// Tells whether this instance's own link is narrower than it should be, from how long transfers
+// take and how many share the link: a slow peer makes some of them long, a narrow link all of them.
+namespace Holdpost::Distribution
+{
+class LinkWatch
+{
+public:
+  // What a transfer takes on a link when nothing else is on it.
+  void SetPieceTime(Common::Duration piece_time) { m_piece_time = piece_time; }
+  // A transfer ended, or is known to take at least so long, while up to `at_once` went on.
+  void OnTransfer(Common::Duration took, std::size_t at_once, Common::TimePoint now)
+  {
+    const auto count = static_cast<Common::Duration::rep>(std::max<std::size_t>(at_once, 1));
+    m_samples[m_next] = {took / count, took > SLOW * (count + OTHER_END) * m_piece_time / 2};
+    m_next = (m_next + 1) % m_samples.size();
+    m_count = std::min(m_count + 1, m_samples.size());
+    m_last = now;
+  }
+  // Whether nearly all of the last few transfers took longer than a good link explains.
+  bool IsNarrow(Common::TimePoint now) const
+  {
+    return m_count >= ENOUGH && now - m_last < LIFETIME && FastOnes() <= m_count / FAST_SHARE;
+  }
+  // The link time of a piece, while the link is narrow; zero on one that is as it should be.
+  Common::Duration NarrowPieceTime(Common::TimePoint now) const
+  {
+    if (!IsNarrow(now))
+      return Common::Duration::zero();
+    Common::Duration least = Common::Duration::max();
+    for (std::size_t i = 0; i < m_count; ++i)
+    {
+      if (m_samples[i].is_slow)
+        least = std::min(least, m_samples[i].link_time);
+    }
+    return least;
+  }
+
+private:
+  struct Sample
+  {
+    Common::Duration link_time{};
+    bool is_slow = false;
+  };
+
+  std::size_t FastOnes() const
+  {
+    return static_cast<std::size_t>(
+        std::count_if(m_samples.begin(), m_samples.begin() + static_cast<std::ptrdiff_t>(m_count),
+                      [](const Sample& sample) { return !sample.is_slow; }));
+  }
+
+  static constexpr std::size_t ENOUGH = 3;
+  // One of so many may be fast, as when it was on the way before.
+  static constexpr std::size_t FAST_SHARE = 4;
+  // The other end shares its link between so many on average, at most.
+  static constexpr int OTHER_END = 3;
+  // In halves: what is over one and a half times what is explained is slow.
+  static constexpr int SLOW = 3;
+  static constexpr Common::Milliseconds LIFETIME = Common::Milliseconds(10000);
+
+  Common::Duration m_piece_time{};
+  std::array<Sample, 5> m_samples{};
+  std::size_t m_next = 0;
+  std::size_t m_count = 0;
+  Common::TimePoint m_last{};
+};
+} // namespace Holdpost::Distribution
--- a/Source/Core/Distribution/Ranking.cpp
+++ b/Source/Core/Distribution/Ranking.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Core/Distribution/Ranking.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Holdpost::Distribution
 {
 std::vector<std::uint32_t> RankPieces(const Common::Digest& version, std::uint32_t piece_count,
@@ -28,4 +31,45 @@
   }
   return ranks;
 }
+
+std::vector<std::string> FirstForPiece(const Common::Digest& version, std::uint32_t piece,
+                                       const std::vector<std::string>& names, std::size_t count)
+{
+  const std::uint64_t seed = Common::StableHash(version.ToHex());
+  std::vector<std::pair<std::uint64_t, std::string>> scored;
+  scored.reserve(names.size());
+  for (const std::string& name : names)
+    scored.emplace_back(Common::MixHash(Common::StableHash(name, seed), piece), name);
+  std::ranges::sort(scored, std::greater<>());
+  scored.resize(std::min(count, scored.size()));
+  std::vector<std::string> first;
+  first.reserve(scored.size());
+  for (auto& [score, name] : scored)
+    first.push_back(std::move(name));
+  return first;
+}
+
+Deal::Deal(const Common::Digest& version, const std::vector<std::string>& members)
+    : m_members(FirstForPiece(version, 0, members, members.size()))
+{
+}
+
+std::uint32_t Deal::RankOf(const std::string& member, std::uint32_t piece) const
+{
+  const auto place = std::ranges::find(m_members, member) - m_members.begin();
+  const auto count = static_cast<std::ptrdiff_t>(m_members.size());
+  if (place == count)
+    return static_cast<std::uint32_t>(count);
+  return static_cast<std::uint32_t>((place - piece % count + count) % count);
+}
+
+std::vector<std::string> Deal::First(std::uint32_t piece, std::size_t count) const
+{
+  std::vector<std::string> first;
+  const std::size_t most = std::min(count, m_members.size());
+  first.reserve(most);
+  for (std::size_t i = 0; i < most; ++i)
+    first.push_back(m_members[(piece + i) % m_members.size()]);
+  return first;
+}
 } // namespace Holdpost::Distribution
--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -24,11 +24,10 @@
 static constexpr Duration BUSY_PAUSE = Milliseconds(50);
 static constexpr Duration ABSENT_PAUSE = std::chrono::seconds(30);
 static constexpr Duration BACKOFF_LEAST = Milliseconds(100);
-static constexpr Duration BACKOFF_MOST = Milliseconds(5000);
 
 std::string_view TransferEventName(TransferEvent event)
 {
-  static constexpr std::array<std::string_view, 17> NAMES = {"piece_from_origin",
+  static constexpr std::array<std::string_view, 18> NAMES = {"piece_from_origin",
                                                              "piece_from_store",
                                                              "piece_from_peer",
                                                              "piece_sent",
@@ -44,27 +43,41 @@
                                                              "peer_shunned",
                                                              "takeover",
                                                              "hedge",
-                                                             "request_refused"};
-  static_assert(NAMES.size() == static_cast<std::size_t>(TransferEvent::RequestRefused) + 1);
+                                                             "request_refused",
+                                                             "manifest_doubted"};
+  static_assert(NAMES.size() == static_cast<std::size_t>(TransferEvent::ManifestDoubted) + 1);
   return NAMES[static_cast<std::size_t>(event)];
 }
 
-Swarm::Swarm(Common::Digest version, std::string self, SwarmOptions options, std::uint64_t seed,
-             FetchId* next_fetch_id)
-    : m_version(version), m_self(std::move(self)), m_options(options), m_random(seed),
-      m_next_fetch_id(next_fetch_id)
+Swarm::Swarm(Common::Digest version, Fetcher self, SwarmOptions options, std::uint64_t seed,
+             SwarmShared* shared)
+    : m_version(version), m_self(std::move(self)), m_options(std::move(options)), m_random(seed),
+      m_shared(shared)
 {
 }
 
 void Swarm::SetPeers(const std::vector<std::string>& neighbours,
-                     const std::vector<std::string>& fetchers, TimePoint now, Actions* actions)
+                     const std::vector<Fetcher>& fetchers, TimePoint now, Actions* actions)
 {
+  if (fetchers != m_fetchers)
+  {
+    m_fetchers = fetchers;
+    m_halls.clear();
+    m_hall_of.clear();
+    for (const Fetcher& fetcher : fetchers)
+    {
+      m_halls[fetcher.hall].push_back(fetcher.instance);
+      m_hall_of[fetcher.instance] = fetcher.hall;
+    }
+    ComputeRanks();
+  }
   // Links of an earlier view are dropped: who keeps more of them than the others takes more than
   // its share of the uploads.
   std::vector<std::string> dropped;
   for (const auto& [name, neighbour] : m_neighbours)
   {
-    if (std::ranges::find(neighbours, name) == neighbours.end())
+    const bool is_kept = neighbour.is_remote && m_hall_of.contains(name) && IsInOtherHall(name);
+    if (!is_kept && std::ranges::find(neighbours, name) == neighbours.end())
       dropped.push_back(name);
   }
   for (const std::string& name : dropped)
@@ -79,11 +92,6 @@
       found->second.is_told = true;
     }
   }
-  if (fetchers != m_fetchers)
-  {
-    m_fetchers = fetchers;
-    ComputeRanks();
-  }
   Pump(now, actions);
 }
 
@@ -94,17 +102,9 @@
   Pump(now, actions);
 }
 
-void Swarm::ComputeRanks()
-{
-  const auto manifest_rank = RankPieces(m_version, 1, m_self, m_fetchers);
-  m_manifest_rank = manifest_rank.front();
-  if (m_manifest)
-    m_ranks = RankPieces(m_version, m_manifest->PieceCount(), m_self, m_fetchers);
-}
-
 Announcement Swarm::WholeAnnouncement(bool wants_reply) const
 {
-  return {m_version, m_held.Size(), true, wants_reply, m_held.ToBitmap(), {}};
+  return {m_version, m_held.Size(), true, wants_reply, m_held.ToBitmap(), {}, {}};
 }
 
 void Swarm::TellWhole(const std::string& peer, bool wants_reply, Actions* actions)
@@ -119,8 +119,10 @@
     // One that holds the piece has no use for the news.
     if (!neighbour.is_told || neighbour.held.Contains(piece))
       continue;
+    if (neighbour.is_remote)
+      continue;
     actions->push_back(
-        SendAnnouncement{name, {m_version, m_held.Size(), false, false, "", {piece}}});
+        SendAnnouncement{name, {m_version, m_held.Size(), false, false, "", {piece}, {}}});
   }
 }
 
@@ -128,15 +130,27 @@
 {
   if (!neighbour.held.Insert(piece))
     return;
-  if (m_availability[piece]++ == 0 && !m_held.Contains(piece))
+  if (neighbour.is_remote)
+  {
+    if (m_held.Contains(piece))
+      return;
     m_last_new_sight = now;
+    m_last_outside_sight = now;
+    if (m_seen_outside_at[piece] == TimePoint())
+      m_seen_outside_at[piece] = now;
+  }
+  else if (m_availability[piece]++ == 0 && !m_held.Contains(piece))
+  {
+    m_last_new_sight = now;
+    OnDrawn(piece, now);
+  }
 }
 
 void Swarm::ForgetHoldings(Neighbour& neighbour)
 {
   for (std::uint32_t piece = 0; piece < neighbour.held.Size(); ++piece)
   {
-    if (neighbour.held.Contains(piece))
+    if (neighbour.held.Contains(piece) && !neighbour.is_remote)
       --m_availability[piece];
   }
   neighbour.held = PieceSet(m_held.Size());
@@ -148,7 +162,13 @@
   auto [found, is_new] = m_neighbours.try_emplace(peer);
   Neighbour& neighbour = found->second;
   if (is_new)
+  {
     neighbour.held = PieceSet(m_held.Size());
+    neighbour.is_remote = m_options.shares_crossings && IsInOtherHall(peer);
+  }
+  if (const auto hall = m_hall_of.find(peer);
+      hall != m_hall_of.end() && hall->second == m_options.origin_hall)
+    m_origin_hall_heard = now;
   if (announcement.wants_reply)
   {
     TellWhole(peer, false, actions);
@@ -180,6 +200,11 @@
       if (piece < m_held.Size())
         NoteHolding(neighbour, piece, now);
     }
+    for (const std::uint32_t piece : announcement.claimed)
+    {
+      if (piece < m_claimed_at.size())
+        m_claimed_at[piece] = now;
+    }
   }
   Pump(now, actions);
 }
@@ -205,6 +230,8 @@
   if (!m_last_new_sight)
     m_last_new_sight = now;
   GiveUpStalled(now, actions);
+  if (m_options.shares_crossings && !IsHeld() && now >= m_greet_due)
+    Greet(now, actions);
   Pump(now, actions);
 }
 
@@ -259,6 +286,7 @@
 void Swarm::GiveUpStalled(TimePoint now, Actions* actions)
 {
   std::set<std::string> stalled;
+  const Duration stall_time = StallTime(now);
   for (auto fetch = m_fetches.begin(); fetch != m_fetches.end();)
   {
     const auto next = std::next(fetch);
@@ -268,9 +296,9 @@
                                : neighbour == m_neighbours.end() ? TimePoint{}
                                                                  : neighbour->second.last_progress;
     // A source that works through its queue for us is slow, not stalled.
-    if (!fetch->second.is_arriving &&
-        now - std::max(progress, fetch->second.started) >= m_options.stall)
+    if (!fetch->second.is_arriving && now - std::max(progress, fetch->second.started) >= stall_time)
     {
+      m_shared->downloads.OnTransfer(now - fetch->second.started, fetch->second.at_once, now);
       actions->push_back(CancelFetch{fetch->first});
       actions->push_back(
           CountTransfer{peer.empty() ? TransferEvent::OriginStalled : TransferEvent::PeerStalled});
@@ -318,7 +346,12 @@
   if (found == m_fetches.end())
     return;
   const Fetch fetch = found->second;
+  const std::size_t at_once = std::max(fetch.at_once, m_fetches.size());
   EndFetch(found);
+  if (Common::Succeeded(result))
+    m_last_arrival = now;
+  if (fetch.piece != MANIFEST_PIECE && Common::Succeeded(result))
+    m_shared->downloads.OnTransfer(now - fetch.started, at_once, now);
   if (const auto* error = std::get_if<Error>(&result))
     OnFetchFailed(fetch, *error, now, actions);
   else if (fetch.piece == MANIFEST_PIECE)
@@ -333,11 +366,14 @@
   if (m_manifest)
     return;
   const Result<Manifest> decoded = DecodeManifest(*data);
-  if (Common::Sha256(*data) != m_version || !Common::Succeeded(decoded))
+  const bool is_named = !m_options.is_named_by_content || Common::Sha256(*data) == m_version;
+  if (!is_named || !Common::Succeeded(decoded))
   {
     OnCorrupt(fetch, now, actions);
     return;
   }
+  if (!IsConfirmed(fetch, data))
+    return;
   m_manifest = std::get<Manifest>(decoded);
   m_manifest_text = data;
   const std::uint32_t count = m_manifest->PieceCount();
@@ -345,13 +381,24 @@
   m_pieces.assign(count, nullptr);
   m_availability.assign(count, 0);
   m_in_flight.assign(count, 0);
+  m_claimed_at.assign(count, TimePoint::min());
+  m_seen_outside_at.assign(count, TimePoint());
   m_draw_order.resize(count);
   std::iota(m_draw_order.begin(), m_draw_order.end(), 0U);
   std::ranges::shuffle(m_draw_order, m_random);
   m_last_new_sight = now;
   m_view_confirmed_at = now;
+  m_drawn_end = 0;
+  m_origin_late = Duration::zero();
   ComputeRanks();
   CancelOthers(MANIFEST_PIECE, actions);
+  for (std::uint32_t piece = 0; piece < m_doubted_pieces.size(); ++piece)
+  {
+    if (m_doubted_pieces[piece] && IsRight(piece, *m_doubted_pieces[piece]))
+      Hold(piece, m_doubted_pieces[piece], now, actions);
+  }
+  m_doubted_pieces.clear();
+  m_is_manifest_doubted = false;
   // Now that pieces have numbers, tell the neighbours and ask what they hold.
   for (auto& [name, neighbour] : m_neighbours)
   {
@@ -362,6 +409,15 @@
   }
 }
 
+bool Swarm::IsConfirmed(const Fetch& fetch, const Bytes& data)
+{
+  // Peers pass on what was confirmed; what the origin sends may be corrupt and still be readable.
+  if (m_options.is_named_by_content || !fetch.peer.empty())
+    return true;
+  const Bytes before = std::exchange(m_manifest_copy, data);
+  return before && *before == *data;
+}
+
 void Swarm::AcceptPiece(const Fetch& fetch, const Bytes& data, TimePoint now, Actions* actions)
 {
   if (m_held.Contains(fetch.piece))
@@ -369,8 +425,7 @@
     actions->push_back(CountTransfer{TransferEvent::PieceTwice, data->size()});
     return;
   }
-  if (data->size() != m_manifest->BytesOf(fetch.piece) ||
-      Common::Sha256(*data) != m_manifest->pieces[fetch.piece])
+  if (!IsRight(fetch.piece, *data))
   {
     OnCorrupt(fetch, now, actions);
     return;
@@ -378,6 +433,7 @@
   if (fetch.peer.empty())
   {
     m_last_new_sight = now;
+    OnDrawn(fetch.piece, now);
     actions->push_back(CountTransfer{fetch.source == PlatformSource::Store
                                          ? TransferEvent::PieceFromStore
                                          : TransferEvent::PieceFromOrigin,
@@ -388,10 +444,19 @@
     actions->push_back(CountTransfer{TransferEvent::PieceFromPeer, data->size()});
   }
   OnSourceProgress(fetch, now);
-  m_pieces[fetch.piece] = data;
-  m_held.Insert(fetch.piece);
-  CancelOthers(fetch.piece, actions);
-  TellNewPiece(fetch.piece, actions);
+  const bool is_from_outside = fetch.peer.empty() || IsInOtherHall(fetch.peer);
+  Hold(fetch.piece, data, now, actions);
+  if (m_options.shares_crossings && is_from_outside)
+    TellNextHall(fetch.piece, fetch.peer.empty(), actions);
+}
+
+void Swarm::Hold(std::uint32_t piece, const Bytes& data, TimePoint now, Actions* actions)
+{
+  m_pieces[piece] = data;
+  m_held.Insert(piece);
+  CancelOthers(piece, actions);
+  TellNewPiece(piece, actions);
+  actions->push_back(PieceHeld{m_version, piece, data});
   if (m_held.IsFull())
   {
     m_held_at = now;
@@ -399,6 +464,50 @@
   }
 }
 
+std::uint32_t Swarm::PiecesUnseen() const
+{
+  std::uint32_t unseen = 0;
+  for (std::uint32_t piece = 0; piece < m_availability.size(); ++piece)
+    unseen += m_availability[piece] == 0 && !m_held.Contains(piece);
+  return unseen;
+}
+
+bool Swarm::IsRight(std::uint32_t piece, const std::string& data) const
+{
+  return m_manifest && piece < m_manifest->PieceCount() &&
+         data.size() == m_manifest->BytesOf(piece) &&
+         Common::Sha256(data) == m_manifest->pieces[piece];
+}
+
+void Swarm::OfferPiece(std::uint32_t piece, const Bytes& data, TimePoint now, Actions* actions)
+{
+  if (m_held.Contains(piece) || !IsRight(piece, *data))
+    return;
+  Hold(piece, data, now, actions);
+  Pump(now, actions);
+}
+
+void Swarm::DoubtManifest(std::uint32_t piece, TimePoint now, Actions* actions)
+{
+  // So many corrupt copies of one piece: the manifest may be what is corrupt.
+  static constexpr std::uint32_t COPIES = 4;
+  if (m_options.is_named_by_content || ++m_corrupt_from_origin[piece] < COPIES)
+    return;
+  actions->push_back(CountTransfer{TransferEvent::ManifestDoubted});
+  const std::vector<Bytes> pieces = std::exchange(m_pieces, {});
+  CancelWhere([](const Fetch&) { return true; }, actions);
+  m_manifest.reset();
+  m_manifest_text.reset();
+  m_manifest_copy.reset();
+  m_held = PieceSet();
+  m_corrupt_from_origin.clear();
+  m_is_manifest_doubted = true;
+  m_doubted_pieces = pieces;
+  for (auto& [name, neighbour] : m_neighbours)
+    neighbour.has_manifest = false;
+  m_last_new_sight = now;
+}
+
 void Swarm::OnCorrupt(const Fetch& fetch, TimePoint now, Actions* actions)
 {
   const auto neighbour = m_neighbours.find(fetch.peer);
@@ -406,6 +515,8 @@
   {
     actions->push_back(CountTransfer{TransferEvent::PieceCorruptFromOrigin});
     StateOf(fetch.source).blocked_until = now + BACKOFF_LEAST;
+    if (fetch.piece != MANIFEST_PIECE)
+      DoubtManifest(fetch.piece, now, actions);
     return;
   }
   actions->push_back(CountTransfer{TransferEvent::PieceCorruptFromPeer});
@@ -432,7 +543,7 @@
   const bool is_busy = error.kind == ErrorKind::SourceBusy;
   actions->push_back(
       CountTransfer{is_busy ? TransferEvent::OriginBusy : TransferEvent::OriginFailed});
-  state.backoff = std::clamp(state.backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
+  state.backoff = std::clamp(state.backoff * 2, BACKOFF_LEAST, m_options.backoff_most);
   state.blocked_until = now + (error.retry_after ? Duration(*error.retry_after) : state.backoff);
 }
 
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -13,8 +13,10 @@
 
 #include "Common/Types.h"
 #include "Core/Distribution/Actions.h"
+#include "Core/Distribution/LinkWatch.h"
 #include "Core/Distribution/Manifest.h"
 #include "Core/Distribution/PieceSet.h"
+#include "Core/Distribution/Ranking.h"
 
 // One instance's part in the exchange of one version of weights.
 namespace Holdpost::Distribution
@@ -29,24 +31,61 @@
   Common::Duration patience = Common::Milliseconds(1500);
   // A source that owes pieces and delivers nothing for so long is given up.
   Common::Duration stall = Common::Milliseconds(3000);
+  // A source of the platform that fails is left alone for so long at most.
+  Common::Duration backoff_most = Common::Milliseconds(5000);
   std::uint32_t window_per_peer = 1;
   std::uint32_t window_of_platform = 4;
   std::uint32_t window_in_all = 16;
   // Asks a second peer for the last pieces.
   bool may_hedge = true;
+  // Takes one piece at a time on an own link that is narrower than it should be, so that it is left
+  // to other traffic too.
+  bool adapts_window = false;
+  // What a piece takes on the link when nothing else is on it.
+  Common::Duration piece_time = Common::Milliseconds(30);
+  // A version is the SHA-256 of its manifest; else the manifest of the origin is believed until its
+  // pieces prove it wrong.
+  bool is_named_by_content = true;
+  bool has_weight_store = true;
+  // Bytes between halls are dear: the instances of a hall share out what is brought in from
+  // outside, and say what each is bringing. The origin is outside for all halls but its own.
+  bool shares_crossings = false;
+  std::string origin_hall;
+  // What a neighbour said it is bringing in is left to it for so long.
+  Common::Duration claim_lifetime = Common::Milliseconds(450);
+  // Pieces that one instance brings in at once.
+  std::uint32_t window_of_outside = 1;
+};
+
+// An instance that wants the version.
+struct Fetcher
+{
+  std::string instance;
+  std::string hall;
+
+  bool operator==(const Fetcher&) const = default;
+};
+
+// What the swarms of one instance have in common.
+struct SwarmShared
+{
+  FetchId next_fetch_id = 1;
+  // Watches the own link by the pieces that come in.
+  LinkWatch downloads;
 };
 
 class Swarm
 {
 public:
-  Swarm(Common::Digest version, std::string self, SwarmOptions options, std::uint64_t seed,
-        FetchId* next_fetch_id);
+  // `shared` has to outlive the swarm.
+  Swarm(Common::Digest version, Fetcher self, SwarmOptions options, std::uint64_t seed,
+        SwarmShared* shared);
 
   void SetOptions(const SwarmOptions& options) { m_options = options; }
   // `neighbours` exchange pieces with us; `fetchers` are all that want the version and may be
   // expected to draw their share from the origin.
-  void SetPeers(const std::vector<std::string>& neighbours,
-                const std::vector<std::string>& fetchers, Common::TimePoint now, Actions* actions);
+  void SetPeers(const std::vector<std::string>& neighbours, const std::vector<Fetcher>& fetchers,
+                Common::TimePoint now, Actions* actions);
   // The view of who else wants the version is fresh. Before that nothing is drawn from the origin
   // until the patience is over: an instance that knows nobody would draw it all.
   void OnViewConfirmed(Common::TimePoint now, Actions* actions);
@@ -59,17 +98,29 @@
   // An answer to a FetchPiece. Late answers to cancelled fetches are dropped.
   void OnFetched(FetchId id, const Common::Result<Common::Bytes>& result, Common::TimePoint now,
                  Actions* actions);
+  // A piece that was held from an earlier life; dropped if it is not of this version.
+  void OfferPiece(std::uint32_t piece, const Common::Bytes& data, Common::TimePoint now,
+                  Actions* actions);
   void OnTick(Common::TimePoint now, Actions* actions);
   // Gives up all fetches, as the version is not wanted any more.
   void Stop(Actions* actions);
 
+  // When OnTick has something to do that nothing else wakes it for.
+  Common::TimePoint NextTurn() const { return m_next_turn; }
   bool OwnsFetch(FetchId id) const { return m_fetches.contains(id); }
   const Common::Digest& Version() const { return m_version; }
   bool IsHeld() const { return m_manifest && m_held.IsFull(); }
   const std::optional<Manifest>& ManifestHeld() const { return m_manifest; }
   // Null if it is not held. Takes MANIFEST_PIECE too.
   Common::Bytes Piece(std::uint32_t piece) const;
+  // Whether the bytes are the piece of this version; false while the manifest is not known.
+  bool IsRight(std::uint32_t piece, const std::string& data) const;
   std::uint32_t PiecesHeld() const { return m_held.Count(); }
+  // For progress lines: open fetches, and pieces that neither this instance nor a neighbour holds.
+  std::uint32_t OpenAtOrigin() const { return m_platform_outstanding; }
+  std::size_t OpenAtPeers() const { return m_fetches.size() - m_platform_outstanding; }
+  std::size_t NeighbourCount() const { return m_neighbours.size(); }
+  std::uint32_t PiecesUnseen() const;
   // When the last piece was verified; the start of time before that.
   Common::TimePoint HeldAt() const { return m_held_at; }
 
@@ -78,6 +129,8 @@
   {
     PieceSet held;
     bool has_manifest = false;
+    // In another hall, where crossings are shared.
+    bool is_remote = false;
     std::uint32_t outstanding = 0;
     std::uint32_t corrupt_pieces = 0;
     std::uint32_t stalls = 0; // since the last piece that came
@@ -96,6 +149,8 @@
     PlatformSource source = PlatformSource::Origin;
     Common::TimePoint started{};
     bool is_arriving = false;
+    // Fetches that went on when it was started.
+    std::size_t at_once = 1;
   };
 
   struct SourceState
@@ -123,6 +178,9 @@
   // The least loaded neighbour that holds the piece; empty if none may be asked now.
   std::string BestSource(std::uint32_t piece, Common::TimePoint now, const std::string& except);
   bool MayAsk(const Neighbour& neighbour, Common::TimePoint now) const;
+  // Whether the piece may be asked of the neighbour, as one of the hall, at this moment.
+  bool MayAskFor(const Neighbour& neighbour, std::uint32_t piece, Common::TimePoint now) const;
+  bool IsInOtherHall(const std::string& peer) const;
   // Whether some neighbour that may be asked holds the piece.
   bool IsWithinReach(std::uint32_t piece) const;
   void OnSourceProgress(const Fetch& fetch, Common::TimePoint now);
@@ -136,6 +194,8 @@
                       Actions* actions);
   void AcceptPiece(const Fetch& fetch, const Common::Bytes& data, Common::TimePoint now,
                    Actions* actions);
+  // Whether a manifest that was not proved by its name may be believed.
+  bool IsConfirmed(const Fetch& fetch, const Common::Bytes& data);
   void OnCorrupt(const Fetch& fetch, Common::TimePoint now, Actions* actions);
   void OnPlatformFailed(const Fetch& fetch, const Common::Error& error, Common::TimePoint now,
                         Actions* actions);
@@ -146,14 +206,40 @@
   void Unlink(const std::string& peer, Actions* actions);
   void TellWhole(const std::string& peer, bool wants_reply, Actions* actions);
   void TellNewPiece(std::uint32_t piece, Actions* actions);
+  void TellNextHall(std::uint32_t piece, bool is_from_origin, Actions* actions);
+  void Greet(Common::TimePoint now, Actions* actions);
+  bool IsInOriginHall() const;
+  // Whether the instances in the origin's hall bring in nothing, so that others have to.
+  bool IsOriginHallIdle(Common::TimePoint now);
+  void PumpOutside(Common::TimePoint now, Actions* actions);
+  // Where the piece may be had outside the hall: a peer, or an empty name for the origin.
+  std::optional<std::string> OutsideSource(std::uint32_t piece, Common::TimePoint now);
+  // When this instance may bring the piece in.
+  Common::TimePoint TurnAt(std::uint32_t piece) const;
+  // When the piece should come from the origin, and that it has come to some member of the hall.
+  Common::TimePoint PlannedDraw(std::uint32_t piece) const;
+  void OnDrawn(std::uint32_t piece, Common::TimePoint now);
+  bool IsClaimed(std::uint32_t piece, Common::TimePoint now) const;
+  void Claim(std::uint32_t piece, Actions* actions);
+  std::uint32_t OpenOutside() const;
+  void PumpSlow(Common::TimePoint now, Actions* actions);
+  std::uint32_t WindowInAll(Common::TimePoint now) const;
+  bool IsLinkNarrow(Common::TimePoint now) const;
+  // Whether no source has sent anything for so long that the own link is to blame.
+  bool IsOwnLinkSilent(Common::TimePoint now) const;
+  // How long a source may owe a piece.
+  Common::Duration StallTime(Common::TimePoint now) const;
+  void Hold(std::uint32_t piece, const Common::Bytes& data, Common::TimePoint now,
+            Actions* actions);
+  void DoubtManifest(std::uint32_t piece, Common::TimePoint now, Actions* actions);
   Announcement WholeAnnouncement(bool wants_reply) const;
   void ComputeRanks();
 
   Common::Digest m_version;
-  std::string m_self;
+  Fetcher m_self;
   SwarmOptions m_options;
   std::mt19937_64 m_random;
-  FetchId* m_next_fetch_id;
+  SwarmShared* m_shared;
 
   std::optional<Manifest> m_manifest;
   Common::Bytes m_manifest_text;
@@ -162,9 +248,34 @@
   Common::TimePoint m_held_at{};
 
   std::map<std::string, Neighbour> m_neighbours;
-  std::vector<std::string> m_fetchers;
+  std::vector<Fetcher> m_fetchers;
+  // Instances that want the version, by hall.
+  std::map<std::string, std::vector<std::string>> m_halls;
+  std::map<std::string, std::string> m_hall_of;
+  // For each piece, how many draw it from the origin before this one.
   std::vector<std::uint32_t> m_ranks;
+  // Who brings in what, by hall.
+  std::map<std::string, Deal> m_deals;
+  // For each piece, how many of the hall bring it in before this one, and the order that follows.
+  std::vector<std::uint32_t> m_hall_ranks;
+  std::vector<std::uint32_t> m_outside_order;
+  // When another hall was first seen to have the piece.
+  std::vector<Common::TimePoint> m_seen_outside_at;
+  // When a neighbour last said that it is bringing the piece in.
+  std::vector<Common::TimePoint> m_claimed_at;
+  // The last piece in order that came from the origin, and how late the origin is.
+  std::uint32_t m_drawn_end = 0;
+  Common::Duration m_origin_late{};
+  // When a piece that waits for its turn may be brought in.
+  Common::TimePoint m_next_turn = Common::TimePoint::max();
+  Common::TimePoint m_greet_due{};
+  Common::TimePoint m_origin_hall_heard{};
+  // When another hall was last seen to have a piece that is new here.
+  Common::TimePoint m_last_outside_sight{};
+  bool m_has_taken_over = false;
+  Common::TimePoint m_last_arrival{};
   std::uint32_t m_manifest_rank = 0;
+  std::uint32_t m_manifest_rank_in_hall = 0;
   std::vector<std::uint32_t> m_availability; // neighbours that hold each piece
   std::vector<std::uint32_t> m_in_flight;    // fetches of each piece
   std::vector<std::uint32_t> m_draw_order;   // seeded, so that fetchers don't draw in step
@@ -176,5 +287,12 @@
   std::uint32_t m_manifest_in_flight = 0;
   std::array<SourceState, PLATFORM_SOURCES> m_sources;
   std::optional<Common::TimePoint> m_last_new_sight;
+  // The last copy of the manifest from the origin, until a second one is the same.
+  Common::Bytes m_manifest_copy;
+  // Corrupt copies from the origin of each piece, since the manifest came.
+  std::map<std::uint32_t, std::uint32_t> m_corrupt_from_origin;
+  bool m_is_manifest_doubted = false;
+  // Held under the manifest that is doubted; looked at anew under the next one.
+  std::vector<Common::Bytes> m_doubted_pieces;
 };
 } // namespace Holdpost::Distribution
--- /dev/null
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -0,0 +1,296 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Distribution/Swarm.h"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+#include "Core/Distribution/Ranking.h"
+
+// How the instances of a hall share out what is brought in from outside: from the origin, or from
+// another hall.
+namespace Holdpost::Distribution
+{
+using Common::Duration;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// News that was lost on the way is made up for after so long.
+static constexpr Milliseconds GREET_PERIOD = Milliseconds(700);
+static constexpr std::size_t GREETED_PER_HALL = 2;
+// Times the patience that other halls wait for the origin's hall, while it answers and when it does
+// not.
+static constexpr int WAIT_FOR_HEARD = 6;
+static constexpr int WAIT_FOR_SILENT = 2;
+// Turns that the origin's hall has for the manifest before others draw it.
+static constexpr std::uint32_t MANIFEST_TURNS_ELSEWHERE = 2;
+static constexpr Milliseconds SILENT_AFTER = Milliseconds(1500);
+// Members of the next hall that hear of a piece: the one that brings it in, and those that come
+// after it.
+static constexpr std::size_t TOLD_OF_A_PIECE = 3;
+// The next member may bring a piece in after so many times of what a piece takes, and this at
+// least.
+static constexpr int TURN_PIECES = 16;
+static constexpr Duration TURN_LEAST = Milliseconds(150);
+
+void Swarm::ComputeRanks()
+{
+  std::vector<std::string> everyone;
+  for (const Fetcher& fetcher : m_fetchers)
+    everyone.push_back(fetcher.instance);
+  const std::uint32_t count = m_manifest ? m_manifest->PieceCount() : 1;
+  m_ranks = RankPieces(m_version, count, m_self.instance, everyone);
+  m_manifest_rank = m_ranks.front();
+  if (!m_options.shares_crossings)
+    return;
+  m_deals.clear();
+  for (const auto& [hall, others] : m_halls)
+  {
+    std::vector<std::string> members = others;
+    if (hall == m_self.hall && std::ranges::find(members, m_self.instance) == members.end())
+      members.push_back(m_self.instance);
+    m_deals[hall] = Deal(m_version, members);
+  }
+  m_hall_ranks.clear();
+  for (std::uint32_t piece = 0; piece < count; ++piece)
+    m_hall_ranks.push_back(m_deals[m_self.hall].RankOf(m_self.instance, piece));
+  // Those in the origin's hall draw the manifest first.
+  m_manifest_rank_in_hall = m_hall_ranks.front();
+  m_manifest_rank = m_hall_ranks.front();
+  if (!IsInOriginHall())
+    m_manifest_rank += MANIFEST_TURNS_ELSEWHERE;
+  m_outside_order.resize(count);
+  std::iota(m_outside_order.begin(), m_outside_order.end(), 0U);
+  std::ranges::stable_sort(m_outside_order, {},
+                           [&](std::uint32_t piece) { return m_hall_ranks[piece]; });
+}
+
+bool Swarm::IsInOtherHall(const std::string& peer) const
+{
+  const auto found = m_hall_of.find(peer);
+  return found != m_hall_of.end() && found->second != m_self.hall;
+}
+
+bool Swarm::IsInOriginHall() const
+{
+  return m_options.origin_hall.empty() || m_options.origin_hall == m_self.hall;
+}
+
+void Swarm::Greet(TimePoint now, Actions* actions)
+{
+  m_greet_due = now + GREET_PERIOD;
+  for (auto& [hall, names] : m_halls)
+  {
+    if (hall == m_self.hall)
+      continue;
+    // Others each time, as some may be out of reach.
+    const auto draw = static_cast<std::uint32_t>(m_random());
+    for (const std::string& name : FirstForPiece(m_version, draw, names, GREETED_PER_HALL))
+      TellWhole(name, true, actions);
+  }
+  if (m_neighbours.empty())
+    return;
+  const auto some = std::next(m_neighbours.begin(),
+                              static_cast<std::ptrdiff_t>(m_random() % m_neighbours.size()));
+  if (!some->second.is_remote)
+    TellWhole(some->first, true, actions);
+}
+
+void Swarm::TellNextHall(std::uint32_t piece, bool is_from_origin, Actions* actions)
+{
+  // From hall to hall in a ring, so that no hall sends more than one copy out.
+  auto next = m_halls.upper_bound(m_self.hall);
+  if (next == m_halls.end())
+    next = m_halls.begin();
+  const bool is_round = next->first == m_options.origin_hall && !is_from_origin;
+  if (next->first == m_self.hall || is_round)
+    return;
+  for (const std::string& name : m_deals[next->first].First(piece, TOLD_OF_A_PIECE))
+  {
+    actions->push_back(
+        SendAnnouncement{name, {m_version, m_held.Size(), false, false, "", {piece}, {}}});
+  }
+}
+
+bool Swarm::IsClaimed(std::uint32_t piece, TimePoint now) const
+{
+  const TimePoint claimed = m_claimed_at[piece];
+  return claimed != TimePoint::min() && now - claimed < m_options.claim_lifetime;
+}
+
+void Swarm::Claim(std::uint32_t piece, Actions* actions)
+{
+  for (const auto& [name, neighbour] : m_neighbours)
+  {
+    if (neighbour.is_told && !neighbour.is_remote)
+    {
+      actions->push_back(
+          SendAnnouncement{name, {m_version, m_held.Size(), false, false, "", {}, {piece}}});
+    }
+  }
+}
+
+std::uint32_t Swarm::OpenOutside() const
+{
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      m_fetches,
+      [&](const auto& entry)
+      {
+        const Fetch& fetch = entry.second;
+        return fetch.piece != MANIFEST_PIECE && (fetch.peer.empty() || IsInOtherHall(fetch.peer));
+      }));
+}
+
+bool Swarm::IsOriginHallIdle(TimePoint now)
+{
+  // Its members bring pieces to it; as long as they answer they are given more time.
+  const bool is_heard = now - m_origin_hall_heard < SILENT_AFTER;
+  // What the own hall brings in meanwhile does not count.
+  const Duration waited = now - std::max(m_last_outside_sight, m_view_confirmed_at);
+  const bool is_idle = waited >= (is_heard ? WAIT_FOR_HEARD : WAIT_FOR_SILENT) * m_options.patience;
+  // Who has taken over goes on until the origin's hall is heard of.
+  m_has_taken_over = is_idle || (m_has_taken_over && !is_heard);
+  return m_has_taken_over;
+}
+
+TimePoint Swarm::TurnAt(std::uint32_t piece) const
+{
+  const Duration turn = std::max<Duration>(TURN_PIECES * m_options.piece_time, TURN_LEAST);
+  const Duration wait = m_hall_ranks[piece] * turn;
+  if (!IsInOriginHall())
+    return m_seen_outside_at[piece] + wait;
+  // The origin sends one piece after the other, so that the first ones are passed on early. If it
+  // is slower than planned, that is not the fault of those whose turn it was.
+  const Duration late = m_hall_ranks[piece] > 0 ? m_origin_late : Duration::zero();
+  return PlannedDraw(piece) + late + wait;
+}
+
+TimePoint Swarm::PlannedDraw(std::uint32_t piece) const
+{
+  return m_view_confirmed_at + piece * m_options.piece_time;
+}
+
+void Swarm::OnDrawn(std::uint32_t piece, TimePoint now)
+{
+  if (piece < m_drawn_end)
+    return;
+  // The origin answers others again.
+  SourceState& origin = StateOf(PlatformSource::Origin);
+  origin.backoff = Duration::zero();
+  origin.blocked_until = std::min(origin.blocked_until, now);
+  m_drawn_end = piece + 1;
+  m_origin_late = std::max(m_origin_late, now - PlannedDraw(piece));
+}
+
+std::optional<std::string> Swarm::OutsideSource(std::uint32_t piece, TimePoint now)
+{
+  const bool may_draw = MayDraw(now) && (IsInOriginHall() || IsOriginHallIdle(now));
+  if (const TimePoint turn = TurnAt(piece); now < turn)
+  {
+    m_next_turn = std::min(m_next_turn, turn);
+    return std::nullopt;
+  }
+  if (IsInOriginHall() && may_draw)
+    return "";
+  std::string best;
+  std::uint32_t least = 0;
+  for (const auto& [name, neighbour] : m_neighbours)
+  {
+    if (!neighbour.is_remote || !neighbour.held.Contains(piece) || !MayAsk(neighbour, now))
+      continue;
+    if (best.empty() || neighbour.outstanding < least)
+    {
+      best = name;
+      least = neighbour.outstanding;
+    }
+  }
+  if (!best.empty())
+    return best;
+  if (may_draw)
+    return "";
+  return std::nullopt;
+}
+
+void Swarm::PumpOutside(TimePoint now, Actions* actions)
+{
+  m_next_turn = TimePoint::max();
+  std::uint32_t open = OpenOutside();
+  const std::uint32_t window = IsLinkNarrow(now) ? 1 : m_options.window_of_outside;
+  for (const std::uint32_t piece : m_outside_order)
+  {
+    if (open >= window)
+      return;
+    if (m_held.Contains(piece) || m_in_flight[piece] > 0 || IsWithinReach(piece) ||
+        IsClaimed(piece, now))
+      continue;
+    const auto source = OutsideSource(piece, now);
+    if (!source)
+      continue;
+    // Who comes after is told, the others wait for their turn.
+    if (m_hall_ranks[piece] > 0)
+      Claim(piece, actions);
+    StartFetch(piece, *source, now, actions);
+    ++open;
+  }
+}
+
+std::uint32_t Swarm::WindowInAll(TimePoint now) const
+{
+  if (!m_options.adapts_window)
+    return m_options.window_in_all;
+  const std::uint32_t window = IsLinkNarrow(now) ? 1 : m_options.window_in_all;
+  // What is brought in from outside fills the link too.
+  const std::uint32_t outside = m_platform_outstanding;
+  return window > outside ? window - outside : 1;
+}
+
+bool Swarm::IsLinkNarrow(TimePoint now) const
+{
+  return m_options.adapts_window && m_shared->downloads.IsNarrow(now);
+}
+
+bool Swarm::IsOwnLinkSilent(TimePoint now) const
+{
+  std::set<std::string> owing;
+  TimePoint first = now;
+  for (const auto& [id, fetch] : m_fetches)
+  {
+    owing.insert(fetch.peer);
+    first = std::min(first, fetch.started);
+  }
+  return owing.size() > 1 && now - std::max(first, m_last_arrival) >= m_options.stall;
+}
+
+Duration Swarm::StallTime(TimePoint now) const
+{
+  // Pieces that share a narrow link take long, through no fault of those who send them.
+  static constexpr int TIMES = 3;
+  const bool is_slow = m_options.adapts_window && (IsLinkNarrow(now) || IsOwnLinkSilent(now));
+  return is_slow ? TIMES * m_options.stall : m_options.stall;
+}
+
+void Swarm::PumpSlow(TimePoint now, Actions* actions)
+{
+  // A second copy would only make a narrow link slower.
+  if (IsLinkNarrow(now))
+    return;
+  // Nothing new is left to ask for: what is slow in coming is asked of a second neighbour.
+  std::vector<Fetch> slow;
+  for (const auto& [id, fetch] : m_fetches)
+  {
+    if (fetch.piece != MANIFEST_PIECE && m_in_flight[fetch.piece] == 1 &&
+        now - fetch.started >= m_options.claim_lifetime)
+      slow.push_back(fetch);
+  }
+  for (const Fetch& fetch : slow)
+  {
+    if (m_fetches.size() > WindowInAll(now))
+      return;
+    const std::string source = BestSource(fetch.piece, now, fetch.peer);
+    if (source.empty())
+      continue;
+    actions->push_back(CountTransfer{TransferEvent::Hedge});
+    StartFetch(fetch.piece, source, now, actions);
+  }
+}
+} // namespace Holdpost::Distribution
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -12,6 +12,9 @@
 
 // Nothing is drawn from the origin before the neighbours said what they hold, or for so long.
 static constexpr Duration ANSWER_TIME = Milliseconds(300);
+static constexpr Duration MANIFEST_WORD_TIME = Milliseconds(20);
+// Members of a hall ask another hall for the manifest one after the other.
+static constexpr Duration MANIFEST_TURN = Milliseconds(60);
 // Only the last pieces are asked of two peers, so that hedging costs little.
 static constexpr std::uint32_t HEDGED_PIECES = 4;
 
@@ -26,6 +29,12 @@
   }
   if (m_held.IsFull())
     return;
+  if (m_options.shares_crossings)
+  {
+    PumpOutside(now, actions);
+    PumpPeers(now, actions);
+    return PumpSlow(now, actions);
+  }
   PumpOrigin(now, actions);
   PumpPeers(now, actions);
   if (m_options.may_hedge)
@@ -34,18 +43,32 @@
 
 void Swarm::PumpManifest(TimePoint now, Actions* actions)
 {
-  if (m_manifest_in_flight > 0)
-    return;
+  m_next_turn = TimePoint::max();
   for (auto& [name, neighbour] : m_neighbours)
   {
-    if (neighbour.has_manifest && MayAsk(neighbour, now))
+    if (m_is_manifest_doubted || m_manifest_in_flight > 0)
+      break; // they may have it from the same source
+    // One of the hall brings the manifest in, others when that takes too long.
+    const bool may_ask =
+        !neighbour.is_remote || now - *m_last_new_sight >= m_manifest_rank_in_hall * MANIFEST_TURN;
+    if (neighbour.has_manifest && may_ask && MayAsk(neighbour, now))
     {
       StartFetch(MANIFEST_PIECE, name, now, actions);
       return;
     }
   }
-  if (MayDraw(now) && now - *m_last_new_sight >= m_manifest_rank * m_options.patience)
+  const bool has_waited = now - *m_last_new_sight >= m_manifest_rank * m_options.patience;
+  // A manifest is small, so the neighbours' word on it is not awaited for long.
+  const bool is_view_good = m_options.is_named_by_content
+                                ? MayDraw(now)
+                                : m_is_view_confirmed && OpenSource(now) &&
+                                      now - m_view_confirmed_at >= MANIFEST_WORD_TIME;
+  const std::uint32_t copies = m_options.is_named_by_content ? 1 : 2;
+  while (has_waited && is_view_good && m_manifest_in_flight < copies)
     StartFetch(MANIFEST_PIECE, "", now, actions);
+  const TimePoint word_due = m_view_confirmed_at + MANIFEST_WORD_TIME;
+  if (m_is_view_confirmed && now < word_due)
+    m_next_turn = word_due;
 }
 
 std::optional<std::uint32_t> Swarm::NextForOrigin(TimePoint now, bool* is_takeover) const
@@ -84,6 +107,11 @@
   return neighbour.outstanding < m_options.window_per_peer && now >= neighbour.blocked_until;
 }
 
+bool Swarm::MayAskFor(const Neighbour& neighbour, std::uint32_t piece, TimePoint now) const
+{
+  return !neighbour.is_remote && neighbour.held.Contains(piece) && MayAsk(neighbour, now);
+}
+
 std::optional<std::uint32_t> Swarm::RarestPiece(TimePoint now)
 {
   // Reservoir choice among the rarest, so that peers don't all ask for the same piece.
@@ -97,9 +125,8 @@
       continue;
     if (best && availability > best_availability)
       continue;
-    const bool can_be_asked = std::ranges::any_of(
-        m_neighbours, [&](const auto& entry)
-        { return entry.second.held.Contains(piece) && MayAsk(entry.second, now); });
+    const bool can_be_asked = std::ranges::any_of(m_neighbours, [&](const auto& entry)
+                                                  { return MayAskFor(entry.second, piece, now); });
     if (!can_be_asked)
       continue;
     if (!best || availability < best_availability)
@@ -119,7 +146,7 @@
   std::uint64_t ties = 0;
   for (const auto& [name, neighbour] : m_neighbours)
   {
-    if (name == except || !neighbour.held.Contains(piece) || !MayAsk(neighbour, now))
+    if (name == except || !MayAskFor(neighbour, piece, now))
       continue;
     if (!best.empty() && neighbour.outstanding > least)
       continue;
@@ -135,7 +162,7 @@
 
 void Swarm::PumpPeers(TimePoint now, Actions* actions)
 {
-  while (m_fetches.size() - m_platform_outstanding < m_options.window_in_all)
+  while (m_fetches.size() - m_platform_outstanding < WindowInAll(now))
   {
     const auto piece = RarestPiece(now);
     if (!piece)
@@ -168,9 +195,10 @@
 bool Swarm::MayDraw(TimePoint now) const
 {
   // Neighbours may hold it all already: their word is awaited for a moment.
-  const bool has_word = now - m_view_confirmed_at >= ANSWER_TIME ||
-                        std::ranges::all_of(m_neighbours, [](const auto& entry)
-                                            { return entry.second.has_answered; });
+  const bool has_word =
+      now - m_view_confirmed_at >= ANSWER_TIME ||
+      std::ranges::all_of(m_neighbours, [](const auto& entry)
+                          { return entry.second.has_answered || entry.second.is_remote; });
   const bool is_view_good =
       (m_is_view_confirmed && has_word) || now - *m_last_new_sight >= m_options.patience;
   return is_view_good && OpenSource(now).has_value();
@@ -180,6 +208,8 @@
 {
   for (const PlatformSource source : {PlatformSource::Store, PlatformSource::Origin})
   {
+    if (source == PlatformSource::Store && !m_options.has_weight_store)
+      continue;
     if (now >= m_sources[static_cast<std::size_t>(source)].blocked_until)
       return source;
   }
@@ -193,7 +223,8 @@
                              [&](const auto& entry)
                              {
                                const Neighbour& neighbour = entry.second;
-                               return neighbour.held.Contains(piece) && neighbour.stalls == 0 &&
+                               return !neighbour.is_remote && neighbour.held.Contains(piece) &&
+                                      neighbour.stalls == 0 &&
                                       neighbour.corrupt_pieces < SHUN_AFTER;
                              });
 }
@@ -201,9 +232,10 @@
 void Swarm::StartFetch(std::uint32_t piece, const std::string& peer, TimePoint now,
                        Actions* actions)
 {
-  const FetchId id = (*m_next_fetch_id)++;
+  const FetchId id = m_shared->next_fetch_id++;
   const PlatformSource source = OpenSource(now).value_or(PlatformSource::Origin);
-  m_fetches[id] = {piece, peer, source, now};
+  const std::size_t at_once = m_fetches.size() + 1;
+  m_fetches[id] = {piece, peer, source, now, false, at_once};
   if (piece == MANIFEST_PIECE)
     ++m_manifest_in_flight;
   else
--- /dev/null
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -0,0 +1,552 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/Gateway.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+#include "Common/Hash.h"
+
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::Error;
+using Common::ErrorKind;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+// A request that has to be refused is refused within this part of its goal.
+static constexpr int REFUSE_WITHIN = 4;
+static constexpr Duration REFUSE_MARGIN = Milliseconds(15);
+// Targets of one request, those included that turned it away.
+static constexpr std::uint32_t SENDS_MOST = 4;
+// Part of the goal that the expected start may use up.
+static constexpr double GOAL_SHARE = 0.7;
+// A caller of a broken stream waits about so long for the next event.
+static constexpr Duration RESUME_WITHIN = Milliseconds(1200);
+// A request whose answer has not begun after twice the expected time and this may be moved.
+static constexpr Duration MOVE_MARGIN = Milliseconds(300);
+static constexpr Duration RETRY_WITHIN = Milliseconds(300);
+// Another gateway can serve the request at once.
+static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
+static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
+static constexpr Milliseconds COME_BACK_LEAST = Milliseconds(150);
+static constexpr Milliseconds COME_BACK_MOST = Milliseconds(1500);
+// Timers that are not about one request carry this number.
+static constexpr RequestNumber NO_REQUEST = 0;
+Gateway::Gateway(GatewayOptions options, Common::Metrics& metrics)
+    : m_options(std::move(options)), m_log(metrics), m_targets(m_options.hall, m_options.seed),
+      m_weights(m_options.switch_within)
+{
+}
+
+bool Gateway::OfferDocument(const std::shared_ptr<const Settings::Document>& document,
+                            TimePoint now)
+{
+  if (document->version <= Version())
+    return false;
+  LogEvent(Weight::Important, now, "settings.in_force", "version", document->version, "before",
+           Version(), "routes", document->routes.size());
+  m_document = document;
+  m_routes = RouteTable(*document);
+  for (const Settings::ServiceSettings& service : document->services)
+    m_targets.SetEngine(service.name, service.engine);
+  return true;
+}
+
+void Gateway::SetTargets(const std::vector<ListedTarget>& list, TimePoint now, Actions* actions)
+{
+  m_targets.SetList(list, now);
+  PumpAll(now, actions);
+}
+
+void Gateway::OnTargetLoad(const TargetLoad& load, TimePoint now, Actions* actions)
+{
+  m_targets.OnLoad(load, now);
+  if (load.is_switching)
+    LeaveSwitching(load.address, now, actions);
+  PumpAll(now, actions);
+}
+
+void Gateway::OnWeightsNamed(const std::string& model, std::uint64_t version, TimePoint known_since)
+{
+  if (const auto due = m_weights.OnNamed(model, version, known_since))
+    m_timers.push({*due, NO_REQUEST});
+}
+
+void Gateway::SetGateways(std::size_t count, TimePoint now)
+{
+  if (count == m_gateways)
+    return;
+  LogEvent(Weight::Important, now, "gateways.counted", "count", count, "before", m_gateways);
+  m_gateways = count;
+  m_targets.SetGateways(count);
+  for (auto& [service, queue] : m_queues)
+    queue.retries.SetGateways(count);
+}
+
+void Gateway::SetRetryLimits(const RetryLimits& limits)
+{
+  m_options.retries = limits;
+  for (auto& [service, queue] : m_queues)
+    queue.retries.SetLimits(limits);
+}
+
+Gateway::ServiceQueue& Gateway::QueueOf(const std::string& service)
+{
+  auto [found, is_new] = m_queues.try_emplace(service);
+  if (is_new)
+  {
+    found->second.retries.SetLimits(m_options.retries);
+    found->second.retries.SetGateways(m_gateways);
+  }
+  return found->second;
+}
+
+Gateway::Tracked* Gateway::Find(RequestNumber number)
+{
+  const auto found = m_requests.find(number);
+  return found == m_requests.end() ? nullptr : &found->second;
+}
+
+void Gateway::RefuseArrival(const RequestArrived& event, Error error, TimePoint now,
+                            Actions* actions)
+{
+  m_log.OnTurnedAway(event.request, Common::AnswerFor(error.kind), Version(), now);
+  actions->push_back(Refuse{event.number, std::move(error)});
+}
+
+void Gateway::Handle(RequestArrived event, TimePoint now, Actions* actions)
+{
+  m_log.OnArrived();
+  if (!m_takes_requests)
+  {
+    return RefuseArrival(
+        event, {ErrorKind::Leaving, "the gateway is stopping", LEAVING_RETRY_AFTER}, now, actions);
+  }
+  if (!m_document)
+    return RefuseArrival(event, {ErrorKind::NotReady, "no settings yet", NOT_READY_RETRY_AFTER},
+                         now, actions);
+  const Settings::Route* route = m_routes.Find(event.request.host, event.request.path);
+  if (!route || route->services.empty())
+    return RefuseArrival(event, {ErrorKind::NotFound, "no route"}, now, actions);
+  const Settings::OrganisationSettings* organisation =
+      m_routes.FindOrganisation(event.request.credential);
+  if (!organisation && !route->allows_anonymous && m_routes.HasOrganisations())
+    return RefuseArrival(event, {ErrorKind::BadCredential, "unknown credential"}, now, actions);
+
+  Tracked tracked;
+  tracked.number = event.number;
+  tracked.route = *route;
+  tracked.service = RouteTable::ServiceFor(*route, Common::StableHash(event.request.id));
+  tracked.organisation = organisation ? organisation->name : "";
+  tracked.priority =
+      organisation && organisation->priority ? *organisation->priority : route->priority;
+  tracked.request = std::move(event.request);
+  tracked.arrived = now;
+  const Milliseconds time =
+      std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
+  tracked.deadline = now + time;
+  tracked.refuse_at = std::min(
+      tracked.deadline,
+      now + std::max<Duration>(route->goal / REFUSE_WITHIN - REFUSE_MARGIN, Duration::zero()));
+  tracked.last_event = tracked.request.last_event;
+  QueueOf(tracked.service).retries.OnRequest(now);
+  m_timers.push({tracked.deadline, tracked.number});
+  Tracked& placed = m_requests.emplace(tracked.number, std::move(tracked)).first->second;
+  Enqueue(placed, false, now, actions);
+}
+
+// Deficits are counted in prompt tokens; a request without a model counts as a small one.
+static std::int64_t CostOf(const CallerRequest& request)
+{
+  return request.generation ? std::max<std::int64_t>(request.generation->prompt_tokens, 1) : 100;
+}
+
+void Gateway::Enqueue(Tracked& tracked, bool is_retry, TimePoint now, Actions* actions)
+{
+  tracked.state = State::Waiting;
+  tracked.target.clear();
+  m_timers.push({tracked.refuse_at, tracked.number});
+  Routing::FairQueue& queue = QueueOf(tracked.service).waiting[tracked.priority];
+  const Routing::Waiting waiting{tracked.number, CostOf(tracked.request)};
+  if (is_retry)
+    queue.AddFront(tracked.organisation, 1, waiting);
+  else
+    queue.Add(tracked.organisation, 1, waiting);
+  Pump(tracked.service, now, actions);
+}
+
+void Gateway::PumpAll(TimePoint now, Actions* actions)
+{
+  for (const auto& [service, queue] : m_queues)
+    Pump(service, now, actions);
+}
+
+void Gateway::Pump(const std::string& service, TimePoint now, Actions* actions)
+{
+  for (auto& [priority, queue] : m_queues[service].waiting)
+  {
+    while (const auto next = queue.Take())
+    {
+      Tracked& tracked = *Find(next->number);
+      if (TryDispatch(tracked, now, actions))
+        continue;
+      queue.AddFront(tracked.organisation, 1, *next);
+      return;
+    }
+  }
+}
+
+const std::vector<WeightsBound>& Gateway::WeightsFor(const std::string& service) const
+{
+  for (const Settings::ServiceSettings& settings : m_document->services)
+  {
+    if (settings.name == service && !settings.models.empty())
+      return m_weights.Of(settings.models.front().name);
+  }
+  return m_weights.Of("");
+}
+
+bool Gateway::IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
+                             TimePoint now) const
+{
+  if (choice.has_free_slot || tracked.was_passed)
+    return true;
+  // One that may have run cannot be refused as not run: late is better than an error.
+  if (tracked.runs > 0)
+    return choice.expected_start <= (tracked.deadline - now) / 2;
+  const Duration whole = now - tracked.arrived + choice.expected_start;
+  return whole <= std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
+}
+
+TargetWish Gateway::WishOf(const Tracked& tracked) const
+{
+  const std::optional<GenerationHint>& generation = tracked.request.generation;
+  return {tracked.service, tracked.PromptTokens(), generation ? generation->answer_tokens_guess : 0,
+          tracked.tried, WeightsFor(tracked.service)};
+}
+
+bool Gateway::TryDispatch(Tracked& tracked, TimePoint now, Actions* actions)
+{
+  const TargetWish wish = WishOf(tracked);
+  const auto choice = m_targets.Choose(wish, now);
+  if (!choice || !IsWorthSending(tracked, *choice, now))
+    return false;
+  tracked.state = State::Sent;
+  tracked.target = choice->id;
+  tracked.last_attempt = {*choice, now};
+  tracked.tried.insert(choice->id);
+  ++tracked.sends;
+  tracked.has_started = false;
+  m_targets.OnDispatched(choice->id, tracked.number, wish.prompt_tokens, choice->expected_start,
+                         now);
+  tracked.move_at = now + 2 * choice->expected_start + MOVE_MARGIN;
+  m_timers.push({tracked.move_at, tracked.number});
+  m_log.OnSent(tracked, Version(), now);
+  Dispatch dispatch;
+  dispatch.number = tracked.number;
+  dispatch.target = choice->id;
+  dispatch.address = choice->address;
+  dispatch.time_left =
+      std::max(std::chrono::duration_cast<Milliseconds>(tracked.deadline - now), Milliseconds(1));
+  dispatch.organisation = tracked.organisation;
+  dispatch.resume_after = tracked.last_event;
+  dispatch.is_stream = tracked.route.is_stream;
+  dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
+  actions->push_back(std::move(dispatch));
+  return true;
+}
+
+void Gateway::LeaveTarget(Tracked& tracked)
+{
+  if (tracked.target.empty())
+    return;
+  const std::uint32_t unread_tokens = tracked.has_started ? 0 : tracked.PromptTokens();
+  m_targets.OnEnded(tracked.target, tracked.number, unread_tokens);
+  tracked.target.clear();
+}
+
+void Gateway::Forget(RequestNumber number)
+{
+  m_requests.erase(number);
+}
+
+void Gateway::Handle(const CallerLeft& event, TimePoint now, Actions* actions)
+{
+  Tracked* tracked = Find(event.number);
+  if (!tracked)
+    return;
+  m_log.OnLeft(*tracked, now);
+  const std::string service = tracked->service;
+  if (tracked->state == State::Waiting)
+    QueueOf(service).waiting[tracked->priority].Remove(tracked->organisation, tracked->number);
+  else
+    actions->push_back(CancelAttempt{tracked->number});
+  LeaveTarget(*tracked);
+  Forget(event.number);
+  Pump(service, now, actions);
+}
+
+bool Gateway::MayRunAgain(const Tracked& tracked) const
+{
+  const bool is_repeatable = tracked.route.repetition == Settings::Repetition::Idempotent;
+  return is_repeatable && tracked.runs < tracked.route.attempts_most;
+}
+
+void Gateway::Handle(const AnswerBegan& event, TimePoint now, Actions* actions)
+{
+  Tracked* tracked = Find(event.number);
+  if (!tracked || tracked->state != State::Sent)
+    return;
+  tracked->last_attempt->answer_status = event.status;
+  if (event.is_not_run || event.is_other_target)
+  {
+    if (event.is_other_target)
+      m_targets.OnReplaced(tracked->target, now);
+    else
+      m_targets.OnFull(tracked->target, now);
+    actions->push_back(CancelAttempt{tracked->number});
+    return OnNotRun(*tracked, event.is_other_target ? "other_target" : "target_full", now, actions);
+  }
+  ++tracked->runs;
+  const bool is_failure = event.status >= 500;
+  if (is_failure && MayRunAgain(*tracked) && QueueOf(tracked->service).retries.Take(now))
+  {
+    actions->push_back(CancelAttempt{tracked->number});
+    m_log.OnRetried(*tracked, "failure_answer", now);
+    LeaveTarget(*tracked);
+    tracked->refuse_at = std::min(tracked->deadline, now + RETRY_WITHIN);
+    return Enqueue(*tracked, true, now, actions);
+  }
+  m_targets.OnStarted(tracked->target, tracked->number, tracked->PromptTokens(), now);
+  tracked->has_started = true;
+  if (!tracked->was_passed)
+  {
+    tracked->begun = now;
+    m_log.OnBegun(*tracked, now);
+  }
+  tracked->state = State::Passing;
+  tracked->was_passed = true;
+  actions->push_back(PassAnswer{tracked->number});
+}
+
+void Gateway::Handle(const AnswerProgressed& /*event*/, TimePoint /*now*/) {}
+
+void Gateway::Handle(const AnswerEnded& event, TimePoint now, Actions* actions)
+{
+  Tracked* tracked = Find(event.number);
+  if (!tracked)
+    return;
+  m_targets.OnSucceeded(tracked->target);
+  m_log.OnDone(*tracked, now);
+  LeaveTarget(*tracked);
+  const std::string service = tracked->service;
+  Forget(event.number);
+  Pump(service, now, actions);
+}
+
+void Gateway::Handle(const AttemptFailed& event, TimePoint now, Actions* actions)
+{
+  Tracked* tracked = Find(event.number);
+  if (!tracked || tracked->state == State::Waiting)
+    return;
+  tracked->last_attempt->end = event.end;
+  m_targets.OnFailed(tracked->target, now);
+  if (event.last_event)
+    tracked->last_event = event.last_event;
+  if (event.failure == AttemptFailure::NotSent)
+    return OnNotRun(*tracked, "not_sent", now, actions);
+  // One that began to answer was counted when it did.
+  if (tracked->state == State::Sent)
+    ++tracked->runs;
+  TryAgain(*tracked, "lost", {ErrorKind::Unreachable, "the target was lost while it may have run"},
+           now, actions);
+}
+
+void Gateway::TryAgain(Tracked& tracked, std::string_view reason, const Error& otherwise,
+                       TimePoint now, Actions* actions)
+{
+  const bool may_resume = !tracked.was_passed || tracked.route.is_resumable;
+  if (!may_resume || !MayRunAgain(tracked) || !QueueOf(tracked.service).retries.Take(now))
+    return GiveUp(tracked, otherwise, now, actions);
+  Retry(tracked, reason, now, actions);
+}
+
+void Gateway::Retry(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
+{
+  m_log.OnRetried(tracked, reason, now);
+  LeaveTarget(tracked);
+  tracked.refuse_at =
+      std::min(tracked.deadline, now + (tracked.was_passed ? RESUME_WITHIN : RETRY_WITHIN));
+  Enqueue(tracked, true, now, actions);
+}
+
+void Gateway::OnNotRun(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
+{
+  LeaveTarget(tracked);
+  if (tracked.sends >= SENDS_MOST || !QueueOf(tracked.service).retries.Take(now))
+    return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
+  m_log.OnRetried(tracked, reason, now);
+  // What was spent on the target that turned it away does not shorten the time to be refused.
+  tracked.refuse_at = std::min(tracked.deadline, std::max(tracked.refuse_at, now));
+  Enqueue(tracked, true, now, actions);
+}
+
+Milliseconds Gateway::ComeBackAfter(const Tracked& tracked, TimePoint now) const
+{
+  const double over = std::max(0.0, m_targets.Utilization(tracked.service, now) - 1);
+  const Duration interval = m_targets.SlotIntervalOf(tracked.service);
+  const auto wait = std::chrono::duration_cast<Milliseconds>(interval * (1 + 100 * over));
+  return std::clamp(wait, COME_BACK_LEAST, COME_BACK_MOST);
+}
+
+Duration Gateway::BestStart(const Tracked& tracked, TimePoint now)
+{
+  const auto choice = m_targets.Choose(WishOf(tracked), now);
+  return choice ? choice->expected_start : Duration(Milliseconds(-1));
+}
+
+void Gateway::GiveUp(Tracked& tracked, Error error, TimePoint now, Actions* actions)
+{
+  LeaveTarget(tracked);
+  const std::string service = tracked.service;
+  if (tracked.was_passed)
+  {
+    m_log.OnCut(tracked, Common::AnswerFor(error.kind), now);
+    actions->push_back(AbortAnswer{tracked.number});
+  }
+  else
+  {
+    const Common::ErrorAnswer& row = Common::AnswerFor(error.kind);
+    // "Not run" would be a lie once a target may have run it.
+    if (row.outcome == Common::Outcome::NotRun && tracked.runs > 0)
+      error = {ErrorKind::Unreachable, error.message};
+    if (Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun)
+      error.retry_after = ComeBackAfter(tracked, now);
+    const ServiceView view{m_targets.Utilization(service, now), BestStart(tracked, now),
+                           m_targets.SurveyOf(WishOf(tracked), now), Version()};
+    m_log.OnRefused(tracked, Common::AnswerFor(error.kind), view, now);
+    actions->push_back(Refuse{tracked.number, std::move(error)});
+  }
+  Forget(tracked.number);
+}
+
+void Gateway::OnTimer(Tracked& tracked, TimePoint now, Actions* actions)
+{
+  if (tracked.state == State::Waiting)
+  {
+    if (now < tracked.refuse_at && now < tracked.deadline)
+      return;
+    QueueOf(tracked.service).waiting[tracked.priority].Remove(tracked.organisation, tracked.number);
+    if (tracked.runs > 0)
+    {
+      return GiveUp(tracked, {ErrorKind::Unreachable, "no target could run it again"}, now,
+                    actions);
+    }
+    return GiveUp(tracked, {ErrorKind::QueueFull, "no target has room in time"}, now, actions);
+  }
+  if (now < tracked.deadline)
+  {
+    if (tracked.state == State::Sent)
+      MoveIfOverdue(tracked, now, actions);
+    return;
+  }
+  actions->push_back(CancelAttempt{tracked.number});
+  GiveUp(tracked, {ErrorKind::AnswerTimeout, "the time for the answer is over"}, now, actions);
+}
+
+void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
+{
+  if (!m_weights.IsAnyDue(now))
+    return;
+  std::vector<RequestNumber> late;
+  for (const auto& [number, tracked] : m_requests)
+  {
+    if (tracked.state != State::Sent || m_targets.IsSwitching(tracked.target, now))
+      continue;
+    const std::vector<WeightsBound>& bounds = WeightsFor(tracked.service);
+    const std::uint64_t weights = m_targets.WeightsAt(tracked.target);
+    // The target has to hear of it in time.
+    const Duration way = std::min(m_targets.WayTo(tracked.target), TARGET_WAY_MOST);
+    if (std::ranges::any_of(bounds, [&](const WeightsBound& bound)
+                            { return now >= bound.due - way && weights < bound.version; }))
+      late.push_back(number);
+  }
+  for (const RequestNumber number : late)
+  {
+    Tracked* tracked = Find(number);
+    if (!tracked || tracked->state != State::Sent)
+      continue;
+    if (Move(*tracked, "old_weights", now, actions))
+      continue;
+    actions->push_back(CancelAttempt{number});
+    GiveUp(*tracked, {ErrorKind::Unreachable, "the target's weights are too old to begin"}, now,
+           actions);
+  }
+}
+
+bool Gateway::Move(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
+{
+  // The present target may have begun, or begin before it hears of this.
+  const std::uint32_t runs = tracked.runs + 1;
+  const bool may_move = MayRunAgain(tracked) && runs < tracked.route.attempts_most;
+  // Without an allowance it would end in an error: then it stays where it is.
+  if (!may_move || !QueueOf(tracked.service).retries.Take(now))
+    return false;
+  tracked.runs = runs;
+  actions->push_back(CancelAttempt{tracked.number});
+  Retry(tracked, reason, now, actions);
+  return true;
+}
+
+void Gateway::LeaveSwitching(const Common::Address& target, TimePoint now, Actions* actions)
+{
+  const TargetId id = m_targets.FindByAddress(target);
+  if (id.empty())
+    return;
+  std::vector<RequestNumber> waiting;
+  for (const auto& [number, tracked] : m_requests)
+  {
+    if (tracked.state == State::Sent && tracked.target == id && MayRunAgain(tracked))
+      waiting.push_back(number);
+  }
+  for (const RequestNumber number : waiting)
+  {
+    if (Tracked* tracked = Find(number); tracked && tracked->state == State::Sent)
+      Move(*tracked, "switching", now, actions);
+  }
+}
+
+void Gateway::MoveIfOverdue(Tracked& tracked, TimePoint now, Actions* actions)
+{
+  if (now < tracked.move_at)
+    return;
+  tracked.move_at = TimePoint::max();
+  // Moving pays only if another target can begin at once.
+  const auto choice = m_targets.Choose(WishOf(tracked), now);
+  if (choice && choice->has_free_slot)
+    Move(tracked, "overdue", now, actions);
+}
+
+void Gateway::OnTick(TimePoint now, Actions* actions)
+{
+  LeaveOldWeights(now, actions);
+  while (!m_timers.empty() && m_timers.top().at <= now)
+  {
+    const RequestNumber number = m_timers.top().number;
+    m_timers.pop();
+    if (Tracked* tracked = Find(number))
+      OnTimer(*tracked, now, actions);
+  }
+  PumpAll(now, actions);
+}
+
+std::optional<TimePoint> Gateway::NextWakeup() const
+{
+  if (m_timers.empty())
+    return std::nullopt;
+  return m_timers.top().at;
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Gateway.h
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/Metrics.h"
+#include "Core/Gateway/Messages.h"
+#include "Core/Gateway/RequestLog.h"
+#include "Core/Gateway/RetryAllowance.h"
+#include "Core/Gateway/RouteTable.h"
+#include "Core/Gateway/TargetTable.h"
+#include "Core/Gateway/TrackedRequest.h"
+#include "Core/Gateway/WeightsBounds.h"
+#include "Core/Routing/FairQueue.h"
+#include "Core/Settings/Document.h"
+
+// The decisions of a gateway: an entry that calls targets directly, by the routes of a settings
+// document. Takes events with the present time and returns actions.
+namespace Holdpost::Gateway
+{
+struct GatewayOptions
+{
+  std::string hall;
+  RetryLimits retries;
+  // New weights have to be in use everywhere so long after they were named.
+  Common::Milliseconds switch_within{8000};
+  // For choices between targets that are as good.
+  std::uint64_t seed = 0;
+};
+
+class Gateway
+{
+public:
+  Gateway(GatewayOptions options, Common::Metrics& metrics);
+
+  // Puts the document in force if it is newer; returns whether it was.
+  bool OfferDocument(const std::shared_ptr<const Settings::Document>& document,
+                     Common::TimePoint now);
+  Settings::DocumentVersion Version() const { return m_document ? m_document->version : 0; }
+  const std::shared_ptr<const Settings::Document>& InForce() const { return m_document; }
+
+  void SetTargets(const std::vector<ListedTarget>& list, Common::TimePoint now, Actions* actions);
+  void OnTargetLoad(const TargetLoad& load, Common::TimePoint now, Actions* actions);
+  // New weights of a model were named; `known_since` is when some process first knew of them.
+  void OnWeightsNamed(const std::string& model, std::uint64_t version,
+                      Common::TimePoint known_since);
+  void SetGateways(std::size_t count, Common::TimePoint now);
+  void SetNearGateways(std::size_t count) { m_targets.SetNearGateways(count); }
+  // New requests and versions are held to these from now on.
+  void SetRetryLimits(const RetryLimits& limits);
+  void SetSwitchWithin(Common::Milliseconds within) { m_weights.SetSwitchWithin(within); }
+  // From now on new requests are refused: the process is about to end.
+  void StopTaking() { m_takes_requests = false; }
+
+  void Handle(RequestArrived event, Common::TimePoint now, Actions* actions);
+  void Handle(const CallerLeft& event, Common::TimePoint now, Actions* actions);
+  void Handle(const AnswerBegan& event, Common::TimePoint now, Actions* actions);
+  void Handle(const AnswerEnded& event, Common::TimePoint now, Actions* actions);
+  void Handle(const AttemptFailed& event, Common::TimePoint now, Actions* actions);
+  void Handle(const AnswerProgressed& event, Common::TimePoint now);
+  void OnTick(Common::TimePoint now, Actions* actions);
+  // When OnTick is due next; empty while nothing waits for a time.
+  std::optional<Common::TimePoint> NextWakeup() const;
+
+  std::size_t OpenRequests() const { return m_requests.size(); }
+  const TargetTable& Targets() const { return m_targets; }
+
+private:
+  using State = RequestState;
+  using Tracked = TrackedRequest;
+
+  struct Timer
+  {
+    Common::TimePoint at;
+    RequestNumber number;
+    bool operator>(const Timer& other) const { return at > other.at; }
+  };
+
+  struct ServiceQueue
+  {
+    // By priority, the most urgent first.
+    std::map<int, Routing::FairQueue> waiting;
+    RetryAllowance retries;
+  };
+
+  ServiceQueue& QueueOf(const std::string& service);
+  void Enqueue(Tracked& tracked, bool is_retry, Common::TimePoint now, Actions* actions);
+  void Pump(const std::string& service, Common::TimePoint now, Actions* actions);
+  void PumpAll(Common::TimePoint now, Actions* actions);
+  TargetWish WishOf(const Tracked& tracked) const;
+  bool TryDispatch(Tracked& tracked, Common::TimePoint now, Actions* actions);
+  bool IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
+                      Common::TimePoint now) const;
+  // The weights that requests of the service have to begin on, and from when on.
+  const std::vector<WeightsBound>& WeightsFor(const std::string& service) const;
+  void LeaveTarget(Tracked& tracked);
+  void TryAgain(Tracked& tracked, std::string_view reason, const Common::Error& otherwise,
+                Common::TimePoint now, Actions* actions);
+  // Looks for another target; the retry has been taken from the allowance.
+  void Retry(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
+  bool MayRunAgain(const Tracked& tracked) const;
+  // Takes a request that has not begun away from its target and looks for another one; returns
+  // whether it may be sent again.
+  bool Move(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
+  // The same for all requests of a target that takes other weights now: they would wait for that.
+  void LeaveSwitching(const Common::Address& target, Common::TimePoint now, Actions* actions);
+  // The same for targets whose weights are about to be too old; what cannot be moved is given up.
+  void LeaveOldWeights(Common::TimePoint now, Actions* actions);
+  void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
+  void OnNotRun(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
+  void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
+  void OnTimer(Tracked& tracked, Common::TimePoint now, Actions* actions);
+  void Forget(RequestNumber number);
+  // For the log: when the best target would begin it; below zero if there is none.
+  Common::Duration BestStart(const Tracked& tracked, Common::TimePoint now);
+  Common::Milliseconds ComeBackAfter(const Tracked& tracked, Common::TimePoint now) const;
+  Tracked* Find(RequestNumber number);
+  void RefuseArrival(const RequestArrived& event, Common::Error error, Common::TimePoint now,
+                     Actions* actions);
+
+  GatewayOptions m_options;
+  RequestLog m_log;
+  std::shared_ptr<const Settings::Document> m_document;
+  RouteTable m_routes;
+  TargetTable m_targets;
+  WeightsBounds m_weights;
+  std::map<std::string, ServiceQueue> m_queues;
+  std::unordered_map<RequestNumber, Tracked> m_requests;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+  std::size_t m_gateways = 1;
+  bool m_takes_requests = true;
+};
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Messages.cpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/Messages.h"
+
+namespace Holdpost::Gateway
+{
+std::string_view AttemptEndName(AttemptEnd end)
+{
+  switch (end)
+  {
+  case AttemptEnd::None:
+    return "none";
+  case AttemptEnd::NoConnection:
+    return "no_connection";
+  case AttemptEnd::Reset:
+    return "reset";
+  case AttemptEnd::ClosedEarly:
+    return "closed_early";
+  case AttemptEnd::BadAnswer:
+    return "bad_answer";
+  case AttemptEnd::PartialEvent:
+    return "partial_event";
+  }
+  return "none";
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/RequestLog.h"
+
+#include "Common/EventLog.h"
+
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+// A target's own failures are passed on as they are.
+static constexpr int LEAST_FAILURE_STATUS = 500;
+
+// Ordinary lines are dropped under load, so that a line of a failure tells all of its last attempt.
+template <typename... Fields>
+static void LogFailure(const TrackedRequest& tracked, TimePoint now, std::string_view event,
+                       const Fields&... fields)
+{
+  if (!tracked.last_attempt)
+  {
+    return LogEvent(Weight::Important, now, event, "request", tracked.request.id, fields...,
+                    "attempts", 0);
+  }
+  const TargetChoice& choice = tracked.last_attempt->choice;
+  LogEvent(Weight::Important, now, event, "request", tracked.request.id, fields..., "attempts",
+           tracked.sends, "target", choice.id, "at", choice.address.ToString(), "sent_ms_ago",
+           now - tracked.last_attempt->sent, "answer_status", tracked.last_attempt->answer_status,
+           "ended_by", AttemptEndName(tracked.last_attempt->end), "load", choice.load,
+           "report_age_ms", choice.report_age.value_or(Milliseconds(-1)), "expected_ms",
+           choice.expected_start, "weights", choice.weights_version);
+}
+
+void RequestLog::RecordTime(const TrackedRequest& tracked, std::string_view outcome, TimePoint now)
+{
+  m_metrics.Record("holdpost_request_seconds", now - tracked.arrived,
+                   Common::ServiceOutcome(tracked.service, outcome));
+}
+
+void RequestLog::OnArrived()
+{
+  m_metrics.Add("holdpost_requests_total");
+}
+
+void RequestLog::OnTurnedAway(const CallerRequest& request, const Common::ErrorAnswer& answer,
+                              Settings::DocumentVersion settings, TimePoint now)
+{
+  m_metrics.Add("holdpost_requests_refused_total", Common::Reason(answer.name));
+  LogEvent(Weight::Important, now, "request.refused", "request", request.id, "reason", answer.name,
+           "status", answer.http_status, "host", request.host, "path", request.path, "settings",
+           settings);
+}
+
+void RequestLog::OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
+                        TimePoint now)
+{
+  const TargetChoice& choice = tracked.last_attempt->choice;
+  m_metrics.Record("holdpost_queue_seconds", now - tracked.arrived,
+                   Common::ServiceOutcome(tracked.service, "sent"));
+  LogEvent(Weight::Ordinary, now, "request.sent", "request", tracked.request.id, "service",
+           tracked.service, "target", choice.id, "at", choice.address.ToString(), "attempt",
+           tracked.sends, "waited_ms", now - tracked.arrived, "load", choice.load, "report_age_ms",
+           choice.report_age.value_or(Milliseconds(-1)), "expected_ms", choice.expected_start,
+           "weights", choice.weights_version, "settings", settings);
+}
+
+void RequestLog::OnRetried(const TrackedRequest& tracked, std::string_view reason, TimePoint now)
+{
+  m_metrics.Add("holdpost_retries_total", Common::Reason(reason));
+  LogFailure(tracked, now, "request.retry", "reason", reason, "runs", tracked.runs, "passed",
+             tracked.was_passed);
+}
+
+void RequestLog::OnBegun(const TrackedRequest& tracked, TimePoint now)
+{
+  m_metrics.Record("holdpost_first_event_seconds", now - tracked.arrived,
+                   Common::ServiceOutcome(tracked.service, "begun"));
+}
+
+void RequestLog::OnDone(const TrackedRequest& tracked, TimePoint now)
+{
+  m_metrics.Add("holdpost_answers_whole_total");
+  RecordTime(tracked, "done", now);
+  const int status = tracked.last_attempt->answer_status;
+  if (status >= LEAST_FAILURE_STATUS)
+  {
+    return LogFailure(tracked, now, "request.done", "first_ms", tracked.begun - tracked.arrived,
+                      "took_ms", now - tracked.arrived);
+  }
+  LogEvent(Weight::Ordinary, now, "request.done", "request", tracked.request.id, "target",
+           tracked.target, "first_ms", tracked.begun - tracked.arrived, "took_ms",
+           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status);
+}
+
+void RequestLog::OnLeft(const TrackedRequest& tracked, TimePoint now)
+{
+  m_metrics.Add("holdpost_callers_left_total");
+  RecordTime(tracked, "left", now);
+  LogEvent(Weight::Ordinary, now, "request.left", "request", tracked.request.id, "target",
+           tracked.target, "after_ms", now - tracked.arrived);
+}
+
+void RequestLog::OnRefused(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
+                           const ServiceView& view, TimePoint now)
+{
+  RecordTime(tracked, "refused", now);
+  m_metrics.Add("holdpost_requests_refused_total", Common::Reason(answer.name));
+  LogFailure(tracked, now, "request.refused", "reason", answer.name, "status", answer.http_status,
+             "service", tracked.service, "waited_ms", now - tracked.arrived, "runs", tracked.runs,
+             "utilization", view.utilization, "best_expected_ms", view.best_start, "goal_ms",
+             tracked.route.goal, "settings", view.settings, "targets", view.targets.listed, "open",
+             view.targets.open, "leaving", view.targets.leaving, "avoided", view.targets.avoided,
+             "switching", view.targets.switching, "without_weights", view.targets.without_weights,
+             "old_weights", view.targets.old_weights);
+}
+
+void RequestLog::OnCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
+                       TimePoint now)
+{
+  RecordTime(tracked, "cut", now);
+  m_metrics.Add("holdpost_answers_cut_total", Common::Reason(answer.name));
+  LogFailure(tracked, now, "request.cut", "reason", answer.name, "service", tracked.service, "runs",
+             tracked.runs, "after_ms", now - tracked.arrived, "last_event",
+             tracked.last_event.value_or(0));
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RequestLog.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <string_view>
+
+#include "Common/Metrics.h"
+#include "Core/Gateway/TrackedRequest.h"
+
+// The lines and counters that tell afterwards what became of a request, and what it was decided by.
+namespace Holdpost::Gateway
+{
+// What a gateway believes of a request's service as it refuses the request.
+struct ServiceView
+{
+  // Requests that wait or run at its targets, over their slots.
+  double utilization = 0;
+  // When the best target would begin the request; below zero if there is none.
+  Common::Duration best_start{};
+  TargetSurvey targets;
+  Settings::DocumentVersion settings = 0;
+};
+
+class RequestLog
+{
+public:
+  explicit RequestLog(Common::Metrics& metrics) : m_metrics(metrics) {}
+
+  void OnArrived();
+  // Refused before anything was looked for.
+  void OnTurnedAway(const CallerRequest& request, const Common::ErrorAnswer& answer,
+                    Settings::DocumentVersion settings, Common::TimePoint now);
+  void OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
+              Common::TimePoint now);
+  void OnRetried(const TrackedRequest& tracked, std::string_view reason, Common::TimePoint now);
+  void OnBegun(const TrackedRequest& tracked, Common::TimePoint now);
+  void OnDone(const TrackedRequest& tracked, Common::TimePoint now);
+  void OnLeft(const TrackedRequest& tracked, Common::TimePoint now);
+  void OnRefused(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
+                 const ServiceView& view, Common::TimePoint now);
+  void OnCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
+             Common::TimePoint now);
+
+private:
+  void RecordTime(const TrackedRequest& tracked, std::string_view outcome, Common::TimePoint now);
+
+  Common::Metrics& m_metrics;
+};
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/RetryAllowance.h"
+
+namespace Holdpost::Gateway
+{
+using Common::TimePoint;
+
+// The others may count a request in another slice than we do, and a gateway that has just come or
+// gone is counted late.
+static constexpr double SAFETY = 0.8;
+
+std::uint64_t RetryAllowance::IndexAt(TimePoint now) const
+{
+  const auto slice = std::max<Common::Duration>(m_limits.window / SLICES, Common::Milliseconds(1));
+  return static_cast<std::uint64_t>(now.time_since_epoch() / slice);
+}
+
+RetryAllowance::Slice& RetryAllowance::SliceAt(TimePoint now)
+{
+  const std::uint64_t index = IndexAt(now);
+  Slice& slice = m_slices[index % m_slices.size()];
+  if (slice.index != index)
+    slice = {index, 0, 0};
+  return slice;
+}
+
+void RetryAllowance::OnRequest(TimePoint now)
+{
+  ++SliceAt(now).requests;
+}
+
+bool RetryAllowance::Take(TimePoint now)
+{
+  Slice& present = SliceAt(now);
+  double requests = 0;
+  double retries = 0;
+  for (const Slice& slice : m_slices)
+  {
+    const std::uint64_t age = present.index - slice.index;
+    // Retries count for one slice more than requests, so that any window keeps to the limits.
+    if (age <= SLICES)
+      retries += slice.retries;
+    if (age < SLICES)
+      requests += slice.requests;
+  }
+  const double fixed = SAFETY * m_limits.extra / static_cast<double>(m_gateways);
+  if (retries + 1 > m_limits.ratio * SAFETY * requests + fixed)
+    return false;
+  ++present.retries;
+  return true;
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RetryAllowance.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "Common/Types.h"
+
+// This gateway's part of the retries that all gateways together may send to a service.
+namespace Holdpost::Gateway
+{
+struct RetryLimits
+{
+  // Within any `window`, all gateways together may retry `ratio` of the requests, and `extra` more.
+  Common::Milliseconds window{10000};
+  double ratio = 0.2;
+  double extra = 10;
+
+  bool operator==(const RetryLimits&) const = default;
+};
+
+class RetryAllowance
+{
+public:
+  void SetLimits(const RetryLimits& limits) { m_limits = limits; }
+  // The fixed part of the allowance is shared out between so many gateways.
+  void SetGateways(std::size_t gateways) { m_gateways = gateways == 0 ? 1 : gateways; }
+
+  void OnRequest(Common::TimePoint now);
+  // Takes one retry if that keeps to the limits.
+  bool Take(Common::TimePoint now);
+
+private:
+  struct Slice
+  {
+    std::uint64_t index = 0;
+    std::uint32_t requests = 0;
+    std::uint32_t retries = 0;
+  };
+  static constexpr std::size_t SLICES = 20;
+
+  Slice& SliceAt(Common::TimePoint now);
+  std::uint64_t IndexAt(Common::TimePoint now) const;
+
+  RetryLimits m_limits;
+  std::size_t m_gateways = 1;
+  std::array<Slice, SLICES + 1> m_slices;
+};
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/StartEstimate.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/StartEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Holdpost::Gateway
+{
+using Settings::EngineProfile;
+
+static constexpr double PER_THOUSAND = 1000.0;
+static constexpr double PER_MILLION = 1e6;
+
+// All sequences advance by one event in a pass.
+static double PassMs(const EngineProfile& engine, double sequences)
+{
+  const double context =
+      engine.usual_prompt_tokens + static_cast<double>(engine.usual_answer_tokens) / 2;
+  const double per_sequence =
+      engine.step_per_sequence_ms + engine.step_per_context_ms * context / PER_THOUSAND;
+  return engine.tokens_per_event * (engine.step_ms + sequences * per_sequence);
+}
+
+static double ReadMs(const EngineProfile& engine, double tokens)
+{
+  return tokens / std::max(engine.prompt_tokens_per_ms, 1e-3) +
+         tokens * tokens / PER_MILLION * engine.prompt_pairs_ms;
+}
+
+static Common::Duration ToDuration(double ms)
+{
+  return std::chrono::duration_cast<Common::Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+static double SlotIntervalMs(const EngineProfile& engine)
+{
+  const double slots = std::max<std::uint32_t>(engine.slots, 1);
+  const double events =
+      static_cast<double>(engine.usual_answer_tokens) / std::max(engine.tokens_per_event, 1U);
+  const double writing = events * PassMs(engine, slots);
+  // While a sequence writes, the prompts of those that take the other slots are read in between.
+  return writing / slots + ReadMs(engine, engine.usual_prompt_tokens);
+}
+
+Common::Duration ExpectedWriting(const EngineProfile& engine, const TargetWork& work,
+                                 std::uint32_t answer_tokens)
+{
+  const double slots = std::max<std::uint32_t>(engine.slots, 1);
+  const double sequences = std::min(work.requests + 1, slots);
+  const double events =
+      std::ceil(static_cast<double>(answer_tokens) / std::max(engine.tokens_per_event, 1U));
+  return ToDuration(work.pace * std::max(events - 1, 0.0) * PassMs(engine, sequences));
+}
+
+Common::Duration SlotInterval(const EngineProfile& engine, double pace)
+{
+  return ToDuration(pace * SlotIntervalMs(engine));
+}
+
+Common::Duration ExpectedStart(const EngineProfile& engine, const TargetWork& work,
+                               std::uint32_t prompt_tokens)
+{
+  const double slots = std::max<std::uint32_t>(engine.slots, 1);
+  const double sequences = std::min(work.requests + 1, slots);
+  const double pass = PassMs(engine, sequences);
+  // Half a pass until the engine looks for new requests, then the reading, then a pass.
+  double ms = 1.5 * pass + ReadMs(engine, prompt_tokens) +
+              work.unread_prompt_tokens / std::max(engine.prompt_tokens_per_ms, 1e-3);
+  if (work.requests >= slots)
+    ms += (work.requests - slots + 1) * SlotIntervalMs(engine);
+  return ToDuration(work.pace * ms);
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Target.h
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "Common/Types.h"
+
+// What a gateway is told of the targets that it calls directly.
+namespace Holdpost::Gateway
+{
+// Each start of a target has an id of its own, found nowhere else.
+using TargetId = std::string;
+
+enum class TargetState
+{
+  Ready,
+  // Takes no new requests; those that run go on.
+  Leaving,
+};
+
+// One line of the platform's list of targets.
+struct ListedTarget
+{
+  TargetId id;
+  std::string service;
+  std::string hall;
+  Common::Address address;
+  std::uint32_t slots = 1;
+  TargetState state = TargetState::Ready;
+  // The version of its weights; 0 while it has none, or is a plain service.
+  std::uint64_t weights_version = 0;
+  bool needs_weights = false;
+
+  bool operator==(const ListedTarget&) const = default;
+};
+
+// What the agent beside a target says of it.
+struct TargetLoad
+{
+  Common::Address address; // of the target
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint64_t weights_version = 0;
+  // The target is about to load other weights, or loads them, and takes nothing new.
+  bool is_switching = false;
+  // The target is going to take other weights then: what it begins has to end before.
+  std::optional<Common::Milliseconds> switch_in;
+  // How much slower than its profile it is; 1 is as expected.
+  double pace = 1;
+  // How long a message to the target may wait on a link that is narrower than it should be.
+  Common::Milliseconds inbound_delay{0};
+  // How long the way there and back takes at the moment.
+  Common::Milliseconds round_trip{0};
+
+  bool operator==(const TargetLoad&) const = default;
+};
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/TargetTable.h
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/Types.h"
+#include "Core/Gateway/SpreadChoice.h"
+#include "Core/Gateway/StartEstimate.h"
+#include "Core/Gateway/Target.h"
+
+// The targets that a gateway may call, what it knows of their load and health, and the choice
+// between them.
+namespace Holdpost::Gateway
+{
+// Weights that every request has to begin on from a time on.
+struct WeightsBound
+{
+  std::uint64_t version = 0;
+  Common::TimePoint due = Common::TimePoint::max();
+};
+
+// A request that looks for a target.
+struct TargetWish
+{
+  std::string service;
+  std::uint32_t prompt_tokens = 0;
+  // As the caller guesses, or the most.
+  std::uint32_t answer_tokens = 0;
+  // Targets that had it already.
+  std::set<TargetId> tried;
+  // Weights that are bound to be in use, the one due first in front.
+  std::vector<WeightsBound> weights;
+};
+
+struct TargetChoice
+{
+  TargetId id;
+  Common::Address address;
+  std::uint64_t weights_version = 0;
+  // Until the first event, or the answer.
+  Common::Duration expected_start{};
+  // Requests there, as far as is known.
+  double load = 0;
+  // How old the last report of it is; empty if there was none.
+  std::optional<Common::Duration> report_age;
+  bool has_free_slot = false;
+};
+
+// Why targets of a service take no requests, or not this one. Each listed target counts once.
+struct TargetSurvey
+{
+  std::uint32_t listed = 0;
+  std::uint32_t open = 0;
+  std::uint32_t leaving = 0;
+  // Failed, or said that they have no room, a moment ago.
+  std::uint32_t avoided = 0;
+  // Take other weights now.
+  std::uint32_t switching = 0;
+  std::uint32_t without_weights = 0;
+  // Would begin it on weights that are too old by then.
+  std::uint32_t old_weights = 0;
+};
+
+// Requests a second, of about the last second.
+class DispatchRate
+{
+public:
+  void OnDispatch(Common::TimePoint now)
+  {
+    m_rate = At(now) + 1 / LIFETIME_SECONDS;
+    m_updated = now;
+  }
+  double At(Common::TimePoint now) const
+  {
+    const double age = std::chrono::duration<double>(now - m_updated).count();
+    return m_rate * std::exp(-age / LIFETIME_SECONDS);
+  }
+
+private:
+  static constexpr double LIFETIME_SECONDS = 1;
+
+  double m_rate = 0;
+  Common::TimePoint m_updated{};
+};
+
+class TargetTable
+{
+public:
+  // `seed` is for choices between targets that are as good.
+  explicit TargetTable(std::string hall, std::uint64_t seed = 0)
+      : m_hall(std::move(hall)), m_random(seed)
+  {
+  }
+
+  // The whole list. Targets that are not on it get no new requests.
+  void SetList(const std::vector<ListedTarget>& list, Common::TimePoint now);
+  void SetEngine(const std::string& service, const std::optional<Settings::EngineProfile>& engine);
+  void OnLoad(const TargetLoad& load, Common::TimePoint now);
+
+  // The target with the least expected time until an answer begins; empty if there is none.
+  void SetGateways(std::size_t count) { m_gateways = std::max<std::size_t>(count, 1); }
+  // Gateways of the own hall, this one included: they choose from the same reports.
+  void SetNearGateways(std::size_t count) { m_near_gateways = std::max<std::size_t>(count, 1); }
+  std::optional<TargetChoice> Choose(const TargetWish& wish, Common::TimePoint now);
+  TargetSurvey SurveyOf(const TargetWish& wish, Common::TimePoint now) const;
+  // Requests that wait or run at the service's targets, over their slots.
+  double Utilization(const std::string& service, Common::TimePoint now) const;
+  // Mean time until a slot becomes free anywhere at the service.
+  Common::Duration SlotIntervalOf(const std::string& service) const;
+  bool IsAcceptable(const TargetId& id) const;
+  // The listed target at the address; empty if there is none.
+  TargetId FindByAddress(const Common::Address& address) const;
+  // How long a message to the target may take at the moment.
+  Common::Duration WayTo(const TargetId& id) const;
+  // The weights that the target is known to have; 0 if it is not known.
+  std::uint64_t WeightsAt(const TargetId& id) const;
+  // Whether fresh word of the target says that it takes other weights before it begins anything.
+  bool IsSwitching(const TargetId& id, Common::TimePoint now) const;
+
+  // `request` names the request until it has ended.
+  void OnDispatched(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
+                    Common::Duration expected_start, Common::TimePoint now);
+  // The answer, or its first event, has come.
+  void OnStarted(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
+                 Common::TimePoint now);
+  void OnEnded(const TargetId& id, std::uint64_t request, std::uint32_t unread_prompt_tokens);
+  void OnSucceeded(const TargetId& id);
+  // Could not be reached, or broke off.
+  void OnFailed(const TargetId& id, Common::TimePoint now);
+  // Said that it has no room.
+  void OnFull(const TargetId& id, Common::TimePoint now);
+  // Another target has its address: this one is gone, though it may still be on the list.
+  void OnReplaced(const TargetId& id, Common::TimePoint now);
+
+  std::size_t Size() const { return m_targets.size(); }
+  // Addresses of the listed targets of services that need weights, with their halls.
+  std::vector<ListedTarget> Listed() const;
+
+private:
+  struct Target
+  {
+    ListedTarget listed;
+    bool is_on_list = false;
+    // Another one has its address. Its record may stay on the list for a while; as ids are never
+    // used again, it does not come back.
+    bool is_replaced = false;
+    std::uint32_t own = 0;
+    double unread_prompt_tokens = 0;
+    // From the last report of its agent.
+    std::optional<TargetLoad> load;
+    std::uint32_t own_at_load = 0;
+    // Own requests that had not begun then.
+    std::size_t own_waiting_at_load = 0;
+    Common::TimePoint load_heard{};
+    // Requests without an answer yet, by the time at which one was expected.
+    std::map<std::uint64_t, Common::TimePoint> expected;
+    // How much later than expected answers came of late.
+    Common::Duration lag{};
+    Common::TimePoint lag_updated{};
+    std::uint32_t failures = 0; // since the last success
+    Common::TimePoint avoid_until{};
+
+    bool IsListed() const { return is_on_list && !is_replaced; }
+  };
+
+  // An address belongs to one target at a time: who had those of the added ones is gone.
+  void ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, Common::TimePoint now);
+  const Settings::EngineProfile* EngineOf(const std::string& service) const;
+  double LoadOf(const Target& target, Common::TimePoint now) const;
+  bool HasFreshLoad(const Target& target, Common::TimePoint now) const;
+  // What the target has to do, as far as is known.
+  TargetWork WorkOf(const Target& target, const Settings::EngineProfile& engine,
+                    Common::TimePoint now) const;
+  Spread SpreadOf(const std::string& service, Common::TimePoint now) const;
+  std::uint64_t WeightsOf(const Target& target) const;
+  // Whether a request that is sent now would begin in time on weights that are good enough.
+  bool HasGoodWeights(const Target& target, const TargetWish& wish, Common::Duration start,
+                      Common::TimePoint now) const;
+  Common::Duration ExpectedStartAt(const Target& target, std::uint32_t prompt_tokens,
+                                   Common::TimePoint now) const;
+  Common::Duration LagOf(const Target& target, Common::TimePoint now) const;
+  static Common::Duration WayTo(const Target& target);
+  // Whether its agent was heard before, and is not heard any more.
+  static bool IsSilent(const Target& target, Common::TimePoint now);
+  enum class Access
+  {
+    Open,
+    Leaving,
+    Avoided,
+    Switching,
+    WithoutWeights,
+  };
+  Access AccessOf(const Target& target, Common::TimePoint now) const;
+  bool IsOpen(const Target& target, Common::TimePoint now) const;
+  // By how much a request that begins there now would hold up the target's planned switch to other
+  // weights.
+  Common::Duration SwitchDelay(const Target& target, const TargetWish& wish,
+                               Common::TimePoint now) const;
+
+  std::string m_hall;
+  std::size_t m_gateways = 1;
+  std::map<TargetId, Target> m_targets;
+  std::map<std::string, Settings::EngineProfile> m_engines;
+  std::size_t m_near_gateways = 1;
+  std::mt19937_64 m_random;
+  std::map<std::string, DispatchRate> m_rates; // by service
+};
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/WeightsBounds.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/WeightsBounds.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+// Other processes may have heard of new weights a little earlier.
+static constexpr Duration SWITCH_MARGIN = Milliseconds(400);
+// Requests are looked for so long after the bound; the bound is before the real one.
+static constexpr Duration SWEEP_TIME = Milliseconds(500);
+// Versions of a model whose bounds are kept in mind.
+static constexpr std::size_t BOUNDS_KEPT = 4;
+
+std::optional<TimePoint> WeightsBounds::OnNamed(const std::string& model, std::uint64_t version,
+                                                TimePoint known_since)
+{
+  std::vector<WeightsBound>& bounds = m_bounds[model];
+  const TimePoint due = known_since + m_switch_within - SWITCH_MARGIN;
+  const auto place = std::ranges::lower_bound(bounds, version, {}, &WeightsBound::version);
+  const bool is_known = place != bounds.end() && place->version == version;
+  if (is_known && place->due <= due)
+    return std::nullopt;
+  LogEvent(Weight::Important, known_since, "weights.named", "model", model, "version", version,
+           "newest", bounds.empty() ? 0 : bounds.back().version, "known_before", is_known);
+  if (is_known)
+    place->due = due;
+  else
+    bounds.insert(place, {version, due});
+  if (bounds.size() > BOUNDS_KEPT)
+    bounds.erase(bounds.begin());
+  return due;
+}
+
+const std::vector<WeightsBound>& WeightsBounds::Of(const std::string& model) const
+{
+  static const std::vector<WeightsBound> NONE;
+  const auto found = m_bounds.find(model);
+  return found == m_bounds.end() ? NONE : found->second;
+}
+
+bool WeightsBounds::IsAnyDue(TimePoint now) const
+{
+  const auto is_due = [now](const WeightsBound& bound)
+  { return now >= bound.due - TARGET_WAY_MOST && now < bound.due + SWEEP_TIME; };
+  return std::ranges::any_of(m_bounds, [&](const auto& entry)
+                             { return std::ranges::any_of(entry.second, is_due); });
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Mesh/Briefing.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/Control/NamedVersions.h"
+#include "Core/Mesh/MeshMessages.h"
+
+// What a gateway tells the sidecars of its service again and again: the plan of the weights, the
+// versions that were named, and who the other sidecars are.
+namespace Holdpost::Mesh
+{
+struct Outgoing
+{
+  Common::Address to;
+  Message message;
+};
+
+// A process's clock as it is told to others, who give it back.
+Common::Milliseconds ClockOf(Common::TimePoint now);
+// How long a hello and its report were on their way; empty if the report answers no hello.
+std::optional<Common::Milliseconds> RoundTrip(const LoadReport& report, Common::TimePoint now);
+
+class Briefing
+{
+public:
+  explicit Briefing(std::string hall) : m_hall(std::move(hall)) {}
+
+  void SetSettings(Settings::DocumentVersion version) { m_settings = version; }
+  // Each is told at once if it is new.
+  void SetPlan(const WeightsPlan& plan);
+  void SetSidecars(const std::vector<Peer>& sidecars);
+  // `known_since` is when some process first knew of the version.
+  void SetWeights(const Control::NamedWeights& named, Common::TimePoint known_since);
+
+  // The versions of weights that are told at the moment.
+  std::vector<ToldWeights> ToldAt(Common::TimePoint now) const;
+  void OnTick(Common::TimePoint now, std::vector<Outgoing>* outgoing);
+  Common::TimePoint NextWakeup() const { return std::min(m_near_due, m_far_due); }
+
+private:
+  Hello MakeHello(Common::TimePoint now, bool is_whole) const;
+  void TellSoon() { m_near_due = {}; }
+
+  std::string m_hall;
+  Settings::DocumentVersion m_settings = 0;
+  WeightsPlan m_plan;
+  std::vector<Peer> m_sidecars;
+  std::map<std::string, Control::NamedVersions> m_weights; // by model
+  Common::TimePoint m_near_due{};
+  Common::TimePoint m_far_due{};
+};
+} // namespace Holdpost::Mesh
--- /dev/null
+++ b/Source/Core/Mesh/GatewayCount.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "Common/Types.h"
+
+// How many gateways there are, as sidecars have heard of them.
+namespace Holdpost::Mesh
+{
+// A sidecar that is cut off from some gateways counts too few, so the largest count of late is
+// taken.
+class GatewayCount
+{
+public:
+  // Returns the count in force after the report.
+  std::size_t OnReported(std::size_t count, Common::TimePoint now)
+  {
+    if (now - m_window_began > WINDOW)
+    {
+      m_before = m_largest;
+      m_largest = 0;
+      m_window_began = now;
+    }
+    m_largest = std::max(m_largest, count);
+    return std::max({m_largest, m_before, std::size_t(1)});
+  }
+
+private:
+  static constexpr Common::Milliseconds WINDOW = Common::Milliseconds(2000);
+
+  std::size_t m_largest = 0;
+  std::size_t m_before = 0;
+  Common::TimePoint m_window_began{};
+};
+} // namespace Holdpost::Mesh
--- /dev/null
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Error.h"
+#include "Common/Types.h"
+#include "Core/Control/ControlMessages.h"
+#include "Core/Distribution/Actions.h"
+#include "Core/Gateway/Target.h"
+
+// What gateways and sidecars tell each other.
+namespace Holdpost::Mesh
+{
+struct Sender
+{
+  std::string instance;
+  std::string hall;
+  // Where the sender takes messages.
+  Common::Address address;
+  // Grows with each start under the same name.
+  std::uint64_t incarnation = 0;
+};
+
+// Named weights, and how long the sender has known of them.
+struct ToldWeights
+{
+  Control::NamedWeights named;
+  Common::Milliseconds known{0};
+};
+
+// What a sidecar needs to know of its service's model.
+struct WeightsPlan
+{
+  std::string service;
+  std::string model;
+  std::uint32_t pieces = 0;
+  std::uint32_t piece_bytes = 0;
+  Common::Milliseconds warm_up{0};
+  Common::Address origin;
+  std::string origin_hall;
+
+  bool operator==(const WeightsPlan&) const = default;
+};
+
+// A sidecar, by the address where it takes messages.
+struct Peer
+{
+  Common::Address address;
+  std::string hall;
+
+  auto operator<=>(const Peer&) const = default;
+};
+
+// Sent by every process to those that need it, again and again: datagrams may be lost.
+struct Hello
+{
+  bool is_gateway = false;
+  Settings::DocumentVersion settings = 0;
+  std::vector<ToldWeights> weights;
+  WeightsPlan plan; // without a model if the sender knows none
+  // The sidecars of the plan's service.
+  std::vector<Peer> peers;
+  // The sender's clock, which a load report gives back: so the sender learns how long the way
+  // takes.
+  Common::Milliseconds clock{0};
+};
+
+// A sidecar's word on its target.
+struct LoadReport
+{
+  Gateway::TargetLoad load;
+  // Gateways that the sidecar has heard of late.
+  std::uint32_t gateways = 0;
+  // The newest settings that one of them told of, and which one did.
+  Settings::DocumentVersion settings = 0;
+  Common::Address settings_at;
+  // The last weights that were named for the target's model, while that is not long ago.
+  std::vector<ToldWeights> weights;
+  // From time to time, the gateways of the sidecar's hall, for gateways there.
+  std::vector<Common::Address> near_gateways;
+  // The clock of the receiver's last hello, and how long ago that came; zero if none came.
+  Common::Milliseconds echo{0};
+  Common::Milliseconds echo_age{0};
+};
+
+struct Announce
+{
+  Distribution::Announcement announcement;
+};
+
+struct AskPiece
+{
+  std::uint64_t id = 0; // chosen by the one that asks
+  Common::Digest version;
+  std::uint32_t piece = 0;
+};
+
+struct CancelPiece
+{
+  std::uint64_t id = 0;
+};
+
+struct TellPiece
+{
+  std::uint64_t id = 0;
+  Common::Result<Common::Bytes> result;
+};
+
+// Wants a settings document newer than this version.
+struct AskDocument
+{
+  Settings::DocumentVersion newer_than = 0;
+};
+
+struct TellDocument
+{
+  Settings::DocumentVersion version = 0;
+  // The text as the platform wrote it, packed next to the text of the base; 0 for none.
+  Settings::DocumentVersion base = 0;
+  Common::Bytes packed;
+};
+
+// Wants a list of targets that was read further than this position.
+struct AskTargets
+{
+  Control::Position newer_than = 0;
+};
+
+struct TellTargets
+{
+  Control::TargetsNews news;
+};
+
+// A gateway that reads the platform for its hall says how far it is, again and again.
+struct ReaderBeat
+{
+  Control::Position targets = 0;
+  // The last change in the list of targets.
+  Control::Position targets_changed = 0;
+  Settings::DocumentVersion settings = 0;
+  std::vector<ToldWeights> weights;
+  // How long ago the platform last answered it.
+  Common::Milliseconds answer_age{0};
+};
+
+using Message = std::variant<Hello, LoadReport, Announce, AskPiece, CancelPiece, TellPiece,
+                             AskDocument, TellDocument, AskTargets, TellTargets, ReaderBeat>;
+} // namespace Holdpost::Mesh
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -52,7 +52,7 @@
                                   m_weights.Handle(m, now, actions);
                                 },
                                 [&](const PieceRequested& m) { m_weights.Handle(m, now, actions); },
-                                [&](const PieceAbandoned& m) { m_weights.Handle(m, now); },
+                                [&](const PieceAbandoned& m) { m_weights.Handle(m, now, actions); },
                                 [&](const PieceFetched& m) { m_weights.Handle(m, now, actions); },
                                 [&](const RunRequested& m) { OnRunRequested(m, actions); },
                                 [&](const RunAbandoned& m)
--- a/Source/Core/Node/AgentWeights.cpp
+++ b/Source/Core/Node/AgentWeights.cpp
@@ -108,7 +108,14 @@
 void AgentWeights::Handle(const PieceRequested& message, TimePoint now, Actions* actions)
 {
   Distribution::Actions made;
-  m_exchange.OnPieceRequest(message.tag, message.version, message.piece, now, &made);
+  m_exchange.OnPieceRequest(message.tag, message.version, message.piece, false, now, &made);
+  Translate(std::move(made), now, actions);
+}
+
+void AgentWeights::Handle(const PieceAbandoned& message, TimePoint now, Actions* actions)
+{
+  Distribution::Actions made;
+  m_exchange.OnRequestAbandoned(message.tag, now, &made);
   Translate(std::move(made), now, actions);
 }
 
@@ -178,6 +185,7 @@
             [&](Distribution::AnswerPiece& answer) {
               actions->push_back(AnswerPiece{answer.tag, std::move(answer.result)});
             },
+            [](Distribution::PieceHeld&) {},
             [&](Distribution::VersionHeld& held)
             {
               INFO_LOG(DISTRIBUTION, "Holds version {}, every piece verified.",
--- a/Source/Core/Node/AgentWeights.h
+++ b/Source/Core/Node/AgentWeights.h
@@ -32,10 +32,7 @@
 
   void Handle(const AnnouncementReceived& message, Common::TimePoint now, Actions* actions);
   void Handle(const PieceRequested& message, Common::TimePoint now, Actions* actions);
-  void Handle(const PieceAbandoned& message, Common::TimePoint now)
-  {
-    m_exchange.OnRequestAbandoned(message.tag, now);
-  }
+  void Handle(const PieceAbandoned& message, Common::TimePoint now, Actions* actions);
   void Handle(const PieceFetched& message, Common::TimePoint now, Actions* actions);
   void OnPeerLost(const std::string& instance, Common::TimePoint now, Actions* actions);
   void OnTick(Common::TimePoint now, Actions* actions);
--- /dev/null
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -0,0 +1,186 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Metrics.h"
+#include "Core/Control/ControlMessages.h"
+#include "Core/Distribution/Exchange.h"
+#include "Core/Mesh/MeshMessages.h"
+#include "Core/Sidecar/EngineMessages.h"
+#include "Core/Sidecar/StageKeeper.h"
+#include "Core/Sidecar/SwitchSchedule.h"
+#include "Core/Sidecar/WeightsLoader.h"
+
+// The decisions of the process beside a model engine that keeps its own stage: it tells gateways
+// how full the engine is, fetches named weights from its peers and the origin, stages them and has
+// them loaded. Takes events with the present time and returns actions.
+namespace Holdpost::Sidecar
+{
+struct SidecarOptions
+{
+  // Where other instances reach this one; also its name among its peers.
+  Common::Address address;
+  std::string hall;
+  Common::Address target;
+  std::string service;
+  std::uint64_t link_bytes_per_second = 0;
+  Common::Milliseconds switch_within{8000};
+};
+
+// A piece from the origin, or the manifest for MANIFEST_PIECE; the answer is an OriginFetched.
+struct FetchFromOrigin
+{
+  Distribution::FetchId id = 0;
+  Common::Address origin;
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint32_t piece = 0;
+};
+
+struct CancelOriginFetch
+{
+  Distribution::FetchId id = 0;
+};
+
+struct OriginFetched
+{
+  Distribution::FetchId id = 0;
+  Common::Result<Common::Bytes> result;
+};
+
+// Tell a peer or gateway; `is_small` messages may be lost.
+struct Tell
+{
+  Common::Address to;
+  Mesh::Message message;
+  bool is_small = true;
+};
+
+using Action = std::variant<ReadReport, ListStaged, ReadStaged, StagePiece, StartWeights,
+                            FetchFromOrigin, CancelOriginFetch, Tell>;
+using Actions = std::vector<Action>;
+
+class Sidecar
+{
+public:
+  Sidecar(SidecarOptions options, Common::Metrics& metrics);
+
+  void Handle(const ReportRead& event, Common::TimePoint now, Actions* actions);
+  void Handle(const StagedListed& event, Common::TimePoint now, Actions* actions);
+  void Handle(const StagedRead& event, Common::TimePoint now, Actions* actions);
+  void Handle(const PieceStaged& event, Common::TimePoint now, Actions* actions);
+  void Handle(const StartAnswered& event, Common::TimePoint now, Actions* actions);
+  void Handle(const OriginFetched& event, Common::TimePoint now, Actions* actions);
+  void OnMessage(const Mesh::Sender& from, const Mesh::Message& message, Common::TimePoint now,
+                 Actions* actions);
+  void OnPeerBroken(const Common::Address& peer, Common::TimePoint now, Actions* actions);
+  // What the platform says, when it is asked directly.
+  void OnPlan(const Mesh::WeightsPlan& plan, Common::TimePoint now);
+  void OnWeights(const Control::NamedWeights& named, Common::TimePoint known_since);
+  void OnPeers(const std::vector<Mesh::Peer>& peers, Common::TimePoint now, Actions* actions);
+
+  void SetSwitchWithin(Common::Milliseconds within) { m_options.switch_within = within; }
+
+  void OnTick(Common::TimePoint now, Actions* actions);
+  Common::TimePoint NextWakeup(Common::TimePoint now) const;
+  // Whether no gateway of the hall was heard for a while, so that the platform has to be asked.
+  bool IsAlone(Common::TimePoint now) const;
+
+  bool HasPlan() const { return !m_plan.model.empty(); }
+  std::uint64_t WantedVersion() const { return m_wanted; }
+  std::uint64_t LoadedVersion() const { return m_report ? m_report->weights_version : 0; }
+  const Distribution::Exchange& Weights() const { return m_exchange; }
+  // Pieces of the version that are here.
+  std::uint32_t PiecesHeld(std::uint64_t version) const;
+
+private:
+  struct HeardGateway
+  {
+    std::string hall;
+    Settings::DocumentVersion settings = 0;
+    Common::Milliseconds clock{0};
+    Common::TimePoint heard{};
+    Common::TimePoint told{};
+    // When it was last told of the other gateways of the hall.
+    Common::TimePoint listed{};
+  };
+
+  void OnHello(const Mesh::Sender& from, const Mesh::Hello& hello, Common::TimePoint now,
+               Actions* actions);
+  void ChooseVersion(Common::TimePoint now, Actions* actions);
+  void WantVersion(std::uint64_t version, Common::TimePoint now, Actions* actions);
+  void CopyAhead(std::uint64_t version, Common::TimePoint now, Actions* actions);
+  void TellExchangeOfPeers(Common::TimePoint now, Actions* actions);
+  void FetchVersion(std::uint64_t version, Common::TimePoint now, Actions* actions);
+  bool MayReplaceWanted(Common::TimePoint now) const;
+  Common::Duration CopyTime() const;
+  // What one piece takes on the own link as it is now, and what a whole copy and the rest of one
+  // do.
+  Common::Duration PieceTimeNow(Common::TimePoint now) const;
+  Common::Duration WholeCopyTime(Common::TimePoint now) const;
+  Common::Duration TimeToHold(const Distribution::Swarm* swarm, Common::TimePoint now) const;
+  // When the engine is to take the wanted version; empty if it has it.
+  std::optional<Common::TimePoint> SwitchAt(Common::TimePoint now) const;
+  // The origin is a dependency: each time that it is lost or regained is told.
+  void NoteOrigin(const Common::Result<Common::Bytes>& result, Common::TimePoint now);
+  void TickStage(Common::TimePoint now, Actions* actions);
+  void TickLoader(Common::TimePoint now, Actions* actions);
+  void LogProgress(Common::TimePoint now);
+  // All transfers since the start, so that two lines show what one push took.
+  void LogHeld(std::uint64_t version, Common::TimePoint now) const;
+  void TellLoad(Common::TimePoint now, Actions* actions);
+  std::vector<Common::Address> NearGateways() const;
+  void Translate(Distribution::Actions made, Common::TimePoint now, Actions* actions);
+  const Distribution::Swarm* WantedSwarm() const;
+  Distribution::ExchangeOptions MakeExchangeOptions() const;
+  Common::Duration PieceTime() const;
+  Common::Duration ClaimLifetime() const;
+
+  SidecarOptions m_options;
+  Common::Metrics& m_metrics;
+  Distribution::Exchange m_exchange;
+  StageKeeper m_stage;
+  WeightsLoader m_loader;
+  Mesh::WeightsPlan m_plan;
+  // Versions that were named, and since when this is known somewhere.
+  std::map<std::uint64_t, Common::TimePoint> m_named;
+  // The one that the engine is to load next, and a newer one that is copied meanwhile.
+  std::uint64_t m_wanted = 0;
+  std::uint64_t m_ahead = 0;
+  std::uint64_t m_before = 0;
+  std::map<Common::Digest, std::uint64_t> m_versions;
+  std::map<Common::Address, HeardGateway> m_gateways;
+  std::vector<Mesh::Peer> m_peers;
+  std::optional<Common::TimePoint> m_began;
+  std::optional<EngineReport> m_report;
+  bool m_is_reading_report = false;
+  std::uint32_t m_reports_failed = 0;
+  Common::TimePoint m_report_due{};
+  Common::TimePoint m_peers_due{};
+  bool m_is_view_confirmed = false;
+  // Pieces found on the stage at the start, offered to the exchange once a manifest is known.
+  std::vector<std::uint32_t> m_found_staged;
+  bool m_has_listed = false;
+  bool m_is_listing = false;
+  std::uint32_t m_found_in_flight = 0;
+  std::optional<Gateway::TargetLoad> m_told;
+  Common::TimePoint m_progress_due{};
+  // Pieces asked of this sidecar, by the tag under which the exchange knows them.
+  struct Asked
+  {
+    Common::Address from;
+    std::uint64_t id = 0;
+  };
+  std::map<Distribution::RequestTag, Asked> m_asked;
+  Distribution::RequestTag m_next_tag = 1;
+  std::set<Distribution::FetchId> m_at_origin;
+  bool m_is_origin_lost = false;
+  std::map<Distribution::FetchId, Common::Address> m_at_peers;
+};
+} // namespace Holdpost::Sidecar
--- /dev/null
+++ b/Source/Core/Sidecar/SwitchSchedule.cpp
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/SwitchSchedule.h"
+
+#include <algorithm>
+
+#include "Common/Hash.h"
+
+namespace Holdpost::Sidecar
+{
+using Common::Duration;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// Left at the end for what comes late and for the loading itself.
+static constexpr Duration END_MARGIN = Milliseconds(1300);
+
+std::size_t SwitchRank(const Common::Address& self, const std::vector<Mesh::Peer>& peers,
+                       std::uint64_t version)
+{
+  const std::uint64_t own = Common::StableHash(self.ToString(), version);
+  return static_cast<std::size_t>(std::ranges::count_if(
+      peers,
+      [&](const Mesh::Peer& peer) {
+        return peer.address != self && Common::StableHash(peer.address.ToString(), version) < own;
+      }));
+}
+
+TimePoint PlannedSwitch(const SwitchWindow& window, std::size_t rank, std::size_t count)
+{
+  const TimePoint begin = window.named + window.copy;
+  const Duration span = std::max(window.within - window.copy - END_MARGIN, Duration::zero());
+  const double share =
+      (static_cast<double>(rank) + 0.5) / static_cast<double>(std::max(count, rank + 1));
+  return begin + std::chrono::duration_cast<Duration>(share * span);
+}
+} // namespace Holdpost::Sidecar
--- /dev/null
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/WeightsLoader.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace Holdpost::Sidecar
+{
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+// Until gateways have heard that nothing new is taken here.
+static constexpr Milliseconds ANNOUNCE_TIME = Milliseconds(30);
+static constexpr Milliseconds RETRY_PAUSE = Milliseconds(150);
+
+void WeightsLoader::Begin(const std::string& model, std::uint64_t version, TimePoint now)
+{
+  if (IsUnderWay() || now < m_not_before)
+    return;
+  m_model = model;
+  m_version = version;
+  m_state = LoaderState::Announced;
+  m_since = now;
+  LogEvent(Weight::Important, now, "switch.begun", "model", model, "version", version);
+}
+
+std::optional<StartWeights> WeightsLoader::OnTick(TimePoint now)
+{
+  if (m_state != LoaderState::Announced || now - m_since < ANNOUNCE_TIME)
+    return std::nullopt;
+  m_state = LoaderState::Ordered;
+  m_since = now;
+  m_is_unanswered = false;
+  return StartWeights{m_model, m_version, m_orders_seen};
+}
+
+void WeightsLoader::OnAnswered(const StartAnswered& answered, TimePoint now)
+{
+  if (m_state != LoaderState::Ordered || answered.version != m_version)
+    return;
+  if (Common::Succeeded(answered.result))
+  {
+    m_state = LoaderState::Loading;
+    return;
+  }
+  const auto& error = std::get<Common::Error>(answered.result);
+  LogEvent(Weight::Important, now, "switch.order_failed", "version", m_version, "reason",
+           Common::AnswerFor(error.kind).name, "message", error.message);
+  if (Common::AnswerFor(error.kind).outcome == Common::Outcome::Unknown)
+  {
+    m_is_unanswered = true;
+    return;
+  }
+  m_state = LoaderState::Idle;
+  m_not_before = now + RETRY_PAUSE;
+}
+
+void WeightsLoader::OnReport(const EngineReport& report, TimePoint now)
+{
+  const bool has_taken = report.is_busy || report.orders > m_orders_seen;
+  if (m_state == LoaderState::Ordered && m_is_unanswered)
+  {
+    m_state = has_taken ? LoaderState::Loading : LoaderState::Idle;
+    m_not_before = now + RETRY_PAUSE;
+  }
+  const bool is_done = report.weights_version == m_version && !report.is_busy;
+  if (m_state == LoaderState::Loading && is_done)
+  {
+    LogEvent(Weight::Important, now, "switch.done", "version", m_version, "took_ms", now - m_since);
+    m_state = LoaderState::Idle;
+  }
+  // An engine that has started anew has forgotten the order.
+  if (m_state == LoaderState::Loading && !report.is_busy && report.orders < m_orders_seen)
+    m_state = LoaderState::Idle;
+  // What the engine reports while an order is open may be older than the order.
+  if (m_state == LoaderState::Idle || m_state == LoaderState::Announced)
+    m_orders_seen = report.orders;
+}
+
+void WeightsLoader::OnEngineLost()
+{
+  m_state = LoaderState::Idle;
+  m_orders_seen = 0;
+}
+} // namespace Holdpost::Sidecar
--- /dev/null
+++ b/Source/Node/GatewayControl.h
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Common/EventLoop.h"
+#include "Core/Control/AnswerPacing.h"
+#include "Core/Control/ControlFollower.h"
+#include "Core/Control/PeerQuery.h"
+#include "Core/Control/ReaderDuty.h"
+#include "Core/Mesh/Briefing.h"
+#include "Core/Mesh/GatewayCount.h"
+#include "Core/Mesh/HallGateways.h"
+#include "Node/GatewayConfig.h"
+#include "Peers/Control/ControlPlane.h"
+#include "Peers/Mesh/MeshEndpoint.h"
+
+// A gateway's part in knowing what is in force: it reads the platform or leaves that to another
+// gateway of its hall, passes on what it reads, and tells sidecars what they need.
+namespace Holdpost::Node
+{
+class GatewayControl
+{
+public:
+  // What is new is told by these.
+  struct Handlers
+  {
+    std::function<void(const std::shared_ptr<const Settings::Document>&)> on_document;
+    std::function<void(const std::string& model, const Control::KnownVersion&)> on_weights;
+    std::function<void(const std::vector<Gateway::ListedTarget>&)> on_targets;
+    std::function<void(const Gateway::TargetLoad&)> on_load;
+    // How many gateways there are, and how many of them in this hall.
+    std::function<void(std::size_t gateways, std::size_t near_gateways)> on_gateways;
+    // Something is to be done earlier than was said.
+    std::function<void()> on_wakeup;
+  };
+
+  GatewayControl(Common::EventLoop& loop, const MeshConfig& config,
+                 ControlPeer::ControlPlane& control, Handlers handlers);
+  GatewayControl(const GatewayControl&) = delete;
+  GatewayControl& operator=(const GatewayControl&) = delete;
+
+  Common::Result<Common::Address> Listen();
+  // Takes over what may change while the process runs: the platform's address, seeds, bounds.
+  void SetConfig(const MeshConfig& config);
+  void Tick(Common::TimePoint now);
+  Common::TimePoint NextWakeup() const;
+  // Drops connections to peers that carried nothing for a while.
+  void CloseIdle(Common::TimePoint now) { m_mesh.CloseIdle(now); }
+
+  bool IsPlatformReachable() const { return m_follower.IsReachable(); }
+  bool HasTargets() const { return m_follower.HasTargets(); }
+  // Whether this gateway reads the platform for its hall.
+  bool Reads() const { return m_duty.Reads(); }
+
+private:
+  void FollowPlatform(Common::TimePoint now);
+  void Ask(const Control::ReadOperator& read);
+  void Ask(const Control::ReadTargets& read);
+  void UpdateDuty(Common::TimePoint now);
+  // Asks a seed for what the platform does not tell.
+  void QuerySeeds(Common::TimePoint now);
+  void Beat(Common::TimePoint now);
+  void PassOnDocument(Common::TimePoint now);
+  void PassOnTargets(Common::TimePoint now);
+
+  void ApplyOperator();
+  void ApplyTargets();
+  void UpdateBriefing();
+
+  void OnMessage(const Mesh::Sender& from, Mesh::Message& message);
+  void OnLoadReport(const Mesh::LoadReport& report);
+  void OnReaderBeat(const Mesh::Sender& from, const Mesh::ReaderBeat& beat);
+  void OnDocument(const Mesh::Sender& from, const Mesh::TellDocument& tell);
+  void OnTargets(const Mesh::Sender& from, const Mesh::TellTargets& tell);
+  void AnswerDocument(const Common::Address& to, Settings::DocumentVersion newer_than);
+  void AnswerTargets(const Common::Address& to, Control::Position newer_than);
+  bool OfferWeights(const std::vector<Mesh::ToldWeights>& weights, Common::TimePoint now);
+  Mesh::TellDocument PackDocument(Settings::DocumentVersion base) const;
+
+  MeshConfig m_config;
+  ControlPeer::ControlPlane& m_control;
+  Handlers m_handlers;
+  Control::ControlFollower m_follower;
+  Control::ReaderDuty m_duty;
+  Control::PeerQuery m_seed_query;
+  Control::AnswerPacing m_document_pacing;
+  Control::AnswerPacing m_targets_pacing;
+  Mesh::Briefing m_briefing;
+  Mesh::GatewayCount m_gateway_count;
+  Mesh::HallGateways m_hall_gateways;
+  MeshPeer::MeshEndpoint m_mesh;
+  Common::TimePoint m_beat_due{};
+  // The answer to these is awaited until then.
+  Common::TimePoint m_ask_document_due{};
+  Common::TimePoint m_ask_targets_due{};
+};
+} // namespace Holdpost::Node
--- /dev/null
+++ b/Source/Node/MeshPlan.cpp
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Node/MeshPlan.h"
+
+#include <algorithm>
+
+namespace Holdpost::Node
+{
+std::optional<Mesh::WeightsPlan> PlanOf(const Settings::Document& document,
+                                        const std::string& service)
+{
+  for (const Settings::ServiceSettings& settings : document.services)
+  {
+    if (settings.models.empty() || (!service.empty() && settings.name != service))
+      continue;
+    const Settings::ModelSettings& model = settings.models.front();
+    Mesh::WeightsPlan plan{
+        settings.name, model.name, model.pieces, model.piece_bytes, model.warm_up, {}, ""};
+    if (document.origin)
+    {
+      plan.origin = document.origin->address;
+      plan.origin_hall = document.origin->hall;
+    }
+    return plan;
+  }
+  return std::nullopt;
+}
+
+std::vector<Mesh::Peer> SidecarsOf(const std::vector<Gateway::ListedTarget>& targets,
+                                   const std::string& service, std::uint16_t port)
+{
+  std::vector<Mesh::Peer> peers;
+  for (const Gateway::ListedTarget& target : targets)
+  {
+    if (target.service == service)
+      peers.push_back({{target.address.host, port}, target.hall});
+  }
+  std::ranges::sort(peers);
+  peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+  return peers;
+}
+} // namespace Holdpost::Node
--- a/Source/OperatorTool/Commands.h
+++ b/Source/OperatorTool/Commands.h
@@ -16,4 +16,5 @@
 int RunManifest(const Arguments& arguments);
 int RunStatus(const Arguments& arguments);
 int RunWatch(const Arguments& arguments);
+int RunExplain(const Arguments& arguments);
 } // namespace Holdpost::OperatorTool
--- a/Source/OperatorTool/Main.cpp
+++ b/Source/OperatorTool/Main.cpp
@@ -35,6 +35,7 @@
     Command{"status", "print what instances are doing", &OperatorTool::RunStatus},
     Command{"watch", "wait until settings are in force or a version is ready",
             &OperatorTool::RunWatch},
+    Command{"explain", "tell from logs what became of a request", &OperatorTool::RunExplain},
 };
 
 void PrintUsage(FILE* out)
--- a/Source/OperatorTool/StatusCommands.cpp
+++ b/Source/OperatorTool/StatusCommands.cpp
@@ -30,28 +30,49 @@
   return json::parse(whole->body, nullptr, false);
 }
 
+static std::string AgentDetail(const json& status)
+{
+  const std::string version = status["serving_version"];
+  return fmt::format("service={} ready={} version={} running={} fence={}",
+                     status["service"].get<std::string>(), status["ready"].get<bool>(),
+                     version.empty() ? "-" : version.substr(0, 8), status["running"].get<int>(),
+                     status["fence"].get<Offset>());
+}
+
+// The members of a status that are not in its first columns.
+static std::string Rest(const json& status)
+{
+  std::string text;
+  for (const auto& [name, value] : status.items())
+  {
+    if (name == "instance" || name == "role" || name == "hall")
+      continue;
+    text +=
+        fmt::format(" {}={}", name, value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return text.empty() ? text : text.substr(1);
+}
+
 static void PrintStatus(const Address& address, const json& status)
 {
-  if (!status.is_object())
+  if (!status.is_object() || !status.contains("role"))
   {
     fmt::print("{:<22}no answer\n", address.ToString());
     return;
   }
-  std::string detail;
-  if (status["role"] == "agent")
+  const std::string role = status["role"];
+  const std::string instance = status["instance"];
+  fmt::print("{:<22}{:<16}{:<8}", address.ToString(), instance, role);
+  if (role == "gateway" || role == "sidecar")
   {
-    const std::string version = status["serving_version"];
-    detail = fmt::format("service={} ready={} version={} running={} fence={}",
-                         status["service"].get<std::string>(), status["ready"].get<bool>(),
-                         version.empty() ? "-" : version.substr(0, 8), status["running"].get<int>(),
-                         status["fence"].get<Offset>());
+    fmt::print("{}\n", Rest(status));
+    return;
   }
-  else
-    detail = fmt::format("open_requests={}", status["open_requests"].get<int>());
-  fmt::print("{:<22}{:<16}{:<8}accepted={} log={} {}\n", address.ToString(),
-             status["instance"].get<std::string>(), status["role"].get<std::string>(),
-             status["accepted"].get<Offset>(), status["log_reachable"].get<bool>() ? "up" : "away",
-             detail);
+  const std::string detail =
+      role == "agent" ? AgentDetail(status)
+                      : fmt::format("open_requests={}", status["open_requests"].get<int>());
+  fmt::print("accepted={} log={} {}\n", status["accepted"].get<Offset>(),
+             status["log_reachable"].get<bool>() ? "up" : "away", detail);
 }
 
 int RunStatus(const Arguments& arguments)
--- /dev/null
+++ b/Source/Peers/Caller/CallerConnection.h
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Common/Error.h"
+#include "Common/HttpParser.h"
+#include "Common/TcpConnection.h"
+
+// A caller's connection to a gateway: reads one request after the other, and carries each answer.
+namespace Holdpost::CallerPeer
+{
+struct CallerConnectionLimits
+{
+  std::size_t header_bytes = 16384;
+  std::size_t body_bytes = 4 << 20;
+  // From the first byte of a request until it is whole, with no more than that between two reads.
+  Common::Milliseconds header_timeout{10000};
+  Common::Milliseconds idle_timeout{75000};
+};
+
+class CallerConnection final : private Common::HttpParserSink,
+                               public std::enable_shared_from_this<CallerConnection>
+{
+public:
+  struct Handlers
+  {
+    // A whole request is here. One answer must follow before the next request is read.
+    std::function<void(CallerConnection& connection)> on_request;
+    // The connection is over; no call follows.
+    std::function<void()> on_closed;
+  };
+
+  CallerConnection(Common::EventLoop& loop, int fd, const CallerConnectionLimits& limits);
+
+  // Begins to read. Call it once the connection is held by a shared pointer.
+  void Start(Handlers handlers);
+  // The limits hold from the next request on.
+  void SetLimits(const CallerConnectionLimits& limits);
+
+  // What happens to the request that is to be answered: the caller left before its answer ended, or
+  // everything written has been taken by the kernel.
+  void SetOpenRequest(std::function<void()> on_left, std::function<void()> on_drained)
+  {
+    m_on_left = std::move(on_left);
+    m_on_drained = std::move(on_drained);
+  }
+  // The request that is to be answered.
+  const Common::HttpHead& Head() const { return m_head; }
+  const std::string& Body() const { return m_body; }
+  bool IsAnswering() const { return m_state == State::Answering; }
+
+  // A whole answer. `fields` are complete header lines.
+  void Answer(int status, std::string_view reason, std::string_view fields, std::string_view body);
+  // An answer whose body follows in parts, with its end marked by chunks.
+  void BeginAnswer(int status, std::string_view reason, std::string_view fields);
+  void SendPart(std::string_view data);
+  void EndAnswer();
+  // Ends an answer that has begun so that it cannot be taken for whole.
+  void AbortAnswer();
+  std::size_t UnsentBytes() const { return m_connection->UnsentBytes(); }
+
+  // The connection closes after the present answer, or now if nothing is open.
+  void CloseSoon();
+  bool IsIdle() const { return m_state == State::Idle; }
+  void Close();
+
+private:
+  enum class State
+  {
+    // Between two requests.
+    Idle,
+    Reading,
+    Answering,
+    Closed,
+  };
+
+  void OnHead(Common::HttpHead head) override;
+  void OnBody(std::string_view data) override;
+  void OnMessageEnd() override;
+
+  std::size_t OnData(std::string_view data);
+  void OnConnectionEnd();
+  void OnTimeout();
+  void Reject(Common::ErrorKind kind);
+  void FinishAnswer();
+  void BecomeIdle();
+  void CloseGracefully();
+  std::string HeadLines(int status, std::string_view reason, std::string_view fields) const;
+  void ArmTimer(Common::Milliseconds delay);
+
+  Common::EventLoop& m_loop;
+  CallerConnectionLimits m_limits;
+  Handlers m_handlers;
+  std::function<void()> m_on_left;
+  std::function<void()> m_on_drained;
+  std::shared_ptr<Common::TcpConnection> m_connection;
+  std::unique_ptr<Common::Watch> m_timer;
+  Common::HttpParser m_parser;
+  Common::HttpHead m_head;
+  std::string m_body;
+  State m_state = State::Idle;
+  bool m_is_closing_soon = false;
+};
+} // namespace Holdpost::CallerPeer
--- /dev/null
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -0,0 +1,148 @@
+# SPDX-License-Identifier: Apache-2.0
+# What gateways and sidecars tell each other. After a change run Tools/generate.
+@0xc6a4f1d0b7e29358;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Holdpost::MeshWire");
+
+struct Address {
+  ip @0 :UInt32;
+  port @1 :UInt16;
+}
+
+struct Weights {
+  model @0 :Text;
+  version @1 :UInt64;
+  # How long the sender has known of the version.
+  knownMs @2 :UInt32;
+}
+
+# What a sidecar needs to know of its service's model.
+struct WeightsPlan {
+  service @0 :Text;
+  model @1 :Text;
+  pieces @2 :UInt32;
+  pieceBytes @3 :UInt32;
+  warmUpMs @4 :UInt32;
+  origin @5 :Address;
+  originHall @6 :Text;
+}
+
+struct Peer {
+  address @0 :Address;
+  hall @1 :UInt16;         # place in the list of halls
+}
+
+struct Hello {
+  isGateway @0 :Bool;
+  settings @1 :UInt64;
+  weights @2 :List(Weights);
+  plan @3 :WeightsPlan;
+  halls @4 :List(Text);
+  peers @5 :List(Peer);
+  # The sender's clock, which the load report gives back.
+  clockMs @6 :UInt32;
+}
+
+struct Load {
+  target @0 :Address;
+  running @1 :UInt16;
+  queued @2 :UInt16;
+  weightsVersion @3 :UInt32;
+  isSwitching @4 :Bool;
+  pacePercent @5 :UInt16;
+  # When the target is going to take other weights; 0 if that is not planned.
+  switchInMs @6 :UInt32;
+  gateways @7 :UInt16;
+  settings @8 :UInt64;
+  settingsAt @9 :Address;
+  weights @10 :List(Weights);
+  echoMs @11 :UInt32;
+  echoAgeMs @12 :UInt32;
+  inboundDelayMs @13 :UInt32;
+  nearGateways @14 :List(Address);
+}
+
+struct Announcement {
+  version @0 :Data;
+  pieceCount @1 :UInt32;
+  isWhole @2 :Bool;
+  wantsReply @3 :Bool;
+  bitmap @4 :Data;
+  pieces @5 :List(UInt32);
+  claimed @6 :List(UInt32);
+}
+
+struct PieceRequest {
+  id @0 :UInt64;
+  version @1 :Data;
+  piece @2 :UInt32;
+}
+
+struct PieceAnswer {
+  id @0 :UInt64;
+  # Name in the table of error kinds; empty for success.
+  failure @1 :Text;
+  retryAfterMs @2 :UInt32;
+  data @3 :Data;
+}
+
+struct DocumentAnswer {
+  version @0 :UInt64;
+  # As the platform wrote it, packed by zstd next to the text of the base; 0 for none.
+  packed @1 :Data;
+  base @2 :UInt64;
+}
+
+# Sent by a gateway that reads the platform for its hall.
+struct ReaderBeat {
+  targets @0 :UInt64;
+  targetsChanged @1 :UInt64;
+  settings @2 :UInt64;
+  weights @3 :List(Weights);
+  answerAgeMs @4 :UInt32;
+}
+
+struct Target {
+  id @0 :Text;
+  service @1 :Text;
+  hall @2 :Text;
+  address @3 :Address;
+  slots @4 :UInt16;
+  isLeaving @5 :Bool;
+  weightsVersion @6 :UInt32;
+  needsWeights @7 :Bool;
+  # Only the id is set.
+  isGone @8 :Bool;
+}
+
+struct TargetsAnswer {
+  # How far the sender has read the platform's list.
+  position @0 :UInt64;
+  targets @1 :List(Target);
+  # Who knows the list up to here needs no more than these; 0 if they are the whole list.
+  base @2 :UInt64;
+}
+
+struct Message {
+  # Of the sender.
+  instance @0 :Text;
+  hall @1 :Text;
+  address @2 :Address;
+  incarnation @3 :UInt64;
+  union {
+    hello @4 :Hello;
+    load @5 :Load;
+    announcement @6 :Announcement;
+    pieceRequest @7 :PieceRequest;
+    pieceCancel @8 :UInt64;
+    pieceAnswer @9 :PieceAnswer;
+    # Wants a document newer than this version.
+    documentRequest @10 :UInt64;
+    documentAnswer @11 :DocumentAnswer;
+    # Wants a list of targets that was read further than this position.
+    targetsRequest @12 :UInt64;
+    targetsAnswer @13 :TargetsAnswer;
+    readerBeat @14 :ReaderBeat;
+  }
+}
--- /dev/null
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -0,0 +1,236 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Peers/Target/TargetCall.h"
+
+namespace Holdpost::TargetPeer
+{
+using Common::ConnectionEnd;
+using Common::HttpHead;
+using Common::Milliseconds;
+using Gateway::AttemptEnd;
+
+// Answers up to this size are passed on only when they are whole.
+static constexpr std::size_t HELD_BYTES_MOST = 64 << 10;
+static constexpr Milliseconds IDLE_MOST = Milliseconds(8000);
+// A target may close a kept connection a little before the time that it told.
+static constexpr Milliseconds IDLE_MARGIN = Milliseconds(700);
+
+void TargetCall::Start(CallRequest request, Handlers handlers)
+{
+  m_request = std::move(request);
+  m_handlers = std::move(handlers);
+  m_events = EventStream(m_request.resume_after);
+  m_parser.Restart(m_request.is_head_method);
+  const TargetPool::Lease lease =
+      m_pool.Acquire(m_request.target, m_request.address, m_request.may_reuse_connection);
+  m_connection = lease.connection;
+  const std::weak_ptr<TargetCall> weak = weak_from_this();
+  m_connection->SetHandlers({[weak](std::string_view data)
+                             {
+                               const auto self = weak.lock();
+                               return self ? self->OnData(data) : data.size();
+                             },
+                             [weak](ConnectionEnd end)
+                             {
+                               if (const auto self = weak.lock())
+                                 self->OnConnectionEnd(end);
+                             },
+                             nullptr, nullptr});
+  m_connection->Write(m_request.message);
+}
+
+std::size_t TargetCall::OnData(std::string_view data)
+{
+  m_is_reading = true;
+  const std::size_t consumed = m_parser.Feed(data);
+  m_is_reading = false;
+  if (m_is_over)
+    return data.size();
+  if (m_parser.Error() != Common::HttpParseError::None)
+  {
+    Fail(CallFailure::Broken, AttemptEnd::BadAnswer);
+    return data.size();
+  }
+  if (!m_parser.IsDone())
+    return consumed;
+  const bool is_informational = m_head && m_head->status < 200;
+  if (m_is_foreign || is_informational)
+  {
+    m_is_foreign = false;
+    m_head.reset();
+    m_parser.Restart(m_request.is_head_method);
+    return consumed;
+  }
+  if (consumed < data.size())
+    m_is_spoilt = true; // bytes behind a whole answer belong to no request
+  if (m_is_whole && m_is_passing)
+    Finish();
+  return consumed;
+}
+
+bool TargetCall::IsOurs(const HttpHead& head) const
+{
+  const std::string* id = head.fields.Find(m_names.request_id);
+  if (id)
+    return *id == m_request.request_id;
+  // One that turns away what it could not read knows no id.
+  return head.status < 200 || head.fields.Find(m_names.not_run) != nullptr;
+}
+
+void TargetCall::OnHead(HttpHead head)
+{
+  m_is_foreign = !IsOurs(head);
+  if (m_is_foreign)
+  {
+    m_is_spoilt = true;
+    return;
+  }
+  m_head = std::move(head);
+  if (m_head->status < 200)
+    return;
+  const std::string* type = m_head->fields.Find("Content-Type");
+  m_is_event_stream = m_request.is_stream && m_head->status == 200 && type &&
+                      type->starts_with("text/event-stream");
+}
+
+void TargetCall::OnBody(std::string_view data)
+{
+  if (m_is_foreign || m_is_over || !m_head)
+    return;
+  if (m_is_event_stream)
+    data = m_events.Take(data);
+  // A stream that breaks off before its first event may still be asked for elsewhere.
+  if (m_is_event_stream && !m_is_answered && !data.empty())
+  {
+    m_held.append(data);
+    return Answer(false);
+  }
+  if (m_is_passing)
+  {
+    if (!data.empty())
+      m_handlers.on_body(data);
+    return;
+  }
+  m_held.append(data);
+  if (!m_is_answered && m_held.size() > HELD_BYTES_MOST)
+    Answer(false);
+}
+
+void TargetCall::OnMessageEnd()
+{
+  if (m_is_foreign || m_is_over || !m_head || m_head->status < 200)
+    return;
+  if (m_events.HasPartialEvent())
+    return Fail(CallFailure::Broken, AttemptEnd::PartialEvent);
+  m_is_whole = true;
+  if (!m_is_answered)
+    Answer(true);
+}
+
+void TargetCall::Answer(bool is_whole)
+{
+  m_is_answered = true;
+  m_handlers.on_answer(*m_head, is_whole);
+}
+
+void TargetCall::Pass()
+{
+  if (m_is_over)
+    return;
+  m_is_passing = true;
+  if (!m_held.empty())
+    m_handlers.on_body(std::exchange(m_held, {}));
+  // While bytes are being read it is not known yet whether more lie behind the answer.
+  if (m_is_whole && !m_is_reading)
+    Finish();
+}
+
+void TargetCall::OnConnectionEnd(ConnectionEnd end)
+{
+  if (m_is_over)
+    return;
+  const std::shared_ptr<TargetCall> self = shared_from_this();
+  m_connection.reset();
+  if (end == ConnectionEnd::NotConnected)
+    return Fail(CallFailure::NotSent, AttemptEnd::NoConnection);
+  // One that was reset on the way is not whole, whatever came of it.
+  const bool is_whole = end == ConnectionEnd::Finished && !m_is_foreign && m_parser.FinishAtClose();
+  if (m_is_over)
+    return;
+  if (!is_whole)
+  {
+    const bool is_closed = end == ConnectionEnd::Finished;
+    return Fail(CallFailure::Broken, is_closed ? AttemptEnd::ClosedEarly : AttemptEnd::Reset);
+  }
+  if (m_is_passing)
+    Finish();
+}
+
+void TargetCall::Finish()
+{
+  if (std::exchange(m_is_over, true))
+    return;
+  GiveBack();
+  const Handlers handlers = std::exchange(m_handlers, {});
+  handlers.on_end();
+}
+
+void TargetCall::Fail(CallFailure failure, AttemptEnd end)
+{
+  if (std::exchange(m_is_over, true))
+    return;
+  m_ended_by = end;
+  if (m_connection)
+    m_connection->Reset();
+  m_connection.reset();
+  const Handlers handlers = std::exchange(m_handlers, {});
+  handlers.on_failure(failure);
+}
+
+void TargetCall::Cancel()
+{
+  if (std::exchange(m_is_over, true))
+    return;
+  m_handlers = {};
+  if (!m_connection)
+    return;
+  if (m_is_whole)
+    return GiveBack();
+  m_connection->Reset();
+  m_connection.reset();
+}
+
+void TargetCall::GiveBack()
+{
+  if (!m_connection)
+    return;
+  const std::shared_ptr<Common::TcpConnection> connection = std::move(m_connection);
+  // What the target has not read of the request would be taken for the next one.
+  const bool may_keep =
+      !m_is_spoilt && m_head && m_head->keeps_alive && connection->UnsentBytes() == 0;
+  if (!may_keep)
+    return connection->Close();
+  Milliseconds idle_most = IDLE_MOST;
+  if (const std::string* keep = m_head->fields.Find("Keep-Alive"))
+  {
+    const std::size_t at = keep->find("timeout=");
+    if (at != std::string::npos)
+    {
+      const Milliseconds told = std::chrono::seconds(std::atoi(keep->c_str() + at + 8));
+      idle_most = std::min(idle_most, told - IDLE_MARGIN);
+    }
+  }
+  m_pool.Release(m_request.target, connection, idle_most);
+}
+
+void TargetCall::PauseReading()
+{
+  if (m_connection)
+    m_connection->PauseReading();
+}
+
+void TargetCall::ResumeReading()
+{
+  if (m_connection)
+    m_connection->ResumeReading();
+}
+} // namespace Holdpost::TargetPeer
--- /dev/null
+++ b/Source/Peers/Target/TargetCall.h
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Common/HttpParser.h"
+#include "Common/TcpConnection.h"
+#include "Core/Gateway/Messages.h"
+#include "Peers/Target/EventStream.h"
+#include "Peers/Target/HeaderNames.h"
+#include "Peers/Target/TargetPool.h"
+
+// One attempt of a request at a target: sends it and reads the answer that carries its id.
+namespace Holdpost::TargetPeer
+{
+// Why a call ended without a whole answer.
+enum class CallFailure
+{
+  // The connection never came up, so no byte reached the target.
+  NotSent,
+  // The connection broke, or what came was no answer to this request.
+  Broken,
+};
+
+struct CallRequest
+{
+  std::string target; // id of the target, for kept connections
+  Common::Address address;
+  std::string message; // head and body, as they go out
+  std::string request_id;
+  bool is_head_method = false;
+  bool is_stream = false;
+  // Events up to this one are not passed on again.
+  std::optional<std::uint64_t> resume_after;
+  // A kept connection may be used, though the target may close it at this moment.
+  bool may_reuse_connection = false;
+};
+
+class TargetCall final : private Common::HttpParserSink,
+                         public std::enable_shared_from_this<TargetCall>
+{
+public:
+  struct Handlers
+  {
+    // The answer has a head and its whole body, or for a stream its first event, or a part that is
+    // too large to hold.
+    std::function<void(const Common::HttpHead& head, bool is_whole)> on_answer;
+    // More of the body, after Pass was called.
+    std::function<void(std::string_view data)> on_body;
+    // The answer is whole; no call follows.
+    std::function<void()> on_end;
+    // No call follows.
+    std::function<void(CallFailure failure)> on_failure;
+  };
+
+  TargetCall(TargetPool& pool, const HeaderNames& names)
+      : m_pool(pool), m_names(names), m_parser(Common::HttpMessageKind::Answer, *this)
+  {
+  }
+
+  void Start(CallRequest request, Handlers handlers);
+  // Hands over what was held back and then everything as it comes.
+  void Pass();
+  // No call follows. A target that still works on the request is told by a reset.
+  void Cancel();
+  void PauseReading();
+  void ResumeReading();
+
+  std::optional<std::uint64_t> LastEvent() const { return m_events.LastEvent(); }
+  // What a call that failed ended by.
+  Gateway::AttemptEnd EndedBy() const { return m_ended_by; }
+  bool IsEventStream() const { return m_is_event_stream; }
+
+private:
+  void OnHead(Common::HttpHead head) override;
+  void OnBody(std::string_view data) override;
+  void OnMessageEnd() override;
+
+  std::size_t OnData(std::string_view data);
+  void OnConnectionEnd(Common::ConnectionEnd end);
+  void Answer(bool is_whole);
+  void Finish();
+  void Fail(CallFailure failure, Gateway::AttemptEnd end);
+  void GiveBack();
+  bool IsOurs(const Common::HttpHead& head) const;
+
+  TargetPool& m_pool;
+  const HeaderNames& m_names;
+  CallRequest m_request;
+  Handlers m_handlers;
+  std::shared_ptr<Common::TcpConnection> m_connection;
+  Common::HttpParser m_parser;
+  std::optional<Common::HttpHead> m_head;
+  std::string m_held;
+  EventStream m_events;
+  Gateway::AttemptEnd m_ended_by = Gateway::AttemptEnd::None;
+  bool m_is_event_stream = false;
+  // The answer that is being read belongs to another request.
+  bool m_is_foreign = false;
+  bool m_is_spoilt = false;  // the connection must not be used again
+  bool m_is_reading = false; // bytes are being parsed
+  bool m_is_answered = false;
+  bool m_is_passing = false;
+  bool m_is_whole = false;
+  bool m_is_over = false;
+};
+} // namespace Holdpost::TargetPeer
--- /dev/null
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Peers/Target/TargetMessage.h"
+
+#include <array>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace Holdpost::TargetPeer
+{
+using Common::AppendField;
+using Common::EqualsIgnoringCase;
+using Common::HttpHead;
+
+static constexpr std::string_view BEARER = "Bearer ";
+
+static std::uint32_t ReadNumber(std::string_view text)
+{
+  std::uint32_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+static std::optional<Gateway::GenerationHint> ReadGeneration(const HttpHead& head,
+                                                             const HeaderNames& names)
+{
+  const std::string* model = head.fields.Find(names.model);
+  const std::string* counts = head.fields.Find(names.token_counts);
+  if (!model || !counts)
+    return std::nullopt;
+  Gateway::GenerationHint hint;
+  hint.model = *model;
+  hint.prompt_tokens = ReadNumber(*counts);
+  if (const std::size_t comma = counts->find(','); comma != std::string::npos)
+    hint.answer_tokens_most = ReadNumber(std::string_view(*counts).substr(comma + 1));
+  hint.answer_tokens_guess = static_cast<std::uint32_t>(
+      head.fields.FindNumber(names.length_hint).value_or(hint.answer_tokens_most));
+  return hint;
+}
+
+Gateway::CallerRequest ReadCallerRequest(const HttpHead& head, const HeaderNames& names)
+{
+  Gateway::CallerRequest request;
+  if (const std::string* id = head.fields.Find(names.request_id))
+    request.id = *id;
+  if (const std::string* host = head.fields.Find("Host"))
+    request.host = *host;
+  request.path = head.target.substr(0, head.target.find('?'));
+  const std::string* credential = head.fields.Find(names.credential);
+  if (credential && credential->size() > BEARER.size() &&
+      EqualsIgnoringCase(std::string_view(*credential).substr(0, BEARER.size()), BEARER))
+    request.credential = credential->substr(BEARER.size());
+  if (const auto deadline = head.fields.FindNumber(names.deadline_ms))
+    request.deadline = Common::Milliseconds(std::min<std::uint64_t>(*deadline, 86400000));
+  request.last_event = head.fields.FindNumber(names.last_event);
+  request.generation = ReadGeneration(head, names);
+  return request;
+}
+
+static bool IsPassedOn(const HttpHead& head, std::string_view name, const HeaderNames& names)
+{
+  const std::array<std::string_view, 7> replaced = {
+      names.credential,       names.deadline_ms, names.organisation, names.expected_target,
+      names.expected_weights, names.urgency,     names.last_event};
+  for (const std::string_view own : replaced)
+  {
+    if (EqualsIgnoringCase(own, name))
+      return false;
+  }
+  return !Common::IsConnectionField(name) && !EqualsIgnoringCase(name, "Content-Length") &&
+         !EqualsIgnoringCase(name, "Expect") && !head.fields.HasToken("Connection", name);
+}
+
+std::string WriteTargetRequest(const HttpHead& head, const std::string& body,
+                               const Gateway::Dispatch& dispatch, const HeaderNames& names)
+{
+  std::string text;
+  text.reserve(1024 + body.size());
+  text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
+  for (const Common::HttpField& field : head.fields)
+  {
+    if (IsPassedOn(head, field.name, names))
+      AppendField(&text, field.name, field.value);
+  }
+  AppendField(&text, names.deadline_ms, fmt::format_int(dispatch.time_left.count()).c_str());
+  AppendField(&text, names.expected_target, dispatch.target);
+  if (!dispatch.organisation.empty())
+    AppendField(&text, names.organisation, dispatch.organisation);
+  if (dispatch.resume_after)
+    AppendField(&text, names.last_event, fmt::format_int(*dispatch.resume_after).c_str());
+  if (dispatch.weights_version > 0)
+    AppendField(&text, names.expected_weights, fmt::format_int(dispatch.weights_version).c_str());
+  const bool has_body = !body.empty() || head.framing != Common::BodyFraming::None;
+  if (has_body)
+    AppendField(&text, "Content-Length", fmt::format_int(body.size()).c_str());
+  text.append("\r\n");
+  text.append(body);
+  return text;
+}
+
+std::string AnswerFieldLines(const HttpHead& answer)
+{
+  std::string text;
+  for (const Common::HttpField& field : answer.fields)
+  {
+    const bool is_own = Common::IsConnectionField(field.name) ||
+                        EqualsIgnoringCase(field.name, "Content-Length") ||
+                        answer.fields.HasToken("Connection", field.name);
+    if (!is_own)
+      AppendField(&text, field.name, field.value);
+  }
+  return text;
+}
+} // namespace Holdpost::TargetPeer
--- /dev/null
+++ b/Source/Peers/Target/TargetMessage.h
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <string>
+
+#include "Common/HttpMessage.h"
+#include "Core/Gateway/Messages.h"
+#include "Peers/Target/HeaderNames.h"
+
+// Translates between HTTP heads and the requests that a gateway decides on.
+namespace Holdpost::TargetPeer
+{
+// What the gateway needs to know of a caller's request.
+Gateway::CallerRequest ReadCallerRequest(const Common::HttpHead& head, const HeaderNames& names);
+// The request as the target gets it: method, path and body as the caller sent them, the caller's
+// fields but for those of its connection, and what the gateway sets itself.
+std::string WriteTargetRequest(const Common::HttpHead& head, const std::string& body,
+                               const Gateway::Dispatch& dispatch, const HeaderNames& names);
+// The header lines of a target's answer, as the caller gets them.
+std::string AnswerFieldLines(const Common::HttpHead& answer);
+} // namespace Holdpost::TargetPeer
--- a/Source/UnitTests/Common/MetricsTest.cpp
+++ b/Source/UnitTests/Common/MetricsTest.cpp
@@ -26,4 +26,18 @@
     CHECK(text.find("wait_seconds{quantile=\"0.95\"} 0.9") != std::string::npos);
     CHECK(text.find("wait_seconds_count 1000") != std::string::npos);
   }
+  SUBCASE("or are counted in buckets")
+  {
+    const std::string label = ServiceOutcome("llm", "done");
+    for (const int ms : {3, 40, 40, 30000})
+      metrics.Record("request_seconds", Milliseconds(ms), label);
+    const std::string text = metrics.Render();
+    const auto has = [&](const std::string& line) { return text.find(line + "\n") != text.npos; };
+    CHECK(has("request_seconds_bucket{service=\"llm\",outcome=\"done\",le=\"0.005\"} 1"));
+    CHECK(has("request_seconds_bucket{service=\"llm\",outcome=\"done\",le=\"0.05\"} 3"));
+    CHECK(has("request_seconds_bucket{service=\"llm\",outcome=\"done\",le=\"10\"} 3"));
+    CHECK(has("request_seconds_bucket{service=\"llm\",outcome=\"done\",le=\"+Inf\"} 4"));
+    CHECK(has("request_seconds_sum{service=\"llm\",outcome=\"done\"} 30.083000"));
+    CHECK(has("request_seconds_count{service=\"llm\",outcome=\"done\"} 4"));
+  }
 }
--- /dev/null
+++ b/Source/UnitTests/Core/Control/AnswerPacingTest.cpp
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Control/AnswerPacing.h"
+
+using namespace Holdpost;
+using Common::Milliseconds;
+
+TEST_CASE("A peer is not sent the same answer again at once")
+{
+  const Common::TimePoint start{std::chrono::hours(1)};
+  const Common::Address peer{"10.1.0.4", 7700};
+  Control::AnswerPacing pacing;
+  CHECK(pacing.Take(peer, 7, start));
+  CHECK_FALSE(pacing.Take(peer, 7, start + Milliseconds(400)));
+  CHECK(pacing.Take({"10.1.0.5", 7700}, 7, start + Milliseconds(400)));
+  // Newer ones are news.
+  CHECK(pacing.Take(peer, 8, start + Milliseconds(500)));
+  // The first may have been lost.
+  CHECK(pacing.Take(peer, 8, start + Milliseconds(2100)));
+}
