--- /dev/null
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -0,0 +1,328 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "Core/Control/ControlFollower.h"
+#include "Support/Actions.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Control;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Milliseconds;
+using Testing::Take;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+
+OperatorRead MakeRead(Settings::DocumentVersion version, Position next)
+{
+  auto document = std::make_shared<Settings::Document>();
+  document->version = version;
+  return {document, Common::MakeBytes("text"), {}, next};
+}
+
+Gateway::ListedTarget MakeTarget(const std::string& id)
+{
+  Gateway::ListedTarget target;
+  target.id = id;
+  return target;
+}
+
+struct Fixture
+{
+  ControlFollower follower{{Milliseconds(600), Milliseconds(2500)}, 1};
+  Common::TimePoint now = START;
+  Actions actions;
+
+  void Tick(Common::Duration time = Milliseconds(0))
+  {
+    now += time;
+    follower.OnTick(now, &actions);
+  }
+};
+} // namespace
+
+TEST_CASE("The newest state is read first, then changes are waited for")
+{
+  Fixture f;
+  f.Tick();
+  CHECK(Testing::Only<ReadOperator>(f.actions).at(0).from == 0);
+  CHECK(Take<ReadTargets>(f.actions).at(0).from == 0);
+  CHECK(f.follower.OnOperatorRead(MakeRead(4, 9), f.now));
+  f.Tick();
+  const auto reads = Take<ReadOperator>(f.actions);
+  REQUIRE(reads.size() == 1);
+  CHECK(reads[0].from == 9);
+  CHECK(reads[0].wait == Milliseconds(2500));
+  f.Tick(Milliseconds(5000));
+  CHECK(Take<ReadOperator>(f.actions).empty());
+}
+
+TEST_CASE("A platform without a document yet is asked again after a pause")
+{
+  Fixture f;
+  f.Tick();
+  f.actions.clear();
+  CHECK_FALSE(f.follower.OnOperatorRead(OperatorRead{nullptr, nullptr, {}, 3}, f.now));
+  f.Tick();
+  CHECK(Take<ReadOperator>(f.actions).empty());
+  f.Tick(Milliseconds(200));
+  CHECK(Take<ReadOperator>(f.actions).size() == 1);
+}
+
+TEST_CASE("A list of targets from a peer counts if it was read further")
+{
+  Fixture f;
+  f.Tick();
+  CHECK_FALSE(f.follower.HasTargets());
+  CHECK(f.follower.OfferTargets({0, 20, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}}));
+  CHECK(f.follower.HasTargets());
+  CHECK(f.follower.Targets().size() == 2);
+  CHECK_FALSE(f.follower.OfferTargets({0, 20, {{"c", MakeTarget("c")}}}));
+  CHECK(f.follower.Targets().size() == 2);
+
+  // The platform is asked to go on from there.
+  f.follower.OnTargetsRead(Error{ErrorKind::PlatformUnavailable, "down"}, f.now);
+  f.actions.clear();
+  f.Tick(Milliseconds(1500));
+  CHECK(Take<ReadTargets>(f.actions).at(0).from == 20);
+
+  // Without its history the platform tells everything anew; what a peer read before is older.
+  f.follower.OnTargetsRead(Error{ErrorKind::PositionGone, "gone"}, f.now);
+  CHECK_FALSE(f.follower.OfferTargets({0, 15, {{"c", MakeTarget("c")}}}));
+  CHECK(f.follower.Targets().size() == 2);
+}
+
+TEST_CASE("One process reads the list for others, which need its changes only")
+{
+  Fixture reader;
+  Fixture other;
+  reader.Tick();
+  CHECK(reader.follower.OnTargetsRead(
+      TargetsRead{true, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}, 5}, reader.now));
+  CHECK(other.follower.OfferTargets(reader.follower.WholeTargets()));
+  CHECK(other.follower.Targets() == reader.follower.Targets());
+
+  // Records that only say that a target is there are no news, and are not missed.
+  CHECK_FALSE(
+      reader.follower.OnTargetsRead(TargetsRead{false, {{"a", MakeTarget("a")}}, 9}, reader.now));
+  CHECK(reader.follower.OnTargetsRead(
+      TargetsRead{false, {{"a", MakeTarget("a")}, {"b", std::nullopt}, {"c", MakeTarget("c")}}, 12},
+      reader.now));
+  const TargetsNews news = reader.follower.LastTargetsNews();
+  CHECK(news.changes.size() == 2);
+
+  SUBCASE("they come")
+  {
+    CHECK(other.follower.OfferTargets(news));
+    CHECK(other.follower.Targets() == reader.follower.Targets());
+    CHECK_FALSE(other.follower.MissesTargets(14, reader.follower.TargetsChanged()));
+    CHECK(other.follower.TargetsPosition() == 14);
+  }
+  SUBCASE("they are lost, which the reader's next word shows")
+  {
+    CHECK(other.follower.MissesTargets(14, reader.follower.TargetsChanged()));
+    CHECK(reader.follower.OnTargetsRead(TargetsRead{false, {{"d", MakeTarget("d")}}, 15},
+                                        reader.now));
+    CHECK_FALSE(other.follower.OfferTargets(reader.follower.LastTargetsNews()));
+    CHECK(other.follower.OfferTargets(reader.follower.WholeTargets()));
+    CHECK(other.follower.Targets() == reader.follower.Targets());
+  }
+  SUBCASE("a read of one's own that began before is older")
+  {
+    CHECK(other.follower.OfferTargets(news));
+    CHECK_FALSE(
+        other.follower.OnTargetsRead(TargetsRead{false, {{"b", MakeTarget("b")}}, 8}, other.now));
+    CHECK(other.follower.Targets() == reader.follower.Targets());
+  }
+}
+
+TEST_CASE("What others are told of the list comes to the same as the list")
+{
+  Fixture f;
+  f.Tick();
+  ControlFollower other{{}, 2};
+  CHECK(f.follower.OnTargetsRead(TargetsRead{true, {{"a", MakeTarget("a")}}, 5}, f.now));
+  REQUIRE(other.OfferTargets(f.follower.WholeTargets()));
+  const auto read = [&](const TargetsRead& targets)
+  {
+    if (f.follower.OnTargetsRead(targets, f.now))
+      CHECK(other.OfferTargets(f.follower.LastTargetsNews()));
+    CHECK(other.Targets() == f.follower.Targets());
+  };
+  SUBCASE("a target that comes and goes within one read")
+  {
+    read({false, {{"b", MakeTarget("b")}, {"b", std::nullopt}, {"c", MakeTarget("c")}}, 8});
+    CHECK(other.Targets().size() == 2);
+  }
+  SUBCASE("one that goes and comes back")
+  {
+    read({false, {{"a", std::nullopt}, {"a", MakeTarget("a")}, {"c", MakeTarget("c")}}, 8});
+  }
+  SUBCASE("one that leaves and is back in its state before")
+  {
+    Gateway::ListedTarget leaving = MakeTarget("a");
+    leaving.state = Gateway::TargetState::Leaving;
+    read({false, {{"a", leaving}, {"a", MakeTarget("a")}, {"c", MakeTarget("c")}}, 8});
+  }
+  SUBCASE("whatever happens to them")
+  {
+    std::mt19937 random(7);
+    Position position = 5;
+    for (int round = 0; round < 400; ++round)
+    {
+      TargetsRead next;
+      for (std::uint32_t i = 0; i < random() % 6; ++i)
+      {
+        const std::string id(1, static_cast<char>('a' + random() % 5));
+        Gateway::ListedTarget target = MakeTarget(id);
+        target.weights_version = random() % 3;
+        target.state = random() % 4 == 0 ? Gateway::TargetState::Leaving : target.state;
+        const bool is_gone = random() % 3 == 0;
+        next.changes.push_back({id, is_gone ? std::nullopt : std::optional(target)});
+      }
+      position += next.changes.size();
+      next.next = position;
+      read(next);
+    }
+  }
+}
+
+TEST_CASE("Who leaves reading to another process asks the platform nothing, and anew afterwards")
+{
+  Fixture f;
+  f.Tick();
+  f.actions.clear();
+  f.follower.OnOperatorRead(MakeRead(4, 9), f.now);
+  f.follower.OnTargetsRead(TargetsRead{true, {{"a", MakeTarget("a")}}, 5}, f.now);
+  f.follower.SetReading(false);
+  f.Tick(Milliseconds(5000));
+  CHECK(f.actions.empty());
+  CHECK(f.follower.NextWakeup() == Common::TimePoint::max());
+  f.follower.SetReading(true);
+  f.Tick();
+  CHECK(Testing::Only<ReadOperator>(f.actions).at(0).from == 0);
+  // The list too: who read it meanwhile may have kept targets whose records had lapsed.
+  CHECK(Testing::Only<ReadTargets>(f.actions).at(0).from == 0);
+}
+
+TEST_CASE("Who takes over reading drops what the one before had kept after an outage")
+{
+  Fixture f;
+  f.Tick();
+  f.follower.OnTargetsRead(TargetsRead{true, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}, 5},
+                           f.now);
+  ControlFollower next{{}, 2};
+  REQUIRE(next.OfferTargets(f.follower.WholeTargets()));
+  next.SetReading(false);
+  // After an outage both records have lapsed; the target "a" is not coming back.
+  f.follower.OnTargetsRead(Error{ErrorKind::PlatformUnavailable, "down"}, f.now);
+  f.now += Milliseconds(4000);
+  f.follower.OnTargetsRead(TargetsRead{false, {{"a", std::nullopt}, {"b", std::nullopt}}, 7},
+                           f.now);
+  REQUIRE(f.follower.Targets().size() == 2);
+  next.MissesTargets(f.follower.TargetsPosition(), f.follower.TargetsChanged());
+  next.SetReading(true);
+  Actions actions;
+  next.OnTick(f.now, &actions);
+  const auto read = Testing::Only<ReadTargets>(actions).at(0);
+  // What the platform answers: the whole list, or what has changed since.
+  next.OnTargetsRead(read.from == 0 ? TargetsRead{true, {{"b", MakeTarget("b")}}, 8}
+                                    : TargetsRead{false, {{"b", MakeTarget("b")}}, 8},
+                     f.now);
+  REQUIRE(next.Targets().size() == 1);
+  CHECK(next.Targets()[0].id == "b");
+}
+
+TEST_CASE("Versions only rise, wherever they come from")
+{
+  Fixture f;
+  f.Tick();
+  CHECK(f.follower.OnOperatorRead(MakeRead(7, 1), f.now));
+  CHECK_FALSE(f.follower.OnOperatorRead(MakeRead(6, 2), f.now));
+  auto document = std::make_shared<Settings::Document>();
+  document->version = 8;
+  CHECK(f.follower.OfferDocument(document, Common::MakeBytes("peer")));
+  CHECK_FALSE(f.follower.OnOperatorRead(MakeRead(7, 3), f.now));
+  CHECK(f.follower.Version() == 8);
+  CHECK(*f.follower.DocumentText() == "peer");
+}
+
+TEST_CASE("A position that is gone is given up for the newest state")
+{
+  Fixture f;
+  f.Tick();
+  f.follower.OnOperatorRead(MakeRead(1, 50), f.now);
+  f.Tick();
+  f.actions.clear();
+  f.follower.OnOperatorRead(Error{ErrorKind::PositionGone, "gone"}, f.now);
+  f.Tick(Milliseconds(200));
+  CHECK(Take<ReadOperator>(f.actions).at(0).from == 0);
+  CHECK(f.follower.Version() == 1);
+}
+
+TEST_CASE("A platform that fails is asked again with growing pauses")
+{
+  Fixture f;
+  int asked = 0;
+  for (int i = 0; i < 100; ++i)
+  {
+    f.Tick(Milliseconds(50));
+    if (!Testing::Only<ReadOperator>(f.actions).empty())
+    {
+      ++asked;
+      f.follower.OnOperatorRead(Error{ErrorKind::PlatformUnavailable, "503"}, f.now);
+    }
+    f.actions.clear();
+  }
+  CHECK(asked >= 6);
+  CHECK(asked <= 16);
+  CHECK_FALSE(f.follower.IsReachable());
+}
+
+TEST_CASE("The list of targets is folded from its changes")
+{
+  Fixture f;
+  f.Tick();
+  TargetsRead whole{true, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}, 5};
+  CHECK(f.follower.OnTargetsRead(whole, f.now));
+  CHECK(f.follower.Targets().size() == 2);
+  f.actions.clear();
+  f.Tick(Milliseconds(599));
+  CHECK(Take<ReadTargets>(f.actions).empty());
+  f.Tick(Milliseconds(1));
+  CHECK(Take<ReadTargets>(f.actions).at(0).from == 5);
+  CHECK(f.follower.OnTargetsRead(TargetsRead{false, {{"a", std::nullopt}}, 6}, f.now));
+  CHECK(f.follower.Targets().size() == 1);
+  SUBCASE("a beat that changes nothing is no news")
+  {
+    CHECK_FALSE(f.follower.OnTargetsRead(TargetsRead{false, {{"b", MakeTarget("b")}}, 7}, f.now));
+  }
+  SUBCASE("a failed read takes nobody for gone")
+  {
+    f.follower.OnTargetsRead(Error{ErrorKind::PlatformUnavailable, "down"}, f.now);
+    CHECK(f.follower.Targets().size() == 1);
+  }
+  SUBCASE("a whole list drops what it leaves out")
+  {
+    CHECK(f.follower.OnTargetsRead(TargetsRead{true, {}, 8}, f.now));
+    CHECK(f.follower.Targets().empty());
+  }
+}
+
+TEST_CASE("Another process is asked for settings that the platform does not bring in time")
+{
+  Fixture f;
+  f.Tick();
+  f.follower.OnOperatorRead(MakeRead(3, 1), f.now);
+  CHECK_FALSE(f.follower.OnPeerVersion(3, f.now).has_value());
+  CHECK_FALSE(f.follower.OnPeerVersion(4, f.now).has_value());
+  CHECK_FALSE(f.follower.OnPeerVersion(4, f.now + Milliseconds(200)).has_value());
+  CHECK(f.follower.OnPeerVersion(4, f.now + Milliseconds(310)) == Settings::DocumentVersion(3));
+  // Not at every report.
+  CHECK_FALSE(f.follower.OnPeerVersion(4, f.now + Milliseconds(400)).has_value());
+  CHECK(f.follower.OnPeerVersion(4, f.now + Milliseconds(800)).has_value());
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Control/TargetListTest.cpp
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "Core/Control/TargetList.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Control;
+using Common::Milliseconds;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+
+TargetChange Listed(const std::string& id, Gateway::TargetState state = Gateway::TargetState::Ready)
+{
+  Gateway::ListedTarget target;
+  target.id = id;
+  target.state = state;
+  return {id, target};
+}
+
+TargetChange Gone(const std::string& id)
+{
+  return {id, std::nullopt};
+}
+
+// A list of three targets, one of them leaving, after which the platform is away for a while.
+struct Outage
+{
+  explicit Outage(Common::Duration time)
+  {
+    list.OnRead({true, {Listed("a"), Listed("b"), Listed("c", Gateway::TargetState::Leaving)}, 3},
+                now);
+    list.OnReadFailed(now);
+    now += time / 2;
+    list.OnReadFailed(now);
+    now += time / 2;
+  }
+  bool Read(std::vector<TargetChange> changes, bool is_whole = false)
+  {
+    const Position next = list.Known() + changes.size();
+    return list.OnRead({is_whole, std::move(changes), next}, now);
+  }
+  bool Has(const std::string& id) const
+  {
+    const auto all = list.All();
+    return std::ranges::find(all, id, &Gateway::ListedTarget::id) != all.end();
+  }
+
+  TargetList list;
+  Common::TimePoint now = START;
+};
+} // namespace
+
+TEST_CASE("Records that lapsed while the platform was away are no deaths")
+{
+  Outage f(Milliseconds(5000));
+  f.Read({Gone("a"), Gone("b"), Gone("c")});
+  CHECK(f.Has("a"));
+  CHECK(f.Has("b"));
+  SUBCASE("but one that was leaving has left")
+  {
+    CHECK_FALSE(f.Has("c"));
+  }
+  SUBCASE("those that write them anew stay, the others are gone after a while")
+  {
+    f.now += Milliseconds(1800);
+    f.Read({Listed("a")});
+    CHECK(f.Has("b"));
+    f.now += Milliseconds(600);
+    CHECK(f.Read({Listed("a")}));
+    CHECK(f.Has("a"));
+    CHECK_FALSE(f.Has("b"));
+    REQUIRE(f.list.LastNews().changes.size() == 1);
+    CHECK(f.list.LastNews().changes[0].id == "b");
+  }
+  SUBCASE("one that says it leaves when it is back is believed")
+  {
+    f.Read({Listed("a", Gateway::TargetState::Leaving), Gone("a")});
+    CHECK_FALSE(f.Has("a"));
+  }
+}
+
+TEST_CASE("Where few records are gone after an outage, their targets have left")
+{
+  // As after a cut of this machine alone: the platform went on without it.
+  Outage f(Milliseconds(5000));
+  f.Read({Listed("d"), Listed("e")});
+  f.list.OnReadFailed(f.now);
+  f.now += Milliseconds(5000);
+  f.Read({Gone("a")});
+  CHECK_FALSE(f.Has("a"));
+  CHECK(f.Has("b"));
+}
+
+TEST_CASE("The same holds when the whole list has to be read anew")
+{
+  Outage f(Milliseconds(5000));
+  f.Read({Listed("b")}, true);
+  CHECK(f.Has("a"));
+  f.now += Milliseconds(2400);
+  f.Read({Listed("b")}, true);
+  CHECK_FALSE(f.Has("a"));
+  CHECK(f.Has("b"));
+}
+
+TEST_CASE("A record that goes while the platform answers is a death")
+{
+  SUBCASE("after a short failure")
+  {
+    Outage f(Milliseconds(400));
+    f.Read({Gone("a")});
+    CHECK_FALSE(f.Has("a"));
+  }
+  SUBCASE("a while after an outage")
+  {
+    Outage f(Milliseconds(5000));
+    f.Read({});
+    f.now += Milliseconds(2400);
+    f.Read({Gone("a")});
+    CHECK_FALSE(f.Has("a"));
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Distribution/UploadsTest.cpp
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <deque>
+
+#include <doctest/doctest.h>
+
+#include "Core/Distribution/LinkWatch.h"
+#include "Core/Distribution/Uploads.h"
+#include "Support/Actions.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Distribution;
+using Common::Milliseconds;
+using Testing::Take;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+}
+
+TEST_CASE("Uploads that are confirmed")
+{
+  Uploads uploads;
+  uploads.SetLimits(0, LinkPacing::Budget, 64, Milliseconds(1000));
+  uploads.SetUnconfirmedMost(2, Milliseconds(30));
+  Actions actions;
+  for (RequestTag tag = 1; tag <= 4; ++tag)
+    uploads.Add(tag, Common::MakeBytes(std::string(1000, 'x')), false, START, &actions);
+  CHECK(Take<AnswerPiece>(actions).size() == 2);
+
+  SUBCASE("the next goes out when one has arrived")
+  {
+    uploads.Remove(1, START + Milliseconds(40));
+    uploads.Advance(START + Milliseconds(40), &actions);
+    CHECK(Take<AnswerPiece>(actions).at(0).tag == 3);
+  }
+  SUBCASE("no wake-up comes before something can be done")
+  {
+    REQUIRE(uploads.NextWakeup().has_value());
+    CHECK(*uploads.NextWakeup() > START + Milliseconds(500));
+  }
+  SUBCASE("a receiver that says nothing is not waited for")
+  {
+    uploads.Advance(START + Milliseconds(2000), &actions);
+    CHECK(Take<AnswerPiece>(actions).size() == 2);
+  }
+}
+
+TEST_CASE("What is for another hall goes first and is not refused")
+{
+  Uploads uploads;
+  uploads.SetLimits(0, LinkPacing::Budget, 2, Milliseconds(1000));
+  uploads.SetUnconfirmedMost(1, Milliseconds(30));
+  Actions actions;
+  for (RequestTag tag = 1; tag <= 4; ++tag)
+    uploads.Add(tag, Common::MakeBytes("x"), false, START, &actions);
+  // One is on its way, two wait, the fourth is refused.
+  CHECK(Take<AnswerPiece>(actions).size() == 2);
+  uploads.Add(5, Common::MakeBytes("x"), true, START, &actions);
+  CHECK(Take<AnswerPiece>(actions).empty());
+  uploads.Remove(1, START + Milliseconds(30));
+  uploads.Advance(START + Milliseconds(30), &actions);
+  CHECK(Take<AnswerPiece>(actions).at(0).tag == 5);
+}
+
+TEST_CASE("A narrow link is left to others for as long as pieces take")
+{
+  Uploads uploads;
+  uploads.SetLimits(0, LinkPacing::Budget, 64, Milliseconds(1000));
+  uploads.SetUnconfirmedMost(4, Milliseconds(30));
+  Actions actions;
+  Common::TimePoint now = START;
+  for (RequestTag tag = 1; tag <= 4; ++tag)
+    uploads.Add(tag, Common::MakeBytes("x"), false, now, &actions);
+  Take<AnswerPiece>(actions);
+  SUBCASE("that end together, as they share the link")
+  {
+    now += Milliseconds(1100);
+    for (RequestTag tag = 1; tag <= 4; ++tag)
+      uploads.Remove(tag, now);
+  }
+  SUBCASE("that end one after the other, while others are sent")
+  {
+    for (RequestTag tag = 5; tag <= 8; ++tag)
+      uploads.Add(tag, Common::MakeBytes("x"), false, now, &actions);
+    std::deque<RequestTag> on_the_way = {1, 2, 3, 4};
+    while (!on_the_way.empty())
+    {
+      now += Milliseconds(275);
+      uploads.Remove(on_the_way.front(), now);
+      on_the_way.pop_front();
+      uploads.Advance(now, &actions);
+      for (const AnswerPiece& answer : Take<AnswerPiece>(actions))
+        on_the_way.push_back(answer.tag);
+    }
+  }
+  for (RequestTag tag = 21; tag <= 24; ++tag)
+    uploads.Add(tag, Common::MakeBytes("x"), false, now, &actions);
+  CHECK(Take<AnswerPiece>(actions).empty());
+  uploads.Advance(now + Milliseconds(600), &actions);
+  CHECK(Take<AnswerPiece>(actions).size() == 1);
+}
+
+TEST_CASE("A link is narrow when all transfers on it are slow")
+{
+  LinkWatch watch;
+  watch.SetPieceTime(Milliseconds(30));
+  Common::TimePoint now = START;
+  const auto transfers = [&](std::initializer_list<int> times, std::size_t at_once)
+  {
+    for (const int ms : times)
+    {
+      now += Milliseconds(100);
+      watch.OnTransfer(Milliseconds(ms), at_once, now);
+    }
+  };
+  SUBCASE("a few are needed to tell")
+  {
+    transfers({500, 600}, 1);
+    CHECK_FALSE(watch.IsNarrow(now));
+    transfers({450}, 1);
+    CHECK(watch.IsNarrow(now));
+    CHECK(watch.NarrowPieceTime(now) == Milliseconds(450));
+  }
+  SUBCASE("one fast one may have been on the way before")
+  {
+    transfers({500, 600, 450, 60}, 1);
+    CHECK(watch.IsNarrow(now));
+    CHECK(watch.NarrowPieceTime(now) == Milliseconds(450));
+  }
+  SUBCASE("two show that it is not")
+  {
+    transfers({500, 600, 450, 60, 60}, 1);
+    CHECK_FALSE(watch.IsNarrow(now));
+    CHECK(watch.NarrowPieceTime(now) == Milliseconds(0));
+  }
+  SUBCASE("both ends of a good link may share it")
+  {
+    transfers({180, 180, 180, 180}, 1);
+    transfers({320, 320, 320, 320}, 5);
+    CHECK_FALSE(watch.IsNarrow(now));
+  }
+  SUBCASE("those that share a narrow one take as many times as long")
+  {
+    transfers({1500, 1500, 1500}, 5);
+    CHECK(watch.NarrowPieceTime(now) == Milliseconds(300));
+  }
+  SUBCASE("what was seen long ago says nothing")
+  {
+    transfers({500, 600, 450}, 1);
+    CHECK_FALSE(watch.IsNarrow(now + Milliseconds(11000)));
+  }
+}
--- a/Source/UnitTests/Core/DistributionTest.cpp
+++ b/Source/UnitTests/Core/DistributionTest.cpp
@@ -87,6 +87,30 @@
   CHECK(std::ranges::count(first, 1) == 200);
 }
 
+TEST_CASE("Pieces are dealt out evenly, in the same order by everyone")
+{
+  const Common::Digest version = Common::Sha256("v");
+  std::vector<std::string> names = MakeNames(16);
+  const Deal deal(version, names);
+  std::ranges::reverse(names);
+  const Deal same(version, names);
+  std::map<std::string, int> first;
+  for (std::uint32_t piece = 0; piece < 96; ++piece)
+  {
+    const std::vector<std::string> order = deal.First(piece, 3);
+    REQUIRE(order.size() == 3);
+    CHECK(order == same.First(piece, 3));
+    for (std::uint32_t rank = 0; rank < 3; ++rank)
+      CHECK(deal.RankOf(order[rank], piece) == rank);
+    ++first[order[0]];
+  }
+  for (const auto& [name, count] : first)
+    CHECK(count == 6);
+  // One that nobody knows of comes after all others.
+  CHECK(deal.RankOf("stranger", 5) == 16);
+  CHECK(Deal(version, {"alone"}).First(7, 3) == std::vector<std::string>{"alone"});
+}
+
 TEST_CASE("Neighbours")
 {
   std::vector<NeighbourCandidate> all;
@@ -128,11 +152,11 @@
 {
   const Common::TimePoint start{std::chrono::hours(1)};
   Uploads uploads;
-  uploads.SetLimits(1000, 10, Milliseconds(1000));
+  uploads.SetLimits(1000, LinkPacing::Budget, 10, Milliseconds(1000));
   const Common::Bytes piece = Common::MakeBytes(std::string(500, 'a'));
   Actions actions;
   for (RequestTag tag = 1; tag <= 4; ++tag)
-    uploads.Add(tag, piece, start, &actions);
+    uploads.Add(tag, piece, false, start, &actions);
 
   SUBCASE("a piece goes out when the link would have carried it")
   {
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -0,0 +1,473 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "GatewayFixture.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using Fixture = GatewayFixture;
+using Testing::Take;
+
+TEST_CASE("What a gateway refuses at the door")
+{
+  Fixture f;
+  SUBCASE("no route")
+  {
+    f.Arrive("/nowhere/");
+    CHECK(Take<Refuse>(f.actions).at(0).error.kind == ErrorKind::NotFound);
+  }
+  SUBCASE("an unknown credential")
+  {
+    f.Arrive("/chat/", "stolen");
+    CHECK(Take<Refuse>(f.actions).at(0).error.kind == ErrorKind::BadCredential);
+  }
+  SUBCASE("none, where none is needed, is let in")
+  {
+    f.Arrive("/open/", "");
+    const auto sent = Take<Dispatch>(f.actions);
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].organisation.empty());
+  }
+  SUBCASE("a credential that was taken away by newer settings")
+  {
+    const auto newer = MakeDocument(2);
+    newer->organisations[0].credentials.clear();
+    CHECK(f.gateway.OfferDocument(newer, f.now));
+    f.Arrive("/chat/", "key-1");
+    CHECK(Take<Refuse>(f.actions).at(0).error.kind == ErrorKind::BadCredential);
+  }
+  SUBCASE("everything while it knows no settings, with 503 and not 404")
+  {
+    Common::Metrics metrics;
+    Holdpost::Gateway::Gateway empty({"here", {}, Milliseconds(8000)}, metrics);
+    CallerRequest request;
+    empty.Handle(RequestArrived{1, request}, f.now, &f.actions);
+    const auto refused = Take<Refuse>(f.actions);
+    CHECK(Common::AnswerFor(refused.at(0).error.kind).http_status == 503);
+    // Settings come within a moment of the start.
+    CHECK(refused.at(0).error.retry_after <= Milliseconds(500));
+  }
+  SUBCASE("new requests once it is about to end, with when to come back")
+  {
+    const RequestNumber before = f.Arrive("/chat/");
+    f.gateway.StopTaking();
+    Take<Dispatch>(f.actions);
+    f.Arrive("/chat/");
+    const auto refused = Take<Refuse>(f.actions);
+    CHECK(refused.at(0).error.kind == ErrorKind::Leaving);
+    CHECK(refused.at(0).error.retry_after.has_value());
+    f.Feed(f.Began(before));
+    CHECK(Take<PassAnswer>(f.actions).size() == 1);
+  }
+}
+
+TEST_CASE("Settings never go back")
+{
+  Fixture f;
+  CHECK(f.gateway.OfferDocument(MakeDocument(5), f.now));
+  CHECK_FALSE(f.gateway.OfferDocument(MakeDocument(4), f.now));
+  CHECK_FALSE(f.gateway.OfferDocument(MakeDocument(5), f.now));
+  CHECK(f.gateway.Version() == 5);
+}
+
+TEST_CASE("A request goes to a target and its answer comes back")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/", "key-2", Milliseconds(2000));
+  const auto sent = Take<Dispatch>(f.actions);
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].organisation == "shop");
+  CHECK(sent[0].time_left == Milliseconds(2000));
+  CHECK(sent[0].is_stream);
+  f.Feed(f.Began(number));
+  CHECK(Take<PassAnswer>(f.actions).size() == 1);
+  f.Feed(AnswerEnded{number});
+  CHECK(f.gateway.OpenRequests() == 0);
+}
+
+TEST_CASE("Requests that cannot begin are refused early and told when to come back")
+{
+  Fixture f;
+  // Both engines have two slots: four run, and a few more may wait there.
+  for (int i = 0; i < 40; ++i)
+    f.Arrive("/chat/");
+  const auto sent = Testing::Only<Dispatch>(f.actions);
+  CHECK(sent.size() >= 4);
+  CHECK(sent.size() < 12);
+  CHECK(Take<Refuse>(f.actions).empty());
+  f.Pass(Milliseconds(100));
+  const auto refused = Take<Refuse>(f.actions);
+  CHECK(refused.size() == 40 - sent.size());
+  for (const Refuse& refuse : refused)
+  {
+    CHECK(Common::AnswerFor(refuse.error.kind).http_status == 503);
+    CHECK(Common::AnswerFor(refuse.error.kind).outcome == Common::Outcome::NotRun);
+    REQUIRE(refuse.error.retry_after.has_value());
+    CHECK(*refuse.error.retry_after > Milliseconds(0));
+  }
+}
+
+TEST_CASE("A waiting request is sent when a slot becomes free")
+{
+  Fixture f;
+  std::vector<RequestNumber> numbers;
+  numbers.reserve(40);
+  for (int i = 0; i < 40; ++i)
+    numbers.push_back(f.Arrive("/chat/"));
+  const auto sent = Take<Dispatch>(f.actions);
+  f.Pass(Milliseconds(50));
+  f.Feed(f.Began(sent[0].number));
+  f.Feed(AnswerEnded{sent[0].number});
+  CHECK(Take<Dispatch>(f.actions).size() == 1);
+}
+
+TEST_CASE("What may not repeat is never sent twice once it may have run")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/book/");
+  REQUIRE(Take<Dispatch>(f.actions).size() == 1);
+  SUBCASE("lost: the outcome is not known")
+  {
+    f.Feed(AttemptFailed{number, AttemptFailure::Lost, std::nullopt});
+    CHECK(Testing::Only<Dispatch>(f.actions).empty());
+    const auto refused = Take<Refuse>(f.actions);
+    CHECK(Common::AnswerFor(refused.at(0).error.kind).outcome == Common::Outcome::Unknown);
+    CHECK(Common::AnswerFor(refused.at(0).error.kind).http_status == 502);
+  }
+  SUBCASE("a failure of the target's own is passed on")
+  {
+    f.Feed(f.Began(number, 500));
+    CHECK(Take<PassAnswer>(f.actions).size() == 1);
+  }
+  SUBCASE("never sent: another target gets it")
+  {
+    f.Feed(AttemptFailed{number, AttemptFailure::NotSent, std::nullopt});
+    CHECK(Take<Dispatch>(f.actions).size() == 1);
+  }
+  SUBCASE("the target says that it did not run it: another target gets it")
+  {
+    f.Feed(AnswerBegan{number, 503, true, true, false});
+    CHECK(Take<Dispatch>(f.actions).size() == 1);
+    f.Feed(AnswerBegan{number, 503, true, true, false});
+    // Nobody else is left: it has not run, and the caller hears so.
+    f.Pass(Milliseconds(100));
+    const auto refused = Take<Refuse>(f.actions);
+    CHECK(Common::AnswerFor(refused.at(0).error.kind).outcome == Common::Outcome::NotRun);
+  }
+  SUBCASE("not sent after it was lost elsewhere is still not 'not run'")
+  {
+    f.Feed(AttemptFailed{number, AttemptFailure::NotSent, std::nullopt});
+    REQUIRE(Take<Dispatch>(f.actions).size() == 1);
+    f.Feed(AttemptFailed{number, AttemptFailure::Lost, std::nullopt});
+    const auto refused = Take<Refuse>(f.actions);
+    CHECK(Common::AnswerFor(refused.at(0).error.kind).outcome == Common::Outcome::Unknown);
+  }
+}
+
+TEST_CASE("What may repeat is tried elsewhere, within its attempts")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/status/");
+  const auto first = Take<Dispatch>(f.actions);
+  SUBCASE("after a loss")
+  {
+    f.Feed(AttemptFailed{number, AttemptFailure::Lost, std::nullopt});
+    const auto second = Take<Dispatch>(f.actions);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].target != first[0].target);
+    f.Feed(AttemptFailed{number, AttemptFailure::Lost, std::nullopt});
+    CHECK(Testing::Only<Dispatch>(f.actions).empty());
+    CHECK(Take<Refuse>(f.actions).size() == 1);
+  }
+  SUBCASE("after a failure of the target's own, of which the last is passed on")
+  {
+    f.Feed(f.Began(number, 500));
+    CHECK(Testing::Only<PassAnswer>(f.actions).empty());
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+    CHECK(Take<Dispatch>(f.actions).size() == 1);
+    f.Feed(f.Began(number, 500));
+    CHECK(Take<PassAnswer>(f.actions).size() == 1);
+  }
+}
+
+TEST_CASE("A broken stream is continued after its last event")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/");
+  const auto first = Take<Dispatch>(f.actions);
+  f.Feed(f.Began(number));
+  Take<PassAnswer>(f.actions);
+  f.Feed(AttemptFailed{number, AttemptFailure::Lost, EventId(7)});
+  const auto second = Take<Dispatch>(f.actions);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].target != first[0].target);
+  CHECK(second[0].resume_after == EventId(7));
+  SUBCASE("and cut so that it cannot look whole when that breaks too")
+  {
+    f.Feed(f.Began(number));
+    Take<PassAnswer>(f.actions);
+    f.Feed(AttemptFailed{number, AttemptFailure::Lost, EventId(9)});
+    CHECK(Testing::Only<Refuse>(f.actions).empty());
+    CHECK(Take<AbortAnswer>(f.actions).size() == 1);
+  }
+  SUBCASE("or ends whole")
+  {
+    f.Feed(f.Began(number));
+    f.Feed(AnswerEnded{number});
+    CHECK(f.gateway.OpenRequests() == 0);
+  }
+}
+
+TEST_CASE("The time for an answer is kept")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/", "key-1", Milliseconds(1000));
+  Take<Dispatch>(f.actions);
+  SUBCASE("no answer yet: the attempt ends and the caller gets its final answer at once")
+  {
+    f.Pass(Milliseconds(1000));
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+    CHECK(Take<Refuse>(f.actions).at(0).error.kind == ErrorKind::AnswerTimeout);
+  }
+  SUBCASE("in the middle of an answer it is cut")
+  {
+    f.Feed(f.Began(number));
+    f.Pass(Milliseconds(1000));
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+    CHECK(Take<AbortAnswer>(f.actions).size() == 1);
+  }
+  CHECK(f.gateway.OpenRequests() == 0);
+}
+
+TEST_CASE("A caller that left stops the work")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/");
+  Take<Dispatch>(f.actions);
+  f.Feed(CallerLeft{number});
+  CHECK(Take<CancelAttempt>(f.actions).size() == 1);
+  CHECK(f.gateway.OpenRequests() == 0);
+}
+
+TEST_CASE("A target whose address belongs to another one now gets nothing more")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/status/");
+  const auto first = Take<Dispatch>(f.actions);
+  f.Feed(AnswerBegan{number, 421, true, false, true});
+  const auto second = Take<Dispatch>(f.actions);
+  REQUIRE(second.size() == 1);
+  f.Feed(f.Began(number));
+  f.Feed(AnswerEnded{number});
+  SUBCASE("at once") {}
+  SUBCASE("nor while its record stays on the list")
+  {
+    f.listed.push_back(MakeTarget("desk-3", "desk"));
+    f.SetTargets(f.listed);
+  }
+  for (int i = 0; i < 10; ++i)
+  {
+    f.Arrive("/status/");
+    CHECK(Take<Dispatch>(f.actions).at(0).target != first[0].target);
+  }
+}
+
+TEST_CASE("A target that is listed at the address of another one takes its place")
+{
+  Fixture f;
+  // The one before has died without a word; its record lapses later.
+  ListedTarget next = f.listed.at(2);
+  REQUIRE(next.id == "desk-1");
+  next.id = "desk-9";
+  f.listed.push_back(next);
+  f.SetTargets(f.listed);
+  for (int i = 0; i < 20; ++i)
+  {
+    f.Arrive("/status/");
+    CHECK(Take<Dispatch>(f.actions).at(0).target != "desk-1");
+  }
+}
+
+TEST_CASE("Requests that have not begun leave a target that takes other weights now")
+{
+  Fixture f;
+  const RequestNumber waiting = f.Arrive("/chat/");
+  const auto first = Take<Dispatch>(f.actions);
+  TargetLoad load;
+  load.address = first.at(0).address;
+  load.weights_version = 1;
+  load.is_switching = true;
+  SUBCASE("at once")
+  {
+    f.gateway.OnTargetLoad(load, f.now, &f.actions);
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+    const auto again = Take<Dispatch>(f.actions);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].number == waiting);
+    CHECK(again[0].target != first[0].target);
+  }
+  SUBCASE("but those that have begun stay")
+  {
+    f.Feed(f.Began(waiting));
+    Take<PassAnswer>(f.actions);
+    f.gateway.OnTargetLoad(load, f.now, &f.actions);
+    CHECK(f.actions.empty());
+  }
+}
+
+TEST_CASE("A request whose target does not begin is moved once if another is free")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/");
+  const auto first = Take<Dispatch>(f.actions);
+  f.Pass(Milliseconds(400));
+  CHECK(Take<Dispatch>(f.actions).empty());
+  f.Pass(Milliseconds(300));
+  CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+  const auto again = Take<Dispatch>(f.actions);
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].number == number);
+  CHECK(again[0].target != first[0].target);
+  f.Pass(Milliseconds(2000));
+  CHECK(Take<Dispatch>(f.actions).empty());
+}
+
+TEST_CASE("What may not repeat, or has one attempt only, is not moved")
+{
+  Fixture f;
+  SUBCASE("once")
+  {
+    f.Arrive("/book/");
+  }
+  SUBCASE("one attempt")
+  {
+    f.Arrive("/single/");
+  }
+  Take<Dispatch>(f.actions);
+  f.Pass(Milliseconds(3000));
+  CHECK(Take<Dispatch>(f.actions).empty());
+}
+
+TEST_CASE("Requests that have not begun leave a target whose weights are due to be replaced")
+{
+  Fixture f;
+  const auto load = [&](const ListedTarget& target, std::uint64_t weights, std::uint32_t running)
+  {
+    TargetLoad told;
+    told.address = target.address;
+    told.weights_version = weights;
+    told.running = running;
+    f.gateway.OnTargetLoad(told, f.now, &f.actions);
+  };
+  // A newer version is named later; the bound of the first one still counts.
+  f.gateway.OnWeightsNamed("m", 2, f.now);
+  f.gateway.OnWeightsNamed("m", 3, f.now + Milliseconds(3000));
+  f.Pass(Milliseconds(6000));
+  load(f.listed[0], 1, 0);
+  load(f.listed[1], 2, 2);
+  const RequestNumber number = f.Arrive("/chat/");
+  const auto sent = Take<Dispatch>(f.actions);
+  REQUIRE(sent.at(0).target == "llm-1");
+  f.Pass(Milliseconds(1500));
+  load(f.listed[1], 2, 2);
+  f.Pass(Milliseconds(150));
+  CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+  const auto again = Take<Dispatch>(f.actions);
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].target == "llm-2");
+  CHECK(again[0].number == number);
+
+  SUBCASE("and no other request goes there")
+  {
+    load(f.listed[0], 1, 0);
+    f.Arrive("/chat/");
+    for (const Dispatch& dispatch : Take<Dispatch>(f.actions))
+      CHECK(dispatch.target == "llm-2");
+  }
+}
+
+namespace
+{
+// A request waits at a target with old weights shortly before they are too old.
+TargetLoad WaitAtOldWeights(Fixture& f, const std::string& path)
+{
+  f.gateway.OnWeightsNamed("m", 2, f.now);
+  f.Pass(Milliseconds(6000));
+  TargetLoad told;
+  told.weights_version = 1;
+  for (const ListedTarget& target : f.listed)
+  {
+    told.address = target.address;
+    f.gateway.OnTargetLoad(told, f.now, &f.actions);
+  }
+  f.Arrive(path);
+  const auto sent = Take<Dispatch>(f.actions);
+  REQUIRE(sent.size() == 1);
+  told.address = sent[0].address;
+  f.Pass(Milliseconds(1400));
+  f.actions.clear();
+  return told;
+}
+
+void CheckGivenUpAtBound(Fixture& f, const std::string& path)
+{
+  const TargetLoad told = WaitAtOldWeights(f, path);
+  REQUIRE(f.gateway.NextWakeup().has_value());
+  CHECK(*f.gateway.NextWakeup() <= START + Milliseconds(7600));
+  f.gateway.OnTargetLoad(told, f.now, &f.actions);
+  f.Pass(Milliseconds(250));
+  CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+  const auto refused = Take<Refuse>(f.actions);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].number == f.last);
+  CHECK(Common::AnswerFor(refused[0].error.kind).http_status == 502);
+}
+} // namespace
+
+TEST_CASE("What cannot be moved is given up rather than begun on old weights")
+{
+  SUBCASE("as it may not repeat")
+  {
+    Fixture f;
+    CheckGivenUpAtBound(f, "/draft/");
+  }
+  SUBCASE("as no retry is left")
+  {
+    Fixture f({Milliseconds(10000), 0, 0});
+    CheckGivenUpAtBound(f, "/chat/");
+  }
+  SUBCASE("but not if the target takes new weights before it begins anything")
+  {
+    Fixture f;
+    TargetLoad told = WaitAtOldWeights(f, "/draft/");
+    told.is_switching = true;
+    f.gateway.OnTargetLoad(told, f.now, &f.actions);
+    f.Pass(Milliseconds(250));
+    CHECK(Testing::Only<Refuse>(f.actions).empty());
+  }
+}
+
+TEST_CASE("They leave it earlier when word of that takes long to get there")
+{
+  Fixture f;
+  f.gateway.OnWeightsNamed("m", 2, f.now);
+  f.Pass(Milliseconds(5500));
+  TargetLoad told;
+  told.address = f.listed[1].address;
+  told.weights_version = 2;
+  told.running = 2;
+  f.gateway.OnTargetLoad(told, f.now, &f.actions);
+  told.address = f.listed[0].address;
+  told.weights_version = 1;
+  told.running = 0;
+  f.gateway.OnTargetLoad(told, f.now, &f.actions);
+  f.Arrive("/chat/");
+  REQUIRE(Take<Dispatch>(f.actions).at(0).target == "llm-1");
+  // Its link has become narrow.
+  told.inbound_delay = Milliseconds(1000);
+  f.gateway.OnTargetLoad(told, f.now, &f.actions);
+  f.Pass(Milliseconds(950));
+  CHECK(Testing::Only<CancelAttempt>(f.actions).empty());
+  f.Pass(Milliseconds(200));
+  CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/StopPlanTest.cpp
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Gateway/StopPlan.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using Common::Milliseconds;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+}
+
+TEST_CASE("A planned stop")
+{
+  StopPlan plan(Milliseconds(8000));
+  CHECK(plan.PhaseAt(START, 3) == StopPhase::Serving);
+  plan.Ask(START);
+
+  SUBCASE("still serves what comes until callers know")
+  {
+    CHECK(plan.PhaseAt(START, 0) == StopPhase::Leaving);
+    CHECK(plan.PhaseAt(START + Milliseconds(2700), 0) == StopPhase::Leaving);
+  }
+  SUBCASE("takes nothing three seconds after it was asked, late signals included")
+  {
+    CHECK(plan.PhaseAt(START + Milliseconds(2850), 1) == StopPhase::Draining);
+  }
+  SUBCASE("ends with the last answer")
+  {
+    CHECK(plan.PhaseAt(START + Milliseconds(5000), 1) == StopPhase::Draining);
+    CHECK(plan.PhaseAt(START + Milliseconds(5000), 0) == StopPhase::Ended);
+  }
+  SUBCASE("ends by itself before it is killed")
+  {
+    CHECK(plan.PhaseAt(START + Milliseconds(7800), 1) == StopPhase::Ended);
+  }
+  SUBCASE("is not put off by a second demand")
+  {
+    plan.Ask(START + Milliseconds(2000));
+    CHECK(plan.PhaseAt(START + Milliseconds(2850), 1) == StopPhase::Draining);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Gateway/TargetTable.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using Common::Milliseconds;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+
+ListedTarget MakeTarget(const std::string& id, const std::string& hall = "here")
+{
+  ListedTarget target;
+  target.id = id;
+  target.service = "llm";
+  target.hall = hall;
+  target.address = {"10.0.0." + id, 80};
+  target.slots = 16;
+  target.needs_weights = true;
+  target.weights_version = 1;
+  return target;
+}
+
+Settings::EngineProfile MakeEngine()
+{
+  Settings::EngineProfile engine;
+  engine.slots = 16;
+  engine.step_ms = 10;
+  engine.prompt_tokens_per_ms = 20;
+  engine.tokens_per_event = 5;
+  engine.usual_prompt_tokens = 1000;
+  engine.usual_answer_tokens = 100;
+  return engine;
+}
+
+TargetLoad MakeLoad(const ListedTarget& target, std::uint32_t running)
+{
+  TargetLoad load;
+  load.address = target.address;
+  load.running = running;
+  load.weights_version = target.weights_version;
+  return load;
+}
+
+struct Fixture
+{
+  Fixture()
+  {
+    table.SetEngine("llm", MakeEngine());
+    table.SetList({one, two}, START);
+  }
+  std::optional<TargetChoice> Choose(const TargetWish& wish = {"llm", 1000, 100, {}, {}})
+  {
+    return table.Choose(wish, now);
+  }
+
+  ListedTarget one = MakeTarget("1");
+  ListedTarget two = MakeTarget("2");
+  TargetTable table{"here"};
+  Common::TimePoint now = START;
+};
+} // namespace
+
+TEST_CASE("The target that would begin first is chosen")
+{
+  Fixture f;
+  f.table.OnLoad(MakeLoad(f.one, 16), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 3), f.now);
+  CHECK(f.Choose()->id == "2");
+
+  SUBCASE("what was sent since the report counts on top of it")
+  {
+    for (std::uint64_t i = 0; i < 16; ++i)
+      f.table.OnDispatched("2", i, 1000, Milliseconds(100), f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("one that was tried is left out")
+  {
+    CHECK(f.Choose({"llm", 1000, 100, {"2"}, {}})->id == "1");
+    CHECK_FALSE(f.Choose({"llm", 1000, 100, {"1", "2"}, {}}).has_value());
+  }
+  SUBCASE("a leaving one gets nothing")
+  {
+    f.two.state = TargetState::Leaving;
+    f.table.SetList({f.one, f.two}, f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("one that takes other weights gets nothing")
+  {
+    TargetLoad load = MakeLoad(f.two, 0);
+    load.is_switching = true;
+    f.table.OnLoad(load, f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("one without weights gets nothing")
+  {
+    f.two.weights_version = 0;
+    f.table.SetList({f.one, f.two}, f.now);
+    f.table.OnLoad(MakeLoad(f.two, 0), f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("one that is gone is not offered, and its requests are still counted down")
+  {
+    f.table.OnDispatched("2", 1, 1000, Milliseconds(100), f.now);
+    f.table.SetList({f.one}, f.now);
+    CHECK(f.Choose()->id == "1");
+    CHECK(f.table.Size() == 2);
+    f.table.OnEnded("2", 1, 0);
+    CHECK(f.table.Size() == 1);
+  }
+}
+
+TEST_CASE("A target elsewhere has to be faster by more than the way is worth")
+{
+  TargetTable table("here");
+  const ListedTarget near = MakeTarget("1");
+  const ListedTarget far = MakeTarget("2", "there");
+  table.SetEngine("llm", MakeEngine());
+  table.SetList({near, far}, START);
+  table.OnLoad(MakeLoad(near, 8), START);
+  table.OnLoad(MakeLoad(far, 8), START);
+  CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START)->id == "1");
+  table.OnLoad(MakeLoad(near, 17), START);
+  CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START)->id == "2");
+}
+
+TEST_CASE("Without word of a target the other gateways are taken to send as much")
+{
+  Fixture f;
+  f.table.SetGateways(7);
+  f.table.OnLoad(MakeLoad(f.two, 5), f.now);
+  for (std::uint64_t i = 0; i < 3; ++i)
+    f.table.OnDispatched("1", i, 0, Milliseconds(100), f.now);
+  // Three from here may be 21 in all: more than there are slots.
+  CHECK(f.Choose()->id == "2");
+}
+
+TEST_CASE("A target that answers late is known for it")
+{
+  Fixture f;
+  f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 4), f.now);
+  REQUIRE(f.Choose()->id == "1");
+  f.table.OnDispatched("1", 7, 1000, Milliseconds(150), f.now);
+
+  SUBCASE("while its answer is overdue")
+  {
+    f.now += Milliseconds(600);
+    CHECK(f.Choose()->id == "2");
+  }
+  SUBCASE("for a while after it came late")
+  {
+    f.now += Milliseconds(900);
+    f.table.OnStarted("1", 7, 1000, f.now);
+    f.table.OnEnded("1", 7, 0);
+    f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+    f.table.OnLoad(MakeLoad(f.two, 4), f.now);
+    CHECK(f.Choose()->id == "2");
+    f.now += Milliseconds(15000);
+    f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+    f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("but not when it was on time")
+  {
+    f.now += Milliseconds(120);
+    f.table.OnStarted("1", 7, 1000, f.now);
+    f.table.OnEnded("1", 7, 0);
+    f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+}
+
+TEST_CASE("The way to a target counts")
+{
+  Fixture f;
+  TargetLoad squeezed = MakeLoad(f.one, 0);
+  SUBCASE("as hellos and reports took it")
+  {
+    squeezed.round_trip = Milliseconds(1700);
+  }
+  SUBCASE("as the agent there expects it")
+  {
+    squeezed.inbound_delay = Milliseconds(1700);
+  }
+  f.table.OnLoad(squeezed, f.now);
+  f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+  CHECK(f.Choose()->id == "2");
+}
+
+TEST_CASE("A target that failed is left alone, longer each time in a row")
+{
+  Fixture f;
+  f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 10), f.now);
+  f.table.OnFailed("1", f.now);
+  CHECK(f.Choose()->id == "2");
+  CHECK(f.table.Choose({"llm", 1000, 100, {}, {}}, f.now + Milliseconds(300))->id == "1");
+  f.table.OnFailed("1", f.now);
+  CHECK(f.table.Choose({"llm", 1000, 100, {}, {}}, f.now + Milliseconds(300))->id == "2");
+}
+
+TEST_CASE("A target whose agent has fallen silent may be cut off")
+{
+  Fixture f;
+  f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+  f.now += Milliseconds(900);
+  f.table.OnLoad(MakeLoad(f.two, 8), f.now);
+  SUBCASE("another one is taken first")
+  {
+    CHECK(f.Choose()->id == "2");
+  }
+  SUBCASE("unless that one is full")
+  {
+    f.table.OnLoad(MakeLoad(f.two, 30), f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("once a request could not be sent there it is left alone, until it is heard again")
+  {
+    f.table.OnLoad(MakeLoad(f.two, 30), f.now);
+    f.table.OnFailed("1", f.now);
+    f.now += Milliseconds(700);
+    f.table.OnLoad(MakeLoad(f.two, 30), f.now);
+    CHECK(f.Choose()->id == "2");
+    f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+}
+
+TEST_CASE("Weights that are due")
+{
+  Fixture f;
+  f.two.weights_version = 2;
+  f.table.SetList({f.one, f.two}, f.now);
+  f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+  const auto choose_before = [&](Milliseconds left) {
+    return f.Choose({"llm", 1000, 100, {}, {{2, f.now + left}}});
+  };
+  CHECK(choose_before(Milliseconds(5000))->id == "1");
+  // A request that could begin too late goes to the newer weights, though they are busier.
+  CHECK(choose_before(Milliseconds(400))->id == "2");
+  CHECK(choose_before(Milliseconds(-100))->id == "2");
+
+  SUBCASE("without fresh word of a target nothing is sent there in time's last seconds")
+  {
+    f.now += Milliseconds(600);
+    f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+    CHECK(choose_before(Milliseconds(1500))->id == "2");
+    CHECK(choose_before(Milliseconds(5000))->id == "1");
+  }
+  SUBCASE("an earlier bound is not forgotten for a later one")
+  {
+    const TargetWish wish{"llm", 1000, 100, {}, {{2, f.now}, {3, f.now + Milliseconds(3000)}}};
+    CHECK(f.Choose(wish)->id == "2");
+  }
+}
+
+TEST_CASE("A planned switch makes a target dear for what would hold it up")
+{
+  Fixture f;
+  TargetLoad load = MakeLoad(f.one, 0);
+  load.switch_in = Milliseconds(400);
+  f.table.OnLoad(load, f.now);
+  f.table.OnLoad(MakeLoad(f.two, 6), f.now);
+  CHECK(f.Choose({"llm", 100, 5, {}, {}})->id == "1");
+  CHECK(f.Choose({"llm", 100, 200, {}, {}})->id == "2");
+
+  SUBCASE("but not closed to it when the others are full")
+  {
+    f.table.OnLoad(MakeLoad(f.two, 40), f.now);
+    CHECK(f.Choose({"llm", 100, 200, {}, {}})->id == "1");
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -0,0 +1,348 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Sidecar/SidecarWorld.h"
+#include "UnitTests/Support/LogCapture.h"
+
+using namespace Holdpost;
+using Common::Milliseconds;
+using Testing::SidecarWorld;
+using Testing::WorldOptions;
+
+namespace
+{
+constexpr Milliseconds BOUND = Milliseconds(8000);
+// What the link alone needs for one copy: 96 x 24,576 bytes at 912,500 bytes a second.
+constexpr double LINK_SECONDS = 2.59;
+
+double SecondsUntilLoaded(SidecarWorld& world, std::uint64_t version,
+                          const std::vector<std::size_t>& except = {})
+{
+  const Common::TimePoint begin = world.Now();
+  world.RunUntil([&] { return world.HaveAllLoaded(version, except); }, Milliseconds(60000));
+  return std::chrono::duration<double>(world.Now() - begin).count();
+}
+
+// Runs until the sidecars have found what they hold.
+SidecarWorld MakeWorld(const WorldOptions& options = {})
+{
+  return SidecarWorld(options);
+}
+} // namespace
+
+TEST_CASE("New weights reach every engine in time, with one copy from the origin")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  const double drawn_before = world.CopiesFromOrigin();
+  CHECK(drawn_before < 0.3);
+  world.Name(2);
+  const double seconds = SecondsUntilLoaded(world, 2);
+  CHECK(world.HaveAllLoaded(2));
+  CHECK(seconds < 8.0);
+  CHECK(world.Fault().empty());
+  CHECK(world.CopiesFromOrigin() - drawn_before < 1.3);
+  // Into each of the two other halls once.
+  CHECK(world.CopiesAcross() < 2.6);
+}
+
+TEST_CASE("Engines take new weights one after the other")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  std::size_t least = world.Count();
+  world.RunUntil(
+      [&]
+      {
+        least = std::min(least, world.Serving());
+        return world.HaveAllLoaded(2);
+      },
+      BOUND);
+  CHECK(world.HaveAllLoaded(2));
+  CHECK(least >= world.Count() - 4);
+}
+
+TEST_CASE("A version that is named while the one before is loaded is copied meanwhile")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  world.RunFor(Milliseconds(4000));
+  world.Name(3);
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  CHECK(world.CopiesFromOrigin() < 3.0);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("A copy that is given up for a newer version stops")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  const double drawn_before = world.CopiesFromOrigin();
+  world.Name(2);
+  world.RunFor(Milliseconds(1500));
+  world.Name(3);
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  CHECK(world.CopiesFromOrigin() - drawn_before < 2.0);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("The next version is drawn as soon as the origin is free")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  world.RunFor(Milliseconds(2400));
+  world.Name(3);
+  // Any member of the origin's hall.
+  const auto has_begun = [&](std::size_t node) { return world.At(node).PiecesHeld(3) > 0; };
+  world.RunUntil([&] { return has_begun(4) || has_begun(5) || has_begun(6) || has_begun(7); },
+                 Milliseconds(10000));
+  // The last members of a hall get their last pieces of the version before meanwhile.
+  const auto lacks_pieces = [&](std::size_t node) { return world.At(node).PiecesHeld(2) < 96; };
+  CHECK((lacks_pieces(4) || lacks_pieces(5) || lacks_pieces(6) || lacks_pieces(7)));
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("An origin that comes back is drawn from soon")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  world.RunFor(Milliseconds(2000));
+  world.SetOriginDown(true);
+  world.RunFor(Milliseconds(6000));
+  const std::uint32_t held = world.At(4).PiecesHeld(2);
+  REQUIRE(held > 40);
+  REQUIRE(held < 80);
+  world.SetOriginDown(false);
+  const Common::TimePoint back = world.Now();
+  world.RunUntil([&] { return world.At(4).PiecesHeld(2) > held; }, Milliseconds(10000));
+  CHECK(world.Now() - back < Milliseconds(450));
+  CHECK(SecondsUntilLoaded(world, 2) < 4.0);
+}
+
+TEST_CASE("Slow links don't hold up the others")
+{
+  SidecarWorld world = MakeWorld({{{"a", 6}, {"b", 7}, {"c", 7}}});
+  world.RunFor(Milliseconds(3000));
+  // One in the origin's hall, one elsewhere.
+  const std::vector<std::size_t> slow = {8, 15};
+  world.Name(2);
+  world.RunFor(Milliseconds(300));
+  for (const std::size_t node : slow)
+    world.SetLink(node, 113750);
+  CHECK(SecondsUntilLoaded(world, 2, slow) < 7.7);
+  CHECK(world.CopiesFromOrigin() < 2.0);
+}
+
+TEST_CASE("A narrow link is used in full for weights, and left open for requests")
+{
+  static constexpr std::uint64_t NARROW = 82000;
+  static constexpr std::size_t NODE = 5;
+  SidecarWorld world = MakeWorld({{{"a", 6}, {"b", 7}, {"c", 7}}});
+  world.RunFor(Milliseconds(3000));
+  world.SetLink(NODE, NARROW);
+  world.Name(2);
+  world.RunFor(Milliseconds(6000));
+  const auto held = [&](std::uint64_t version) { return world.At(NODE).PiecesHeld(version); };
+  // The link carries 20 in this time, less what it takes to find out that it is narrow.
+  CHECK(held(2) >= 8);
+
+  // With the next version it is known to be narrow from the start.
+  world.Name(3);
+  world.RunFor(Milliseconds(1000));
+  std::size_t most = 0;
+  for (int i = 0; i < 400; ++i)
+  {
+    world.RunFor(Milliseconds(10));
+    most = std::max(most, world.WaitingFor(NODE));
+  }
+  CHECK(most < 3 * 24576);
+  // The link carries 16, and news of what the peers hold.
+  CHECK(held(3) >= 4);
+}
+
+TEST_CASE("Sidecars that are killed in the middle of a push are made up for")
+{
+  SidecarWorld world = MakeWorld({{{"a", 6}, {"b", 7}, {"c", 7}}});
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  world.RunFor(Milliseconds(1300));
+  for (const std::size_t node : {0, 7, 9, 14})
+    world.Restart(node, Milliseconds(500));
+  CHECK(SecondsUntilLoaded(world, 2) < 6.7);
+  CHECK(world.CopiesFromOrigin() < 1.8);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("A hall whose sidecars are all cut off does not hold up the others")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  SUBCASE("another hall")
+  {
+    for (const std::size_t node : {8, 9, 10, 11})
+      world.SetCut(node, true);
+    world.Name(2);
+    CHECK(SecondsUntilLoaded(world, 2, {8, 9, 10, 11}) < 8.0);
+  }
+  SUBCASE("the hall in the middle of the ring")
+  {
+    for (const std::size_t node : {0, 1, 2, 3})
+      world.SetCut(node, true);
+    world.Name(2);
+    CHECK(SecondsUntilLoaded(world, 2, {0, 1, 2, 3}) < 8.0);
+  }
+  SUBCASE("the origin's hall")
+  {
+    for (const std::size_t node : {4, 5, 6, 7})
+      world.SetCut(node, true);
+    world.Name(2);
+    CHECK(SecondsUntilLoaded(world, 2, {4, 5, 6, 7}) < 8.0);
+  }
+}
+
+TEST_CASE("What the origin spoils is not believed")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+  {
+    INFO("seed " << seed);
+    WorldOptions options;
+    options.seed = seed;
+    SidecarWorld world(options);
+    world.SpoilOrigin(0.08);
+    world.RunFor(Milliseconds(3000));
+    world.Name(2);
+    CHECK(SecondsUntilLoaded(world, 2) < 8.0);
+    CHECK(world.Fault().empty());
+    CHECK(world.CopiesFromOrigin() < 2.2);
+  }
+}
+
+TEST_CASE("Pieces that turn bad on the stage never reach an engine")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  world.RunFor(Milliseconds(3500));
+  for (std::size_t node = 0; node < world.Count(); ++node)
+    world.SpoilStage(node, static_cast<std::uint32_t>(node));
+  // What turned bad within the last moments before an order may be missed; this was long before.
+  CHECK(SecondsUntilLoaded(world, 2) < 8.0);
+}
+
+TEST_CASE("A new engine without weights gets them from its hall")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  SecondsUntilLoaded(world, 2);
+  const double drawn_before = world.CopiesFromOrigin();
+  world.Restart(0, Milliseconds(100));
+  for (std::uint32_t piece = 0; piece < 96; ++piece)
+    world.SpoilStage(0, piece);
+  world.RunFor(Milliseconds(4000));
+  CHECK(world.At(0).Weights().Versions().size() >= 1);
+  CHECK(world.CopiesFromOrigin() - drawn_before < 0.1);
+}
+
+TEST_CASE("Sidecars do not wake up more often than there is something to do")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  const std::uint64_t before = world.TicksOf(0);
+  SecondsUntilLoaded(world, 2);
+  // About 8 s: pieces, reports and timers, but no busy waiting for confirmations.
+  CHECK(world.TicksOf(0) - before < 4000);
+}
+
+TEST_CASE("The push stays near the link's bound as halls grow")
+{
+  // Times the bound that were measured, with some room.
+  for (const auto& [per_hall, most] : {std::pair(4, 1.6), std::pair(8, 1.7), std::pair(16, 1.9)})
+  {
+    SidecarWorld world = MakeWorld({{{"a", per_hall}, {"b", per_hall}, {"c", per_hall}}});
+    world.RunFor(Milliseconds(3000));
+    const double drawn_before = world.CopiesFromOrigin();
+    const double across_before = world.CopiesAcross();
+    world.Name(2);
+    const Common::TimePoint begin = world.Now();
+    world.RunUntil(
+        [&]
+        {
+          for (std::size_t node = 0; node < world.Count(); ++node)
+          {
+            const auto& versions = world.At(node).Weights().Versions();
+            const bool is_held = std::ranges::count_if(versions, [](const auto& entry)
+                                                       { return entry.second->IsHeld(); }) >= 2;
+            if (!is_held)
+              return false;
+          }
+          return true;
+        },
+        Milliseconds(20000));
+    const double seconds = std::chrono::duration<double>(world.Now() - begin).count();
+    MESSAGE("3 halls of " << per_hall << ": held by all after " << seconds / LINK_SECONDS
+                          << " times the bound, " << world.CopiesFromOrigin() - drawn_before
+                          << " copies from the origin, " << world.CopiesAcross() - across_before
+                          << " across halls");
+    CHECK(seconds < most * LINK_SECONDS);
+    CHECK(world.CopiesFromOrigin() - drawn_before < 1.1);
+    // Once into each of the two other halls.
+    CHECK(world.CopiesAcross() - across_before < 2.3);
+  }
+}
+
+TEST_CASE("A lost and regained origin is logged once each")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  Testing::LogCapture log;
+  world.SetOriginDown(true);
+  world.Name(2);
+  world.RunFor(Milliseconds(2000));
+  const auto lost = log.Lines("origin.lost").size();
+  CHECK(lost >= 1);
+  CHECK(lost <= world.Count());
+  CHECK(log.Lines("origin.regained").empty());
+  world.SetOriginDown(false);
+  SecondsUntilLoaded(world, 2);
+  CHECK(log.Lines("origin.regained").size() >= 1);
+  CHECK(log.Lines("origin.regained").size() <= lost);
+}
+
+TEST_CASE("Engines are out of service for as short as can be while versions change")
+{
+  WorldOptions options;
+  options.halls = {{"a", 7}, {"b", 7}, {"c", 6}};
+  options.run_time = Milliseconds(1500);
+  SidecarWorld world = MakeWorld(options);
+  world.RunFor(Milliseconds(3000));
+  const auto seconds_each = [&]
+  {
+    return std::chrono::duration<double>(world.OutOfService()).count() /
+           static_cast<double>(world.Count());
+  };
+  CHECK(seconds_each() == 0);
+  world.Name(2);
+  SUBCASE("one version: what runs ends, then the weights are loaded")
+  {
+    SecondsUntilLoaded(world, 2);
+    MESSAGE("one version: ", seconds_each(), " s each");
+    CHECK(seconds_each() < 2.0);
+  }
+  // Engines that wait for the second one alone would be out for 1.8 s, but those on a machine that
+  // stands still meanwhile would begin requests on weights that are too old.
+  SUBCASE("two within seconds: both are taken")
+  {
+    world.RunFor(Milliseconds(3000));
+    world.Name(3);
+    SecondsUntilLoaded(world, 3);
+    MESSAGE("two versions: ", seconds_each(), " s each");
+    CHECK(seconds_each() < 4.0);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -0,0 +1,494 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/SidecarWorld.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "Core/Distribution/Manifest.h"
+#include "Core/Mesh/Briefing.h"
+
+namespace Holdpost::Testing
+{
+using Common::Address;
+using Common::Bytes;
+using Common::Duration;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+static const Address ORIGIN{"10.9.0.1", 80};
+static constexpr const char* MODEL = "m";
+static constexpr Duration LOCAL_CALL = std::chrono::microseconds(400);
+static constexpr Duration WAY = Milliseconds(1);
+static constexpr std::size_t PACKET_BYTES = 1500;
+static constexpr std::size_t WINDOW_BYTES = 16384;
+static constexpr std::uint64_t GATEWAY_LINK = 125'000'000;
+static constexpr std::size_t HELLO_BYTES = 500;
+static constexpr Duration WARM_UP = Milliseconds(300);
+// Gateways send nothing that might begin on old weights for so long before the bound.
+static constexpr Duration BOUND_MARGIN = Milliseconds(700);
+static constexpr Duration SERVE_PERIOD = Milliseconds(10);
+static constexpr Duration BRIEFING = Milliseconds(400);
+// Of messages other than pieces.
+static constexpr std::size_t SMALL_BYTES = 120;
+
+SidecarWorld::SidecarWorld(const WorldOptions& options) : m_options(options), m_random(options.seed)
+{
+  m_origin = MakeLink();
+  m_gateway = MakeLink();
+  m_gateway->SetRate(GATEWAY_LINK);
+  m_named[1] = m_now;
+  int number = 0;
+  for (const auto& [hall, count] : options.halls)
+  {
+    for (int i = 0; i < count; ++i)
+    {
+      Node node;
+      node.hall = hall;
+      node.address = {fmt::format("10.1.{}.{}", number / 200, number % 200 + 1), 7700};
+      node.up = MakeLink();
+      node.down = MakeLink();
+      node.loaded = 1;
+      for (std::uint32_t piece = 0; piece < options.pieces; ++piece)
+        node.stage[piece] = PieceOf(1, piece);
+      m_by_address[node.address] = m_nodes.size();
+      m_nodes.push_back(std::move(node));
+      ++number;
+    }
+  }
+  for (std::size_t node = 0; node < m_nodes.size(); ++node)
+    StartNode(node);
+  Brief();
+  if (options.run_time > Duration::zero())
+    Serve();
+}
+
+void SidecarWorld::StartNode(std::size_t node)
+{
+  Node& self = m_nodes[node];
+  ++self.life;
+  Sidecar::SidecarOptions options;
+  options.address = self.address;
+  options.hall = self.hall;
+  options.target = {self.address.host, 8000};
+  options.link_bytes_per_second = m_options.link_bytes_per_second;
+  options.switch_within = m_options.switch_within;
+  self.core = std::make_unique<Sidecar::Sidecar>(options, m_metrics);
+  self.tick_due = {};
+  Tick(node, self.life);
+}
+
+void SidecarWorld::At(TimePoint at, std::function<void()> run)
+{
+  m_queue.push({std::max(at, m_now), m_order++, std::move(run)});
+}
+
+void SidecarWorld::RunFor(Duration time)
+{
+  const TimePoint end = m_now + time;
+  RunUntil([] { return false; }, time);
+  m_now = end;
+}
+
+bool SidecarWorld::RunUntil(const std::function<bool()>& done, Duration most)
+{
+  const TimePoint end = m_now + most;
+  while (!done())
+  {
+    if (m_queue.empty() || m_queue.top().at > end)
+      return false;
+    const Timed next = m_queue.top();
+    m_queue.pop();
+    m_now = next.at;
+    next.run();
+  }
+  return true;
+}
+
+void SidecarWorld::Tick(std::size_t node, std::uint64_t life)
+{
+  Node& self = m_nodes[node];
+  if (self.life != life || !self.core)
+    return;
+  ++self.ticks;
+  Sidecar::Actions actions;
+  self.core->OnTick(m_now, &actions);
+  self.tick_due = {};
+  Carry(node, actions);
+}
+
+template <typename Event>
+void SidecarWorld::Feed(std::size_t node, Event event)
+{
+  if (!m_nodes[node].core)
+    return;
+  Sidecar::Actions actions;
+  m_nodes[node].core->Handle(event, m_now, &actions);
+  Carry(node, actions);
+}
+
+void SidecarWorld::Carry(std::size_t node, Sidecar::Actions& actions)
+{
+  for (const Sidecar::Action& action : actions)
+    std::visit([&](const auto& typed) { Do(node, typed); }, action);
+  ScheduleTick(node);
+}
+
+// What happened may have made the next tick due earlier.
+void SidecarWorld::ScheduleTick(std::size_t node)
+{
+  Node& self = m_nodes[node];
+  const Duration wait =
+      std::max<Duration>(self.core->NextWakeup(m_now) - m_now, std::chrono::microseconds(50));
+  const TimePoint next = m_now + std::min<Duration>(wait, Milliseconds(100));
+  if (next >= self.tick_due && self.tick_due > m_now)
+    return;
+  self.tick_due = next;
+  At(next,
+     [this, node, next, life = self.life]
+     {
+       if (m_nodes[node].tick_due == next)
+         Tick(node, life);
+     });
+}
+
+// --- weights ---
+
+Bytes SidecarWorld::PieceOf(std::uint64_t version, std::uint32_t piece) const
+{
+  // Most of a piece is the same everywhere: only sizes and differences matter here.
+  std::string data = fmt::format("{}/{}/", version, piece);
+  data.resize(m_options.piece_bytes, 'w');
+  return Common::MakeBytes(std::move(data));
+}
+
+Bytes SidecarWorld::ManifestOf(std::uint64_t version) const
+{
+  Distribution::Manifest manifest;
+  manifest.name = MODEL;
+  manifest.piece_bytes = m_options.piece_bytes;
+  manifest.total_bytes = std::uint64_t(m_options.piece_bytes) * m_options.pieces;
+  for (std::uint32_t piece = 0; piece < m_options.pieces; ++piece)
+    manifest.pieces.push_back(Common::Sha256(*PieceOf(version, piece)));
+  return Common::MakeBytes(Distribution::EncodeManifest(manifest));
+}
+
+void SidecarWorld::Name(std::uint64_t version)
+{
+  m_named[version] = m_now;
+  Brief();
+}
+
+Mesh::Hello SidecarWorld::MakeHello() const
+{
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.plan = {"svc",
+                MODEL,
+                m_options.pieces,
+                m_options.piece_bytes,
+                std::chrono::duration_cast<Milliseconds>(WARM_UP),
+                ORIGIN,
+                m_options.origin_hall};
+  hello.clock = Mesh::ClockOf(m_now);
+  for (const auto& [version, since] : m_named)
+    hello.weights.push_back(
+        {{MODEL, version}, std::chrono::duration_cast<Milliseconds>(m_now - since)});
+  for (const Node& node : m_nodes)
+    hello.peers.push_back({node.address, node.hall});
+  return hello;
+}
+
+void SidecarWorld::Brief()
+{
+  const Mesh::Hello hello = MakeHello();
+  for (std::size_t node = 0; node < m_nodes.size(); ++node)
+  {
+    if (!m_nodes[node].core || m_nodes[node].is_cut)
+      continue;
+    const Mesh::Sender gateway{
+        "gw-" + m_nodes[node].hall, m_nodes[node].hall, {"10.8.0.1", 7700}, 1};
+    Transfer(m_next_connection++, *m_gateway, *m_nodes[node].down, HELLO_BYTES,
+             [this, node, gateway, hello, life = m_nodes[node].life]
+             { Hear(node, life, gateway, hello); });
+  }
+  At(m_now + BRIEFING, [this] { Brief(); });
+}
+
+void SidecarWorld::Hear(std::size_t node, std::uint64_t life, const Mesh::Sender& from,
+                        const Mesh::Message& message)
+{
+  Node& self = m_nodes[node];
+  if (self.life != life || self.is_cut || !self.core)
+    return;
+  Sidecar::Actions actions;
+  self.core->OnMessage(from, message, m_now, &actions);
+  Carry(node, actions);
+}
+
+// --- the engine ---
+
+bool SidecarWorld::TakesRequests(const Node& node) const
+{
+  const bool is_too_old =
+      std::ranges::any_of(m_named,
+                          [&](const auto& named)
+                          {
+                            return node.loaded < named.first &&
+                                   m_now >= named.second + m_options.switch_within - BOUND_MARGIN;
+                          });
+  return !node.is_busy && node.loaded > 0 && !is_too_old;
+}
+
+void SidecarWorld::Serve()
+{
+  for (Node& node : m_nodes)
+  {
+    if (TakesRequests(node))
+      node.last_taken = m_now;
+    else
+      m_out_of_service += SERVE_PERIOD;
+  }
+  At(m_now + SERVE_PERIOD, [this] { Serve(); });
+}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::ReadReport& /*read*/)
+{
+  At(m_now + LOCAL_CALL,
+     [this, node, life = m_nodes[node].life]
+     {
+       const Node& self = m_nodes[node];
+       if (self.life != life)
+         return;
+       Sidecar::EngineReport report;
+       report.model = MODEL;
+       report.weights_version = self.is_busy ? 0 : self.loaded;
+       report.is_busy = self.is_busy;
+       report.orders = self.orders;
+       const bool has_run_out = m_now - self.last_taken >= m_options.run_time;
+       report.running = m_options.run_time == Duration::zero() || !has_run_out ? 4 : 0;
+       Feed(node, Sidecar::ReportRead{report});
+     });
+}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::ListStaged& /*list*/)
+{
+  At(m_now + LOCAL_CALL,
+     [this, node, life = m_nodes[node].life]
+     {
+       if (m_nodes[node].life != life)
+         return;
+       std::vector<std::uint32_t> held;
+       for (const auto& [piece, data] : m_nodes[node].stage)
+         held.push_back(piece);
+       Feed(node, Sidecar::StagedListed{held});
+     });
+}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::ReadStaged& read)
+{
+  At(m_now + LOCAL_CALL,
+     [this, node, piece = read.piece, life = m_nodes[node].life]
+     {
+       if (m_nodes[node].life == life)
+         Feed(node, Sidecar::StagedRead{piece, m_nodes[node].stage[piece]});
+     });
+}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::StagePiece& stage)
+{
+  At(m_now + LOCAL_CALL,
+     [this, node, stage, life = m_nodes[node].life]
+     {
+       m_nodes[node].stage[stage.piece] = stage.data;
+       if (m_nodes[node].life == life)
+         Feed(node, Sidecar::PieceStaged{stage.piece, std::monostate()});
+     });
+}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::StartWeights& start)
+{
+  Node& self = m_nodes[node];
+  for (std::uint32_t piece = 0; piece < m_options.pieces; ++piece)
+  {
+    const auto found = self.stage.find(piece);
+    if (found == self.stage.end() || *found->second != *PieceOf(start.version, piece))
+      m_fault =
+          fmt::format("node {} took version {} with a wrong piece {}", node, start.version, piece);
+  }
+  self.is_busy = true;
+  ++self.orders;
+  At(std::max(m_now, self.last_taken + m_options.run_time) + WARM_UP,
+     [this, node, version = start.version]
+     {
+       m_nodes[node].is_busy = false;
+       m_nodes[node].loaded = version;
+     });
+  At(m_now + LOCAL_CALL,
+     [this, node, version = start.version, life = self.life]
+     {
+       if (m_nodes[node].life == life)
+         Feed(node, Sidecar::StartAnswered{version, std::monostate()});
+     });
+}
+
+// --- links ---
+
+std::unique_ptr<QueueLink> SidecarWorld::MakeLink()
+{
+  return std::make_unique<QueueLink>(m_options.link_bytes_per_second,
+                                     [this](TimePoint at, std::function<void()> run)
+                                     { At(at, std::move(run)); });
+}
+
+void SidecarWorld::Transfer(std::uint64_t connection, QueueLink& from, QueueLink& to,
+                            std::size_t bytes, std::function<void()> done)
+{
+  Connection& self = m_connections[connection];
+  for (std::size_t sent = 0; sent < bytes; sent += PACKET_BYTES)
+  {
+    const std::size_t packet = std::min(PACKET_BYTES, bytes - sent);
+    self.unsent.push_back({packet, &from, &to, {}});
+  }
+  if (bytes > 0)
+    self.unsent.back().done = std::move(done);
+  Advance(connection);
+}
+
+void SidecarWorld::Advance(std::uint64_t connection)
+{
+  Connection& self = m_connections[connection];
+  while (!self.unsent.empty() && self.in_flight + self.unsent.front().bytes <= WINDOW_BYTES)
+  {
+    const Connection::Packet packet = std::move(self.unsent.front());
+    self.unsent.pop_front();
+    self.in_flight += packet.bytes;
+    const auto received = [this, connection, packet]
+    {
+      if (packet.done)
+        At(m_now + WAY, packet.done);
+      m_connections[connection].in_flight -= packet.bytes;
+      Advance(connection);
+    };
+    packet.from->Send(packet.bytes, m_now,
+                      [this, packet, received] { packet.to->Send(packet.bytes, m_now, received); });
+  }
+}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::FetchFromOrigin& fetch)
+{
+  const std::uint64_t life_now = m_nodes[node].life;
+  const auto fail = [this, node, id = fetch.id, life = life_now](ErrorKind kind)
+  {
+    if (m_nodes[node].life == life && !m_nodes[node].is_cut)
+      Feed(node, Sidecar::OriginFetched{id, Error{kind, "the origin failed"}});
+  };
+  if (m_is_origin_down)
+    return At(m_now + 2 * WAY, [fail] { fail(ErrorKind::Unreachable); });
+  const bool is_manifest = fetch.piece == Distribution::MANIFEST_PIECE;
+  Bytes data = is_manifest ? ManifestOf(fetch.version) : PieceOf(fetch.version, fetch.piece);
+  const std::uint64_t asked_newest = m_named.rbegin()->first;
+  m_origin_bytes += data->size();
+  if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_spoilt_share)
+  {
+    std::string spoilt = *data;
+    // A digest in a manifest stays readable; a piece only changes.
+    const std::size_t at = spoilt.find("\"pieces\"");
+    spoilt[is_manifest ? at + 15 : 3] = is_manifest ? '0' : 'X';
+    data = Common::MakeBytes(std::move(spoilt));
+  }
+  Transfer(m_next_connection++, *m_origin, *m_nodes[node].down, data->size(),
+           [this, node, id = fetch.id, data, life = life_now, asked_newest, fail,
+            version = fetch.version]
+           {
+             if (m_is_origin_down)
+               return fail(ErrorKind::Unreachable);
+             if (version + 1 < asked_newest)
+               return fail(ErrorKind::NotFound);
+             if (m_nodes[node].life != life || m_nodes[node].is_cut)
+               return;
+             Feed(node, Sidecar::OriginFetched{id, data});
+           });
+}
+
+void SidecarWorld::Do(std::size_t /*node*/, const Sidecar::CancelOriginFetch& /*cancel*/) {}
+
+void SidecarWorld::Do(std::size_t node, const Sidecar::Tell& tell)
+{
+  const auto found = m_by_address.find(tell.to);
+  if (found == m_by_address.end())
+    return;
+  const std::size_t receiver = found->second;
+  Node& from = m_nodes[node];
+  Node& to = m_nodes[receiver];
+  if (from.is_cut || to.is_cut)
+    return;
+  std::size_t bytes = SMALL_BYTES;
+  if (const auto* piece = std::get_if<Mesh::TellPiece>(&tell.message);
+      piece && Common::Succeeded(piece->result))
+  {
+    bytes += std::get<Bytes>(piece->result)->size();
+    if (from.hall != to.hall)
+      m_across_bytes += bytes;
+  }
+  const Mesh::Sender sender{from.address.ToString(), from.hall, from.address, from.life};
+  Transfer(node * m_nodes.size() + receiver, *from.up, *to.down, bytes,
+           [this, receiver, sender, message = tell.message, life = to.life]
+           { Hear(receiver, life, sender, message); });
+}
+
+// --- what is seen and what goes wrong ---
+
+bool SidecarWorld::HasLoaded(std::size_t node, std::uint64_t version) const
+{
+  return !m_nodes[node].is_busy && m_nodes[node].loaded >= version;
+}
+
+bool SidecarWorld::HaveAllLoaded(std::uint64_t version,
+                                 const std::vector<std::size_t>& except) const
+{
+  for (std::size_t node = 0; node < m_nodes.size(); ++node)
+  {
+    const bool is_excepted = std::ranges::find(except, node) != except.end();
+    if (!is_excepted && !HasLoaded(node, version))
+      return false;
+  }
+  return true;
+}
+
+std::size_t SidecarWorld::Serving() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_nodes, [](const Node& node) { return !node.is_busy && node.loaded > 0; }));
+}
+
+double SidecarWorld::CopiesFromOrigin() const
+{
+  return static_cast<double>(m_origin_bytes) / m_options.piece_bytes / m_options.pieces;
+}
+
+double SidecarWorld::CopiesAcross() const
+{
+  return static_cast<double>(m_across_bytes) / m_options.piece_bytes / m_options.pieces;
+}
+
+void SidecarWorld::SetLink(std::size_t node, std::uint64_t bytes_per_second)
+{
+  m_nodes[node].up->SetRate(bytes_per_second);
+  m_nodes[node].down->SetRate(bytes_per_second);
+}
+
+void SidecarWorld::Restart(std::size_t node, Duration after)
+{
+  m_nodes[node].core.reset();
+  ++m_nodes[node].life;
+  At(m_now + after, [this, node] { StartNode(node); });
+}
+
+void SidecarWorld::SpoilStage(std::size_t node, std::uint32_t piece)
+{
+  m_nodes[node].stage[piece] = Common::MakeBytes("spoilt");
+}
+} // namespace Holdpost::Testing
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Core/Sidecar/Sidecar.h"
+#include "Support/QueueLink.h"
+
+// A small world on a virtual clock for tests of sidecars: their links, engines and the origin of
+// weights.
+namespace Holdpost::Testing
+{
+struct WorldOptions
+{
+  std::vector<std::pair<std::string, int>> halls = {{"a", 4}, {"b", 4}, {"c", 4}};
+  std::string origin_hall = "b";
+  std::uint32_t pieces = 96;
+  std::uint32_t piece_bytes = 24576;
+  std::uint64_t link_bytes_per_second = 912500;
+  std::uint64_t seed = 1;
+  // What runs at an engine ends so long after it takes nothing new; an order waits for that.
+  Common::Duration run_time{};
+  // Versions have to be in use everywhere so long after they were named.
+  Common::Milliseconds switch_within{8000};
+};
+
+class SidecarWorld
+{
+public:
+  explicit SidecarWorld(const WorldOptions& options);
+
+  // Names new weights to all sidecars, as a gateway of each hall does.
+  void Name(std::uint64_t version);
+  void RunFor(Common::Duration time);
+  // Returns false if it did not come true in time.
+  bool RunUntil(const std::function<bool()>& done, Common::Duration most);
+
+  std::size_t Count() const { return m_nodes.size(); }
+  bool HasLoaded(std::size_t node, std::uint64_t version) const;
+  // All but the listed ones.
+  bool HaveAllLoaded(std::uint64_t version, const std::vector<std::size_t>& except = {}) const;
+  // Engines that answer requests at this moment, with any weights.
+  std::size_t Serving() const;
+  // The time for which engines did not answer requests, summed over all of them: they loaded
+  // weights, or those that they had were too old.
+  Common::Duration OutOfService() const { return m_out_of_service; }
+  double CopiesFromOrigin() const;
+  // Bytes of pieces that went from one hall to another, in copies.
+  double CopiesAcross() const;
+  Common::TimePoint Now() const { return m_now; }
+  // Names what went wrong, if an engine took weights that were not whole.
+  const std::string& Fault() const { return m_fault; }
+  // Bytes that wait for the link to the node.
+  std::size_t WaitingFor(std::size_t node) const { return m_nodes[node].down->BytesWaiting(); }
+
+  // --- what goes wrong ---
+  void SetLink(std::size_t node, std::uint64_t bytes_per_second);
+  // The process ends and starts again after a while; its stage stays.
+  void Restart(std::size_t node, Common::Duration after);
+  // Messages to and from the node are lost.
+  void SetCut(std::size_t node, bool is_cut) { m_nodes[node].is_cut = is_cut; }
+  // This share of the origin's answers is spoilt.
+  void SpoilOrigin(double share) { m_spoilt_share = share; }
+  // The origin refuses connections, and breaks those off that are open.
+  void SetOriginDown(bool is_down) { m_is_origin_down = is_down; }
+  void SpoilStage(std::size_t node, std::uint32_t piece);
+
+  Sidecar::Sidecar& At(std::size_t node) { return *m_nodes[node].core; }
+  std::uint64_t TicksOf(std::size_t node) const { return m_nodes[node].ticks; }
+
+private:
+  struct Node
+  {
+    std::string hall;
+    Common::Address address;
+    std::unique_ptr<Sidecar::Sidecar> core;
+    std::uint64_t life = 0;
+    std::unique_ptr<QueueLink> up;
+    std::unique_ptr<QueueLink> down;
+    bool is_cut = false;
+    std::uint64_t ticks = 0;
+    Common::TimePoint tick_due{};
+    // The engine.
+    std::map<std::uint32_t, Common::Bytes> stage;
+    std::uint64_t loaded = 0;
+    bool is_busy = false;
+    std::uint64_t orders = 0;
+    Common::TimePoint last_taken{};
+  };
+
+  // Bytes that are sent one way, no more than a window of them unreceived.
+  struct Connection
+  {
+    struct Packet
+    {
+      std::size_t bytes;
+      QueueLink* from;
+      QueueLink* to;
+      std::function<void()> done; // empty for all but the last of a message
+    };
+    std::deque<Packet> unsent;
+    std::size_t in_flight = 0;
+  };
+
+  struct Timed
+  {
+    Common::TimePoint at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator>(const Timed& other) const
+    {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  // Connections to the origin have numbers above those between sidecars.
+  static constexpr std::uint64_t FIRST_OF_ORIGIN = 1'000'000;
+
+  void At(Common::TimePoint at, std::function<void()> run);
+  void StartNode(std::size_t node);
+  void Tick(std::size_t node, std::uint64_t life);
+  void ScheduleTick(std::size_t node);
+  void Brief();
+  // Whether the engine would begin a request now.
+  bool TakesRequests(const Node& node) const;
+  void Serve();
+  void Hear(std::size_t node, std::uint64_t life, const Mesh::Sender& from,
+            const Mesh::Message& message);
+  template <typename Event>
+  void Feed(std::size_t node, Event event);
+  void Carry(std::size_t node, Sidecar::Actions& actions);
+  void Do(std::size_t node, const Sidecar::ReadReport& read);
+  void Do(std::size_t node, const Sidecar::ListStaged& list);
+  void Do(std::size_t node, const Sidecar::ReadStaged& read);
+  void Do(std::size_t node, const Sidecar::StagePiece& stage);
+  void Do(std::size_t node, const Sidecar::StartWeights& start);
+  void Do(std::size_t node, const Sidecar::FetchFromOrigin& fetch);
+  void Do(std::size_t node, const Sidecar::CancelOriginFetch& cancel);
+  void Do(std::size_t node, const Sidecar::Tell& tell);
+  std::unique_ptr<QueueLink> MakeLink();
+  // Sends bytes over both links; `done` runs when the last one is there.
+  void Transfer(std::uint64_t connection, QueueLink& from, QueueLink& to, std::size_t bytes,
+                std::function<void()> done);
+  // Sends on what the connection's window has room for.
+  void Advance(std::uint64_t connection);
+  Common::Bytes PieceOf(std::uint64_t version, std::uint32_t piece) const;
+  Common::Bytes ManifestOf(std::uint64_t version) const;
+  Mesh::Hello MakeHello() const;
+
+  WorldOptions m_options;
+  Common::TimePoint m_now{std::chrono::hours(1)};
+  std::uint64_t m_order = 0;
+  std::priority_queue<Timed, std::vector<Timed>, std::greater<>> m_queue;
+  Common::Metrics m_metrics;
+  std::vector<Node> m_nodes;
+  std::map<Common::Address, std::size_t> m_by_address;
+  std::map<std::uint64_t, Connection> m_connections;
+  std::uint64_t m_next_connection = FIRST_OF_ORIGIN;
+  std::unique_ptr<QueueLink> m_origin;
+  // Of the gateways.
+  std::unique_ptr<QueueLink> m_gateway;
+  double m_spoilt_share = 0;
+  bool m_is_origin_down = false;
+  std::uint64_t m_origin_bytes = 0;
+  std::uint64_t m_across_bytes = 0;
+  std::map<std::uint64_t, Common::TimePoint> m_named;
+  std::mt19937_64 m_random;
+  std::string m_fault;
+  Common::Duration m_out_of_service{};
+};
+} // namespace Holdpost::Testing
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Sidecar/StageKeeper.h"
+#include "Core/Sidecar/SwitchSchedule.h"
+#include "Core/Sidecar/WeightsLoader.h"
+#include "Support/Actions.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Sidecar;
+using Common::Bytes;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Milliseconds;
+using Testing::Take;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+constexpr std::uint32_t PIECES = 4;
+constexpr std::uint32_t PIECE_BYTES = 1024;
+
+// A swarm that holds a whole version.
+struct Weights
+{
+  Weights()
+  {
+    std::string all;
+    for (std::uint32_t i = 0; i < PIECES; ++i)
+    {
+      pieces.push_back(Common::MakeBytes(std::string(PIECE_BYTES, static_cast<char>('a' + i))));
+      all += *pieces.back();
+    }
+    const auto manifest =
+        Common::MakeBytes(EncodeManifest(Distribution::MakeManifest("m", all, PIECE_BYTES)));
+    Distribution::SwarmOptions options;
+    swarm = std::make_unique<Distribution::Swarm>(
+        Common::Sha256(*manifest), Distribution::Fetcher{"self", "here"}, options, 1, &shared);
+    Distribution::Actions actions;
+    swarm->SetPeers({}, {}, START, &actions);
+    swarm->OnViewConfirmed(START, &actions);
+    while (!swarm->IsHeld())
+    {
+      for (const auto& fetch : Take<Distribution::FetchPiece>(actions))
+      {
+        const bool is_manifest = fetch.piece == Distribution::MANIFEST_PIECE;
+        swarm->OnFetched(fetch.id, is_manifest ? manifest : pieces[fetch.piece], START, &actions);
+      }
+      swarm->OnTick(START + Milliseconds(5000), &actions);
+    }
+  }
+
+  std::vector<Bytes> pieces;
+  Distribution::SwarmShared shared;
+  std::unique_ptr<Distribution::Swarm> swarm;
+};
+
+// Carries out what the keeper asks of an engine whose stage is a map.
+void Serve(StageKeeper& keeper, const Weights& weights, std::map<std::uint32_t, Bytes>& stage)
+{
+  for (int turn = 0; turn < 100; ++turn)
+  {
+    StageActions actions;
+    keeper.OnTick(*weights.swarm, START, &actions);
+    for (const StageAction& action : actions)
+    {
+      if (const auto* put = std::get_if<StagePiece>(&action))
+      {
+        stage[put->piece] = put->data;
+        keeper.OnStaged({put->piece, std::monostate()}, START);
+      }
+      if (const auto* get = std::get_if<ReadStaged>(&action))
+      {
+        const auto found = stage.find(get->piece);
+        keeper.OnRead({get->piece, found == stage.end()
+                                       ? Common::Result<Bytes>(Error{ErrorKind::NotFound, ""})
+                                       : Common::Result<Bytes>(found->second)},
+                      *weights.swarm, START);
+      }
+    }
+    if (actions.empty())
+      return;
+  }
+}
+} // namespace
+
+TEST_CASE("The stage is filled and proved by reading it back")
+{
+  const Weights weights;
+  StageKeeper keeper;
+  std::map<std::uint32_t, Bytes> stage;
+  keeper.Want("m", 2, PIECES);
+  Serve(keeper, weights, stage);
+  CHECK(keeper.IsStaged());
+  CHECK(keeper.ProvenSince().has_value());
+
+  SUBCASE("what turned bad is found by proving again, and staged anew")
+  {
+    stage[2] = Common::MakeBytes("spoilt");
+    keeper.ProveAgain();
+    CHECK_FALSE(keeper.ProvenSince().has_value());
+    Serve(keeper, weights, stage);
+    CHECK(keeper.ProvenSince().has_value());
+    CHECK(*stage[2] == *weights.pieces[2]);
+  }
+  SUBCASE("another version starts from nothing")
+  {
+    keeper.Want("m", 3, PIECES);
+    CHECK_FALSE(keeper.IsStaged());
+    CHECK_FALSE(keeper.ProvenSince().has_value());
+  }
+}
+
+TEST_CASE("What lay on the stage already is not staged again, but proved")
+{
+  const Weights weights;
+  StageKeeper keeper;
+  keeper.Want("m", 1, PIECES);
+  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
+    keeper.OnFound(piece);
+  StageActions actions;
+  keeper.OnTick(*weights.swarm, START, &actions);
+  CHECK(Testing::Only<StagePiece>(actions).empty());
+  CHECK_FALSE(Take<ReadStaged>(actions).empty());
+}
+
+TEST_CASE("A piece that the engine did not take is staged again after a pause")
+{
+  const Weights weights;
+  StageKeeper keeper;
+  keeper.Want("m", 1, PIECES);
+  StageActions actions;
+  keeper.OnTick(*weights.swarm, START, &actions);
+  const auto first = Take<StagePiece>(actions);
+  REQUIRE_FALSE(first.empty());
+  keeper.OnStaged({first[0].piece, Error{ErrorKind::Unreachable, ""}}, START);
+  keeper.OnTick(*weights.swarm, START, &actions);
+  CHECK(Take<StagePiece>(actions).empty());
+  keeper.OnTick(*weights.swarm, START + Milliseconds(150), &actions);
+  CHECK(Take<StagePiece>(actions).at(0).piece == first[0].piece);
+}
+
+TEST_CASE("An engine is ordered once for a version")
+{
+  WeightsLoader loader;
+  EngineReport report;
+  report.weights_version = 1;
+  report.orders = 4;
+  loader.OnReport(report, START);
+  loader.Begin("m", 2, START);
+  CHECK(loader.State() == LoaderState::Announced);
+  CHECK_FALSE(loader.OnTick(START).has_value());
+  const auto order = loader.OnTick(START + Milliseconds(40));
+  REQUIRE(order.has_value());
+  CHECK(order->version == 2);
+  CHECK(order->expected_orders == 4);
+  CHECK_FALSE(loader.OnTick(START + Milliseconds(80)).has_value());
+
+  SUBCASE("taken: it waits until the engine has the version")
+  {
+    loader.OnAnswered({2, std::monostate()}, START);
+    report.is_busy = true;
+    report.orders = 5;
+    report.weights_version = 0;
+    loader.OnReport(report, START);
+    CHECK(loader.IsUnderWay());
+    report.is_busy = false;
+    report.weights_version = 2;
+    loader.OnReport(report, START);
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+  SUBCASE("without an answer, the report decides: it was taken")
+  {
+    loader.OnAnswered({2, Error{ErrorKind::Unreachable, ""}}, START);
+    CHECK(loader.IsUnderWay());
+    report.orders = 5;
+    report.is_busy = true;
+    loader.OnReport(report, START);
+    CHECK(loader.State() == LoaderState::Loading);
+  }
+  SUBCASE("without an answer, the report decides: it was not")
+  {
+    loader.OnAnswered({2, Error{ErrorKind::Unreachable, ""}}, START);
+    loader.OnReport(report, START);
+    CHECK_FALSE(loader.IsUnderWay());
+    loader.Begin("m", 2, START);
+    CHECK_FALSE(loader.IsUnderWay());
+    loader.Begin("m", 2, START + Milliseconds(200));
+    CHECK(loader.IsUnderWay());
+  }
+  SUBCASE("refused: it may be tried again later")
+  {
+    loader.OnAnswered({2, Error{ErrorKind::Conflict, ""}}, START);
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+  SUBCASE("an engine that started anew has forgotten it")
+  {
+    loader.OnAnswered({2, std::monostate()}, START);
+    report.orders = 0;
+    report.weights_version = 0;
+    loader.OnReport(report, START);
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+}
+
+TEST_CASE("Targets switch one after the other, and all in time")
+{
+  std::vector<Mesh::Peer> peers;
+  peers.reserve(20);
+  for (int i = 0; i < 20; ++i)
+    peers.push_back({{"10.0.0." + std::to_string(i), 7700}, "here"});
+  const SwitchWindow window{START, Milliseconds(8000), Milliseconds(3500)};
+  std::set<std::size_t> ranks;
+  for (const Mesh::Peer& peer : peers)
+  {
+    const std::size_t rank = SwitchRank(peer.address, peers, 7);
+    CHECK(ranks.insert(rank).second);
+    const Common::TimePoint at = PlannedSwitch(window, rank, peers.size());
+    CHECK(at >= START + Milliseconds(3500));
+    CHECK(at <= START + Milliseconds(7000));
+  }
+  CHECK(PlannedSwitch(window, 5, 20) < PlannedSwitch(window, 6, 20));
+  // Another version gives another order, so that nobody is always the last.
+  bool differs = false;
+  for (const Mesh::Peer& peer : peers)
+    differs = differs || SwitchRank(peer.address, peers, 7) != SwitchRank(peer.address, peers, 8);
+  CHECK(differs);
+}
--- a/Source/UnitTests/Core/SwarmTest.cpp
+++ b/Source/UnitTests/Core/SwarmTest.cpp
@@ -25,7 +25,8 @@
     manifest = Common::MakeBytes(EncodeManifest(MakeManifest("m", weights, 1024)));
     SwarmOptions options;
     options.window_per_peer = 4;
-    swarm = std::make_unique<Swarm>(Common::Sha256(*manifest), "self", options, 1, &next_id);
+    swarm = std::make_unique<Swarm>(Common::Sha256(*manifest), Fetcher{"self", "hall"}, options, 1,
+                                    &shared);
   }
 
   // The fetches asked for since the last call.
@@ -56,7 +57,11 @@
   // Gets the manifest from the origin, with `others` as fetchers and neighbours.
   void GetManifest(const std::vector<std::string>& others)
   {
-    swarm->SetPeers(others, others, now, &actions);
+    std::vector<Fetcher> fetchers;
+    fetchers.reserve(others.size());
+    for (const std::string& other : others)
+      fetchers.push_back({other, "hall"});
+    swarm->SetPeers(others, fetchers, now, &actions);
     swarm->OnViewConfirmed(now, &actions);
     while (!swarm->ManifestHeld())
     {
@@ -73,7 +78,7 @@
 
   std::vector<Bytes> pieces;
   Bytes manifest;
-  FetchId next_id = 1;
+  SwarmShared shared;
   Common::TimePoint now{std::chrono::hours(1)};
   Actions actions;
   std::unique_ptr<Swarm> swarm;
--- /dev/null
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Peers/Mesh/MeshCodec.h"
+
+using namespace Holdpost;
+using Common::Milliseconds;
+
+namespace
+{
+const Mesh::Sender FROM{"front-1", "oslo-a", {"10.1.0.4", 7700}, 42};
+
+template <typename T>
+T There(const T& message)
+{
+  const auto envelope = MeshPeer::Decode(MeshPeer::Encode(FROM, message));
+  REQUIRE(envelope.has_value());
+  CHECK(envelope->from.instance == FROM.instance);
+  CHECK(envelope->from.hall == FROM.hall);
+  CHECK(envelope->from.address == FROM.address);
+  CHECK(envelope->from.incarnation == FROM.incarnation);
+  return std::get<T>(envelope->message);
+}
+} // namespace
+
+TEST_CASE("Mesh messages come as they were sent")
+{
+  SUBCASE("hello")
+  {
+    Mesh::Hello hello;
+    hello.is_gateway = true;
+    hello.settings = 17;
+    hello.weights = {{{"m", 3}, Milliseconds(250)}};
+    hello.plan = {"svc", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a"};
+    hello.peers = {{{"10.1.0.5", 7700}, "oslo-a"}, {{"10.2.0.5", 7700}, "bergen-a"}};
+    hello.clock = Milliseconds(123456);
+    const Mesh::Hello got = There(hello);
+    CHECK(got.is_gateway);
+    CHECK(got.settings == 17);
+    CHECK(got.weights[0].named == hello.weights[0].named);
+    CHECK(got.weights[0].known == Milliseconds(250));
+    CHECK(got.plan == hello.plan);
+    CHECK(got.peers == hello.peers);
+    CHECK(got.clock == hello.clock);
+  }
+  SUBCASE("load report")
+  {
+    Mesh::LoadReport report;
+    report.load.address = {"10.1.0.5", 8001};
+    report.load.running = 12;
+    report.load.queued = 3;
+    report.load.weights_version = 2;
+    report.load.is_switching = true;
+    report.load.switch_in = Milliseconds(0);
+    report.load.pace = 1.25;
+    report.load.inbound_delay = Milliseconds(310);
+    report.gateways = 7;
+    report.settings = 99;
+    report.settings_at = {"10.1.0.4", 7700};
+    report.weights = {{{"m", 2}, Milliseconds(2300)}, {{"m", 3}, Milliseconds(300)}};
+    report.near_gateways = {{"10.1.0.4", 7700}, {"10.1.0.5", 7700}};
+    report.echo = Milliseconds(1000);
+    report.echo_age = Milliseconds(40);
+    const Mesh::LoadReport got = There(report);
+    CHECK(got.load == report.load);
+    CHECK(got.gateways == 7);
+    CHECK(got.settings == 99);
+    CHECK(got.settings_at == report.settings_at);
+    REQUIRE(got.weights.size() == 2);
+    CHECK(got.weights[1].named == report.weights[1].named);
+    CHECK(got.weights[1].known == Milliseconds(300));
+    CHECK(got.near_gateways == report.near_gateways);
+    CHECK(got.echo == report.echo);
+    CHECK(got.echo_age == report.echo_age);
+  }
+  SUBCASE("pieces and their announcement")
+  {
+    const Common::Digest version = Common::Sha256("v");
+    Distribution::Announcement announcement{version, 96, true, true, "bits", {1, 2}, {3}};
+    const auto announced = There(Mesh::Announce{announcement}).announcement;
+    CHECK(announced.version == version);
+    CHECK(announced.bitmap == "bits");
+    CHECK(announced.pieces == announcement.pieces);
+    CHECK(announced.claimed == announcement.claimed);
+    CHECK(There(Mesh::AskPiece{5, version, 7}).piece == 7);
+    const auto told = There(Mesh::TellPiece{5, Common::MakeBytes(std::string(24576, 'z'))});
+    CHECK(*std::get<Common::Bytes>(told.result) == std::string(24576, 'z'));
+    const auto refused = There(
+        Mesh::TellPiece{6, Common::Error{Common::ErrorKind::SourceBusy, "busy", Milliseconds(30)}});
+    CHECK(std::get<Common::Error>(refused.result).kind == Common::ErrorKind::SourceBusy);
+    CHECK(std::get<Common::Error>(refused.result).retry_after == Milliseconds(30));
+  }
+  SUBCASE("documents")
+  {
+    CHECK(There(Mesh::AskDocument{12}).newer_than == 12);
+    const auto told = There(Mesh::TellDocument{13, 11, Common::MakeBytes("packed")});
+    CHECK(told.version == 13);
+    CHECK(told.base == 11);
+    CHECK(*told.packed == "packed");
+  }
+  SUBCASE("lists of targets")
+  {
+    CHECK(There(Mesh::AskTargets{12}).newer_than == 12);
+    Gateway::ListedTarget model{"i-1", "svc", "oslo-a", {"10.1.0.9", 8001}, 16};
+    model.weights_version = 3;
+    model.needs_weights = true;
+    Gateway::ListedTarget leaving{"i-2", "files", "bergen-a", {"10.2.0.9", 8001}, 6};
+    leaving.state = Gateway::TargetState::Leaving;
+    const Control::TargetsNews news{
+        38, 40, {{"i-1", model}, {"i-2", leaving}, {"i-3", std::nullopt}}};
+    const Control::TargetsNews told = There(Mesh::TellTargets{news}).news;
+    CHECK(told.base == 38);
+    CHECK(told.position == 40);
+    CHECK(told.changes == news.changes);
+  }
+  SUBCASE("a reader's beat")
+  {
+    const Mesh::ReaderBeat beat{40, 38, 17, {{{"m", 3}, Milliseconds(250)}}, Milliseconds(90)};
+    const Mesh::ReaderBeat got = There(beat);
+    CHECK(got.targets == 40);
+    CHECK(got.targets_changed == 38);
+    CHECK(got.settings == 17);
+    CHECK(got.weights.at(0).named.version == 3);
+    CHECK(got.answer_age == Milliseconds(90));
+  }
+}
+
+TEST_CASE("Bytes that are no message are dropped")
+{
+  CHECK_FALSE(MeshPeer::Decode("").has_value());
+  CHECK_FALSE(MeshPeer::Decode("not a message at all").has_value());
+  std::string cut = MeshPeer::Encode(FROM, Mesh::AskDocument{1});
+  cut.resize(cut.size() / 2);
+  CHECK_FALSE(MeshPeer::Decode(cut).has_value());
+}
+
+TEST_CASE("A hello fits into a datagram for the sizes of today")
+{
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.plan = {"service", "model", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a"};
+  for (std::uint16_t i = 0; i < 60; ++i)
+    hello.peers.push_back({{"10.1.0." + std::to_string(i), 7700}, "hall-" + std::to_string(i % 3)});
+  CHECK(MeshPeer::Encode(FROM, hello).size() < 1400);
+}
--- /dev/null
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -0,0 +1,332 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "Peers/Target/TargetCall.h"
+#include "Support/Sockets.h"
+
+using namespace Holdpost;
+using namespace Holdpost::TargetPeer;
+using Testing::FakeServer;
+using Testing::RunUntil;
+
+namespace
+{
+constexpr const char* REQUEST = "GET / HTTP/1.1\r\nHost: x\r\nHoldpost-Request-Id: r1\r\n\r\n";
+
+// A call against a server that answers each request with the next text of a list.
+struct Fixture
+{
+  explicit Fixture(std::vector<std::string> answers_in_order)
+      : answers(std::move(answers_in_order)),
+        server(loop,
+               [this](Common::TcpConnection& connection, const std::string& bytes)
+               {
+                 if (!bytes.ends_with("\r\n\r\n") || next >= answers.size())
+                   return;
+                 connection.Write(answers[next++]);
+                 if (closes)
+                   connection.CloseGracefully(Common::Milliseconds(100));
+                 if (resets)
+                   loop.After(Common::Milliseconds(20), [&connection] { connection.Reset(); });
+               })
+  {
+  }
+
+  void Start(bool is_stream = false, std::optional<std::uint64_t> resume_after = std::nullopt,
+             bool passes = true)
+  {
+    CallRequest request;
+    request.target = "t1";
+    request.address = server.Address();
+    request.message = REQUEST;
+    request.request_id = "r1";
+    request.is_stream = is_stream;
+    request.resume_after = resume_after;
+    request.may_reuse_connection = true;
+    call = std::make_shared<TargetCall>(pool, names);
+    body.clear();
+    ended = false;
+    failure.reset();
+    call->Start(std::move(request),
+                {[this, passes](const Common::HttpHead& head, bool is_whole)
+                 {
+                   ++heads;
+                   status = head.status;
+                   whole_at_head = is_whole;
+                   if (passes)
+                     call->Pass();
+                 },
+                 [this](std::string_view data) { body.append(data); }, [this] { ended = true; },
+                 [this](CallFailure how) { failure = how; }});
+  }
+  bool Run()
+  {
+    return RunUntil(loop, [this] { return ended || failure.has_value(); });
+  }
+
+  Common::EventLoop loop;
+  HeaderNames names;
+  std::vector<std::string> answers;
+  std::size_t next = 0;
+  bool closes = false;
+  bool resets = false;
+  FakeServer server;
+  TargetPool pool{loop};
+  std::shared_ptr<TargetCall> call;
+  int heads = 0;
+  int status = 0;
+  bool whole_at_head = false;
+  std::string body;
+  bool ended = false;
+  std::optional<CallFailure> failure;
+};
+
+std::string Answer(const std::string& body, const std::string& id = "r1",
+                   const std::string& more = "")
+{
+  return "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: " + id + "\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string StreamHead()
+{
+  return "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& data)
+{
+  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+} // namespace
+
+TEST_CASE("A whole answer is handed over at once, and its connection is used again")
+{
+  Fixture f({Answer("one"), Answer("two")});
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.whole_at_head);
+  CHECK(f.body == "one");
+  f.server.ForgetBytes(0);
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.body == "two");
+  CHECK(f.server.Accepted() == 1);
+}
+
+TEST_CASE("An answer with another id belongs to another request")
+{
+  SUBCASE("it is skipped when the right one follows, and the connection is not used again")
+  {
+    Fixture f({Answer("foreign", "r0") + Answer("mine"), Answer("next")});
+    f.Start();
+    REQUIRE(f.Run());
+    CHECK(f.body == "mine");
+    CHECK(f.heads == 1);
+    f.Start();
+    REQUIRE(f.Run());
+    CHECK(f.server.Accepted() == 2);
+  }
+  SUBCASE("without the right one the request is lost")
+  {
+    Fixture f({Answer("foreign", "r0")});
+    f.closes = true;
+    f.Start();
+    REQUIRE(f.Run());
+    CHECK(f.failure == CallFailure::Broken);
+    CHECK(f.heads == 0);
+  }
+  SUBCASE("an answer without any id is no answer")
+  {
+    Fixture f({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"});
+    f.closes = true;
+    f.Start();
+    REQUIRE(f.Run());
+    CHECK(f.failure == CallFailure::Broken);
+  }
+  SUBCASE("but one that turns away what it could not read is")
+  {
+    Fixture f({"HTTP/1.1 400 Bad\r\nHoldpost-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"});
+    f.Start();
+    REQUIRE(f.Run());
+    CHECK(f.ended);
+    CHECK(f.status == 400);
+  }
+}
+
+TEST_CASE("Bytes behind a whole answer close its connection")
+{
+  Fixture f({Answer("mine") + "HTTP/1.1 200 OK\r\nHoldpost-Req", Answer("next")});
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.body == "mine");
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.body == "next");
+  CHECK(f.server.Accepted() == 2);
+}
+
+TEST_CASE("Bytes on an idle connection close it")
+{
+  Fixture f({Answer("mine"), Answer("next")});
+  f.Start();
+  REQUIRE(f.Run());
+  f.server.Connection(0).Write(Answer("late", "r1"));
+  RunUntil(f.loop, [&] { return f.server.EndOf(0).has_value(); });
+  CHECK(f.server.EndOf(0).has_value());
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.body == "next");
+  CHECK(f.server.Accepted() == 2);
+}
+
+TEST_CASE("A target that says that it closes is not asked again on the connection")
+{
+  Fixture f({Answer("one", "r1", "Connection: close\r\n"), Answer("two")});
+  f.Start();
+  REQUIRE(f.Run());
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.server.Accepted() == 2);
+}
+
+TEST_CASE("A connection is kept no longer than the target says")
+{
+  Fixture f({Answer("one", "r1", "Keep-Alive: timeout=1\r\n"), Answer("two")});
+  f.Start();
+  REQUIRE(f.Run());
+  f.pool.CloseExpired(Common::EventLoop::Now() + Common::Milliseconds(400));
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.server.Accepted() == 2);
+}
+
+TEST_CASE("A call that failed tells what it ended by")
+{
+  using Gateway::AttemptEnd;
+  const auto run = [](const std::string& answer, bool resets, bool is_stream = false)
+  {
+    Fixture f({answer});
+    f.closes = !resets;
+    f.resets = resets;
+    f.Start(is_stream);
+    REQUIRE(f.Run());
+    return f.call->EndedBy();
+  };
+  const std::string half =
+      "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Length: 10\r\n\r\nhalf";
+  CHECK(run(half, false) == AttemptEnd::ClosedEarly);
+  CHECK(run(half, true) == AttemptEnd::Reset);
+  CHECK(run("no HTTP at all, whatever this is\r\n\r\n", false) == AttemptEnd::BadAnswer);
+  CHECK(run(StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\nda") + "0\r\n\r\n", false, true) ==
+        AttemptEnd::PartialEvent);
+}
+
+TEST_CASE("An answer that breaks off is never whole")
+{
+  const auto run = [](const std::string& answer, bool resets, bool is_stream = false)
+  {
+    Fixture f({answer});
+    f.closes = !resets;
+    f.resets = resets;
+    f.Start(is_stream);
+    REQUIRE(f.Run());
+    return f.failure == CallFailure::Broken && !f.ended;
+  };
+  CHECK(run("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Length: 10\r\n\r\nhalf", false));
+  CHECK(run("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n", false));
+  CHECK(run("no HTTP at all, whatever this is\r\n\r\n", false));
+  CHECK(run(StreamHead() + Chunk("id: 1\ndata: a\n\n"), false, true));
+  CHECK(run(StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\nda") + "0\r\n\r\n", false, true));
+  // One that ends with its connection is whole only if that was closed in good order.
+  CHECK(run("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n\r\nall of it", true));
+}
+
+TEST_CASE("An answer without a length ends with its connection")
+{
+  Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n\r\nall of it"});
+  f.closes = true;
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.whole_at_head);
+  CHECK(f.body == "all of it");
+}
+
+TEST_CASE("Streams are passed on by whole events")
+{
+  Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\n")});
+  f.Start(true);
+  REQUIRE(RunUntil(f.loop, [&] { return !f.body.empty(); }));
+  CHECK(f.body == "id: 1\ndata: a\n\n");
+  CHECK_FALSE(f.whole_at_head);
+  CHECK(f.call->LastEvent() == 1);
+  f.server.Connection(0).Write(Chunk("data: b\n\n") + "0\r\n\r\n");
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_CASE("Nothing is handed over before a stream's first event")
+{
+  Fixture f({StreamHead()});
+  f.Start(true);
+  Testing::RunFor(f.loop, Common::Milliseconds(50));
+  CHECK(f.heads == 0);
+  f.server.Connection(0).Reset();
+  REQUIRE(f.Run());
+  CHECK(f.failure == CallFailure::Broken);
+  CHECK(f.heads == 0);
+}
+
+TEST_CASE("A continued stream leaves out what the caller has")
+{
+  Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + "0\r\n\r\n"});
+  f.Start(true, 1);
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.body == "id: 2\ndata: b\n\n");
+}
+
+TEST_CASE("A target that cannot be reached was sent nothing")
+{
+  Common::EventLoop loop;
+  Common::Address closed;
+  {
+    FakeServer server(loop, nullptr);
+    closed = server.Address();
+  }
+  HeaderNames names;
+  TargetPool pool(loop);
+  const auto call = std::make_shared<TargetCall>(pool, names);
+  std::optional<CallFailure> failure;
+  CallRequest request;
+  request.address = closed;
+  request.message = REQUEST;
+  call->Start(request, {nullptr, nullptr, nullptr, [&](CallFailure how) { failure = how; }});
+  REQUIRE(RunUntil(loop, [&] { return failure.has_value(); }));
+  CHECK(failure == CallFailure::NotSent);
+}
+
+TEST_CASE("A cancelled call tells the target by a reset")
+{
+  Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\n")});
+  f.Start(true);
+  REQUIRE(RunUntil(f.loop, [&] { return !f.body.empty(); }));
+  f.call->Cancel();
+  REQUIRE(RunUntil(f.loop, [&] { return f.server.EndOf(0).has_value(); }));
+  CHECK(f.server.EndOf(0) == Common::ConnectionEnd::Broken);
+  CHECK_FALSE(f.ended);
+  CHECK_FALSE(f.failure.has_value());
+}
+
+TEST_CASE("An informational answer is not the answer")
+{
+  Fixture f({"HTTP/1.1 100 Continue\r\n\r\n" + Answer("mine")});
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.status == 200);
+  CHECK(f.body == "mine");
+}
--- /dev/null
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Peers/Target/TargetMessage.h"
+
+using namespace Holdpost;
+using namespace Holdpost::TargetPeer;
+
+namespace
+{
+Common::HttpHead MakeHead()
+{
+  Common::HttpHead head;
+  head.method = "POST";
+  head.target = "/chat/x?q=1";
+  head.framing = Common::BodyFraming::Chunked;
+  head.fields.Add("Host", "api.example");
+  head.fields.Add("Holdpost-Request-Id", "r1");
+  head.fields.Add("Authorization", "Bearer secret");
+  head.fields.Add("Holdpost-Deadline-Ms", "5000");
+  head.fields.Add("Holdpost-Organisation", "somebody-else");
+  head.fields.Add("Connection", "keep-alive, X-Hop");
+  head.fields.Add("X-Hop", "1");
+  head.fields.Add("X-Own", "kept");
+  head.fields.Add("Transfer-Encoding", "chunked");
+  head.fields.Add("Holdpost-Model", "m");
+  head.fields.Add("Holdpost-Token-Counts", "1460,80");
+  head.fields.Add("Holdpost-Length-Hint", "60");
+  return head;
+}
+} // namespace
+
+TEST_CASE("A caller's request is read")
+{
+  const auto request = ReadCallerRequest(MakeHead(), HeaderNames{});
+  CHECK(request.id == "r1");
+  CHECK(request.host == "api.example");
+  CHECK(request.path == "/chat/x");
+  CHECK(request.credential == "secret");
+  CHECK(request.deadline == Common::Milliseconds(5000));
+  REQUIRE(request.generation.has_value());
+  CHECK(request.generation->prompt_tokens == 1460);
+  CHECK(request.generation->answer_tokens_most == 80);
+  CHECK(request.generation->answer_tokens_guess == 60);
+}
+
+TEST_CASE("The target gets the caller's fields and the gateway's own")
+{
+  Gateway::Dispatch dispatch;
+  dispatch.target = "t-9";
+  dispatch.time_left = Common::Milliseconds(4321);
+  dispatch.organisation = "firm";
+  dispatch.resume_after = 12;
+  const std::string text = WriteTargetRequest(MakeHead(), "body", dispatch, HeaderNames{});
+  CHECK(text.starts_with("POST /chat/x?q=1 HTTP/1.1\r\n"));
+  CHECK(text.ends_with("\r\n\r\nbody"));
+  const auto has = [&](const std::string& part) { return text.find(part) != std::string::npos; };
+  CHECK(has("Host: api.example\r\n"));
+  CHECK(has("X-Own: kept\r\n"));
+  CHECK(has("Holdpost-Model: m\r\n"));
+  CHECK(has("Holdpost-Deadline-Ms: 4321\r\n"));
+  CHECK(has("Holdpost-Organisation: firm\r\n"));
+  CHECK(has("Holdpost-Expected-Target: t-9\r\n"));
+  CHECK(has("Last-Event-Id: 12\r\n"));
+  CHECK(has("Content-Length: 4\r\n"));
+  // Neither the credential nor what concerns the caller's connection, nor what callers claim to be.
+  CHECK_FALSE(has("secret"));
+  CHECK_FALSE(has("5000"));
+  CHECK_FALSE(has("somebody-else"));
+  CHECK_FALSE(has("X-Hop"));
+  CHECK_FALSE(has("Transfer-Encoding"));
+}
+
+TEST_CASE("Fields of the target's connection stay with it")
+{
+  Common::HttpHead answer;
+  answer.fields.Add("Content-Type", "text/plain");
+  answer.fields.Add("X-Stamp", "s");
+  answer.fields.Add("Connection", "close");
+  answer.fields.Add("Keep-Alive", "timeout=5");
+  answer.fields.Add("Content-Length", "5");
+  CHECK(AnswerFieldLines(answer) == "Content-Type: text/plain\r\nX-Stamp: s\r\n");
+}
--- a/Source/UnitTests/Process/Hall.cpp
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -11,10 +10,7 @@
 #include <thread>
 
 #include <doctest/doctest.h>
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "Common/Hash.h"
 #include "Common/YamlReader.h"
@@ -32,62 +28,12 @@
 // Long, as it is no measurement: a slow machine must come to the same verdict.
 static constexpr auto WAIT_MOST = std::chrono::seconds(60);
 
-// Starts a program with its standard output in a pipe. A test may start processes; daemons do not.
-static pid_t Spawn(const std::string& program, const std::vector<std::string>& arguments,
-                   const std::string& error_file, int* output)
-{
-  int ends[2];
-  REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
-  const pid_t pid = fork();
-  REQUIRE(pid >= 0);
-  if (pid == 0)
-  {
-    dup2(ends[1], STDOUT_FILENO);
-    const int errors = open(error_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    dup2(errors, STDERR_FILENO);
-    std::vector<char*> argv = {const_cast<char*>(program.c_str())};
-    for (const std::string& argument : arguments)
-      argv.push_back(const_cast<char*>(argument.c_str()));
-    argv.push_back(nullptr);
-    execv(program.c_str(), argv.data());
-    _exit(127);
-  }
-  close(ends[1]);
-  *output = ends[0];
-  return pid;
-}
-
-static int ExitCode(int status)
-{
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
-
-std::pair<int, std::string> RunProgram(const std::string& program,
-                                       const std::vector<std::string>& arguments,
-                                       const std::string& error_file)
-{
-  int output = -1;
-  const pid_t pid = Spawn(std::string(BIN_DIR) + "/" + program, arguments, error_file, &output);
-  std::string text;
-  char buffer[4096];
-  for (ssize_t count = 0; (count = read(output, buffer, sizeof(buffer))) > 0;)
-    text.append(buffer, static_cast<std::size_t>(count));
-  close(output);
-  int status = 0;
-  waitpid(pid, &status, 0);
-  return {ExitCode(status), text};
-}
-
 Daemon::Daemon(const std::string& program, const std::vector<std::string>& arguments,
                const std::string& log_file)
+    : ChildProcess(program, arguments, "", log_file)
 {
-  int output = -1;
-  m_pid = Spawn(std::string(BIN_DIR) + "/" + program, arguments, log_file, &output);
-  FILE* stream = fdopen(output, "r");
-  char line[4096] = "";
-  const char* got = std::fgets(line, sizeof(line), stream);
-  std::fclose(stream);
-  REQUIRE_MESSAGE(got != nullptr, program, " did not start, see ", log_file);
+  const std::string line = ReadLine();
+  REQUIRE_MESSAGE(!line.empty(), program, " did not start, see ", log_file);
   std::istringstream words(line);
   for (std::string word; words >> word;)
   {
@@ -99,45 +45,6 @@
   }
 }
 
-Daemon::~Daemon()
-{
-  Kill();
-}
-
-void Daemon::Signal(int signal_number) const
-{
-  if (!m_is_over)
-    kill(m_pid, signal_number);
-}
-
-void Daemon::Kill()
-{
-  Signal(SIGKILL);
-  Wait();
-}
-
-int Daemon::Wait()
-{
-  if (m_is_over)
-    return m_exit_code;
-  int status = 0;
-  waitpid(m_pid, &status, 0);
-  m_is_over = true;
-  m_exit_code = ExitCode(status);
-  return m_exit_code;
-}
-
-bool Daemon::IsRunning()
-{
-  int status = 0;
-  if (!m_is_over && waitpid(m_pid, &status, WNOHANG) == m_pid)
-  {
-    m_is_over = true;
-    m_exit_code = ExitCode(status);
-  }
-  return !m_is_over;
-}
-
 std::shared_ptr<Result<HttpReply>> Caller::Start(Common::HttpCall call)
 {
   auto reply = std::make_shared<Result<HttpReply>>(Error{Common::ErrorKind::Internal, "open"});
--- a/Source/UnitTests/Process/Hall.h
+++ b/Source/UnitTests/Process/Hall.h
@@ -8,29 +8,21 @@
 #include <vector>
 
 #include <nlohmann/json.hpp>
-#include <sys/types.h>
 
 #include "Common/EventLoop.h"
 #include "Common/HttpClient.h"
+#include "UnitTests/Process/Program.h"
 
 // Real daemons and stand-ins on loopback, for tests of kills, cuts and freezes.
 namespace Holdpost::Process
 {
-// One process that has said where it listens. Killed when the test ends.
-class Daemon
+// A process that has said where it listens.
+class Daemon : public ChildProcess
 {
 public:
   Daemon(const std::string& program, const std::vector<std::string>& arguments,
          const std::string& log_file);
-  ~Daemon();
-  Daemon(const Daemon&) = delete;
-  Daemon& operator=(const Daemon&) = delete;
 
-  void Signal(int signal_number) const;
-  void Kill();
-  // Waits until the process has ended; returns its exit code, or -1 if a signal ended it.
-  int Wait();
-  bool IsRunning();
   Common::Address At(const std::string& name) const { return m_addresses.at(name).front(); }
   const std::vector<Common::Address>& AllAt(const std::string& name) const
   {
@@ -38,9 +30,6 @@
   }
 
 private:
-  pid_t m_pid = -1;
-  bool m_is_over = false;
-  int m_exit_code = -1;
   std::map<std::string, std::vector<Common::Address>> m_addresses;
 };
 
@@ -109,9 +98,4 @@
   Caller m_caller;
   int m_starts = 0;
 };
-
-// Runs a program to its end; returns its exit code and standard output.
-std::pair<int, std::string> RunProgram(const std::string& program,
-                                       const std::vector<std::string>& arguments,
-                                       const std::string& error_file = "/dev/null");
 } // namespace Holdpost::Process
