Distribution: A swarm leaves no turn behind once its manifest has come

PumpManifest notes when the neighbours' word on the manifest is due (m_next_turn); only PumpOutside cleared it, which runs where crossings are shared. Elsewhere the turn stayed in the past for good, Exchange::NextWakeup answered 'now', and the agent woke each nanosecond of the virtual clock. Real agents would have spun the same way.

Ruled out: a loop inside PumpPeers (the stack moved between samples; it is bounded by its window).

Change: Pump clears the turn before anything sets it.

--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -213,7 +213,6 @@
 
 void Swarm::PumpOutside(TimePoint now, Actions* actions)
 {
-  m_next_turn = TimePoint::max();
   std::uint32_t open = OpenOutside();
   const std::uint32_t window = IsLinkNarrow(now) ? 1 : m_options.window_of_outside;
   for (const std::uint32_t piece : m_outside_order)
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -22,6 +22,7 @@
 {
   if (!m_last_new_sight)
     m_last_new_sight = now;
+  m_next_turn = TimePoint::max();
   if (!m_manifest)
   {
     PumpManifest(now, actions);
@@ -43,7 +44,6 @@
 
 void Swarm::PumpManifest(TimePoint now, Actions* actions)
 {
-  m_next_turn = TimePoint::max();
   for (auto& [name, neighbour] : m_neighbours)
   {
     if (m_is_manifest_doubted || m_manifest_in_flight > 0)
--- a/Source/UnitTests/Core/SwarmTest.cpp
+++ b/Source/UnitTests/Core/SwarmTest.cpp
@@ -102,6 +102,12 @@
     f.Pass(Milliseconds(1500));
     CHECK(f.Fetches().size() == 1);
   }
+  SUBCASE("has no turn left from the manifest once it has come, so that nothing wakes it in vain")
+  {
+    f.GetManifest({});
+    f.Pass(Milliseconds(100));
+    CHECK(f.swarm->NextTurn() > f.now);
+  }
   SUBCASE("draws all at once with a confirmed view, and holds the version when all is verified")
   {
     f.GetManifest({});
--- a/Source/UnitTests/Scenario/World.cpp
+++ b/Source/UnitTests/Scenario/World.cpp
@@ -37,11 +37,23 @@
 
 void World::RunUntil(TimePoint until)
 {
+  // A node that wakes again and again without need would keep the clock from moving on.
+  static constexpr int CALLS_MOST = 100'000;
+  static constexpr Duration IN_TIME = Milliseconds(1);
+  TimePoint counted_from = m_now;
+  int calls = 0;
   while (!m_later.empty() && m_later.top().at <= until)
   {
     const Later next = m_later.top();
     m_later.pop();
     m_now = next.at;
+    if (m_now - counted_from >= IN_TIME)
+    {
+      counted_from = m_now;
+      calls = 0;
+    }
+    if (++calls > CALLS_MOST)
+      throw std::runtime_error("the clock does not move on: some node wakes again and again");
     next.call();
   }
   m_now = until;
