Distribution: Draw in order again after the origin was down

All 76 sidecars kept asking the origin, so its first answers were 76 pieces at once; the plan of who brings in which piece lay in the past by then, so that every rank was allowed to draw, and the other halls, which had taken over, drew the same pieces. Nobody served meanwhile: gateways rightly send nothing that would begin on weights past their bound.

Ruled out: the crossings (halls stayed within a second of each other) and cancelled hedges (none).

Change: when nothing has come into a hall for a second (or 16 pieces' time), few of it go on asking, one more each time the outage doubles. The first piece that comes makes each member plan the rest anew, in order, at the pace of the origin's link; a hall that had taken over leaves the origin to the origin's hall once.

--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -136,6 +136,7 @@
       return;
     m_last_new_sight = now;
     m_last_outside_sight = now;
+    m_has_yielded = false;
     if (m_seen_outside_at[piece] == TimePoint())
       m_seen_outside_at[piece] = now;
   }
@@ -388,8 +389,7 @@
   std::ranges::shuffle(m_draw_order, m_random);
   m_last_new_sight = now;
   m_view_confirmed_at = now;
-  m_drawn_end = 0;
-  m_origin_late = Duration::zero();
+  PlanDraws(now);
   ComputeRanks();
   CancelOthers(MANIFEST_PIECE, actions);
   for (std::uint32_t piece = 0; piece < m_doubted_pieces.size(); ++piece)
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -216,9 +216,16 @@
   std::optional<std::string> OutsideSource(std::uint32_t piece, Common::TimePoint now);
   // When this instance may bring the piece in.
   Common::TimePoint TurnAt(std::uint32_t piece) const;
+  // Plans to draw what the hall lacks, in order, from now on.
+  void PlanDraws(Common::TimePoint now);
   // When the piece should come from the origin, and that it has come to some member of the hall.
   Common::TimePoint PlannedDraw(std::uint32_t piece) const;
   void OnDrawn(std::uint32_t piece, Common::TimePoint now);
+  // For how long the origin has been down as far as the hall can tell; below zero if it is not.
+  Common::Duration DarkFor(Common::TimePoint now) const;
+  // While the origin is down few of the hall go on asking it, the more the longer it takes. If all
+  // did, its first answers would be shared between copies of the same pieces.
+  bool MayDrawForHall(Common::TimePoint now) const;
   bool IsClaimed(std::uint32_t piece, Common::TimePoint now) const;
   void Claim(std::uint32_t piece, Actions* actions);
   std::uint32_t OpenOutside() const;
@@ -263,7 +270,12 @@
   std::vector<Common::TimePoint> m_seen_outside_at;
   // When a neighbour last said that it is bringing the piece in.
   std::vector<Common::TimePoint> m_claimed_at;
-  // The last piece in order that came from the origin, and how late the origin is.
+  // The plan for drawing from the origin: when it begins, and each piece's place in it.
+  Common::TimePoint m_plan_begin{};
+  std::vector<std::uint32_t> m_plan_position;
+  // When a piece last came into the hall.
+  Common::TimePoint m_drawn_at{};
+  // The end of what came from the origin, in the plan's order, and how late the origin is.
   std::uint32_t m_drawn_end = 0;
   Common::Duration m_origin_late{};
   // When a piece that waits for its turn may be brought in.
@@ -273,6 +285,8 @@
   // When another hall was last seen to have a piece that is new here.
   Common::TimePoint m_last_outside_sight{};
   bool m_has_taken_over = false;
+  // This hall had taken over, and has left the origin to the origin's hall since it came back.
+  bool m_has_yielded = false;
   Common::TimePoint m_last_arrival{};
   std::uint32_t m_manifest_rank = 0;
   std::uint32_t m_manifest_rank_in_hall = 0;
--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <numeric>
 #include <set>
+#include <utility>
 
 #include "Core/Distribution/Ranking.h"
 
@@ -32,6 +33,12 @@
 // least.
 static constexpr int TURN_PIECES = 16;
 static constexpr Duration TURN_LEAST = Milliseconds(150);
+// When nothing has come into the hall for so many times of what a piece takes, and this at least,
+// the source is taken to be down.
+static constexpr int DARK_PIECES = 16;
+static constexpr Duration DARK_LEAST = Milliseconds(1000);
+// More doublings would not fit into a time.
+static constexpr std::uint32_t PROBE_RANK_MOST = 12;
 
 void Swarm::ComputeRanks()
 {
@@ -157,7 +164,8 @@
 {
   const Duration turn = std::max<Duration>(TURN_PIECES * m_options.piece_time, TURN_LEAST);
   const Duration wait = m_hall_ranks[piece] * turn;
-  if (!IsInOriginHall())
+  const bool is_in_other_hall = m_seen_outside_at[piece] != TimePoint();
+  if (!IsInOriginHall() && is_in_other_hall)
     return m_seen_outside_at[piece] + wait;
   // The origin sends one piece after the other, so that the first ones are passed on early. If it
   // is slower than planned, that is not the fault of those whose turn it was.
@@ -167,24 +175,73 @@
 
 TimePoint Swarm::PlannedDraw(std::uint32_t piece) const
 {
-  return m_view_confirmed_at + piece * m_options.piece_time;
+  return m_plan_begin + m_plan_position[piece] * m_options.piece_time;
+}
+
+void Swarm::PlanDraws(TimePoint now)
+{
+  m_plan_begin = now;
+  m_drawn_end = 0;
+  m_origin_late = Duration::zero();
+  m_plan_position.assign(m_held.Size(), 0);
+  std::uint32_t next = 0;
+  for (std::uint32_t piece = 0; piece < m_held.Size(); ++piece)
+  {
+    if (!m_held.Contains(piece) && m_availability[piece] == 0)
+      m_plan_position[piece] = next++;
+  }
+}
+
+Duration Swarm::DarkFor(TimePoint now) const
+{
+  const Duration dark_after = std::max<Duration>(DARK_PIECES * m_options.piece_time, DARK_LEAST);
+  return now - std::max(m_drawn_at, m_plan_begin) - dark_after;
+}
+
+bool Swarm::MayDrawForHall(TimePoint now) const
+{
+  const Duration dark = DarkFor(now);
+  if (dark < Duration::zero())
+    return true;
+  for (std::uint32_t piece = 0; piece < m_held.Size(); ++piece)
+  {
+    if (m_held.Contains(piece) || m_availability[piece] > 0)
+      continue;
+    const std::uint32_t rank = std::min(m_hall_ranks[piece], PROBE_RANK_MOST);
+    return dark >= ((1U << rank) - 1) * DARK_LEAST;
+  }
+  return true;
 }
 
 void Swarm::OnDrawn(std::uint32_t piece, TimePoint now)
 {
-  if (piece < m_drawn_end)
+  const bool was_dark = DarkFor(now) >= Duration::zero();
+  m_drawn_at = now;
+  SourceState& origin = StateOf(PlatformSource::Origin);
+  if (was_dark)
+  {
+    PlanDraws(now);
+    // The origin's hall hears of it, too, and comes first.
+    if (!std::exchange(m_has_yielded, true))
+      m_last_outside_sight = now;
+  }
+  else if (m_plan_position[piece] < m_drawn_end)
+  {
     return;
+  }
   // The origin answers others again.
-  SourceState& origin = StateOf(PlatformSource::Origin);
   origin.backoff = Duration::zero();
   origin.blocked_until = std::min(origin.blocked_until, now);
-  m_drawn_end = piece + 1;
+  if (was_dark)
+    return;
+  m_drawn_end = m_plan_position[piece] + 1;
   m_origin_late = std::max(m_origin_late, now - PlannedDraw(piece));
 }
 
 std::optional<std::string> Swarm::OutsideSource(std::uint32_t piece, TimePoint now)
 {
-  const bool may_draw = MayDraw(now) && (IsInOriginHall() || IsOriginHallIdle(now));
+  const bool may_draw =
+      MayDraw(now) && (IsInOriginHall() || IsOriginHallIdle(now)) && MayDrawForHall(now);
   if (const TimePoint turn = TurnAt(piece); now < turn)
   {
     m_next_turn = std::min(m_next_turn, turn);
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -260,6 +260,28 @@
   CHECK(world.TicksOf(0) - before < 4000);
 }
 
+TEST_CASE("After a long outage the origin is drawn from once, in order, as before it")
+{
+  for (const int per_hall : {4, 8, 24})
+  {
+    SidecarWorld world = MakeWorld({{{"a", per_hall}, {"b", per_hall}, {"c", per_hall}}});
+    world.RunFor(Milliseconds(3000));
+    world.Name(2);
+    world.RunFor(Milliseconds(600));
+    world.SetOriginDown(true);
+    world.RunFor(Milliseconds(6000));
+    const double drawn_before = world.CopiesFromOrigin();
+    world.SetOriginDown(false);
+    const double seconds = SecondsUntilLoaded(world, 2);
+    MESSAGE("3 halls of " << per_hall << ": loaded by all " << seconds / LINK_SECONDS
+                          << " times the bound after the origin's return, "
+                          << world.CopiesFromOrigin() - drawn_before << " copies from the origin");
+    CHECK(world.Fault().empty());
+    CHECK(seconds < 1.7 * LINK_SECONDS);
+    CHECK(world.CopiesFromOrigin() - drawn_before < 1.2);
+  }
+}
+
 TEST_CASE("The push stays near the link's bound as halls grow")
 {
   // Times the bound that were measured, with some room.
