Mesh: Bound what a message may unfold to

Cause: seeded mutations of mesh messages found reports of 87 and 137 bytes that were read as lists of millions of empty elements: 53 MB and 44 MB, at machines that are killed over 128 MB. A damaged or hostile datagram could end a sidecar or a gateway.

Change: the codec's traversal limit follows the bytes that came, 8,192 words and two a byte, in place of the library's 64 MB.

--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -25,6 +25,10 @@
 // Room for a message without pieces, so that most need one allocation.
 static constexpr unsigned FIRST_SEGMENT_WORDS = 96;
 static constexpr double PERCENT = 100;
+// What a message may unfold to, in words: a few bytes may say that they are a list of millions of
+// empty elements. Each word that holds anything takes two bytes at least, and some are read twice.
+static constexpr std::uint64_t UNFOLDED_WORDS = 8192;
+static constexpr std::uint64_t UNFOLDED_WORDS_PER_BYTE = 2;
 
 static void Write(const Address& address, MeshWire::Address::Builder out)
 {
@@ -452,7 +456,9 @@
   {
     kj::ArrayInputStream stream(
         kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-    capnp::PackedMessageReader reader(stream);
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = UNFOLDED_WORDS + UNFOLDED_WORDS_PER_BYTE * bytes.size();
+    capnp::PackedMessageReader reader(stream, options);
     const auto root = reader.getRoot<MeshWire::Message>();
     auto body = ReadBody(root);
     if (!body)
