--- a/Source/UnitTests/Common/TcpConnectionTest.cpp
+++ b/Source/UnitTests/Common/TcpConnectionTest.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <cerrno>
 #include <optional>
 #include <thread>
 #include <vector>
--- a/Source/UnitTests/Peers/MeshMutationTest.cpp
+++ b/Source/UnitTests/Peers/MeshMutationTest.cpp
@@ -14,8 +14,8 @@
   static constexpr int ROUNDS = 5000;
   // A machine of a hall has 128 MB: a few bytes must not take much of that. The codec reads so many
   // elements, and each is told on in 16 bytes at most.
-  static constexpr std::size_t UNFOLDED_MOST = 16 * 8192;
-  static constexpr std::size_t UNFOLDED_PER_BYTE = 16 * 2;
+  static constexpr std::size_t UNFOLDED_MOST = std::size_t{16} * 8192;
+  static constexpr std::size_t UNFOLDED_PER_BYTE = std::size_t{16} * 2;
   const Mesh::Sender from{"front-1", "oslo-a", {"10.1.0.4", 7700}, 42};
   Mesh::Hello hello;
   hello.is_gateway = true;
