Project: Split the longest files by their jobs, and start nodes in one place

Cause: Sidecar.cpp (722 lines), Swarm.cpp (572), Gateway.cpp (552) and TargetTable.cpp (467) each did several jobs; two nodes began with the same lines.

Change: Sidecar into SidecarVersions, SidecarEngine and SidecarReports; Swarm's handling of what came into SwarmTransfers; a gateway's retries into GatewayRetries; estimates and choice into TargetChoosing; Node/Startup. Functions are moved as they were; VersionDigest is a static member, RETRY_WITHIN and FRESH_LOAD stand in their classes.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -19,15 +19,10 @@
 // A request that has to be refused is refused within this part of its goal.
 static constexpr int REFUSE_WITHIN = 4;
 static constexpr Duration REFUSE_MARGIN = Milliseconds(15);
-// Targets of one request, those included that turned it away.
-static constexpr std::uint32_t SENDS_MOST = 4;
 // Part of the goal that the expected start may use up.
 static constexpr double GOAL_SHARE = 0.7;
-// A caller of a broken stream waits about so long for the next event.
-static constexpr Duration RESUME_WITHIN = Milliseconds(1200);
 // A request whose answer has not begun after twice the expected time and this may be moved.
 static constexpr Duration MOVE_MARGIN = Milliseconds(300);
-static constexpr Duration RETRY_WITHIN = Milliseconds(300);
 // Another gateway can serve the request at once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
@@ -35,6 +30,7 @@
 static constexpr Milliseconds COME_BACK_MOST = Milliseconds(1500);
 // Timers that are not about one request carry this number.
 static constexpr RequestNumber NO_REQUEST = 0;
+
 Gateway::Gateway(GatewayOptions options, Common::Metrics& metrics)
     : m_options(std::move(options)), m_log(metrics), m_targets(m_options.hall, m_options.seed),
       m_weights(m_options.switch_within)
@@ -289,12 +285,6 @@
   Pump(service, now, actions);
 }
 
-bool Gateway::MayRunAgain(const Tracked& tracked) const
-{
-  const bool is_repeatable = tracked.route.repetition == Settings::Repetition::Idempotent;
-  return is_repeatable && tracked.runs < tracked.route.attempts_most;
-}
-
 void Gateway::Handle(const AnswerBegan& event, TimePoint now, Actions* actions)
 {
   Tracked* tracked = Find(event.number);
@@ -365,35 +355,6 @@
            now, actions);
 }
 
-void Gateway::TryAgain(Tracked& tracked, std::string_view reason, const Error& otherwise,
-                       TimePoint now, Actions* actions)
-{
-  const bool may_resume = !tracked.was_passed || tracked.route.is_resumable;
-  if (!may_resume || !MayRunAgain(tracked) || !QueueOf(tracked.service).retries.Take(now))
-    return GiveUp(tracked, otherwise, now, actions);
-  Retry(tracked, reason, now, actions);
-}
-
-void Gateway::Retry(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
-{
-  m_log.OnRetried(tracked, reason, now);
-  LeaveTarget(tracked);
-  tracked.refuse_at =
-      std::min(tracked.deadline, now + (tracked.was_passed ? RESUME_WITHIN : RETRY_WITHIN));
-  Enqueue(tracked, true, now, actions);
-}
-
-void Gateway::OnNotRun(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
-{
-  LeaveTarget(tracked);
-  if (tracked.sends >= SENDS_MOST || !QueueOf(tracked.service).retries.Take(now))
-    return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
-  m_log.OnRetried(tracked, reason, now);
-  // What was spent on the target that turned it away does not shorten the time to be refused.
-  tracked.refuse_at = std::min(tracked.deadline, std::max(tracked.refuse_at, now));
-  Enqueue(tracked, true, now, actions);
-}
-
 Milliseconds Gateway::ComeBackAfter(const Tracked& tracked, TimePoint now) const
 {
   const double over = std::max(0.0, m_targets.Utilization(tracked.service, now) - 1);
@@ -457,79 +418,6 @@
   GiveUp(tracked, {ErrorKind::AnswerTimeout, "the time for the answer is over"}, now, actions);
 }
 
-void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
-{
-  if (!m_weights.IsAnyDue(now))
-    return;
-  std::vector<RequestNumber> late;
-  for (const auto& [number, tracked] : m_requests)
-  {
-    if (tracked.state != State::Sent || m_targets.IsSwitching(tracked.target, now))
-      continue;
-    const std::vector<WeightsBound>& bounds = WeightsFor(tracked.service);
-    const std::uint64_t weights = m_targets.WeightsAt(tracked.target);
-    // The target has to hear of it in time.
-    const Duration way = std::min(m_targets.WayTo(tracked.target), TARGET_WAY_MOST);
-    if (std::ranges::any_of(bounds, [&](const WeightsBound& bound)
-                            { return now >= bound.due - way && weights < bound.version; }))
-      late.push_back(number);
-  }
-  for (const RequestNumber number : late)
-  {
-    Tracked* tracked = Find(number);
-    if (!tracked || tracked->state != State::Sent)
-      continue;
-    if (Move(*tracked, "old_weights", now, actions))
-      continue;
-    actions->push_back(CancelAttempt{number});
-    GiveUp(*tracked, {ErrorKind::Unreachable, "the target's weights are too old to begin"}, now,
-           actions);
-  }
-}
-
-bool Gateway::Move(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
-{
-  // The present target may have begun, or begin before it hears of this.
-  const std::uint32_t runs = tracked.runs + 1;
-  const bool may_move = MayRunAgain(tracked) && runs < tracked.route.attempts_most;
-  // Without an allowance it would end in an error: then it stays where it is.
-  if (!may_move || !QueueOf(tracked.service).retries.Take(now))
-    return false;
-  tracked.runs = runs;
-  actions->push_back(CancelAttempt{tracked.number});
-  Retry(tracked, reason, now, actions);
-  return true;
-}
-
-void Gateway::LeaveSwitching(const Common::Address& target, TimePoint now, Actions* actions)
-{
-  const TargetId id = m_targets.FindByAddress(target);
-  if (id.empty())
-    return;
-  std::vector<RequestNumber> waiting;
-  for (const auto& [number, tracked] : m_requests)
-  {
-    if (tracked.state == State::Sent && tracked.target == id && MayRunAgain(tracked))
-      waiting.push_back(number);
-  }
-  for (const RequestNumber number : waiting)
-  {
-    if (Tracked* tracked = Find(number); tracked && tracked->state == State::Sent)
-      Move(*tracked, "switching", now, actions);
-  }
-}
-
-void Gateway::MoveIfOverdue(Tracked& tracked, TimePoint now, Actions* actions)
-{
-  if (now < tracked.move_at)
-    return;
-  tracked.move_at = TimePoint::max();
-  // Moving pays only if another target can begin at once.
-  const auto choice = m_targets.Choose(WishOf(tracked), now);
-  if (choice && choice->has_free_slot)
-    Move(tracked, "overdue", now, actions);
-}
-
 void Gateway::OnTick(TimePoint now, Actions* actions)
 {
   LeaveOldWeights(now, actions);
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -23,30 +23,14 @@
 static constexpr std::uint32_t AVOID_DOUBLINGS = 4;
 // A target that said it is full is left alone until it has probably ended a request.
 static constexpr Duration FULL_PAUSE = Milliseconds(60);
-// What a target in another hall has to be faster by, so that traffic stays where it is cheap.
-static constexpr Duration OTHER_HALL_PENALTY = Milliseconds(25);
 // Agents report several times a second: one that is silent for so long may be cut off, and its
-// target with it. Such a target has to be faster by the penalty, and is left alone for longer once
-// a request could not be sent there.
+// target with it. Such a target is left alone for longer once a request could not be sent there.
 static constexpr Duration SILENT_AFTER = Milliseconds(800);
-static constexpr Duration SILENCE_PENALTY = Milliseconds(400);
 static constexpr Duration AVOID_SILENT = Milliseconds(2000);
-// Until a request that was sent has reached its target.
-static constexpr Duration START_MARGIN = Milliseconds(300);
-static constexpr Duration START_MARGIN_UNHEARD = Milliseconds(2000);
-// How old reports are on average when they are used.
-static constexpr double NEAR_REPORT_AGE_SECONDS = 0.1;
-static constexpr double FAR_REPORT_AGE_SECONDS = 0.25;
-static constexpr Duration FRESH_LOAD = Milliseconds(500);
-// Holding up a target's switch costs the others' requests a part of the delay.
-static constexpr int SWITCH_DELAY_SHARE = 2;
 // Each answer moves the known lag by this part of what it was late.
 static constexpr int LAG_SHARE = 4;
-static constexpr double LAG_LIFETIME_SECONDS = 2;
 // Answers take at least so long, even of plain services.
 static constexpr Duration EXPECTED_LEAST = Milliseconds(150);
-// Plain services have no published times: each request before this one costs about so much.
-static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(10);
 
 static void LogListed(const ListedTarget& listed, TimePoint now)
 {
@@ -132,44 +116,6 @@
   return target.load && now - target.load_heard <= LOAD_LIFETIME;
 }
 
-TargetWork TargetTable::WorkOf(const Target& target, const EngineProfile& engine,
-                               TimePoint now) const
-{
-  TargetWork work{LoadOf(target, now), target.unread_prompt_tokens,
-                  target.load ? target.load->pace : 1};
-  if (!HasFreshLoad(target, now))
-    return work;
-  // Of the requests that wait there, those that are not this gateway's have to be read, too.
-  const auto own = static_cast<double>(target.own_waiting_at_load);
-  const double others = std::max(0.0, target.load->queued - own);
-  work.unread_prompt_tokens += others * engine.usual_prompt_tokens;
-  return work;
-}
-
-Spread TargetTable::SpreadOf(const std::string& service, TimePoint now) const
-{
-  const EngineProfile* engine = EngineOf(service);
-  const auto rate = m_rates.find(service);
-  if (!engine || rate == m_rates.end())
-    return {};
-  const double own = rate->second.At(now);
-  const auto near = static_cast<double>(m_near_gateways - 1);
-  const std::size_t far = m_gateways > m_near_gateways ? m_gateways - m_near_gateways : 0;
-  return {own * near * NEAR_REPORT_AGE_SECONDS,
-          own * static_cast<double>(far) * FAR_REPORT_AGE_SECONDS, SlotInterval(*engine, 1),
-          OTHER_HALL_PENALTY};
-}
-
-double TargetTable::LoadOf(const Target& target, TimePoint now) const
-{
-  // Without word from its agent the others are taken to send as much as this gateway.
-  if (!HasFreshLoad(target, now))
-    return static_cast<double>(target.own) * static_cast<double>(m_gateways);
-  const double total = target.load->running + target.load->queued;
-  const double others = std::max(0.0, total - target.own_at_load);
-  return others + target.own;
-}
-
 std::uint64_t TargetTable::WeightsOf(const Target& target) const
 {
   if (target.load)
@@ -199,153 +145,6 @@
   return target.IsListed() && AccessOf(target, now) == Access::Open;
 }
 
-TargetSurvey TargetTable::SurveyOf(const TargetWish& wish, TimePoint now) const
-{
-  TargetSurvey survey;
-  for (const auto& [id, target] : m_targets)
-  {
-    if (target.listed.service != wish.service || !target.IsListed())
-      continue;
-    ++survey.listed;
-    switch (AccessOf(target, now))
-    {
-    case Access::Open:
-    {
-      const Duration start = ExpectedStartAt(target, wish.prompt_tokens, now);
-      ++(HasGoodWeights(target, wish, start, now) ? survey.open : survey.old_weights);
-      break;
-    }
-    case Access::Leaving:
-      ++survey.leaving;
-      break;
-    case Access::Avoided:
-      ++survey.avoided;
-      break;
-    case Access::Switching:
-      ++survey.switching;
-      break;
-    case Access::WithoutWeights:
-      ++survey.without_weights;
-      break;
-    }
-  }
-  return survey;
-}
-
-Duration TargetTable::ExpectedStartAt(const Target& target, std::uint32_t prompt_tokens,
-                                      TimePoint now) const
-{
-  const double load = LoadOf(target, now);
-  const EngineProfile* engine = EngineOf(target.listed.service);
-  const Duration lag = LagOf(target, now);
-  if (!engine)
-    return lag + std::chrono::duration_cast<Duration>(PLAIN_REQUEST_TIME * load);
-  return lag + ExpectedStart(*engine, WorkOf(target, *engine, now), prompt_tokens);
-}
-
-Duration TargetTable::LagOf(const Target& target, TimePoint now) const
-{
-  const double age = std::chrono::duration<double>(now - target.lag_updated).count();
-  const Duration learnt =
-      std::chrono::duration_cast<Duration>(target.lag * std::exp(-age / LAG_LIFETIME_SECONDS));
-  // One that is overdue at this moment says more than those that came.
-  Duration overdue{};
-  for (const auto& [request, expected] : target.expected)
-    overdue = std::max(overdue, now - expected);
-  return std::max({learnt, overdue, WayTo(target)});
-}
-
-Duration TargetTable::WayTo(const Target& target)
-{
-  return target.load ? std::max(target.load->round_trip, target.load->inbound_delay)
-                     : Milliseconds(0);
-}
-
-Duration TargetTable::WayTo(const TargetId& id) const
-{
-  const auto found = m_targets.find(id);
-  return found == m_targets.end() ? Duration::zero() : WayTo(found->second);
-}
-
-bool TargetTable::HasGoodWeights(const Target& target, const TargetWish& wish, Duration start,
-                                 TimePoint now) const
-{
-  if (!target.listed.needs_weights)
-    return true;
-  const std::uint64_t version = WeightsOf(target);
-  // The estimate may be wrong by as much as itself, and by more without fresh word of the target.
-  const bool is_fresh = target.load && now - target.load_heard < FRESH_LOAD;
-  const TimePoint begin = now + 2 * start + (is_fresh ? START_MARGIN : START_MARGIN_UNHEARD);
-  return std::ranges::all_of(wish.weights, [&](const WeightsBound& bound)
-                             { return version >= bound.version || begin < bound.due; });
-}
-
-Duration TargetTable::SwitchDelay(const Target& target, const TargetWish& wish, TimePoint now) const
-{
-  const EngineProfile* engine = EngineOf(target.listed.service);
-  if (!engine || !target.load || !target.load->switch_in)
-    return Duration::zero();
-  const TimePoint switch_at = target.load_heard + *target.load->switch_in;
-  const TargetWork work = WorkOf(target, *engine, now);
-  const Duration whole = ExpectedStart(*engine, work, wish.prompt_tokens) +
-                         ExpectedWriting(*engine, work, wish.answer_tokens);
-  return std::max(now + whole - switch_at, Duration::zero());
-}
-
-std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
-{
-  std::vector<TargetChoice> choices;
-  std::vector<SpreadOption> options;
-  for (const auto& [id, target] : m_targets)
-  {
-    if (target.listed.service != wish.service || !IsOpen(target, now) || wish.tried.contains(id))
-      continue;
-    const Duration start = ExpectedStartAt(target, wish.prompt_tokens, now);
-    if (!HasGoodWeights(target, wish, start, now))
-      continue;
-    const bool is_here = target.listed.hall == m_hall;
-    Duration cost = start + SwitchDelay(target, wish, now) / SWITCH_DELAY_SHARE;
-    if (!is_here)
-      cost += OTHER_HALL_PENALTY;
-    if (IsSilent(target, now))
-      cost += SILENCE_PENALTY;
-    const double load = LoadOf(target, now);
-    choices.push_back({id, target.listed.address, WeightsOf(target), start, load, std::nullopt,
-                       load < target.listed.slots});
-    if (target.load)
-      choices.back().report_age = now - target.load_heard;
-    options.push_back({cost, is_here});
-  }
-  if (choices.empty())
-    return std::nullopt;
-  const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
-  return choices[ChooseSpread(options, SpreadOf(wish.service, now), draw)];
-}
-
-double TargetTable::Utilization(const std::string& service, TimePoint now) const
-{
-  double load = 0;
-  double slots = 0;
-  for (const auto& [id, target] : m_targets)
-  {
-    if (target.listed.service != service || !IsOpen(target, now))
-      continue;
-    load += LoadOf(target, now);
-    slots += target.listed.slots;
-  }
-  return slots > 0 ? load / slots : 1;
-}
-
-Duration TargetTable::SlotIntervalOf(const std::string& service) const
-{
-  const EngineProfile* engine = EngineOf(service);
-  if (!engine)
-    return PLAIN_REQUEST_TIME;
-  const auto count = std::ranges::count_if(m_targets, [&](const auto& entry)
-                                           { return entry.second.listed.service == service; });
-  return SlotInterval(*engine, 1) / std::max<std::int64_t>(count, 1);
-}
-
 bool TargetTable::IsAcceptable(const TargetId& id) const
 {
   const auto found = m_targets.find(id);
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -171,6 +171,9 @@
     bool IsListed() const { return is_on_list && !is_replaced; }
   };
 
+  // A report that is younger tells what its target does at this moment.
+  static constexpr Common::Duration FRESH_LOAD = Common::Milliseconds(500);
+
   // An address belongs to one target at a time: who had those of the added ones is gone.
   void ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, Common::TimePoint now);
   const Settings::EngineProfile* EngineOf(const std::string& service) const;
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -137,6 +137,8 @@
   void TellLoad(Common::TimePoint now, Actions* actions);
   std::vector<Common::Address> NearGateways() const;
   void Translate(Distribution::Actions made, Common::TimePoint now, Actions* actions);
+  // What swarms know a version by.
+  static Common::Digest VersionDigest(const std::string& model, std::uint64_t version);
   const Distribution::Swarm* WantedSwarm() const;
   Distribution::ExchangeOptions MakeExchangeOptions() const;
   Common::Duration PieceTime() const;
--- /dev/null
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/Sidecar.h"
+
+#include <utility>
+
+#include "Common/EventLog.h"
+
+// A sidecar and its engine: the engine's reports, what lies on its stage, and the orders to load.
+namespace Holdpost::Sidecar
+{
+using Common::Duration;
+using Common::Error;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+static constexpr std::uint32_t REPORTS_FAILED_MOST = 3;
+// Reads of what was found on the stage at once.
+static constexpr std::uint32_t FOUND_READS_MOST = 2;
+// A proof older than this says nothing of what lies on the stage now.
+static constexpr Milliseconds PROOF_LIFETIME = Milliseconds(2000);
+
+void Sidecar::Handle(const ReportRead& event, TimePoint now, Actions* actions)
+{
+  m_is_reading_report = false;
+  const auto* report = std::get_if<EngineReport>(&event.result);
+  if (!report)
+  {
+    if (++m_reports_failed == REPORTS_FAILED_MOST)
+    {
+      LogEvent(Weight::Important, now, "engine.lost", "reason",
+               std::get<Error>(event.result).message);
+      m_report.reset();
+      m_loader.OnEngineLost();
+      m_stage.ProveAgain();
+    }
+    return;
+  }
+  if (m_reports_failed >= REPORTS_FAILED_MOST)
+    LogEvent(Weight::Important, now, "engine.regained", "weights", report->weights_version);
+  m_reports_failed = 0;
+  // While it loads it may tell of no weights at all.
+  const bool has_restarted =
+      m_report && (report->orders < m_report->orders ||
+                   (report->weights_version < m_report->weights_version && !m_loader.IsUnderWay()));
+  if (has_restarted)
+  {
+    LogEvent(Weight::Important, now, "engine.restarted", "weights", report->weights_version);
+    m_loader.OnEngineLost();
+    m_stage.ProveAgain();
+  }
+  m_report = *report;
+  m_loader.OnReport(*report, now);
+  ChooseVersion(now, actions);
+  TellLoad(now, actions);
+}
+
+void Sidecar::Handle(const StagedListed& event, TimePoint /*now*/, Actions* /*actions*/)
+{
+  m_is_listing = false;
+  if (const auto* pieces = std::get_if<std::vector<std::uint32_t>>(&event.result))
+  {
+    m_has_listed = true;
+    m_found_staged = *pieces;
+  }
+}
+
+void Sidecar::Handle(const StagedRead& event, TimePoint now, Actions* actions)
+{
+  const Distribution::Swarm* swarm = WantedSwarm();
+  if (m_found_in_flight > 0)
+  {
+    --m_found_in_flight;
+    if (const auto* data = std::get_if<Common::Bytes>(&event.result))
+    {
+      Distribution::Actions made;
+      m_exchange.OfferPiece(VersionDigest(m_plan.model, m_wanted), event.piece, *data, now, &made);
+      Translate(std::move(made), now, actions);
+      if (swarm && swarm->IsRight(event.piece, **data))
+        m_stage.OnFound(event.piece);
+    }
+    return OnTick(now, actions);
+  }
+  if (swarm)
+    m_stage.OnRead(event, *swarm, now);
+  OnTick(now, actions);
+}
+
+void Sidecar::Handle(const PieceStaged& event, TimePoint now, Actions* actions)
+{
+  m_stage.OnStaged(event, now);
+  OnTick(now, actions);
+}
+
+void Sidecar::Handle(const StartAnswered& event, TimePoint now, Actions* actions)
+{
+  m_loader.OnAnswered(event, now);
+  m_report_due = now;
+  OnTick(now, actions);
+}
+
+void Sidecar::Handle(const OriginFetched& event, TimePoint now, Actions* actions)
+{
+  m_at_origin.erase(event.id);
+  NoteOrigin(event.result, now);
+  Distribution::Actions made;
+  m_exchange.OnFetched(event.id, event.result, now, &made);
+  Translate(std::move(made), now, actions);
+}
+
+void Sidecar::NoteOrigin(const Common::Result<Common::Bytes>& result, TimePoint now)
+{
+  const auto* error = std::get_if<Error>(&result);
+  const bool is_lost = error != nullptr;
+  if (std::exchange(m_is_origin_lost, is_lost) == is_lost)
+    return;
+  const std::string origin = m_plan.origin.ToString();
+  if (error)
+    LogEvent(Weight::Important, now, "origin.lost", "origin", origin, "reason", error->message);
+  else
+    LogEvent(Weight::Important, now, "origin.regained", "origin", origin);
+}
+
+void Sidecar::TickStage(TimePoint now, Actions* actions)
+{
+  const Distribution::Swarm* swarm = WantedSwarm();
+  // While the engine takes weights from the stage, nothing there may change.
+  if (!swarm || !swarm->ManifestHeld() || m_loader.IsUnderWay() || !m_report || m_report->is_busy)
+    return;
+  if (LoadedVersion() >= m_wanted && swarm->IsHeld() && m_stage.IsStaged())
+    return;
+  // What an earlier life left on the stage need not be fetched again.
+  if (!m_has_listed && !m_is_listing)
+  {
+    m_is_listing = true;
+    actions->push_back(ListStaged{m_plan.model});
+  }
+  while (!m_found_staged.empty() && m_found_in_flight < FOUND_READS_MOST)
+  {
+    ++m_found_in_flight;
+    actions->push_back(ReadStaged{m_plan.model, m_found_staged.back()});
+    m_found_staged.pop_back();
+  }
+  if (!m_has_listed || m_found_in_flight > 0)
+    return;
+  StageActions made;
+  m_stage.OnTick(*swarm, now, &made);
+  for (StageAction& action : made)
+    std::visit([&](auto& typed) { actions->push_back(std::move(typed)); }, action);
+}
+
+void Sidecar::TickLoader(TimePoint now, Actions* actions)
+{
+  if (m_wanted > 0 && m_report && !m_report->is_busy && LoadedVersion() < m_wanted &&
+      !m_loader.IsUnderWay())
+  {
+    const auto proven = m_stage.ProvenSince();
+    const std::optional<TimePoint> switch_at = SwitchAt(now);
+    const bool is_due = switch_at && now >= *switch_at;
+    if (proven && now - *proven > PROOF_LIFETIME && is_due)
+      m_stage.ProveAgain();
+    else if (proven && is_due)
+      m_loader.Begin(m_plan.model, m_wanted, now);
+    if (m_loader.IsUnderWay())
+      TellLoad(now, actions);
+  }
+  if (const auto start = m_loader.OnTick(now))
+  {
+    m_metrics.Add("holdpost_orders_total");
+    actions->push_back(*start);
+  }
+}
+} // namespace Holdpost::Sidecar
--- /dev/null
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/Sidecar.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Common/EventLog.h"
+
+// What a sidecar tells gateways, and its log.
+namespace Holdpost::Sidecar
+{
+using Common::Address;
+using Common::Duration;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+static constexpr Milliseconds TELL_PERIOD = Milliseconds(100);
+static constexpr Milliseconds TELL_PERIOD_ACROSS = Milliseconds(250);
+// Gateways are told of each other so often.
+static constexpr Milliseconds LIST_PERIOD = Milliseconds(1000);
+// Gateways are told of a version that was named not longer ago than this, and of so many.
+static constexpr Milliseconds TELL_VERSION_FOR = Milliseconds(20000);
+static constexpr std::size_t VERSIONS_TOLD = 2;
+static constexpr Milliseconds GATEWAY_LIFETIME = Milliseconds(3000);
+// Gateways hear of a switch so long before.
+static constexpr Milliseconds SWITCH_HORIZON = Milliseconds(3000);
+static constexpr Milliseconds PROGRESS_PERIOD = Milliseconds(500);
+
+void Sidecar::TellLoad(TimePoint now, Actions* actions)
+{
+  Gateway::TargetLoad load;
+  load.address = m_options.target;
+  load.is_switching = m_loader.IsUnderWay();
+  if (m_report)
+  {
+    load.running = m_report->running;
+    load.queued = m_report->queued;
+    load.weights_version = m_report->weights_version;
+    load.is_switching = load.is_switching || m_report->is_busy;
+    load.pace = m_report->pace;
+  }
+  if (const auto switch_at = SwitchAt(now); switch_at && LoadedVersion() > 0)
+  {
+    const auto left = std::chrono::duration_cast<Milliseconds>(*switch_at - now);
+    if (left < SWITCH_HORIZON)
+      load.switch_in = std::max(left, Milliseconds(0));
+  }
+  load.inbound_delay = std::chrono::duration_cast<Milliseconds>(m_exchange.InboundDelay(now));
+  const bool has_news = !m_told || m_told->is_switching != load.is_switching ||
+                        m_told->weights_version != load.weights_version;
+  m_told = load;
+  std::erase_if(m_gateways,
+                [now](const auto& entry) { return now - entry.second.heard > GATEWAY_LIFETIME; });
+  Mesh::LoadReport report;
+  report.load = load;
+  report.gateways = static_cast<std::uint32_t>(m_gateways.size());
+  for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
+  {
+    const auto known = std::chrono::duration_cast<Milliseconds>(now - named->second);
+    if (report.weights.size() == VERSIONS_TOLD || known > TELL_VERSION_FOR)
+      break;
+    report.weights.push_back({{m_plan.model, named->first}, known});
+  }
+  for (const auto& [address, gateway] : m_gateways)
+  {
+    if (gateway.settings > report.settings)
+    {
+      report.settings = gateway.settings;
+      report.settings_at = address;
+    }
+  }
+  for (auto& [address, gateway] : m_gateways)
+  {
+    const bool is_near = gateway.hall == m_options.hall;
+    const Duration period = is_near ? TELL_PERIOD : TELL_PERIOD_ACROSS;
+    // A little early rather than one whole period late.
+    if (!has_news && now - gateway.told < period - Milliseconds(20))
+      continue;
+    gateway.told = now;
+    report.near_gateways.clear();
+    if (is_near && now - gateway.listed >= LIST_PERIOD)
+    {
+      gateway.listed = now;
+      report.near_gateways = NearGateways();
+    }
+    report.echo = gateway.clock;
+    report.echo_age = std::chrono::duration_cast<Milliseconds>(now - gateway.heard);
+    actions->push_back(Tell{address, report, true});
+  }
+}
+
+std::vector<Address> Sidecar::NearGateways() const
+{
+  std::vector<Address> near_gateways;
+  for (const auto& [address, gateway] : m_gateways)
+  {
+    if (gateway.hall == m_options.hall)
+      near_gateways.push_back(address);
+  }
+  return near_gateways;
+}
+
+void Sidecar::LogHeld(std::uint64_t version, TimePoint now) const
+{
+  const auto count = [this](Distribution::TransferEvent event)
+  {
+    return m_metrics.Counter("holdpost_transfers_total",
+                             fmt::format("event=\"{}\"", Distribution::TransferEventName(event)));
+  };
+  using Distribution::TransferEvent;
+  LogEvent(Weight::Important, now, "weights.held", "version", version, "from_origin",
+           count(TransferEvent::PieceFromOrigin), "from_peers", count(TransferEvent::PieceFromPeer),
+           "sent", count(TransferEvent::PieceSent), "twice", count(TransferEvent::PieceTwice),
+           "corrupt", count(TransferEvent::PieceCorruptFromOrigin), "origin_failed",
+           count(TransferEvent::OriginFailed), "origin_stalled",
+           count(TransferEvent::OriginStalled), "peers_stalled", count(TransferEvent::PeerStalled),
+           "refused", count(TransferEvent::RequestRefused), "hedges", count(TransferEvent::Hedge),
+           "doubted", count(TransferEvent::ManifestDoubted));
+}
+
+void Sidecar::LogProgress(TimePoint now)
+{
+  if (m_wanted == 0 || LoadedVersion() >= m_wanted || now < m_progress_due)
+    return;
+  m_progress_due = now + PROGRESS_PERIOD;
+  const Distribution::Swarm* swarm = WantedSwarm();
+  if (!swarm)
+    return;
+  LogEvent(Weight::Important, now, "weights.progress", "version", m_wanted, "pieces",
+           swarm->PiecesHeld(), "from_origin", swarm->OpenAtOrigin(), "from_peers",
+           swarm->OpenAtPeers(), "neighbours", swarm->NeighbourCount(), "unseen",
+           swarm->PiecesUnseen(), "staged", m_stage.StagedCount(), "proven", m_stage.ProvenCount(),
+           "inbound_delay_ms", m_exchange.InboundDelay(now), "busy", m_report && m_report->is_busy);
+}
+} // namespace Holdpost::Sidecar
--- /dev/null
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/Sidecar.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "Common/EventLog.h"
+
+// Which version of the weights a sidecar fetches, and when its target is to take it.
+namespace Holdpost::Sidecar
+{
+using Common::Digest;
+using Common::Duration;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+
+// From the last piece until all engines have loaded.
+static constexpr Milliseconds SWITCH_TIME = Milliseconds(2500);
+
+Duration Sidecar::CopyTime() const
+{
+  // Over the time that one link needs for one copy, as measured with 20 targets in three halls.
+  static constexpr double OVER_LINK = 1.3;
+  const double bytes = static_cast<double>(m_plan.pieces) * m_plan.piece_bytes;
+  const auto rate =
+      static_cast<double>(std::max<std::uint64_t>(m_options.link_bytes_per_second, 1));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(OVER_LINK * bytes / rate));
+}
+
+bool Sidecar::MayReplaceWanted(TimePoint now) const
+{
+  // An older version is brought to its end unless a newer one can take its place in time.
+  const Distribution::Swarm* swarm = WantedSwarm();
+  if (m_loader.IsUnderWay() || (swarm && swarm->IsHeld()))
+    return false;
+  const TimePoint bound = m_named.at(m_wanted) + m_options.switch_within;
+  if (now + CopyTime() + SWITCH_TIME <= bound)
+    return true;
+  // One that is going to be late anyhow, and is not nearly here, is not worth its bytes.
+  const Duration left = TimeToHold(swarm, now);
+  return now + left > bound && left > WholeCopyTime(now) / 2;
+}
+
+Duration Sidecar::PieceTimeNow(TimePoint now) const
+{
+  return std::max(PieceTime(), m_exchange.NarrowPieceTime(now));
+}
+
+Duration Sidecar::WholeCopyTime(TimePoint now) const
+{
+  return static_cast<Duration::rep>(m_plan.pieces) * PieceTimeNow(now);
+}
+
+Duration Sidecar::TimeToHold(const Distribution::Swarm* swarm, TimePoint now) const
+{
+  const std::uint32_t held = swarm ? swarm->PiecesHeld() : 0;
+  return static_cast<Duration::rep>(m_plan.pieces - std::min(held, m_plan.pieces)) *
+         PieceTimeNow(now);
+}
+
+void Sidecar::ChooseVersion(TimePoint now, Actions* actions)
+{
+  if (m_plan.model.empty() || m_named.empty())
+    return;
+  const std::uint64_t newest = m_named.rbegin()->first;
+  if (newest <= m_wanted)
+    return;
+  const bool is_wanted_done = m_wanted == 0 || LoadedVersion() >= m_wanted;
+  if ((is_wanted_done && !m_loader.IsUnderWay()) || (!is_wanted_done && MayReplaceWanted(now)))
+    return WantVersion(newest, now, actions);
+  const Distribution::Swarm* swarm = WantedSwarm();
+  // Once all of a version is in the hall, the origin has nothing else to do.
+  const bool is_drawn = swarm && swarm->ManifestHeld() && swarm->PiecesUnseen() == 0;
+  if (newest > m_ahead && is_drawn)
+    CopyAhead(newest, now, actions);
+}
+
+void Sidecar::CopyAhead(std::uint64_t version, TimePoint now, Actions* actions)
+{
+  LogEvent(Weight::Important, now, "weights.ahead", "version", version, "wanted", m_wanted);
+  m_ahead = version;
+  FetchVersion(version, now, actions);
+}
+
+void Sidecar::WantVersion(std::uint64_t version, TimePoint now, Actions* actions)
+{
+  LogEvent(Weight::Important, now, "weights.wanted", "version", version, "before", m_wanted,
+           "loaded", LoadedVersion(), "known_ms", now - m_named[version]);
+  // A copy that was given up must not go on taking the links.
+  if (const Distribution::Swarm* swarm = WantedSwarm(); swarm && swarm->IsHeld())
+    m_before = m_wanted;
+  m_wanted = version;
+  m_ahead = std::max(m_ahead, version);
+  m_stage.Want(m_plan.model, version, m_plan.pieces);
+  FetchVersion(version, now, actions);
+}
+
+void Sidecar::FetchVersion(std::uint64_t version, TimePoint now, Actions* actions)
+{
+  const Digest digest = VersionDigest(m_plan.model, version);
+  m_versions[digest] = version;
+  Distribution::Actions made;
+  // The version before is kept for peers that still need it.
+  m_exchange.KeepOnly(
+      {digest, VersionDigest(m_plan.model, m_wanted), VersionDigest(m_plan.model, m_before)},
+      &made);
+  m_exchange.Want(digest, now, &made);
+  Translate(std::move(made), now, actions);
+  TellExchangeOfPeers(now, actions);
+}
+
+std::optional<TimePoint> Sidecar::SwitchAt(TimePoint now) const
+{
+  if (m_wanted == 0 || LoadedVersion() >= m_wanted)
+    return std::nullopt;
+  // One that answers nothing has nothing to lose.
+  if (LoadedVersion() == 0 || (m_report && m_report->running + m_report->queued == 0))
+    return now;
+  const SwitchWindow window{m_named.at(m_wanted), m_options.switch_within, CopyTime()};
+  const TimePoint planned =
+      PlannedSwitch(window, SwitchRank(m_options.address, m_peers, m_wanted), m_peers.size());
+  const Distribution::Swarm* swarm = WantedSwarm();
+  if (!swarm || swarm->IsHeld() || !swarm->ManifestHeld())
+    return planned;
+  const std::uint32_t left = swarm->ManifestHeld()->PieceCount() - swarm->PiecesHeld();
+  return std::max(planned, now + CopyTime() * left / swarm->ManifestHeld()->PieceCount());
+}
+} // namespace Holdpost::Sidecar
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -9,10 +9,10 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/CrashReport.h"
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
 #include "Common/Mailbox.h"
+#include "Node/Startup.h"
 #include "Peers/Target/TargetMessage.h"
 
 namespace Holdpost::Node
@@ -111,10 +111,7 @@
 
 int GatewayNode::Run()
 {
-  std::signal(SIGPIPE, SIG_IGN);
-  Common::InstallCrashReport();
-  Common::EventLog::Instance().SetOutput(STDOUT_FILENO);
-  Common::EventLog::Instance().SetEnabled(true);
+  PrepareProcess();
   if (!Listen())
   {
     Common::EventLog::Instance().Flush();
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -7,10 +7,10 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
-#include "Common/CrashReport.h"
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
 #include "Node/MeshPlan.h"
+#include "Node/Startup.h"
 
 namespace Holdpost::Node
 {
@@ -100,10 +100,7 @@
 
 int SidecarNode::Run()
 {
-  std::signal(SIGPIPE, SIG_IGN);
-  Common::InstallCrashReport();
-  Common::EventLog::Instance().SetOutput(STDOUT_FILENO);
-  Common::EventLog::Instance().SetEnabled(true);
+  PrepareProcess();
   if (!Listen())
   {
     Common::EventLog::Instance().Flush();
