UnitTests: Processes of a test end with it

Cause: a soak that was killed from outside left its gateways and sidecars running; they were found by their folder and ended by hand. Change: children ask for SIGKILL when their parent ends.

--- a/Source/UnitTests/Process/Program.cpp
+++ b/Source/UnitTests/Process/Program.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,6 +33,8 @@
   REQUIRE(m_pid >= 0);
   if (m_pid == 0)
   {
+    // A test that is killed leaves nothing behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(ends[1], STDOUT_FILENO);
     dup2(errors, STDERR_FILENO);
     std::vector<char*> argv = {const_cast<char*>(path.c_str())};
