Distribution: Work out once a pass whether a hall may draw

The test of an unseen piece stood three times.

Change: PumpOutside works it out once, when the first piece needs it; IsUnseen in place of the three. Behaviour is as it was.

Not measured: time saved.

--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -213,7 +213,13 @@
   bool IsOriginHallIdle(Common::TimePoint now);
   void PumpOutside(Common::TimePoint now, Actions* actions);
   // Where the piece may be had outside the hall: a peer, or an empty name for the origin.
-  std::optional<std::string> OutsideSource(std::uint32_t piece, Common::TimePoint now);
+  std::optional<std::string> OutsideSource(std::uint32_t piece, bool may_draw,
+                                           Common::TimePoint now);
+  // Whether neither this instance nor a neighbour of the hall holds the piece.
+  bool IsUnseen(std::uint32_t piece) const
+  {
+    return !m_held.Contains(piece) && m_availability[piece] == 0;
+  }
   // When this instance may bring the piece in.
   Common::TimePoint TurnAt(std::uint32_t piece) const;
   // Plans to draw what the hall lacks, in order, from now on.
--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -187,7 +187,7 @@
   std::uint32_t next = 0;
   for (std::uint32_t piece = 0; piece < m_held.Size(); ++piece)
   {
-    if (!m_held.Contains(piece) && m_availability[piece] == 0)
+    if (IsUnseen(piece))
       m_plan_position[piece] = next++;
   }
 }
@@ -205,7 +205,7 @@
     return true;
   for (std::uint32_t piece = 0; piece < m_held.Size(); ++piece)
   {
-    if (m_held.Contains(piece) || m_availability[piece] > 0)
+    if (!IsUnseen(piece))
       continue;
     const std::uint32_t rank = std::min(m_hall_ranks[piece], PROBE_RANK_MOST);
     return dark >= ((1U << rank) - 1) * DARK_LEAST;
@@ -238,10 +238,8 @@
   m_origin_late = std::max(m_origin_late, now - PlannedDraw(piece));
 }
 
-std::optional<std::string> Swarm::OutsideSource(std::uint32_t piece, TimePoint now)
+std::optional<std::string> Swarm::OutsideSource(std::uint32_t piece, bool may_draw, TimePoint now)
 {
-  const bool may_draw =
-      MayDraw(now) && (IsInOriginHall() || IsOriginHallIdle(now)) && MayDrawForHall(now);
   if (const TimePoint turn = TurnAt(piece); now < turn)
   {
     m_next_turn = std::min(m_next_turn, turn);
@@ -272,6 +270,8 @@
 {
   std::uint32_t open = OpenOutside();
   const std::uint32_t window = IsLinkNarrow(now) ? 1 : m_options.window_of_outside;
+  // The same for all pieces, and looked up only if one is asked for.
+  std::optional<bool> may_draw;
   for (const std::uint32_t piece : m_outside_order)
   {
     if (open >= window)
@@ -279,7 +279,9 @@
     if (m_held.Contains(piece) || m_in_flight[piece] > 0 || IsWithinReach(piece) ||
         IsClaimed(piece, now))
       continue;
-    const auto source = OutsideSource(piece, now);
+    if (!may_draw)
+      may_draw = MayDraw(now) && (IsInOriginHall() || IsOriginHallIdle(now)) && MayDrawForHall(now);
+    const auto source = OutsideSource(piece, *may_draw, now);
     if (!source)
       continue;
     // Who comes after is told, the others wait for their turn.
--- a/Source/Core/Distribution/SwarmTransfers.cpp
+++ b/Source/Core/Distribution/SwarmTransfers.cpp
@@ -127,7 +127,7 @@
 {
   std::uint32_t unseen = 0;
   for (std::uint32_t piece = 0; piece < m_availability.size(); ++piece)
-    unseen += m_availability[piece] == 0 && !m_held.Contains(piece);
+    unseen += IsUnseen(piece);
   return unseen;
 }
 
