--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -248,6 +248,7 @@
   dispatch.time_left =
       std::max(std::chrono::duration_cast<Milliseconds>(tracked.deadline - now), Milliseconds(1));
   dispatch.organisation = tracked.organisation;
+  dispatch.expected_start = choice->expected_start;
   dispatch.resume_after = tracked.last_event;
   dispatch.is_stream = tracked.route.is_stream;
   dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -126,6 +126,8 @@
   // What is left of the caller's time.
   Common::Milliseconds time_left{0};
   std::string organisation; // empty for anonymous requests
+  // Time until the answer is expected to begin.
+  Common::Duration expected_start{};
   // Continue a stream after this event.
   std::optional<EventId> resume_after;
   std::uint64_t weights_version = 0; // 0 if any version will do
