--- a/Source/Bench/Routing/RoutingReport.cpp
+++ b/Source/Bench/Routing/RoutingReport.cpp
@@ -95,7 +95,8 @@
   std::vector<const SettledRequest*> all;
   for (const SettledRequest& request : m_requests)
     all.push_back(&request);
-  return fmt::format("{} worst windows {:.3f}", Describe(all), EarnedInWorstWindows());
+  return fmt::format("{} reports near {} far {} worst windows {:.3f}", Describe(all), near_tells,
+                     far_tells, EarnedInWorstWindows());
 }
 
 std::string RoutingReport::Windows() const
--- a/Source/Bench/Routing/RoutingReport.h
+++ b/Source/Bench/Routing/RoutingReport.h
@@ -46,6 +46,10 @@
   std::string Summary() const;
   std::string Windows() const;
 
+  // Reports of sidecars to gateways of their hall and of others.
+  std::uint64_t near_tells = 0;
+  std::uint64_t far_tells = 0;
+
 private:
   std::map<int, std::vector<const SettledRequest*>> ByWindow() const;
 
--- a/Source/Bench/Routing/RoutingWorld.cpp
+++ b/Source/Bench/Routing/RoutingWorld.cpp
@@ -28,7 +28,9 @@
 static constexpr int COME_BACK_SHARE = 3;
 // What a sidecar does: how often it tells gateways, and how long before a switch.
 static constexpr Milliseconds REPORT_PERIOD{100};
-static constexpr Milliseconds REPORT_PERIOD_ACROSS{230};
+static constexpr Milliseconds REPORT_PERIOD_ACROSS{1000};
+// Word of new work is passed on at once, but not more often.
+static constexpr Milliseconds TELL_GAP{10};
 static constexpr Milliseconds SWITCH_HORIZON{3000};
 static constexpr Milliseconds SWITCH_ANNOUNCE{30};
 // Switches end so long before they have to.
@@ -64,6 +66,10 @@
   std::optional<TimePoint> switch_at;
   bool is_switching = false;
   std::map<const Node*, TimePoint> told;
+  // What gateways told of, and when all were last told.
+  std::map<const Node*, Gateway::OwnWork> work;
+  TimePoint last_told{};
+  bool tells_soon = false;
 };
 
 struct RoutingWorld::Node
@@ -161,8 +167,7 @@
             Gateway::GatewayOptions{hall.name, retries, m_options.switch_within, m_random()},
             m_metrics);
         core->OfferDocument(document, m_now);
-        core->SetGateways(gateways, m_now);
-        core->SetNearGateways(hall.gateways);
+        core->SetGateways({gateways, hall.gateways}, m_now);
         node->core = std::move(core);
       }
       m_nodes.push_back(std::move(node));
@@ -458,6 +463,28 @@
         });
 }
 
+void RoutingWorld::Do(Node& node, const Gateway::TellAgent& tell)
+{
+  const auto place = std::ranges::find_if(m_targets, [&](const auto& target)
+                                          { return target->listed.address == tell.target; });
+  Target* target = place->get();
+  After(Way(node.hall, target->listed.hall),
+        [this, &node, target, work = tell.work]
+        {
+          const Gateway::OwnWork before = std::exchange(target->work[&node], work);
+          if (work.requests <= before.requests || target->tells_soon)
+            return;
+          target->tells_soon = true;
+          const TimePoint due = std::max(m_now, target->last_told + TELL_GAP);
+          After(due - m_now,
+                [this, target]
+                {
+                  target->tells_soon = false;
+                  TellLoad(*target);
+                });
+        });
+}
+
 void RoutingWorld::Do(Node& node, const Gateway::CancelAttempt& cancel)
 {
   // The request may have been settled by now; then every engine is told.
@@ -597,10 +624,20 @@
 void RoutingWorld::ReportLoad(Target& target)
 {
   After(REPORT_PERIOD, [this, &target] { ReportLoad(target); });
+  TellLoad(target);
+}
+
+void RoutingWorld::TellLoad(Target& target)
+{
+  target.last_told = m_now;
   Gateway::TargetLoad load;
   load.address = target.listed.address;
   load.running = target.engine.Running();
   load.queued = target.engine.Queued();
+  std::uint32_t unread = 0;
+  for (const auto& [node, work] : target.work)
+    unread += work.unread_prompt_tokens;
+  load.unread_prompt_tokens = unread;
   load.weights_version = target.weights;
   load.is_switching = target.is_switching;
   if (target.switch_at && !target.is_switching && *target.switch_at - m_now < SWITCH_HORIZON)
@@ -612,8 +649,11 @@
     const auto told = target.told.find(node.get());
     const bool is_early =
         told != target.told.end() && !is_near && m_now - told->second < REPORT_PERIOD_ACROSS;
-    if (!core || is_early)
+    if (!core || !(*core)->Targets().IsUsed(target.listed.address))
+      continue;
+    if (is_early && !(*core)->Targets().NeedsOtherHalls(m_now))
       continue;
+    ++(is_near ? m_report.near_tells : m_report.far_tells);
     target.told[node.get()] = m_now;
     After(Way(node->hall, target.listed.hall),
           [this, core = core->get(), raw = node.get(), load]
--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -135,6 +135,7 @@
   void Do(Node& node, const Gateway::CancelAttempt& cancel);
   void Do(Node& node, const Gateway::Refuse& refuse);
   void Do(Node& node, const Gateway::AbortAnswer& abort);
+  void Do(Node& node, const Gateway::TellAgent& tell);
   void ScheduleTick(Node& node);
 
   void StartPass(Target& target);
@@ -143,6 +144,7 @@
   void OnCallerSees(Request& request);
   void CheckSwitch(Target& target);
   void ReportLoad(Target& target);
+  void TellLoad(Target& target);
 
   RoutingOptions m_options;
   std::mt19937_64 m_random;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -71,15 +71,16 @@
     m_timers.push({*due, NO_REQUEST});
 }
 
-void Gateway::SetGateways(std::size_t count, TimePoint now)
+void Gateway::SetGateways(const GatewayCounts& gateways, TimePoint now)
 {
-  if (count == m_gateways)
+  if (gateways == m_gateways)
     return;
-  LogEvent(Weight::Important, now, "gateways.counted", "count", count, "before", m_gateways);
-  m_gateways = count;
-  m_targets.SetGateways(count);
+  LogEvent(Weight::Important, now, "gateways.counted", "count", gateways.all, "before",
+           m_gateways.all, "near", gateways.near);
+  m_gateways = gateways;
+  m_targets.SetGateways(gateways);
   for (auto& [service, queue] : m_queues)
-    queue.retries.SetGateways(count);
+    queue.retries.SetGateways(gateways.all);
 }
 
 void Gateway::SetRetryLimits(const RetryLimits& limits)
@@ -95,7 +96,7 @@
   if (is_new)
   {
     found->second.retries.SetLimits(m_options.retries);
-    found->second.retries.SetGateways(m_gateways);
+    found->second.retries.SetGateways(m_gateways.all);
   }
   return found->second;
 }
@@ -149,6 +150,7 @@
       now + std::max<Duration>(route->goal / REFUSE_WITHIN - REFUSE_MARGIN, Duration::zero()));
   tracked.last_event = tracked.request.last_event;
   QueueOf(tracked.service).retries.OnRequest(now);
+  m_targets.OnArrival(tracked.service, now);
   m_timers.push({tracked.deadline, tracked.number});
   Tracked& placed = m_requests.emplace(tracked.number, std::move(tracked)).first->second;
   Enqueue(placed, false, now, actions);
@@ -205,6 +207,13 @@
   return m_weights.Of("");
 }
 
+// How long a start may take for the goal to be met.
+static Duration StartMost(const TrackedRequest& tracked, TimePoint now)
+{
+  const auto whole = std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
+  return whole - (now - tracked.arrived);
+}
+
 bool Gateway::IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
                              TimePoint now) const
 {
@@ -213,20 +222,41 @@
   // One that may have run cannot be refused as not run: late is better than an error.
   if (tracked.runs > 0)
     return choice.expected_start <= (tracked.deadline - now) / 2;
-  const Duration whole = now - tracked.arrived + choice.expected_start;
-  return whole <= std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
+  return choice.expected_start <= StartMost(tracked, now);
 }
 
 TargetWish Gateway::WishOf(const Tracked& tracked) const
 {
   const std::optional<GenerationHint>& generation = tracked.request.generation;
-  return {tracked.service, tracked.PromptTokens(), generation ? generation->answer_tokens_guess : 0,
-          tracked.tried, WeightsFor(tracked.service)};
+  TargetWish wish;
+  wish.service = tracked.service;
+  wish.prompt_tokens = tracked.PromptTokens();
+  wish.answer_tokens = generation ? generation->answer_tokens_guess : 0;
+  wish.tried = tracked.tried;
+  wish.weights = WeightsFor(tracked.service);
+  return wish;
+}
+
+TargetWish Gateway::WishInTime(const Tracked& tracked, TimePoint now)
+{
+  TargetWish wish = WishOf(tracked);
+  for (const auto& [priority, queue] : QueueOf(tracked.service).waiting)
+    wish.waiting += queue.Size();
+  const bool may_be_refused = tracked.runs == 0 && !tracked.was_passed;
+  if (may_be_refused)
+    wish.start_most = std::max(StartMost(tracked, now), Duration(1));
+  return wish;
+}
+
+void Gateway::TellWork(const TargetId& id, Actions* actions) const
+{
+  if (const auto agent = m_targets.AgentOf(id))
+    actions->push_back(TellAgent{*agent, m_targets.OwnWorkAt(id)});
 }
 
 bool Gateway::TryDispatch(Tracked& tracked, TimePoint now, Actions* actions)
 {
-  const TargetWish wish = WishOf(tracked);
+  const TargetWish wish = WishInTime(tracked, now);
   const auto choice = m_targets.Choose(wish, now);
   if (!choice || !IsWorthSending(tracked, *choice, now))
     return false;
@@ -253,15 +283,17 @@
   dispatch.is_stream = tracked.route.is_stream;
   dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
   actions->push_back(std::move(dispatch));
+  TellWork(choice->id, actions);
   return true;
 }
 
-void Gateway::LeaveTarget(Tracked& tracked)
+void Gateway::LeaveTarget(Tracked& tracked, Actions* actions)
 {
   if (tracked.target.empty())
     return;
   const std::uint32_t unread_tokens = tracked.has_started ? 0 : tracked.PromptTokens();
   m_targets.OnEnded(tracked.target, tracked.number, unread_tokens);
+  TellWork(tracked.target, actions);
   tracked.target.clear();
 }
 
@@ -281,7 +313,7 @@
     QueueOf(service).waiting[tracked->priority].Remove(tracked->organisation, tracked->number);
   else
     actions->push_back(CancelAttempt{tracked->number});
-  LeaveTarget(*tracked);
+  LeaveTarget(*tracked, actions);
   Forget(event.number);
   Pump(service, now, actions);
 }
@@ -307,11 +339,12 @@
   {
     actions->push_back(CancelAttempt{tracked->number});
     m_log.OnRetried(*tracked, "failure_answer", now);
-    LeaveTarget(*tracked);
+    LeaveTarget(*tracked, actions);
     tracked->refuse_at = std::min(tracked->deadline, now + RETRY_WITHIN);
     return Enqueue(*tracked, true, now, actions);
   }
   m_targets.OnStarted(tracked->target, tracked->number, tracked->PromptTokens(), now);
+  TellWork(tracked->target, actions);
   tracked->has_started = true;
   if (!tracked->was_passed)
   {
@@ -332,7 +365,7 @@
     return;
   m_targets.OnSucceeded(tracked->target);
   m_log.OnDone(*tracked, now);
-  LeaveTarget(*tracked);
+  LeaveTarget(*tracked, actions);
   const std::string service = tracked->service;
   Forget(event.number);
   Pump(service, now, actions);
@@ -372,7 +405,7 @@
 
 void Gateway::GiveUp(Tracked& tracked, Error error, TimePoint now, Actions* actions)
 {
-  LeaveTarget(tracked);
+  LeaveTarget(tracked, actions);
   const std::string service = tracked.service;
   if (tracked.was_passed)
   {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -52,8 +52,7 @@
   // New weights of a model were named; `known_since` is when some process first knew of them.
   void OnWeightsNamed(const std::string& model, std::uint64_t version,
                       Common::TimePoint known_since);
-  void SetGateways(std::size_t count, Common::TimePoint now);
-  void SetNearGateways(std::size_t count) { m_targets.SetNearGateways(count); }
+  void SetGateways(const GatewayCounts& gateways, Common::TimePoint now);
   // New requests and versions are held to these from now on.
   void SetRetryLimits(const RetryLimits& limits);
   void SetSwitchWithin(Common::Milliseconds within) { m_weights.SetSwitchWithin(within); }
@@ -99,12 +98,16 @@
   void Pump(const std::string& service, Common::TimePoint now, Actions* actions);
   void PumpAll(Common::TimePoint now, Actions* actions);
   TargetWish WishOf(const Tracked& tracked) const;
+  // The same for a request that is not sent unless it can begin in time.
+  TargetWish WishInTime(const Tracked& tracked, Common::TimePoint now);
   bool TryDispatch(Tracked& tracked, Common::TimePoint now, Actions* actions);
   bool IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
                       Common::TimePoint now) const;
+  // Tells the target's agent what this gateway has there now.
+  void TellWork(const TargetId& id, Actions* actions) const;
   // The weights that requests of the service have to begin on, and from when on.
   const std::vector<WeightsBound>& WeightsFor(const std::string& service) const;
-  void LeaveTarget(Tracked& tracked);
+  void LeaveTarget(Tracked& tracked, Actions* actions);
   void TryAgain(Tracked& tracked, std::string_view reason, const Common::Error& otherwise,
                 Common::TimePoint now, Actions* actions);
   // Looks for another target; the retry has been taken from the allowance.
@@ -138,7 +141,7 @@
   std::map<std::string, ServiceQueue> m_queues;
   std::unordered_map<RequestNumber, Tracked> m_requests;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
-  std::size_t m_gateways = 1;
+  GatewayCounts m_gateways;
   bool m_takes_requests = true;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -35,7 +35,7 @@
 void Gateway::Retry(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
 {
   m_log.OnRetried(tracked, reason, now);
-  LeaveTarget(tracked);
+  LeaveTarget(tracked, actions);
   tracked.refuse_at =
       std::min(tracked.deadline, now + (tracked.was_passed ? RESUME_WITHIN : RETRY_WITHIN));
   Enqueue(tracked, true, now, actions);
@@ -43,7 +43,7 @@
 
 void Gateway::OnNotRun(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
 {
-  LeaveTarget(tracked);
+  LeaveTarget(tracked, actions);
   if (tracked.sends >= SENDS_MOST || !QueueOf(tracked.service).retries.Take(now))
     return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
   m_log.OnRetried(tracked, reason, now);
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -161,6 +161,13 @@
   RequestNumber number = 0;
 };
 
-using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer>;
+// Tell the agent beside a target what this gateway has there now.
+struct TellAgent
+{
+  Common::Address target;
+  OwnWork work;
+};
+
+using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer, TellAgent>;
 using Actions = std::vector<Action>;
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/SpreadChoice.cpp
+++ b/Source/Core/Gateway/SpreadChoice.cpp
@@ -50,6 +50,16 @@
   return volume;
 }
 
+double AdmittedPart(const std::vector<SpreadOption>& options, const Spread& spread, Duration limit)
+{
+  const double one = Count(spread.cost_of_one);
+  const double volume = (1 + spread.near_arrivals) * one + VolumeFromFar(options, spread);
+  double room = 0;
+  for (const SpreadOption& option : options)
+    room += std::max(Count(limit - option.cost), 0.0);
+  return volume > 0 ? std::min(std::max(room, one) / volume, 1.0) : 1.0;
+}
+
 std::size_t ChooseSpread(const std::vector<SpreadOption>& options, const Spread& spread,
                          double draw)
 {
--- a/Source/Core/Gateway/SpreadChoice.h
+++ b/Source/Core/Gateway/SpreadChoice.h
@@ -29,6 +29,12 @@
   Common::Duration far_penalty{};
 };
 
+// The part of the arrivals, this request among them, that the options take before each of them
+// costs more than `limit`. Gateways that see the same costs send no more than that part of what
+// they have, or all would be late.
+double AdmittedPart(const std::vector<SpreadOption>& options, const Spread& spread,
+                    Common::Duration limit);
+
 // The index of an option: likelier the more of the arrivals it takes until all options that take
 // any cost the same. Without arrivals the cheapest one. `draw` is uniform from 0 to 1. There is at
 // least one option.
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -42,6 +42,8 @@
   Common::Address address; // of the target
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  // Prompt tokens of requests that have not begun, as gateways told; empty if none did.
+  std::optional<std::uint32_t> unread_prompt_tokens;
   std::uint64_t weights_version = 0;
   // The target is about to load other weights, or loads them, and takes nothing new.
   bool is_switching = false;
@@ -56,4 +58,14 @@
 
   bool operator==(const TargetLoad&) const = default;
 };
+
+// What a gateway has at a target.
+struct OwnWork
+{
+  std::uint32_t requests = 0;
+  // Of those that have not begun.
+  std::uint32_t unread_prompt_tokens = 0;
+
+  bool operator==(const OwnWork&) const = default;
+};
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -20,9 +20,19 @@
 // Until a request that was sent has reached its target.
 static constexpr Duration START_MARGIN = Milliseconds(300);
 static constexpr Duration START_MARGIN_UNHEARD = Milliseconds(2000);
-// How old reports are on average when they are used.
-static constexpr double NEAR_REPORT_AGE_SECONDS = 0.1;
-static constexpr double FAR_REPORT_AGE_SECONDS = 0.25;
+// What others have sent since the last report is not known for so long: agents report at once when
+// work comes, but not more often than each 10 ms.
+static constexpr double BLIND_SECONDS = 0.01;
+// Of the requests that wait at the other gateways, the part that any word of room sets off.
+static constexpr double WAITING_SHARE = 0.5;
+// About so many gateways of other halls use a target.
+static constexpr std::size_t FAR_GATEWAYS = 8;
+// While an engine writes, too, it reads prompts at this part of its speed.
+static constexpr double READING_SHARE = 0.3;
+// Other halls are looked at while the best target here would begin this much later than an idle
+// one, and for a while after that.
+static constexpr double CROWDED_RATIO = 1.6;
+static constexpr Duration CROWDED_TIME = Milliseconds(1500);
 // Holding up a target's switch costs the others' requests a part of the delay.
 static constexpr int SWITCH_DELAY_SHARE = 2;
 // What was learnt of a target's lag fades in about this time.
@@ -37,6 +47,15 @@
                   target.load ? target.load->pace : 1};
   if (!HasFreshLoad(target, now))
     return work;
+  if (target.load->unread_prompt_tokens)
+  {
+    const double age_ms =
+        std::chrono::duration<double, std::milli>(now - target.load_heard).count();
+    const double read = age_ms * engine.prompt_tokens_per_ms * READING_SHARE;
+    work.unread_prompt_tokens =
+        std::max(*target.load->unread_prompt_tokens - read, 0.0) + target.unread_since_load;
+    return work;
+  }
   // Of the requests that wait there, those that are not this gateway's have to be read, too.
   const auto own = static_cast<double>(target.own_waiting_at_load);
   const double others = std::max(0.0, target.load->queued - own);
@@ -44,25 +63,25 @@
   return work;
 }
 
-Spread TargetTable::SpreadOf(const std::string& service, TimePoint now) const
+Spread TargetTable::SpreadOf(const TargetWish& wish, TimePoint now) const
 {
-  const EngineProfile* engine = EngineOf(service);
-  const auto rate = m_rates.find(service);
+  const EngineProfile* engine = EngineOf(wish.service);
+  const auto rate = m_rates.find(wish.service);
   if (!engine || rate == m_rates.end())
     return {};
-  const double own = rate->second.At(now);
-  const auto near = static_cast<double>(m_near_gateways - 1);
-  const std::size_t far = m_gateways > m_near_gateways ? m_gateways - m_near_gateways : 0;
-  return {own * near * NEAR_REPORT_AGE_SECONDS,
-          own * static_cast<double>(far) * FAR_REPORT_AGE_SECONDS, SlotInterval(*engine, 1),
-          OTHER_HALL_PENALTY};
+  const double of_each =
+      rate->second.At(now) * BLIND_SECONDS + WAITING_SHARE * static_cast<double>(wish.waiting);
+  const auto near = static_cast<double>(m_gateways.near - 1);
+  const std::size_t far = m_gateways.all - std::min(m_gateways.all, m_gateways.near);
+  return {of_each * near, of_each * static_cast<double>(std::min(far, FAR_GATEWAYS)),
+          SlotInterval(*engine, 1), OTHER_HALL_PENALTY};
 }
 
 double TargetTable::LoadOf(const Target& target, TimePoint now) const
 {
   // Without word from its agent the others are taken to send as much as this gateway.
   if (!HasFreshLoad(target, now))
-    return static_cast<double>(target.own) * static_cast<double>(m_gateways);
+    return static_cast<double>(target.own) * static_cast<double>(m_gateways.all);
   const double total = target.load->running + target.load->queued;
   const double others = std::max(0.0, total - target.own_at_load);
   return others + target.own;
@@ -161,7 +180,22 @@
   return std::max(now + whole - switch_at, Duration::zero());
 }
 
-std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
+void TargetTable::NoteCrowding(const TargetWish& wish, const std::vector<SpreadOption>& options,
+                               TimePoint now)
+{
+  const EngineProfile* engine = EngineOf(wish.service);
+  if (!engine)
+    return;
+  const Duration idle = ExpectedStart(*engine, {}, wish.prompt_tokens);
+  const auto limit = std::chrono::duration_cast<Duration>(CROWDED_RATIO * idle);
+  const bool is_free = std::ranges::any_of(options, [limit](const SpreadOption& option)
+                                           { return option.is_near && option.cost <= limit; });
+  if (!is_free)
+    m_crowded_until = now + CROWDED_TIME;
+}
+
+std::optional<TargetChoice> TargetTable::ChooseFrom(Scope scope, const TargetWish& wish,
+                                                    TimePoint now)
 {
   std::vector<TargetChoice> choices;
   std::vector<SpreadOption> options;
@@ -169,6 +203,8 @@
   {
     if (target.listed.service != wish.service || !IsOpen(target, now) || wish.tried.contains(id))
       continue;
+    if (scope == Scope::Used && !target.is_used)
+      continue;
     const Duration start = ExpectedStartAt(target, wish.prompt_tokens, now);
     if (!HasGoodWeights(target, wish, start, now))
       continue;
@@ -185,10 +221,27 @@
       choices.back().report_age = now - target.load_heard;
     options.push_back({cost, is_here});
   }
+  NoteCrowding(wish, options, now);
   if (choices.empty())
     return std::nullopt;
-  const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
-  return choices[ChooseSpread(options, SpreadOf(wish.service, now), draw)];
+  const Spread spread = SpreadOf(wish, now);
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (wish.start_most && draw(m_random) > AdmittedPart(options, spread, *wish.start_most))
+    return std::nullopt;
+  return choices[ChooseSpread(options, spread, draw(m_random))];
+}
+
+std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
+{
+  const bool is_any_used =
+      std::ranges::any_of(m_targets,
+                          [&](const auto& entry)
+                          {
+                            const Target& target = entry.second;
+                            return target.is_used && target.listed.service == wish.service &&
+                                   IsOpen(target, now) && !wish.tried.contains(entry.first);
+                          });
+  return ChooseFrom(is_any_used ? Scope::Used : Scope::All, wish, now);
 }
 
 double TargetTable::Utilization(const std::string& service, TimePoint now) const
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -83,6 +83,60 @@
                 { return !entry.second.is_on_list && entry.second.own == 0; });
   if (!added.empty())
     ReplaceThoseAt(added, now);
+  UpdateReach();
+}
+
+void TargetTable::UpdateReach()
+{
+  const std::set<TargetId> used = m_reach.Choose(Listed(), m_gateways);
+  for (auto& [id, target] : m_targets)
+    target.is_used = !target.listed.needs_weights || used.contains(id);
+}
+
+void TargetTable::SetGateways(const GatewayCounts& gateways)
+{
+  if (gateways == m_gateways)
+    return;
+  m_gateways = gateways;
+  UpdateReach();
+}
+
+bool TargetTable::IsUsed(const Common::Address& address) const
+{
+  const TargetId id = FindByAddress(address);
+  return !id.empty() && m_targets.at(id).is_used;
+}
+
+std::vector<Common::Address> TargetTable::Used() const
+{
+  std::vector<Common::Address> used;
+  for (const auto& [id, target] : m_targets)
+  {
+    if (target.is_used && target.IsListed() && target.listed.needs_weights)
+      used.push_back(target.listed.address);
+  }
+  return used;
+}
+
+OwnWork TargetTable::OwnWorkAt(const TargetId& id) const
+{
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end())
+    return {};
+  return {found->second.own, static_cast<std::uint32_t>(found->second.unread_prompt_tokens)};
+}
+
+std::optional<Common::Address> TargetTable::AgentOf(const TargetId& id) const
+{
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end() || !found->second.listed.needs_weights)
+    return std::nullopt;
+  return found->second.listed.address;
+}
+
+void TargetTable::OnArrival(const std::string& service, TimePoint now)
+{
+  m_rates[service].OnArrival(now);
 }
 
 void TargetTable::ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, TimePoint now)
@@ -102,6 +156,7 @@
     if (target.listed.address != load.address || !target.IsListed())
       continue;
     target.own_at_load = target.own;
+    target.unread_since_load = 0;
     target.own_waiting_at_load = target.expected.size();
     // Its agent is heard again, so the way there is open.
     if (IsSilent(target, now))
@@ -178,10 +233,10 @@
                                std::uint32_t prompt_tokens, Duration expected_start, TimePoint now)
 {
   Target& target = m_targets[id];
-  m_rates[target.listed.service].OnDispatch(now);
   ++target.own;
   target.expected[request] = now + std::max<Duration>(expected_start, EXPECTED_LEAST);
   target.unread_prompt_tokens += prompt_tokens;
+  target.unread_since_load += prompt_tokens;
 }
 
 void TargetTable::OnStarted(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -15,6 +15,7 @@
 #include "Core/Gateway/SpreadChoice.h"
 #include "Core/Gateway/StartEstimate.h"
 #include "Core/Gateway/Target.h"
+#include "Core/Gateway/TargetReach.h"
 
 // The targets that a gateway may call, what it knows of their load and health, and the choice
 // between them.
@@ -38,6 +39,10 @@
   std::set<TargetId> tried;
   // Weights that are bound to be in use, the one due first in front.
   std::vector<WeightsBound> weights;
+  // How many others wait for the service at this gateway.
+  std::size_t waiting = 0;
+  // A start later than that is of no use.
+  std::optional<Common::Duration> start_most = std::nullopt;
 };
 
 struct TargetChoice
@@ -70,10 +75,10 @@
 };
 
 // Requests a second, of about the last second.
-class DispatchRate
+class ArrivalRate
 {
 public:
-  void OnDispatch(Common::TimePoint now)
+  void OnArrival(Common::TimePoint now)
   {
     m_rate = At(now) + 1 / LIFETIME_SECONDS;
     m_updated = now;
@@ -96,7 +101,7 @@
 public:
   // `seed` is for choices between targets that are as good.
   explicit TargetTable(std::string hall, std::uint64_t seed = 0)
-      : m_hall(std::move(hall)), m_random(seed)
+      : m_hall(hall), m_reach(std::move(hall), seed), m_random(seed)
   {
   }
 
@@ -105,10 +110,10 @@
   void SetEngine(const std::string& service, const std::optional<Settings::EngineProfile>& engine);
   void OnLoad(const TargetLoad& load, Common::TimePoint now);
 
-  // The target with the least expected time until an answer begins; empty if there is none.
-  void SetGateways(std::size_t count) { m_gateways = std::max<std::size_t>(count, 1); }
-  // Gateways of the own hall, this one included: they choose from the same reports.
-  void SetNearGateways(std::size_t count) { m_near_gateways = std::max<std::size_t>(count, 1); }
+  // Those of the own hall, this one included, choose from the same reports.
+  void SetGateways(const GatewayCounts& gateways);
+  // The target with the least expected time until an answer begins; empty if there is none, or if
+  // others are expected to take what room there is.
   std::optional<TargetChoice> Choose(const TargetWish& wish, Common::TimePoint now);
   TargetSurvey SurveyOf(const TargetWish& wish, Common::TimePoint now) const;
   // Requests that wait or run at the service's targets, over their slots.
@@ -125,6 +130,8 @@
   // Whether fresh word of the target says that it takes other weights before it begins anything.
   bool IsSwitching(const TargetId& id, Common::TimePoint now) const;
 
+  // A request for the service has come; the others are taken to get as many.
+  void OnArrival(const std::string& service, Common::TimePoint now);
   // `request` names the request until it has ended.
   void OnDispatched(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
                     Common::Duration expected_start, Common::TimePoint now);
@@ -143,17 +150,32 @@
   std::size_t Size() const { return m_targets.size(); }
   // Addresses of the listed targets of services that need weights, with their halls.
   std::vector<ListedTarget> Listed() const;
+  // Whether this gateway sends to the target at the address as long as it can, and all of those
+  // that have agents.
+  bool IsUsed(const Common::Address& address) const;
+  std::vector<Common::Address> Used() const;
+  // Whether targets of other halls are needed: the best one here would begin too late.
+  bool NeedsOtherHalls(Common::TimePoint now) const { return now < m_crowded_until; }
+  // What this gateway has at the target.
+  OwnWork OwnWorkAt(const TargetId& id) const;
+  // The address of a target that has an agent beside it, which can be told of work; empty if it
+  // has none.
+  std::optional<Common::Address> AgentOf(const TargetId& id) const;
 
 private:
   struct Target
   {
     ListedTarget listed;
     bool is_on_list = false;
+    // In reach of this gateway.
+    bool is_used = true;
     // Another one has its address. Its record may stay on the list for a while; as ids are never
     // used again, it does not come back.
     bool is_replaced = false;
     std::uint32_t own = 0;
     double unread_prompt_tokens = 0;
+    // Those of requests that were sent after the last report.
+    double unread_since_load = 0;
     // From the last report of its agent.
     std::optional<TargetLoad> load;
     std::uint32_t own_at_load = 0;
@@ -174,6 +196,7 @@
   // A report that is younger tells what its target does at this moment.
   static constexpr Common::Duration FRESH_LOAD = Common::Milliseconds(500);
 
+  void UpdateReach();
   // An address belongs to one target at a time: who had those of the added ones is gone.
   void ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, Common::TimePoint now);
   const Settings::EngineProfile* EngineOf(const std::string& service) const;
@@ -182,7 +205,18 @@
   // What the target has to do, as far as is known.
   TargetWork WorkOf(const Target& target, const Settings::EngineProfile& engine,
                     Common::TimePoint now) const;
-  Spread SpreadOf(const std::string& service, Common::TimePoint now) const;
+  Spread SpreadOf(const TargetWish& wish, Common::TimePoint now) const;
+  // Targets that this gateway may choose from, in reach or all.
+  enum class Scope
+  {
+    Used,
+    All,
+  };
+  std::optional<TargetChoice> ChooseFrom(Scope scope, const TargetWish& wish,
+                                         Common::TimePoint now);
+  // Notes whether the own hall can begin a usual request in time.
+  void NoteCrowding(const TargetWish& wish, const std::vector<SpreadOption>& options,
+                    Common::TimePoint now);
   std::uint64_t WeightsOf(const Target& target) const;
   // Whether a request that is sent now would begin in time on weights that are good enough.
   bool HasGoodWeights(const Target& target, const TargetWish& wish, Common::Duration start,
@@ -209,11 +243,12 @@
                                Common::TimePoint now) const;
 
   std::string m_hall;
-  std::size_t m_gateways = 1;
+  TargetReach m_reach;
+  GatewayCounts m_gateways;
   std::map<TargetId, Target> m_targets;
   std::map<std::string, Settings::EngineProfile> m_engines;
-  std::size_t m_near_gateways = 1;
   std::mt19937_64 m_random;
-  std::map<std::string, DispatchRate> m_rates; // by service
+  std::map<std::string, ArrivalRate> m_rates; // by service
+  Common::TimePoint m_crowded_until{};
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -2,6 +2,7 @@
 #include "Core/Mesh/Briefing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Holdpost::Mesh
 {
@@ -90,26 +91,54 @@
   return hello;
 }
 
-void Briefing::OnTick(TimePoint now, std::vector<Outgoing>* outgoing)
+void Briefing::SetUsed(std::set<Common::Address> sidecars, bool needs_other_halls)
+{
+  m_used = std::move(sidecars);
+  if (needs_other_halls && !m_needs_other_halls)
+    m_needed_due = {};
+  m_needs_other_halls = needs_other_halls;
+}
+
+bool Briefing::WantsLoad(const Peer& sidecar) const
 {
-  const auto tell = [&](bool is_near)
+  return m_used.contains(sidecar.address) && (sidecar.hall == m_hall || m_needs_other_halls);
+}
+
+bool Briefing::IsIn(Audience audience, const Peer& sidecar) const
+{
+  const bool is_near = sidecar.hall == m_hall;
+  if (audience == Audience::Near)
+    return is_near;
+  return !is_near && (audience == Audience::Far || m_used.contains(sidecar.address));
+}
+
+void Briefing::TellAll(Audience audience, TimePoint now, std::vector<Outgoing>* outgoing) const
+{
+  Hello hello = MakeHello(now, audience == Audience::Near);
+  for (const Peer& sidecar : m_sidecars)
   {
-    const Hello hello = MakeHello(now, is_near);
-    for (const Peer& sidecar : m_sidecars)
-    {
-      if ((sidecar.hall == m_hall) == is_near)
-        outgoing->push_back({sidecar.address, hello});
-    }
-  };
+    if (!IsIn(audience, sidecar))
+      continue;
+    hello.wants_load = WantsLoad(sidecar);
+    outgoing->push_back({sidecar.address, hello});
+  }
+}
+
+void Briefing::OnTick(TimePoint now, std::vector<Outgoing>* outgoing)
+{
   if (now >= m_near_due)
   {
     m_near_due = now + NEAR_PERIOD;
-    tell(true);
+    TellAll(Audience::Near, now, outgoing);
   }
   if (now >= m_far_due)
   {
     m_far_due = now + FAR_PERIOD;
-    tell(false);
+    TellAll(Audience::Far, now, outgoing);
   }
+  else if (now >= m_needed_due)
+    TellAll(Audience::FarUsed, now, outgoing);
+  if (now >= m_needed_due)
+    m_needed_due = TimePoint::max();
 }
 } // namespace Holdpost::Mesh
--- a/Source/Core/Mesh/Briefing.h
+++ b/Source/Core/Mesh/Briefing.h
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,13 +38,28 @@
   // `known_since` is when some process first knew of the version.
   void SetWeights(const Control::NamedWeights& named, Common::TimePoint known_since);
 
+  // Sidecars whose targets this gateway sends to, and whether those of other halls are needed.
+  void SetUsed(std::set<Common::Address> sidecars, bool needs_other_halls);
+
   // The versions of weights that are told at the moment.
   std::vector<ToldWeights> ToldAt(Common::TimePoint now) const;
   void OnTick(Common::TimePoint now, std::vector<Outgoing>* outgoing);
-  Common::TimePoint NextWakeup() const { return std::min(m_near_due, m_far_due); }
+  Common::TimePoint NextWakeup() const { return std::min({m_near_due, m_far_due, m_needed_due}); }
 
 private:
+  // Which of the sidecars a hello goes to.
+  enum class Audience
+  {
+    Near,
+    Far,
+    // Those elsewhere that are used.
+    FarUsed,
+  };
+
   Hello MakeHello(Common::TimePoint now, bool is_whole) const;
+  void TellAll(Audience audience, Common::TimePoint now, std::vector<Outgoing>* outgoing) const;
+  bool IsIn(Audience audience, const Peer& sidecar) const;
+  bool WantsLoad(const Peer& sidecar) const;
   void TellSoon() { m_near_due = {}; }
 
   std::string m_hall;
@@ -52,5 +69,9 @@
   std::map<std::string, Control::NamedVersions> m_weights; // by model
   Common::TimePoint m_near_due{};
   Common::TimePoint m_far_due{};
+  // When those of other halls are to be told that they are needed from now on.
+  Common::TimePoint m_needed_due = Common::TimePoint::max();
+  std::set<Common::Address> m_used;
+  bool m_needs_other_halls = false;
 };
 } // namespace Holdpost::Mesh
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -67,6 +67,14 @@
   // The sender's clock, which a load report gives back: so the sender learns how long the way
   // takes.
   Common::Milliseconds clock{0};
+  // The sender sends to the receiver's target, and needs each load report.
+  bool wants_load = false;
+};
+
+// What a gateway has at the receiver's target, told whenever that changes.
+struct TellWork
+{
+  Gateway::OwnWork work;
 };
 
 // A sidecar's word on its target.
@@ -147,6 +155,7 @@
   Common::Milliseconds answer_age{0};
 };
 
-using Message = std::variant<Hello, LoadReport, Announce, AskPiece, CancelPiece, TellPiece,
-                             AskDocument, TellDocument, AskTargets, TellTargets, ReaderBeat>;
+using Message =
+    std::variant<Hello, LoadReport, Announce, AskPiece, CancelPiece, TellPiece, AskDocument,
+                 TellDocument, AskTargets, TellTargets, ReaderBeat, TellWork>;
 } // namespace Holdpost::Mesh
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -113,6 +113,7 @@
   std::visit(
       Common::Overloaded{
           [&](const Mesh::Hello& hello) { OnHello(from, hello, now, actions); },
+          [&](const Mesh::TellWork& tell) { OnWork(from, tell.work, now, actions); },
           [&](const Mesh::Announce& announce) {
             m_exchange.OnAnnouncement(from.address.ToString(), announce.announcement, now, &made);
           },
@@ -157,6 +158,7 @@
   gateway.hall = from.hall;
   gateway.settings = hello.settings;
   gateway.clock = hello.clock;
+  gateway.wants_load = hello.wants_load;
   gateway.heard = now;
   if (!hello.plan.model.empty())
     OnPlan(hello.plan, now);
@@ -286,6 +288,8 @@
     m_report_due = now + (m_loader.IsUnderWay() ? REPORT_PERIOD_LOADING : REPORT_PERIOD);
     actions->push_back(ReadReport{});
   }
+  if (m_tell_due && now >= *m_tell_due)
+    TellLoad(now, actions);
   if (now >= m_peers_due)
     TellExchangeOfPeers(now, actions);
   Distribution::Actions made;
@@ -321,6 +325,8 @@
 TimePoint Sidecar::NextWakeup(TimePoint now) const
 {
   TimePoint next = m_is_reading_report ? now + REPORT_PERIOD : m_report_due;
+  if (m_tell_due)
+    next = std::min(next, *m_tell_due);
   if (const auto exchange = m_exchange.NextWakeup(now))
     next = std::min(next, *exchange);
   if (m_loader.State() == LoaderState::Announced)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -107,12 +107,24 @@
     Common::Milliseconds clock{0};
     Common::TimePoint heard{};
     Common::TimePoint told{};
+    // It needs each report.
+    bool wants_load = false;
+    // What it has at the target, and when it said so.
+    Gateway::OwnWork work;
+    Common::TimePoint work_heard{};
     // When it was last told of the other gateways of the hall.
     Common::TimePoint listed{};
   };
 
   void OnHello(const Mesh::Sender& from, const Mesh::Hello& hello, Common::TimePoint now,
                Actions* actions);
+  void OnWork(const Mesh::Sender& from, const Gateway::OwnWork& work, Common::TimePoint now,
+              Actions* actions);
+  // What all gateways have at the target.
+  Gateway::OwnWork WorkOfAll(Common::TimePoint now) const;
+  // The target's load as it was reported, and what has come since.
+  Gateway::TargetLoad LoadNow(Common::TimePoint now) const;
+  bool IsDue(const HeardGateway& gateway, bool has_news, Common::TimePoint now) const;
   void ChooseVersion(Common::TimePoint now, Actions* actions);
   void WantVersion(std::uint64_t version, Common::TimePoint now, Actions* actions);
   void CopyAhead(std::uint64_t version, Common::TimePoint now, Actions* actions);
@@ -161,6 +173,11 @@
   std::vector<Mesh::Peer> m_peers;
   std::optional<Common::TimePoint> m_began;
   std::optional<EngineReport> m_report;
+  // What gateways had told of when the report was read.
+  std::uint32_t m_requests_at_report = 0;
+  // New work is told of by then.
+  std::optional<Common::TimePoint> m_tell_due;
+  Common::TimePoint m_told_at{};
   bool m_is_reading_report = false;
   std::uint32_t m_reports_failed = 0;
   Common::TimePoint m_report_due{};
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -51,6 +51,7 @@
     m_stage.ProveAgain();
   }
   m_report = *report;
+  m_requests_at_report = WorkOfAll(now).requests;
   m_loader.OnReport(*report, now);
   ChooseVersion(now, actions);
   TellLoad(now, actions);
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -19,7 +19,12 @@
 using Common::Weight;
 
 static constexpr Milliseconds TELL_PERIOD = Milliseconds(100);
-static constexpr Milliseconds TELL_PERIOD_ACROSS = Milliseconds(250);
+// The same for gateways that do not need each report: they hear of versions by it.
+static constexpr Milliseconds TELL_PERIOD_UNUSED = Milliseconds(1000);
+// New work is told of at once, but not more often than this.
+static constexpr Milliseconds TELL_GAP = Milliseconds(10);
+// What a gateway had told of says nothing once it is silent for so long.
+static constexpr Milliseconds WORK_LIFETIME = Milliseconds(1500);
 // Gateways are told of each other so often.
 static constexpr Milliseconds LIST_PERIOD = Milliseconds(1000);
 // Gateways are told of a version that was named not longer ago than this, and of so many.
@@ -30,15 +35,48 @@
 static constexpr Milliseconds SWITCH_HORIZON = Milliseconds(3000);
 static constexpr Milliseconds PROGRESS_PERIOD = Milliseconds(500);
 
-void Sidecar::TellLoad(TimePoint now, Actions* actions)
+void Sidecar::OnWork(const Mesh::Sender& from, const Gateway::OwnWork& work, TimePoint now,
+                     Actions* actions)
+{
+  HeardGateway& gateway = m_gateways[from.address];
+  gateway.hall = from.hall;
+  gateway.heard = now;
+  gateway.work_heard = now;
+  const Gateway::OwnWork before = std::exchange(gateway.work, work);
+  if (work.requests <= before.requests || m_tell_due)
+    return;
+  m_tell_due = std::max(now, m_told_at + TELL_GAP);
+  if (now >= *m_tell_due)
+    TellLoad(now, actions);
+}
+
+Gateway::OwnWork Sidecar::WorkOfAll(TimePoint now) const
+{
+  Gateway::OwnWork all;
+  for (const auto& [address, gateway] : m_gateways)
+  {
+    if (now - std::max(gateway.heard, gateway.work_heard) > WORK_LIFETIME)
+      continue;
+    all.requests += gateway.work.requests;
+    all.unread_prompt_tokens += gateway.work.unread_prompt_tokens;
+  }
+  return all;
+}
+
+Gateway::TargetLoad Sidecar::LoadNow(TimePoint now) const
 {
   Gateway::TargetLoad load;
   load.address = m_options.target;
   load.is_switching = m_loader.IsUnderWay();
   if (m_report)
   {
-    load.running = m_report->running;
-    load.queued = m_report->queued;
+    const Gateway::OwnWork work = WorkOfAll(now);
+    const std::uint32_t came = work.requests - std::min(work.requests, m_requests_at_report);
+    const std::uint32_t ended =
+        m_requests_at_report - std::min(work.requests, m_requests_at_report);
+    load.running = m_report->running - std::min(m_report->running, ended);
+    load.queued = m_report->queued + came;
+    load.unread_prompt_tokens = work.unread_prompt_tokens;
     load.weights_version = m_report->weights_version;
     load.is_switching = load.is_switching || m_report->is_busy;
     load.pace = m_report->pace;
@@ -50,9 +88,26 @@
       load.switch_in = std::max(left, Milliseconds(0));
   }
   load.inbound_delay = std::chrono::duration_cast<Milliseconds>(m_exchange.InboundDelay(now));
+  return load;
+}
+
+bool Sidecar::IsDue(const HeardGateway& gateway, bool has_news, TimePoint now) const
+{
+  if (has_news)
+    return true;
+  // A little early rather than one whole period late.
+  const Duration period =
+      (gateway.wants_load ? TELL_PERIOD : TELL_PERIOD_UNUSED) - Milliseconds(20);
+  return now - gateway.told >= period || (gateway.wants_load && m_tell_due);
+}
+
+void Sidecar::TellLoad(TimePoint now, Actions* actions)
+{
+  const Gateway::TargetLoad load = LoadNow(now);
   const bool has_news = !m_told || m_told->is_switching != load.is_switching ||
                         m_told->weights_version != load.weights_version;
   m_told = load;
+  m_told_at = now;
   std::erase_if(m_gateways,
                 [now](const auto& entry) { return now - entry.second.heard > GATEWAY_LIFETIME; });
   Mesh::LoadReport report;
@@ -75,11 +130,9 @@
   }
   for (auto& [address, gateway] : m_gateways)
   {
-    const bool is_near = gateway.hall == m_options.hall;
-    const Duration period = is_near ? TELL_PERIOD : TELL_PERIOD_ACROSS;
-    // A little early rather than one whole period late.
-    if (!has_news && now - gateway.told < period - Milliseconds(20))
+    if (!IsDue(gateway, has_news, now))
       continue;
+    const bool is_near = gateway.hall == m_options.hall;
     gateway.told = now;
     report.near_gateways.clear();
     if (is_near && now - gateway.listed >= LIST_PERIOD)
@@ -91,6 +144,7 @@
     report.echo_age = std::chrono::duration_cast<Milliseconds>(now - gateway.heard);
     actions->push_back(Tell{address, report, true});
   }
+  m_tell_due.reset();
 }
 
 std::vector<Address> Sidecar::NearGateways() const
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -2,6 +2,7 @@
 #include "Node/GatewayControl.h"
 
 #include <algorithm>
+#include <set>
 
 #include "Common/Compression.h"
 #include "Common/EventLog.h"
@@ -87,12 +88,27 @@
   QuerySeeds(now);
   if (m_duty.Reads() && now >= m_beat_due)
     Beat(now);
+  UpdateTargetsInUse();
   std::vector<Mesh::Outgoing> outgoing;
   m_briefing.OnTick(now, &outgoing);
   for (const Mesh::Outgoing& out : outgoing)
     m_mesh.SendDatagram(out.to, out.message);
 }
 
+void GatewayControl::UpdateTargetsInUse()
+{
+  const TargetsInUse in_use = m_handlers.targets_in_use();
+  std::set<Address> sidecars;
+  for (const Address& target : in_use.targets)
+    sidecars.insert({target.host, m_mesh.Self().address.port});
+  m_briefing.SetUsed(std::move(sidecars), in_use.needs_other_halls);
+}
+
+void GatewayControl::TellWork(const Address& target, const Gateway::OwnWork& work)
+{
+  m_mesh.SendDatagram({target.host, m_mesh.Self().address.port}, Mesh::TellWork{work});
+}
+
 TimePoint GatewayControl::NextWakeup() const
 {
   const TimePoint beat_due = m_duty.Reads() ? m_beat_due : TimePoint::max();
@@ -298,8 +314,8 @@
 {
   const TimePoint now = EventLoop::Now();
   m_hall_gateways.OnListed(report.near_gateways, now);
-  m_handlers.on_gateways(m_gateway_count.OnReported(report.gateways, now),
-                         m_hall_gateways.Others(now).size() + 1);
+  m_handlers.on_gateways(
+      {m_gateway_count.OnReported(report.gateways, now), m_hall_gateways.Others(now).size() + 1});
   if (const auto ask = m_follower.OnPeerVersion(report.settings, now))
     m_mesh.Send(report.settings_at, Mesh::AskDocument{*ask});
   if (OfferWeights(report.weights, now))
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -11,6 +11,7 @@
 #include "Core/Control/ControlFollower.h"
 #include "Core/Control/PeerQuery.h"
 #include "Core/Control/ReaderDuty.h"
+#include "Core/Gateway/TargetReach.h"
 #include "Core/Mesh/Briefing.h"
 #include "Core/Mesh/GatewayCount.h"
 #include "Core/Mesh/HallGateways.h"
@@ -25,6 +26,12 @@
 class GatewayControl
 {
 public:
+  struct TargetsInUse
+  {
+    std::vector<Common::Address> targets;
+    bool needs_other_halls = false;
+  };
+
   // What is new is told by these.
   struct Handlers
   {
@@ -32,8 +39,9 @@
     std::function<void(const std::string& model, const Control::KnownVersion&)> on_weights;
     std::function<void(const std::vector<Gateway::ListedTarget>&)> on_targets;
     std::function<void(const Gateway::TargetLoad&)> on_load;
-    // How many gateways there are, and how many of them in this hall.
-    std::function<void(std::size_t gateways, std::size_t near_gateways)> on_gateways;
+    std::function<void(const Gateway::GatewayCounts&)> on_gateways;
+    // The targets that are sent to, and whether those of other halls are needed.
+    std::function<TargetsInUse()> targets_in_use;
     // Something is to be done earlier than was said.
     std::function<void()> on_wakeup;
   };
@@ -48,6 +56,8 @@
   void SetConfig(const MeshConfig& config);
   void Tick(Common::TimePoint now);
   Common::TimePoint NextWakeup() const;
+  // Tells the sidecar beside the target what is open there.
+  void TellWork(const Common::Address& target, const Gateway::OwnWork& work);
   // Drops connections to peers that carried nothing for a while.
   void CloseIdle(Common::TimePoint now) { m_mesh.CloseIdle(now); }
 
@@ -70,6 +80,7 @@
   void ApplyOperator();
   void ApplyTargets();
   void UpdateBriefing();
+  void UpdateTargetsInUse();
 
   void OnMessage(const Mesh::Sender& from, Mesh::Message& message);
   void OnLoadReport(const Mesh::LoadReport& report);
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -314,6 +314,11 @@
     exchange.caller->AbortAnswer();
 }
 
+void GatewayNode::Do(const Gateway::TellAgent& tell)
+{
+  m_control.TellWork(tell.target, tell.work);
+}
+
 template <typename Event>
 void GatewayNode::Feed(Event event)
 {
@@ -350,10 +355,12 @@
     m_core.OnTargetLoad(load, EventLoop::Now(), &actions);
     Carry(actions);
   };
-  handlers.on_gateways = [this](std::size_t gateways, std::size_t near_gateways)
+  handlers.on_gateways = [this](const Gateway::GatewayCounts& gateways)
+  { m_core.SetGateways(gateways, EventLoop::Now()); };
+  handlers.targets_in_use = [this]
   {
-    m_core.SetGateways(gateways, EventLoop::Now());
-    m_core.SetNearGateways(near_gateways);
+    const Gateway::TargetTable& targets = m_core.Targets();
+    return GatewayControl::TargetsInUse{targets.Used(), targets.NeedsOtherHalls(EventLoop::Now())};
   };
   handlers.on_wakeup = [this] { Tick(); };
   return handlers;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -42,6 +42,8 @@
   peers @5 :List(Peer);
   # The sender's clock, which the load report gives back.
   clockMs @6 :UInt32;
+  # The sender sends to the receiver's target, and needs each report.
+  wantsLoad @7 :Bool;
 }
 
 struct Load {
@@ -61,6 +63,15 @@
   echoAgeMs @12 :UInt32;
   inboundDelayMs @13 :UInt32;
   nearGateways @14 :List(Address);
+  # One more than the prompt tokens of requests that have not begun; 0 if that is not known.
+  unreadTokens @15 :UInt32;
+}
+
+# What a gateway has at the receiver's target.
+struct Work {
+  requests @0 :UInt16;
+  # Prompt tokens of those that have not begun.
+  unreadTokens @1 :UInt32;
 }
 
 struct Announcement {
@@ -144,5 +155,6 @@
     targetsRequest @12 :UInt64;
     targetsAnswer @13 :TargetsAnswer;
     readerBeat @14 :ReaderBeat;
+    work @15 :Work;
   }
 }
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(fce6fdafd5b68370);
 CAPNP_DECLARE_SCHEMA(cd2162000944b10a);
 CAPNP_DECLARE_SCHEMA(f17b276126095b8f);
+CAPNP_DECLARE_SCHEMA(91c4fc4e5efe5f39);
 CAPNP_DECLARE_SCHEMA(fe94abcaeac29e7b);
 CAPNP_DECLARE_SCHEMA(9f024de718555828);
 CAPNP_DECLARE_SCHEMA(d9ee33f0caa151ff);
@@ -120,7 +121,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Work {
+  Work() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91c4fc4e5efe5f39, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -250,6 +266,7 @@
     TARGETS_REQUEST,
     TARGETS_ANSWER,
     READER_BEAT,
+    WORK,
   };
 
   struct _capnpPrivate {
@@ -683,6 +700,8 @@
 
   inline  ::uint32_t getClockMs() const;
 
+  inline bool getWantsLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -749,6 +768,9 @@
   inline  ::uint32_t getClockMs();
   inline void setClockMs( ::uint32_t value);
 
+  inline bool getWantsLoad();
+  inline void setWantsLoad(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -827,6 +849,8 @@
   inline bool hasNearGateways() const;
   inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Reader getNearGateways() const;
 
+  inline  ::uint32_t getUnreadTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -916,6 +940,9 @@
   inline void adoptNearGateways(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>> disownNearGateways();
 
+  inline  ::uint32_t getUnreadTokens();
+  inline void setUnreadTokens( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -944,6 +971,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Work::Reader {
+public:
+  typedef Work Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getRequests() const;
+
+  inline  ::uint32_t getUnreadTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Work::Builder {
+public:
+  typedef Work Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getRequests();
+  inline void setRequests( ::uint16_t value);
+
+  inline  ::uint32_t getUnreadTokens();
+  inline void setUnreadTokens( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Work::Pipeline {
+public:
+  typedef Work Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Announcement::Reader {
 public:
   typedef Announcement Reads;
@@ -1754,6 +1862,10 @@
   inline bool hasReaderBeat() const;
   inline  ::Holdpost::MeshWire::ReaderBeat::Reader getReaderBeat() const;
 
+  inline bool isWork() const;
+  inline bool hasWork() const;
+  inline  ::Holdpost::MeshWire::Work::Reader getWork() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1883,6 +1995,14 @@
   inline void adoptReaderBeat(::capnp::Orphan< ::Holdpost::MeshWire::ReaderBeat>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::ReaderBeat> disownReaderBeat();
 
+  inline bool isWork();
+  inline bool hasWork();
+  inline  ::Holdpost::MeshWire::Work::Builder getWork();
+  inline void setWork( ::Holdpost::MeshWire::Work::Reader value);
+  inline  ::Holdpost::MeshWire::Work::Builder initWork();
+  inline void adoptWork(::capnp::Orphan< ::Holdpost::MeshWire::Work>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::Work> disownWork();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2425,6 +2545,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getWantsLoad() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getWantsLoad() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setWantsLoad(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Load::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2725,6 +2859,48 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Load::Reader::getUnreadTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getUnreadTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setUnreadTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Work::Reader::getRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Work::Builder::getRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Work::Reader::getUnreadTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Work::Builder::getUnreadTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setUnreadTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Announcement::Reader::hasVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4134,6 +4310,60 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isWork() const {
+  return which() == Message::WORK;
+}
+inline bool Message::Builder::isWork() {
+  return which() == Message::WORK;
+}
+inline bool Message::Reader::hasWork() const {
+  if (which() != Message::WORK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasWork() {
+  if (which() != Message::WORK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::Work::Reader Message::Reader::getWork() const {
+  KJ_IREQUIRE((which() == Message::WORK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Work>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::Work::Builder Message::Builder::getWork() {
+  KJ_IREQUIRE((which() == Message::WORK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Work>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setWork( ::Holdpost::MeshWire::Work::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::WORK);
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Work>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::Work::Builder Message::Builder::initWork() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::WORK);
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Work>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptWork(
+    ::capnp::Orphan< ::Holdpost::MeshWire::Work>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::WORK);
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Work>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::Work> Message::Builder::disownWork() {
+  KJ_IREQUIRE((which() == Message::WORK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Work>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -155,6 +155,7 @@
   if (!hello.peers.empty())
     WritePeers(hello.peers, out);
   out.setClockMs(ToWireMs(hello.clock));
+  out.setWantsLoad(hello.wants_load);
 }
 
 static Mesh::Message Read(MeshWire::Hello::Reader in)
@@ -167,6 +168,7 @@
     hello.plan = Read(in.getPlan());
   hello.peers = ReadPeers(in);
   hello.clock = Milliseconds(in.getClockMs());
+  hello.wants_load = in.getWantsLoad();
   return hello;
 }
 
@@ -179,6 +181,8 @@
   Write(load.address, out.initTarget());
   out.setRunning(static_cast<std::uint16_t>(load.running));
   out.setQueued(static_cast<std::uint16_t>(load.queued));
+  if (load.unread_prompt_tokens)
+    out.setUnreadTokens(*load.unread_prompt_tokens + 1);
   out.setWeightsVersion(static_cast<std::uint32_t>(load.weights_version));
   out.setIsSwitching(load.is_switching);
   out.setPacePercent(static_cast<std::uint16_t>(std::lround(load.pace * PERCENT)));
@@ -206,6 +210,8 @@
   load.address = Read(in.getTarget());
   load.running = in.getRunning();
   load.queued = in.getQueued();
+  if (in.getUnreadTokens() > 0)
+    load.unread_prompt_tokens = in.getUnreadTokens() - 1;
   load.weights_version = in.getWeightsVersion();
   load.is_switching = in.getIsSwitching();
   load.pace = in.getPacePercent() / PERCENT;
@@ -225,6 +231,18 @@
   return report;
 }
 
+static void Write(const Mesh::TellWork& tell, MeshWire::Message::Builder message)
+{
+  auto out = message.initWork();
+  out.setRequests(static_cast<std::uint16_t>(tell.work.requests));
+  out.setUnreadTokens(tell.work.unread_prompt_tokens);
+}
+
+static Mesh::Message Read(MeshWire::Work::Reader in)
+{
+  return Mesh::TellWork{{in.getRequests(), in.getUnreadTokens()}};
+}
+
 // --- weights ---
 
 static void Write(const Mesh::Announce& announce, MeshWire::Message::Builder message)
@@ -446,6 +464,8 @@
     return Read(in.getTargetsAnswer());
   case MeshWire::Message::READER_BEAT:
     return Read(in.getReaderBeat());
+  case MeshWire::Message::WORK:
+    return Read(in.getWork());
   }
   return std::nullopt;
 }
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -471,3 +471,38 @@
   f.Pass(Milliseconds(200));
   CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
 }
+
+TEST_CASE("The agent beside a target is told of the work that a gateway has there")
+{
+  Fixture f;
+  const auto number = f.Arrive("/chat/");
+  const auto sent = Testing::Only<Dispatch>(f.actions);
+  REQUIRE(sent.size() == 1);
+  auto told = Take<TellAgent>(f.actions);
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].target == sent[0].address);
+  CHECK(told[0].work == OwnWork{1, 1000});
+  f.Feed(f.Began(number));
+  told = Take<TellAgent>(f.actions);
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].work == OwnWork{1, 0});
+  f.Feed(AnswerEnded{number});
+  told = Take<TellAgent>(f.actions);
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].work == OwnWork{});
+
+  SUBCASE("services without agents are told nothing")
+  {
+    f.Arrive("/status/");
+    CHECK(Take<TellAgent>(f.actions).empty());
+  }
+  SUBCASE("so it is when the caller leaves")
+  {
+    const auto other = f.Arrive("/chat/");
+    f.actions.clear();
+    f.Feed(CallerLeft{other});
+    told = Take<TellAgent>(f.actions);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].work == OwnWork{});
+  }
+}
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -137,8 +137,8 @@
   CHECK(log.Lines("target.avoided")[0]["failures"] == 1);
   CHECK(log.Lines("target.avoided")[0]["for_ms"] > 0);
 
-  f.gateway.SetGateways(3, f.now);
-  f.gateway.SetGateways(3, f.now);
+  f.gateway.SetGateways({3, 1}, f.now);
+  f.gateway.SetGateways({3, 1}, f.now);
   REQUIRE(log.Lines("gateways.counted").size() == 1);
   CHECK(log.Lines("gateways.counted")[0]["before"] == 1);
 }
--- a/Source/UnitTests/Core/Gateway/SpreadChoiceTest.cpp
+++ b/Source/UnitTests/Core/Gateway/SpreadChoiceTest.cpp
@@ -67,3 +67,21 @@
   CHECK(share_of_first(2) < 95);
   CHECK(share_of_first(20) < 70);
 }
+
+TEST_CASE("No more is admitted than targets can begin in time")
+{
+  const Milliseconds limit(200);
+  // Up to 200 ms there is room for 50 + 100 + 80 ms of work: 4.6 requests.
+  CHECK(AdmittedPart(OPTIONS, {0, 0, ONE, PENALTY}, limit) == 1);
+  CHECK(AdmittedPart(OPTIONS, {3, 0, ONE, PENALTY}, limit) == 1);
+  CHECK(AdmittedPart(OPTIONS, {8.2, 0, ONE, PENALTY}, limit) == doctest::Approx(0.5));
+
+  SUBCASE("alone a gateway may use what little there is")
+  {
+    CHECK(AdmittedPart(OPTIONS, {0, 0, ONE, PENALTY}, Milliseconds(110)) == 1);
+  }
+  SUBCASE("services without published times take what comes")
+  {
+    CHECK(AdmittedPart(OPTIONS, {0, 0, Milliseconds(0), PENALTY}, limit) == 1);
+  }
+}
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -130,7 +130,7 @@
 TEST_CASE("Without word of a target the other gateways are taken to send as much")
 {
   Fixture f;
-  f.table.SetGateways(7);
+  f.table.SetGateways({7, 7});
   f.table.OnLoad(MakeLoad(f.two, 5), f.now);
   for (std::uint64_t i = 0; i < 3; ++i)
     f.table.OnDispatched("1", i, 0, Milliseconds(100), f.now);
@@ -275,3 +275,104 @@
     CHECK(f.Choose({"llm", 100, 200, {}, {}})->id == "1");
   }
 }
+
+TEST_CASE("Prompts that others wait to be read hold up a request")
+{
+  Fixture f;
+  TargetLoad flooded = MakeLoad(f.one, 4);
+  flooded.unread_prompt_tokens = 8000;
+  f.table.OnLoad(flooded, f.now);
+  TargetLoad calm = MakeLoad(f.two, 10);
+  calm.unread_prompt_tokens = 0;
+  f.table.OnLoad(calm, f.now);
+  CHECK(f.Choose()->id == "2");
+  CHECK(f.Choose()->expected_start < Milliseconds(200));
+
+  SUBCASE("until they have been read")
+  {
+    f.now += Milliseconds(1400);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("what this gateway sent since the report counts on top")
+  {
+    f.table.OnDispatched("2", 1, 9000, Milliseconds(100), f.now);
+    CHECK(f.Choose()->id == "1");
+    CHECK(f.table.OwnWorkAt("2") == OwnWork{1, 9000});
+    f.table.OnStarted("2", 1, 9000, f.now);
+    CHECK(f.table.OwnWorkAt("2") == OwnWork{1, 0});
+    f.table.OnEnded("2", 1, 0);
+    CHECK(f.table.OwnWorkAt("2") == OwnWork{});
+  }
+}
+
+TEST_CASE("Of many gateways that see the same room each sends its part")
+{
+  Fixture f;
+  f.table.SetGateways({40, 40});
+  // One has room for about two more requests, the other for none.
+  f.table.OnLoad(MakeLoad(f.one, 60), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 15), f.now);
+  f.table.OnArrival("llm", f.now);
+  TargetWish wish{"llm", 1000, 100, {}, {}, 1, Milliseconds(400)};
+  const auto count_sent = [&]
+  {
+    int sent = 0;
+    for (int i = 0; i < 200; ++i)
+      sent += f.Choose(wish).has_value() ? 1 : 0;
+    return sent;
+  };
+  CHECK(count_sent() < 50);
+
+  SUBCASE("alone it may send")
+  {
+    f.table.SetGateways({1, 1});
+    CHECK(count_sent() == 200);
+  }
+  SUBCASE("a request that has run is not held to it")
+  {
+    wish.start_most.reset();
+    CHECK(count_sent() == 200);
+  }
+}
+
+TEST_CASE("Other halls are needed while nothing here can begin soon")
+{
+  TargetTable table("here");
+  const ListedTarget near = MakeTarget("1");
+  table.SetEngine("llm", MakeEngine());
+  table.SetList({near, MakeTarget("2", "there")}, START);
+  table.OnLoad(MakeLoad(near, 8), START);
+  CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START));
+  CHECK(!table.NeedsOtherHalls(START));
+  table.OnLoad(MakeLoad(near, 20), START);
+  CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START));
+  CHECK(table.NeedsOtherHalls(START));
+  CHECK(!table.NeedsOtherHalls(START + Milliseconds(5000)));
+}
+
+TEST_CASE("Targets out of reach are used when no other is open")
+{
+  TargetTable table("here", 7);
+  std::vector<ListedTarget> list;
+  for (int i = 0; i < 30; ++i)
+  {
+    list.push_back(MakeTarget(std::to_string(10 + i), i < 2 ? "here" : "there"));
+    list.back().id = "t" + std::to_string(i);
+  }
+  table.SetEngine("llm", MakeEngine());
+  table.SetList(list, START);
+  table.SetGateways({60, 2});
+  std::vector<Common::Address> used = table.Used();
+  CHECK(used.size() < 12);
+  CHECK(table.IsUsed(list[0].address));
+  for (ListedTarget& target : list)
+  {
+    if (table.IsUsed(target.address))
+      target.state = TargetState::Leaving;
+  }
+  table.SetList(list, START);
+  // Those that leave stay in reach until they are gone.
+  const auto choice = table.Choose({"llm", 1000, 100, {}, {}}, START);
+  REQUIRE(choice);
+  CHECK(!table.IsUsed(choice->address));
+}
--- a/Source/UnitTests/Core/Mesh/BriefingTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingTest.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "Core/Mesh/Briefing.h"
@@ -39,6 +41,43 @@
   CHECK(out.size() == 1);
 }
 
+TEST_CASE("Sidecars of targets in use are asked for each report")
+{
+  const Peer near{{"10.0.0.1", 7700}, "here"};
+  const Peer far{{"10.0.0.2", 7700}, "there"};
+  const Peer unused{{"10.0.0.3", 7700}, "there"};
+  Briefing briefing("here");
+  briefing.SetSidecars({near, far, unused});
+  briefing.SetUsed({near.address, far.address}, false);
+  std::vector<Outgoing> out;
+  const auto wants_load = [&](const Peer& peer)
+  {
+    const auto found = std::ranges::find(out, peer.address, &Outgoing::to);
+    REQUIRE(found != out.end());
+    return std::get<Hello>(found->message).wants_load;
+  };
+  briefing.OnTick(START, &out);
+  CHECK(wants_load(near));
+  CHECK(!wants_load(far));
+  CHECK(!wants_load(unused));
+
+  SUBCASE("those of other halls as soon as they are needed")
+  {
+    out.clear();
+    briefing.SetUsed({near.address, far.address}, true);
+    CHECK(briefing.NextWakeup() <= START);
+    briefing.OnTick(START + Milliseconds(10), &out);
+    REQUIRE(out.size() == 1);
+    CHECK(wants_load(far));
+    out.clear();
+    briefing.OnTick(START + Milliseconds(20), &out);
+    CHECK(out.empty());
+    briefing.OnTick(START + Milliseconds(1000), &out);
+    CHECK(wants_load(far));
+    CHECK(!wants_load(unused));
+  }
+}
+
 TEST_CASE("The way to a sidecar is known from its report")
 {
   LoadReport report;
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Sidecar/Sidecar.h"
+#include "Support/Actions.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Sidecar;
+using Common::Address;
+using Common::Milliseconds;
+using Testing::Take;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+const Mesh::Sender NEAR{"front-1", "here", {"10.0.0.1", 7700}, 1};
+const Mesh::Sender OTHER{"front-2", "here", {"10.0.0.2", 7700}, 1};
+const Mesh::Sender FAR{"front-3", "there", {"10.0.0.3", 7700}, 1};
+
+// A sidecar whose engine runs two requests, and three gateways, of which two want each report.
+struct Fixture
+{
+  Fixture()
+  {
+    Hear(NEAR, true);
+    Hear(OTHER, true);
+    Hear(FAR, false);
+    ReadReport(2, 0);
+    Reports();
+  }
+  void Hear(const Mesh::Sender& from, bool wants_load)
+  {
+    Mesh::Hello hello;
+    hello.is_gateway = true;
+    hello.wants_load = wants_load;
+    sidecar.OnMessage(from, hello, now, &actions);
+  }
+  void ReadReport(std::uint32_t running, std::uint32_t queued)
+  {
+    EngineReport report;
+    report.running = running;
+    report.queued = queued;
+    report.weights_version = 1;
+    sidecar.Handle(ReportRead{report}, now, &actions);
+  }
+  void TellWork(const Mesh::Sender& from, std::uint32_t requests, std::uint32_t unread)
+  {
+    sidecar.OnMessage(from, Mesh::TellWork{{requests, unread}}, now, &actions);
+  }
+  void Pass(Common::Duration time)
+  {
+    now += time;
+    sidecar.OnTick(now, &actions);
+  }
+  // The load that gateways were told since the last call, by their addresses.
+  std::map<Address, Gateway::TargetLoad> Reports()
+  {
+    std::map<Address, Gateway::TargetLoad> told;
+    for (const Tell& tell : Take<Tell>(actions))
+      told[tell.to] = std::get<Mesh::LoadReport>(tell.message).load;
+    return told;
+  }
+
+  Common::Metrics metrics;
+  Sidecar::Sidecar sidecar{
+      {{"10.0.0.9", 7700}, "here", {"10.0.0.9", 8000}, "llm", 0, Milliseconds(8000)}, metrics};
+  Common::TimePoint now = START;
+  Actions actions;
+};
+} // namespace
+
+TEST_CASE("New work at a target is told at once to the gateways that send there")
+{
+  Fixture f;
+  f.now += Milliseconds(30);
+  f.TellWork(NEAR, 1, 1200);
+  auto told = f.Reports();
+  REQUIRE(told.size() == 2);
+  CHECK(told.at(OTHER.address).running + told.at(OTHER.address).queued == 3);
+  CHECK(told.at(OTHER.address).unread_prompt_tokens == 1200);
+
+  SUBCASE("but not more often than each ten milliseconds")
+  {
+    f.now += Milliseconds(2);
+    f.TellWork(OTHER, 1, 300);
+    f.TellWork(NEAR, 2, 1700);
+    CHECK(f.Reports().empty());
+    CHECK(f.sidecar.NextWakeup(f.now) <= f.now + Milliseconds(8));
+    f.Pass(Milliseconds(8));
+    told = f.Reports();
+    REQUIRE(told.size() == 2);
+    CHECK(told.at(NEAR.address).unread_prompt_tokens == 2000);
+    CHECK(told.at(NEAR.address).running + told.at(NEAR.address).queued == 5);
+  }
+  SUBCASE("work that ends is told with the next report")
+  {
+    f.now += Milliseconds(20);
+    f.TellWork(NEAR, 0, 0);
+    CHECK(f.Reports().empty());
+    f.now += Milliseconds(80);
+    f.ReadReport(2, 0);
+    told = f.Reports();
+    CHECK(told.at(NEAR.address).running + told.at(NEAR.address).queued == 2);
+    CHECK(told.at(NEAR.address).unread_prompt_tokens == 0);
+  }
+  SUBCASE("what the engine's report holds already is not counted twice")
+  {
+    f.now += Milliseconds(80);
+    f.ReadReport(3, 0);
+    told = f.Reports();
+    CHECK(told.at(NEAR.address).running == 3);
+    CHECK(told.at(NEAR.address).queued == 0);
+  }
+  SUBCASE("a gateway that has fallen silent has nothing there any more")
+  {
+    f.now += Milliseconds(1600);
+    f.Hear(OTHER, true);
+    f.ReadReport(2, 0);
+    CHECK(f.Reports().at(OTHER.address).unread_prompt_tokens == 0);
+  }
+}
+
+TEST_CASE("Gateways that do not need each report hear each second")
+{
+  Fixture f;
+  int far = 0;
+  for (int i = 0; i < 50; ++i)
+  {
+    f.now += Milliseconds(100);
+    f.Hear(FAR, false);
+    f.Hear(NEAR, true);
+    f.ReadReport(2, 0);
+    far += static_cast<int>(f.Reports().contains(FAR.address));
+  }
+  CHECK(far >= 4);
+  CHECK(far <= 6);
+
+  SUBCASE("until they do")
+  {
+    f.Hear(FAR, true);
+    f.now += Milliseconds(30);
+    f.TellWork(NEAR, 1, 1000);
+    CHECK(f.Reports().contains(FAR.address));
+  }
+}
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -34,6 +34,7 @@
     hello.plan = {"svc", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a"};
     hello.peers = {{{"10.1.0.5", 7700}, "oslo-a"}, {{"10.2.0.5", 7700}, "bergen-a"}};
     hello.clock = Milliseconds(123456);
+    hello.wants_load = true;
     const Mesh::Hello got = There(hello);
     CHECK(got.is_gateway);
     CHECK(got.settings == 17);
@@ -42,6 +43,7 @@
     CHECK(got.plan == hello.plan);
     CHECK(got.peers == hello.peers);
     CHECK(got.clock == hello.clock);
+    CHECK(got.wants_load);
   }
   SUBCASE("load report")
   {
@@ -49,6 +51,7 @@
     report.load.address = {"10.1.0.5", 8001};
     report.load.running = 12;
     report.load.queued = 3;
+    report.load.unread_prompt_tokens = 0;
     report.load.weights_version = 2;
     report.load.is_switching = true;
     report.load.switch_in = Milliseconds(0);
@@ -73,6 +76,10 @@
     CHECK(got.echo == report.echo);
     CHECK(got.echo_age == report.echo_age);
   }
+  SUBCASE("the work of a gateway")
+  {
+    CHECK(There(Mesh::TellWork{{3, 4200}}).work == Gateway::OwnWork{3, 4200});
+  }
   SUBCASE("pieces and their announcement")
   {
     const Common::Digest version = Common::Sha256("v");
--- a/Source/UnitTests/Peers/MeshMutationTest.cpp
+++ b/Source/UnitTests/Peers/MeshMutationTest.cpp
@@ -31,8 +31,10 @@
   announce.announcement.bitmap = std::string(12, '\x55');
   announce.announcement.pieces = {1, 2, 95};
   const std::vector<std::string> texts = {
-      MeshPeer::Encode(from, hello), MeshPeer::Encode(from, report),
+      MeshPeer::Encode(from, hello),
+      MeshPeer::Encode(from, report),
       MeshPeer::Encode(from, announce),
+      MeshPeer::Encode(from, Mesh::TellWork{{3, 4200}}),
       MeshPeer::Encode(from, Mesh::AskPiece{7, Common::Sha256("v"), 3}),
       MeshPeer::Encode(from, Mesh::TellPiece{7, Common::MakeBytes("the bytes")})};
   // Seed 7 found a report of 87 bytes that was read as one of 53 MB. HOLDPOST_MUTATION_SEED plays
