--- a/Source/Bench/Routing/RoutingReport.cpp
+++ b/Source/Bench/Routing/RoutingReport.cpp
@@ -9,6 +9,10 @@
 {
 static constexpr int WINDOW_SECONDS = 2;
 static constexpr std::size_t WORST_WINDOWS = 2;
+static constexpr double MEAN_WEIGHT = 0.48;
+static constexpr double WINDOWS_WEIGHT = 0.2;
+static constexpr double CLASS_WEIGHT = 0.12;
+static constexpr double HALL_WEIGHT = 0.2;
 
 static double EarnedOf(const std::vector<const SettledRequest*>& requests)
 {
@@ -90,13 +94,75 @@
   return earned.empty() ? 0 : sum / static_cast<double>(earned.size());
 }
 
+double RoutingReport::EarnedInWorstHall() const
+{
+  std::map<std::string, std::vector<const SettledRequest*>> halls;
+  for (const SettledRequest& request : m_requests)
+    halls[request.hall].push_back(&request);
+  double worst = 1;
+  for (const auto& [hall, requests] : halls)
+    worst = std::min(worst, EarnedOf(requests));
+  return worst;
+}
+
+static double ServedOf(const std::vector<const SettledRequest*>& requests)
+{
+  const auto served = std::ranges::count_if(
+      requests, [](const SettledRequest* request)
+      { return request->outcome != Outcome::Refused && request->outcome != Outcome::Failed; });
+  return static_cast<double>(served) / std::max<double>(1, static_cast<double>(requests.size()));
+}
+
+std::map<std::string, std::vector<const SettledRequest*>> RoutingReport::ByKind() const
+{
+  std::map<std::string, std::vector<const SettledRequest*>> kinds;
+  for (const SettledRequest& request : m_requests)
+    kinds[request.kind].push_back(&request);
+  return kinds;
+}
+
+double RoutingReport::LargestServed() const
+{
+  double worst = 1;
+  for (auto& [kind, requests] : ByKind())
+  {
+    const double all = ServedOf(requests);
+    std::ranges::sort(requests, {}, &SettledRequest::size);
+    const auto tenth = static_cast<std::ptrdiff_t>(requests.size() / 10);
+    worst = std::min(worst, ServedOf({requests.end() - tenth, requests.end()}) / all);
+  }
+  return worst;
+}
+
+double RoutingReport::EarnedInWorstClass() const
+{
+  double worst = 1;
+  for (auto& [kind, requests] : ByKind())
+  {
+    const auto tenth = static_cast<std::ptrdiff_t>(requests.size() / 10);
+    std::ranges::sort(requests, {}, &SettledRequest::size);
+    const auto end = requests.end();
+    worst = std::min({worst, EarnedOf(requests), EarnedOf({end - tenth, end}),
+                      EarnedOf({end - 3 * tenth, end - tenth})});
+  }
+  return worst;
+}
+
+double RoutingReport::Mark() const
+{
+  return MEAN_WEIGHT * Earned() + WINDOWS_WEIGHT * EarnedInWorstWindows() +
+         CLASS_WEIGHT * EarnedInWorstClass() + HALL_WEIGHT * EarnedInWorstHall();
+}
+
 std::string RoutingReport::Summary() const
 {
   std::vector<const SettledRequest*> all;
   for (const SettledRequest& request : m_requests)
     all.push_back(&request);
-  return fmt::format("{} reports near {} far {} worst windows {:.3f}", Describe(all), near_tells,
-                     far_tells, EarnedInWorstWindows());
+  return fmt::format("{} reports near {} far {} largest {:.3f} class {:.3f} hall {:.3f} windows "
+                     "{:.3f} mark {:.3f}",
+                     Describe(all), near_tells, far_tells, LargestServed(), EarnedInWorstClass(),
+                     EarnedInWorstHall(), EarnedInWorstWindows(), Mark());
 }
 
 std::string RoutingReport::Windows() const
--- a/Source/Bench/Routing/RoutingReport.h
+++ b/Source/Bench/Routing/RoutingReport.h
@@ -25,9 +25,12 @@
 struct SettledRequest
 {
   std::string kind;
+  std::string hall;
   // When the first attempt came.
   Common::Duration asked{};
   Outcome outcome = Outcome::Failed;
+  // Of all of its kind, the mean is 1.
+  double size = 1;
   double worth = 0;
   double earned = 0;
   // Of the attempt that was served; zero if none was.
@@ -43,6 +46,14 @@
   double Earned() const;
   // The mean of the two worst windows.
   double EarnedInWorstWindows() const;
+  // Of the hall whose callers earn least.
+  double EarnedInWorstHall() const;
+  // Of the worst kind, or the worst kind's largest tenth or the fifth below that.
+  double EarnedInWorstClass() const;
+  // Weighs the four as the users do.
+  double Mark() const;
+  // How often the largest tenth of a kind is served, against all of the kind; of the worst kind.
+  double LargestServed() const;
   std::string Summary() const;
   std::string Windows() const;
 
@@ -51,6 +62,7 @@
   std::uint64_t far_tells = 0;
 
 private:
+  std::map<std::string, std::vector<const SettledRequest*>> ByKind() const;
   std::map<int, std::vector<const SettledRequest*>> ByWindow() const;
 
   std::vector<SettledRequest> m_requests;
--- a/Source/Bench/Routing/RoutingWorld.cpp
+++ b/Source/Bench/Routing/RoutingWorld.cpp
@@ -40,6 +40,8 @@
 static constexpr double SIZE_MOST = 4;
 static constexpr double ANSWER_TOKEN_WEIGHT = 10;
 static constexpr double EARNED_AFTER_REFUSAL = 0.5;
+// What it costs to refuse one that came back when it was told to.
+static constexpr double REFUSED_AGAIN_PRICE = 0.3;
 // How far callers' guesses of their answers are off, as the spread of the logarithm.
 static constexpr double GUESS_SPREAD = 0.5;
 
@@ -89,6 +91,7 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;
   std::uint32_t guess = 0;
+  double size = 1;
   double worth = 0;
   TimePoint asked;
   std::uint32_t attempts = 0;
@@ -98,6 +101,8 @@
   TimePoint sent;
   Duration expected_start{};
   bool is_late = false;
+  // It was refused, and comes back later.
+  bool is_away = false;
 };
 
 RoutingWorld::RoutingWorld(const RoutingOptions& options)
@@ -324,6 +329,7 @@
   const double size = request->prompt_tokens + ANSWER_TOKEN_WEIGHT * request->answer_tokens;
   const double mean = kind.prompt_mean + ANSWER_TOKEN_WEIGHT * kind.answer_mean;
   request->worth = kind.worth * std::min(FIXED_WORTH + (1 - FIXED_WORTH) * size / mean, SIZE_MOST);
+  request->size = size / mean;
   request->asked = m_now;
   const std::uint64_t number = m_next_number++;
   request->number = number;
@@ -336,6 +342,7 @@
   Request& request = *m_requests.at(number);
   ++request.attempts;
   request.sent = m_now;
+  request.is_away = false;
   std::vector<Node*> near;
   for (const auto& node : m_nodes)
   {
@@ -361,7 +368,9 @@
         [this, number]
         {
           const auto found = m_requests.find(number);
-          if (found == m_requests.end() || found->second->first_seen)
+          const bool waits =
+              found != m_requests.end() && !found->second->first_seen && !found->second->is_away;
+          if (!waits)
             return;
           Node& at = *found->second->node;
           Settle(*found->second, Outcome::Failed);
@@ -379,9 +388,11 @@
     earned = request.worth * (EARNED_AFTER_REFUSAL + (1 - EARNED_AFTER_REFUSAL) * kind.late_worth);
   else if (outcome == Outcome::Late)
     earned = request.worth * kind.late_worth;
+  else if (outcome == Outcome::Refused && request.attempts > 1)
+    earned = -REFUSED_AGAIN_PRICE * request.worth;
   const Duration start = request.first_seen ? *request.first_seen - request.sent : Duration::zero();
-  m_report.Add({kind.name, request.asked - m_start, outcome, request.worth, earned,
-                request.expected_start, start});
+  m_report.Add({kind.name, request.hall, request.asked - m_start, outcome, request.size,
+                request.worth, earned, request.expected_start, start});
   m_requests.erase(request.number);
 }
 
@@ -503,6 +514,7 @@
   Request& request = *found->second;
   if (request.attempts >= ATTEMPTS_OF_CALLER || !refuse.error.retry_after)
     return Settle(request, Outcome::Refused);
+  request.is_away = true;
   const Duration left = request.asked + DEADLINE - m_now;
   const Duration wait = std::min<Duration>(*refuse.error.retry_after, left / COME_BACK_SHARE);
   After(wait,
@@ -588,7 +600,7 @@
           if (open == m_requests.end())
             return;
           Request& request = *open->second;
-          const Duration took = *request.first_seen - request.asked;
+          const Duration took = *request.first_seen - request.sent;
           request.is_late = request.is_late || took > request.kind->goal;
           if (request.is_late)
             Settle(request, Outcome::Late);
@@ -627,6 +639,27 @@
   TellLoad(target);
 }
 
+Gateway::GatewayDemand RoutingWorld::DemandAt(const Target& target) const
+{
+  Gateway::GatewayDemand all;
+  double refused = 0;
+  for (const auto& node : m_nodes)
+  {
+    const auto* core = std::get_if<std::unique_ptr<Gateway::Gateway>>(&node->core);
+    const bool is_near = node->hall == target.listed.hall;
+    if (!core || !(*core)->Targets().IsUsed(target.listed.address))
+      continue;
+    if (!is_near && !(*core)->Targets().NeedsOtherHalls(m_now))
+      continue;
+    const Gateway::OwnDemand demand = (*core)->Targets().DemandHere(m_now);
+    (is_near ? all.near_per_second : all.far_per_second) += demand.arrivals_per_second;
+    refused += demand.arrivals_per_second * demand.refused_share;
+  }
+  if (const double arrivals = all.near_per_second + all.far_per_second; arrivals > 0)
+    all.refused_share = refused / arrivals;
+  return all;
+}
+
 void RoutingWorld::TellLoad(Target& target)
 {
   target.last_told = m_now;
@@ -638,6 +671,7 @@
   for (const auto& [node, work] : target.work)
     unread += work.unread_prompt_tokens;
   load.unread_prompt_tokens = unread;
+  load.demand = DemandAt(target);
   load.weights_version = target.weights;
   load.is_switching = target.is_switching;
   if (target.switch_at && !target.is_switching && *target.switch_at - m_now < SWITCH_HORIZON)
--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -145,6 +145,7 @@
   void CheckSwitch(Target& target);
   void ReportLoad(Target& target);
   void TellLoad(Target& target);
+  Gateway::GatewayDemand DemandAt(const Target& target) const;
 
   RoutingOptions m_options;
   std::mt19937_64 m_random;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -27,7 +27,8 @@
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
 static constexpr Milliseconds COME_BACK_LEAST = Milliseconds(150);
-static constexpr Milliseconds COME_BACK_MOST = Milliseconds(1500);
+static constexpr Milliseconds COME_BACK_MOST = Milliseconds(2000);
+static constexpr double COME_BACK_SHARE = 0.65;
 // Timers that are not about one request carry this number.
 static constexpr RequestNumber NO_REQUEST = 0;
 
@@ -389,12 +390,15 @@
            now, actions);
 }
 
-Milliseconds Gateway::ComeBackAfter(const Tracked& tracked, TimePoint now) const
+// By then a full target has ended about all that it runs. Spread out, or all that were refused
+// together would come back together.
+Milliseconds Gateway::ComeBackAfter(const Tracked& tracked) const
 {
-  const double over = std::max(0.0, m_targets.Utilization(tracked.service, now) - 1);
-  const Duration interval = m_targets.SlotIntervalOf(tracked.service);
-  const auto wait = std::chrono::duration_cast<Milliseconds>(interval * (1 + 100 * over));
-  return std::clamp(wait, COME_BACK_LEAST, COME_BACK_MOST);
+  const Duration turnover = m_targets.TurnoverOf(tracked.service);
+  const double spread = static_cast<double>(Common::StableHash(tracked.request.id) % 1000) / 1000;
+  const auto wait = std::chrono::duration_cast<Milliseconds>(COME_BACK_SHARE * turnover);
+  const auto more = std::chrono::duration_cast<Milliseconds>(spread * wait);
+  return std::clamp(wait + more, COME_BACK_LEAST, COME_BACK_MOST);
 }
 
 Duration Gateway::BestStart(const Tracked& tracked, TimePoint now)
@@ -419,9 +423,10 @@
     if (row.outcome == Common::Outcome::NotRun && tracked.runs > 0)
       error = {ErrorKind::Unreachable, error.message};
     if (Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun)
-      error.retry_after = ComeBackAfter(tracked, now);
+      error.retry_after = ComeBackAfter(tracked);
     const ServiceView view{m_targets.Utilization(service, now), BestStart(tracked, now),
                            m_targets.SurveyOf(WishOf(tracked), now), Version()};
+    m_targets.OnRefused(service, now);
     m_log.OnRefused(tracked, Common::AnswerFor(error.kind), view, now);
     actions->push_back(Refuse{tracked.number, std::move(error)});
   }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -127,7 +127,7 @@
   void Forget(RequestNumber number);
   // For the log: when the best target would begin it; below zero if there is none.
   Common::Duration BestStart(const Tracked& tracked, Common::TimePoint now);
-  Common::Milliseconds ComeBackAfter(const Tracked& tracked, Common::TimePoint now) const;
+  Common::Milliseconds ComeBackAfter(const Tracked& tracked) const;
   Tracked* Find(RequestNumber number);
   void RefuseArrival(const RequestArrived& event, Common::Error error, Common::TimePoint now,
                      Actions* actions);
--- a/Source/Core/Gateway/StartEstimate.cpp
+++ b/Source/Core/Gateway/StartEstimate.cpp
@@ -33,14 +33,23 @@
       std::chrono::duration<double, std::milli>(ms));
 }
 
-static double SlotIntervalMs(const EngineProfile& engine)
+// A sequence writes in one of the slots, and all others wait while its prompt is read.
+static double EngineMs(const EngineProfile& engine, double prompt_tokens, double answer_tokens)
 {
   const double slots = std::max<std::uint32_t>(engine.slots, 1);
-  const double events =
-      static_cast<double>(engine.usual_answer_tokens) / std::max(engine.tokens_per_event, 1U);
-  const double writing = events * PassMs(engine, slots);
-  // While a sequence writes, the prompts of those that take the other slots are read in between.
-  return writing / slots + ReadMs(engine, engine.usual_prompt_tokens);
+  const double events = answer_tokens / std::max(engine.tokens_per_event, 1U);
+  return events * PassMs(engine, slots) / slots + ReadMs(engine, prompt_tokens);
+}
+
+static double SlotIntervalMs(const EngineProfile& engine)
+{
+  return EngineMs(engine, engine.usual_prompt_tokens, engine.usual_answer_tokens);
+}
+
+Common::Duration EngineTime(const EngineProfile& engine, std::uint32_t prompt_tokens,
+                            std::uint32_t answer_tokens)
+{
+  return ToDuration(EngineMs(engine, prompt_tokens, answer_tokens));
 }
 
 Common::Duration ExpectedWriting(const EngineProfile& engine, const TargetWork& work,
--- a/Source/Core/Gateway/StartEstimate.h
+++ b/Source/Core/Gateway/StartEstimate.h
@@ -26,6 +26,9 @@
 // Time from the first event to the last one.
 Common::Duration ExpectedWriting(const Settings::EngineProfile& engine, const TargetWork& work,
                                  std::uint32_t answer_tokens);
+// What a request takes of a full engine's time.
+Common::Duration EngineTime(const Settings::EngineProfile& engine, std::uint32_t prompt_tokens,
+                            std::uint32_t answer_tokens);
 // Mean time between two requests that end on a full engine: a waiting request gets its slot after
 // as many of these as there are requests before it.
 Common::Duration SlotInterval(const Settings::EngineProfile& engine, double pace);
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -36,6 +36,18 @@
   bool operator==(const ListedTarget&) const = default;
 };
 
+// What comes to the gateways that send to a target.
+struct GatewayDemand
+{
+  // Requests to gateways of its hall and of others.
+  double near_per_second = 0;
+  double far_per_second = 0;
+  // The part of these that was refused of late.
+  double refused_share = 0;
+
+  bool operator==(const GatewayDemand&) const = default;
+};
+
 // What the agent beside a target says of it.
 struct TargetLoad
 {
@@ -55,6 +67,7 @@
   Common::Milliseconds inbound_delay{0};
   // How long the way there and back takes at the moment.
   Common::Milliseconds round_trip{0};
+  GatewayDemand demand;
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -68,4 +81,11 @@
 
   bool operator==(const OwnWork&) const = default;
 };
+
+// What comes to one gateway.
+struct OwnDemand
+{
+  double arrivals_per_second = 0;
+  double refused_share = 0;
+};
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -14,7 +14,7 @@
 using Settings::EngineProfile;
 
 // What a target in another hall has to be faster by, so that traffic stays where it is cheap.
-static constexpr Duration OTHER_HALL_PENALTY = Milliseconds(25);
+static constexpr Duration OTHER_HALL_PENALTY = Milliseconds(10);
 // The same for one whose agent is silent.
 static constexpr Duration SILENCE_PENALTY = Milliseconds(400);
 // Until a request that was sent has reached its target.
@@ -23,10 +23,6 @@
 // What others have sent since the last report is not known for so long: agents report at once when
 // work comes, but not more often than each 10 ms.
 static constexpr double BLIND_SECONDS = 0.01;
-// Of the requests that wait at the other gateways, the part that any word of room sets off.
-static constexpr double WAITING_SHARE = 0.5;
-// About so many gateways of other halls use a target.
-static constexpr std::size_t FAR_GATEWAYS = 8;
 // While an engine writes, too, it reads prompts at this part of its speed.
 static constexpr double READING_SHARE = 0.3;
 // Other halls are looked at while the best target here would begin this much later than an idle
@@ -37,6 +33,10 @@
 static constexpr int SWITCH_DELAY_SHARE = 2;
 // What was learnt of a target's lag fades in about this time.
 static constexpr double LAG_LIFETIME_SECONDS = 2;
+// When there is no room for all, requests come first that take less of an engine's time than usual;
+// those that take more still get a part, or the largest would never be served.
+static constexpr double SIZE_WEIGHT_LEAST = 0.4;
+static constexpr double SIZE_WEIGHT_MOST = 2.5;
 // Plain services have no published times: each request before this one costs about so much.
 static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(10);
 
@@ -66,14 +66,14 @@
 Spread TargetTable::SpreadOf(const TargetWish& wish, TimePoint now) const
 {
   const EngineProfile* engine = EngineOf(wish.service);
-  const auto rate = m_rates.find(wish.service);
-  if (!engine || rate == m_rates.end())
+  if (!engine)
     return {};
-  const double of_each =
-      rate->second.At(now) * BLIND_SECONDS + WAITING_SHARE * static_cast<double>(wish.waiting);
-  const auto near = static_cast<double>(m_gateways.near - 1);
-  const std::size_t far = m_gateways.all - std::min(m_gateways.all, m_gateways.near);
-  return {of_each * near, of_each * static_cast<double>(std::min(far, FAR_GATEWAYS)),
+  const GatewayDemand demand = m_demand.Around(wish.service, m_gateways, now);
+  const double own = m_demand.ArrivalsPerSecond(wish.service, now);
+  // What a gateway is about to send for each request a second that comes to it: what came since the
+  // last word of the targets, and what waits, as any word of room sets it off.
+  const double for_each = BLIND_SECONDS + static_cast<double>(wish.waiting) / std::max(own, 1.0);
+  return {std::max(demand.near_per_second - own, 0.0) * for_each, demand.far_per_second * for_each,
           SlotInterval(*engine, 1), OTHER_HALL_PENALTY};
 }
 
@@ -180,6 +180,32 @@
   return std::max(now + whole - switch_at, Duration::zero());
 }
 
+double TargetTable::Draw()
+{
+  return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+static double SizeWeight(const EngineProfile& engine, const TargetWish& wish)
+{
+  const double usual =
+      EngineTime(engine, engine.usual_prompt_tokens, engine.usual_answer_tokens).count();
+  const double own = EngineTime(engine, wish.prompt_tokens, wish.answer_tokens).count();
+  return std::clamp(usual / std::max(own, 1.0), SIZE_WEIGHT_LEAST, SIZE_WEIGHT_MOST);
+}
+
+bool TargetTable::IsAdmitted(const TargetWish& wish, const std::vector<SpreadOption>& options,
+                             const Spread& spread, TimePoint now)
+{
+  const EngineProfile* engine = EngineOf(wish.service);
+  if (!engine || !wish.start_most)
+    return true;
+  const double part = AdmittedPart(options, spread, *wish.start_most);
+  if (part >= 1)
+    return true;
+  const double weight = SizeWeight(*engine, wish) * m_demand.FairnessWeight(wish.service, now);
+  return Draw() <= part * weight;
+}
+
 void TargetTable::NoteCrowding(const TargetWish& wish, const std::vector<SpreadOption>& options,
                                TimePoint now)
 {
@@ -225,10 +251,9 @@
   if (choices.empty())
     return std::nullopt;
   const Spread spread = SpreadOf(wish, now);
-  std::uniform_real_distribution<double> draw(0, 1);
-  if (wish.start_most && draw(m_random) > AdmittedPart(options, spread, *wish.start_most))
+  if (!IsAdmitted(wish, options, spread, now))
     return std::nullopt;
-  return choices[ChooseSpread(options, spread, draw(m_random))];
+  return choices[ChooseSpread(options, spread, Draw())];
 }
 
 std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
@@ -258,13 +283,10 @@
   return slots > 0 ? load / slots : 1;
 }
 
-Duration TargetTable::SlotIntervalOf(const std::string& service) const
+Duration TargetTable::TurnoverOf(const std::string& service) const
 {
   const EngineProfile* engine = EngineOf(service);
-  if (!engine)
-    return PLAIN_REQUEST_TIME;
-  const auto count = std::ranges::count_if(m_targets, [&](const auto& entry)
-                                           { return entry.second.listed.service == service; });
-  return SlotInterval(*engine, 1) / std::max<std::int64_t>(count, 1);
+  return engine ? SlotInterval(*engine, 1) * std::max<std::uint32_t>(engine->slots, 1)
+                : PLAIN_REQUEST_TIME;
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetReach.cpp
+++ b/Source/Core/Gateway/TargetReach.cpp
@@ -16,6 +16,11 @@
 static constexpr std::size_t NEAR_LEAST = 16;
 static constexpr std::size_t FAR_LEAST = 4;
 
+std::size_t GatewayCounts::FarUsersOfTarget() const
+{
+  return std::min(all - std::min(all, near), FAR_GATEWAYS_OF_TARGET);
+}
+
 // How many of `targets` each of `gateways` uses, so that `users` of them use each target.
 static std::size_t TargetsOfEach(std::size_t targets, std::size_t gateways, std::size_t users,
                                  std::size_t least)
--- a/Source/Core/Gateway/TargetReach.h
+++ b/Source/Core/Gateway/TargetReach.h
@@ -20,6 +20,8 @@
   std::size_t near = 1; // in the own hall, this one included
 
   bool operator==(const GatewayCounts&) const = default;
+  // About so many gateways of other halls use one target.
+  std::size_t FarUsersOfTarget() const;
 };
 
 class TargetReach
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -134,9 +134,19 @@
   return found->second.listed.address;
 }
 
-void TargetTable::OnArrival(const std::string& service, TimePoint now)
+OwnDemand TargetTable::DemandHere(TimePoint now) const
 {
-  m_rates[service].OnArrival(now);
+  OwnDemand all;
+  double refused = 0;
+  for (const auto& [service, engine] : m_engines)
+  {
+    const double arrivals = m_demand.ArrivalsPerSecond(service, now);
+    all.arrivals_per_second += arrivals;
+    refused += arrivals * m_demand.RefusedShare(service, now);
+  }
+  if (all.arrivals_per_second > 0)
+    all.refused_share = refused / all.arrivals_per_second;
+  return all;
 }
 
 void TargetTable::ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, TimePoint now)
@@ -163,6 +173,8 @@
       target.avoid_until = std::min(target.avoid_until, now);
     target.load = load;
     target.load_heard = now;
+    if (target.listed.hall == m_hall)
+      m_demand.OnTold(target.listed.service, load.demand, now);
   }
 }
 
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Common/Types.h"
+#include "Core/Gateway/DemandWatch.h"
 #include "Core/Gateway/SpreadChoice.h"
 #include "Core/Gateway/StartEstimate.h"
 #include "Core/Gateway/Target.h"
@@ -74,34 +75,12 @@
   std::uint32_t old_weights = 0;
 };
 
-// Requests a second, of about the last second.
-class ArrivalRate
-{
-public:
-  void OnArrival(Common::TimePoint now)
-  {
-    m_rate = At(now) + 1 / LIFETIME_SECONDS;
-    m_updated = now;
-  }
-  double At(Common::TimePoint now) const
-  {
-    const double age = std::chrono::duration<double>(now - m_updated).count();
-    return m_rate * std::exp(-age / LIFETIME_SECONDS);
-  }
-
-private:
-  static constexpr double LIFETIME_SECONDS = 1;
-
-  double m_rate = 0;
-  Common::TimePoint m_updated{};
-};
-
 class TargetTable
 {
 public:
   // `seed` is for choices between targets that are as good.
-  explicit TargetTable(std::string hall, std::uint64_t seed = 0)
-      : m_hall(hall), m_reach(std::move(hall), seed), m_random(seed)
+  explicit TargetTable(const std::string& hall, std::uint64_t seed = 0)
+      : m_hall(hall), m_reach(hall, seed), m_random(seed)
   {
   }
 
@@ -118,8 +97,8 @@
   TargetSurvey SurveyOf(const TargetWish& wish, Common::TimePoint now) const;
   // Requests that wait or run at the service's targets, over their slots.
   double Utilization(const std::string& service, Common::TimePoint now) const;
-  // Mean time until a slot becomes free anywhere at the service.
-  Common::Duration SlotIntervalOf(const std::string& service) const;
+  // The mean time in which a full target ends all that it runs.
+  Common::Duration TurnoverOf(const std::string& service) const;
   bool IsAcceptable(const TargetId& id) const;
   // The listed target at the address; empty if there is none.
   TargetId FindByAddress(const Common::Address& address) const;
@@ -130,8 +109,16 @@
   // Whether fresh word of the target says that it takes other weights before it begins anything.
   bool IsSwitching(const TargetId& id, Common::TimePoint now) const;
 
-  // A request for the service has come; the others are taken to get as many.
-  void OnArrival(const std::string& service, Common::TimePoint now);
+  void OnArrival(const std::string& service, Common::TimePoint now)
+  {
+    m_demand.OnArrival(service, now);
+  }
+  void OnRefused(const std::string& service, Common::TimePoint now)
+  {
+    m_demand.OnRefused(service, now);
+  }
+  // What comes to this gateway for services with engines.
+  OwnDemand DemandHere(Common::TimePoint now) const;
   // `request` names the request until it has ended.
   void OnDispatched(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
                     Common::Duration expected_start, Common::TimePoint now);
@@ -214,6 +201,11 @@
   };
   std::optional<TargetChoice> ChooseFrom(Scope scope, const TargetWish& wish,
                                          Common::TimePoint now);
+  // Whether the request is sent now, of all that compete for what room there is.
+  bool IsAdmitted(const TargetWish& wish, const std::vector<SpreadOption>& options,
+                  const Spread& spread, Common::TimePoint now);
+  // Uniform from 0 to 1.
+  double Draw();
   // Notes whether the own hall can begin a usual request in time.
   void NoteCrowding(const TargetWish& wish, const std::vector<SpreadOption>& options,
                     Common::TimePoint now);
@@ -248,7 +240,7 @@
   std::map<TargetId, Target> m_targets;
   std::map<std::string, Settings::EngineProfile> m_engines;
   std::mt19937_64 m_random;
-  std::map<std::string, ArrivalRate> m_rates; // by service
+  DemandWatch m_demand;
   Common::TimePoint m_crowded_until{};
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -84,6 +84,7 @@
   hello.clock = ClockOf(now);
   hello.settings = m_settings;
   hello.weights = ToldAt(now);
+  hello.demand = m_use.demand;
   if (!is_whole)
     return hello;
   hello.plan = m_plan;
@@ -91,17 +92,17 @@
   return hello;
 }
 
-void Briefing::SetUsed(std::set<Common::Address> sidecars, bool needs_other_halls)
+void Briefing::SetUse(TargetUse use)
 {
-  m_used = std::move(sidecars);
-  if (needs_other_halls && !m_needs_other_halls)
+  if (use.needs_other_halls && !m_use.needs_other_halls)
     m_needed_due = {};
-  m_needs_other_halls = needs_other_halls;
+  m_use = std::move(use);
 }
 
 bool Briefing::WantsLoad(const Peer& sidecar) const
 {
-  return m_used.contains(sidecar.address) && (sidecar.hall == m_hall || m_needs_other_halls);
+  const bool is_used = m_use.sidecars.contains(sidecar.address);
+  return is_used && (sidecar.hall == m_hall || m_use.needs_other_halls);
 }
 
 bool Briefing::IsIn(Audience audience, const Peer& sidecar) const
@@ -109,7 +110,7 @@
   const bool is_near = sidecar.hall == m_hall;
   if (audience == Audience::Near)
     return is_near;
-  return !is_near && (audience == Audience::Far || m_used.contains(sidecar.address));
+  return !is_near && (audience == Audience::Far || m_use.sidecars.contains(sidecar.address));
 }
 
 void Briefing::TellAll(Audience audience, TimePoint now, std::vector<Outgoing>* outgoing) const
--- a/Source/Core/Mesh/Briefing.h
+++ b/Source/Core/Mesh/Briefing.h
@@ -26,6 +26,16 @@
 // How long a hello and its report were on their way; empty if the report answers no hello.
 std::optional<Common::Milliseconds> RoundTrip(const LoadReport& report, Common::TimePoint now);
 
+// What a gateway does with the targets of its service.
+struct TargetUse
+{
+  // The sidecars of those that it sends to.
+  std::set<Common::Address> sidecars;
+  // Targets of other halls are needed, too.
+  bool needs_other_halls = false;
+  Gateway::OwnDemand demand;
+};
+
 class Briefing
 {
 public:
@@ -38,8 +48,8 @@
   // `known_since` is when some process first knew of the version.
   void SetWeights(const Control::NamedWeights& named, Common::TimePoint known_since);
 
-  // Sidecars whose targets this gateway sends to, and whether those of other halls are needed.
-  void SetUsed(std::set<Common::Address> sidecars, bool needs_other_halls);
+  // News of whether other halls are needed is told at once.
+  void SetUse(TargetUse use);
 
   // The versions of weights that are told at the moment.
   std::vector<ToldWeights> ToldAt(Common::TimePoint now) const;
@@ -71,7 +81,6 @@
   Common::TimePoint m_far_due{};
   // When those of other halls are to be told that they are needed from now on.
   Common::TimePoint m_needed_due = Common::TimePoint::max();
-  std::set<Common::Address> m_used;
-  bool m_needs_other_halls = false;
+  TargetUse m_use;
 };
 } // namespace Holdpost::Mesh
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -69,6 +69,8 @@
   Common::Milliseconds clock{0};
   // The sender sends to the receiver's target, and needs each load report.
   bool wants_load = false;
+  // What comes to the sender for engines.
+  Gateway::OwnDemand demand;
 };
 
 // What a gateway has at the receiver's target, told whenever that changes.
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -159,6 +159,7 @@
   gateway.settings = hello.settings;
   gateway.clock = hello.clock;
   gateway.wants_load = hello.wants_load;
+  gateway.demand = hello.demand;
   gateway.heard = now;
   if (!hello.plan.model.empty())
     OnPlan(hello.plan, now);
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -109,6 +109,7 @@
     Common::TimePoint told{};
     // It needs each report.
     bool wants_load = false;
+    Gateway::OwnDemand demand;
     // What it has at the target, and when it said so.
     Gateway::OwnWork work;
     Common::TimePoint work_heard{};
@@ -122,6 +123,8 @@
               Actions* actions);
   // What all gateways have at the target.
   Gateway::OwnWork WorkOfAll(Common::TimePoint now) const;
+  // What comes to the gateways that send here.
+  Gateway::GatewayDemand DemandOfAll() const;
   // The target's load as it was reported, and what has come since.
   Gateway::TargetLoad LoadNow(Common::TimePoint now) const;
   bool IsDue(const HeardGateway& gateway, bool has_news, Common::TimePoint now) const;
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -63,6 +63,23 @@
   return all;
 }
 
+Gateway::GatewayDemand Sidecar::DemandOfAll() const
+{
+  Gateway::GatewayDemand all;
+  double refused = 0;
+  for (const auto& [address, gateway] : m_gateways)
+  {
+    const bool is_near = gateway.hall == m_options.hall;
+    if (!is_near && !gateway.wants_load)
+      continue;
+    (is_near ? all.near_per_second : all.far_per_second) += gateway.demand.arrivals_per_second;
+    refused += gateway.demand.arrivals_per_second * gateway.demand.refused_share;
+  }
+  if (const double arrivals = all.near_per_second + all.far_per_second; arrivals > 0)
+    all.refused_share = refused / arrivals;
+  return all;
+}
+
 Gateway::TargetLoad Sidecar::LoadNow(TimePoint now) const
 {
   Gateway::TargetLoad load;
@@ -87,6 +104,7 @@
     if (left < SWITCH_HORIZON)
       load.switch_in = std::max(left, Milliseconds(0));
   }
+  load.demand = DemandOfAll();
   load.inbound_delay = std::chrono::duration_cast<Milliseconds>(m_exchange.InboundDelay(now));
   return load;
 }
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -98,10 +98,12 @@
 void GatewayControl::UpdateTargetsInUse()
 {
   const TargetsInUse in_use = m_handlers.targets_in_use();
-  std::set<Address> sidecars;
+  Mesh::TargetUse use;
+  use.needs_other_halls = in_use.needs_other_halls;
+  use.demand = in_use.demand;
   for (const Address& target : in_use.targets)
-    sidecars.insert({target.host, m_mesh.Self().address.port});
-  m_briefing.SetUsed(std::move(sidecars), in_use.needs_other_halls);
+    use.sidecars.insert({target.host, m_mesh.Self().address.port});
+  m_briefing.SetUse(std::move(use));
 }
 
 void GatewayControl::TellWork(const Address& target, const Gateway::OwnWork& work)
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -30,6 +30,7 @@
   {
     std::vector<Common::Address> targets;
     bool needs_other_halls = false;
+    Gateway::OwnDemand demand;
   };
 
   // What is new is told by these.
@@ -40,7 +41,7 @@
     std::function<void(const std::vector<Gateway::ListedTarget>&)> on_targets;
     std::function<void(const Gateway::TargetLoad&)> on_load;
     std::function<void(const Gateway::GatewayCounts&)> on_gateways;
-    // The targets that are sent to, and whether those of other halls are needed.
+    // The targets that are sent to, whether those of other halls are needed, and what comes.
     std::function<TargetsInUse()> targets_in_use;
     // Something is to be done earlier than was said.
     std::function<void()> on_wakeup;
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -360,7 +360,9 @@
   handlers.targets_in_use = [this]
   {
     const Gateway::TargetTable& targets = m_core.Targets();
-    return GatewayControl::TargetsInUse{targets.Used(), targets.NeedsOtherHalls(EventLoop::Now())};
+    const TimePoint now = EventLoop::Now();
+    return GatewayControl::TargetsInUse{targets.Used(), targets.NeedsOtherHalls(now),
+                                        targets.DemandHere(now)};
   };
   handlers.on_wakeup = [this] { Tick(); };
   return handlers;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -44,6 +44,9 @@
   clockMs @6 :UInt32;
   # The sender sends to the receiver's target, and needs each report.
   wantsLoad @7 :Bool;
+  # What comes to the sender: requests a second, and the part that it refused.
+  arrivals @8 :UInt16;
+  refusedPercent @9 :UInt8;
 }
 
 struct Load {
@@ -65,6 +68,10 @@
   nearGateways @14 :List(Address);
   # One more than the prompt tokens of requests that have not begun; 0 if that is not known.
   unreadTokens @15 :UInt32;
+  # What comes to the gateways that send here, of the hall and of others.
+  nearArrivals @16 :UInt16;
+  farArrivals @17 :UInt16;
+  refusedPercent @18 :UInt8;
 }
 
 # What a gateway has at the receiver's target.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -702,6 +702,10 @@
 
   inline bool getWantsLoad() const;
 
+  inline  ::uint16_t getArrivals() const;
+
+  inline  ::uint8_t getRefusedPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -771,6 +775,12 @@
   inline bool getWantsLoad();
   inline void setWantsLoad(bool value);
 
+  inline  ::uint16_t getArrivals();
+  inline void setArrivals( ::uint16_t value);
+
+  inline  ::uint8_t getRefusedPercent();
+  inline void setRefusedPercent( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -851,6 +861,12 @@
 
   inline  ::uint32_t getUnreadTokens() const;
 
+  inline  ::uint16_t getNearArrivals() const;
+
+  inline  ::uint16_t getFarArrivals() const;
+
+  inline  ::uint8_t getRefusedPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -943,6 +959,15 @@
   inline  ::uint32_t getUnreadTokens();
   inline void setUnreadTokens( ::uint32_t value);
 
+  inline  ::uint16_t getNearArrivals();
+  inline void setNearArrivals( ::uint16_t value);
+
+  inline  ::uint16_t getFarArrivals();
+  inline void setFarArrivals( ::uint16_t value);
+
+  inline  ::uint8_t getRefusedPercent();
+  inline void setRefusedPercent( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2559,6 +2584,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Hello::Reader::getArrivals() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Hello::Builder::getArrivals() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setArrivals( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Hello::Reader::getRefusedPercent() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Hello::Builder::getRefusedPercent() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setRefusedPercent( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Load::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2873,6 +2926,48 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Load::Reader::getNearArrivals() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getNearArrivals() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setNearArrivals( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getFarArrivals() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getFarArrivals() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setFarArrivals( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Load::Reader::getRefusedPercent() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Load::Builder::getRefusedPercent() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRefusedPercent( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t Work::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -69,6 +69,16 @@
   return static_cast<std::uint32_t>(std::max<Milliseconds::rep>(time.count(), 0));
 }
 
+static std::uint16_t ToWireCount(double count)
+{
+  return static_cast<std::uint16_t>(std::clamp(std::round(count), 0.0, double{UINT16_MAX}));
+}
+
+static std::uint8_t ToWirePercent(double share)
+{
+  return static_cast<std::uint8_t>(std::clamp(std::round(share * PERCENT), 0.0, PERCENT));
+}
+
 // --- hello ---
 
 static void Write(const Mesh::WeightsPlan& plan, MeshWire::WeightsPlan::Builder out)
@@ -156,6 +166,8 @@
     WritePeers(hello.peers, out);
   out.setClockMs(ToWireMs(hello.clock));
   out.setWantsLoad(hello.wants_load);
+  out.setArrivals(ToWireCount(hello.demand.arrivals_per_second));
+  out.setRefusedPercent(ToWirePercent(hello.demand.refused_share));
 }
 
 static Mesh::Message Read(MeshWire::Hello::Reader in)
@@ -169,6 +181,8 @@
   hello.peers = ReadPeers(in);
   hello.clock = Milliseconds(in.getClockMs());
   hello.wants_load = in.getWantsLoad();
+  hello.demand.arrivals_per_second = in.getArrivals();
+  hello.demand.refused_share = in.getRefusedPercent() / PERCENT;
   return hello;
 }
 
@@ -197,6 +211,9 @@
   out.setEchoMs(ToWireMs(report.echo));
   out.setEchoAgeMs(ToWireMs(report.echo_age));
   out.setInboundDelayMs(ToWireMs(load.inbound_delay));
+  out.setNearArrivals(ToWireCount(load.demand.near_per_second));
+  out.setFarArrivals(ToWireCount(load.demand.far_per_second));
+  out.setRefusedPercent(ToWirePercent(load.demand.refused_share));
   if (report.near_gateways.empty())
     return;
   auto near_list = out.initNearGateways(static_cast<unsigned>(report.near_gateways.size()));
@@ -218,6 +235,8 @@
   if (in.getSwitchInMs() > 0)
     load.switch_in = Milliseconds(in.getSwitchInMs() - 1);
   load.inbound_delay = Milliseconds(in.getInboundDelayMs());
+  load.demand = {static_cast<double>(in.getNearArrivals()),
+                 static_cast<double>(in.getFarArrivals()), in.getRefusedPercent() / PERCENT};
   Mesh::LoadReport report;
   report.load = load;
   report.gateways = in.getGateways();
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/DemandWatchTest.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Gateway/DemandWatch.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using Common::Milliseconds;
+
+namespace
+{
+constexpr char SERVICE[] = "llm";
+constexpr GatewayCounts GATEWAYS{40, 10};
+
+// A gateway to which 50 requests a second come; of these it refuses one in `refuses_one_in`.
+struct Fixture
+{
+  explicit Fixture(int refuses_one_in = 0)
+  {
+    for (int i = 0; i < 250; ++i)
+    {
+      now += Milliseconds(20);
+      demand.OnArrival(SERVICE, now);
+      if (refuses_one_in > 0 && i % refuses_one_in == 0)
+        demand.OnRefused(SERVICE, now);
+    }
+  }
+
+  DemandWatch demand;
+  Common::TimePoint now{std::chrono::hours(1)};
+};
+} // namespace
+
+TEST_CASE("A gateway counts what comes to it and what it refuses")
+{
+  Fixture f(4);
+  CHECK(f.demand.ArrivalsPerSecond(SERVICE, f.now) == doctest::Approx(50).epsilon(0.1));
+  CHECK(f.demand.RefusedShare(SERVICE, f.now) == doctest::Approx(0.25).epsilon(0.1));
+
+  SUBCASE("and forgets it")
+  {
+    f.now += std::chrono::seconds(6);
+    CHECK(f.demand.ArrivalsPerSecond(SERVICE, f.now) < 1);
+    CHECK(f.demand.RefusedShare(SERVICE, f.now) == 0);
+  }
+  SUBCASE("other services have numbers of their own")
+  {
+    CHECK(f.demand.ArrivalsPerSecond("desk", f.now) == 0);
+  }
+}
+
+TEST_CASE("What comes to the others is what the targets' agents tell")
+{
+  Fixture f;
+  f.demand.OnTold(SERVICE, {700, 90, 0.1}, f.now);
+  CHECK(f.demand.Around(SERVICE, GATEWAYS, f.now) == GatewayDemand{700, 90, 0.1});
+
+  SUBCASE("without word of them as much as comes here")
+  {
+    f.now += Milliseconds(2500);
+    f.demand.OnArrival(SERVICE, f.now);
+    const double own = f.demand.ArrivalsPerSecond(SERVICE, f.now);
+    const GatewayDemand around = f.demand.Around(SERVICE, GATEWAYS, f.now);
+    CHECK(around.near_per_second == doctest::Approx(10 * own));
+    CHECK(around.far_per_second == doctest::Approx(8 * own));
+  }
+}
+
+TEST_CASE("A gateway that refuses more than the others comes first")
+{
+  Fixture often(2);
+  Fixture never;
+  const GatewayDemand all{700, 90, 0.25};
+  often.demand.OnTold(SERVICE, all, often.now);
+  never.demand.OnTold(SERVICE, all, never.now);
+  CHECK(often.demand.FairnessWeight(SERVICE, often.now) > 1.5);
+  CHECK(never.demand.FairnessWeight(SERVICE, never.now) < 0.7);
+
+  SUBCASE("but not by more than ten times, and only with word of the others")
+  {
+    Fixture always(1);
+    always.demand.OnTold(SERVICE, {700, 90, 0}, always.now);
+    CHECK(always.demand.FairnessWeight(SERVICE, always.now) == 10);
+    CHECK(always.demand.FairnessWeight(SERVICE, always.now + Milliseconds(2500)) == 1);
+    CHECK(always.demand.FairnessWeight("desk", always.now) == 1);
+  }
+}
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <set>
+
 #include <doctest/doctest.h>
 
 #include "GatewayFixture.h"
@@ -506,3 +508,30 @@
     CHECK(told[0].work == OwnWork{});
   }
 }
+
+TEST_CASE("Requests that are refused together come back one after the other")
+{
+  Fixture f;
+  for (const char* id : {"llm-1", "llm-2"})
+  {
+    TargetLoad load;
+    load.address = f.listed[id == std::string("llm-1") ? 0 : 1].address;
+    load.running = 2;
+    load.queued = 20;
+    load.weights_version = 1;
+    f.gateway.OnTargetLoad(load, f.now, &f.actions);
+  }
+  for (int i = 0; i < 20; ++i)
+    f.Arrive("/chat/");
+  f.Pass(Milliseconds(200));
+  const auto refused = Take<Refuse>(f.actions);
+  REQUIRE(refused.size() == 20);
+  std::set<Milliseconds> times;
+  for (const Refuse& refuse : refused)
+  {
+    CHECK(refuse.error.retry_after >= Milliseconds(600));
+    CHECK(refuse.error.retry_after <= Milliseconds(2000));
+    times.insert(*refuse.error.retry_after);
+  }
+  CHECK(times.size() > 10);
+}
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -328,6 +328,32 @@
     f.table.SetGateways({1, 1});
     CHECK(count_sent() == 200);
   }
+  SUBCASE("small requests come first, and large ones still get a part")
+  {
+    const int usual = count_sent();
+    wish.prompt_tokens = 100;
+    wish.answer_tokens = 20;
+    const int small = count_sent();
+    CHECK(small > 1.5 * usual);
+    wish.prompt_tokens = 1500;
+    wish.answer_tokens = 400;
+    const int large = count_sent();
+    CHECK(large < 0.8 * usual);
+    CHECK(large > 0);
+  }
+  SUBCASE("one that refuses more than the others comes first")
+  {
+    const int usual = count_sent();
+    for (int i = 0; i < 20; ++i)
+    {
+      f.table.OnArrival("llm", f.now);
+      f.table.OnRefused("llm", f.now);
+    }
+    TargetLoad load = MakeLoad(f.two, 15);
+    load.demand = {800, 0, 0.3};
+    f.table.OnLoad(load, f.now);
+    CHECK(count_sent() > 1.5 * usual);
+  }
   SUBCASE("a request that has run is not held to it")
   {
     wish.start_most.reset();
--- a/Source/UnitTests/Core/Mesh/BriefingTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingTest.cpp
@@ -48,7 +48,7 @@
   const Peer unused{{"10.0.0.3", 7700}, "there"};
   Briefing briefing("here");
   briefing.SetSidecars({near, far, unused});
-  briefing.SetUsed({near.address, far.address}, false);
+  briefing.SetUse({{near.address, far.address}, false, {120, 0.25}});
   std::vector<Outgoing> out;
   const auto wants_load = [&](const Peer& peer)
   {
@@ -60,11 +60,12 @@
   CHECK(wants_load(near));
   CHECK(!wants_load(far));
   CHECK(!wants_load(unused));
+  CHECK(std::get<Hello>(out[0].message).demand.arrivals_per_second == 120);
 
   SUBCASE("those of other halls as soon as they are needed")
   {
     out.clear();
-    briefing.SetUsed({near.address, far.address}, true);
+    briefing.SetUse({{near.address, far.address}, true, {}});
     CHECK(briefing.NextWakeup() <= START);
     briefing.OnTick(START + Milliseconds(10), &out);
     REQUIRE(out.size() == 1);
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -28,11 +28,12 @@
     ReadReport(2, 0);
     Reports();
   }
-  void Hear(const Mesh::Sender& from, bool wants_load)
+  void Hear(const Mesh::Sender& from, bool wants_load, const Gateway::OwnDemand& demand = {})
   {
     Mesh::Hello hello;
     hello.is_gateway = true;
     hello.wants_load = wants_load;
+    hello.demand = demand;
     sidecar.OnMessage(from, hello, now, &actions);
   }
   void ReadReport(std::uint32_t running, std::uint32_t queued)
@@ -120,6 +121,30 @@
   }
 }
 
+TEST_CASE("Gateways are told what comes to all that send to a target")
+{
+  Fixture f;
+  f.Hear(NEAR, true, {30, 0.5});
+  f.Hear(OTHER, true, {10, 0.1});
+  f.Hear(FAR, false, {500, 1});
+  f.now += Milliseconds(100);
+  f.ReadReport(2, 0);
+  Gateway::GatewayDemand demand = f.Reports().at(NEAR.address).demand;
+  CHECK(demand.near_per_second == 40);
+  CHECK(demand.far_per_second == 0);
+  CHECK(demand.refused_share == doctest::Approx(0.4));
+
+  SUBCASE("those of other halls as long as they need it")
+  {
+    f.Hear(FAR, true, {40, 0});
+    f.now += Milliseconds(100);
+    f.ReadReport(2, 0);
+    demand = f.Reports().at(NEAR.address).demand;
+    CHECK(demand.far_per_second == 40);
+    CHECK(demand.refused_share == doctest::Approx(0.2));
+  }
+}
+
 TEST_CASE("Gateways that do not need each report hear each second")
 {
   Fixture f;
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -35,6 +35,7 @@
     hello.peers = {{{"10.1.0.5", 7700}, "oslo-a"}, {{"10.2.0.5", 7700}, "bergen-a"}};
     hello.clock = Milliseconds(123456);
     hello.wants_load = true;
+    hello.demand = {120, 0.25};
     const Mesh::Hello got = There(hello);
     CHECK(got.is_gateway);
     CHECK(got.settings == 17);
@@ -44,6 +45,8 @@
     CHECK(got.peers == hello.peers);
     CHECK(got.clock == hello.clock);
     CHECK(got.wants_load);
+    CHECK(got.demand.arrivals_per_second == 120);
+    CHECK(got.demand.refused_share == doctest::Approx(0.25));
   }
   SUBCASE("load report")
   {
@@ -51,6 +54,7 @@
     report.load.address = {"10.1.0.5", 8001};
     report.load.running = 12;
     report.load.queued = 3;
+    report.load.demand = {900, 80, 0.5};
     report.load.unread_prompt_tokens = 0;
     report.load.weights_version = 2;
     report.load.is_switching = true;
