Weights: Use targets with old weights until closer to the bound

Cause: when a push is held up past its bound (an outage of the origin, two versions within seconds) gateways stopped sending to old weights about a second before they had to: 400 ms before the bound, less twice the expected start, less 300 ms.

Change: expected starts are right now since others' prompts are counted, so the margin is half of the start and 100 ms, and the bound is kept with 250 ms. What has not begun by then is still taken back.

Conclusion: about half a second of service at each bound that a push misses.

--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -18,7 +18,7 @@
 // The same for one whose agent is silent.
 static constexpr Duration SILENCE_PENALTY = Milliseconds(400);
 // Until a request that was sent has reached its target.
-static constexpr Duration START_MARGIN = Milliseconds(300);
+static constexpr Duration START_MARGIN = Milliseconds(100);
 static constexpr Duration START_MARGIN_UNHEARD = Milliseconds(2000);
 // What others have sent since the last report is not known for so long: agents report at once when
 // work comes, but not more often than each 10 ms.
@@ -161,9 +161,10 @@
   if (!target.listed.needs_weights)
     return true;
   const std::uint64_t version = WeightsOf(target);
-  // The estimate may be wrong by as much as itself, and by more without fresh word of the target.
+  // The estimate may be wrong by half of itself, and by more without fresh word of the target.
   const bool is_fresh = target.load && now - target.load_heard < FRESH_LOAD;
-  const TimePoint begin = now + 2 * start + (is_fresh ? START_MARGIN : START_MARGIN_UNHEARD);
+  const Duration most = is_fresh ? start * 3 / 2 + START_MARGIN : 2 * start + START_MARGIN_UNHEARD;
+  const TimePoint begin = now + most;
   return std::ranges::all_of(wish.weights, [&](const WeightsBound& bound)
                              { return version >= bound.version || begin < bound.due; });
 }
--- a/Source/Core/Gateway/WeightsBounds.cpp
+++ b/Source/Core/Gateway/WeightsBounds.cpp
@@ -14,7 +14,7 @@
 using Common::Weight;
 
 // Other processes may have heard of new weights a little earlier.
-static constexpr Duration SWITCH_MARGIN = Milliseconds(400);
+static constexpr Duration SWITCH_MARGIN = Milliseconds(250);
 // Requests are looked for so long after the bound; the bound is before the real one.
 static constexpr Duration SWEEP_TIME = Milliseconds(500);
 // Versions of a model whose bounds are kept in mind.
