Distribution: A sidecar that knows no other one does not crash when it draws

It had lost the platform while it read that alone, so it wanted weights before it knew any instance; the next hall of an empty list was taken for the first one. The frames in its crash line led there.

Change: without halls there is nobody to tell. The test crashed first.

--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -105,6 +105,8 @@
 
 void Swarm::TellNextHall(std::uint32_t piece, bool is_from_origin, Actions* actions)
 {
+  if (m_halls.empty())
+    return;
   // From hall to hall in a ring, so that no hall sends more than one copy out.
   auto next = m_halls.upper_bound(m_self.hall);
   if (next == m_halls.end())
--- a/Source/UnitTests/Core/SwarmTest.cpp
+++ b/Source/UnitTests/Core/SwarmTest.cpp
@@ -212,3 +212,22 @@
   f.Pass(Milliseconds(100));
   CHECK(!f.Fetches().empty());
 }
+
+TEST_CASE("An instance that knows no other one draws all from the origin")
+{
+  // It reads the platform alone, and the list of instances is not there yet.
+  Fixture f;
+  SwarmOptions options;
+  options.shares_crossings = true;
+  options.origin_hall = "hall";
+  f.swarm = std::make_unique<Swarm>(Common::Sha256(*f.manifest), Fetcher{"self", "hall"}, options,
+                                    1, &f.shared);
+  f.swarm->SetPeers({}, {}, f.now, &f.actions);
+  for (int i = 0; i < 200 && !f.swarm->IsHeld(); ++i)
+  {
+    f.Pass(Milliseconds(100));
+    for (const FetchPiece& fetch : f.Fetches())
+      f.Answer(fetch, f.Right(fetch));
+  }
+  CHECK(f.swarm->IsHeld());
+}
