Mesh: Tell a sidecar the plan and its peers once, and greet only those in use

Ruled out: longer periods alone: they only move the size at which it breaks.

Change: hellos are short. The plan and the peers carry a stamp of what they were read from; a sidecar says which one it has, and is told when that is older. The gateway that reads the platform tells first, the others wait 200 to 600 ms. Sidecars that are new in the list are told at once by all. Gateways greet only sidecars whose targets they use; so a sidecar counts the gateways of a hall by what those that it hears say of their hall.

--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -12,6 +12,10 @@
 static constexpr Milliseconds NEAR_PERIOD = Milliseconds(400);
 // Bytes between halls are dear, and sidecars elsewhere have gateways of their own.
 static constexpr Milliseconds FAR_PERIOD = Milliseconds(1000);
+// A gateway that does not read the platform gives the one that does so much time to tell of what is
+// new, and some more, so that not all tell at once.
+static constexpr Milliseconds OTHERS_TIME = Milliseconds(200);
+static constexpr int OTHERS_JITTER_MS = 400;
 // A longer way than this is a mistake of one of the clocks.
 static constexpr Milliseconds ROUND_TRIP_MOST = Milliseconds(60000);
 // Versions of a model that are told, as a push of the one before may still be under way.
@@ -35,20 +39,44 @@
   return way;
 }
 
-void Briefing::SetPlan(const WeightsPlan& plan)
+void Briefing::OnNews(TimePoint now)
+{
+  if (m_reads)
+    return TellSoon();
+  const auto more = std::uniform_int_distribution<int>(0, OTHERS_JITTER_MS)(m_random);
+  m_others_due = now + OTHERS_TIME + Milliseconds(more);
+}
+
+void Briefing::SetPlan(const WeightsPlan& plan, Settings::DocumentVersion settings, TimePoint now)
 {
   if (plan == m_plan)
     return;
   m_plan = plan;
-  TellSoon();
+  m_stamp.settings = settings;
+  OnNews(now);
 }
 
-void Briefing::SetSidecars(const std::vector<Peer>& sidecars)
+void Briefing::SetSidecars(const std::vector<Peer>& sidecars, Control::Position changed,
+                           TimePoint now)
 {
   if (sidecars == m_sidecars)
     return;
   m_sidecars = sidecars;
-  TellSoon();
+  m_stamp.targets = std::max(m_stamp.targets, changed);
+  const auto is_here = [this](const Common::Address& address)
+  { return std::ranges::find(m_sidecars, address, &Peer::address) != m_sidecars.end(); };
+  std::erase_if(m_briefed, [&](const auto& entry) { return !is_here(entry.first); });
+  m_has_new_sidecars = true;
+  OnNews(now);
+}
+
+void Briefing::OnReported(const Common::Address& sidecar, const BriefingStamp& stamp, TimePoint now)
+{
+  const auto found = m_briefed.find(sidecar);
+  if (found == m_briefed.end())
+    return;
+  found->second.stamp = stamp;
+  found->second.reported_at = now;
 }
 
 void Briefing::SetWeights(const Control::NamedWeights& named, TimePoint known_since)
@@ -77,7 +105,7 @@
   return told;
 }
 
-Hello Briefing::MakeHello(TimePoint now, bool is_whole) const
+Hello Briefing::MakeHello(TimePoint now) const
 {
   Hello hello;
   hello.is_gateway = true;
@@ -85,43 +113,82 @@
   hello.settings = m_settings;
   hello.weights = ToldAt(now);
   hello.demand = m_use.demand;
-  if (!is_whole)
-    return hello;
-  hello.plan = m_plan;
-  hello.peers = m_sidecars;
+  hello.near_gateways = m_use.near_gateways;
   return hello;
 }
 
+void Briefing::AddWhole(Hello* hello) const
+{
+  hello->plan = m_plan;
+  hello->peers = m_sidecars;
+  hello->stamp = m_stamp;
+}
+
 void Briefing::SetUse(TargetUse use)
 {
   if (use.needs_other_halls && !m_use.needs_other_halls)
-    m_needed_due = {};
+    m_far_due = {};
   m_use = std::move(use);
 }
 
+bool Briefing::IsUsed(const Peer& sidecar) const
+{
+  return m_use.sidecars.empty() || m_use.sidecars.contains(sidecar.address);
+}
+
 bool Briefing::WantsLoad(const Peer& sidecar) const
 {
-  const bool is_used = m_use.sidecars.contains(sidecar.address);
-  return is_used && (sidecar.hall == m_hall || m_use.needs_other_halls);
+  return m_use.sidecars.contains(sidecar.address) &&
+         (sidecar.hall == m_hall || m_use.needs_other_halls);
 }
 
-bool Briefing::IsIn(Audience audience, const Peer& sidecar) const
+bool Briefing::NeedsWhole(const Peer& sidecar, TimePoint now) const
 {
-  const bool is_near = sidecar.hall == m_hall;
-  if (audience == Audience::Near)
-    return is_near;
-  return !is_near && (audience == Audience::Far || m_use.sidecars.contains(sidecar.address));
+  if (sidecar.hall != m_hall || m_plan.model.empty())
+    return false;
+  const auto found = m_briefed.find(sidecar.address);
+  if (found == m_briefed.end())
+    return true;
+  const Briefed& briefed = found->second;
+  const bool is_told = briefed.told == m_stamp && now - briefed.told_at < NEAR_PERIOD;
+  if (is_told || !briefed.stamp.IsBehind(m_stamp))
+    return false;
+  return m_reads || briefed.reported_at >= m_others_due;
 }
 
-void Briefing::TellAll(Audience audience, TimePoint now, std::vector<Outgoing>* outgoing) const
+void Briefing::Tell(const Peer& sidecar, const Hello& hello, TimePoint now,
+                    std::vector<Outgoing>* outgoing)
 {
-  Hello hello = MakeHello(now, audience == Audience::Near);
+  Hello own = hello;
+  own.wants_load = WantsLoad(sidecar);
+  if (NeedsWhole(sidecar, now))
+  {
+    AddWhole(&own);
+    Briefed& briefed = m_briefed[sidecar.address];
+    briefed.told = m_stamp;
+    briefed.told_at = now;
+  }
+  outgoing->push_back({sidecar.address, std::move(own)});
+}
+
+void Briefing::TellNew(TimePoint now, std::vector<Outgoing>* outgoing)
+{
+  m_has_new_sidecars = false;
+  const Hello hello = MakeHello(now);
   for (const Peer& sidecar : m_sidecars)
   {
-    if (!IsIn(audience, sidecar))
-      continue;
-    hello.wants_load = WantsLoad(sidecar);
-    outgoing->push_back({sidecar.address, hello});
+    if (sidecar.hall == m_hall && IsUsed(sidecar) && !m_briefed.contains(sidecar.address))
+      Tell(sidecar, hello, now, outgoing);
+  }
+}
+
+void Briefing::TellUsed(bool is_near, TimePoint now, std::vector<Outgoing>* outgoing)
+{
+  const Hello hello = MakeHello(now);
+  for (const Peer& sidecar : m_sidecars)
+  {
+    if ((sidecar.hall == m_hall) == is_near && IsUsed(sidecar))
+      Tell(sidecar, hello, now, outgoing);
   }
 }
 
@@ -130,16 +197,20 @@
   if (now >= m_near_due)
   {
     m_near_due = now + NEAR_PERIOD;
-    TellAll(Audience::Near, now, outgoing);
+    m_has_new_sidecars = false;
+    TellUsed(true, now, outgoing);
   }
+  if (m_has_new_sidecars)
+    TellNew(now, outgoing);
   if (now >= m_far_due)
   {
     m_far_due = now + FAR_PERIOD;
-    TellAll(Audience::Far, now, outgoing);
+    TellUsed(false, now, outgoing);
   }
-  else if (now >= m_needed_due)
-    TellAll(Audience::FarUsed, now, outgoing);
-  if (now >= m_needed_due)
-    m_needed_due = TimePoint::max();
+}
+
+TimePoint Briefing::NextWakeup() const
+{
+  return m_has_new_sidecars ? TimePoint() : std::min(m_near_due, m_far_due);
 }
 } // namespace Holdpost::Mesh
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -55,15 +55,31 @@
   auto operator<=>(const Peer&) const = default;
 };
 
+// What a plan and a list of peers were read from. Both only rise.
+struct BriefingStamp
+{
+  // The settings by which the plan changed last, and the last change in the list of targets.
+  Settings::DocumentVersion settings = 0;
+  Control::Position targets = 0;
+
+  bool operator==(const BriefingStamp&) const = default;
+  bool IsBehind(const BriefingStamp& other) const
+  {
+    return settings < other.settings || targets < other.targets;
+  }
+};
+
 // Sent by every process to those that need it, again and again: datagrams may be lost.
 struct Hello
 {
   bool is_gateway = false;
   Settings::DocumentVersion settings = 0;
   std::vector<ToldWeights> weights;
-  WeightsPlan plan; // without a model if the sender knows none
-  // The sidecars of the plan's service.
+  WeightsPlan plan; // without a model if the sender knows none, or the receiver has it
+  // The sidecars of the plan's service; empty with an empty plan.
   std::vector<Peer> peers;
+  // Of the plan and the peers.
+  BriefingStamp stamp;
   // The sender's clock, which a load report gives back: so the sender learns how long the way
   // takes.
   Common::Milliseconds clock{0};
@@ -71,6 +87,8 @@
   bool wants_load = false;
   // What comes to the sender for engines.
   Gateway::OwnDemand demand;
+  // Gateways of the sender's hall, this one included.
+  std::uint32_t near_gateways = 0;
 };
 
 // What a gateway has at the receiver's target, told whenever that changes.
@@ -83,8 +101,10 @@
 struct LoadReport
 {
   Gateway::TargetLoad load;
-  // Gateways that the sidecar has heard of late.
+  // Gateways of all halls, as the sidecar has heard of late.
   std::uint32_t gateways = 0;
+  // Of the plan and the peers that the sidecar was last told.
+  BriefingStamp stamp;
   // The newest settings that one of them told of, and which one did.
   Settings::DocumentVersion settings = 0;
   Common::Address settings_at;
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -160,16 +160,30 @@
   gateway.clock = hello.clock;
   gateway.wants_load = hello.wants_load;
   gateway.demand = hello.demand;
+  gateway.near_gateways = hello.near_gateways;
   gateway.heard = now;
-  if (!hello.plan.model.empty())
-    OnPlan(hello.plan, now);
+  OnBriefed(hello, now, actions);
   for (const Mesh::ToldWeights& told : hello.weights)
     OnWeights(told.named, now - told.known);
-  if (!hello.peers.empty())
-    OnPeers(hello.peers, now, actions);
   ChooseVersion(now, actions);
 }
 
+void Sidecar::OnBriefed(const Mesh::Hello& hello, TimePoint now, Actions* actions)
+{
+  if (hello.plan.model.empty())
+    return;
+  if (hello.stamp.settings >= m_stamp.settings)
+  {
+    m_stamp.settings = hello.stamp.settings;
+    OnPlan(hello.plan, now);
+  }
+  if (hello.stamp.targets >= m_stamp.targets && !hello.peers.empty())
+  {
+    m_stamp.targets = hello.stamp.targets;
+    OnPeers(hello.peers, now, actions);
+  }
+}
+
 bool Sidecar::IsAlone(TimePoint now) const
 {
   // After a start the gateways are given as long to speak first.
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -110,6 +110,8 @@
     // It needs each report.
     bool wants_load = false;
     Gateway::OwnDemand demand;
+    // Gateways of its hall, as it says.
+    std::uint32_t near_gateways = 0;
     // What it has at the target, and when it said so.
     Gateway::OwnWork work;
     Common::TimePoint work_heard{};
@@ -123,6 +125,10 @@
               Actions* actions);
   // What all gateways have at the target.
   Gateway::OwnWork WorkOfAll(Common::TimePoint now) const;
+  // Takes the plan and the peers, if they are not older than what is known.
+  void OnBriefed(const Mesh::Hello& hello, Common::TimePoint now, Actions* actions);
+  // Of all halls, as those that were heard say.
+  std::uint32_t CountGateways() const;
   // What comes to the gateways that send here.
   Gateway::GatewayDemand DemandOfAll() const;
   // The target's load as it was reported, and what has come since.
@@ -165,6 +171,8 @@
   StageKeeper m_stage;
   WeightsLoader m_loader;
   Mesh::WeightsPlan m_plan;
+  // What gateways have told of the plan and the peers.
+  Mesh::BriefingStamp m_stamp;
   // Versions that were named, and since when this is known somewhere.
   std::map<std::uint64_t, Common::TimePoint> m_named;
   // The one that the engine is to load next, and a newer one that is copied meanwhile.
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -63,6 +63,22 @@
   return all;
 }
 
+std::uint32_t Sidecar::CountGateways() const
+{
+  // A sidecar hears those that send to its target, and each of them knows those of its hall.
+  std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> halls;
+  for (const auto& [address, gateway] : m_gateways)
+  {
+    auto& [heard, told] = halls[gateway.hall];
+    ++heard;
+    told = std::max(told, gateway.near_gateways);
+  }
+  std::uint32_t count = 0;
+  for (const auto& [hall, counts] : halls)
+    count += std::max(counts.first, counts.second);
+  return count;
+}
+
 Gateway::GatewayDemand Sidecar::DemandOfAll() const
 {
   Gateway::GatewayDemand all;
@@ -130,7 +146,8 @@
                 [now](const auto& entry) { return now - entry.second.heard > GATEWAY_LIFETIME; });
   Mesh::LoadReport report;
   report.load = load;
-  report.gateways = static_cast<std::uint32_t>(m_gateways.size());
+  report.gateways = CountGateways();
+  report.stamp = m_stamp;
   for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
   {
     const auto known = std::chrono::duration_cast<Milliseconds>(now - named->second);
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -56,7 +56,8 @@
     : m_config(config), m_control(control), m_handlers(std::move(handlers)),
       m_follower({ListPeriodFor(config)}, Common::StableHash(config.instance)),
       m_duty(RankOf(config.mesh_listen), Common::StableHash(config.instance)),
-      m_seed_query(MeshAddressesOf(config.seeds, config.mesh_listen)), m_briefing(config.hall),
+      m_seed_query(MeshAddressesOf(config.seeds, config.mesh_listen)),
+      m_briefing(config.hall, Common::StableHash(config.instance)),
       m_hall_gateways(config.mesh_listen),
       m_mesh(loop, {[this](const Mesh::Sender& from, Mesh::Message& message)
                     { OnMessage(from, message); },
@@ -84,6 +85,7 @@
 void GatewayControl::Tick(TimePoint now)
 {
   UpdateDuty(now);
+  m_briefing.SetReads(m_duty.Reads());
   FollowPlatform(now);
   QuerySeeds(now);
   if (m_duty.Reads() && now >= m_beat_due)
@@ -101,6 +103,7 @@
   Mesh::TargetUse use;
   use.needs_other_halls = in_use.needs_other_halls;
   use.demand = in_use.demand;
+  use.near_gateways = static_cast<std::uint32_t>(m_near_gateways);
   for (const Address& target : in_use.targets)
     use.sidecars.insert({target.host, m_mesh.Self().address.port});
   m_briefing.SetUse(std::move(use));
@@ -273,14 +276,16 @@
   if (!plan)
     return;
   m_briefing.SetSettings(m_follower.Document()->version);
-  m_briefing.SetPlan(*plan);
+  const TimePoint now = EventLoop::Now();
+  m_briefing.SetPlan(*plan, m_follower.Version(), now);
   const std::vector<Gateway::ListedTarget> targets = m_follower.Targets();
-  m_briefing.SetSidecars(SidecarsOf(targets, plan->service, m_mesh.Self().address.port));
+  m_briefing.SetSidecars(SidecarsOf(targets, plan->service, m_mesh.Self().address.port),
+                         m_follower.TargetsChanged(), now);
   // Weights that some target has were named once, though the record may be gone.
   for (const Gateway::ListedTarget& target : targets)
   {
     if (target.service == plan->service && target.weights_version > 0)
-      m_briefing.SetWeights({plan->model, target.weights_version}, EventLoop::Now());
+      m_briefing.SetWeights({plan->model, target.weights_version}, now);
   }
   for (const auto& [model, versions] : m_follower.Weights())
   {
@@ -295,7 +300,7 @@
 {
   std::visit(
       Common::Overloaded{
-          [&](const Mesh::LoadReport& report) { OnLoadReport(report); },
+          [&](const Mesh::LoadReport& report) { OnLoadReport(from, report); },
           [&](const Mesh::ReaderBeat& beat) { OnReaderBeat(from, beat); },
           [&](const Mesh::AskDocument& ask) { AnswerDocument(from.address, ask.newer_than); },
           [&](const Mesh::TellDocument& tell) { OnDocument(from, tell); },
@@ -312,12 +317,13 @@
   return is_news;
 }
 
-void GatewayControl::OnLoadReport(const Mesh::LoadReport& report)
+void GatewayControl::OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report)
 {
   const TimePoint now = EventLoop::Now();
   m_hall_gateways.OnListed(report.near_gateways, now);
-  m_handlers.on_gateways(
-      {m_gateway_count.OnReported(report.gateways, now), m_hall_gateways.Others(now).size() + 1});
+  m_near_gateways = m_hall_gateways.Others(now).size() + 1;
+  m_briefing.OnReported(from.address, report.stamp, now);
+  m_handlers.on_gateways({m_gateway_count.OnReported(report.gateways, now), m_near_gateways});
   if (const auto ask = m_follower.OnPeerVersion(report.settings, now))
     m_mesh.Send(report.settings_at, Mesh::AskDocument{*ask});
   if (OfferWeights(report.weights, now))
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -84,7 +84,7 @@
   void UpdateTargetsInUse();
 
   void OnMessage(const Mesh::Sender& from, Mesh::Message& message);
-  void OnLoadReport(const Mesh::LoadReport& report);
+  void OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report);
   void OnReaderBeat(const Mesh::Sender& from, const Mesh::ReaderBeat& beat);
   void OnDocument(const Mesh::Sender& from, const Mesh::TellDocument& tell);
   void OnTargets(const Mesh::Sender& from, const Mesh::TellTargets& tell);
@@ -104,6 +104,7 @@
   Mesh::Briefing m_briefing;
   Mesh::GatewayCount m_gateway_count;
   Mesh::HallGateways m_hall_gateways;
+  std::size_t m_near_gateways = 1; // this one included
   MeshPeer::MeshEndpoint m_mesh;
   Common::TimePoint m_beat_due{};
   // The answer to these is awaited until then.
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -33,6 +33,12 @@
   hall @1 :UInt16;         # place in the list of halls
 }
 
+# What a plan and a list of peers were read from. Later ones are larger.
+struct Stamp {
+  settings @0 :UInt64;
+  targets @1 :UInt64;
+}
+
 struct Hello {
   isGateway @0 :Bool;
   settings @1 :UInt64;
@@ -47,6 +53,10 @@
   # What comes to the sender: requests a second, and the part that it refused.
   arrivals @8 :UInt16;
   refusedPercent @9 :UInt8;
+  # Gateways of the sender's hall, as far as it knows.
+  nearGateways @10 :UInt16;
+  # Of the plan and the peers.
+  stamp @11 :Stamp;
 }
 
 struct Load {
@@ -72,6 +82,8 @@
   nearArrivals @16 :UInt16;
   farArrivals @17 :UInt16;
   refusedPercent @18 :UInt8;
+  # Of the plan and the peers that the sender was last told.
+  stamp @19 :Stamp;
 }
 
 # What a gateway has at the receiver's target.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(be20a47147925bda);
 CAPNP_DECLARE_SCHEMA(d258803507f91b92);
 CAPNP_DECLARE_SCHEMA(fce6fdafd5b68370);
+CAPNP_DECLARE_SCHEMA(c57ea4e3916d9c48);
 CAPNP_DECLARE_SCHEMA(cd2162000944b10a);
 CAPNP_DECLARE_SCHEMA(f17b276126095b8f);
 CAPNP_DECLARE_SCHEMA(91c4fc4e5efe5f39);
@@ -98,6 +99,21 @@
   };
 };
 
+struct Stamp {
+  Stamp() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c57ea4e3916d9c48, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Hello {
   Hello() = delete;
 
@@ -106,7 +122,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd2162000944b10a, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cd2162000944b10a, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -121,7 +137,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -665,6 +681,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Stamp::Reader {
+public:
+  typedef Stamp Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSettings() const;
+
+  inline  ::uint64_t getTargets() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Stamp::Builder {
+public:
+  typedef Stamp Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSettings();
+  inline void setSettings( ::uint64_t value);
+
+  inline  ::uint64_t getTargets();
+  inline void setTargets( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Stamp::Pipeline {
+public:
+  typedef Stamp Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Hello::Reader {
 public:
   typedef Hello Reads;
@@ -706,6 +803,11 @@
 
   inline  ::uint8_t getRefusedPercent() const;
 
+  inline  ::uint16_t getNearGateways() const;
+
+  inline bool hasStamp() const;
+  inline  ::Holdpost::MeshWire::Stamp::Reader getStamp() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -781,6 +883,16 @@
   inline  ::uint8_t getRefusedPercent();
   inline void setRefusedPercent( ::uint8_t value);
 
+  inline  ::uint16_t getNearGateways();
+  inline void setNearGateways( ::uint16_t value);
+
+  inline bool hasStamp();
+  inline  ::Holdpost::MeshWire::Stamp::Builder getStamp();
+  inline void setStamp( ::Holdpost::MeshWire::Stamp::Reader value);
+  inline  ::Holdpost::MeshWire::Stamp::Builder initStamp();
+  inline void adoptStamp(::capnp::Orphan< ::Holdpost::MeshWire::Stamp>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::Stamp> disownStamp();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -800,6 +912,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Holdpost::MeshWire::WeightsPlan::Pipeline getPlan();
+  inline  ::Holdpost::MeshWire::Stamp::Pipeline getStamp();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -867,6 +980,9 @@
 
   inline  ::uint8_t getRefusedPercent() const;
 
+  inline bool hasStamp() const;
+  inline  ::Holdpost::MeshWire::Stamp::Reader getStamp() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -968,6 +1084,13 @@
   inline  ::uint8_t getRefusedPercent();
   inline void setRefusedPercent( ::uint8_t value);
 
+  inline bool hasStamp();
+  inline  ::Holdpost::MeshWire::Stamp::Builder getStamp();
+  inline void setStamp( ::Holdpost::MeshWire::Stamp::Reader value);
+  inline  ::Holdpost::MeshWire::Stamp::Builder initStamp();
+  inline void adoptStamp(::capnp::Orphan< ::Holdpost::MeshWire::Stamp>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::Stamp> disownStamp();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -988,6 +1111,7 @@
 
   inline  ::Holdpost::MeshWire::Address::Pipeline getTarget();
   inline  ::Holdpost::MeshWire::Address::Pipeline getSettingsAt();
+  inline  ::Holdpost::MeshWire::Stamp::Pipeline getStamp();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2383,6 +2507,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Stamp::Reader::getSettings() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Stamp::Builder::getSettings() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Stamp::Builder::setSettings( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Stamp::Reader::getTargets() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Stamp::Builder::getTargets() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Stamp::Builder::setTargets( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::getIsGateway() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2612,6 +2764,59 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Hello::Reader::getNearGateways() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Hello::Builder::getNearGateways() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setNearGateways( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasStamp() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasStamp() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::Stamp::Reader Hello::Reader::getStamp() const {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::Stamp::Builder Hello::Builder::getStamp() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Holdpost::MeshWire::Stamp::Pipeline Hello::Pipeline::getStamp() {
+  return  ::Holdpost::MeshWire::Stamp::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Hello::Builder::setStamp( ::Holdpost::MeshWire::Stamp::Reader value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::Stamp::Builder Hello::Builder::initStamp() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::adoptStamp(
+    ::capnp::Orphan< ::Holdpost::MeshWire::Stamp>&& value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::Stamp> Hello::Builder::disownStamp() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Load::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2968,6 +3173,45 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::hasStamp() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasStamp() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::Stamp::Reader Load::Reader::getStamp() const {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::Stamp::Builder Load::Builder::getStamp() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Holdpost::MeshWire::Stamp::Pipeline Load::Pipeline::getStamp() {
+  return  ::Holdpost::MeshWire::Stamp::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Load::Builder::setStamp( ::Holdpost::MeshWire::Stamp::Reader value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::Stamp::Builder Load::Builder::initStamp() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::adoptStamp(
+    ::capnp::Orphan< ::Holdpost::MeshWire::Stamp>&& value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::Stamp> Load::Builder::disownStamp() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Stamp>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint16_t Work::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -154,6 +154,17 @@
   return weights;
 }
 
+static void Write(const Mesh::BriefingStamp& stamp, MeshWire::Stamp::Builder out)
+{
+  out.setSettings(stamp.settings);
+  out.setTargets(stamp.targets);
+}
+
+static Mesh::BriefingStamp Read(MeshWire::Stamp::Reader in)
+{
+  return {in.getSettings(), in.getTargets()};
+}
+
 static void Write(const Mesh::Hello& hello, MeshWire::Message::Builder message)
 {
   auto out = message.initHello();
@@ -165,6 +176,9 @@
   if (!hello.peers.empty())
     WritePeers(hello.peers, out);
   out.setClockMs(ToWireMs(hello.clock));
+  if (!hello.plan.model.empty())
+    Write(hello.stamp, out.initStamp());
+  out.setNearGateways(ToWireCount(hello.near_gateways));
   out.setWantsLoad(hello.wants_load);
   out.setArrivals(ToWireCount(hello.demand.arrivals_per_second));
   out.setRefusedPercent(ToWirePercent(hello.demand.refused_share));
@@ -180,6 +194,8 @@
     hello.plan = Read(in.getPlan());
   hello.peers = ReadPeers(in);
   hello.clock = Milliseconds(in.getClockMs());
+  hello.stamp = Read(in.getStamp());
+  hello.near_gateways = in.getNearGateways();
   hello.wants_load = in.getWantsLoad();
   hello.demand.arrivals_per_second = in.getArrivals();
   hello.demand.refused_share = in.getRefusedPercent() / PERCENT;
@@ -203,6 +219,7 @@
   if (load.switch_in)
     out.setSwitchInMs(ToWireMs(*load.switch_in) + 1);
   out.setGateways(static_cast<std::uint16_t>(report.gateways));
+  Write(report.stamp, out.initStamp());
   out.setSettings(report.settings);
   if (report.settings_at.IsSet())
     Write(report.settings_at, out.initSettingsAt());
@@ -240,6 +257,7 @@
   Mesh::LoadReport report;
   report.load = load;
   report.gateways = in.getGateways();
+  report.stamp = Read(in.getStamp());
   report.settings = in.getSettings();
   report.settings_at = Read(in.getSettingsAt());
   report.echo = Milliseconds(in.getEchoMs());
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -145,6 +145,48 @@
   }
 }
 
+TEST_CASE("A sidecar counts the gateways that it hears and those that they know of")
+{
+  Fixture f;
+  const auto count = [&]
+  {
+    f.now += Milliseconds(100);
+    f.ReadReport(2, 0);
+    std::uint32_t gateways = 0;
+    for (const Tell& tell : Take<Tell>(f.actions))
+      gateways = std::get<Mesh::LoadReport>(tell.message).gateways;
+    return gateways;
+  };
+  CHECK(count() == 3);
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.wants_load = true;
+  hello.near_gateways = 10;
+  f.sidecar.OnMessage(FAR, hello, f.now, &f.actions);
+  CHECK(count() == 12);
+}
+
+TEST_CASE("A sidecar takes the plan and the peers from whoever knows the newest")
+{
+  Fixture f;
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.wants_load = true;
+  hello.plan = {"llm", "m", 8, 1024, Milliseconds(300), {"10.9.0.1", 80}, "here"};
+  hello.peers = {{{"10.0.0.9", 7700}, "here"}};
+  hello.stamp = {7, 40};
+  f.sidecar.OnMessage(NEAR, hello, f.now, &f.actions);
+  CHECK(f.sidecar.HasPlan());
+  hello.stamp = {5, 50};
+  f.sidecar.OnMessage(OTHER, hello, f.now, &f.actions);
+  f.actions.clear();
+  f.now += Milliseconds(100);
+  f.ReadReport(2, 0);
+  const auto told = Take<Tell>(f.actions);
+  REQUIRE(!told.empty());
+  CHECK(std::get<Mesh::LoadReport>(told[0].message).stamp == Mesh::BriefingStamp{7, 50});
+}
+
 TEST_CASE("Gateways that do not need each report hear each second")
 {
   Fixture f;
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -35,6 +35,8 @@
     hello.peers = {{{"10.1.0.5", 7700}, "oslo-a"}, {{"10.2.0.5", 7700}, "bergen-a"}};
     hello.clock = Milliseconds(123456);
     hello.wants_load = true;
+    hello.stamp = {17, 40};
+    hello.near_gateways = 13;
     hello.demand = {120, 0.25};
     const Mesh::Hello got = There(hello);
     CHECK(got.is_gateway);
@@ -45,6 +47,8 @@
     CHECK(got.peers == hello.peers);
     CHECK(got.clock == hello.clock);
     CHECK(got.wants_load);
+    CHECK(got.stamp == hello.stamp);
+    CHECK(got.near_gateways == 13);
     CHECK(got.demand.arrivals_per_second == 120);
     CHECK(got.demand.refused_share == doctest::Approx(0.25));
   }
@@ -62,6 +66,7 @@
     report.load.pace = 1.25;
     report.load.inbound_delay = Milliseconds(310);
     report.gateways = 7;
+    report.stamp = {16, 38};
     report.settings = 99;
     report.settings_at = {"10.1.0.4", 7700};
     report.weights = {{{"m", 2}, Milliseconds(2300)}, {{"m", 3}, Milliseconds(300)}};
@@ -71,6 +76,7 @@
     const Mesh::LoadReport got = There(report);
     CHECK(got.load == report.load);
     CHECK(got.gateways == 7);
+    CHECK(got.stamp == report.stamp);
     CHECK(got.settings == 99);
     CHECK(got.settings_at == report.settings_at);
     REQUIRE(got.weights.size() == 2);
