Routing: Gateways that know of no difference between targets take different ones

Plain services have no agents, so all that is known is what a gateway sent itself, costs are equal, and each gateway took the first target of the list.

Ruled out: choosing at random among equal targets: each request would open a connection of its own.

Change: each gateway adds less than a microsecond to the cost of a target, by a hash of the target with its own seed.

Conclusion: ties are an order, too.

--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -236,7 +236,8 @@
     if (!HasGoodWeights(target, wish, start, now))
       continue;
     const bool is_here = target.listed.hall == m_hall;
-    Duration cost = start + SwitchDelay(target, wish, now) / SWITCH_DELAY_SHARE;
+    Duration cost =
+        start + SwitchDelay(target, wish, now) / SWITCH_DELAY_SHARE + target.tie_break;
     if (!is_here)
       cost += OTHER_HALL_PENALTY;
     if (IsSilent(target, now))
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "Common/EventLog.h"
+#include "Common/Hash.h"
 
 namespace Holdpost::Gateway
 {
@@ -29,6 +30,7 @@
 static constexpr Duration AVOID_SILENT = Milliseconds(2000);
 // Each answer moves the known lag by this part of what it was late.
 static constexpr int LAG_SHARE = 4;
+static constexpr std::uint64_t TIE_BREAK_MOST_NS = 1000;
 // Answers take at least so long, even of plain services.
 static constexpr Duration EXPECTED_LEAST = Milliseconds(150);
 
@@ -74,6 +76,8 @@
       added[listed.address] = listed.id;
     target.listed = listed;
     target.is_on_list = true;
+    target.tie_break =
+        std::chrono::nanoseconds(Common::StableHash(listed.id, m_seed) % TIE_BREAK_MOST_NS);
   }
   for (const TargetId& id : before)
     LogEvent(Weight::Important, now, "target.gone", "target", id);
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -80,7 +80,7 @@
 public:
   // `seed` is for choices between targets that are as good.
   explicit TargetTable(const std::string& hall, std::uint64_t seed = 0)
-      : m_hall(hall), m_reach(hall, seed), m_random(seed)
+      : m_hall(hall), m_seed(seed), m_reach(hall, seed), m_random(seed)
   {
   }
 
@@ -156,6 +156,8 @@
     bool is_on_list = false;
     // In reach of this gateway.
     bool is_used = true;
+    // Less than any real cost: between equal targets each gateway has a choice of its own.
+    Common::Duration tie_break{};
     // Another one has its address. Its record may stay on the list for a while; as ids are never
     // used again, it does not come back.
     bool is_replaced = false;
@@ -235,6 +237,7 @@
                                Common::TimePoint now) const;
 
   std::string m_hall;
+  std::uint64_t m_seed;
   TargetReach m_reach;
   GatewayCounts m_gateways;
   std::map<TargetId, Target> m_targets;
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include "Core/Gateway/TargetTable.h"
@@ -404,3 +406,27 @@
   REQUIRE(choice);
   CHECK(!table.IsUsed(choice->address));
 }
+
+TEST_CASE("Gateways that know of no difference between targets take different ones")
+{
+  std::vector<ListedTarget> list;
+  for (int i = 0; i < 6; ++i)
+  {
+    list.push_back(MakeTarget(std::to_string(i)));
+    list.back().service = "desk";
+    list.back().needs_weights = false;
+  }
+  std::map<TargetId, int> chosen;
+  for (std::uint64_t seed = 0; seed < 60; ++seed)
+  {
+    TargetTable table("here", seed);
+    table.SetList(list, START);
+    const TargetId first = table.Choose({"desk", 0, 0, {}, {}}, START)->id;
+    // The same one each time, so that its connection is used again.
+    CHECK(table.Choose({"desk", 0, 0, {}, {}}, START)->id == first);
+    ++chosen[first];
+  }
+  CHECK(chosen.size() == 6);
+  for (const auto& [id, count] : chosen)
+    CHECK(count < 25);
+}
