Gateway: Tell in a refusal how much of what comes can begin in time

Cause: whether a request is sent now depends on what comes to the other gateways, too, and its refusal did not say that: the log lacked an input of the decision. The best expected start in it was that of a target drawn at random.

Change: request.refused has admitted_part, arrivals_per_second and refused_share; best_expected_ms is that of the best target. Choosing is split into finding the candidates and choosing between them.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -238,11 +238,21 @@
   return wish;
 }
 
-TargetWish Gateway::WishInTime(const Tracked& tracked, TimePoint now)
+std::size_t Gateway::WaitingFor(const std::string& service) const
+{
+  const auto queue = m_queues.find(service);
+  if (queue == m_queues.end())
+    return 0;
+  std::size_t count = 0;
+  for (const auto& [priority, waiting] : queue->second.waiting)
+    count += waiting.Size();
+  return count;
+}
+
+TargetWish Gateway::WishInTime(const Tracked& tracked, TimePoint now) const
 {
   TargetWish wish = WishOf(tracked);
-  for (const auto& [priority, queue] : QueueOf(tracked.service).waiting)
-    wish.waiting += queue.Size();
+  wish.waiting = WaitingFor(tracked.service);
   const bool may_be_refused = tracked.runs == 0 && !tracked.was_passed;
   if (may_be_refused)
     wish.start_most = std::max(StartMost(tracked, now), Duration(1));
@@ -401,10 +411,14 @@
   return std::clamp(wait + more, COME_BACK_LEAST, COME_BACK_MOST);
 }
 
-Duration Gateway::BestStart(const Tracked& tracked, TimePoint now)
+// As it is for a request of this kind that comes now.
+ServiceView Gateway::ViewOf(const Tracked& tracked, TimePoint now) const
 {
-  const auto choice = m_targets.Choose(WishOf(tracked), now);
-  return choice ? choice->expected_start : Duration(Milliseconds(-1));
+  TargetWish wish = WishOf(tracked);
+  wish.start_most = std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
+  wish.waiting = WaitingFor(tracked.service);
+  return {m_targets.Utilization(tracked.service, now), m_targets.RoomFor(wish, now),
+          m_targets.SurveyOf(wish, now), Version()};
 }
 
 void Gateway::GiveUp(Tracked& tracked, Error error, TimePoint now, Actions* actions)
@@ -424,8 +438,7 @@
       error = {ErrorKind::Unreachable, error.message};
     if (Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun)
       error.retry_after = ComeBackAfter(tracked);
-    const ServiceView view{m_targets.Utilization(service, now), BestStart(tracked, now),
-                           m_targets.SurveyOf(WishOf(tracked), now), Version()};
+    const ServiceView view = ViewOf(tracked, now);
     m_targets.OnRefused(service, now);
     m_log.OnRefused(tracked, Common::AnswerFor(error.kind), view, now);
     actions->push_back(Refuse{tracked.number, std::move(error)});
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -99,7 +99,8 @@
   void PumpAll(Common::TimePoint now, Actions* actions);
   TargetWish WishOf(const Tracked& tracked) const;
   // The same for a request that is not sent unless it can begin in time.
-  TargetWish WishInTime(const Tracked& tracked, Common::TimePoint now);
+  TargetWish WishInTime(const Tracked& tracked, Common::TimePoint now) const;
+  std::size_t WaitingFor(const std::string& service) const;
   bool TryDispatch(Tracked& tracked, Common::TimePoint now, Actions* actions);
   bool IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
                       Common::TimePoint now) const;
@@ -125,8 +126,8 @@
   void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
   void OnTimer(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void Forget(RequestNumber number);
-  // For the log: when the best target would begin it; below zero if there is none.
-  Common::Duration BestStart(const Tracked& tracked, Common::TimePoint now);
+  // For the log.
+  ServiceView ViewOf(const Tracked& tracked, Common::TimePoint now) const;
   Common::Milliseconds ComeBackAfter(const Tracked& tracked) const;
   Tracked* Find(RequestNumber number);
   void RefuseArrival(const RequestArrived& event, Common::Error error, Common::TimePoint now,
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -109,11 +109,14 @@
   m_metrics.Add("holdpost_requests_refused_total", Common::Reason(answer.name));
   LogFailure(tracked, now, "request.refused", "reason", answer.name, "status", answer.http_status,
              "service", tracked.service, "waited_ms", now - tracked.arrived, "runs", tracked.runs,
-             "utilization", view.utilization, "best_expected_ms", view.best_start, "goal_ms",
-             tracked.route.goal, "settings", view.settings, "targets", view.targets.listed, "open",
-             view.targets.open, "leaving", view.targets.leaving, "avoided", view.targets.avoided,
-             "switching", view.targets.switching, "without_weights", view.targets.without_weights,
-             "old_weights", view.targets.old_weights);
+             "utilization", view.utilization, "best_expected_ms", view.room.best_start, "goal_ms",
+             tracked.route.goal, "admitted_part", view.room.admitted_part, "arrivals_per_second",
+             view.room.demand.near_per_second + view.room.demand.far_per_second, "refused_share",
+             view.room.demand.refused_share, "settings", view.settings, "targets",
+             view.targets.listed, "open", view.targets.open, "leaving", view.targets.leaving,
+             "avoided", view.targets.avoided, "switching", view.targets.switching,
+             "without_weights", view.targets.without_weights, "old_weights",
+             view.targets.old_weights);
 }
 
 void RequestLog::OnCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -14,8 +14,7 @@
 {
   // Requests that wait or run at its targets, over their slots.
   double utilization = 0;
-  // When the best target would begin the request; below zero if there is none.
-  Common::Duration best_start{};
+  ServiceRoom room;
   TargetSurvey targets;
   Settings::DocumentVersion settings = 0;
 };
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -221,54 +221,71 @@
     m_crowded_until = now + CROWDED_TIME;
 }
 
-std::optional<TargetChoice> TargetTable::ChooseFrom(Scope scope, const TargetWish& wish,
-                                                    TimePoint now)
+bool TargetTable::IsOpenFor(const TargetId& id, const Target& target, const TargetWish& wish,
+                            TimePoint now) const
 {
-  std::vector<TargetChoice> choices;
-  std::vector<SpreadOption> options;
+  return target.listed.service == wish.service && IsOpen(target, now) && !wish.tried.contains(id);
+}
+
+void TargetTable::AddCandidate(const TargetId& id, const Target& target, const TargetWish& wish,
+                               TimePoint now, Candidates* candidates) const
+{
+  const Duration start = ExpectedStartAt(target, wish.prompt_tokens, now);
+  if (!HasGoodWeights(target, wish, start, now))
+    return;
+  const bool is_here = target.listed.hall == m_hall;
+  Duration cost = start + SwitchDelay(target, wish, now) / SWITCH_DELAY_SHARE + target.tie_break;
+  if (!is_here)
+    cost += OTHER_HALL_PENALTY;
+  if (IsSilent(target, now))
+    cost += SILENCE_PENALTY;
+  const double load = LoadOf(target, now);
+  TargetChoice choice{id,   target.listed.address, WeightsOf(target),         start,
+                      load, std::nullopt,          load < target.listed.slots};
+  if (target.load)
+    choice.report_age = now - target.load_heard;
+  candidates->choices.push_back(std::move(choice));
+  candidates->options.push_back({cost, is_here});
+}
+
+TargetTable::Candidates TargetTable::CandidatesFor(const TargetWish& wish, TimePoint now) const
+{
+  const bool is_any_used = std::ranges::any_of(
+      m_targets, [&](const auto& entry)
+      { return entry.second.is_used && IsOpenFor(entry.first, entry.second, wish, now); });
+  Candidates candidates;
   for (const auto& [id, target] : m_targets)
   {
-    if (target.listed.service != wish.service || !IsOpen(target, now) || wish.tried.contains(id))
-      continue;
-    if (scope == Scope::Used && !target.is_used)
-      continue;
-    const Duration start = ExpectedStartAt(target, wish.prompt_tokens, now);
-    if (!HasGoodWeights(target, wish, start, now))
-      continue;
-    const bool is_here = target.listed.hall == m_hall;
-    Duration cost =
-        start + SwitchDelay(target, wish, now) / SWITCH_DELAY_SHARE + target.tie_break;
-    if (!is_here)
-      cost += OTHER_HALL_PENALTY;
-    if (IsSilent(target, now))
-      cost += SILENCE_PENALTY;
-    const double load = LoadOf(target, now);
-    choices.push_back({id, target.listed.address, WeightsOf(target), start, load, std::nullopt,
-                       load < target.listed.slots});
-    if (target.load)
-      choices.back().report_age = now - target.load_heard;
-    options.push_back({cost, is_here});
+    if ((target.is_used || !is_any_used) && IsOpenFor(id, target, wish, now))
+      AddCandidate(id, target, wish, now, &candidates);
   }
-  NoteCrowding(wish, options, now);
-  if (choices.empty())
+  return candidates;
+}
+
+std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
+{
+  const Candidates candidates = CandidatesFor(wish, now);
+  NoteCrowding(wish, candidates.options, now);
+  if (candidates.choices.empty())
     return std::nullopt;
   const Spread spread = SpreadOf(wish, now);
-  if (!IsAdmitted(wish, options, spread, now))
+  if (!IsAdmitted(wish, candidates.options, spread, now))
     return std::nullopt;
-  return choices[ChooseSpread(options, spread, Draw())];
+  return candidates.choices[ChooseSpread(candidates.options, spread, Draw())];
 }
 
-std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
+ServiceRoom TargetTable::RoomFor(const TargetWish& wish, TimePoint now) const
 {
-  const bool is_any_used =
-      std::ranges::any_of(m_targets,
-                          [&](const auto& entry)
-                          {
-                            const Target& target = entry.second;
-                            return target.is_used && target.listed.service == wish.service &&
-                                   IsOpen(target, now) && !wish.tried.contains(entry.first);
-                          });
-  return ChooseFrom(is_any_used ? Scope::Used : Scope::All, wish, now);
+  ServiceRoom room;
+  room.demand = m_demand.Around(wish.service, m_gateways, now);
+  const Candidates candidates = CandidatesFor(wish, now);
+  if (candidates.choices.empty())
+    return room;
+  room.best_start = std::ranges::min_element(candidates.choices, {}, &TargetChoice::expected_start)
+                        ->expected_start;
+  if (wish.start_most)
+    room.admitted_part = AdmittedPart(candidates.options, SpreadOf(wish, now), *wish.start_most);
+  return room;
 }
 
 double TargetTable::Utilization(const std::string& service, TimePoint now) const
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -60,6 +60,17 @@
   bool has_free_slot = false;
 };
 
+// What there is for a request at the moment.
+struct ServiceRoom
+{
+  // When the best target would begin it; below zero if there is none.
+  Common::Duration best_start = Common::Milliseconds(-1);
+  // The part of all that is about to be sent that can begin in time.
+  double admitted_part = 0;
+  // What comes to the gateways that send to the same targets.
+  GatewayDemand demand;
+};
+
 // Why targets of a service take no requests, or not this one. Each listed target counts once.
 struct TargetSurvey
 {
@@ -94,6 +105,7 @@
   // The target with the least expected time until an answer begins; empty if there is none, or if
   // others are expected to take what room there is.
   std::optional<TargetChoice> Choose(const TargetWish& wish, Common::TimePoint now);
+  ServiceRoom RoomFor(const TargetWish& wish, Common::TimePoint now) const;
   TargetSurvey SurveyOf(const TargetWish& wish, Common::TimePoint now) const;
   // Requests that wait or run at the service's targets, over their slots.
   double Utilization(const std::string& service, Common::TimePoint now) const;
@@ -195,14 +207,18 @@
   TargetWork WorkOf(const Target& target, const Settings::EngineProfile& engine,
                     Common::TimePoint now) const;
   Spread SpreadOf(const TargetWish& wish, Common::TimePoint now) const;
-  // Targets that this gateway may choose from, in reach or all.
-  enum class Scope
+  // Targets that would do, and what each of them costs.
+  struct Candidates
   {
-    Used,
-    All,
+    std::vector<TargetChoice> choices;
+    std::vector<SpreadOption> options;
   };
-  std::optional<TargetChoice> ChooseFrom(Scope scope, const TargetWish& wish,
-                                         Common::TimePoint now);
+  // Those in reach, or all if none of these is open.
+  Candidates CandidatesFor(const TargetWish& wish, Common::TimePoint now) const;
+  void AddCandidate(const TargetId& id, const Target& target, const TargetWish& wish,
+                    Common::TimePoint now, Candidates* candidates) const;
+  bool IsOpenFor(const TargetId& id, const Target& target, const TargetWish& wish,
+                 Common::TimePoint now) const;
   // Whether the request is sent now, of all that compete for what room there is.
   bool IsAdmitted(const TargetWish& wish, const std::vector<SpreadOption>& options,
                   const Spread& spread, Common::TimePoint now);
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -26,6 +26,9 @@
     CHECK(lines[0]["utilization"] >= 1.0);
     CHECK(lines[0]["best_expected_ms"] > 0);
     CHECK(lines[0]["goal_ms"] == 400);
+    CHECK(lines[0]["admitted_part"] <= 1);
+    CHECK(lines[0]["arrivals_per_second"] > 0);
+    CHECK(lines[0].contains("refused_share"));
     CHECK(lines[0]["settings"] == 1);
     CHECK(lines[0]["attempts"] == 0);
     CHECK(lines[0]["targets"] == 2);
