--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -188,10 +188,11 @@
 
 static double SizeWeight(const EngineProfile& engine, const TargetWish& wish)
 {
-  const double usual =
-      EngineTime(engine, engine.usual_prompt_tokens, engine.usual_answer_tokens).count();
-  const double own = EngineTime(engine, wish.prompt_tokens, wish.answer_tokens).count();
-  return std::clamp(usual / std::max(own, 1.0), SIZE_WEIGHT_LEAST, SIZE_WEIGHT_MOST);
+  using Seconds = std::chrono::duration<double>;
+  const Seconds usual = EngineTime(engine, engine.usual_prompt_tokens, engine.usual_answer_tokens);
+  const Seconds own = EngineTime(engine, wish.prompt_tokens, wish.answer_tokens);
+  const Seconds least = Duration(1);
+  return std::clamp(usual / std::max(own, least), SIZE_WEIGHT_LEAST, SIZE_WEIGHT_MOST);
 }
 
 bool TargetTable::IsAdmitted(const TargetWish& wish, const std::vector<SpreadOption>& options,
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -63,7 +63,7 @@
   }
 
   Common::Metrics metrics;
-  Sidecar::Sidecar sidecar{
+  Holdpost::Sidecar::Sidecar sidecar{
       {{"10.0.0.9", 7700}, "here", {"10.0.0.9", 8000}, "llm", 0, Milliseconds(8000)}, metrics};
   Common::TimePoint now = START;
   Actions actions;
