Sidecar: Measure the way to a gateway from its hello, not from its last word

Cause: a report echoes the clock of the gateway's hello with its age, counted from the last message of any kind. Since gateways tell of their work, too, the age was too short and the way to the sidecar too long by as much: up to a second, which gateways add to the expected start of that target.

Change: the hello's time is kept by itself. One time of the last word serves the rest, in place of two of which the later was taken.

--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -162,6 +162,7 @@
   gateway.demand = hello.demand;
   gateway.near_gateways = hello.near_gateways;
   gateway.heard = now;
+  gateway.greeted = now;
   OnBriefed(hello, now, actions);
   for (const Mesh::ToldWeights& told : hello.weights)
     OnWeights(told.named, now - told.known);
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -105,16 +105,17 @@
     std::string hall;
     Settings::DocumentVersion settings = 0;
     Common::Milliseconds clock{0};
+    // Any message of it, and the hello with the clock.
     Common::TimePoint heard{};
+    Common::TimePoint greeted{};
     Common::TimePoint told{};
     // It needs each report.
     bool wants_load = false;
     Gateway::OwnDemand demand;
     // Gateways of its hall, as it says.
     std::uint32_t near_gateways = 0;
-    // What it has at the target, and when it said so.
+    // What it has at the target.
     Gateway::OwnWork work;
-    Common::TimePoint work_heard{};
     // When it was last told of the other gateways of the hall.
     Common::TimePoint listed{};
   };
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -41,7 +41,6 @@
   HeardGateway& gateway = m_gateways[from.address];
   gateway.hall = from.hall;
   gateway.heard = now;
-  gateway.work_heard = now;
   const Gateway::OwnWork before = std::exchange(gateway.work, work);
   if (work.requests <= before.requests || m_tell_due)
     return;
@@ -55,7 +54,7 @@
   Gateway::OwnWork all;
   for (const auto& [address, gateway] : m_gateways)
   {
-    if (now - std::max(gateway.heard, gateway.work_heard) > WORK_LIFETIME)
+    if (now - gateway.heard > WORK_LIFETIME)
       continue;
     all.requests += gateway.work.requests;
     all.unread_prompt_tokens += gateway.work.unread_prompt_tokens;
@@ -176,7 +175,7 @@
       report.near_gateways = NearGateways();
     }
     report.echo = gateway.clock;
-    report.echo_age = std::chrono::duration_cast<Milliseconds>(now - gateway.heard);
+    report.echo_age = std::chrono::duration_cast<Milliseconds>(now - gateway.greeted);
     actions->push_back(Tell{address, report, true});
   }
   m_tell_due.reset();
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <doctest/doctest.h>
 
+#include "Core/Mesh/Briefing.h"
 #include "Core/Sidecar/Sidecar.h"
 #include "Support/Actions.h"
 
@@ -210,3 +211,22 @@
     CHECK(f.Reports().contains(FAR.address));
   }
 }
+
+TEST_CASE("The way to a sidecar is measured from its gateway's hello, whatever came since")
+{
+  Fixture f;
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.wants_load = true;
+  hello.clock = Mesh::ClockOf(f.now);
+  f.sidecar.OnMessage(NEAR, hello, f.now, &f.actions);
+  f.now += Milliseconds(300);
+  f.TellWork(NEAR, 1, 1200);
+  std::optional<Milliseconds> way;
+  for (const Tell& tell : Take<Tell>(f.actions))
+  {
+    if (tell.to == NEAR.address)
+      way = Mesh::RoundTrip(std::get<Mesh::LoadReport>(tell.message), f.now);
+  }
+  CHECK(way == Milliseconds(0));
+}
