Connections: Find peers that go silent without a sign

Nothing found that while a call waited for its answer: a stream stood until the caller left, the long read of the settings until its time was over, and kept connections broke one request after the other.

Ruled out: a time-out of our own while an answer waits: a target may be silent for good reasons, and an answer is not to be ended sooner for that.

Calls that may not be repeated wait on, as their answer may still come when the way is open again. When a kept connection breaks, the other kept ones to that peer are closed. Tests cut a connection with a socket filter that drops all.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -12,6 +12,8 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 
+#include "Common/Socket.h"
+
 namespace Holdpost::Common
 {
 static constexpr std::size_t IDLE_CONNECTIONS_PER_ADDRESS = 8;
@@ -22,6 +24,7 @@
   CallId id = 0;
   Address to;
   bool may_reuse_connection = false;
+  bool is_reused = false; // the connection had been kept
   HttpCallbacks callbacks;
   evhttp_connection* connection = nullptr;
   evhttp_request* raw = nullptr;
@@ -81,16 +84,27 @@
     evhttp_connection_free(connection);
 }
 
-evhttp_connection* HttpClient::Connect(const HttpCall& call)
+void HttpClient::Connect(const HttpCall& call, Pending& pending)
 {
   auto& idle = m_idle[call.to];
-  if (call.may_reuse_connection && !idle.empty())
+  pending.is_reused = call.may_reuse_connection && !idle.empty();
+  if (pending.is_reused)
   {
-    evhttp_connection* connection = idle.back();
+    pending.connection = idle.back();
     idle.pop_back();
-    return connection;
+    return;
   }
-  return evhttp_connection_base_new(m_loop.Base(), nullptr, call.to.host.c_str(), call.to.port);
+  pending.connection =
+      evhttp_connection_base_new(m_loop.Base(), nullptr, call.to.host.c_str(), call.to.port);
+}
+
+void HttpClient::CloseIdle(const Address& peer)
+{
+  const auto idle = m_idle.extract(peer);
+  if (!idle)
+    return;
+  for (evhttp_connection* connection : idle.mapped())
+    evhttp_connection_free(connection);
 }
 
 HttpClient::CallId HttpClient::Start(HttpCall call, HttpCallbacks callbacks)
@@ -102,7 +116,7 @@
   pending->to = call.to;
   pending->may_reuse_connection = call.may_reuse_connection;
   pending->callbacks = std::move(callbacks);
-  pending->connection = Connect(call);
+  Connect(call, *pending);
   pending->raw = evhttp_request_new(&HttpClient::HandleDone, pending);
   evhttp_request_set_header_cb(pending->raw, &HttpClient::HandleHeaders);
   evhttp_request_set_error_cb(pending->raw, [](evhttp_request_error error, void* self)
@@ -120,6 +134,8 @@
                            (call.idle_timeout.count() % 1000) * 1000};
   evhttp_connection_set_timeout_tv(pending->connection, &timeout);
   const CallId id = pending->id;
+  const bool is_new_connection = !pending->is_reused;
+  evhttp_connection* const connection = pending->connection;
   m_pending.emplace(id, std::move(owned));
   // On failure evhttp has already called HandleDone or will never do so; Defer covers both.
   if (evhttp_make_request(pending->connection, pending->raw, MethodFromName(call.method),
@@ -131,7 +147,11 @@
           if (const auto found = m_pending.find(id); found != m_pending.end())
             Finish(*found->second, nullptr);
         });
+    return id;
   }
+  // The socket is there once the request was made.
+  if (is_new_connection)
+    TurnKeepaliveOn(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
   return id;
 }
 
@@ -188,6 +208,9 @@
   if (owned->failed || status == 0)
   {
     Release(*owned, false);
+    // Kept connections are as old as this one: what ended it has ended them, too.
+    if (owned->is_reused)
+      CloseIdle(owned->to);
     owned->callbacks.on_done(Error{ErrorKind::Unreachable,
                                    fmt::format("no whole answer from {}", owned->to.ToString())});
     return;
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -72,7 +72,8 @@
   static int HandleHeaders(evhttp_request* raw, void* pending);
   static void HandleChunk(evhttp_request* raw, void* pending);
   static void HandleError(int error, void* pending);
-  evhttp_connection* Connect(const HttpCall& call);
+  void Connect(const HttpCall& call, Pending& pending);
+  void CloseIdle(const Address& peer);
   void Release(Pending& pending, bool may_be_reused);
   void Finish(Pending& pending, evhttp_request* raw);
 
--- a/Source/Common/Socket.cpp
+++ b/Source/Common/Socket.cpp
@@ -6,11 +6,17 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace Holdpost::Common
 {
+// A peer that is silent for so long is asked for a sign of life, so often, and so many times.
+static constexpr int KEEPALIVE_IDLE_SECONDS = 1;
+static constexpr int KEEPALIVE_INTERVAL_SECONDS = 1;
+static constexpr int KEEPALIVE_PROBES = 2;
+
 std::optional<sockaddr_in> ToSockaddr(const Address& address)
 {
   sockaddr_in raw{};
@@ -41,6 +47,14 @@
   setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+void TurnKeepaliveOn(int fd)
+{
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+  SetSocketOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+}
+
 Result<int> OpenBoundSocket(int type, const Address& address)
 {
   const auto raw = ToSockaddr(address);
--- a/Source/Common/Socket.h
+++ b/Source/Common/Socket.h
@@ -17,6 +17,9 @@
 // The address that a socket is bound to.
 Address BoundAddress(int fd);
 void SetSocketOption(int fd, int level, int name, int value);
+// Turns TCP keepalive on, so that a peer that goes silent without a sign is found within about
+// three seconds, or within the user timeout if that is set.
+void TurnKeepaliveOn(int fd);
 // Opens and binds a non-blocking socket of the type (SOCK_STREAM or SOCK_DGRAM).
 Result<int> OpenBoundSocket(int type, const Address& address);
 } // namespace Holdpost::Common
--- a/Source/Common/TcpConnection.cpp
+++ b/Source/Common/TcpConnection.cpp
@@ -36,6 +36,7 @@
   if (fd >= 0)
   {
     SetStreamOptions(fd, silence_most);
+    TurnKeepaliveOn(fd);
     const int result = connect(fd, reinterpret_cast<const sockaddr*>(&*raw), sizeof(*raw));
     failure = result != 0 && errno != EINPROGRESS ? errno : 0;
   }
@@ -193,6 +194,12 @@
     Flush();
 }
 
+void TcpConnection::SetKeepalive(bool is_on)
+{
+  if (m_fd >= 0)
+    SetSocketOption(m_fd, SOL_SOCKET, SO_KEEPALIVE, is_on ? 1 : 0);
+}
+
 void TcpConnection::WaitForWritable()
 {
   if (m_is_write_armed)
--- a/Source/Common/TcpConnection.h
+++ b/Source/Common/TcpConnection.h
@@ -58,6 +58,9 @@
     m_handlers = std::make_shared<const Handlers>(std::move(handlers));
   }
   void Write(std::string_view data);
+  // Of a connection that was opened: whether a peer that goes silent without a sign is found even
+  // while nothing is written. On from the start.
+  void SetKeepalive(bool is_on);
   // Bytes written that the kernel has not taken yet.
   std::size_t UnsentBytes() const { return m_output.size() - m_output_sent; }
   // Bytes received that nobody has consumed yet.
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -188,7 +188,7 @@
   request.is_head_method = caller.Head().method == "HEAD";
   request.is_stream = dispatch.is_stream;
   request.resume_after = dispatch.resume_after;
-  request.may_reuse_connection = dispatch.may_repeat;
+  request.may_repeat = dispatch.may_repeat;
   exchange.call = std::make_shared<TargetPeer::TargetCall>(m_pool, m_names);
   exchange.is_whole = false;
   exchange.body.clear();
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -21,8 +21,12 @@
   m_events = EventStream(m_request.resume_after);
   m_parser.Restart(m_request.is_head_method);
   const TargetPool::Lease lease =
-      m_pool.Acquire(m_request.target, m_request.address, m_request.may_reuse_connection);
+      m_pool.Acquire(m_request.target, m_request.address, m_request.may_repeat);
   m_connection = lease.connection;
+  m_is_reused = lease.is_reused;
+  // The answer of a call that may not be repeated may still come when the way is open again.
+  if (!m_request.may_repeat)
+    m_connection->SetKeepalive(false);
   const std::weak_ptr<TargetCall> weak = weak_from_this();
   m_connection->SetHandlers({[weak](std::string_view data)
                              {
@@ -150,6 +154,9 @@
     return;
   const std::shared_ptr<TargetCall> self = shared_from_this();
   m_connection.reset();
+  // Its kept connections are as old as this one: what ended it has ended them, too.
+  if (m_is_reused && end == ConnectionEnd::Broken)
+    m_pool.Forget(m_request.target);
   if (end == ConnectionEnd::NotConnected)
     return Fail(CallFailure::NotSent, AttemptEnd::NoConnection);
   // One that was reset on the way is not whole, whatever came of it.
@@ -219,6 +226,8 @@
       idle_most = std::min(idle_most, told - IDLE_MARGIN);
     }
   }
+  if (!m_request.may_repeat)
+    connection->SetKeepalive(true);
   m_pool.Release(m_request.target, connection, idle_most);
 }
 
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -35,8 +35,9 @@
   bool is_stream = false;
   // Events up to this one are not passed on again.
   std::optional<std::uint64_t> resume_after;
-  // A kept connection may be used, though the target may close it at this moment.
-  bool may_reuse_connection = false;
+  // It may be sent again: a kept connection is good enough, and a target that goes silent without a
+  // sign is given up.
+  bool may_repeat = false;
 };
 
 class TargetCall final : private Common::HttpParserSink,
@@ -98,6 +99,7 @@
   EventStream m_events;
   Gateway::AttemptEnd m_ended_by = Gateway::AttemptEnd::None;
   bool m_is_event_stream = false;
+  bool m_is_reused = false; // the connection had been kept
   // The answer that is being read belongs to another request.
   bool m_is_foreign = false;
   bool m_is_spoilt = false;  // the connection must not be used again
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -43,19 +43,19 @@
     request.request_id = "r1";
     request.is_stream = is_stream;
     request.resume_after = resume_after;
-    request.may_reuse_connection = true;
+    request.may_repeat = may_repeat;
     call = std::make_shared<TargetCall>(pool, names);
     body.clear();
     ended = false;
     failure.reset();
     call->Start(std::move(request),
-                {[this, passes](const Common::HttpHead& head, bool is_whole)
+                {[this, passes, started = call.get()](const Common::HttpHead& head, bool is_whole)
                  {
                    ++heads;
                    status = head.status;
                    whole_at_head = is_whole;
                    if (passes)
-                     call->Pass();
+                     started->Pass();
                  },
                  [this](std::string_view data) { body.append(data); }, [this] { ended = true; },
                  [this](CallFailure how) { failure = how; }});
@@ -71,6 +71,7 @@
   std::size_t next = 0;
   bool closes = false;
   bool resets = false;
+  bool may_repeat = true;
   FakeServer server;
   TargetPool pool{loop};
   std::shared_ptr<TargetCall> call;
@@ -330,3 +331,62 @@
   CHECK(f.status == 200);
   CHECK(f.body == "mine");
 }
+
+TEST_CASE("A target that says nothing more, without a sign, is found while a call waits for it")
+{
+  Fixture f({StreamHead() + Chunk("id: 0\ndata: a\n\n")});
+  f.Start(true);
+  REQUIRE(RunUntil(f.loop, [&f] { return !f.body.empty(); }));
+  f.server.Silence(0);
+  REQUIRE(f.Run());
+  CHECK(f.failure == CallFailure::Broken);
+}
+
+TEST_CASE("A call that may not be repeated waits on for a silent target until it is cancelled")
+{
+  // An answer may come once the way is open again, and nothing is won by giving up sooner.
+  Fixture f({});
+  f.may_repeat = false;
+  f.Start();
+  REQUIRE(
+      RunUntil(f.loop, [&f] { return f.server.Accepted() == 1 && !f.server.Bytes(0).empty(); }));
+  f.server.Silence(0);
+  Testing::RunFor(f.loop, Common::Milliseconds(2500));
+  CHECK_FALSE(f.failure);
+  f.call->Cancel();
+}
+
+TEST_CASE("Kept connections that went silent are not used any more")
+{
+  Fixture f({Answer("one"), Answer("two")});
+  f.Start();
+  REQUIRE(f.Run());
+  f.server.Silence(0);
+  Testing::RunFor(f.loop, Common::Milliseconds(2500));
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.body == "two");
+  CHECK(f.server.Accepted() == 2);
+}
+
+TEST_CASE("When a kept connection breaks, the others to that target are not used either")
+{
+  Fixture f({Answer("one"), Answer("two"), Answer("three")});
+  // Two calls at a time make two connections, which are both kept.
+  f.Start();
+  const auto first = f.call;
+  f.Start();
+  REQUIRE(RunUntil(f.loop, [&f] { return f.server.Accepted() == 2 && f.next == 2; }));
+  Testing::RunFor(f.loop, Common::Milliseconds(50));
+  f.server.Silence(0);
+  f.server.Silence(1);
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.failure == CallFailure::Broken);
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.body == "three");
+  CHECK(f.server.Accepted() == 3);
+}
--- a/Source/UnitTests/Support/Sockets.h
+++ b/Source/UnitTests/Support/Sockets.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include <doctest/doctest.h>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 #include "Common/EventLoop.h"
 #include "Common/TcpConnection.h"
@@ -31,6 +33,15 @@
   RunUntil(loop, [end] { return Common::EventLoop::Now() >= end; });
 }
 
+// From now on the socket takes nothing in, not even what would acknowledge its own bytes, as if its
+// connection had gone silent on the way. Its peer hears nothing more.
+inline void DropAllInput(int fd)
+{
+  sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog program{1, &drop_all};
+  REQUIRE(setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
+}
+
 // Takes connections and answers what it is told to.
 class FakeServer
 {
@@ -61,12 +72,15 @@
   {
     return *m_connections[connection].end;
   }
+  // The connection stays open and says nothing more, without a sign.
+  void Silence(std::size_t connection) { DropAllInput(m_connections[connection].fd); }
   // Forgets what came so far, as before a second request.
   void ForgetBytes(std::size_t connection) { m_connections[connection].bytes->clear(); }
 
 private:
   struct Entry
   {
+    int fd = -1;
     std::shared_ptr<Common::TcpConnection> connection;
     std::shared_ptr<std::string> bytes = std::make_shared<std::string>();
     std::shared_ptr<std::optional<Common::ConnectionEnd>> end =
@@ -76,6 +90,7 @@
   void OnAccepted(int fd)
   {
     Entry entry;
+    entry.fd = fd;
     entry.connection = Common::TcpConnection::Adopt(m_loop, fd, Common::Milliseconds(5000));
     auto* raw = entry.connection.get();
     raw->SetHandlers({[this, raw, bytes = entry.bytes](std::string_view data)
