--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -19,16 +19,9 @@
 // A request that has to be refused is refused within this part of its goal.
 static constexpr int REFUSE_WITHIN = 4;
 static constexpr Duration REFUSE_MARGIN = Milliseconds(15);
-// Part of the goal that the expected start may use up.
-static constexpr double GOAL_SHARE = 0.7;
-// A request whose answer has not begun after twice the expected time and this may be moved.
-static constexpr Duration MOVE_MARGIN = Milliseconds(300);
 // Another gateway can serve the request at once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
-static constexpr Milliseconds COME_BACK_LEAST = Milliseconds(150);
-static constexpr Milliseconds COME_BACK_MOST = Milliseconds(2000);
-static constexpr double COME_BACK_SHARE = 0.65;
 // Timers that are not about one request carry this number.
 static constexpr RequestNumber NO_REQUEST = 0;
 
@@ -108,13 +101,6 @@
   return found == m_requests.end() ? nullptr : &found->second;
 }
 
-void Gateway::RefuseArrival(const RequestArrived& event, Error error, TimePoint now,
-                            Actions* actions)
-{
-  m_log.OnTurnedAway(event.request, Common::AnswerFor(error.kind), Version(), now);
-  actions->push_back(Refuse{event.number, std::move(error)});
-}
-
 void Gateway::Handle(RequestArrived event, TimePoint now, Actions* actions)
 {
   m_log.OnArrived();
@@ -183,131 +169,6 @@
     Pump(service, now, actions);
 }
 
-void Gateway::Pump(const std::string& service, TimePoint now, Actions* actions)
-{
-  for (auto& [priority, queue] : m_queues[service].waiting)
-  {
-    while (const auto next = queue.Take())
-    {
-      Tracked& tracked = *Find(next->number);
-      if (TryDispatch(tracked, now, actions))
-        continue;
-      queue.AddFront(tracked.organisation, 1, *next);
-      return;
-    }
-  }
-}
-
-const std::vector<WeightsBound>& Gateway::WeightsFor(const std::string& service) const
-{
-  for (const Settings::ServiceSettings& settings : m_document->services)
-  {
-    if (settings.name == service && !settings.models.empty())
-      return m_weights.Of(settings.models.front().name);
-  }
-  return m_weights.Of("");
-}
-
-// How long a start may take for the goal to be met.
-static Duration StartMost(const TrackedRequest& tracked, TimePoint now)
-{
-  const auto whole = std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
-  return whole - (now - tracked.arrived);
-}
-
-bool Gateway::IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
-                             TimePoint now) const
-{
-  if (choice.has_free_slot || tracked.was_passed)
-    return true;
-  // One that may have run cannot be refused as not run: late is better than an error.
-  if (tracked.runs > 0)
-    return choice.expected_start <= (tracked.deadline - now) / 2;
-  return choice.expected_start <= StartMost(tracked, now);
-}
-
-TargetWish Gateway::WishOf(const Tracked& tracked) const
-{
-  const std::optional<GenerationHint>& generation = tracked.request.generation;
-  TargetWish wish;
-  wish.service = tracked.service;
-  wish.prompt_tokens = tracked.PromptTokens();
-  wish.answer_tokens = generation ? generation->answer_tokens_guess : 0;
-  wish.tried = tracked.tried;
-  wish.weights = WeightsFor(tracked.service);
-  return wish;
-}
-
-std::size_t Gateway::WaitingFor(const std::string& service) const
-{
-  const auto queue = m_queues.find(service);
-  if (queue == m_queues.end())
-    return 0;
-  std::size_t count = 0;
-  for (const auto& [priority, waiting] : queue->second.waiting)
-    count += waiting.Size();
-  return count;
-}
-
-TargetWish Gateway::WishInTime(const Tracked& tracked, TimePoint now) const
-{
-  TargetWish wish = WishOf(tracked);
-  wish.waiting = WaitingFor(tracked.service);
-  const bool may_be_refused = tracked.runs == 0 && !tracked.was_passed;
-  if (may_be_refused)
-    wish.start_most = std::max(StartMost(tracked, now), Duration(1));
-  return wish;
-}
-
-void Gateway::TellWork(const TargetId& id, Actions* actions) const
-{
-  if (const auto agent = m_targets.AgentOf(id))
-    actions->push_back(TellAgent{*agent, m_targets.OwnWorkAt(id)});
-}
-
-bool Gateway::TryDispatch(Tracked& tracked, TimePoint now, Actions* actions)
-{
-  const TargetWish wish = WishInTime(tracked, now);
-  const auto choice = m_targets.Choose(wish, now);
-  if (!choice || !IsWorthSending(tracked, *choice, now))
-    return false;
-  tracked.state = State::Sent;
-  tracked.target = choice->id;
-  tracked.last_attempt = {*choice, now};
-  tracked.tried.insert(choice->id);
-  ++tracked.sends;
-  tracked.has_started = false;
-  m_targets.OnDispatched(choice->id, tracked.number, wish.prompt_tokens, choice->expected_start,
-                         now);
-  tracked.move_at = now + 2 * choice->expected_start + MOVE_MARGIN;
-  m_timers.push({tracked.move_at, tracked.number});
-  m_log.OnSent(tracked, Version(), now);
-  Dispatch dispatch;
-  dispatch.number = tracked.number;
-  dispatch.target = choice->id;
-  dispatch.address = choice->address;
-  dispatch.time_left =
-      std::max(std::chrono::duration_cast<Milliseconds>(tracked.deadline - now), Milliseconds(1));
-  dispatch.organisation = tracked.organisation;
-  dispatch.expected_start = choice->expected_start;
-  dispatch.resume_after = tracked.last_event;
-  dispatch.is_stream = tracked.route.is_stream;
-  dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
-  actions->push_back(std::move(dispatch));
-  TellWork(choice->id, actions);
-  return true;
-}
-
-void Gateway::LeaveTarget(Tracked& tracked, Actions* actions)
-{
-  if (tracked.target.empty())
-    return;
-  const std::uint32_t unread_tokens = tracked.has_started ? 0 : tracked.PromptTokens();
-  m_targets.OnEnded(tracked.target, tracked.number, unread_tokens);
-  TellWork(tracked.target, actions);
-  tracked.target.clear();
-}
-
 void Gateway::Forget(RequestNumber number)
 {
   m_requests.erase(number);
@@ -367,8 +228,6 @@
   actions->push_back(PassAnswer{tracked->number});
 }
 
-void Gateway::Handle(const AnswerProgressed& /*event*/, TimePoint /*now*/) {}
-
 void Gateway::Handle(const AnswerEnded& event, TimePoint now, Actions* actions)
 {
   Tracked* tracked = Find(event.number);
@@ -400,52 +259,6 @@
            now, actions);
 }
 
-// By then a full target has ended about all that it runs. Spread out, or all that were refused
-// together would come back together.
-Milliseconds Gateway::ComeBackAfter(const Tracked& tracked) const
-{
-  const Duration turnover = m_targets.TurnoverOf(tracked.service);
-  const double spread = static_cast<double>(Common::StableHash(tracked.request.id) % 1000) / 1000;
-  const auto wait = std::chrono::duration_cast<Milliseconds>(COME_BACK_SHARE * turnover);
-  const auto more = std::chrono::duration_cast<Milliseconds>(spread * wait);
-  return std::clamp(wait + more, COME_BACK_LEAST, COME_BACK_MOST);
-}
-
-// As it is for a request of this kind that comes now.
-ServiceView Gateway::ViewOf(const Tracked& tracked, TimePoint now) const
-{
-  TargetWish wish = WishOf(tracked);
-  wish.start_most = std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
-  wish.waiting = WaitingFor(tracked.service);
-  return {m_targets.Utilization(tracked.service, now), m_targets.RoomFor(wish, now),
-          m_targets.SurveyOf(wish, now), Version()};
-}
-
-void Gateway::GiveUp(Tracked& tracked, Error error, TimePoint now, Actions* actions)
-{
-  LeaveTarget(tracked, actions);
-  const std::string service = tracked.service;
-  if (tracked.was_passed)
-  {
-    m_log.OnCut(tracked, Common::AnswerFor(error.kind), now);
-    actions->push_back(AbortAnswer{tracked.number});
-  }
-  else
-  {
-    const Common::ErrorAnswer& row = Common::AnswerFor(error.kind);
-    // "Not run" would be a lie once a target may have run it.
-    if (row.outcome == Common::Outcome::NotRun && tracked.runs > 0)
-      error = {ErrorKind::Unreachable, error.message};
-    if (Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun)
-      error.retry_after = ComeBackAfter(tracked);
-    const ServiceView view = ViewOf(tracked, now);
-    m_targets.OnRefused(service, now);
-    m_log.OnRefused(tracked, Common::AnswerFor(error.kind), view, now);
-    actions->push_back(Refuse{tracked.number, std::move(error)});
-  }
-  Forget(tracked.number);
-}
-
 void Gateway::OnTimer(Tracked& tracked, TimePoint now, Actions* actions)
 {
   if (tracked.state == State::Waiting)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -64,7 +64,6 @@
   void Handle(const AnswerBegan& event, Common::TimePoint now, Actions* actions);
   void Handle(const AnswerEnded& event, Common::TimePoint now, Actions* actions);
   void Handle(const AttemptFailed& event, Common::TimePoint now, Actions* actions);
-  void Handle(const AnswerProgressed& event, Common::TimePoint now);
   void OnTick(Common::TimePoint now, Actions* actions);
   // When OnTick is due next; empty while nothing waits for a time.
   std::optional<Common::TimePoint> NextWakeup() const;
@@ -101,6 +100,8 @@
   // The same for a request that is not sent unless it can begin in time.
   TargetWish WishInTime(const Tracked& tracked, Common::TimePoint now) const;
   std::size_t WaitingFor(const std::string& service) const;
+  // How long after its arrival a request may be expected to begin for its goal to be met.
+  static Common::Duration StartGoal(const Tracked& tracked);
   bool TryDispatch(Tracked& tracked, Common::TimePoint now, Actions* actions);
   bool IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
                       Common::TimePoint now) const;
--- /dev/null
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/Gateway.h"
+
+#include <algorithm>
+
+// How waiting requests are sent to targets.
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// Part of the goal that the expected start may use up.
+static constexpr double GOAL_SHARE = 0.7;
+// A request whose answer has not begun after twice the expected time and this may be moved.
+static constexpr Duration MOVE_MARGIN = Milliseconds(300);
+
+void Gateway::Pump(const std::string& service, TimePoint now, Actions* actions)
+{
+  for (auto& [priority, queue] : m_queues[service].waiting)
+  {
+    while (const auto next = queue.Take())
+    {
+      Tracked& tracked = *Find(next->number);
+      if (TryDispatch(tracked, now, actions))
+        continue;
+      queue.AddFront(tracked.organisation, 1, *next);
+      return;
+    }
+  }
+}
+
+const std::vector<WeightsBound>& Gateway::WeightsFor(const std::string& service) const
+{
+  for (const Settings::ServiceSettings& settings : m_document->services)
+  {
+    if (settings.name == service && !settings.models.empty())
+      return m_weights.Of(settings.models.front().name);
+  }
+  return m_weights.Of("");
+}
+
+Duration Gateway::StartGoal(const Tracked& tracked)
+{
+  return std::chrono::duration_cast<Duration>(GOAL_SHARE * tracked.route.goal);
+}
+
+bool Gateway::IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
+                             TimePoint now) const
+{
+  if (choice.has_free_slot || tracked.was_passed)
+    return true;
+  // One that may have run cannot be refused as not run: late is better than an error.
+  if (tracked.runs > 0)
+    return choice.expected_start <= (tracked.deadline - now) / 2;
+  return choice.expected_start <= StartGoal(tracked) - (now - tracked.arrived);
+}
+
+TargetWish Gateway::WishOf(const Tracked& tracked) const
+{
+  const std::optional<GenerationHint>& generation = tracked.request.generation;
+  TargetWish wish;
+  wish.service = tracked.service;
+  wish.prompt_tokens = tracked.PromptTokens();
+  wish.answer_tokens = generation ? generation->answer_tokens_guess : 0;
+  wish.tried = tracked.tried;
+  wish.weights = WeightsFor(tracked.service);
+  return wish;
+}
+
+std::size_t Gateway::WaitingFor(const std::string& service) const
+{
+  const auto queue = m_queues.find(service);
+  if (queue == m_queues.end())
+    return 0;
+  std::size_t count = 0;
+  for (const auto& [priority, waiting] : queue->second.waiting)
+    count += waiting.Size();
+  return count;
+}
+
+TargetWish Gateway::WishInTime(const Tracked& tracked, TimePoint now) const
+{
+  TargetWish wish = WishOf(tracked);
+  wish.waiting = WaitingFor(tracked.service);
+  const bool may_be_refused = tracked.runs == 0 && !tracked.was_passed;
+  if (may_be_refused)
+    wish.start_most = std::max(StartGoal(tracked) - (now - tracked.arrived), Duration(1));
+  return wish;
+}
+
+void Gateway::TellWork(const TargetId& id, Actions* actions) const
+{
+  if (const auto agent = m_targets.AgentOf(id))
+    actions->push_back(TellAgent{*agent, m_targets.OwnWorkAt(id)});
+}
+
+bool Gateway::TryDispatch(Tracked& tracked, TimePoint now, Actions* actions)
+{
+  const TargetWish wish = WishInTime(tracked, now);
+  const auto choice = m_targets.Choose(wish, now);
+  if (!choice || !IsWorthSending(tracked, *choice, now))
+    return false;
+  tracked.state = State::Sent;
+  tracked.target = choice->id;
+  tracked.last_attempt = {*choice, now};
+  tracked.tried.insert(choice->id);
+  ++tracked.sends;
+  tracked.has_started = false;
+  m_targets.OnDispatched(choice->id, tracked.number, wish.prompt_tokens, choice->expected_start,
+                         now);
+  tracked.move_at = now + 2 * choice->expected_start + MOVE_MARGIN;
+  m_timers.push({tracked.move_at, tracked.number});
+  m_log.OnSent(tracked, Version(), now);
+  Dispatch dispatch;
+  dispatch.number = tracked.number;
+  dispatch.target = choice->id;
+  dispatch.address = choice->address;
+  dispatch.time_left =
+      std::max(std::chrono::duration_cast<Milliseconds>(tracked.deadline - now), Milliseconds(1));
+  dispatch.organisation = tracked.organisation;
+  dispatch.expected_start = choice->expected_start;
+  dispatch.resume_after = tracked.last_event;
+  dispatch.is_stream = tracked.route.is_stream;
+  dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
+  actions->push_back(std::move(dispatch));
+  TellWork(choice->id, actions);
+  return true;
+}
+
+void Gateway::LeaveTarget(Tracked& tracked, Actions* actions)
+{
+  if (tracked.target.empty())
+    return;
+  const std::uint32_t unread_tokens = tracked.has_started ? 0 : tracked.PromptTokens();
+  m_targets.OnEnded(tracked.target, tracked.number, unread_tokens);
+  TellWork(tracked.target, actions);
+  tracked.target.clear();
+}
+} // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/Core/Gateway/GatewayRefusals.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/Gateway.h"
+
+#include <algorithm>
+
+#include "Common/Hash.h"
+
+// How requests are given up, and when they may come back.
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+static constexpr Milliseconds COME_BACK_LEAST = Milliseconds(150);
+static constexpr Milliseconds COME_BACK_MOST = Milliseconds(2000);
+// The soonest time to come back, as a part of the time in which a full target ends what it runs.
+static constexpr double COME_BACK_SHARE = 0.65;
+
+void Gateway::RefuseArrival(const RequestArrived& event, Error error, TimePoint now,
+                            Actions* actions)
+{
+  m_log.OnTurnedAway(event.request, Common::AnswerFor(error.kind), Version(), now);
+  actions->push_back(Refuse{event.number, std::move(error)});
+}
+
+// By then a full target has ended about all that it runs. Spread out, or all that were refused
+// together would come back together.
+Milliseconds Gateway::ComeBackAfter(const Tracked& tracked) const
+{
+  const Duration turnover = m_targets.TurnoverOf(tracked.service);
+  const double spread = static_cast<double>(Common::StableHash(tracked.request.id) % 1000) / 1000;
+  const auto wait = std::chrono::duration_cast<Milliseconds>(COME_BACK_SHARE * turnover);
+  const auto more = std::chrono::duration_cast<Milliseconds>(spread * wait);
+  return std::clamp(wait + more, COME_BACK_LEAST, COME_BACK_MOST);
+}
+
+// As it is for a request of this kind that comes now.
+ServiceView Gateway::ViewOf(const Tracked& tracked, TimePoint now) const
+{
+  TargetWish wish = WishOf(tracked);
+  wish.start_most = StartGoal(tracked);
+  wish.waiting = WaitingFor(tracked.service);
+  return {m_targets.Utilization(tracked.service, now), m_targets.RoomFor(wish, now),
+          m_targets.SurveyOf(wish, now), Version()};
+}
+
+void Gateway::GiveUp(Tracked& tracked, Error error, TimePoint now, Actions* actions)
+{
+  LeaveTarget(tracked, actions);
+  const std::string service = tracked.service;
+  if (tracked.was_passed)
+  {
+    m_log.OnCut(tracked, Common::AnswerFor(error.kind), now);
+    actions->push_back(AbortAnswer{tracked.number});
+  }
+  else
+  {
+    const Common::ErrorAnswer& row = Common::AnswerFor(error.kind);
+    // "Not run" would be a lie once a target may have run it.
+    if (row.outcome == Common::Outcome::NotRun && tracked.runs > 0)
+      error = {ErrorKind::Unreachable, error.message};
+    if (Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun)
+      error.retry_after = ComeBackAfter(tracked);
+    const ServiceView view = ViewOf(tracked, now);
+    m_targets.OnRefused(service, now);
+    m_log.OnRefused(tracked, Common::AnswerFor(error.kind), view, now);
+    actions->push_back(Refuse{tracked.number, std::move(error)});
+  }
+  Forget(tracked.number);
+}
+} // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -109,12 +109,6 @@
   AttemptEnd end = AttemptEnd::None;
 };
 
-// An event of a stream was passed on.
-struct AnswerProgressed
-{
-  RequestNumber number = 0;
-};
-
 // --- what is decided ---
 
 // Send the request to the target.
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -4,20 +4,15 @@
 #include <algorithm>
 #include <csignal>
 
-#include <unistd.h>
-
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
 #include "Common/Mailbox.h"
 #include "Node/Startup.h"
-#include "Peers/Target/TargetMessage.h"
 
 namespace Holdpost::Node
 {
-using CallerPeer::CallerConnection;
 using Common::Address;
 using Common::Error;
 using Common::EventLoop;
@@ -27,12 +22,9 @@
 using Common::Result;
 using Common::TimePoint;
 using Common::Weight;
-using Gateway::RequestNumber;
 using nlohmann::json;
 
 static constexpr Milliseconds HOUSEKEEPING_PERIOD = Milliseconds(250);
-// Bytes of one answer that wait for a slow caller before the target is held back.
-static constexpr std::size_t UNSENT_BYTES_MOST = 256 << 10;
 
 GatewayNode::GatewayNode(EventLoop& loop, const GatewayConfig& config,
                          ControlPeer::ControlPlane& control, TargetPeer::HeaderNames names)
@@ -127,213 +119,6 @@
   return m_exit_code;
 }
 
-// --- callers ---
-
-void GatewayNode::OnAccepted(int fd)
-{
-  auto caller = std::make_shared<CallerConnection>(m_loop, fd, m_limits);
-  CallerConnection* raw = caller.get();
-  m_callers.emplace(raw, caller);
-  CallerConnection::Handlers handlers;
-  handlers.on_request = [this, raw](CallerConnection&) { OnRequest(m_callers.at(raw)); };
-  handlers.on_closed = [this, raw] { m_callers.erase(raw); };
-  caller->Start(std::move(handlers));
-}
-
-void GatewayNode::OnRequest(const std::shared_ptr<CallerConnection>& caller)
-{
-  const RequestNumber number = m_next_number++;
-  m_exchanges[number].caller = caller;
-  caller->SetOpenRequest([this, number] { OnCallerLeft(number); },
-                         [this, number]
-                         {
-                           const auto found = m_exchanges.find(number);
-                           if (found != m_exchanges.end() && found->second.call)
-                             found->second.call->ResumeReading();
-                         });
-  Feed(Gateway::RequestArrived{number, TargetPeer::ReadCallerRequest(caller->Head(), m_names)});
-}
-
-void GatewayNode::OnCallerLeft(RequestNumber number)
-{
-  Feed(Gateway::CallerLeft{number});
-  Take(number);
-}
-
-GatewayNode::Exchange GatewayNode::Take(RequestNumber number)
-{
-  auto taken = m_exchanges.extract(number);
-  if (!taken)
-    return {};
-  if (taken.mapped().call)
-    taken.mapped().call->Cancel();
-  return std::move(taken.mapped());
-}
-
-// --- targets ---
-
-void GatewayNode::Do(const Gateway::Dispatch& dispatch)
-{
-  const auto found = m_exchanges.find(dispatch.number);
-  if (found == m_exchanges.end())
-    return;
-  Exchange& exchange = found->second;
-  const CallerConnection& caller = *exchange.caller;
-  TargetPeer::CallRequest request;
-  request.target = dispatch.target;
-  request.address = dispatch.address;
-  request.message = TargetPeer::WriteTargetRequest(caller.Head(), caller.Body(), dispatch, m_names);
-  if (const std::string* id = caller.Head().fields.Find(m_names.request_id))
-    request.request_id = *id;
-  request.is_head_method = caller.Head().method == "HEAD";
-  request.is_stream = dispatch.is_stream;
-  request.resume_after = dispatch.resume_after;
-  request.may_repeat = dispatch.may_repeat;
-  exchange.call = std::make_shared<TargetPeer::TargetCall>(m_pool, m_names);
-  exchange.is_whole = false;
-  exchange.body.clear();
-  const RequestNumber number = dispatch.number;
-  exchange.call->Start(std::move(request),
-                       {[this, number](const Common::HttpHead& head, bool is_whole)
-                        { OnAnswer(number, head, is_whole); },
-                        [this, number](std::string_view data) { OnBody(number, data); },
-                        [this, number] { OnCallEnded(number); },
-                        [this, number](TargetPeer::CallFailure failure)
-                        { OnCallFailed(number, failure); }});
-}
-
-void GatewayNode::OnAnswer(RequestNumber number, const Common::HttpHead& head, bool is_whole)
-{
-  const auto found = m_exchanges.find(number);
-  if (found == m_exchanges.end())
-    return;
-  found->second.answer = head;
-  found->second.is_whole = is_whole;
-  Gateway::AnswerBegan began;
-  began.number = number;
-  began.status = head.status;
-  began.is_whole = is_whole;
-  began.is_not_run = head.fields.Find(m_names.not_run) != nullptr;
-  began.is_other_target = head.status == 421;
-  Feed(began);
-}
-
-void GatewayNode::Do(const Gateway::PassAnswer& pass)
-{
-  const auto found = m_exchanges.find(pass.number);
-  if (found == m_exchanges.end())
-    return;
-  Exchange& exchange = found->second;
-  if (!exchange.has_begun && !exchange.is_whole)
-  {
-    exchange.has_begun = true;
-    exchange.caller->BeginAnswer(exchange.answer.status, exchange.answer.reason,
-                                 TargetPeer::AnswerFieldLines(exchange.answer));
-  }
-  // Passing may end the exchange.
-  const std::shared_ptr<TargetPeer::TargetCall> call = exchange.call;
-  call->Pass();
-}
-
-void GatewayNode::OnBody(RequestNumber number, std::string_view data)
-{
-  const auto found = m_exchanges.find(number);
-  if (found == m_exchanges.end())
-    return;
-  Exchange& exchange = found->second;
-  if (!exchange.has_begun)
-  {
-    exchange.body.append(data);
-    return;
-  }
-  exchange.caller->SendPart(data);
-  if (exchange.caller->UnsentBytes() > UNSENT_BYTES_MOST)
-    exchange.call->PauseReading();
-}
-
-void GatewayNode::OnCallEnded(RequestNumber number)
-{
-  Feed(Gateway::AnswerEnded{number});
-  const Exchange exchange = Take(number);
-  if (!exchange.caller)
-    return;
-  if (exchange.has_begun)
-    return exchange.caller->EndAnswer();
-  exchange.caller->Answer(exchange.answer.status, exchange.answer.reason,
-                          TargetPeer::AnswerFieldLines(exchange.answer), exchange.body);
-}
-
-void GatewayNode::OnCallFailed(RequestNumber number, TargetPeer::CallFailure failure)
-{
-  const auto found = m_exchanges.find(number);
-  if (found == m_exchanges.end())
-    return;
-  Gateway::AttemptFailed failed;
-  failed.number = number;
-  failed.failure = failure == TargetPeer::CallFailure::NotSent ? Gateway::AttemptFailure::NotSent
-                                                               : Gateway::AttemptFailure::Lost;
-  failed.end = found->second.call->EndedBy();
-  if (found->second.has_begun)
-    failed.last_event = found->second.call->LastEvent();
-  Feed(failed);
-}
-
-void GatewayNode::Do(const Gateway::CancelAttempt& cancel)
-{
-  const auto found = m_exchanges.find(cancel.number);
-  if (found != m_exchanges.end() && found->second.call)
-    found->second.call->Cancel();
-}
-
-// Fractions of a second are allowed: a caller that waits a whole second too long may be too late.
-static std::string RetryAfterLine(const Error& error)
-{
-  if (!error.retry_after)
-    return "";
-  return fmt::format("Retry-After: {:.3f}\r\n",
-                     std::chrono::duration<double>(*error.retry_after).count());
-}
-
-void GatewayNode::Do(const Gateway::Refuse& refuse)
-{
-  const Exchange exchange = Take(refuse.number);
-  if (!exchange.caller)
-    return;
-  const Common::ErrorAnswer& row = Common::AnswerFor(refuse.error.kind);
-  std::string fields = RetryAfterLine(refuse.error);
-  if (const std::string* id = exchange.caller->Head().fields.Find(m_names.request_id))
-    Common::AppendField(&fields, m_names.request_id, *id);
-  Common::AppendField(&fields, "Holdpost-Error", row.name);
-  Common::AppendField(&fields, "Holdpost-Outcome", Common::OutcomeName(row.outcome));
-  exchange.caller->Answer(row.http_status, Common::ReasonPhrase(row.http_status), fields, "");
-}
-
-void GatewayNode::Do(const Gateway::AbortAnswer& abort)
-{
-  if (const Exchange exchange = Take(abort.number); exchange.caller)
-    exchange.caller->AbortAnswer();
-}
-
-void GatewayNode::Do(const Gateway::TellAgent& tell)
-{
-  m_control.TellWork(tell.target, tell.work);
-}
-
-template <typename Event>
-void GatewayNode::Feed(Event event)
-{
-  Gateway::Actions actions;
-  m_core.Handle(std::move(event), EventLoop::Now(), &actions);
-  Carry(actions);
-}
-
-void GatewayNode::Carry(Gateway::Actions& actions)
-{
-  for (const Gateway::Action& action : actions)
-    std::visit([this](const auto& typed) { Do(typed); }, action);
-  ScheduleTick();
-}
-
 // --- what is in force ---
 
 GatewayControl::Handlers GatewayNode::ControlHandlers()
