--- a/Source/UnitTests/Support/FaultProxy.cpp
+++ b/Source/UnitTests/Support/FaultProxy.cpp
@@ -13,6 +13,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "UnitTests/Support/Sockets.h"
+
 namespace Holdpost::Testing
 {
 using Common::Address;
@@ -65,6 +67,18 @@
     ApplyTo(link);
 }
 
+void FaultProxy::SilenceOpen()
+{
+  for (const Link& link : m_links)
+  {
+    for (bufferevent* side : {link.caller, link.target})
+    {
+      if (const int fd = bufferevent_getfd(side); fd >= 0)
+        DropAllInput(fd);
+    }
+  }
+}
+
 void FaultProxy::HandleAccept(evconnlistener* /*listener*/, int fd, sockaddr* /*address*/,
                               int /*length*/, void* self)
 {
--- a/Source/UnitTests/Support/FaultProxy.h
+++ b/Source/UnitTests/Support/FaultProxy.h
@@ -40,6 +40,8 @@
 
   Common::Address At() const { return m_address; }
   void SetFault(ProxyFault fault, Common::Duration delay = Common::Duration::zero());
+  // The connections that are open now go silent for good, without a sign; new ones work.
+  void SilenceOpen();
 
 private:
   struct Link;
