Gateway: Continue a stream by nothing but the rest of its events

Cause: a stream that broke off was resumed at another target. When that target answered with a failure of its own (500) and no attempt was left, the failure's body was passed on as the rest of the stream and its end ended the answer: the caller took a broken stream for whole.

Ruled out: resuming at the wrong event (the events before were right), framing (the answer was ended because the new answer had ended).

Change: an answer that has begun goes on only with an event stream of status 200; anything else counts as a failed attempt: tried again while attempts are left, else the caller's connection is reset.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -206,14 +206,19 @@
     return OnNotRun(*tracked, event.is_other_target ? "other_target" : "target_full", now, actions);
   }
   ++tracked->runs;
-  const bool is_failure = event.status >= 500;
+  // An answer that has begun is continued by the rest of its stream, and by nothing else.
+  const bool continues_nothing = tracked->was_passed && !event.is_event_stream;
+  const bool is_failure = event.status >= 500 || continues_nothing;
   if (is_failure && MayRunAgain(*tracked) && QueueOf(tracked->service).retries.Take(now))
   {
     actions->push_back(CancelAttempt{tracked->number});
-    m_log.OnRetried(*tracked, "failure_answer", now);
-    LeaveTarget(*tracked, actions);
-    tracked->refuse_at = std::min(tracked->deadline, now + RETRY_WITHIN);
-    return Enqueue(*tracked, true, now, actions);
+    return Retry(*tracked, "failure_answer", now, actions);
+  }
+  if (continues_nothing)
+  {
+    actions->push_back(CancelAttempt{tracked->number});
+    return GiveUp(*tracked, {ErrorKind::Unreachable, "the target did not continue the stream"}, now,
+                  actions);
   }
   m_targets.OnStarted(tracked->target, tracked->number, tracked->PromptTokens(), now);
   TellWork(tracked->target, actions);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -75,9 +75,6 @@
   using State = RequestState;
   using Tracked = TrackedRequest;
 
-  // A request whose target was lost before its answer began finds another one within this.
-  static constexpr Common::Duration RETRY_WITHIN = Common::Milliseconds(300);
-
   struct Timer
   {
     Common::TimePoint at;
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -14,6 +14,8 @@
 
 // Targets of one request, those included that turned it away.
 static constexpr std::uint32_t SENDS_MOST = 4;
+// A request whose target was lost before its answer began finds another one within this.
+static constexpr Duration RETRY_WITHIN = Milliseconds(300);
 // A caller of a broken stream waits about so long for the next event.
 static constexpr Duration RESUME_WITHIN = Milliseconds(1200);
 
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -67,6 +67,8 @@
   bool is_not_run = false;
   // Another target has taken over the address.
   bool is_other_target = false;
+  // What follows are the events of a stream that succeeds.
+  bool is_event_stream = false;
 };
 
 // The answer that was passed on has ended whole.
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -112,6 +112,7 @@
   began.is_whole = is_whole;
   began.is_not_run = head.fields.Find(m_names.not_run) != nullptr;
   began.is_other_target = head.status == 421;
+  began.is_event_stream = found->second.call->IsEventStream();
   Feed(began);
 }
 
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -120,7 +120,7 @@
   }
   AnswerBegan Began(RequestNumber number, int status = 200)
   {
-    return {number, status, false, false, false};
+    return {number, status, false, false, false, status == 200};
   }
 
   Common::Metrics metrics;
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -212,6 +212,23 @@
     CHECK(Testing::Only<Refuse>(f.actions).empty());
     CHECK(Take<AbortAnswer>(f.actions).size() == 1);
   }
+  SUBCASE("and cut, too, when the next target answers with a failure")
+  {
+    // Its body must not be taken for the rest of the stream.
+    f.Feed(f.Began(number, 500));
+    CHECK(Testing::Only<PassAnswer>(f.actions).empty());
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+    CHECK(Testing::Only<Refuse>(f.actions).empty());
+    CHECK(Take<AbortAnswer>(f.actions).size() == 1);
+  }
+  SUBCASE("and cut, too, when the next target answers with no stream")
+  {
+    AnswerBegan other = f.Began(number);
+    other.is_event_stream = false;
+    f.Feed(other);
+    CHECK(Testing::Only<PassAnswer>(f.actions).empty());
+    CHECK(Take<AbortAnswer>(f.actions).size() == 1);
+  }
   SUBCASE("or ends whole")
   {
     f.Feed(f.Began(number));
