Weights: Orders to engines carry a fencing token

Ruled out: a token of the sidecar's own clock or start: a sidecar that starts again, or a clock that is set, could go back.

--- a/Source/Core/Sidecar/EngineMessages.h
+++ b/Source/Core/Sidecar/EngineMessages.h
@@ -64,6 +64,8 @@
   std::uint64_t version = 0;
   // The orders that the engine has taken so far: it refuses if it has taken another meanwhile.
   std::uint64_t expected_orders = 0;
+  // The fencing token: an engine that checks it refuses one that is lower than a token it has seen.
+  std::uint64_t fence = 0;
 };
 
 // --- the engine's answers ---
--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -34,7 +34,8 @@
   m_state = LoaderState::Ordered;
   m_since = now;
   m_is_unanswered = false;
-  return StartWeights{m_model, m_version, m_orders_seen};
+  // The engine's own count of orders never falls in one life of it, and a new life forgets tokens.
+  return StartWeights{m_model, m_version, m_orders_seen, m_orders_seen};
 }
 
 void WeightsLoader::OnAnswered(const StartAnswered& answered, TimePoint now)
