Mesh: Split the codec by what messages are about, and share the tests' engine

Change: load, weights and control messages are written and read in files of their own; Testing::MakeEngine serves the tests. Behaviour stays.

--- /dev/null
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Peers/Instance/Codec.h"
+#include "Peers/Mesh/MeshWireParts.h"
+
+// What is read from the platform and passed on.
+namespace Holdpost::MeshPeer
+{
+// --- documents ---
+
+void Write(const Mesh::AskDocument& ask, MeshWire::Message::Builder message)
+{
+  message.setDocumentRequest(ask.newer_than);
+}
+
+void Write(const Mesh::TellDocument& tell, MeshWire::Message::Builder message)
+{
+  auto out = message.initDocumentAnswer();
+  out.setVersion(tell.version);
+  out.setBase(tell.base);
+  if (tell.packed)
+    out.setPacked(BytesOf(*tell.packed));
+}
+
+Mesh::Message Read(MeshWire::DocumentAnswer::Reader in)
+{
+  return Mesh::TellDocument{in.getVersion(), in.getBase(),
+                            Common::MakeBytes(ToBytes(in.getPacked()))};
+}
+
+// --- targets ---
+
+void Write(const Mesh::AskTargets& ask, MeshWire::Message::Builder message)
+{
+  message.setTargetsRequest(ask.newer_than);
+}
+
+static void Write(const Gateway::ListedTarget& target, MeshWire::Target::Builder out)
+{
+  out.setId(target.id);
+  out.setService(target.service);
+  out.setHall(target.hall);
+  Write(target.address, out.initAddress());
+  out.setSlots(static_cast<std::uint16_t>(target.slots));
+  out.setIsLeaving(target.state == Gateway::TargetState::Leaving);
+  out.setWeightsVersion(static_cast<std::uint32_t>(target.weights_version));
+  out.setNeedsWeights(target.needs_weights);
+}
+
+static void Write(const Control::TargetChange& change, MeshWire::Target::Builder out)
+{
+  if (change.target)
+    return Write(*change.target, out);
+  out.setId(change.id);
+  out.setIsGone(true);
+}
+
+void Write(const Mesh::TellTargets& tell, MeshWire::Message::Builder message)
+{
+  auto out = message.initTargetsAnswer();
+  out.setPosition(tell.news.position);
+  out.setBase(tell.news.base);
+  const std::vector<Control::TargetChange>& changes = tell.news.changes;
+  auto targets = out.initTargets(static_cast<unsigned>(changes.size()));
+  for (unsigned i = 0; i < targets.size(); ++i)
+    Write(changes[i], targets[i]);
+}
+
+static Gateway::ListedTarget Read(MeshWire::Target::Reader in)
+{
+  Gateway::ListedTarget target;
+  target.id = ToText(in.getId());
+  target.service = ToText(in.getService());
+  target.hall = ToText(in.getHall());
+  target.address = Read(in.getAddress());
+  target.slots = in.getSlots();
+  target.state = in.getIsLeaving() ? Gateway::TargetState::Leaving : Gateway::TargetState::Ready;
+  target.weights_version = in.getWeightsVersion();
+  target.needs_weights = in.getNeedsWeights();
+  return target;
+}
+
+Mesh::Message Read(MeshWire::TargetsAnswer::Reader in)
+{
+  Control::TargetsNews news{in.getBase(), in.getPosition(), {}};
+  news.changes.reserve(in.getTargets().size());
+  for (const auto target : in.getTargets())
+  {
+    if (target.getIsGone())
+      news.changes.push_back({ToText(target.getId()), std::nullopt});
+    else
+      news.changes.push_back({ToText(target.getId()), Read(target)});
+  }
+  return Mesh::TellTargets{std::move(news)};
+}
+
+// --- readers ---
+
+void Write(const Mesh::ReaderBeat& beat, MeshWire::Message::Builder message)
+{
+  auto out = message.initReaderBeat();
+  out.setTargets(beat.targets);
+  out.setTargetsChanged(beat.targets_changed);
+  out.setSettings(beat.settings);
+  if (!beat.weights.empty())
+    Write(beat.weights, out.initWeights(static_cast<unsigned>(beat.weights.size())));
+  out.setAnswerAgeMs(ToWireMs(beat.answer_age));
+}
+
+Mesh::Message Read(MeshWire::ReaderBeat::Reader in)
+{
+  return Mesh::ReaderBeat{in.getTargets(), in.getTargetsChanged(), in.getSettings(),
+                          Read(in.getWeights()), Milliseconds(in.getAnswerAgeMs())};
+}
+} // namespace Holdpost::MeshPeer
--- /dev/null
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Peers/Instance/Codec.h"
+#include "Peers/Mesh/MeshWireParts.h"
+
+// What gateways and sidecars tell each other of themselves.
+namespace Holdpost::MeshPeer
+{
+// --- hello ---
+
+static void Write(const Mesh::WeightsPlan& plan, MeshWire::WeightsPlan::Builder out)
+{
+  out.setService(plan.service);
+  out.setModel(plan.model);
+  out.setPieces(plan.pieces);
+  out.setPieceBytes(plan.piece_bytes);
+  out.setWarmUpMs(ToWireMs(plan.warm_up));
+  Write(plan.origin, out.initOrigin());
+  out.setOriginHall(plan.origin_hall);
+}
+
+static Mesh::WeightsPlan Read(MeshWire::WeightsPlan::Reader in)
+{
+  return {ToText(in.getService()),   ToText(in.getModel()),          in.getPieces(),
+          in.getPieceBytes(),        Milliseconds(in.getWarmUpMs()), Read(in.getOrigin()),
+          ToText(in.getOriginHall())};
+}
+
+static void WritePeers(const std::vector<Mesh::Peer>& peers, MeshWire::Hello::Builder out)
+{
+  std::vector<std::string> halls;
+  for (const Mesh::Peer& peer : peers)
+  {
+    if (std::ranges::find(halls, peer.hall) == halls.end())
+      halls.push_back(peer.hall);
+  }
+  auto hall_list = out.initHalls(static_cast<unsigned>(halls.size()));
+  for (unsigned i = 0; i < halls.size(); ++i)
+    hall_list.set(i, halls[i]);
+  auto peer_list = out.initPeers(static_cast<unsigned>(peers.size()));
+  for (unsigned i = 0; i < peers.size(); ++i)
+  {
+    Write(peers[i].address, peer_list[i].initAddress());
+    const auto hall = std::ranges::find(halls, peers[i].hall) - halls.begin();
+    peer_list[i].setHall(static_cast<std::uint16_t>(hall));
+  }
+}
+
+static std::vector<Mesh::Peer> ReadPeers(MeshWire::Hello::Reader in)
+{
+  std::vector<Mesh::Peer> peers;
+  const auto halls = in.getHalls();
+  for (const auto peer : in.getPeers())
+  {
+    if (peer.getHall() < halls.size())
+      peers.push_back({Read(peer.getAddress()), ToText(halls[peer.getHall()])});
+  }
+  return peers;
+}
+
+void Write(const std::vector<Mesh::ToldWeights>& weights,
+           capnp::List<MeshWire::Weights>::Builder out)
+{
+  for (unsigned i = 0; i < weights.size(); ++i)
+  {
+    out[i].setModel(weights[i].named.model);
+    out[i].setVersion(weights[i].named.version);
+    out[i].setKnownMs(ToWireMs(weights[i].known));
+  }
+}
+
+std::vector<Mesh::ToldWeights> Read(capnp::List<MeshWire::Weights>::Reader in)
+{
+  std::vector<Mesh::ToldWeights> weights;
+  weights.reserve(in.size());
+  for (const auto told : in)
+  {
+    weights.push_back(
+        {{ToText(told.getModel()), told.getVersion()}, Milliseconds(told.getKnownMs())});
+  }
+  return weights;
+}
+
+static void Write(const Mesh::BriefingStamp& stamp, MeshWire::Stamp::Builder out)
+{
+  out.setSettings(stamp.settings);
+  out.setTargets(stamp.targets);
+}
+
+static Mesh::BriefingStamp Read(MeshWire::Stamp::Reader in)
+{
+  return {in.getSettings(), in.getTargets()};
+}
+
+void Write(const Mesh::Hello& hello, MeshWire::Message::Builder message)
+{
+  auto out = message.initHello();
+  out.setIsGateway(hello.is_gateway);
+  out.setSettings(hello.settings);
+  Write(hello.weights, out.initWeights(static_cast<unsigned>(hello.weights.size())));
+  if (!hello.plan.model.empty())
+    Write(hello.plan, out.initPlan());
+  if (!hello.peers.empty())
+    WritePeers(hello.peers, out);
+  out.setClockMs(ToWireMs(hello.clock));
+  if (!hello.plan.model.empty())
+    Write(hello.stamp, out.initStamp());
+  out.setNearGateways(ToWireCount(hello.near_gateways));
+  out.setWantsLoad(hello.wants_load);
+  out.setArrivals(ToWireCount(hello.demand.arrivals_per_second));
+  out.setRefusedPercent(ToWirePercent(hello.demand.refused_share));
+}
+
+Mesh::Message Read(MeshWire::Hello::Reader in)
+{
+  Mesh::Hello hello;
+  hello.is_gateway = in.getIsGateway();
+  hello.settings = in.getSettings();
+  hello.weights = Read(in.getWeights());
+  if (in.hasPlan())
+    hello.plan = Read(in.getPlan());
+  hello.peers = ReadPeers(in);
+  hello.clock = Milliseconds(in.getClockMs());
+  hello.stamp = Read(in.getStamp());
+  hello.near_gateways = in.getNearGateways();
+  hello.wants_load = in.getWantsLoad();
+  hello.demand.arrivals_per_second = in.getArrivals();
+  hello.demand.refused_share = in.getRefusedPercent() / PERCENT;
+  return hello;
+}
+
+// --- load ---
+
+void Write(const Mesh::LoadReport& report, MeshWire::Message::Builder message)
+{
+  auto out = message.initLoad();
+  const Gateway::TargetLoad& load = report.load;
+  Write(load.address, out.initTarget());
+  out.setRunning(static_cast<std::uint16_t>(load.running));
+  out.setQueued(static_cast<std::uint16_t>(load.queued));
+  if (load.unread_prompt_tokens)
+    out.setUnreadTokens(*load.unread_prompt_tokens + 1);
+  out.setWeightsVersion(static_cast<std::uint32_t>(load.weights_version));
+  out.setIsSwitching(load.is_switching);
+  out.setPacePercent(static_cast<std::uint16_t>(std::lround(load.pace * PERCENT)));
+  if (load.switch_in)
+    out.setSwitchInMs(ToWireMs(*load.switch_in) + 1);
+  out.setGateways(static_cast<std::uint16_t>(report.gateways));
+  Write(report.stamp, out.initStamp());
+  out.setSettings(report.settings);
+  if (report.settings_at.IsSet())
+    Write(report.settings_at, out.initSettingsAt());
+  if (!report.weights.empty())
+    Write(report.weights, out.initWeights(static_cast<unsigned>(report.weights.size())));
+  out.setEchoMs(ToWireMs(report.echo));
+  out.setEchoAgeMs(ToWireMs(report.echo_age));
+  out.setInboundDelayMs(ToWireMs(load.inbound_delay));
+  out.setNearArrivals(ToWireCount(load.demand.near_per_second));
+  out.setFarArrivals(ToWireCount(load.demand.far_per_second));
+  out.setRefusedPercent(ToWirePercent(load.demand.refused_share));
+  if (report.near_gateways.empty())
+    return;
+  auto near_list = out.initNearGateways(static_cast<unsigned>(report.near_gateways.size()));
+  for (unsigned i = 0; i < near_list.size(); ++i)
+    Write(report.near_gateways[i], near_list[i]);
+}
+
+Mesh::Message Read(MeshWire::Load::Reader in)
+{
+  Gateway::TargetLoad load;
+  load.address = Read(in.getTarget());
+  load.running = in.getRunning();
+  load.queued = in.getQueued();
+  if (in.getUnreadTokens() > 0)
+    load.unread_prompt_tokens = in.getUnreadTokens() - 1;
+  load.weights_version = in.getWeightsVersion();
+  load.is_switching = in.getIsSwitching();
+  load.pace = in.getPacePercent() / PERCENT;
+  if (in.getSwitchInMs() > 0)
+    load.switch_in = Milliseconds(in.getSwitchInMs() - 1);
+  load.inbound_delay = Milliseconds(in.getInboundDelayMs());
+  load.demand = {static_cast<double>(in.getNearArrivals()),
+                 static_cast<double>(in.getFarArrivals()), in.getRefusedPercent() / PERCENT};
+  Mesh::LoadReport report;
+  report.load = load;
+  report.gateways = in.getGateways();
+  report.stamp = Read(in.getStamp());
+  report.settings = in.getSettings();
+  report.settings_at = Read(in.getSettingsAt());
+  report.echo = Milliseconds(in.getEchoMs());
+  report.echo_age = Milliseconds(in.getEchoAgeMs());
+  report.weights = Read(in.getWeights());
+  for (const auto address : in.getNearGateways())
+    report.near_gateways.push_back(Read(address));
+  return report;
+}
+
+void Write(const Mesh::TellWork& tell, MeshWire::Message::Builder message)
+{
+  auto out = message.initWork();
+  out.setRequests(static_cast<std::uint16_t>(tell.work.requests));
+  out.setUnreadTokens(tell.work.unread_prompt_tokens);
+}
+
+Mesh::Message Read(MeshWire::Work::Reader in)
+{
+  return Mesh::TellWork{{in.getRequests(), in.getUnreadTokens()}};
+}
+} // namespace Holdpost::MeshPeer
--- a/Source/UnitTests/Bench/EngineModelTest.cpp
+++ b/Source/UnitTests/Bench/EngineModelTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Bench/Routing/EngineModel.h"
 #include "Bench/Routing/RoutingWorld.h"
+#include "Support/Engines.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Bench;
@@ -13,21 +14,9 @@
 constexpr std::uint32_t CHUNK = 2000;
 constexpr std::uint32_t QUEUE_MOST = 2;
 
-Settings::EngineProfile MakeEngine()
-{
-  Settings::EngineProfile engine;
-  engine.slots = 2;
-  engine.step_ms = 10;
-  engine.prompt_tokens_per_ms = 20;
-  engine.tokens_per_event = 5;
-  engine.usual_prompt_tokens = 1000;
-  engine.usual_answer_tokens = 100;
-  return engine;
-}
-
 EngineModel MakeModel()
 {
-  return {MakeEngine(), CHUNK, QUEUE_MOST};
+  return {Testing::MakeEngine(2), CHUNK, QUEUE_MOST};
 }
 } // namespace
 
@@ -106,7 +95,7 @@
   RoutingOptions options;
   options.halls = {{"a", 2, 2, 0, 1}, {"b", 2, 2, 1, 1}};
   options.kinds = {{"chat"}};
-  options.engine = MakeEngine();
+  options.engine = Testing::MakeEngine(2);
   options.arrivals_per_second = 3;
   options.length = Milliseconds(10000);
   for (const Policy policy : {Policy::Gateway, Policy::RoundRobin, Policy::FewestInFlight})
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -8,6 +8,7 @@
 
 #include "Core/Gateway/Gateway.h"
 #include "Support/Actions.h"
+#include "Support/Engines.h"
 
 // A gateway with a model service of two targets and a plain one of two, for tests of its decisions.
 namespace Holdpost::Gateway
@@ -50,14 +51,7 @@
   Settings::Route draft = MakeRoute("/draft/", "llm");
   draft.is_stream = true;
   document->routes = {stream, once, lookup, open, single, draft};
-  Settings::EngineProfile engine;
-  engine.slots = 2;
-  engine.step_ms = 10;
-  engine.prompt_tokens_per_ms = 20;
-  engine.tokens_per_event = 5;
-  engine.usual_prompt_tokens = 1000;
-  engine.usual_answer_tokens = 100;
-  document->services = {{"llm", 100, engine, {{"m", 96, 24576, Milliseconds(300)}}},
+  document->services = {{"llm", 100, Testing::MakeEngine(2), {{"m", 96, 24576, Milliseconds(300)}}},
                         {"desk", 100, std::nullopt, {}}};
   document->organisations = {{"firm", {"key-1"}, std::nullopt}, {"shop", {"key-2"}, std::nullopt}};
   return document;
--- a/Source/UnitTests/Core/Gateway/StartEstimateTest.cpp
+++ b/Source/UnitTests/Core/Gateway/StartEstimateTest.cpp
@@ -2,29 +2,15 @@
 #include <doctest/doctest.h>
 
 #include "Core/Gateway/StartEstimate.h"
+#include "Support/Engines.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Gateway;
 using Common::Milliseconds;
 
-namespace
-{
-Settings::EngineProfile MakeEngine()
-{
-  Settings::EngineProfile engine;
-  engine.slots = 16;
-  engine.step_ms = 10;
-  engine.prompt_tokens_per_ms = 20;
-  engine.tokens_per_event = 5;
-  engine.usual_prompt_tokens = 1000;
-  engine.usual_answer_tokens = 100;
-  return engine;
-}
-} // namespace
-
 TEST_CASE("The first event takes reading and a pass")
 {
-  const Settings::EngineProfile engine = MakeEngine();
+  const Settings::EngineProfile engine = Testing::MakeEngine(16);
   // 1,000 tokens at 20 a ms, and one and a half passes of 50 ms.
   CHECK(ExpectedStart(engine, {}, 1000) == Milliseconds(125));
   CHECK(ExpectedStart(engine, {0, 200, 1}, 1000) == Milliseconds(135));
@@ -33,7 +19,7 @@
 
 TEST_CASE("A full engine makes a request wait for slots")
 {
-  const Settings::EngineProfile engine = MakeEngine();
+  const Settings::EngineProfile engine = Testing::MakeEngine(16);
   const auto free = ExpectedStart(engine, {15, 0, 1}, 1000);
   const auto next = ExpectedStart(engine, {16, 0, 1}, 1000);
   const auto later = ExpectedStart(engine, {18, 0, 1}, 1000);
@@ -43,7 +29,7 @@
 
 TEST_CASE("Writing takes a pass for each event after the first")
 {
-  const Settings::EngineProfile engine = MakeEngine();
+  const Settings::EngineProfile engine = Testing::MakeEngine(16);
   CHECK(ExpectedWriting(engine, {}, 100) == Milliseconds(950));
   CHECK(ExpectedWriting(engine, {}, 5) == Milliseconds(0));
   CHECK(ExpectedWriting(engine, {}, 0) == Milliseconds(0));
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "Core/Gateway/TargetTable.h"
+#include "Support/Engines.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Gateway;
@@ -26,18 +27,6 @@
   return target;
 }
 
-Settings::EngineProfile MakeEngine()
-{
-  Settings::EngineProfile engine;
-  engine.slots = 16;
-  engine.step_ms = 10;
-  engine.prompt_tokens_per_ms = 20;
-  engine.tokens_per_event = 5;
-  engine.usual_prompt_tokens = 1000;
-  engine.usual_answer_tokens = 100;
-  return engine;
-}
-
 TargetLoad MakeLoad(const ListedTarget& target, std::uint32_t running)
 {
   TargetLoad load;
@@ -51,7 +40,7 @@
 {
   Fixture()
   {
-    table.SetEngine("llm", MakeEngine());
+    table.SetEngine("llm", Testing::MakeEngine(16));
     table.SetList({one, two}, START);
   }
   std::optional<TargetChoice> Choose(const TargetWish& wish = {"llm", 1000, 100, {}, {}})
@@ -120,7 +109,7 @@
   TargetTable table("here");
   const ListedTarget near = MakeTarget("1");
   const ListedTarget far = MakeTarget("2", "there");
-  table.SetEngine("llm", MakeEngine());
+  table.SetEngine("llm", Testing::MakeEngine(16));
   table.SetList({near, far}, START);
   table.OnLoad(MakeLoad(near, 8), START);
   table.OnLoad(MakeLoad(far, 8), START);
@@ -369,7 +358,7 @@
 {
   TargetTable table("here");
   const ListedTarget near = MakeTarget("1");
-  table.SetEngine("llm", MakeEngine());
+  table.SetEngine("llm", Testing::MakeEngine(16));
   table.SetList({near, MakeTarget("2", "there")}, START);
   table.OnLoad(MakeLoad(near, 8), START);
   CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START));
@@ -389,7 +378,7 @@
     list.push_back(MakeTarget(std::to_string(10 + i), i < 2 ? "here" : "there"));
     list.back().id = "t" + std::to_string(i);
   }
-  table.SetEngine("llm", MakeEngine());
+  table.SetEngine("llm", Testing::MakeEngine(16));
   table.SetList(list, START);
   table.SetGateways({60, 2});
   std::vector<Common::Address> used = table.Used();
