--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -25,10 +25,7 @@
 static constexpr Milliseconds REPORT_PERIOD = Milliseconds(100);
 // While weights are being loaded the end is not to be missed.
 static constexpr Milliseconds REPORT_PERIOD_LOADING = Milliseconds(25);
-// Gateways that were not heard for so long are gone, and the platform is asked instead: by each
-// sidecar at a moment of its own, or all of a large hall would ask at once.
 static constexpr Milliseconds ALONE_AFTER = Milliseconds(1500);
-static constexpr Milliseconds ALONE_SPREAD = Milliseconds(1000);
 static constexpr Milliseconds PEERS_PERIOD = Milliseconds(1000);
 static constexpr Milliseconds PATIENCE = Milliseconds(500);
 static constexpr Milliseconds STALL = Milliseconds(900);
@@ -52,9 +49,7 @@
 Sidecar::Sidecar(SidecarOptions options, Common::Metrics& metrics)
     : m_options(std::move(options)), m_metrics(metrics),
       m_exchange(m_options.address.ToString(), m_options.hall,
-                 Common::StableHash(m_options.address.ToString())),
-      m_alone_after(ALONE_AFTER + Milliseconds(Common::StableHash(m_options.address.ToString()) %
-                                               ALONE_SPREAD.count()))
+                 Common::StableHash(m_options.address.ToString()))
 {
   m_exchange.SetOptions(MakeExchangeOptions());
 }
@@ -193,11 +188,11 @@
 bool Sidecar::IsAlone(TimePoint now) const
 {
   // After a start the gateways are given as long to speak first.
-  if (!m_began || now - *m_began < m_alone_after)
+  if (!m_began || now - *m_began < ALONE_AFTER)
     return false;
   return std::ranges::none_of(
       m_gateways, [&](const auto& entry)
-      { return entry.second.hall == m_options.hall && now - entry.second.heard < m_alone_after; });
+      { return entry.second.hall == m_options.hall && now - entry.second.heard < ALONE_AFTER; });
 }
 
 void Sidecar::OnPlan(const Mesh::WeightsPlan& plan, TimePoint now)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -169,7 +169,6 @@
   SidecarOptions m_options;
   Common::Metrics& m_metrics;
   Distribution::Exchange m_exchange;
-  Common::Duration m_alone_after;
   StageKeeper m_stage;
   WeightsLoader m_loader;
   Mesh::WeightsPlan m_plan;
