Distribution: Call an outage an outage

Cause: the time for which nothing has come into a hall was called dark, which is no word of the field.

Change: OutageFor, OUTAGE_PIECES, OUTAGE_LEAST. Behaviour stays.

--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -228,7 +228,7 @@
   Common::TimePoint PlannedDraw(std::uint32_t piece) const;
   void OnDrawn(std::uint32_t piece, Common::TimePoint now);
   // For how long the origin has been down as far as the hall can tell; below zero if it is not.
-  Common::Duration DarkFor(Common::TimePoint now) const;
+  Common::Duration OutageFor(Common::TimePoint now) const;
   // While the origin is down few of the hall go on asking it, the more the longer it takes. If all
   // did, its first answers would be shared between copies of the same pieces.
   bool MayDrawForHall(Common::TimePoint now) const;
--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -35,8 +35,8 @@
 static constexpr Duration TURN_LEAST = Milliseconds(150);
 // When nothing has come into the hall for so many times of what a piece takes, and this at least,
 // the source is taken to be down.
-static constexpr int DARK_PIECES = 16;
-static constexpr Duration DARK_LEAST = Milliseconds(1000);
+static constexpr int OUTAGE_PIECES = 16;
+static constexpr Duration OUTAGE_LEAST = Milliseconds(1000);
 // More doublings would not fit into a time.
 static constexpr std::uint32_t PROBE_RANK_MOST = 12;
 
@@ -194,33 +194,34 @@
   }
 }
 
-Duration Swarm::DarkFor(TimePoint now) const
+Duration Swarm::OutageFor(TimePoint now) const
 {
-  const Duration dark_after = std::max<Duration>(DARK_PIECES * m_options.piece_time, DARK_LEAST);
-  return now - std::max(m_drawn_at, m_plan_begin) - dark_after;
+  const Duration down_after =
+      std::max<Duration>(OUTAGE_PIECES * m_options.piece_time, OUTAGE_LEAST);
+  return now - std::max(m_drawn_at, m_plan_begin) - down_after;
 }
 
 bool Swarm::MayDrawForHall(TimePoint now) const
 {
-  const Duration dark = DarkFor(now);
-  if (dark < Duration::zero())
+  const Duration outage = OutageFor(now);
+  if (outage < Duration::zero())
     return true;
   for (std::uint32_t piece = 0; piece < m_held.Size(); ++piece)
   {
     if (!IsUnseen(piece))
       continue;
     const std::uint32_t rank = std::min(m_hall_ranks[piece], PROBE_RANK_MOST);
-    return dark >= ((1U << rank) - 1) * DARK_LEAST;
+    return outage >= ((1U << rank) - 1) * OUTAGE_LEAST;
   }
   return true;
 }
 
 void Swarm::OnDrawn(std::uint32_t piece, TimePoint now)
 {
-  const bool was_dark = DarkFor(now) >= Duration::zero();
+  const bool was_down = OutageFor(now) >= Duration::zero();
   m_drawn_at = now;
   SourceState& origin = StateOf(PlatformSource::Origin);
-  if (was_dark)
+  if (was_down)
   {
     PlanDraws(now);
     // The origin's hall hears of it, too, and comes first.
@@ -234,7 +235,7 @@
   // The origin answers others again.
   origin.backoff = Duration::zero();
   origin.blocked_until = std::min(origin.blocked_until, now);
-  if (was_dark)
+  if (was_down)
     return;
   m_drawn_end = m_plan_position[piece] + 1;
   m_origin_late = std::max(m_origin_late, now - PlannedDraw(piece));
--- a/Source/Peers/Target/TargetPool.cpp
+++ b/Source/Peers/Target/TargetPool.cpp
@@ -9,7 +9,7 @@
 using Common::TcpConnection;
 
 static constexpr Milliseconds CONNECT_TIMEOUT = Milliseconds(400);
-// A target that leaves our bytes unacknowledged for so long has gone dark.
+// A target that leaves our bytes unacknowledged for so long is taken for lost.
 static constexpr Milliseconds SILENCE_MOST = Milliseconds(1500);
 static constexpr std::size_t IDLE_PER_TARGET = 32;
 
