Connections: Wait when no descriptors are left, instead of trying without end

Cause: when a process has no descriptors left, the connections that wait to be accepted wake it again and again: it takes a whole core and serves those that it has worse.

Ruled out: closing the listener: callers would be refused though room comes back within moments; a reserve descriptor to turn callers away with: they would be told nothing more than by waiting.

Change: after EMFILE, ENFILE, ENOBUFS or ENOMEM the listener rests 100 ms, with a line accept.paused in the log.

--- a/Source/Common/TcpConnection.h
+++ b/Source/Common/TcpConnection.h
@@ -133,11 +133,14 @@
   void Stop();
 
 private:
+  void Watch();
   void AcceptAll();
+  void OnAcceptFailed(int code);
 
   EventLoop& m_loop;
   OnAccepted m_on_accepted;
   int m_fd = -1;
-  std::unique_ptr<Watch> m_watch;
+  std::unique_ptr<Common::Watch> m_watch;
+  std::unique_ptr<Common::Watch> m_retry;
 };
 } // namespace Holdpost::Common
--- a/Source/Common/TcpListener.cpp
+++ b/Source/Common/TcpListener.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "Common/EventLog.h"
 #include "Common/Socket.h"
 #include "Common/TcpConnection.h"
 
@@ -13,6 +14,8 @@
 {
 static constexpr int LISTEN_BACKLOG = 1024;
 static constexpr int ACCEPTS_PER_TURN = 64;
+// A process that has no descriptors left tries again after this.
+static constexpr Milliseconds FULL_PAUSE = Milliseconds(100);
 
 TcpListener::TcpListener(EventLoop& loop, OnAccepted on_accepted)
     : m_loop(loop), m_on_accepted(std::move(on_accepted))
@@ -35,13 +38,20 @@
     return Error{ErrorKind::Internal,
                  fmt::format("cannot listen on {}: {}", address.ToString(), std::strerror(errno))};
   }
-  m_watch = m_loop.WatchReadable(m_fd, [this] { AcceptAll(); });
+  m_retry = m_loop.MakeTimer([this] { Watch(); });
+  Watch();
   return BoundAddress(m_fd);
 }
 
+void TcpListener::Watch()
+{
+  m_watch = m_loop.WatchReadable(m_fd, [this] { AcceptAll(); });
+}
+
 void TcpListener::Stop()
 {
   m_watch.reset();
+  m_retry.reset();
   if (m_fd >= 0)
     close(m_fd);
   m_fd = -1;
@@ -53,8 +63,21 @@
   {
     const int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0)
-      return;
+      return OnAcceptFailed(errno);
     m_on_accepted(fd);
   }
 }
+
+void TcpListener::OnAcceptFailed(int code)
+{
+  const bool is_full = code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM;
+  if (!is_full)
+    return;
+  // The connections that wait would wake this process again and again.
+  LogEvent(Weight::Important, EventLoop::Now(), "accept.paused", "reason", std::strerror(code));
+  m_watch->Cancel();
+  // It is what runs at this moment, so it is destroyed later.
+  m_loop.Defer([watch = std::shared_ptr<Common::Watch>(std::move(m_watch))] {});
+  m_retry->FireAfter(FULL_PAUSE);
+}
 } // namespace Holdpost::Common
