--- a/Source/Core/Control/ControlMessages.h
+++ b/Source/Core/Control/ControlMessages.h
@@ -38,11 +38,21 @@
   Position next = 0;
 };
 
+// Why a target is not on the list.
+enum class Removal
+{
+  // Its entry has gone. During an outage of the platform it may have lapsed, though it lives.
+  Gone,
+  // What stands there cannot be read, so whoever wrote it, the target is not there.
+  Unreadable,
+};
+
 // A target has come, changed or gone.
 struct TargetChange
 {
   Gateway::TargetId id;
   std::optional<Gateway::ListedTarget> target; // empty if it has gone
+  Removal removal = Removal::Gone;
 
   bool operator==(const TargetChange&) const = default;
 };
--- a/Source/Core/Control/TargetList.cpp
+++ b/Source/Core/Control/TargetList.cpp
@@ -48,14 +48,21 @@
   }
   for (const TargetChange& change : read.changes)
   {
-    if (!change.target)
+    if (change.target)
     {
-      gone.insert(change.id);
-      continue;
+      gone.erase(change.id);
+      m_lapsed.erase(change.id);
+      m_targets[change.id] = *change.target;
     }
-    gone.erase(change.id);
-    m_lapsed.erase(change.id);
-    m_targets[change.id] = *change.target;
+    else if (change.removal == Removal::Unreadable)
+    {
+      // Not one that lapsed: its entry is there, and says nothing of a target.
+      m_targets.erase(change.id);
+      m_lapsed.erase(change.id);
+      gone.erase(change.id);
+    }
+    else
+      gone.insert(change.id);
   }
   KeepLapsed(&gone, now);
   for (const Gateway::TargetId& id : gone)
--- /dev/null
+++ b/Source/Core/Gateway/EngineCorrection.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/EngineCorrection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Holdpost::Gateway
+{
+// Fewer starts than this say nothing.
+static constexpr std::size_t STARTS_LEAST = 8;
+// Published times are believed within this factor either way: the first event of a batch comes up
+// to half a pass sooner or later than on average.
+static constexpr double BELIEVED_WITHIN = 1.25;
+// Times that are wrong by more are another mistake, as of units.
+static constexpr double FACTOR_MOST = 32;
+
+void EngineCorrection::OnStart(Common::Duration published, Common::Duration took)
+{
+  using Seconds = std::chrono::duration<double>;
+  m_ratios[m_count % STARTS_KEPT] = Seconds(took) / Seconds(published);
+  ++m_count;
+  if (m_count < STARTS_LEAST)
+    return;
+  std::array<double, STARTS_KEPT> ratios = m_ratios;
+  const auto end = ratios.begin() + static_cast<std::ptrdiff_t>(std::min(m_count, STARTS_KEPT));
+  const auto middle = ratios.begin() + (end - ratios.begin()) / 2;
+  std::nth_element(ratios.begin(), middle, end);
+  const bool is_believed = *middle <= BELIEVED_WITHIN && *middle >= 1 / BELIEVED_WITHIN;
+  m_factor = is_believed ? 1 : std::clamp(*middle, 1 / FACTOR_MOST, FACTOR_MOST);
+}
+
+bool EngineCorrection::IsNotable(double before, double after)
+{
+  static constexpr double NOTABLE = 1.5;
+  return std::max(before / after, after / before) >= NOTABLE;
+}
+
+Settings::EngineProfile Corrected(const Settings::EngineProfile& published, double factor)
+{
+  Settings::EngineProfile corrected = published;
+  corrected.step_ms *= factor;
+  corrected.step_per_sequence_ms *= factor;
+  corrected.step_per_context_ms *= factor;
+  corrected.prompt_tokens_per_ms /= factor;
+  corrected.prompt_pairs_ms *= factor;
+  return corrected;
+}
+} // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -22,6 +22,19 @@
 // Another gateway can serve the request at once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
+// For engines whose times are not known. Middling for engines of 70 to 120 thousand million
+// parameters; answers correct it within seconds.
+static constexpr Settings::EngineProfile ASSUMED_ENGINE = {
+    .slots = 16,
+    .step_ms = 8,
+    .step_per_sequence_ms = 0.02,
+    .step_per_context_ms = 0.02,
+    .prompt_tokens_per_ms = 25,
+    .prompt_pairs_ms = 1,
+    .tokens_per_event = 5,
+    .usual_prompt_tokens = 1000,
+    .usual_answer_tokens = 100,
+};
 // Timers that are not about one request carry this number.
 static constexpr RequestNumber NO_REQUEST = 0;
 
@@ -40,11 +53,28 @@
            Version(), "routes", document->routes.size());
   m_document = document;
   m_routes = RouteTable(*document);
+  std::set<std::string> names;
   for (const Settings::ServiceSettings& service : document->services)
-    m_targets.SetEngine(service.name, service.engine);
+  {
+    names.insert(service.name);
+    SetEngine(service, now);
+  }
+  m_targets.SetServices(std::move(names));
   return true;
 }
 
+void Gateway::SetEngine(const Settings::ServiceSettings& service, TimePoint now)
+{
+  const bool is_unreadable = !service.engine && !service.models.empty();
+  if (!is_unreadable)
+    return m_targets.SetEngine(service.name, service.engine);
+  const bool is_known = m_targets.HasEngine(service.name);
+  LogEvent(Weight::Important, now, "engine.profile_missing", "service", service.name, "instead",
+           is_known ? "the last known times" : "assumed times, corrected by the answers");
+  if (!is_known)
+    m_targets.SetEngine(service.name, ASSUMED_ENGINE);
+}
+
 void Gateway::SetTargets(const std::vector<ListedTarget>& list, TimePoint now, Actions* actions)
 {
   m_targets.SetList(list, now);
@@ -199,9 +229,9 @@
   if (event.is_not_run || event.is_other_target)
   {
     if (event.is_other_target)
-      m_targets.OnReplaced(tracked->target, now);
+      m_targets.OnReplaced(LivingTarget(*tracked), now);
     else
-      m_targets.OnFull(tracked->target, now);
+      m_targets.OnFull(LivingTarget(*tracked), now);
     actions->push_back(CancelAttempt{tracked->number});
     return OnNotRun(*tracked, event.is_other_target ? "other_target" : "target_full", now, actions);
   }
@@ -220,7 +250,13 @@
     return GiveUp(*tracked, {ErrorKind::Unreachable, "the target did not continue the stream"}, now,
                   actions);
   }
-  m_targets.OnStarted(tracked->target, tracked->number, tracked->PromptTokens(), now);
+  m_targets.OnStarted(LivingTarget(*tracked), tracked->number, tracked->PromptTokens(), now);
+  if (event.is_event_stream)
+  {
+    const LastAttempt& attempt = *tracked->last_attempt;
+    m_targets.OnStartMeasured(tracked->service, attempt.choice, now - attempt.sent, now);
+    m_log.OnStarted(*tracked, m_targets.CorrectionOf(tracked->service), now);
+  }
   TellWork(tracked->target, actions);
   tracked->has_started = true;
   if (!tracked->was_passed)
@@ -238,7 +274,7 @@
   Tracked* tracked = Find(event.number);
   if (!tracked)
     return;
-  m_targets.OnSucceeded(tracked->target);
+  m_targets.OnSucceeded(LivingTarget(*tracked));
   m_log.OnDone(*tracked, now);
   LeaveTarget(*tracked, actions);
   const std::string service = tracked->service;
@@ -252,7 +288,7 @@
   if (!tracked || tracked->state == State::Waiting)
     return;
   tracked->last_attempt->end = event.end;
-  m_targets.OnFailed(tracked->target, now);
+  m_targets.OnFailed(LivingTarget(*tracked), now);
   if (event.last_event)
     tracked->last_event = event.last_event;
   if (event.failure == AttemptFailure::NotSent)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -107,6 +107,9 @@
   // The weights that requests of the service have to begin on, and from when on.
   const std::vector<WeightsBound>& WeightsFor(const std::string& service) const;
   void LeaveTarget(Tracked& tracked, Actions* actions);
+  // The target of a sent request; empty if it has started again since, and knows nothing of it.
+  TargetId LivingTarget(const Tracked& tracked) const;
+  void SetEngine(const Settings::ServiceSettings& service, Common::TimePoint now);
   void TryAgain(Tracked& tracked, std::string_view reason, const Common::Error& otherwise,
                 Common::TimePoint now, Actions* actions);
   // Looks for another target; the retry has been taken from the allowance.
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -133,8 +133,16 @@
   if (tracked.target.empty())
     return;
   const std::uint32_t unread_tokens = tracked.has_started ? 0 : tracked.PromptTokens();
-  m_targets.OnEnded(tracked.target, tracked.number, unread_tokens);
+  m_targets.OnEnded(LivingTarget(tracked), tracked.number, unread_tokens);
   TellWork(tracked.target, actions);
   tracked.target.clear();
 }
+
+TargetId Gateway::LivingTarget(const Tracked& tracked) const
+{
+  if (!tracked.last_attempt ||
+      !m_targets.IsInLife(tracked.target, tracked.last_attempt->choice.incarnation))
+    return {};
+  return tracked.target;
+}
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -73,6 +73,18 @@
              tracked.was_passed);
 }
 
+void RequestLog::OnStarted(const TrackedRequest& tracked, double correction, TimePoint now)
+{
+  const LastAttempt& attempt = *tracked.last_attempt;
+  const std::string label = Common::ServiceOutcome(tracked.service, "started");
+  m_metrics.Record("holdpost_start_expected_seconds", attempt.choice.expected_start, label);
+  m_metrics.Record("holdpost_start_seconds", now - attempt.sent, label);
+  LogEvent(Weight::Ordinary, now, "request.started", "request", tracked.request.id, "service",
+           tracked.service, "target", tracked.target, "expected_ms", attempt.choice.expected_start,
+           "published_ms", attempt.choice.published_start, "took_ms", now - attempt.sent,
+           "correction", correction);
+}
+
 void RequestLog::OnBegun(const TrackedRequest& tracked, TimePoint now)
 {
   m_metrics.Record("holdpost_first_event_seconds", now - tracked.arrived,
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -31,6 +31,9 @@
   void OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
               Common::TimePoint now);
   void OnRetried(const TrackedRequest& tracked, std::string_view reason, Common::TimePoint now);
+  // The first event has come from the present target; `correction` is what the engine's published
+  // times are multiplied by.
+  void OnStarted(const TrackedRequest& tracked, double correction, Common::TimePoint now);
   void OnBegun(const TrackedRequest& tracked, Common::TimePoint now);
   void OnDone(const TrackedRequest& tracked, Common::TimePoint now);
   void OnLeft(const TrackedRequest& tracked, Common::TimePoint now);
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -10,7 +10,7 @@
 // What a gateway is told of the targets that it calls directly.
 namespace Holdpost::Gateway
 {
-// Each start of a target has an id of its own, found nowhere else.
+// Found nowhere else. A target may start again under its id: it then knows nothing of before.
 using TargetId = std::string;
 
 enum class TargetState
@@ -32,6 +32,8 @@
   // The version of its weights; 0 while it has none, or is a plain service.
   std::uint64_t weights_version = 0;
   bool needs_weights = false;
+  // Grows with each start of the target under its id; 0 if that is not told.
+  std::uint64_t incarnation = 0;
 
   bool operator==(const ListedTarget&) const = default;
 };
@@ -52,6 +54,8 @@
 struct TargetLoad
 {
   Common::Address address; // of the target
+  // The life of the target that this is about; 0 if that is not told.
+  std::uint64_t incarnation = 0;
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
   // Prompt tokens of requests that have not begun, as gateways told; empty if none did.
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -241,8 +241,14 @@
   if (IsSilent(target, now))
     cost += SILENCE_PENALTY;
   const double load = LoadOf(target, now);
-  TargetChoice choice{id,   target.listed.address, WeightsOf(target),         start,
-                      load, std::nullopt,          load < target.listed.slots};
+  TargetChoice choice;
+  choice.id = id;
+  choice.address = target.listed.address;
+  choice.incarnation = target.listed.incarnation;
+  choice.weights_version = WeightsOf(target);
+  choice.expected_start = start;
+  choice.load = load;
+  choice.has_free_slot = load < target.listed.slots;
   if (target.load)
     choice.report_age = now - target.load_heard;
   candidates->choices.push_back(std::move(choice));
@@ -265,14 +271,23 @@
 
 std::optional<TargetChoice> TargetTable::Choose(const TargetWish& wish, TimePoint now)
 {
-  const Candidates candidates = CandidatesFor(wish, now);
+  Candidates candidates = CandidatesFor(wish, now);
   NoteCrowding(wish, candidates.options, now);
   if (candidates.choices.empty())
     return std::nullopt;
   const Spread spread = SpreadOf(wish, now);
   if (!IsAdmitted(wish, candidates.options, spread, now))
     return std::nullopt;
-  return candidates.choices[ChooseSpread(candidates.options, spread, Draw())];
+  TargetChoice& choice = candidates.choices[ChooseSpread(candidates.options, spread, Draw())];
+  const Target& target = m_targets.at(choice.id);
+  const auto engine = m_engines.find(wish.service);
+  if (engine != m_engines.end() && HasFreshLoad(target, now))
+  {
+    const EngineProfile& published = engine->second.published;
+    choice.published_start =
+        ExpectedStart(published, WorkOf(target, published, now), wish.prompt_tokens);
+  }
+  return choice;
 }
 
 ServiceRoom TargetTable::RoomFor(const TargetWish& wish, TimePoint now) const
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -45,15 +45,48 @@
 const EngineProfile* TargetTable::EngineOf(const std::string& service) const
 {
   const auto found = m_engines.find(service);
-  return found == m_engines.end() ? nullptr : &found->second;
+  return found == m_engines.end() ? nullptr : &found->second.present;
 }
 
 void TargetTable::SetEngine(const std::string& service, const std::optional<EngineProfile>& engine)
 {
-  if (engine)
-    m_engines[service] = *engine;
-  else
+  if (!engine)
+  {
     m_engines.erase(service);
+    return;
+  }
+  Engine& known = m_engines[service];
+  if (known.published == *engine)
+    return;
+  // What was learnt is about other times.
+  known = {*engine, {}, *engine};
+}
+
+double TargetTable::CorrectionOf(const std::string& service) const
+{
+  const auto found = m_engines.find(service);
+  return found == m_engines.end() ? 1 : found->second.correction.Factor();
+}
+
+void TargetTable::OnStartMeasured(const std::string& service, const TargetChoice& choice,
+                                  Duration took, TimePoint now)
+{
+  const auto found = m_engines.find(service);
+  // Behind a queue it is the queue that is measured, not the engine.
+  if (found == m_engines.end() || !choice.has_free_slot || choice.published_start <= Duration(0))
+    return;
+  Engine& engine = found->second;
+  const double before = engine.correction.Factor();
+  engine.correction.OnStart(choice.published_start, took);
+  const double factor = engine.correction.Factor();
+  if (factor == before)
+    return;
+  engine.present = Corrected(engine.published, factor);
+  if (EngineCorrection::IsNotable(before, factor))
+  {
+    LogEvent(Weight::Important, now, "engine.corrected", "service", service, "factor", factor,
+             "before", before);
+  }
 }
 
 void TargetTable::SetList(const std::vector<ListedTarget>& list, TimePoint now)
@@ -70,12 +103,17 @@
   {
     Target& target = m_targets[listed.id];
     const bool was_listed = before.erase(listed.id) > 0;
+    target.is_on_list = true;
+    if (listed.incarnation < target.listed.incarnation)
+      continue;
+    const bool is_new_life = was_listed && listed.incarnation > target.listed.incarnation;
+    if (is_new_life)
+      BeginLife(target, listed.incarnation, now);
     if (!is_first && (!was_listed || target.listed.state != listed.state))
       LogListed(listed, now);
-    if (!is_first && !was_listed)
+    if (!is_first && (!was_listed || is_new_life) && IsKnownService(listed.service))
       added[listed.address] = listed.id;
     target.listed = listed;
-    target.is_on_list = true;
     target.tie_break =
         std::chrono::nanoseconds(Common::StableHash(listed.id, m_seed) % TIE_BREAK_MOST_NS);
   }
@@ -90,6 +128,27 @@
   UpdateReach();
 }
 
+void TargetTable::BeginLife(Target& target, std::uint64_t incarnation, TimePoint now)
+{
+  LogEvent(Weight::Important, now, "target.restarted", "target", target.listed.id, "at",
+           target.listed.address.ToString(), "incarnation", incarnation, "before",
+           target.listed.incarnation);
+  Target next;
+  next.listed = target.listed;
+  next.listed.incarnation = incarnation;
+  next.listed.weights_version = 0;
+  next.is_on_list = target.is_on_list;
+  next.is_used = target.is_used;
+  next.tie_break = target.tie_break;
+  target = std::move(next);
+}
+
+bool TargetTable::IsInLife(const TargetId& id, std::uint64_t incarnation) const
+{
+  const auto found = m_targets.find(id);
+  return found != m_targets.end() && found->second.listed.incarnation == incarnation;
+}
+
 void TargetTable::UpdateReach()
 {
   const std::set<TargetId> used = m_reach.Choose(Listed(), m_gateways);
@@ -169,6 +228,12 @@
   {
     if (target.listed.address != load.address || !target.IsListed())
       continue;
+    const std::uint64_t known = target.listed.incarnation;
+    const bool is_told = load.incarnation > 0 && known > 0;
+    if (is_told && load.incarnation < known)
+      continue;
+    if (is_told && load.incarnation > known)
+      BeginLife(target, load.incarnation, now);
     target.own_at_load = target.own;
     target.unread_since_load = 0;
     target.own_waiting_at_load = target.expected.size();
@@ -225,9 +290,14 @@
 
 TargetId TargetTable::FindByAddress(const Common::Address& address) const
 {
-  const auto found = std::ranges::find_if(
-      m_targets, [&](const auto& entry)
-      { return entry.second.IsListed() && entry.second.listed.address == address; });
+  const auto found = std::ranges::find_if(m_targets,
+                                          [&](const auto& entry)
+                                          {
+                                            const Target& target = entry.second;
+                                            return target.IsListed() &&
+                                                   target.listed.address == address &&
+                                                   IsKnownService(target.listed.service);
+                                          });
   return found == m_targets.end() ? TargetId() : found->first;
 }
 
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -13,6 +13,7 @@
 
 #include "Common/Types.h"
 #include "Core/Gateway/DemandWatch.h"
+#include "Core/Gateway/EngineCorrection.h"
 #include "Core/Gateway/SpreadChoice.h"
 #include "Core/Gateway/StartEstimate.h"
 #include "Core/Gateway/Target.h"
@@ -53,11 +54,16 @@
   std::uint64_t weights_version = 0;
   // Until the first event, or the answer.
   Common::Duration expected_start{};
+  // What the engine's published times alone foretell; zero if it has none. Compared with what
+  // comes, it shows whether these times are right.
+  Common::Duration published_start{};
   // Requests there, as far as is known.
   double load = 0;
   // How old the last report of it is; empty if there was none.
   std::optional<Common::Duration> report_age;
   bool has_free_slot = false;
+  // The life of the target that is meant.
+  std::uint64_t incarnation = 0;
 };
 
 // What there is for a request at the moment.
@@ -97,7 +103,12 @@
 
   // The whole list. Targets that are not on it get no new requests.
   void SetList(const std::vector<ListedTarget>& list, Common::TimePoint now);
+  // The services that the settings name: an entry of another one says nothing of a known target.
+  void SetServices(std::set<std::string> services) { m_services = std::move(services); }
   void SetEngine(const std::string& service, const std::optional<Settings::EngineProfile>& engine);
+  bool HasEngine(const std::string& service) const { return m_engines.contains(service); }
+  // By how much answers of the service's engines take longer than published; 1 if as published.
+  double CorrectionOf(const std::string& service) const;
   void OnLoad(const TargetLoad& load, Common::TimePoint now);
 
   // Those of the own hall, this one included, choose from the same reports.
@@ -120,6 +131,8 @@
   std::uint64_t WeightsAt(const TargetId& id) const;
   // Whether fresh word of the target says that it takes other weights before it begins anything.
   bool IsSwitching(const TargetId& id, Common::TimePoint now) const;
+  // Whether the target is still in that life: a later one knows nothing of earlier requests.
+  bool IsInLife(const TargetId& id, std::uint64_t incarnation) const;
 
   void OnArrival(const std::string& service, Common::TimePoint now)
   {
@@ -134,6 +147,9 @@
   // `request` names the request until it has ended.
   void OnDispatched(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
                     Common::Duration expected_start, Common::TimePoint now);
+  // What the start of an answer shows of the engine's published times.
+  void OnStartMeasured(const std::string& service, const TargetChoice& choice,
+                       Common::Duration took, Common::TimePoint now);
   // The answer, or its first event, has come.
   void OnStarted(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
                  Common::TimePoint now);
@@ -170,8 +186,8 @@
     bool is_used = true;
     // Less than any real cost: between equal targets each gateway has a choice of its own.
     Common::Duration tie_break{};
-    // Another one has its address. Its record may stay on the list for a while; as ids are never
-    // used again, it does not come back.
+    // Another one has its address. Its record may stay on the list for a while; it comes back with
+    // a new life only.
     bool is_replaced = false;
     std::uint32_t own = 0;
     double unread_prompt_tokens = 0;
@@ -197,6 +213,20 @@
   // A report that is younger tells what its target does at this moment.
   static constexpr Common::Duration FRESH_LOAD = Common::Milliseconds(500);
 
+  struct Engine
+  {
+    Settings::EngineProfile published;
+    EngineCorrection correction;
+    // As corrected.
+    Settings::EngineProfile present;
+  };
+
+  // The target has started again under its id: all that is known of it is about its life before.
+  static void BeginLife(Target& target, std::uint64_t incarnation, Common::TimePoint now);
+  bool IsKnownService(const std::string& service) const
+  {
+    return m_services.empty() || m_services.contains(service);
+  }
   void UpdateReach();
   // An address belongs to one target at a time: who had those of the added ones is gone.
   void ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, Common::TimePoint now);
@@ -257,7 +287,8 @@
   TargetReach m_reach;
   GatewayCounts m_gateways;
   std::map<TargetId, Target> m_targets;
-  std::map<std::string, Settings::EngineProfile> m_engines;
+  std::set<std::string> m_services;
+  std::map<std::string, Engine> m_engines;
   std::mt19937_64 m_random;
   DemandWatch m_demand;
   Common::TimePoint m_crowded_until{};
--- a/Source/Core/Settings/Document.h
+++ b/Source/Core/Settings/Document.h
@@ -65,9 +65,10 @@
   double prompt_tokens_per_ms = 1;
   double prompt_pairs_ms = 0; // for each million pairs of prompt tokens
   std::uint32_t tokens_per_event = 1;
-  std::uint64_t token_capacity = 0;
   std::uint32_t usual_prompt_tokens = 1;
   std::uint32_t usual_answer_tokens = 1;
+
+  bool operator==(const EngineProfile&) const = default;
 };
 
 // A model of a service, as its weights are handed out.
--- a/Source/Core/Sidecar/EngineMessages.h
+++ b/Source/Core/Sidecar/EngineMessages.h
@@ -19,6 +19,8 @@
 // What the engine says of itself.
 struct EngineReport
 {
+  // Grows with each start of the engine; 0 if that is not told.
+  std::uint64_t incarnation = 0;
   // The weights that answer requests; 0 for none.
   std::uint64_t weights_version = 0;
   std::string model;
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -110,6 +110,7 @@
     load.queued = m_report->queued + came;
     load.unread_prompt_tokens = work.unread_prompt_tokens;
     load.weights_version = m_report->weights_version;
+    load.incarnation = m_report->incarnation;
     load.is_switching = load.is_switching || m_report->is_busy;
     load.pace = m_report->pace;
   }
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -84,6 +84,8 @@
   refusedPercent @18 :UInt8;
   # Of the plan and the peers that the sender was last told.
   stamp @19 :Stamp;
+  # The life of the target that this is about; 0 if that is not known.
+  incarnation @20 :UInt64;
 }
 
 # What a gateway has at the receiver's target.
@@ -144,6 +146,8 @@
   needsWeights @7 :Bool;
   # Only the id is set.
   isGone @8 :Bool;
+  # Grows with each start under the id; 0 if that is not known.
+  incarnation @9 :UInt64;
 }
 
 struct TargetsAnswer {
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -137,7 +137,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 6, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -242,7 +242,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c92e386bb283052b, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c92e386bb283052b, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -983,6 +983,8 @@
   inline bool hasStamp() const;
   inline  ::Holdpost::MeshWire::Stamp::Reader getStamp() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1091,6 +1093,9 @@
   inline void adoptStamp(::capnp::Orphan< ::Holdpost::MeshWire::Stamp>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::Stamp> disownStamp();
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1752,6 +1757,8 @@
 
   inline bool getIsGone() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1823,6 +1830,9 @@
   inline bool getIsGone();
   inline void setIsGone(bool value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3212,6 +3222,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Load::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t Work::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3947,6 +3971,20 @@
       ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Target::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Target::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Target::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TargetsAnswer::Reader::getPosition() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -43,6 +43,7 @@
   out.setSlots(static_cast<std::uint16_t>(target.slots));
   out.setIsLeaving(target.state == Gateway::TargetState::Leaving);
   out.setWeightsVersion(static_cast<std::uint32_t>(target.weights_version));
+  out.setIncarnation(target.incarnation);
   out.setNeedsWeights(target.needs_weights);
 }
 
@@ -75,6 +76,7 @@
   target.slots = in.getSlots();
   target.state = in.getIsLeaving() ? Gateway::TargetState::Leaving : Gateway::TargetState::Ready;
   target.weights_version = in.getWeightsVersion();
+  target.incarnation = in.getIncarnation();
   target.needs_weights = in.getNeedsWeights();
   return target;
 }
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -140,6 +140,7 @@
   if (load.unread_prompt_tokens)
     out.setUnreadTokens(*load.unread_prompt_tokens + 1);
   out.setWeightsVersion(static_cast<std::uint32_t>(load.weights_version));
+  out.setIncarnation(load.incarnation);
   out.setIsSwitching(load.is_switching);
   out.setPacePercent(static_cast<std::uint16_t>(std::lround(load.pace * PERCENT)));
   if (load.switch_in)
@@ -173,6 +174,7 @@
   if (in.getUnreadTokens() > 0)
     load.unread_prompt_tokens = in.getUnreadTokens() - 1;
   load.weights_version = in.getWeightsVersion();
+  load.incarnation = in.getIncarnation();
   load.is_switching = in.getIsSwitching();
   load.pace = in.getPacePercent() / PERCENT;
   if (in.getSwitchInMs() > 0)
