Weights: Draw at the pace of the origin's link, and finish what is mostly drawn

Cause: draws were planned at the pace of the own link, and a member's draw shared its link with six pieces from others, so the origin's link idled: 27 of 64 pieces were missing 1.6 s after a naming. A version that was three quarters drawn was then dropped for the next one, and the origin went away: for 5 s no target had weights that were good enough. Ruled out: how soon a naming is known (25 ms), the manifest (0.1 s), two pieces from others instead of three (members idle). Change: the plan goes by the origin's published link; at most three pieces from others while the hall lacks some; a version that is mostly drawn is brought to its end; the next one, if it is here in time, is taken instead of it; an origin that is down is asked each 100 ms.

--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -36,6 +36,9 @@
   std::uint32_t window_per_peer = 1;
   std::uint32_t window_of_platform = 4;
   std::uint32_t window_in_all = 16;
+  // The same as long as the hall lacks pieces that it has to bring in: these come first, as all of
+  // the hall wait for them.
+  std::uint32_t window_while_lacking = 16;
   // Asks a second peer for the last pieces.
   bool may_hedge = true;
   // Takes one piece at a time on an own link that is narrower than it should be, so that it is left
@@ -43,6 +46,8 @@
   bool adapts_window = false;
   // What a piece takes on the link when nothing else is on it.
   Common::Duration piece_time = Common::Milliseconds(30);
+  // What a piece takes on the origin's link: instances that share it out draw at that pace.
+  Common::Duration draw_time = Common::Milliseconds(30);
   // A version is the SHA-256 of its manifest; else the manifest of the origin is believed until its
   // pieces prove it wrong.
   bool is_named_by_content = true;
--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -177,7 +177,7 @@
 
 TimePoint Swarm::PlannedDraw(std::uint32_t piece) const
 {
-  return m_plan_begin + m_plan_position[piece] * m_options.piece_time;
+  return m_plan_begin + m_plan_position[piece] * m_options.draw_time;
 }
 
 void Swarm::PlanDraws(TimePoint now)
@@ -299,7 +299,11 @@
 {
   if (!m_options.adapts_window)
     return m_options.window_in_all;
-  const std::uint32_t window = IsLinkNarrow(now) ? 1 : m_options.window_in_all;
+  const std::uint32_t usual =
+      m_options.shares_crossings && PiecesUnseen() > 0
+          ? std::min(m_options.window_while_lacking, m_options.window_in_all)
+          : m_options.window_in_all;
+  const std::uint32_t window = IsLinkNarrow(now) ? 1 : usual;
   // What is brought in from outside fills the link too.
   const std::uint32_t outside = m_platform_outstanding;
   return window > outside ? window - outside : 1;
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -42,6 +42,8 @@
   Common::Milliseconds warm_up{0};
   Common::Address origin;
   std::string origin_hall;
+  // Of the origin's link; 0 if not known.
+  std::uint64_t origin_bytes_per_second = 0;
 
   bool operator==(const WeightsPlan&) const = default;
 };
--- a/Source/Core/Settings/Document.h
+++ b/Source/Core/Settings/Document.h
@@ -97,6 +97,8 @@
   Common::Address address;
   std::string hall;
   std::uint32_t connections_most = 0;
+  // Of its link; 0 if not known.
+  std::uint64_t bytes_per_second = 0;
 };
 
 struct OrganisationSettings
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -30,7 +30,7 @@
 static constexpr Milliseconds PATIENCE = Milliseconds(500);
 static constexpr Milliseconds STALL = Milliseconds(900);
 // The origin is shared by few, and all wait for it when it has failed.
-static constexpr Milliseconds ORIGIN_PAUSE_MOST = Milliseconds(300);
+static constexpr Milliseconds ORIGIN_PAUSE_MOST = Milliseconds(100);
 static constexpr std::uint32_t DOWNLOADS_AT_ONCE = 6;
 static constexpr std::size_t UPLOADS_AT_ONCE = 6;
 // A peer that would wait behind more than so many asks another one.
@@ -38,6 +38,10 @@
 // Requests for pieces that are remembered until the peer says that it has the piece.
 static constexpr std::size_t ASKED_MOST = 256;
 static constexpr Milliseconds PIECE_TIME_LEAST = Milliseconds(5);
+static constexpr Milliseconds DRAW_TIME_LEAST = Milliseconds(2);
+// While the hall lacks pieces, a member takes so many from the others at once: with more of them on
+// its link, the piece that it draws takes as long as all of these, and the origin's link idles.
+static constexpr std::uint32_t DOWNLOADS_WHILE_LACKING = 3;
 static constexpr Milliseconds CLAIM_LEAST = Milliseconds(300);
 static constexpr Milliseconds CLAIM_MOST = Milliseconds(5000);
 
@@ -67,6 +71,8 @@
   options.swarm.adapts_window = true;
   options.swarm.window_in_all = DOWNLOADS_AT_ONCE;
   options.swarm.piece_time = PieceTime();
+  options.swarm.draw_time = DrawTime();
+  options.swarm.window_while_lacking = DOWNLOADS_WHILE_LACKING;
   options.swarm.is_named_by_content = false;
   options.swarm.has_weight_store = false;
   options.swarm.shares_crossings = true;
@@ -84,6 +90,15 @@
   return std::max<Duration>(std::chrono::duration_cast<Duration>(time), PIECE_TIME_LEAST);
 }
 
+Duration Sidecar::DrawTime() const
+{
+  const std::uint64_t rate = m_plan.origin_bytes_per_second;
+  if (rate == 0)
+    return PieceTime();
+  const std::chrono::duration<double> time(m_plan.piece_bytes / static_cast<double>(rate));
+  return std::max<Duration>(std::chrono::duration_cast<Duration>(time), DRAW_TIME_LEAST);
+}
+
 // All of the hall may bring in a piece at once over the origin's one link, so a piece takes as many
 // times of what the link needs for one, and some may have to come twice.
 Duration Sidecar::ClaimLifetime() const
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -140,7 +140,15 @@
   void CopyAhead(std::uint64_t version, Common::TimePoint now, Actions* actions);
   void TellExchangeOfPeers(Common::TimePoint now, Actions* actions);
   void FetchVersion(std::uint64_t version, Common::TimePoint now, Actions* actions);
+  // Whether a newer version is to be copied instead of the one that is wanted.
   bool MayReplaceWanted(Common::TimePoint now) const;
+  // Whether so much of it is in the hall that the rest is soon there, too.
+  bool IsWantedMostlyDrawn(const Distribution::Swarm* swarm) const;
+  // Whether the version that was copied ahead is here before the wanted one was loaded: then that
+  // one is skipped, and the target is without work for one switch instead of two.
+  bool MayJumpAhead(Common::TimePoint now) const;
+  // When the first of the named versions up to `newest` that the engine has not loaded is due.
+  Common::TimePoint EarliestBound(std::uint64_t newest) const;
   Common::Duration CopyTime() const;
   // What one piece takes on the own link as it is now, and what a whole copy and the rest of one
   // do.
@@ -164,6 +172,8 @@
   const Distribution::Swarm* WantedSwarm() const;
   Distribution::ExchangeOptions MakeExchangeOptions() const;
   Common::Duration PieceTime() const;
+  // What a piece takes on the origin's link.
+  Common::Duration DrawTime() const;
   Common::Duration ClaimLifetime() const;
 
   SidecarOptions m_options;
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -42,9 +42,9 @@
   m_reports_failed = 0;
   // While it loads it may tell of no weights at all.
   const bool has_restarted =
-      m_report && (report->incarnation != m_report->incarnation ||
-                   report->orders < m_report->orders ||
-                   (report->weights_version < m_report->weights_version && !m_loader.IsUnderWay()));
+      m_report &&
+      (report->incarnation != m_report->incarnation || report->orders < m_report->orders ||
+       (report->weights_version < m_report->weights_version && !m_loader.IsUnderWay()));
   if (has_restarted)
   {
     LogEvent(Weight::Important, now, "engine.restarted", "weights", report->weights_version);
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -34,18 +34,33 @@
 
 bool Sidecar::MayReplaceWanted(TimePoint now) const
 {
-  // An older version is brought to its end unless a newer one can take its place in time.
   const Distribution::Swarm* swarm = WantedSwarm();
   if (m_loader.IsUnderWay() || (swarm && swarm->IsHeld()))
     return false;
   const TimePoint bound = m_named.at(m_wanted) + m_options.switch_within;
+  // A newer one that can take its place in time saves each target a switch. But the origin may go
+  // away before it is here, and then what was drawn of the older one is all that there is.
   if (now + CopyTime() + SWITCH_TIME <= bound)
-    return true;
+    return !IsWantedMostlyDrawn(swarm);
   // One that is going to be late anyhow, and is not nearly here, is not worth its bytes.
   const Duration left = TimeToHold(swarm, now);
   return now + left > bound && left > WholeCopyTime(now) / 2;
 }
 
+bool Sidecar::IsWantedMostlyDrawn(const Distribution::Swarm* swarm) const
+{
+  if (!swarm || !swarm->ManifestHeld())
+    return false;
+  const std::uint32_t pieces = swarm->ManifestHeld()->PieceCount();
+  const std::uint32_t drawn = pieces - swarm->PiecesUnseen();
+  if (2 * drawn >= pieces)
+    return true;
+  // Halls hear of each other's pieces late. All of them know when the versions were named, and so
+  // come to the same choice.
+  const Duration gap = m_named.rbegin()->second - m_named.at(m_wanted);
+  return 4 * drawn >= pieces && 2 * gap >= static_cast<Duration::rep>(pieces) * DrawTime();
+}
+
 Duration Sidecar::PieceTimeNow(TimePoint now) const
 {
   return std::max(PieceTime(), m_exchange.NarrowPieceTime(now));
@@ -73,6 +88,8 @@
   const bool is_wanted_done = m_wanted == 0 || LoadedVersion() >= m_wanted;
   if ((is_wanted_done && !m_loader.IsUnderWay()) || (!is_wanted_done && MayReplaceWanted(now)))
     return WantVersion(newest, now, actions);
+  if (MayJumpAhead(now))
+    return WantVersion(m_ahead, now, actions);
   const Distribution::Swarm* swarm = WantedSwarm();
   // Once all of a version is in the hall, the origin has nothing else to do.
   const bool is_drawn = swarm && swarm->ManifestHeld() && swarm->PiecesUnseen() == 0;
@@ -80,6 +97,27 @@
     CopyAhead(newest, now, actions);
 }
 
+bool Sidecar::MayJumpAhead(TimePoint now) const
+{
+  // Until what was copied ahead is staged, proved and loaded.
+  static constexpr Milliseconds JUMP_TIME = Milliseconds(1000);
+  if (m_ahead <= m_wanted || m_loader.IsUnderWay() || LoadedVersion() >= m_wanted)
+    return false;
+  const Distribution::Swarm* swarm = m_exchange.Find(VersionDigest(m_plan.model, m_ahead));
+  return swarm && swarm->IsHeld() && now + JUMP_TIME <= EarliestBound(m_wanted);
+}
+
+TimePoint Sidecar::EarliestBound(std::uint64_t newest) const
+{
+  TimePoint earliest = TimePoint::max();
+  for (const auto& [version, named] : m_named)
+  {
+    if (version > LoadedVersion() && version <= newest)
+      earliest = std::min(earliest, named + m_options.switch_within);
+  }
+  return earliest;
+}
+
 void Sidecar::CopyAhead(std::uint64_t version, TimePoint now, Actions* actions)
 {
   LogEvent(Weight::Important, now, "weights.ahead", "version", version, "wanted", m_wanted);
@@ -121,7 +159,9 @@
   // One that answers nothing has nothing to lose.
   if (LoadedVersion() == 0 || (m_report && m_report->running + m_report->queued == 0))
     return now;
-  const SwitchWindow window{m_named.at(m_wanted), m_options.switch_within, CopyTime()};
+  // One that skips a version has to come before the bound of that one.
+  const TimePoint named = m_named.at(m_wanted);
+  const SwitchWindow window{named, EarliestBound(m_wanted) - named, CopyTime()};
   const TimePoint planned =
       PlannedSwitch(window, SwitchRank(m_options.address, m_peers, m_wanted), m_peers.size());
   const Distribution::Swarm* swarm = WantedSwarm();
--- a/Source/Core/Sidecar/SwitchSchedule.cpp
+++ b/Source/Core/Sidecar/SwitchSchedule.cpp
@@ -27,8 +27,9 @@
 
 TimePoint PlannedSwitch(const SwitchWindow& window, std::size_t rank, std::size_t count)
 {
-  const TimePoint begin = window.named + window.copy;
-  const Duration span = std::max(window.within - window.copy - END_MARGIN, Duration::zero());
+  const TimePoint end = window.named + window.within - END_MARGIN;
+  const TimePoint begin = std::min(window.named + window.copy, end);
+  const Duration span = end - begin;
   const double share =
       (static_cast<double>(rank) + 0.5) / static_cast<double>(std::max(count, rank + 1));
   return begin + std::chrono::duration_cast<Duration>(share * span);
--- a/Source/Node/MeshPlan.cpp
+++ b/Source/Node/MeshPlan.cpp
@@ -19,6 +19,7 @@
     {
       plan.origin = document.origin->address;
       plan.origin_hall = document.origin->hall;
+      plan.origin_bytes_per_second = document.origin->bytes_per_second;
     }
     return plan;
   }
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -26,6 +26,8 @@
   warmUpMs @4 :UInt32;
   origin @5 :Address;
   originHall @6 :Text;
+  # Of the origin's link; 0 if not known.
+  originBytesPerSecond @7 :UInt64;
 }
 
 struct Peer {
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -77,7 +77,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d258803507f91b92, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d258803507f91b92, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -502,6 +502,8 @@
   inline bool hasOriginHall() const;
   inline  ::capnp::Text::Reader getOriginHall() const;
 
+  inline  ::uint64_t getOriginBytesPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -567,6 +569,9 @@
   inline void adoptOriginHall(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownOriginHall();
 
+  inline  ::uint64_t getOriginBytesPerSecond();
+  inline void setOriginBytesPerSecond( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2464,6 +2469,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t WeightsPlan::Reader::getOriginBytesPerSecond() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WeightsPlan::Builder::getOriginBytesPerSecond() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WeightsPlan::Builder::setOriginBytesPerSecond( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -16,13 +16,14 @@
   out.setWarmUpMs(ToWireMs(plan.warm_up));
   Write(plan.origin, out.initOrigin());
   out.setOriginHall(plan.origin_hall);
+  out.setOriginBytesPerSecond(plan.origin_bytes_per_second);
 }
 
 static Mesh::WeightsPlan Read(MeshWire::WeightsPlan::Reader in)
 {
-  return {ToText(in.getService()),   ToText(in.getModel()),          in.getPieces(),
-          in.getPieceBytes(),        Milliseconds(in.getWarmUpMs()), Read(in.getOrigin()),
-          ToText(in.getOriginHall())};
+  return {ToText(in.getService()),    ToText(in.getModel()),          in.getPieces(),
+          in.getPieceBytes(),         Milliseconds(in.getWarmUpMs()), Read(in.getOrigin()),
+          ToText(in.getOriginHall()), in.getOriginBytesPerSecond()};
 }
 
 static void WritePeers(const std::vector<Mesh::Peer>& peers, MeshWire::Hello::Builder out)
