--- a/Source/Core/Gateway/StartEstimate.cpp
+++ b/Source/Core/Gateway/StartEstimate.cpp
@@ -67,6 +67,15 @@
   return ToDuration(pace * SlotIntervalMs(engine));
 }
 
+Common::Duration StartDelayOfOne(const EngineProfile& engine, const TargetWork& work)
+{
+  const double slots = std::max<std::uint32_t>(engine.slots, 1);
+  const bool has_free_slot = work.requests + 1 < slots;
+  const double ms =
+      has_free_slot ? ReadMs(engine, engine.usual_prompt_tokens) : SlotIntervalMs(engine);
+  return ToDuration(work.pace * ms);
+}
+
 Common::Duration ExpectedStart(const EngineProfile& engine, const TargetWork& work,
                                std::uint32_t prompt_tokens)
 {
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -63,7 +63,8 @@
   return work;
 }
 
-Spread TargetTable::SpreadOf(const TargetWish& wish, TimePoint now) const
+Spread TargetTable::SpreadOf(const TargetWish& wish, const Candidates& candidates,
+                             TimePoint now) const
 {
   const EngineProfile* engine = EngineOf(wish.service);
   if (!engine)
@@ -74,7 +75,8 @@
   // last word of the targets, and what waits, as any word of room sets it off.
   const double for_each = BLIND_SECONDS + static_cast<double>(wish.waiting) / std::max(own, 1.0);
   return {std::max(demand.near_per_second - own, 0.0) * for_each, demand.far_per_second * for_each,
-          SlotInterval(*engine, 1), OTHER_HALL_PENALTY};
+          candidates.delays_of_one / static_cast<Duration::rep>(candidates.options.size()),
+          OTHER_HALL_PENALTY};
 }
 
 double TargetTable::LoadOf(const Target& target, TimePoint now) const
@@ -253,6 +255,8 @@
     choice.report_age = now - target.load_heard;
   candidates->choices.push_back(std::move(choice));
   candidates->options.push_back({cost, is_here});
+  if (const EngineProfile* engine = EngineOf(wish.service))
+    candidates->delays_of_one += StartDelayOfOne(*engine, WorkOf(target, *engine, now));
 }
 
 TargetTable::Candidates TargetTable::CandidatesFor(const TargetWish& wish, TimePoint now) const
@@ -275,7 +279,7 @@
   NoteCrowding(wish, candidates.options, now);
   if (candidates.choices.empty())
     return std::nullopt;
-  const Spread spread = SpreadOf(wish, now);
+  const Spread spread = SpreadOf(wish, candidates, now);
   if (!IsAdmitted(wish, candidates.options, spread, now))
     return std::nullopt;
   TargetChoice& choice = candidates.choices[ChooseSpread(candidates.options, spread, Draw())];
@@ -300,7 +304,7 @@
   room.best_start = std::ranges::min_element(candidates.choices, {}, &TargetChoice::expected_start)
                         ->expected_start;
   if (wish.start_most)
-    room.admitted_part = AdmittedPart(candidates.options, SpreadOf(wish, now), *wish.start_most);
+    room.admitted_part = AdmittedPart(candidates.options, SpreadOf(wish, candidates, now), *wish.start_most);
   return room;
 }
 
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -236,13 +236,16 @@
   // What the target has to do, as far as is known.
   TargetWork WorkOf(const Target& target, const Settings::EngineProfile& engine,
                     Common::TimePoint now) const;
-  Spread SpreadOf(const TargetWish& wish, Common::TimePoint now) const;
   // Targets that would do, and what each of them costs.
   struct Candidates
   {
     std::vector<TargetChoice> choices;
     std::vector<SpreadOption> options;
+    // Of all of them, what one more request at a target puts off the next one by.
+    Common::Duration delays_of_one{};
   };
+  Spread SpreadOf(const TargetWish& wish, const Candidates& candidates,
+                  Common::TimePoint now) const;
   // Those in reach, or all if none of these is open.
   Candidates CandidatesFor(const TargetWish& wish, Common::TimePoint now) const;
   void AddCandidate(const TargetId& id, const Target& target, const TargetWish& wish,
