Gateway: Callers that come back when their goal is over leave room to those that can be in time

Cause: in lasting overload a quarter of the engines' work went to callers that came back after 2 s and could only be late; each took the place of a first try, which was refused, came back late, and so on. Change: the time that a caller has left against the usual one of its route tells how long it has tried; one whose goal is over is sent only where it begins within 0.85 of the usual limit.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -159,6 +159,10 @@
       organisation && organisation->priority ? *organisation->priority : route->priority;
   tracked.request = std::move(event.request);
   tracked.arrived = now;
+  tracked.first_tried =
+      tracked.request.deadline
+          ? now - m_deadlines.OnRequest(route->name, *tracked.request.deadline)
+          : now;
   const Milliseconds time =
       std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
   tracked.deadline = now + time;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Common/Metrics.h"
+#include "Core/Gateway/DeadlineWatch.h"
 #include "Core/Gateway/Messages.h"
 #include "Core/Gateway/RequestLog.h"
 #include "Core/Gateway/RetryAllowance.h"
@@ -97,8 +98,13 @@
   // The same for a request that is not sent unless it can begin in time.
   TargetWish WishInTime(const Tracked& tracked, Common::TimePoint now) const;
   std::size_t WaitingFor(const std::string& service) const;
-  // How long after its arrival a request may be expected to begin for its goal to be met.
+  // How long after its caller's first try a request may be expected to begin for its goal to be
+  // met.
   static Common::Duration StartGoal(const Tracked& tracked);
+  // By when, from now on, a request that was not run is to begin, or it is not sent.
+  static Common::Duration StartMost(const Tracked& tracked, Common::TimePoint now);
+  // Whether it can only be late, as its caller came back when the goal was over.
+  static bool IsLate(const Tracked& tracked, Common::TimePoint now);
   bool TryDispatch(Tracked& tracked, Common::TimePoint now, Actions* actions);
   bool IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
                       Common::TimePoint now) const;
@@ -138,6 +144,7 @@
   RequestLog m_log;
   std::shared_ptr<const Settings::Document> m_document;
   RouteTable m_routes;
+  DeadlineWatch m_deadlines;
   TargetTable m_targets;
   WeightsBounds m_weights;
   std::map<std::string, ServiceQueue> m_queues;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -12,6 +12,9 @@
 
 // Part of the goal that the expected start may use up.
 static constexpr double GOAL_SHARE = 0.7;
+// A request that can only be late is sent if it can begin within this part of what others have: in
+// lasting overload it would take the place of one that can be in time, and that one would be late.
+static constexpr double LATE_SHARE = 0.85;
 // A request whose answer has not begun after twice the expected time and this may be moved.
 static constexpr Duration MOVE_MARGIN = Milliseconds(300);
 
@@ -48,12 +51,26 @@
 bool Gateway::IsWorthSending(const Tracked& tracked, const TargetChoice& choice,
                              TimePoint now) const
 {
-  if (choice.has_free_slot || tracked.was_passed)
+  if (tracked.was_passed)
     return true;
   // One that may have run cannot be refused as not run: late is better than an error.
   if (tracked.runs > 0)
     return choice.expected_start <= (tracked.deadline - now) / 2;
-  return choice.expected_start <= StartGoal(tracked) - (now - tracked.arrived);
+  if (choice.has_free_slot && !IsLate(tracked, now))
+    return true;
+  return choice.expected_start <= StartMost(tracked, now);
+}
+
+bool Gateway::IsLate(const Tracked& tracked, TimePoint now)
+{
+  return now - tracked.first_tried >= tracked.route.goal;
+}
+
+Duration Gateway::StartMost(const Tracked& tracked, TimePoint now)
+{
+  if (IsLate(tracked, now))
+    return std::chrono::duration_cast<Duration>(LATE_SHARE * StartGoal(tracked));
+  return std::max(StartGoal(tracked) - (now - tracked.first_tried), Duration(1));
 }
 
 TargetWish Gateway::WishOf(const Tracked& tracked) const
@@ -85,7 +102,7 @@
   wish.waiting = WaitingFor(tracked.service);
   const bool may_be_refused = tracked.runs == 0 && !tracked.was_passed;
   if (may_be_refused)
-    wish.start_most = std::max(StartGoal(tracked) - (now - tracked.arrived), Duration(1));
+    wish.start_most = StartMost(tracked, now);
   return wish;
 }
 
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -120,7 +120,8 @@
   RecordTime(tracked, "refused", now);
   m_metrics.Add("holdpost_requests_refused_total", Common::Reason(answer.name));
   LogFailure(tracked, now, "request.refused", "reason", answer.name, "status", answer.http_status,
-             "service", tracked.service, "waited_ms", now - tracked.arrived, "runs", tracked.runs,
+             "service", tracked.service, "waited_ms", now - tracked.arrived, "deadline_ms",
+             tracked.request.deadline.value_or(Milliseconds(-1)), "runs", tracked.runs,
              "utilization", view.utilization, "best_expected_ms", view.room.best_start, "goal_ms",
              tracked.route.goal, "admitted_part", view.room.admitted_part, "arrivals_per_second",
              view.room.demand.near_per_second + view.room.demand.far_per_second, "refused_share",
--- a/Source/Core/Gateway/TrackedRequest.h
+++ b/Source/Core/Gateway/TrackedRequest.h
@@ -41,6 +41,8 @@
   std::string organisation;
   int priority = 0;
   Common::TimePoint arrived{};
+  // When its caller tried first, as far as its deadline tells: its goal counts from then on.
+  Common::TimePoint first_tried{};
   // When the caller got the head of an answer.
   Common::TimePoint begun{};
   Common::TimePoint deadline{};
