Gateway: Sizes weigh less in admission

Hypothesis: the largest tenth of a kind is served least, because size weighs 0.4 to 2.5 in the draw.

--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -35,8 +35,8 @@
 static constexpr double LAG_LIFETIME_SECONDS = 2;
 // When there is no room for all, requests come first that take less of an engine's time than usual;
 // those that take more still get a part, or the largest would never be served.
-static constexpr double SIZE_WEIGHT_LEAST = 0.4;
-static constexpr double SIZE_WEIGHT_MOST = 2.5;
+static constexpr double SIZE_WEIGHT_LEAST = 0.9;
+static constexpr double SIZE_WEIGHT_MOST = 1.5;
 // Plain services have no published times: each request before this one costs about so much.
 static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(10);
 
