Weights: Spread switches over more of the bound, keep targets busy until they switch, drop abandoned uploads

Cause 1: gateways kept away from a target for 3 s before its switch, as holding it up cost half of the delay. Its engine ran half empty meanwhile. Cause 2: an upload whose receiver had given up stayed in the sender's queue once it was due. Ruled out: a narrow link (the sender received all pieces at full rate meanwhile).

--- a/Source/Core/Distribution/Uploads.cpp
+++ b/Source/Core/Distribution/Uploads.cpp
@@ -96,12 +96,15 @@
 {
   OnConfirmed(tag, now);
   const auto found = std::ranges::find(m_waiting, tag, &Waiting::tag);
-  if (found == m_waiting.end() || DueOf(*found) <= now)
+  if (found == m_waiting.end())
     return;
-  // The place on the link goes to those behind, but for the first, which is being sent.
   const auto gone = static_cast<std::size_t>(found - m_waiting.begin());
-  if (gone == 0)
+  // With a budget the first one is being sent while it waits. On the wire none is, and one that
+  // nobody waits for any more would hold up the others until its confirmation is given up.
+  const bool is_on_its_way = m_pacing == LinkPacing::Budget && (gone == 0 || DueOf(*found) <= now);
+  if (is_on_its_way)
     return;
+  // The place on the link goes to those behind.
   const TimePoint place = found->starts;
   m_waiting.erase(found);
   if (gone == m_waiting.size())
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -30,7 +30,7 @@
 static constexpr double CROWDED_RATIO = 1.6;
 static constexpr Duration CROWDED_TIME = Milliseconds(1500);
 // Holding up a target's switch costs the others' requests a part of the delay.
-static constexpr int SWITCH_DELAY_SHARE = 2;
+static constexpr int SWITCH_DELAY_SHARE = 6;
 // What was learnt of a target's lag fades in about this time.
 static constexpr double LAG_LIFETIME_SECONDS = 2;
 // When there is no room for all, requests come first that take less of an engine's time than usual;
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -24,7 +24,7 @@
 Duration Sidecar::CopyTime() const
 {
   // Over the time that one link needs for one copy, as measured with 20 targets in three halls.
-  static constexpr double OVER_LINK = 1.3;
+  static constexpr double OVER_LINK = 1.2;
   const double bytes = static_cast<double>(m_plan.pieces) * m_plan.piece_bytes;
   const auto rate =
       static_cast<double>(std::max<std::uint64_t>(m_options.link_bytes_per_second, 1));
--- a/Source/Core/Sidecar/SwitchSchedule.cpp
+++ b/Source/Core/Sidecar/SwitchSchedule.cpp
@@ -12,7 +12,7 @@
 using Common::TimePoint;
 
 // Left at the end for what comes late and for the loading itself.
-static constexpr Duration END_MARGIN = Milliseconds(1300);
+static constexpr Duration END_MARGIN = Milliseconds(1000);
 
 std::size_t SwitchRank(const Common::Address& self, const std::vector<Mesh::Peer>& peers,
                        std::uint64_t version)
