Gateway: Plain services have expectations of their own; draws go before what a hall passes around

Cause 1: without reports a gateway took all others to have as much at a plain target as itself: with one target left and one own request there it expected nine, no free slot and 90 ms, and refused. Change 1: what others have there follows from arrivals and measured times; a target that failed once or twice is used if it is the only one. Cause 2: draws of the next version shared the link with six pieces of the one before: 1 piece in 0.47 s.

--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -237,6 +237,7 @@
   for (const auto& [id, fetch] : m_fetches)
     actions->push_back(CancelFetch{id});
   m_fetches.clear();
+  m_shared->lacking.erase(m_version);
 }
 
 Bytes Swarm::Piece(std::uint32_t piece) const
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -36,8 +36,8 @@
   std::uint32_t window_per_peer = 1;
   std::uint32_t window_of_platform = 4;
   std::uint32_t window_in_all = 16;
-  // The same as long as the hall lacks pieces that it has to bring in: these come first, as all of
-  // the hall wait for them.
+  // The same as long as the hall lacks pieces, of this version or another one, that it has to bring
+  // in: these come first, as all of the hall wait for them.
   std::uint32_t window_while_lacking = 16;
   // Asks a second peer for the last pieces.
   bool may_hedge = true;
@@ -77,6 +77,8 @@
   FetchId next_fetch_id = 1;
   // Watches the own link by the pieces that come in.
   LinkWatch downloads;
+  // Versions of which the hall lacks pieces that its instances are bringing in.
+  std::set<Common::Digest> lacking;
 };
 
 class Swarm
@@ -242,6 +244,8 @@
   std::uint32_t OpenOutside() const;
   void PumpSlow(Common::TimePoint now, Actions* actions);
   std::uint32_t WindowInAll(Common::TimePoint now) const;
+  // Whether pieces have to be brought into the hall, and are expected to come.
+  bool IsLacking(Common::TimePoint now) const;
   bool IsLinkNarrow(Common::TimePoint now) const;
   // Whether no source has sent anything for so long that the own link is to blame.
   bool IsOwnLinkSilent(Common::TimePoint now) const;
--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -300,15 +300,24 @@
   if (!m_options.adapts_window)
     return m_options.window_in_all;
   const std::uint32_t usual =
-      m_options.shares_crossings && PiecesUnseen() > 0
-          ? std::min(m_options.window_while_lacking, m_options.window_in_all)
-          : m_options.window_in_all;
+      m_shared->lacking.empty()
+          ? m_options.window_in_all
+          : std::min(m_options.window_while_lacking, m_options.window_in_all);
   const std::uint32_t window = IsLinkNarrow(now) ? 1 : usual;
   // What is brought in from outside fills the link too.
   const std::uint32_t outside = m_platform_outstanding;
   return window > outside ? window - outside : 1;
 }
 
+bool Swarm::IsLacking(TimePoint now) const
+{
+  if (!m_options.shares_crossings || IsHeld())
+    return false;
+  if (!m_manifest)
+    return now - m_view_confirmed_at < OUTAGE_LEAST;
+  return PiecesUnseen() > 0 && OutageFor(now) < Duration::zero();
+}
+
 bool Swarm::IsLinkNarrow(TimePoint now) const
 {
   return m_options.adapts_window && m_shared->downloads.IsNarrow(now);
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -23,6 +23,10 @@
   if (!m_last_new_sight)
     m_last_new_sight = now;
   m_next_turn = TimePoint::max();
+  if (IsLacking(now))
+    m_shared->lacking.insert(m_version);
+  else
+    m_shared->lacking.erase(m_version);
   if (!m_manifest)
   {
     PumpManifest(now, actions);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -159,10 +159,9 @@
       organisation && organisation->priority ? *organisation->priority : route->priority;
   tracked.request = std::move(event.request);
   tracked.arrived = now;
-  tracked.first_tried =
-      tracked.request.deadline
-          ? now - m_deadlines.OnRequest(route->name, *tracked.request.deadline)
-          : now;
+  tracked.first_tried = tracked.request.deadline
+                            ? now - m_deadlines.OnRequest(route->name, *tracked.request.deadline)
+                            : now;
   const Milliseconds time =
       std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
   tracked.deadline = now + time;
@@ -255,7 +254,7 @@
                   actions);
   }
   m_targets.OnStarted(LivingTarget(*tracked), tracked->number, tracked->PromptTokens(), now);
-  if (event.is_event_stream)
+  if (!is_failure)
   {
     const LastAttempt& attempt = *tracked->last_attempt;
     m_targets.OnStartMeasured(tracked->service, attempt.choice, now - attempt.sent, now);
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -37,8 +37,11 @@
 // those that take more still get a part, or the largest would never be served.
 static constexpr double SIZE_WEIGHT_LEAST = 0.9;
 static constexpr double SIZE_WEIGHT_MOST = 1.5;
-// Plain services have no published times: each request before this one costs about so much.
-static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(10);
+// Plain services have no published times: until answers have come, they are taken to take so long.
+static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(20);
+// Failures in a row that may be the requests' own: a target is used in spite of them if there is no
+// other one.
+static constexpr std::uint32_t FAILURES_BORNE = 2;
 
 TargetWork TargetTable::WorkOf(const Target& target, const EngineProfile& engine,
                                TimePoint now) const
@@ -81,6 +84,8 @@
 
 double TargetTable::LoadOf(const Target& target, TimePoint now) const
 {
+  if (!target.listed.needs_weights)
+    return PlainLoadOf(target, now);
   // Without word from its agent the others are taken to send as much as this gateway.
   if (!HasFreshLoad(target, now))
     return static_cast<double>(target.own) * static_cast<double>(m_gateways.all);
@@ -89,6 +94,37 @@
   return others + target.own;
 }
 
+double TargetTable::PlainLoadOf(const Target& target, TimePoint now) const
+{
+  const std::string& service = target.listed.service;
+  const auto others =
+      static_cast<double>(m_gateways.all - std::min<std::size_t>(m_gateways.all, 1));
+  const double seconds = std::chrono::duration<double>(PlainTimeOf(service)).count();
+  const double running = others * m_demand.ArrivalsPerSecond(service, now) * seconds;
+  return target.own + running / static_cast<double>(std::max<std::size_t>(ListedCount(service), 1));
+}
+
+std::size_t TargetTable::ListedCount(const std::string& service) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_targets, [&](const auto& entry)
+      { return entry.second.listed.service == service && entry.second.IsListed(); }));
+}
+
+Duration TargetTable::PlainTimeOf(const std::string& service) const
+{
+  const auto found = m_plain_times.find(service);
+  return found == m_plain_times.end() ? PLAIN_REQUEST_TIME : found->second;
+}
+
+Duration TargetTable::PlainStart(const Target& target, TimePoint now) const
+{
+  const double load = LoadOf(target, now);
+  const double slots = std::max<std::uint32_t>(target.listed.slots, 1);
+  const double turns = 1 + std::max(load + 1 - slots, 0.0) / slots;
+  return std::chrono::duration_cast<Duration>(PlainTimeOf(target.listed.service) * turns);
+}
+
 TargetSurvey TargetTable::SurveyOf(const TargetWish& wish, TimePoint now) const
 {
   TargetSurvey survey;
@@ -125,11 +161,10 @@
 Duration TargetTable::ExpectedStartAt(const Target& target, std::uint32_t prompt_tokens,
                                       TimePoint now) const
 {
-  const double load = LoadOf(target, now);
   const EngineProfile* engine = EngineOf(target.listed.service);
   const Duration lag = LagOf(target, now);
   if (!engine)
-    return lag + std::chrono::duration_cast<Duration>(PLAIN_REQUEST_TIME * load);
+    return lag + PlainStart(target, now);
   return lag + ExpectedStart(*engine, WorkOf(target, *engine, now), prompt_tokens);
 }
 
@@ -230,6 +265,14 @@
   return target.listed.service == wish.service && IsOpen(target, now) && !wish.tried.contains(id);
 }
 
+bool TargetTable::IsLastResortFor(const TargetId& id, const Target& target, const TargetWish& wish,
+                                  TimePoint now) const
+{
+  return target.listed.service == wish.service && !target.listed.needs_weights &&
+         target.IsListed() && AccessOf(target, now) == Access::Avoided &&
+         target.failures <= FAILURES_BORNE && !wish.tried.contains(id);
+}
+
 void TargetTable::AddCandidate(const TargetId& id, const Target& target, const TargetWish& wish,
                                TimePoint now, Candidates* candidates) const
 {
@@ -270,6 +313,13 @@
     if ((target.is_used || !is_any_used) && IsOpenFor(id, target, wish, now))
       AddCandidate(id, target, wish, now, &candidates);
   }
+  if (!candidates.choices.empty())
+    return candidates;
+  for (const auto& [id, target] : m_targets)
+  {
+    if (IsLastResortFor(id, target, wish, now))
+      AddCandidate(id, target, wish, now, &candidates);
+  }
   return candidates;
 }
 
@@ -304,7 +354,8 @@
   room.best_start = std::ranges::min_element(candidates.choices, {}, &TargetChoice::expected_start)
                         ->expected_start;
   if (wish.start_most)
-    room.admitted_part = AdmittedPart(candidates.options, SpreadOf(wish, candidates, now), *wish.start_most);
+    room.admitted_part =
+        AdmittedPart(candidates.options, SpreadOf(wish, candidates, now), *wish.start_most);
   return room;
 }
 
@@ -326,6 +377,6 @@
 {
   const EngineProfile* engine = EngineOf(service);
   return engine ? SlotInterval(*engine, 1) * std::max<std::uint32_t>(engine->slots, 1)
-                : PLAIN_REQUEST_TIME;
+                : PlainTimeOf(service);
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -31,8 +31,12 @@
 // Each answer moves the known lag by this part of what it was late.
 static constexpr int LAG_SHARE = 4;
 static constexpr std::uint64_t TIE_BREAK_MOST_NS = 1000;
-// Answers take at least so long, even of plain services.
+// An answer of an engine is not late before that: its passes begin at any moment.
 static constexpr Duration EXPECTED_LEAST = Milliseconds(150);
+// The same for a plain service, of which some answers take several times as long as most.
+static constexpr Duration PLAIN_EXPECTED_LEAST = Milliseconds(50);
+// Each answer of a plain service moves the known mean by this part.
+static constexpr int PLAIN_TIME_SHARE = 16;
 
 static void LogListed(const ListedTarget& listed, TimePoint now)
 {
@@ -72,8 +76,14 @@
                                   Duration took, TimePoint now)
 {
   const auto found = m_engines.find(service);
+  if (found == m_engines.end())
+  {
+    const Duration before = PlainTimeOf(service);
+    m_plain_times[service] = before + (took - before) / PLAIN_TIME_SHARE;
+    return;
+  }
   // Behind a queue it is the queue that is measured, not the engine.
-  if (found == m_engines.end() || !choice.has_free_slot || choice.published_start <= Duration(0))
+  if (!choice.has_free_slot || choice.published_start <= Duration(0))
     return;
   Engine& engine = found->second;
   const double before = engine.correction.Factor();
@@ -320,7 +330,8 @@
 {
   Target& target = m_targets[id];
   ++target.own;
-  target.expected[request] = now + std::max<Duration>(expected_start, EXPECTED_LEAST);
+  const Duration least = EngineOf(target.listed.service) ? EXPECTED_LEAST : PLAIN_EXPECTED_LEAST;
+  target.expected[request] = now + std::max(expected_start, least);
   target.unread_prompt_tokens += prompt_tokens;
   target.unread_since_load += prompt_tokens;
 }
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -147,7 +147,8 @@
   // `request` names the request until it has ended.
   void OnDispatched(const TargetId& id, std::uint64_t request, std::uint32_t prompt_tokens,
                     Common::Duration expected_start, Common::TimePoint now);
-  // What the start of an answer shows of the engine's published times.
+  // What the start of an answer shows of the engine's published times, or of how long the answers
+  // of a plain service take.
   void OnStartMeasured(const std::string& service, const TargetChoice& choice,
                        Common::Duration took, Common::TimePoint now);
   // The answer, or its first event, has come.
@@ -232,6 +233,13 @@
   void ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, Common::TimePoint now);
   const Settings::EngineProfile* EngineOf(const std::string& service) const;
   double LoadOf(const Target& target, Common::TimePoint now) const;
+  // Of a target without an agent: what the other gateways have there is worked out from what comes
+  // to this one.
+  double PlainLoadOf(const Target& target, Common::TimePoint now) const;
+  // How long answers of a plain service take, as a mean.
+  Common::Duration PlainTimeOf(const std::string& service) const;
+  Common::Duration PlainStart(const Target& target, Common::TimePoint now) const;
+  std::size_t ListedCount(const std::string& service) const;
   bool HasFreshLoad(const Target& target, Common::TimePoint now) const;
   // What the target has to do, as far as is known.
   TargetWork WorkOf(const Target& target, const Settings::EngineProfile& engine,
@@ -252,6 +260,9 @@
                     Common::TimePoint now, Candidates* candidates) const;
   bool IsOpenFor(const TargetId& id, const Target& target, const TargetWish& wish,
                  Common::TimePoint now) const;
+  // Whether a target that has failed is used all the same, as there is no other one.
+  bool IsLastResortFor(const TargetId& id, const Target& target, const TargetWish& wish,
+                       Common::TimePoint now) const;
   // Whether the request is sent now, of all that compete for what room there is.
   bool IsAdmitted(const TargetWish& wish, const std::vector<SpreadOption>& options,
                   const Spread& spread, Common::TimePoint now);
@@ -292,6 +303,8 @@
   std::map<TargetId, Target> m_targets;
   std::set<std::string> m_services;
   std::map<std::string, Engine> m_engines;
+  // By service without an engine.
+  std::map<std::string, Common::Duration> m_plain_times;
   std::mt19937_64 m_random;
   DemandWatch m_demand;
   Common::TimePoint m_crowded_until{};
