Gateway: A request waits for one pass of the engines

Cause: refusals came after a quarter of the goal (85 ms), a window that has no reason of its own. Change: a pass (46 ms) is the time in which each target has had the chance to begin something new. What targets work off until the next report counts as room.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -16,9 +16,6 @@
 using Common::TimePoint;
 using Common::Weight;
 
-// A request that has to be refused is refused within this part of its goal.
-static constexpr int REFUSE_WITHIN = 4;
-static constexpr Duration REFUSE_MARGIN = Milliseconds(15);
 // Another gateway can serve the request at once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
@@ -165,9 +162,7 @@
   const Milliseconds time =
       std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
   tracked.deadline = now + time;
-  tracked.refuse_at = std::min(
-      tracked.deadline,
-      now + std::max<Duration>(route->goal / REFUSE_WITHIN - REFUSE_MARGIN, Duration::zero()));
+  tracked.refuse_at = std::min(tracked.deadline, now + m_targets.PassTimeOf(tracked.service));
   tracked.last_event = tracked.request.last_event;
   QueueOf(tracked.service).retries.OnRequest(now);
   m_targets.OnArrival(tracked.service, now);
--- a/Source/Core/Gateway/SpreadChoice.cpp
+++ b/Source/Core/Gateway/SpreadChoice.cpp
@@ -56,7 +56,7 @@
   const double volume = (1 + spread.near_arrivals) * one + VolumeFromFar(options, spread);
   double room = 0;
   for (const SpreadOption& option : options)
-    room += std::max(Count(limit - option.cost), 0.0);
+    room += std::max(Count(limit + spread.worked_off - option.cost), 0.0);
   return volume > 0 ? std::min(std::max(room, one) / volume, 1.0) : 1.0;
 }
 
--- a/Source/Core/Gateway/SpreadChoice.h
+++ b/Source/Core/Gateway/SpreadChoice.h
@@ -27,6 +27,8 @@
   Common::Duration cost_of_one{};
   // What a target in another hall costs more.
   Common::Duration far_penalty{};
+  // What each target works off until these have come.
+  Common::Duration worked_off{};
 };
 
 // The part of the arrivals, this request among them, that the options take before each of them
--- a/Source/Core/Gateway/StartEstimate.cpp
+++ b/Source/Core/Gateway/StartEstimate.cpp
@@ -67,6 +67,11 @@
   return ToDuration(pace * SlotIntervalMs(engine));
 }
 
+Common::Duration PassTime(const EngineProfile& engine)
+{
+  return ToDuration(PassMs(engine, std::max<std::uint32_t>(engine.slots, 1)));
+}
+
 Common::Duration StartDelayOfOne(const EngineProfile& engine, const TargetWork& work)
 {
   const double slots = std::max<std::uint32_t>(engine.slots, 1);
--- a/Source/Core/Gateway/StartEstimate.h
+++ b/Source/Core/Gateway/StartEstimate.h
@@ -32,6 +32,8 @@
 // Mean time between two requests that end on a full engine: a waiting request gets its slot after
 // as many of these as there are requests before it.
 Common::Duration SlotInterval(const Settings::EngineProfile& engine, double pace);
+// A pass of an engine whose slots are all taken.
+Common::Duration PassTime(const Settings::EngineProfile& engine);
 // By how much one more usual request puts off the start of the next one: by its reading while slots
 // are free, by the whole time that it takes of the engine when all are taken.
 Common::Duration StartDelayOfOne(const Settings::EngineProfile& engine, const TargetWork& work);
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -23,6 +23,7 @@
 // What others have sent since the last report is not known for so long: agents report at once when
 // work comes, but not more often than each 10 ms.
 static constexpr double BLIND_SECONDS = 0.01;
+static constexpr int WORK_OFF_MS = 10;
 // While an engine writes, too, it reads prompts at this part of its speed.
 static constexpr double READING_SHARE = 0.3;
 // Other halls are looked at while the best target here would begin this much later than an idle
@@ -79,7 +80,7 @@
   const double for_each = BLIND_SECONDS + static_cast<double>(wish.waiting) / std::max(own, 1.0);
   return {std::max(demand.near_per_second - own, 0.0) * for_each, demand.far_per_second * for_each,
           candidates.delays_of_one / static_cast<Duration::rep>(candidates.options.size()),
-          OTHER_HALL_PENALTY};
+          OTHER_HALL_PENALTY, Common::Milliseconds(WORK_OFF_MS)};
 }
 
 double TargetTable::LoadOf(const Target& target, TimePoint now) const
@@ -373,6 +374,12 @@
   return slots > 0 ? load / slots : 1;
 }
 
+Duration TargetTable::PassTimeOf(const std::string& service) const
+{
+  const EngineProfile* engine = EngineOf(service);
+  return engine ? PassTime(*engine) : PlainTimeOf(service);
+}
+
 Duration TargetTable::TurnoverOf(const std::string& service) const
 {
   const EngineProfile* engine = EngineOf(service);
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -120,6 +120,9 @@
   TargetSurvey SurveyOf(const TargetWish& wish, Common::TimePoint now) const;
   // Requests that wait or run at the service's targets, over their slots.
   double Utilization(const std::string& service, Common::TimePoint now) const;
+  // How long it takes until each target of the service has had the chance to begin something new: a
+  // pass of an engine, or an answer of a plain service.
+  Common::Duration PassTimeOf(const std::string& service) const;
   // The mean time in which a full target ends all that it runs.
   Common::Duration TurnoverOf(const std::string& service) const;
   bool IsAcceptable(const TargetId& id) const;
