Gateway: Wait as long as room may be expected; finish a version only when it is nearly drawn

Cause 1: with two targets that load one after the other a caller was refused in the moment between (the chain test failed: 1 of its requests). Change 1: while all targets load, a request waits for half of the time in which it has to begin; not at all when nothing is about to change. Change 2: finished from 80% on. The test of a copy that is given up stays as it was.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
+#include "Core/Gateway/WaitLimit.h"
 
 namespace Holdpost::Gateway
 {
@@ -162,13 +163,24 @@
   const Milliseconds time =
       std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
   tracked.deadline = now + time;
-  tracked.refuse_at = std::min(tracked.deadline, now + m_targets.PassTimeOf(tracked.service));
+  tracked.refuse_at = tracked.deadline;
   tracked.last_event = tracked.request.last_event;
   QueueOf(tracked.service).retries.OnRequest(now);
   m_targets.OnArrival(tracked.service, now);
   m_timers.push({tracked.deadline, tracked.number});
   Tracked& placed = m_requests.emplace(tracked.number, std::move(tracked)).first->second;
   Enqueue(placed, false, now, actions);
+  if (Tracked* waiting = Find(event.number); waiting && waiting->state == State::Waiting)
+    LimitWait(*waiting, now, actions);
+}
+
+void Gateway::LimitWait(Tracked& tracked, TimePoint now, Actions* actions)
+{
+  const TargetSurvey survey = m_targets.SurveyOf(WishOf(tracked), now);
+  const Duration wait = WaitMost(survey, m_targets.PassTimeOf(tracked.service), StartGoal(tracked));
+  tracked.refuse_at = std::min(tracked.deadline, now + wait);
+  m_timers.push({tracked.refuse_at, tracked.number});
+  OnTimer(tracked, now, actions);
 }
 
 // Deficits are counted in prompt tokens; a request without a model counts as a small one.
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -92,6 +92,8 @@
 
   ServiceQueue& QueueOf(const std::string& service);
   void Enqueue(Tracked& tracked, bool is_retry, Common::TimePoint now, Actions* actions);
+  // Decides how long a request that no target could begin at once waits for one.
+  void LimitWait(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void Pump(const std::string& service, Common::TimePoint now, Actions* actions);
   void PumpAll(Common::TimePoint now, Actions* actions);
   TargetWish WishOf(const Tracked& tracked) const;
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -39,8 +39,8 @@
 static constexpr std::size_t ASKED_MOST = 256;
 static constexpr Milliseconds PIECE_TIME_LEAST = Milliseconds(5);
 static constexpr Milliseconds DRAW_TIME_LEAST = Milliseconds(2);
-// While the hall lacks pieces, a member takes so many from the others at once, at least: with more of
-// them on its link, the piece that it draws takes as long as all of these, and the origin's link
+// While the hall lacks pieces, a member takes so many from the others at once, at least: with more
+// of them on its link, the piece that it draws takes as long as all of these, and the origin's link
 // idles. With this and draws at the origin's pace, 14 of 64 pieces were missing in a hall of 4
 // members 1.6 s after a naming, instead of 27 (links of 7.6 Mbit/s, the origin's 9.9 Mbit/s). The
 // larger the hall, the seldomer a member draws.
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -49,16 +49,22 @@
 
 bool Sidecar::IsWantedMostlyDrawn(const Distribution::Swarm* swarm) const
 {
+  // What is left delays the newer version by up to a fifth of a copy, and each target may have to
+  // switch twice: less than that is not worth it.
+  static constexpr double MOSTLY = 0.8;
+  // Halls hear of each other's pieces late. All of them know when the versions were named, so when
+  // the gap was long enough for nearly a whole copy, half of it in sight is enough.
+  static constexpr double NEARLY_WHOLE = 0.9;
+  static constexpr double HALF = 0.5;
   if (!swarm || !swarm->ManifestHeld())
     return false;
-  const std::uint32_t pieces = swarm->ManifestHeld()->PieceCount();
-  const std::uint32_t drawn = pieces - swarm->PiecesUnseen();
-  if (2 * drawn >= pieces)
+  const auto pieces = static_cast<double>(swarm->ManifestHeld()->PieceCount());
+  const double drawn = pieces - swarm->PiecesUnseen();
+  if (drawn >= MOSTLY * pieces)
     return true;
-  // Halls hear of each other's pieces late. All of them know when the versions were named, and so
-  // come to the same choice.
-  const Duration gap = m_named.rbegin()->second - m_named.at(m_wanted);
-  return 4 * drawn >= pieces && 2 * gap >= static_cast<Duration::rep>(pieces) * DrawTime();
+  const std::chrono::duration<double> gap = m_named.rbegin()->second - m_named.at(m_wanted);
+  const std::chrono::duration<double> copy = pieces * std::chrono::duration<double>(DrawTime());
+  return drawn >= HALF * pieces && gap >= NEARLY_WHOLE * copy;
 }
 
 Duration Sidecar::PieceTimeNow(TimePoint now) const
