Gateway: A request that a target turned away waits no longer than others

Cause: found by a unit test: its limit was the deadline since the wait is set only for requests that could not be sent at once.

--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -49,9 +49,12 @@
   if (tracked.sends >= SENDS_MOST || !QueueOf(tracked.service).retries.Take(now))
     return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
   m_log.OnRetried(tracked, reason, now);
-  // What was spent on the target that turned it away does not shorten the time to be refused.
-  tracked.refuse_at = std::min(tracked.deadline, std::max(tracked.refuse_at, now));
+  const RequestNumber number = tracked.number;
+  tracked.refuse_at = tracked.deadline;
   Enqueue(tracked, true, now, actions);
+  // What was spent on the target that turned it away does not shorten its wait for another one.
+  if (Tracked* waiting = Find(number); waiting && waiting->state == State::Waiting)
+    LimitWait(*waiting, now, actions);
 }
 
 void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -44,7 +44,8 @@
     list[1].state = TargetState::Leaving;
     f.SetTargets(list);
     f.Arrive("/chat/");
-    f.Pass(Milliseconds(100));
+    // One that loads weights may be back in time, so it is waited for a little longer.
+    f.Pass(Milliseconds(150));
     const auto lines = log.Lines("request.refused");
     REQUIRE(lines.size() == 1);
     CHECK(lines[0]["best_expected_ms"] == -1);
