--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -300,9 +300,8 @@
   if (!m_options.adapts_window)
     return m_options.window_in_all;
   const std::uint32_t usual =
-      m_shared->lacking.empty()
-          ? m_options.window_in_all
-          : std::min(m_options.window_while_lacking, m_options.window_in_all);
+      m_shared->lacking.empty() ? m_options.window_in_all
+                                : std::min(m_options.window_while_lacking, m_options.window_in_all);
   const std::uint32_t window = IsLinkNarrow(now) ? 1 : usual;
   // What is brought in from outside fills the link too.
   const std::uint32_t outside = m_platform_outstanding;
