--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -56,7 +56,9 @@
   // One that may have run cannot be refused as not run: late is better than an error.
   if (tracked.runs > 0)
     return choice.expected_start <= (tracked.deadline - now) / 2;
-  if (choice.has_free_slot && !IsLate(tracked, now))
+  // A free slot of a plain service costs nobody else anything.
+  const bool takes_from_none = !tracked.request.generation || !IsLate(tracked, now);
+  if (choice.has_free_slot && takes_from_none)
     return true;
   return choice.expected_start <= StartMost(tracked, now);
 }
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -116,7 +116,9 @@
     target.is_on_list = true;
     if (listed.incarnation < target.listed.incarnation)
       continue;
-    const bool is_new_life = was_listed && listed.incarnation > target.listed.incarnation;
+    // Also if it was off the list meanwhile, and was kept for the requests that it had.
+    const std::uint64_t known = target.listed.incarnation;
+    const bool is_new_life = known > 0 && listed.incarnation > known;
     if (is_new_life)
       BeginLife(target, listed.incarnation, now);
     if (!is_first && (!was_listed || target.listed.state != listed.state))
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -127,6 +127,14 @@
     CHECK_FALSE(f.table.IsInLife("1", 1000));
     CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
   }
+  SUBCASE("also when it was off the list meanwhile")
+  {
+    f.table.SetList({f.two}, f.now);
+    REQUIRE(f.table.Size() == 2);
+    f.table.SetList({again, f.two}, f.now);
+    CHECK(f.table.OwnWorkAt("1").requests == 0);
+    CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
+  }
   SUBCASE("word of the life before is not believed any more")
   {
     again.weights_version = 0;
