Gateway, platform: One way for a request that has not run to wait, one job for each file

Cause: read as a whole, the change did four things twice or in the wrong place. Arrivals and requests that a target turned away each set their wait, queued themselves and looked themselves up again; every request had two timers for its deadline; each candidate's work was computed a second time for what one more request costs; the list of targets had two branches that erased the same. Ruled out: a change of behaviour. Change: EnqueueNotRun serves both; the deadline's timer is set once; StartDelayOfOne takes the load that is known. Comments that claimed more than was measured say what was: copies take 1.36 to 1.52 of a link's time, not 1.2.

--- a/Source/Core/Control/TargetList.cpp
+++ b/Source/Core/Control/TargetList.cpp
@@ -48,21 +48,18 @@
   }
   for (const TargetChange& change : read.changes)
   {
-    if (change.target)
-    {
-      gone.erase(change.id);
-      m_lapsed.erase(change.id);
-      m_targets[change.id] = *change.target;
-    }
-    else if (change.removal == Removal::Unreadable)
+    const bool may_have_lapsed = !change.target && change.removal == Removal::Gone;
+    if (may_have_lapsed)
     {
-      // Not one that lapsed: its entry is there, and says nothing of a target.
-      m_targets.erase(change.id);
-      m_lapsed.erase(change.id);
-      gone.erase(change.id);
+      gone.insert(change.id);
+      continue;
     }
+    gone.erase(change.id);
+    m_lapsed.erase(change.id);
+    if (change.target)
+      m_targets[change.id] = *change.target;
     else
-      gone.insert(change.id);
+      m_targets.erase(change.id);
   }
   KeepLapsed(&gone, now);
   for (const Gateway::TargetId& id : gone)
--- a/Source/Core/Gateway/EngineCorrection.cpp
+++ b/Source/Core/Gateway/EngineCorrection.cpp
@@ -2,7 +2,6 @@
 #include "Core/Gateway/EngineCorrection.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Holdpost::Gateway
 {
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -20,8 +20,8 @@
 // Another gateway can serve the request at once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
-// For engines whose times are not known. Middling for engines of 70 to 120 thousand million
-// parameters; answers correct it within seconds.
+// For engines whose times are not known: between the two that were measured (steps of 6.7 and 9.3
+// ms, 31 and 21 prompt tokens a ms). The first answers correct it.
 static constexpr Settings::EngineProfile ASSUMED_ENGINE = {
     .slots = 16,
     .step_ms = 8,
@@ -163,19 +163,23 @@
   const Milliseconds time =
       std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
   tracked.deadline = now + time;
-  tracked.refuse_at = tracked.deadline;
   tracked.last_event = tracked.request.last_event;
   QueueOf(tracked.service).retries.OnRequest(now);
   m_targets.OnArrival(tracked.service, now);
   m_timers.push({tracked.deadline, tracked.number});
   Tracked& placed = m_requests.emplace(tracked.number, std::move(tracked)).first->second;
-  Enqueue(placed, false, now, actions);
-  if (Tracked* waiting = Find(event.number); waiting && waiting->state == State::Waiting)
-    LimitWait(*waiting, now, actions);
+  EnqueueNotRun(placed, false, now, actions);
 }
 
-void Gateway::LimitWait(Tracked& tracked, TimePoint now, Actions* actions)
+void Gateway::EnqueueNotRun(Tracked& request, bool is_retry, TimePoint now, Actions* actions)
 {
+  const RequestNumber number = request.number;
+  request.refuse_at = request.deadline;
+  Enqueue(request, is_retry, now, actions);
+  Tracked* waiting = Find(number);
+  if (!waiting || waiting->state != State::Waiting)
+    return;
+  Tracked& tracked = *waiting;
   const TargetSurvey survey = m_targets.SurveyOf(WishOf(tracked), now);
   const Duration wait = WaitMost(survey, m_targets.PassTimeOf(tracked.service), StartGoal(tracked));
   tracked.refuse_at = std::min(tracked.deadline, now + wait);
@@ -193,7 +197,9 @@
 {
   tracked.state = State::Waiting;
   tracked.target.clear();
-  m_timers.push({tracked.refuse_at, tracked.number});
+  // The deadline has had its timer since the request came.
+  if (tracked.refuse_at < tracked.deadline)
+    m_timers.push({tracked.refuse_at, tracked.number});
   Routing::FairQueue& queue = QueueOf(tracked.service).waiting[tracked.priority];
   const Routing::Waiting waiting{tracked.number, CostOf(tracked.request)};
   if (is_retry)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -92,8 +92,8 @@
 
   ServiceQueue& QueueOf(const std::string& service);
   void Enqueue(Tracked& tracked, bool is_retry, Common::TimePoint now, Actions* actions);
-  // Decides how long a request that no target could begin at once waits for one.
-  void LimitWait(Tracked& tracked, Common::TimePoint now, Actions* actions);
+  // The same for a request that has not run: it waits only as long as room may be expected.
+  void EnqueueNotRun(Tracked& request, bool is_retry, Common::TimePoint now, Actions* actions);
   void Pump(const std::string& service, Common::TimePoint now, Actions* actions);
   void PumpAll(Common::TimePoint now, Actions* actions);
   TargetWish WishOf(const Tracked& tracked) const;
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -49,17 +49,13 @@
   if (tracked.sends >= SENDS_MOST || !QueueOf(tracked.service).retries.Take(now))
     return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
   m_log.OnRetried(tracked, reason, now);
-  // One that may have run elsewhere keeps the time that it has to find another target.
   const bool may_have_run = tracked.runs > 0 || tracked.was_passed;
-  const RequestNumber number = tracked.number;
-  tracked.refuse_at = may_have_run ? std::min(tracked.deadline, std::max(tracked.refuse_at, now))
-                                   : tracked.deadline;
-  Enqueue(tracked, true, now, actions);
-  if (may_have_run)
-    return;
   // What was spent on the target that turned it away does not shorten its wait for another one.
-  if (Tracked* waiting = Find(number); waiting && waiting->state == State::Waiting)
-    LimitWait(*waiting, now, actions);
+  if (!may_have_run)
+    return EnqueueNotRun(tracked, true, now, actions);
+  // One that may have run elsewhere keeps the time that it has to find another target.
+  tracked.refuse_at = std::min(tracked.deadline, std::max(tracked.refuse_at, now));
+  Enqueue(tracked, true, now, actions);
 }
 
 void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
--- a/Source/Core/Gateway/StartEstimate.cpp
+++ b/Source/Core/Gateway/StartEstimate.cpp
@@ -72,13 +72,13 @@
   return ToDuration(PassMs(engine, std::max<std::uint32_t>(engine.slots, 1)));
 }
 
-Common::Duration StartDelayOfOne(const EngineProfile& engine, const TargetWork& work)
+Common::Duration StartDelayOfOne(const EngineProfile& engine, double requests, double pace)
 {
   const double slots = std::max<std::uint32_t>(engine.slots, 1);
-  const bool has_free_slot = work.requests + 1 < slots;
+  const bool has_free_slot = requests + 1 < slots;
   const double ms =
       has_free_slot ? ReadMs(engine, engine.usual_prompt_tokens) : SlotIntervalMs(engine);
-  return ToDuration(work.pace * ms);
+  return ToDuration(pace * ms);
 }
 
 Common::Duration ExpectedStart(const EngineProfile& engine, const TargetWork& work,
--- a/Source/Core/Gateway/StartEstimate.h
+++ b/Source/Core/Gateway/StartEstimate.h
@@ -36,5 +36,6 @@
 Common::Duration PassTime(const Settings::EngineProfile& engine);
 // By how much one more usual request puts off the start of the next one: by its reading while slots
 // are free, by the whole time that it takes of the engine when all are taken.
-Common::Duration StartDelayOfOne(const Settings::EngineProfile& engine, const TargetWork& work);
+Common::Duration StartDelayOfOne(const Settings::EngineProfile& engine, double requests,
+                                 double pace);
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -41,8 +41,6 @@
 // worth.
 static constexpr double SIZE_WEIGHT_LEAST = 0.9;
 static constexpr double SIZE_WEIGHT_MOST = 1.5;
-// Plain services have no published times: until answers have come, they are taken to take so long.
-static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(20);
 // Failures in a row that may be the requests' own: a target is used in spite of them if there is no
 // other one.
 static constexpr std::uint32_t FAILURES_BORNE = 2;
@@ -50,8 +48,7 @@
 TargetWork TargetTable::WorkOf(const Target& target, const EngineProfile& engine,
                                TimePoint now) const
 {
-  TargetWork work{LoadOf(target, now), target.unread_prompt_tokens,
-                  target.load ? target.load->pace : 1};
+  TargetWork work{LoadOf(target, now), target.unread_prompt_tokens, PaceOf(target)};
   if (!HasFreshLoad(target, now))
     return work;
   if (target.load->unread_prompt_tokens)
@@ -116,20 +113,6 @@
       { return entry.second.listed.service == service && entry.second.IsListed(); }));
 }
 
-Duration TargetTable::PlainTimeOf(const std::string& service) const
-{
-  const auto found = m_plain_times.find(service);
-  return found == m_plain_times.end() ? PLAIN_REQUEST_TIME : found->second;
-}
-
-Duration TargetTable::PlainStart(const Target& target, TimePoint now) const
-{
-  const double load = LoadOf(target, now);
-  const double slots = std::max<std::uint32_t>(target.listed.slots, 1);
-  const double turns = 1 + std::max(load + 1 - slots, 0.0) / slots;
-  return std::chrono::duration_cast<Duration>(PlainTimeOf(target.listed.service) * turns);
-}
-
 TargetSurvey TargetTable::SurveyOf(const TargetWish& wish, TimePoint now) const
 {
   TargetSurvey survey;
@@ -304,7 +287,7 @@
   candidates->choices.push_back(std::move(choice));
   candidates->options.push_back({cost, is_here});
   if (const EngineProfile* engine = EngineOf(wish.service))
-    candidates->delays_of_one += StartDelayOfOne(*engine, WorkOf(target, *engine, now));
+    candidates->delays_of_one += StartDelayOfOne(*engine, load, PaceOf(target));
 }
 
 TargetTable::Candidates TargetTable::CandidatesFor(const TargetWish& wish, TimePoint now) const
@@ -377,17 +360,4 @@
   }
   return slots > 0 ? load / slots : 1;
 }
-
-Duration TargetTable::PassTimeOf(const std::string& service) const
-{
-  const EngineProfile* engine = EngineOf(service);
-  return engine ? PassTime(*engine) : PlainTimeOf(service);
-}
-
-Duration TargetTable::TurnoverOf(const std::string& service) const
-{
-  const EngineProfile* engine = EngineOf(service);
-  return engine ? SlotInterval(*engine, 1) * std::max<std::uint32_t>(engine->slots, 1)
-                : PlainTimeOf(service);
-}
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -35,8 +35,6 @@
 static constexpr Duration EXPECTED_LEAST = Milliseconds(150);
 // The same for a plain service, of which some answers take several times as long as most.
 static constexpr Duration PLAIN_EXPECTED_LEAST = Milliseconds(50);
-// Each answer of a plain service moves the known mean by this part.
-static constexpr int PLAIN_TIME_SHARE = 16;
 
 static void LogListed(const ListedTarget& listed, TimePoint now)
 {
@@ -46,59 +44,6 @@
            listed.hall, "weights", listed.weights_version);
 }
 
-const EngineProfile* TargetTable::EngineOf(const std::string& service) const
-{
-  const auto found = m_engines.find(service);
-  return found == m_engines.end() ? nullptr : &found->second.present;
-}
-
-void TargetTable::SetEngine(const std::string& service, const std::optional<EngineProfile>& engine)
-{
-  if (!engine)
-  {
-    m_engines.erase(service);
-    return;
-  }
-  Engine& known = m_engines[service];
-  if (known.published == *engine)
-    return;
-  // What was learnt is about other times.
-  known = {*engine, {}, *engine};
-}
-
-double TargetTable::CorrectionOf(const std::string& service) const
-{
-  const auto found = m_engines.find(service);
-  return found == m_engines.end() ? 1 : found->second.correction.Factor();
-}
-
-void TargetTable::OnStartMeasured(const std::string& service, const TargetChoice& choice,
-                                  Duration took, TimePoint now)
-{
-  const auto found = m_engines.find(service);
-  if (found == m_engines.end())
-  {
-    const Duration before = PlainTimeOf(service);
-    m_plain_times[service] = before + (took - before) / PLAIN_TIME_SHARE;
-    return;
-  }
-  // Behind a queue it is the queue that is measured, not the engine.
-  if (!choice.has_free_slot || choice.published_start <= Duration(0))
-    return;
-  Engine& engine = found->second;
-  const double before = engine.correction.Factor();
-  engine.correction.OnStart(choice.published_start, took);
-  const double factor = engine.correction.Factor();
-  if (factor == before)
-    return;
-  engine.present = Corrected(engine.published, factor);
-  if (EngineCorrection::IsNotable(before, factor))
-  {
-    LogEvent(Weight::Important, now, "engine.corrected", "service", service, "factor", factor,
-             "before", before);
-  }
-}
-
 void TargetTable::SetList(const std::vector<ListedTarget>& list, TimePoint now)
 {
   const bool is_first = m_targets.empty();
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -243,6 +243,8 @@
   Common::Duration PlainTimeOf(const std::string& service) const;
   Common::Duration PlainStart(const Target& target, Common::TimePoint now) const;
   std::size_t ListedCount(const std::string& service) const;
+  // How much slower than its profile it is, as its agent says.
+  static double PaceOf(const Target& target) { return target.load ? target.load->pace : 1; }
   bool HasFreshLoad(const Target& target, Common::TimePoint now) const;
   // What the target has to do, as far as is known.
   TargetWork WorkOf(const Target& target, const Settings::EngineProfile& engine,
--- /dev/null
+++ b/Source/Core/Gateway/TargetTimes.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/TargetTable.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+// How long the targets of a service take: as published, and as their answers show.
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::LogEvent;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::Weight;
+using Settings::EngineProfile;
+
+// Plain services have no published times: until answers have come, they are taken to take so long.
+static constexpr Duration PLAIN_REQUEST_TIME = Milliseconds(20);
+// Each answer of a plain service moves the known mean by this part.
+static constexpr int PLAIN_TIME_SHARE = 16;
+
+const EngineProfile* TargetTable::EngineOf(const std::string& service) const
+{
+  const auto found = m_engines.find(service);
+  return found == m_engines.end() ? nullptr : &found->second.present;
+}
+
+void TargetTable::SetEngine(const std::string& service, const std::optional<EngineProfile>& engine)
+{
+  if (!engine)
+  {
+    m_engines.erase(service);
+    return;
+  }
+  Engine& known = m_engines[service];
+  if (known.published == *engine)
+    return;
+  // What was learnt is about other times.
+  known = {*engine, {}, *engine};
+}
+
+double TargetTable::CorrectionOf(const std::string& service) const
+{
+  const auto found = m_engines.find(service);
+  return found == m_engines.end() ? 1 : found->second.correction.Factor();
+}
+
+void TargetTable::OnStartMeasured(const std::string& service, const TargetChoice& choice,
+                                  Duration took, TimePoint now)
+{
+  const auto found = m_engines.find(service);
+  if (found == m_engines.end())
+  {
+    const Duration before = PlainTimeOf(service);
+    m_plain_times[service] = before + (took - before) / PLAIN_TIME_SHARE;
+    return;
+  }
+  // Behind a queue it is the queue that is measured, not the engine.
+  if (!choice.has_free_slot || choice.published_start <= Duration(0))
+    return;
+  Engine& engine = found->second;
+  const double before = engine.correction.Factor();
+  engine.correction.OnStart(choice.published_start, took);
+  const double factor = engine.correction.Factor();
+  if (factor == before)
+    return;
+  engine.present = Corrected(engine.published, factor);
+  if (EngineCorrection::IsNotable(before, factor))
+  {
+    LogEvent(Weight::Important, now, "engine.corrected", "service", service, "factor", factor,
+             "before", before);
+  }
+}
+
+Duration TargetTable::PlainTimeOf(const std::string& service) const
+{
+  const auto found = m_plain_times.find(service);
+  return found == m_plain_times.end() ? PLAIN_REQUEST_TIME : found->second;
+}
+
+Duration TargetTable::PlainStart(const Target& target, TimePoint now) const
+{
+  const double load = LoadOf(target, now);
+  const double slots = std::max<std::uint32_t>(target.listed.slots, 1);
+  const double turns = 1 + std::max(load + 1 - slots, 0.0) / slots;
+  return std::chrono::duration_cast<Duration>(PlainTimeOf(target.listed.service) * turns);
+}
+
+Duration TargetTable::PassTimeOf(const std::string& service) const
+{
+  const EngineProfile* engine = EngineOf(service);
+  return engine ? PassTime(*engine) : PlainTimeOf(service);
+}
+
+Duration TargetTable::TurnoverOf(const std::string& service) const
+{
+  const EngineProfile* engine = EngineOf(service);
+  return engine ? SlotInterval(*engine, 1) * std::max<std::uint32_t>(engine->slots, 1)
+                : PlainTimeOf(service);
+}
+} // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/WaitLimit.cpp
+++ b/Source/Core/Gateway/WaitLimit.cpp
@@ -6,7 +6,7 @@
 using Common::Duration;
 
 // Of the time in which a request has to begin. Loading takes 300 ms for the models that were
-// measured, so about half of those that come meanwhile are still in time after it.
+// measured: with goals of 400 ms, who comes in the last 140 ms of it can still be in time.
 static constexpr int LOADING_SHARE = 2;
 
 Duration WaitMost(const TargetSurvey& survey, Duration pass, Duration start_goal)
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -226,8 +226,8 @@
   if (plan == m_plan || (!m_options.service.empty() && plan.service != m_options.service))
     return;
   LogEvent(Weight::Important, now, "plan.known", "service", plan.service, "model", plan.model,
-           "pieces", plan.pieces, "origin", plan.origin.ToString(), "origin_hall",
-           plan.origin_hall);
+           "pieces", plan.pieces, "origin", plan.origin.ToString(), "origin_hall", plan.origin_hall,
+           "origin_bytes_per_second", plan.origin_bytes_per_second);
   m_plan = plan;
   m_exchange.SetOptions(MakeExchangeOptions());
 }
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -23,7 +23,8 @@
 
 Duration Sidecar::CopyTime() const
 {
-  // Over the time that one link needs for one copy, as measured with 20 targets in three halls.
+  // Of the time that one link needs for one copy. With 20 targets in three halls copies took 1.36
+  // to 1.52 of it; a switch waits for its copy anyhow, and a smaller figure lets who has one begin.
   static constexpr double OVER_LINK = 1.2;
   const double bytes = static_cast<double>(m_plan.pieces) * m_plan.piece_bytes;
   const auto rate =
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "GatewayFixture.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using Fixture = GatewayFixture;
+using Testing::Take;
+
+TEST_CASE("Requests that cannot begin are refused early and told when to come back")
+{
+  Fixture f;
+  // Both engines have two slots: four run, and a few more may wait there.
+  for (int i = 0; i < 40; ++i)
+    f.Arrive("/chat/");
+  const auto sent = Testing::Only<Dispatch>(f.actions);
+  CHECK(sent.size() >= 4);
+  CHECK(sent.size() < 12);
+  CHECK(Take<Refuse>(f.actions).empty());
+  f.Pass(Milliseconds(100));
+  const auto refused = Take<Refuse>(f.actions);
+  CHECK(refused.size() == 40 - sent.size());
+  for (const Refuse& refuse : refused)
+  {
+    CHECK(Common::AnswerFor(refuse.error.kind).http_status == 503);
+    CHECK(Common::AnswerFor(refuse.error.kind).outcome == Common::Outcome::NotRun);
+    REQUIRE(refuse.error.retry_after.has_value());
+    CHECK(*refuse.error.retry_after > Milliseconds(0));
+  }
+}
+
+TEST_CASE("A waiting request is sent when a slot becomes free")
+{
+  Fixture f;
+  std::vector<RequestNumber> numbers;
+  numbers.reserve(40);
+  for (int i = 0; i < 40; ++i)
+    numbers.push_back(f.Arrive("/chat/"));
+  const auto sent = Take<Dispatch>(f.actions);
+  // Within a pass of the engines, which is as long as a request waits.
+  f.Pass(Milliseconds(40));
+  f.Feed(f.Began(sent[0].number));
+  f.Feed(AnswerEnded{sent[0].number});
+  CHECK(Take<Dispatch>(f.actions).size() == 1);
+}
+
+TEST_CASE("What no target begins within a pass of the engines is refused by then")
+{
+  Fixture f;
+  for (int i = 0; i < 40; ++i)
+    f.Arrive("/chat/");
+  const std::size_t sent = Take<Dispatch>(f.actions).size();
+  f.Pass(Milliseconds(51));
+  CHECK(Take<Refuse>(f.actions).size() == 40 - sent);
+}
+
+TEST_CASE("A caller that comes back when its goal is over does not take a place of one in time")
+{
+  Fixture f;
+  const std::optional<Milliseconds> usual = Milliseconds(6000);
+  const std::optional<Milliseconds> left = Milliseconds(4200);
+  // The first callers show how long callers of this route wait.
+  for (int i = 0; i < 6; ++i)
+  {
+    const RequestNumber number = f.Arrive("/chat/", "key-1", usual);
+    f.Feed(f.Began(number));
+    f.Feed(AnswerEnded{number});
+  }
+  f.actions.clear();
+
+  SUBCASE("targets without work begin it at once")
+  {
+    f.Arrive("/chat/", "key-1", left);
+    CHECK(Take<Dispatch>(f.actions).size() == 1);
+  }
+  SUBCASE("those that are filling up are left to others")
+  {
+    std::size_t sent = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+      f.Arrive("/chat/", "key-1", usual);
+      sent += Take<Dispatch>(f.actions).size();
+    }
+    f.Pass(Milliseconds(60));
+    f.actions.clear();
+    f.Arrive("/chat/", "key-1", left);
+    CHECK(Take<Dispatch>(f.actions).empty());
+    CHECK(sent > 0);
+  }
+}
+
+TEST_CASE("Requests that are refused together come back one after the other")
+{
+  Fixture f;
+  for (const char* id : {"llm-1", "llm-2"})
+  {
+    TargetLoad load;
+    load.address = f.listed[id == std::string("llm-1") ? 0 : 1].address;
+    load.running = 2;
+    load.queued = 20;
+    load.weights_version = 1;
+    f.gateway.OnTargetLoad(load, f.now, &f.actions);
+  }
+  for (int i = 0; i < 20; ++i)
+    f.Arrive("/chat/");
+  f.Pass(Milliseconds(200));
+  const auto refused = Take<Refuse>(f.actions);
+  REQUIRE(refused.size() == 20);
+  std::set<Milliseconds> times;
+  for (const Refuse& refuse : refused)
+  {
+    CHECK(refuse.error.retry_after >= Milliseconds(600));
+    CHECK(refuse.error.retry_after <= Milliseconds(2000));
+    times.insert(*refuse.error.retry_after);
+  }
+  CHECK(times.size() > 10);
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/TargetLivesTest.cpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Gateway/TargetTableFixture.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using namespace Holdpost::Gateway::TableTesting;
+using Common::Milliseconds;
+
+using Fixture = TableTesting::TargetTableFixture;
+
+TEST_CASE("A target that starts again under its id knows nothing of before")
+{
+  Fixture f;
+  f.one.incarnation = f.two.incarnation = 1000;
+  f.table.SetList({f.one, f.two}, f.now);
+  TargetLoad load = MakeLoad(f.one, 3);
+  load.incarnation = 1000;
+  f.table.OnLoad(load, f.now);
+  f.table.OnDispatched("1", 7, 1000, Milliseconds(100), f.now);
+  f.table.OnFailed("1", f.now);
+  REQUIRE(f.table.OwnWorkAt("1").requests == 1);
+  ListedTarget again = f.one;
+  again.incarnation = 2000;
+
+  SUBCASE("its work, failures and weights are those of the new life")
+  {
+    again.weights_version = 0;
+    f.table.SetList({again, f.two}, f.now);
+    CHECK(f.table.OwnWorkAt("1").requests == 0);
+    CHECK(f.table.WeightsAt("1") == 0);
+    CHECK_FALSE(f.table.IsInLife("1", 1000));
+    CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
+  }
+  SUBCASE("also when it was off the list meanwhile")
+  {
+    f.table.SetList({f.two}, f.now);
+    REQUIRE(f.table.Size() == 2);
+    f.table.SetList({again, f.two}, f.now);
+    CHECK(f.table.OwnWorkAt("1").requests == 0);
+    CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
+  }
+  SUBCASE("word of the life before is not believed any more")
+  {
+    again.weights_version = 0;
+    f.table.SetList({again, f.two}, f.now);
+    f.table.OnLoad(load, f.now);
+    CHECK(f.table.WeightsAt("1") == 0);
+    f.table.SetList({f.one, f.two}, f.now);
+    CHECK(f.table.WeightsAt("1") == 0);
+    CHECK(f.table.IsInLife("1", 2000));
+  }
+  SUBCASE("its agent may tell of it before the list does")
+  {
+    load.incarnation = 2000;
+    load.weights_version = 0;
+    f.table.OnLoad(load, f.now);
+    CHECK(f.table.IsInLife("1", 2000));
+    CHECK(f.table.WeightsAt("1") == 0);
+    CHECK(f.table.OwnWorkAt("1").requests == 0);
+  }
+}
+
+TEST_CASE("An entry of a service that the settings do not name takes no target's address")
+{
+  Fixture f;
+  f.table.SetServices({"llm"});
+  ListedTarget foreign = f.one;
+  foreign.id = "foreign";
+  foreign.service = "unknown";
+  f.table.SetList({f.one, f.two, foreign}, f.now);
+  f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+  CHECK(f.Choose()->id == "1");
+  CHECK(f.table.FindByAddress(f.one.address) == "1");
+}
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -3,57 +3,14 @@
 
 #include <doctest/doctest.h>
 
-#include "Core/Gateway/TargetTable.h"
-#include "Support/Engines.h"
+#include "Core/Gateway/TargetTableFixture.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Gateway;
+using namespace Holdpost::Gateway::TableTesting;
 using Common::Milliseconds;
 
-namespace
-{
-const Common::TimePoint START{std::chrono::hours(1)};
-
-ListedTarget MakeTarget(const std::string& id, const std::string& hall = "here")
-{
-  ListedTarget target;
-  target.id = id;
-  target.service = "llm";
-  target.hall = hall;
-  target.address = {"10.0.0." + id, 80};
-  target.slots = 16;
-  target.needs_weights = true;
-  target.weights_version = 1;
-  return target;
-}
-
-TargetLoad MakeLoad(const ListedTarget& target, std::uint32_t running)
-{
-  TargetLoad load;
-  load.address = target.address;
-  load.running = running;
-  load.weights_version = target.weights_version;
-  return load;
-}
-
-struct Fixture
-{
-  Fixture()
-  {
-    table.SetEngine("llm", Testing::MakeEngine(16));
-    table.SetList({one, two}, START);
-  }
-  std::optional<TargetChoice> Choose(const TargetWish& wish = {"llm", 1000, 100, {}, {}})
-  {
-    return table.Choose(wish, now);
-  }
-
-  ListedTarget one = MakeTarget("1");
-  ListedTarget two = MakeTarget("2");
-  TargetTable table{"here"};
-  Common::TimePoint now = START;
-};
-} // namespace
+using Fixture = TableTesting::TargetTableFixture;
 
 TEST_CASE("The target that would begin first is chosen")
 {
@@ -104,156 +61,6 @@
   }
 }
 
-TEST_CASE("A target that starts again under its id knows nothing of before")
-{
-  Fixture f;
-  f.one.incarnation = f.two.incarnation = 1000;
-  f.table.SetList({f.one, f.two}, f.now);
-  TargetLoad load = MakeLoad(f.one, 3);
-  load.incarnation = 1000;
-  f.table.OnLoad(load, f.now);
-  f.table.OnDispatched("1", 7, 1000, Milliseconds(100), f.now);
-  f.table.OnFailed("1", f.now);
-  REQUIRE(f.table.OwnWorkAt("1").requests == 1);
-  ListedTarget again = f.one;
-  again.incarnation = 2000;
-
-  SUBCASE("its work, failures and weights are those of the new life")
-  {
-    again.weights_version = 0;
-    f.table.SetList({again, f.two}, f.now);
-    CHECK(f.table.OwnWorkAt("1").requests == 0);
-    CHECK(f.table.WeightsAt("1") == 0);
-    CHECK_FALSE(f.table.IsInLife("1", 1000));
-    CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
-  }
-  SUBCASE("also when it was off the list meanwhile")
-  {
-    f.table.SetList({f.two}, f.now);
-    REQUIRE(f.table.Size() == 2);
-    f.table.SetList({again, f.two}, f.now);
-    CHECK(f.table.OwnWorkAt("1").requests == 0);
-    CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
-  }
-  SUBCASE("word of the life before is not believed any more")
-  {
-    again.weights_version = 0;
-    f.table.SetList({again, f.two}, f.now);
-    f.table.OnLoad(load, f.now);
-    CHECK(f.table.WeightsAt("1") == 0);
-    f.table.SetList({f.one, f.two}, f.now);
-    CHECK(f.table.WeightsAt("1") == 0);
-    CHECK(f.table.IsInLife("1", 2000));
-  }
-  SUBCASE("its agent may tell of it before the list does")
-  {
-    load.incarnation = 2000;
-    load.weights_version = 0;
-    f.table.OnLoad(load, f.now);
-    CHECK(f.table.IsInLife("1", 2000));
-    CHECK(f.table.WeightsAt("1") == 0);
-    CHECK(f.table.OwnWorkAt("1").requests == 0);
-  }
-}
-
-TEST_CASE("An entry of a service that the settings do not name takes no target's address")
-{
-  Fixture f;
-  f.table.SetServices({"llm"});
-  ListedTarget foreign = f.one;
-  foreign.id = "foreign";
-  foreign.service = "unknown";
-  f.table.SetList({f.one, f.two, foreign}, f.now);
-  f.table.OnLoad(MakeLoad(f.two, 16), f.now);
-  CHECK(f.Choose()->id == "1");
-  CHECK(f.table.FindByAddress(f.one.address) == "1");
-}
-
-TEST_CASE("Published times that are wrong are corrected by the answers")
-{
-  TargetTable table("here");
-  Settings::EngineProfile engine = Testing::MakeEngine(16);
-  const ListedTarget one = MakeTarget("1");
-  Common::TimePoint now = START;
-  table.SetEngine("llm", engine);
-  table.SetList({one}, now);
-  table.OnLoad(MakeLoad(one, 0), now);
-  // Answers that begin after so many times of what the published times foretell.
-  const auto answers = [&](double factor, int count)
-  {
-    for (int i = 0; i < count; ++i)
-    {
-      const auto choice = table.Choose({"llm", 1000, 100, {}, {}}, now);
-      REQUIRE(choice.has_value());
-      const auto took = std::chrono::duration_cast<Common::Duration>(
-          factor * std::chrono::duration<double>(choice->published_start));
-      table.OnStartMeasured("llm", *choice, took, now);
-    }
-    return std::chrono::duration<double>(
-               table.Choose({"llm", 1000, 100, {}, {}}, now)->expected_start)
-        .count();
-  };
-  const double published = answers(1, 40);
-  CHECK(table.CorrectionOf("llm") == 1);
-
-  SUBCASE("eight times too small")
-  {
-    CHECK(answers(8, 20) == doctest::Approx(8 * published).epsilon(0.01));
-  }
-  SUBCASE("eight times too large")
-  {
-    CHECK(answers(1.0 / 8, 20) == doctest::Approx(published / 8).epsilon(0.01));
-  }
-  SUBCASE("right ones that differ a little are believed")
-  {
-    answers(1.2, 40);
-    CHECK(table.CorrectionOf("llm") == 1);
-  }
-  SUBCASE("engines that change in the middle")
-  {
-    answers(8, 40);
-    CHECK(answers(1, 40) == doctest::Approx(published).epsilon(0.01));
-  }
-  SUBCASE("other published times are judged anew")
-  {
-    answers(8, 40);
-    engine.step_ms = 80;
-    table.SetEngine("llm", engine);
-    CHECK(table.CorrectionOf("llm") == 1);
-  }
-}
-
-TEST_CASE("A plain service with one target left is used by all gateways")
-{
-  TargetTable table("here");
-  ListedTarget only = MakeTarget("1");
-  only.service = "desk";
-  only.slots = 6;
-  only.needs_weights = false;
-  only.weights_version = 0;
-  table.SetList({only}, START);
-  table.SetGateways({3, 9});
-  table.OnArrival("desk", START);
-  table.OnDispatched("1", 1, 0, Milliseconds(20), START);
-  const auto choice = table.Choose({"desk", 0, 0, {}, {}}, START);
-  REQUIRE(choice.has_value());
-  // The others have as much to do as this one, which is far from the target's six slots.
-  CHECK(choice->has_free_slot);
-  CHECK(choice->expected_start < Milliseconds(50));
-
-  SUBCASE("also when a request there was lost, as there is no other one")
-  {
-    table.OnFailed("1", START);
-    CHECK(table.Choose({"desk", 0, 0, {}, {}}, START).has_value());
-  }
-  SUBCASE("but not when it fails again and again")
-  {
-    for (int i = 0; i < 3; ++i)
-      table.OnFailed("1", START);
-    CHECK_FALSE(table.Choose({"desk", 0, 0, {}, {}}, START).has_value());
-  }
-}
-
 TEST_CASE("A target elsewhere has to be faster by more than the way is worth")
 {
   TargetTable table("here");
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarVersionsTest.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Sidecar/SidecarWorldFixture.h"
+#include "UnitTests/Support/LogCapture.h"
+
+using namespace Holdpost;
+using Common::Milliseconds;
+using namespace Holdpost::Testing;
+
+TEST_CASE("A version that is named while the one before is loaded is copied meanwhile")
+{
+  SidecarWorld world = MakeWorld();
+  NameTwo(world, Milliseconds(4000));
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  CHECK(world.CopiesFromOrigin() < 3.0);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("A copy that is given up for a newer version stops")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  const double drawn_before = world.CopiesFromOrigin();
+  world.Name(2);
+  world.RunFor(Milliseconds(1500));
+  world.Name(3);
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  CHECK(world.CopiesFromOrigin() - drawn_before < 2.0);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("A version that is mostly here when the next one is named is brought to its end")
+{
+  SidecarWorld world = MakeWorld();
+  NameTwo(world, Milliseconds(2500));
+  SUBCASE("so engines have it in time when the origin goes away before the next one is here")
+  {
+    world.RunFor(Milliseconds(900));
+    world.SetOriginDown(true);
+    world.RunFor(BOUND - Milliseconds(3400));
+    CHECK(world.HaveAllLoaded(2));
+  }
+  SUBCASE("and the next one is in time, too")
+  {
+    CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  }
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("An engine that has not taken a version when the next one is here skips it")
+{
+  SidecarWorld world = MakeWorld();
+  NameTwo(world, Milliseconds(2500));
+  Testing::LogCapture log;
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  // Each engine that takes both is out of service twice.
+  const std::size_t begun = log.Lines("switch.begun").size();
+  CHECK(begun >= world.Count());
+  CHECK(begun < 2 * world.Count());
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("The next version is drawn as soon as the origin is free")
+{
+  SidecarWorld world = MakeWorld();
+  NameTwo(world, Milliseconds(2400));
+  // Any member of the origin's hall.
+  const auto has_begun = [&](std::size_t node) { return world.At(node).PiecesHeld(3) > 0; };
+  world.RunUntil([&] { return has_begun(4) || has_begun(5) || has_begun(6) || has_begun(7); },
+                 Milliseconds(10000));
+  // The last members of a hall get their last pieces of the version before meanwhile.
+  const auto lacks_pieces = [&](std::size_t node) { return world.At(node).PiecesHeld(2) < 96; };
+  CHECK((lacks_pieces(4) || lacks_pieces(5) || lacks_pieces(6) || lacks_pieces(7)));
+  CHECK(SecondsUntilLoaded(world, 3) < 8.0);
+  CHECK(world.Fault().empty());
+}
+
+TEST_CASE("Engines are out of service for as short as can be while versions change")
+{
+  WorldOptions options;
+  options.halls = {{"a", 7}, {"b", 7}, {"c", 6}};
+  options.run_time = Milliseconds(1500);
+  SidecarWorld world = MakeWorld(options);
+  world.RunFor(Milliseconds(3000));
+  const auto seconds_each = [&]
+  {
+    return std::chrono::duration<double>(world.OutOfService()).count() /
+           static_cast<double>(world.Count());
+  };
+  CHECK(seconds_each() == 0);
+  world.Name(2);
+  SUBCASE("one version: what runs ends, then the weights are loaded")
+  {
+    SecondsUntilLoaded(world, 2);
+    MESSAGE("one version: ", seconds_each(), " s each");
+    CHECK(seconds_each() < 2.0);
+  }
+  // Engines that wait for the second one alone would be out for 1.8 s, but those on a machine that
+  // stands still meanwhile would begin requests on weights that are too old.
+  SUBCASE("two within seconds: both are taken")
+  {
+    world.RunFor(Milliseconds(3000));
+    world.Name(3);
+    SecondsUntilLoaded(world, 3);
+    MESSAGE("two versions: ", seconds_each(), " s each");
+    CHECK(seconds_each() < 4.0);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorldFixture.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <vector>
+
+#include "Core/Sidecar/SidecarWorld.h"
+
+// What tests of pushes on the sidecars' world have in common.
+namespace Holdpost::Testing
+{
+using Common::Milliseconds;
+
+inline constexpr Milliseconds BOUND = Milliseconds(8000);
+// What the link alone needs for one copy: 96 x 24,576 bytes at 912,500 bytes a second.
+inline constexpr double LINK_SECONDS = 2.59;
+
+inline double SecondsUntilLoaded(SidecarWorld& world, std::uint64_t version,
+                                 const std::vector<std::size_t>& except = {})
+{
+  const Common::TimePoint begin = world.Now();
+  world.RunUntil([&] { return world.HaveAllLoaded(version, except); }, Milliseconds(60000));
+  return std::chrono::duration<double>(world.Now() - begin).count();
+}
+
+// Runs until the sidecars have found what they hold.
+inline SidecarWorld MakeWorld(const WorldOptions& options = {})
+{
+  return SidecarWorld(options);
+}
+
+// Names version 2 once the sidecars have found what they hold, and version 3 after the gap.
+inline void NameTwo(SidecarWorld& world, Common::Duration gap)
+{
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  world.RunFor(gap);
+  world.Name(3);
+}
+} // namespace Holdpost::Testing
