Control: Read the platform once for each hall, also after a start

Ruled out: that five readers side by side cost much (6 calls a second of 110). Change: ListPeriod keeps the age of an answer below what followers bear (test: a reader that asks as often as it should is never taken over; failed at 4 and 20 s of drain before). Gateways and sidecars ask the seeds of their settings for the gateways of their hall (GatewayMembership, GatewayDirectory, SeedSearch); a new sidecar asks one of them for the plan and the peers instead of waiting until it is on the list. A report of a target's load names the version that it takes.

--- a/Source/Core/Control/ReaderDuty.cpp
+++ b/Source/Core/Control/ReaderDuty.cpp
@@ -14,6 +14,16 @@
 static constexpr Duration ANSWER_AGE_MOST = Milliseconds(1000);
 // Those that wait don't all begin at once: the first one that does is heard by the others.
 static constexpr std::uint64_t JITTER_MS = 200;
+static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
+// An answer that is heard of one beat late must still be younger than ANSWER_AGE_MOST when the next
+// one comes. With 1,200 ms all 30 gateways of a hall took over from a reader that was well, again
+// and again, and each read the whole list.
+static constexpr Milliseconds LIST_PERIOD_MOST = Milliseconds(600);
+
+Milliseconds ListPeriod(Milliseconds drain_within)
+{
+  return std::clamp(drain_within * 3 / 10, LIST_PERIOD_LEAST, LIST_PERIOD_MOST);
+}
 
 bool ReaderDuty::IsFresh(Duration answer_age) const
 {
--- a/Source/Core/Control/ReaderDuty.h
+++ b/Source/Core/Control/ReaderDuty.h
@@ -14,6 +14,10 @@
 // A process's place among those that could read; the least one keeps reading.
 using ReaderRank = std::uint64_t;
 
+// How often a reader asks for the list of targets, so that a leaving target is known within
+// `drain_within` even if the reader has to be taken over first.
+Common::Milliseconds ListPeriod(Common::Milliseconds drain_within);
+
 class ReaderDuty
 {
 public:
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -63,6 +63,8 @@
   std::uint64_t weights_version = 0;
   // The target is about to load other weights, or loads them, and takes nothing new.
   bool is_switching = false;
+  // The version that it takes; 0 while it takes none, or if that is not known.
+  std::uint64_t next_version = 0;
   // The target is going to take other weights then: what it begins has to end before.
   std::optional<Common::Milliseconds> switch_in;
   // How much slower than its profile it is; 1 is as expected.
--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -117,6 +117,14 @@
   return hello;
 }
 
+Hello Briefing::WholeHello(TimePoint now) const
+{
+  Hello hello = MakeHello(now);
+  if (!m_plan.model.empty())
+    AddWhole(&hello);
+  return hello;
+}
+
 void Briefing::AddWhole(Hello* hello) const
 {
   hello->plan = m_plan;
--- a/Source/Core/Mesh/Briefing.h
+++ b/Source/Core/Mesh/Briefing.h
@@ -66,6 +66,8 @@
   void OnReported(const Common::Address& sidecar, const BriefingStamp& stamp,
                   Common::TimePoint now);
 
+  // What a sidecar that has been told nothing needs.
+  Hello WholeHello(Common::TimePoint now) const;
   // The versions of weights that are told at the moment.
   std::vector<ToldWeights> ToldAt(Common::TimePoint now) const;
   void OnTick(Common::TimePoint now, std::vector<Outgoing>* outgoing);
--- a/Source/Core/Mesh/HallGateways.h
+++ b/Source/Core/Mesh/HallGateways.h
@@ -14,13 +14,18 @@
 public:
   explicit HallGateways(Common::Address self) : m_self(std::move(self)) {}
 
-  void OnListed(const std::vector<Common::Address>& gateways, Common::TimePoint now)
+  // Returns whether one of them was not known.
+  bool OnListed(const std::vector<Common::Address>& gateways, Common::TimePoint now)
   {
+    bool is_any_new = false;
     for (const Common::Address& gateway : gateways)
     {
-      if (gateway != m_self)
-        m_heard[gateway] = now;
+      if (gateway == m_self)
+        continue;
+      const bool is_new = m_heard.insert_or_assign(gateway, now).second;
+      is_any_new = is_any_new || is_new;
     }
+    return is_any_new;
   }
   // A gateway that no sidecar tells of any more is left out after a while.
   std::vector<Common::Address> Others(Common::TimePoint now)
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -179,7 +179,25 @@
   Common::Milliseconds answer_age{0};
 };
 
-using Message =
-    std::variant<Hello, LoadReport, Announce, AskPiece, CancelPiece, TellPiece, AskDocument,
-                 TellDocument, AskTargets, TellTargets, ReaderBeat, TellWork>;
+// Asked of a seed: which gateways the sender's hall has.
+struct AskGateways
+{
+  // The sender is a gateway itself, and is named to others from then on.
+  bool is_gateway = false;
+};
+
+struct TellGateways
+{
+  // Of the receiver's hall.
+  std::vector<Common::Address> gateways;
+};
+
+// A sidecar that no gateway has told of the plan and the peers asks for a hello with both.
+struct AskBriefing
+{
+};
+
+using Message = std::variant<Hello, LoadReport, Announce, AskPiece, CancelPiece, TellPiece,
+                             AskDocument, TellDocument, AskTargets, TellTargets, ReaderBeat,
+                             TellWork, AskGateways, TellGateways, AskBriefing>;
 } // namespace Holdpost::Mesh
--- /dev/null
+++ b/Source/Core/Mesh/SeedSearch.cpp
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Mesh/SeedSearch.h"
+
+namespace Holdpost::Mesh
+{
+using Common::Address;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// Processes of a hall start within some 300 ms of each other, so that the first answers may name
+// none of them.
+static constexpr Milliseconds FIRST_PERIOD = Milliseconds(200);
+static constexpr Milliseconds FIRST_TIME = Milliseconds(3000);
+// After that a process that reads the platform for its hall keeps itself known to seeds.
+static constexpr Milliseconds PERIOD = Milliseconds(2000);
+
+std::vector<Address> SeedSearch::OnTick(bool is_found, TimePoint now)
+{
+  if (is_found)
+  {
+    m_since.reset();
+    return {};
+  }
+  if (!m_since)
+  {
+    m_since = now;
+    m_due = now;
+  }
+  if (now < m_due)
+    return {};
+  m_due = now + (now - *m_since < FIRST_TIME ? FIRST_PERIOD : PERIOD);
+  return m_seeds;
+}
+
+TimePoint SeedSearch::NextWakeup() const
+{
+  return m_since ? m_due : TimePoint::max();
+}
+} // namespace Holdpost::Mesh
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -25,7 +25,6 @@
 static constexpr Milliseconds REPORT_PERIOD = Milliseconds(100);
 // While weights are being loaded the end is not to be missed.
 static constexpr Milliseconds REPORT_PERIOD_LOADING = Milliseconds(25);
-static constexpr Milliseconds ALONE_AFTER = Milliseconds(1500);
 static constexpr Milliseconds PEERS_PERIOD = Milliseconds(1000);
 static constexpr Milliseconds PATIENCE = Milliseconds(500);
 static constexpr Milliseconds STALL = Milliseconds(900);
@@ -57,7 +56,8 @@
 Sidecar::Sidecar(SidecarOptions options, Common::Metrics& metrics)
     : m_options(std::move(options)), m_metrics(metrics),
       m_exchange(m_options.address.ToString(), m_options.hall,
-                 Common::StableHash(m_options.address.ToString()))
+                 Common::StableHash(m_options.address.ToString())),
+      m_search(m_options.seeds)
 {
   m_exchange.SetOptions(MakeExchangeOptions());
 }
@@ -140,6 +140,7 @@
       Common::Overloaded{
           [&](const Mesh::Hello& hello) { OnHello(from, hello, now, actions); },
           [&](const Mesh::TellWork& tell) { OnWork(from, tell.work, now, actions); },
+          [&](const Mesh::TellGateways& tell) { AskForBriefing(tell.gateways, actions); },
           [&](const Mesh::Announce& announce) {
             m_exchange.OnAnnouncement(from.address.ToString(), announce.announcement, now, &made);
           },
@@ -175,52 +176,6 @@
   Translate(std::move(made), now, actions);
 }
 
-void Sidecar::OnHello(const Mesh::Sender& from, const Mesh::Hello& hello, TimePoint now,
-                      Actions* actions)
-{
-  if (!hello.is_gateway)
-    return;
-  HeardGateway& gateway = m_gateways[from.address];
-  gateway.hall = from.hall;
-  gateway.settings = hello.settings;
-  gateway.clock = hello.clock;
-  gateway.wants_load = hello.wants_load;
-  gateway.demand = hello.demand;
-  gateway.near_gateways = hello.near_gateways;
-  gateway.heard = now;
-  gateway.greeted = now;
-  OnBriefed(hello, now, actions);
-  for (const Mesh::ToldWeights& told : hello.weights)
-    OnWeights(told.named, now - told.known);
-  ChooseVersion(now, actions);
-}
-
-void Sidecar::OnBriefed(const Mesh::Hello& hello, TimePoint now, Actions* actions)
-{
-  if (hello.plan.model.empty())
-    return;
-  if (hello.stamp.settings >= m_stamp.settings)
-  {
-    m_stamp.settings = hello.stamp.settings;
-    OnPlan(hello.plan, now);
-  }
-  if (hello.stamp.targets >= m_stamp.targets && !hello.peers.empty())
-  {
-    m_stamp.targets = hello.stamp.targets;
-    OnPeers(hello.peers, now, actions);
-  }
-}
-
-bool Sidecar::IsAlone(TimePoint now) const
-{
-  // After a start the gateways are given as long to speak first.
-  if (!m_began || now - *m_began < ALONE_AFTER)
-    return false;
-  return std::ranges::none_of(
-      m_gateways, [&](const auto& entry)
-      { return entry.second.hall == m_options.hall && now - entry.second.heard < ALONE_AFTER; });
-}
-
 void Sidecar::OnPlan(const Mesh::WeightsPlan& plan, TimePoint now)
 {
   if (plan == m_plan || (!m_options.service.empty() && plan.service != m_options.service))
@@ -332,6 +287,7 @@
   }
   if (m_tell_due && now >= *m_tell_due)
     TellLoad(now, actions);
+  SearchGateways(now, actions);
   if (now >= m_peers_due)
     TellExchangeOfPeers(now, actions);
   Distribution::Actions made;
@@ -369,6 +325,7 @@
   TimePoint next = m_is_reading_report ? now + REPORT_PERIOD : m_report_due;
   if (m_tell_due)
     next = std::min(next, *m_tell_due);
+  next = std::min(next, m_search.NextWakeup());
   if (const auto exchange = m_exchange.NextWakeup(now))
     next = std::min(next, *exchange);
   if (m_loader.State() == LoaderState::Announced)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -12,6 +12,7 @@
 #include "Core/Control/ControlMessages.h"
 #include "Core/Distribution/Exchange.h"
 #include "Core/Mesh/MeshMessages.h"
+#include "Core/Mesh/SeedSearch.h"
 #include "Core/Sidecar/EngineMessages.h"
 #include "Core/Sidecar/StageKeeper.h"
 #include "Core/Sidecar/SwitchSchedule.h"
@@ -31,6 +32,8 @@
   std::string service;
   std::uint64_t link_bytes_per_second = 0;
   Common::Milliseconds switch_within{8000};
+  // Gateways of any hall, from the settings; they may be stale.
+  std::vector<Common::Address> seeds = {};
 };
 
 // A piece from the origin, or the manifest for MANIFEST_PIECE; the answer is an OriginFetched.
@@ -87,6 +90,8 @@
 
   void SetSwitchWithin(Common::Milliseconds within) { m_options.switch_within = within; }
 
+  void SetSeeds(std::vector<Common::Address> seeds) { m_search.SetSeeds(std::move(seeds)); }
+
   void OnTick(Common::TimePoint now, Actions* actions);
   Common::TimePoint NextWakeup(Common::TimePoint now) const;
   // Whether no gateway of the hall was heard for a while, so that the platform has to be asked.
@@ -124,6 +129,11 @@
                Actions* actions);
   void OnWork(const Mesh::Sender& from, const Gateway::OwnWork& work, Common::TimePoint now,
               Actions* actions);
+  // Whether a gateway of the hall has said anything within so long.
+  bool HearsGateway(Common::Duration within, Common::TimePoint now) const;
+  // Asks seeds for gateways of the hall while none is heard.
+  void SearchGateways(Common::TimePoint now, Actions* actions);
+  void AskForBriefing(const std::vector<Common::Address>& gateways, Actions* actions);
   // What all gateways have at the target.
   Gateway::OwnWork WorkOfAll(Common::TimePoint now) const;
   // Takes the plan and the peers, if they are not older than what is known.
@@ -193,6 +203,7 @@
   std::uint64_t m_before = 0;
   std::map<Common::Digest, std::uint64_t> m_versions;
   std::map<Common::Address, HeardGateway> m_gateways;
+  Mesh::SeedSearch m_search;
   std::vector<Mesh::Peer> m_peers;
   std::optional<Common::TimePoint> m_began;
   std::optional<EngineReport> m_report;
--- /dev/null
+++ b/Source/Core/Sidecar/SidecarGateways.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Sidecar/Sidecar.h"
+
+#include <algorithm>
+
+// How a sidecar finds gateways of its hall, and what it takes from their hellos.
+namespace Holdpost::Sidecar
+{
+using Common::Address;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// Without word of a gateway for so long the platform is asked.
+static constexpr Milliseconds ALONE_AFTER = Milliseconds(1500);
+// Gateways greet their hall's sidecars each 400 ms: one that is silent for longer is looked for.
+static constexpr Milliseconds SEARCH_AFTER = Milliseconds(900);
+// Of the gateways that a seed names, so many are asked for a briefing: one may have just ended.
+static constexpr std::size_t BRIEFINGS_ASKED = 2;
+
+void Sidecar::OnHello(const Mesh::Sender& from, const Mesh::Hello& hello, TimePoint now,
+                      Actions* actions)
+{
+  if (!hello.is_gateway)
+    return;
+  HeardGateway& gateway = m_gateways[from.address];
+  gateway.hall = from.hall;
+  gateway.settings = hello.settings;
+  gateway.clock = hello.clock;
+  gateway.wants_load = hello.wants_load;
+  gateway.demand = hello.demand;
+  gateway.near_gateways = hello.near_gateways;
+  gateway.heard = now;
+  gateway.greeted = now;
+  OnBriefed(hello, now, actions);
+  for (const Mesh::ToldWeights& told : hello.weights)
+    OnWeights(told.named, now - told.known);
+  ChooseVersion(now, actions);
+}
+
+void Sidecar::OnBriefed(const Mesh::Hello& hello, TimePoint now, Actions* actions)
+{
+  if (hello.plan.model.empty())
+    return;
+  if (hello.stamp.settings >= m_stamp.settings)
+  {
+    m_stamp.settings = hello.stamp.settings;
+    OnPlan(hello.plan, now);
+  }
+  if (hello.stamp.targets >= m_stamp.targets && !hello.peers.empty())
+  {
+    m_stamp.targets = hello.stamp.targets;
+    OnPeers(hello.peers, now, actions);
+  }
+}
+
+bool Sidecar::IsAlone(TimePoint now) const
+{
+  // After a start the gateways are given as long to speak first.
+  if (!m_began || now - *m_began < ALONE_AFTER)
+    return false;
+  return !HearsGateway(ALONE_AFTER, now);
+}
+
+bool Sidecar::HearsGateway(Common::Duration within, TimePoint now) const
+{
+  return std::ranges::any_of(
+      m_gateways, [&](const auto& entry)
+      { return entry.second.hall == m_options.hall && now - entry.second.heard < within; });
+}
+
+void Sidecar::SearchGateways(TimePoint now, Actions* actions)
+{
+  for (const Address& seed : m_search.OnTick(HasPlan() && HearsGateway(SEARCH_AFTER, now), now))
+    actions->push_back(Tell{seed, Mesh::AskGateways{false}, true});
+}
+
+void Sidecar::AskForBriefing(const std::vector<Address>& gateways, Actions* actions)
+{
+  // Others of the hall ask, too, so each begins at another place.
+  const std::size_t first = Common::StableHash(m_options.address.ToString());
+  for (std::size_t i = 0; i < std::min(gateways.size(), BRIEFINGS_ASKED); ++i)
+  {
+    const Address& gateway = gateways[(first + i) % gateways.size()];
+    actions->push_back(Tell{gateway, Mesh::AskBriefing{}, true});
+  }
+}
+} // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -100,6 +100,7 @@
   Gateway::TargetLoad load;
   load.address = m_options.target;
   load.is_switching = m_loader.IsUnderWay();
+  load.next_version = m_loader.IsUnderWay() ? m_loader.Version() : 0;
   if (m_report)
   {
     const Gateway::OwnWork work = WorkOfAll(now);
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -21,31 +21,12 @@
 using Common::TimePoint;
 using Common::Weight;
 
-static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
 static constexpr Milliseconds BEAT_PERIOD = Milliseconds(300);
 // A peer that was asked is given so long to answer.
 static constexpr Milliseconds ASK_PAUSE = Milliseconds(600);
 // No settings document is longer.
 static constexpr std::size_t DOCUMENT_BYTES_MOST = 16 << 20;
 
-// Seeds name any port of their machine; all processes take mesh messages at the same one.
-static std::vector<Address> MeshAddressesOf(const std::vector<Address>& seeds, const Address& self)
-{
-  std::vector<Address> peers;
-  for (const Address& seed : seeds)
-  {
-    if (seed.host != self.host)
-      peers.push_back({seed.host, self.port});
-  }
-  return peers;
-}
-
-// A leaving target is to be known in time even if the reader has to be taken over first.
-static Milliseconds ListPeriodFor(const MeshConfig& config)
-{
-  return std::max(config.drain_within * 3 / 10, LIST_PERIOD_LEAST);
-}
-
 static Control::ReaderRank RankOf(const Address& gateway)
 {
   return Common::StableHash(gateway.ToString());
@@ -54,11 +35,12 @@
 GatewayControl::GatewayControl(EventLoop& loop, const MeshConfig& config,
                                ControlPeer::ControlPlane& control, Handlers handlers)
     : m_config(config), m_control(control), m_handlers(std::move(handlers)),
-      m_follower({ListPeriodFor(config)}, Common::StableHash(config.instance)),
+      m_follower({Control::ListPeriod(config.drain_within)}, Common::StableHash(config.instance)),
       m_duty(RankOf(config.mesh_listen), Common::StableHash(config.instance)),
       m_seed_query(MeshAddressesOf(config.seeds, config.mesh_listen)),
       m_briefing(config.hall, Common::StableHash(config.instance)),
-      m_hall_gateways(config.mesh_listen),
+      m_membership(config.mesh_listen, config.hall,
+                   MeshAddressesOf(config.seeds, config.mesh_listen)),
       m_mesh(loop, {[this](const Mesh::Sender& from, Mesh::Message& message)
                     { OnMessage(from, message); },
                     [](const Address&) {}})
@@ -77,7 +59,8 @@
   m_config.drain_within = config.drain_within;
   m_control.SetAddress(config.platform);
   m_seed_query.SetPeers(MeshAddressesOf(config.seeds, m_config.mesh_listen));
-  m_follower.SetListPeriod(ListPeriodFor(config));
+  m_membership.SetSeeds(MeshAddressesOf(config.seeds, m_config.mesh_listen));
+  m_follower.SetListPeriod(Control::ListPeriod(config.drain_within));
 }
 
 // --- time ---
@@ -87,6 +70,7 @@
   UpdateDuty(now);
   m_briefing.SetReads(m_duty.Reads());
   FollowPlatform(now);
+  SearchGateways(now);
   QuerySeeds(now);
   if (m_duty.Reads() && now >= m_beat_due)
     Beat(now);
@@ -103,7 +87,7 @@
   Mesh::TargetUse use;
   use.needs_other_halls = in_use.needs_other_halls;
   use.demand = in_use.demand;
-  use.near_gateways = static_cast<std::uint32_t>(m_near_gateways);
+  use.near_gateways = static_cast<std::uint32_t>(m_membership.Near());
   for (const Address& target : in_use.targets)
     use.sidecars.insert({target.host, m_mesh.Self().address.port});
   m_briefing.SetUse(std::move(use));
@@ -118,7 +102,7 @@
 {
   const TimePoint beat_due = m_duty.Reads() ? m_beat_due : TimePoint::max();
   return std::min({m_follower.NextWakeup(), m_briefing.NextWakeup(), m_seed_query.NextWakeup(),
-                   m_duty.NextWakeup(), beat_due});
+                   m_membership.NextWakeup(), m_duty.NextWakeup(), beat_due});
 }
 
 // --- the platform ---
@@ -188,6 +172,12 @@
   m_mesh.Send(*peer, Mesh::AskTargets{m_follower.TargetsPosition()});
 }
 
+void GatewayControl::SearchGateways(TimePoint now)
+{
+  for (const Address& seed : m_membership.SeedsToAsk(!m_duty.Reads(), now))
+    m_mesh.SendDatagram(seed, Mesh::AskGateways{true});
+}
+
 // --- what is passed on to the hall ---
 
 void GatewayControl::Beat(TimePoint now)
@@ -195,14 +185,20 @@
   m_beat_due = now + BEAT_PERIOD;
   if (!m_duty.Reads() || m_follower.LastAnswer() == TimePoint())
     return;
+  const Mesh::ReaderBeat beat = MakeBeat(now);
+  for (const Address& gateway : m_membership.Others(now))
+    m_mesh.SendDatagram(gateway, beat);
+}
+
+Mesh::ReaderBeat GatewayControl::MakeBeat(TimePoint now) const
+{
   Mesh::ReaderBeat beat;
   beat.targets = m_follower.TargetsPosition();
   beat.targets_changed = m_follower.TargetsChanged();
   beat.settings = m_follower.Version();
   beat.weights = m_briefing.ToldAt(now);
   beat.answer_age = std::chrono::duration_cast<Milliseconds>(now - m_follower.LastAnswer());
-  for (const Address& gateway : m_hall_gateways.Others(now))
-    m_mesh.SendDatagram(gateway, beat);
+  return beat;
 }
 
 Mesh::TellDocument GatewayControl::PackDocument(Settings::DocumentVersion base) const
@@ -218,7 +214,7 @@
 {
   if (!m_duty.Reads())
     return;
-  const std::vector<Address> gateways = m_hall_gateways.Others(now);
+  const std::vector<Address> gateways = m_membership.Others(now);
   if (gateways.empty())
     return;
   const Mesh::TellDocument tell = PackDocument(m_follower.VersionBefore());
@@ -230,7 +226,7 @@
 {
   if (!m_duty.Reads())
     return;
-  for (const Address& gateway : m_hall_gateways.Others(now))
+  for (const Address& gateway : m_membership.Others(now))
     m_mesh.Send(gateway, Mesh::TellTargets{m_follower.LastTargetsNews()});
 }
 
@@ -305,7 +301,13 @@
           [&](const Mesh::AskDocument& ask) { AnswerDocument(from.address, ask.newer_than); },
           [&](const Mesh::TellDocument& tell) { OnDocument(from, tell); },
           [&](const Mesh::AskTargets& ask) { AnswerTargets(from.address, ask.newer_than); },
-          [&](const Mesh::TellTargets& tell) { OnTargets(from, tell); }, [](const auto&) {}},
+          [&](const Mesh::TellTargets& tell) { OnTargets(from, tell); },
+          [&](const Mesh::AskGateways& ask)
+          { m_mesh.SendDatagram(from.address, m_membership.OnAsked(from, ask, EventLoop::Now())); },
+          [&](const Mesh::TellGateways& tell) { OnGateways(tell.gateways); },
+          [&](const Mesh::AskBriefing&)
+          { m_mesh.Send(from.address, m_briefing.WholeHello(EventLoop::Now())); },
+          [](const auto&) {}},
       message);
 }
 
@@ -320,10 +322,9 @@
 void GatewayControl::OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report)
 {
   const TimePoint now = EventLoop::Now();
-  m_hall_gateways.OnListed(report.near_gateways, now);
-  m_near_gateways = m_hall_gateways.Others(now).size() + 1;
+  m_membership.OnNamed(report.near_gateways, now);
   m_briefing.OnReported(from.address, report.stamp, now);
-  m_handlers.on_gateways({m_gateway_count.OnReported(report.gateways, now), m_near_gateways});
+  m_handlers.on_gateways(m_membership.OnCounted(report.gateways, now));
   if (const auto ask = m_follower.OnPeerVersion(report.settings, now))
     m_mesh.Send(report.settings_at, Mesh::AskDocument{*ask});
   if (OfferWeights(report.weights, now))
@@ -333,13 +334,24 @@
   m_handlers.on_load(load);
 }
 
+void GatewayControl::OnGateways(const std::vector<Address>& gateways)
+{
+  const TimePoint now = EventLoop::Now();
+  if (m_membership.OnNamed(gateways, now))
+    Beat(now);
+}
+
 void GatewayControl::OnReaderBeat(const Mesh::Sender& from, const Mesh::ReaderBeat& beat)
 {
   if (from.hall != m_config.hall)
     return;
   const TimePoint now = EventLoop::Now();
   const bool did_read = m_duty.Reads();
+  const bool is_new = m_membership.OnNamed({from.address}, now);
   m_duty.OnReaderHeard(RankOf(from.address), beat.answer_age, now);
+  // A gateway that has just started reads until it hears of a reader.
+  if (is_new && m_duty.Reads() && m_follower.LastAnswer() != TimePoint())
+    m_mesh.SendDatagram(from.address, MakeBeat(now));
   if (did_read && !m_duty.Reads())
   {
     LogEvent(Weight::Important, now, "reader.ends", "reader", from.instance);
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -11,10 +11,8 @@
 #include "Core/Control/ControlFollower.h"
 #include "Core/Control/PeerQuery.h"
 #include "Core/Control/ReaderDuty.h"
-#include "Core/Gateway/TargetReach.h"
 #include "Core/Mesh/Briefing.h"
-#include "Core/Mesh/GatewayCount.h"
-#include "Core/Mesh/HallGateways.h"
+#include "Core/Mesh/GatewayMembership.h"
 #include "Node/GatewayConfig.h"
 #include "Peers/Control/ControlPlane.h"
 #include "Peers/Mesh/MeshEndpoint.h"
@@ -75,6 +73,9 @@
   // Asks a seed for what the platform does not tell.
   void QuerySeeds(Common::TimePoint now);
   void Beat(Common::TimePoint now);
+  Mesh::ReaderBeat MakeBeat(Common::TimePoint now) const;
+  // Asks seeds for the other gateways of the hall.
+  void SearchGateways(Common::TimePoint now);
   void PassOnDocument(Common::TimePoint now);
   void PassOnTargets(Common::TimePoint now);
 
@@ -85,6 +86,7 @@
 
   void OnMessage(const Mesh::Sender& from, Mesh::Message& message);
   void OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report);
+  void OnGateways(const std::vector<Common::Address>& gateways);
   void OnReaderBeat(const Mesh::Sender& from, const Mesh::ReaderBeat& beat);
   void OnDocument(const Mesh::Sender& from, const Mesh::TellDocument& tell);
   void OnTargets(const Mesh::Sender& from, const Mesh::TellTargets& tell);
@@ -102,9 +104,7 @@
   Control::AnswerPacing m_document_pacing;
   Control::AnswerPacing m_targets_pacing;
   Mesh::Briefing m_briefing;
-  Mesh::GatewayCount m_gateway_count;
-  Mesh::HallGateways m_hall_gateways;
-  std::size_t m_near_gateways = 1; // this one included
+  Mesh::GatewayMembership m_membership;
   MeshPeer::MeshEndpoint m_mesh;
   Common::TimePoint m_beat_due{};
   // The answer to these is awaited until then.
--- a/Source/Node/MeshPlan.cpp
+++ b/Source/Node/MeshPlan.cpp
@@ -39,4 +39,16 @@
   peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
   return peers;
 }
+
+std::vector<Common::Address> MeshAddressesOf(const std::vector<Common::Address>& seeds,
+                                             const Common::Address& self)
+{
+  std::vector<Common::Address> peers;
+  for (const Common::Address& seed : seeds)
+  {
+    if (seed.host != self.host)
+      peers.push_back({seed.host, self.port});
+  }
+  return peers;
+}
 } // namespace Holdpost::Node
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -70,12 +70,14 @@
       return false;
     }
   }
-  const Sidecar::SidecarOptions options{m_mesh.Self().address,
-                                        m_config.mesh.hall,
-                                        m_config.target,
-                                        m_config.service,
-                                        m_config.mesh.link_bytes_per_second,
-                                        m_config.mesh.switch_within};
+  const Sidecar::SidecarOptions options{
+      m_mesh.Self().address,
+      m_config.mesh.hall,
+      m_config.target,
+      m_config.service,
+      m_config.mesh.link_bytes_per_second,
+      m_config.mesh.switch_within,
+      MeshAddressesOf(m_config.mesh.seeds, m_mesh.Self().address)};
   m_core = std::make_unique<Sidecar::Sidecar>(options, m_metrics);
   LogEvent(Weight::Important, EventLoop::Now(), "start", "instance", m_config.mesh.instance, "hall",
            m_config.mesh.hall, "target", m_config.target.ToString(), "mesh",
@@ -269,6 +271,7 @@
   m_config.mesh.stop_within = fresh.mesh.stop_within;
   m_control.SetAddress(fresh.mesh.platform);
   m_core->SetSwitchWithin(fresh.mesh.switch_within);
+  m_core->SetSeeds(MeshAddressesOf(fresh.mesh.seeds, m_mesh.Self().address));
 }
 
 void SidecarNode::Tick()
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -88,6 +88,8 @@
   stamp @19 :Stamp;
   # The life of the target that this is about; 0 if that is not known.
   incarnation @20 :UInt64;
+  # The version that the target takes now; 0 if none, or if that is not known.
+  nextVersion @21 :UInt32;
 }
 
 # What a gateway has at the receiver's target.
@@ -181,5 +183,10 @@
     targetsAnswer @13 :TargetsAnswer;
     readerBeat @14 :ReaderBeat;
     work @15 :Work;
+    # Asks a seed for the gateways of the sender's hall; set if the sender is a gateway.
+    gatewaysRequest @16 :Bool;
+    gatewaysAnswer @17 :List(Address);
+    # A sidecar asks a gateway for the plan and the peers.
+    briefingRequest @18 :Void;
   }
 }
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -137,7 +137,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 8, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -283,6 +283,9 @@
     TARGETS_ANSWER,
     READER_BEAT,
     WORK,
+    GATEWAYS_REQUEST,
+    GATEWAYS_ANSWER,
+    BRIEFING_REQUEST,
   };
 
   struct _capnpPrivate {
@@ -990,6 +993,8 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline  ::uint32_t getNextVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1101,6 +1106,9 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline  ::uint32_t getNextVersion();
+  inline void setNextVersion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2030,6 +2038,16 @@
   inline bool hasWork() const;
   inline  ::Holdpost::MeshWire::Work::Reader getWork() const;
 
+  inline bool isGatewaysRequest() const;
+  inline bool getGatewaysRequest() const;
+
+  inline bool isGatewaysAnswer() const;
+  inline bool hasGatewaysAnswer() const;
+  inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Reader getGatewaysAnswer() const;
+
+  inline bool isBriefingRequest() const;
+  inline  ::capnp::Void getBriefingRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2167,6 +2185,22 @@
   inline void adoptWork(::capnp::Orphan< ::Holdpost::MeshWire::Work>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::Work> disownWork();
 
+  inline bool isGatewaysRequest();
+  inline bool getGatewaysRequest();
+  inline void setGatewaysRequest(bool value);
+
+  inline bool isGatewaysAnswer();
+  inline bool hasGatewaysAnswer();
+  inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Builder getGatewaysAnswer();
+  inline void setGatewaysAnswer( ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Builder initGatewaysAnswer(unsigned int size);
+  inline void adoptGatewaysAnswer(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>> disownGatewaysAnswer();
+
+  inline bool isBriefingRequest();
+  inline  ::capnp::Void getBriefingRequest();
+  inline void setBriefingRequest( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3255,6 +3289,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Load::Reader::getNextVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getNextVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setNextVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t Work::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4760,6 +4808,112 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isGatewaysRequest() const {
+  return which() == Message::GATEWAYS_REQUEST;
+}
+inline bool Message::Builder::isGatewaysRequest() {
+  return which() == Message::GATEWAYS_REQUEST;
+}
+inline bool Message::Reader::getGatewaysRequest() const {
+  KJ_IREQUIRE((which() == Message::GATEWAYS_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Message::Builder::getGatewaysRequest() {
+  KJ_IREQUIRE((which() == Message::GATEWAYS_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setGatewaysRequest(bool value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::GATEWAYS_REQUEST);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Message::Reader::isGatewaysAnswer() const {
+  return which() == Message::GATEWAYS_ANSWER;
+}
+inline bool Message::Builder::isGatewaysAnswer() {
+  return which() == Message::GATEWAYS_ANSWER;
+}
+inline bool Message::Reader::hasGatewaysAnswer() const {
+  if (which() != Message::GATEWAYS_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasGatewaysAnswer() {
+  if (which() != Message::GATEWAYS_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getGatewaysAnswer() const {
+  KJ_IREQUIRE((which() == Message::GATEWAYS_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getGatewaysAnswer() {
+  KJ_IREQUIRE((which() == Message::GATEWAYS_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setGatewaysAnswer( ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::GATEWAYS_ANSWER);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initGatewaysAnswer(unsigned int size) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::GATEWAYS_ANSWER);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptGatewaysAnswer(
+    ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::GATEWAYS_ANSWER);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>> Message::Builder::disownGatewaysAnswer() {
+  KJ_IREQUIRE((which() == Message::GATEWAYS_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Address,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isBriefingRequest() const {
+  return which() == Message::BRIEFING_REQUEST;
+}
+inline bool Message::Builder::isBriefingRequest() {
+  return which() == Message::BRIEFING_REQUEST;
+}
+inline  ::capnp::Void Message::Reader::getBriefingRequest() const {
+  KJ_IREQUIRE((which() == Message::BRIEFING_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Message::Builder::getBriefingRequest() {
+  KJ_IREQUIRE((which() == Message::BRIEFING_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setBriefingRequest( ::capnp::Void value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::BRIEFING_REQUEST);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -63,6 +63,12 @@
     return Read(in.getReaderBeat());
   case MeshWire::Message::WORK:
     return Read(in.getWork());
+  case MeshWire::Message::GATEWAYS_REQUEST:
+    return Mesh::AskGateways{in.getGatewaysRequest()};
+  case MeshWire::Message::GATEWAYS_ANSWER:
+    return Mesh::TellGateways{Read(in.getGatewaysAnswer())};
+  case MeshWire::Message::BRIEFING_REQUEST:
+    return Mesh::AskBriefing{};
   }
   return std::nullopt;
 }
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -95,6 +95,23 @@
   return Mesh::TellTargets{std::move(news)};
 }
 
+// --- gateways ---
+
+void Write(const Mesh::AskGateways& ask, MeshWire::Message::Builder message)
+{
+  message.setGatewaysRequest(ask.is_gateway);
+}
+
+void Write(const Mesh::TellGateways& tell, MeshWire::Message::Builder message)
+{
+  Write(tell.gateways, message.initGatewaysAnswer(static_cast<unsigned>(tell.gateways.size())));
+}
+
+void Write(const Mesh::AskBriefing& /*ask*/, MeshWire::Message::Builder message)
+{
+  message.setBriefingRequest();
+}
+
 // --- readers ---
 
 void Write(const Mesh::ReaderBeat& beat, MeshWire::Message::Builder message)
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -143,6 +143,7 @@
   out.setWeightsVersion(static_cast<std::uint32_t>(load.weights_version));
   out.setIncarnation(load.incarnation);
   out.setIsSwitching(load.is_switching);
+  out.setNextVersion(static_cast<std::uint32_t>(load.next_version));
   out.setPacePercent(static_cast<std::uint16_t>(std::lround(load.pace * PERCENT)));
   if (load.switch_in)
     out.setSwitchInMs(ToWireMs(*load.switch_in) + 1);
@@ -161,9 +162,8 @@
   out.setRefusedPercent(ToWirePercent(load.demand.refused_share));
   if (report.near_gateways.empty())
     return;
-  auto near_list = out.initNearGateways(static_cast<unsigned>(report.near_gateways.size()));
-  for (unsigned i = 0; i < near_list.size(); ++i)
-    Write(report.near_gateways[i], near_list[i]);
+  Write(report.near_gateways,
+        out.initNearGateways(static_cast<unsigned>(report.near_gateways.size())));
 }
 
 Mesh::Message Read(MeshWire::Load::Reader in)
@@ -177,6 +177,7 @@
   load.weights_version = in.getWeightsVersion();
   load.incarnation = in.getIncarnation();
   load.is_switching = in.getIsSwitching();
+  load.next_version = in.getNextVersion();
   load.pace = in.getPacePercent() / PERCENT;
   if (in.getSwitchInMs() > 0)
     load.switch_in = Milliseconds(in.getSwitchInMs() - 1);
@@ -192,8 +193,7 @@
   report.echo = Milliseconds(in.getEchoMs());
   report.echo_age = Milliseconds(in.getEchoAgeMs());
   report.weights = Read(in.getWeights());
-  for (const auto address : in.getNearGateways())
-    report.near_gateways.push_back(Read(address));
+  report.near_gateways = Read(in.getNearGateways());
   return report;
 }
 
--- a/Source/Peers/Mesh/MeshWireParts.h
+++ b/Source/Peers/Mesh/MeshWireParts.h
@@ -39,6 +39,22 @@
   return {text, in.getPort()};
 }
 
+inline void Write(const std::vector<Address>& addresses,
+                  capnp::List<MeshWire::Address>::Builder out)
+{
+  for (unsigned i = 0; i < out.size(); ++i)
+    Write(addresses[i], out[i]);
+}
+
+inline std::vector<Address> Read(capnp::List<MeshWire::Address>::Reader in)
+{
+  std::vector<Address> addresses;
+  addresses.reserve(in.size());
+  for (const auto address : in)
+    addresses.push_back(Read(address));
+  return addresses;
+}
+
 inline std::string ToText(capnp::Text::Reader text)
 {
   return {text.begin(), text.size()};
@@ -88,6 +104,9 @@
 void Write(const Mesh::TellDocument& tell, MeshWire::Message::Builder message);
 Mesh::Message Read(MeshWire::DocumentAnswer::Reader in);
 void Write(const Mesh::AskTargets& ask, MeshWire::Message::Builder message);
+void Write(const Mesh::AskGateways& ask, MeshWire::Message::Builder message);
+void Write(const Mesh::TellGateways& tell, MeshWire::Message::Builder message);
+void Write(const Mesh::AskBriefing& ask, MeshWire::Message::Builder message);
 void Write(const Mesh::TellTargets& tell, MeshWire::Message::Builder message);
 Mesh::Message Read(MeshWire::TargetsAnswer::Reader in);
 void Write(const Mesh::ReaderBeat& beat, MeshWire::Message::Builder message);
--- a/Source/UnitTests/Core/Control/ReaderDutyTest.cpp
+++ b/Source/UnitTests/Core/Control/ReaderDutyTest.cpp
@@ -61,3 +61,27 @@
   second.OnReaderHeard(BETTER, Milliseconds(0), START);
   CHECK(first.NextWakeup() != second.NextWakeup());
 }
+
+TEST_CASE("A reader that asks as often as it should is never taken for one that is cut off")
+{
+  static constexpr Milliseconds BEAT_PERIOD = Milliseconds(300);
+  static constexpr Milliseconds CALL_TIME = Milliseconds(20);
+  for (const Milliseconds drain_within :
+       {Milliseconds(1000), Milliseconds(2000), Milliseconds(4000), Milliseconds(20000)})
+  {
+    INFO("drain within " << drain_within.count() << " ms");
+    const Milliseconds period = ListPeriod(drain_within);
+    CHECK(period <= drain_within * 3 / 10);
+    ReaderDuty duty(OWN, 1);
+    Common::TimePoint answered = START;
+    // The beat behind each answer is lost; the next one tells its age.
+    for (int i = 0; i < 50; ++i)
+    {
+      for (Common::TimePoint now = answered + BEAT_PERIOD; now < answered + period + CALL_TIME;
+           now += BEAT_PERIOD)
+        duty.OnReaderHeard(BETTER, std::chrono::duration_cast<Milliseconds>(now - answered), now);
+      answered += period + CALL_TIME;
+      CHECK_FALSE(duty.OnTick(answered + BEAT_PERIOD - Milliseconds(1)));
+    }
+  }
+}
--- a/Source/UnitTests/Core/Mesh/BriefingTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingTest.cpp
@@ -173,3 +173,18 @@
   CHECK(count.OnReported(2, START + Milliseconds(2500)) == 7);
   CHECK(count.OnReported(2, START + Milliseconds(5000)) == 2);
 }
+
+TEST_CASE("A sidecar that asks is told all that it needs, also if it is on no list yet")
+{
+  Briefing briefing("here");
+  CHECK(briefing.WholeHello(START).plan.model.empty());
+  briefing.SetPlan(PLAN, 7, START);
+  briefing.SetSidecars({NEAR, FAR}, 40, START);
+  briefing.SetWeights({"m", 2}, START);
+  const Hello hello = briefing.WholeHello(START);
+  CHECK(hello.is_gateway);
+  CHECK(hello.plan == PLAN);
+  CHECK(hello.peers == std::vector{NEAR, FAR});
+  CHECK(hello.stamp == BriefingStamp{7, 40});
+  CHECK(hello.weights.at(0).named.version == 2);
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarGatewaysTest.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Sidecar/Sidecar.h"
+#include "Support/Actions.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Sidecar;
+using Common::Address;
+using Common::Milliseconds;
+using Testing::Take;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+const Address SEED{"10.0.1.1", 7700};
+const Mesh::Sender GATEWAY{"front-1", "here", {"10.0.0.1", 7700}, 1};
+const Mesh::WeightsPlan PLAN{"llm", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "here"};
+
+// A sidecar that has just started and knows nothing but a seed.
+struct Fixture
+{
+  void Tick(Common::Duration after)
+  {
+    now = START + after;
+    sidecar.OnTick(now, &actions);
+  }
+  void Hear(const Mesh::Message& message) { sidecar.OnMessage(GATEWAY, message, now, &actions); }
+  // Messages of the kind since the last call, by their receivers.
+  template <typename Message>
+  std::vector<Address> Told()
+  {
+    std::vector<Address> receivers;
+    for (const Tell& tell : Take<Tell>(actions))
+    {
+      if (std::holds_alternative<Message>(tell.message))
+        receivers.push_back(tell.to);
+    }
+    return receivers;
+  }
+
+  Common::Metrics metrics;
+  Holdpost::Sidecar::Sidecar sidecar{
+      {{"10.0.0.9", 7700}, "here", {"10.0.0.9", 8000}, "llm", 0, Milliseconds(8000), {SEED}},
+      metrics};
+  Common::TimePoint now = START;
+  Actions actions;
+};
+} // namespace
+
+TEST_CASE("A sidecar that has just started asks a seed for the gateways of its hall")
+{
+  Fixture fixture;
+  fixture.Tick(Milliseconds(0));
+  REQUIRE(fixture.Told<Mesh::AskGateways>() == std::vector{SEED});
+
+  SUBCASE("and some of these for a briefing, so that it need not wait until it is on the list")
+  {
+    const std::vector<Address> named = {{"10.0.0.1", 7700}, {"10.0.0.2", 7700}, {"10.0.0.3", 7700}};
+    fixture.Hear(Mesh::TellGateways{named});
+    const std::vector<Address> asked = fixture.Told<Mesh::AskBriefing>();
+    REQUIRE(asked.size() == 2);
+    CHECK(asked[0] != asked[1]);
+    Mesh::Hello hello;
+    hello.is_gateway = true;
+    hello.plan = PLAN;
+    hello.peers = {{{"10.0.0.8", 7700}, "here"}};
+    hello.stamp = {7, 40};
+    hello.weights = {{{"m", 3}, Milliseconds(500)}};
+    fixture.Hear(hello);
+    CHECK(fixture.sidecar.HasPlan());
+    CHECK(fixture.sidecar.WantedVersion() == 3);
+    fixture.Tick(Milliseconds(300));
+    CHECK(fixture.Told<Mesh::AskGateways>().empty());
+  }
+  SUBCASE("again while none answers, and the platform once it has waited long enough")
+  {
+    fixture.Tick(Milliseconds(250));
+    CHECK(fixture.Told<Mesh::AskGateways>().size() == 1);
+    CHECK_FALSE(fixture.sidecar.IsAlone(START + Milliseconds(1400)));
+    CHECK(fixture.sidecar.IsAlone(START + Milliseconds(1600)));
+  }
+  SUBCASE("again when a gateway that it heard has no plan yet")
+  {
+    Mesh::Hello hello;
+    hello.is_gateway = true;
+    fixture.Hear(hello);
+    fixture.Tick(Milliseconds(250));
+    CHECK(fixture.Told<Mesh::AskGateways>().size() == 1);
+  }
+}
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -62,6 +62,7 @@
     report.load.unread_prompt_tokens = 0;
     report.load.weights_version = 2;
     report.load.is_switching = true;
+    report.load.next_version = 3;
     report.load.switch_in = Milliseconds(0);
     report.load.pace = 1.25;
     report.load.inbound_delay = Milliseconds(310);
@@ -130,6 +131,14 @@
     CHECK(told.position == 40);
     CHECK(told.changes == news.changes);
   }
+  SUBCASE("who the gateways of a hall are")
+  {
+    CHECK(There(Mesh::AskGateways{true}).is_gateway);
+    CHECK_FALSE(There(Mesh::AskGateways{false}).is_gateway);
+    const std::vector<Common::Address> gateways = {{"10.1.0.4", 7700}, {"10.1.0.5", 7700}};
+    CHECK(There(Mesh::TellGateways{gateways}).gateways == gateways);
+    There(Mesh::AskBriefing{});
+  }
   SUBCASE("a reader's beat")
   {
     const Mesh::ReaderBeat beat{40, 38, 17, {{{"m", 3}, Milliseconds(250)}}, Milliseconds(90)};
