Control: After a start, gateways are told by others of their hall before they read the platform

Ruled out: the sidecars (plan 26 ms after the start, weights loaded 0.64 s after it). Change: a gateway that is no seed waits 120 to 270 ms to be told, asks seeds each 60 ms and one of the gateways that they name for settings and targets, and reads at once if it is the first of its hall; seeds read at once. The packed document is kept for the next that asks. Test: the moment that is given to others.

--- a/Source/Core/Control/ReaderDuty.cpp
+++ b/Source/Core/Control/ReaderDuty.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/Hash.h"
+
 namespace Holdpost::Control
 {
 using Common::Duration;
@@ -15,6 +17,11 @@
 static constexpr Duration ANSWER_AGE_MOST = Milliseconds(1000);
 // Those that wait don't all begin at once: the first one that does is heard by the others.
 static constexpr std::uint64_t JITTER_MS = 200;
+// A process that has just started is told by others within so long, if any can, and not all that
+// wait in vain begin at once. When all 149 gateways of 5 halls started together and each read the
+// platform, its link was full and they had settings and targets after 500 ms.
+static constexpr Milliseconds TOLD_WITHIN = Milliseconds(120);
+static constexpr std::uint64_t TOLD_JITTER_MS = 150;
 static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
 // An answer that is heard of one beat late must still be younger than ANSWER_AGE_MOST when the next
 // one comes. With 1,200 ms all 30 gateways of a hall took over from a reader that was well, again
@@ -29,6 +36,11 @@
 // Readers speak each 300 ms, and one of these may be lost.
 static constexpr Duration FAILING_LIFETIME = Milliseconds(700);
 
+ReaderRank RankOf(const Common::Address& process)
+{
+  return Common::StableHash(process.ToString());
+}
+
 Milliseconds ListPeriod(Milliseconds drain_within)
 {
   return std::clamp(drain_within * 3 / 10, LIST_PERIOD_LEAST, LIST_PERIOD_MOST);
@@ -39,6 +51,18 @@
   return answer_age < ANSWER_AGE_MOST;
 }
 
+void ReaderDuty::WaitToBeTold(TimePoint now)
+{
+  m_reads = false;
+  m_take_over_at = now + TOLD_WITHIN + Milliseconds(m_random() % TOLD_JITTER_MS);
+}
+
+void ReaderDuty::OnAlone(TimePoint now)
+{
+  if (!m_reads && !m_has_heard_reader)
+    m_take_over_at = std::min(m_take_over_at, now);
+}
+
 void ReaderDuty::OnReaderHeard(ReaderRank rank, Duration answer_age, TimePoint now)
 {
   if (!IsFresh(answer_age))
@@ -47,6 +71,7 @@
     return;
   }
   m_failing.erase(rank);
+  m_has_heard_reader = true;
   if (m_reads && rank >= m_rank)
     return;
   m_reads = false;
--- a/Source/Core/Control/ReaderDuty.h
+++ b/Source/Core/Control/ReaderDuty.h
@@ -14,6 +14,7 @@
 {
 // A process's place among those that could read; the least one keeps reading.
 using ReaderRank = std::uint64_t;
+ReaderRank RankOf(const Common::Address& process);
 
 // How often a reader asks for the list of targets, so that a leaving target is known within
 // `drain_within` even if the reader has to be taken over first.
@@ -32,6 +33,11 @@
   // Reads from the start, until another reader is heard.
   ReaderDuty(ReaderRank rank, std::uint64_t seed) : m_rank(rank), m_random(seed) {}
 
+  // Gives others a moment to tell what they know, before anything is asked of the platform.
+  void WaitToBeTold(Common::TimePoint now);
+  // No other process of the hall is known, so nobody can tell.
+  void OnAlone(Common::TimePoint now);
+
   // How many processes of the hall could read, this one included.
   void SetMembers(std::size_t members) { m_members = members; }
   // Another process of the hall reads, and had an answer of the platform so long ago.
@@ -40,6 +46,8 @@
   // few. `answered` is when it last answered this process.
   DutyChange OnTick(Common::TimePoint answered, Common::TimePoint now);
   bool Reads() const { return m_reads; }
+  // Whether it leaves the platform to a reader that it has heard.
+  bool IsFollowing() const { return !m_reads && m_has_heard_reader; }
   Common::TimePoint NextWakeup() const;
 
 private:
@@ -54,6 +62,7 @@
   std::size_t m_members = 1;
   bool m_reads = true;
   Common::TimePoint m_began{};
+  bool m_has_heard_reader = false;
   // Without newer word of a reader this process begins to read.
   Common::TimePoint m_take_over_at{};
   // That time is a turn at a platform that answers nobody.
--- a/Source/Core/Mesh/SeedSearch.cpp
+++ b/Source/Core/Mesh/SeedSearch.cpp
@@ -7,6 +7,9 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
+// A process that has just started knows nothing, and waits for each answer.
+static constexpr Milliseconds START_PERIOD = Milliseconds(60);
+static constexpr Milliseconds START_TIME = Milliseconds(300);
 // Processes of a hall start within some 300 ms of each other, so that the first answers may name
 // none of them.
 static constexpr Milliseconds FIRST_PERIOD = Milliseconds(200);
@@ -28,7 +31,10 @@
   }
   if (now < m_due)
     return {};
-  m_due = now + (now - *m_since < FIRST_TIME ? FIRST_PERIOD : PERIOD);
+  const Common::Duration searching = now - *m_since;
+  m_due = now + (searching < START_TIME   ? START_PERIOD
+                 : searching < FIRST_TIME ? FIRST_PERIOD
+                                          : PERIOD);
   return m_seeds;
 }
 
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <set>
 
-#include "Common/Compression.h"
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
 #include "Common/Mailbox.h"
@@ -21,22 +20,12 @@
 using Common::TimePoint;
 using Common::Weight;
 
-static constexpr Milliseconds BEAT_PERIOD = Milliseconds(300);
-// A peer that was asked is given so long to answer.
-static constexpr Milliseconds ASK_PAUSE = Milliseconds(600);
-// No settings document is longer.
-static constexpr std::size_t DOCUMENT_BYTES_MOST = 16 << 20;
-
-static Control::ReaderRank RankOf(const Address& gateway)
-{
-  return Common::StableHash(gateway.ToString());
-}
-
 GatewayControl::GatewayControl(EventLoop& loop, const MeshConfig& config,
                                ControlPeer::ControlPlane& control, Handlers handlers)
-    : m_config(config), m_control(control), m_handlers(std::move(handlers)),
+    : m_config(config), m_random(Common::StableHash(config.instance)), m_control(control),
+      m_handlers(std::move(handlers)),
       m_follower({Control::ListPeriod(config.drain_within)}, Common::StableHash(config.instance)),
-      m_duty(RankOf(config.mesh_listen), Common::StableHash(config.instance)),
+      m_duty(Control::RankOf(config.mesh_listen), Common::StableHash(config.instance)),
       m_seed_query(MeshAddressesOf(config.seeds, config.mesh_listen)),
       m_briefing(config.hall, Common::StableHash(config.instance)),
       m_membership(config.mesh_listen, config.hall,
@@ -49,6 +38,14 @@
 
 Result<Address> GatewayControl::Listen()
 {
+  const bool is_seed = std::ranges::any_of(m_config.seeds, [this](const Address& seed)
+                                           { return seed.host == m_config.mesh_listen.host; });
+  // Others turn to seeds, so these ask the platform themselves.
+  if (!is_seed && !m_config.seeds.empty())
+  {
+    m_duty.WaitToBeTold(EventLoop::Now());
+    m_follower.SetReading(false);
+  }
   return m_mesh.Listen(m_config.mesh_listen, {m_config.instance, m_config.hall, {}, 0});
 }
 
@@ -174,86 +171,11 @@
 
 void GatewayControl::QuerySeeds(TimePoint now)
 {
-  const bool knows_all = m_follower.Document() && m_follower.HasTargets();
   const bool is_told = m_follower.IsReachable() || !m_duty.Reads();
   const auto peer = m_seed_query.OnTick(
-      is_told, knows_all ? Control::Knowledge::Whole : Control::Knowledge::Partial, now);
-  if (!peer)
-    return;
-  m_mesh.Send(*peer, Mesh::AskDocument{m_follower.Version()});
-  m_mesh.Send(*peer, Mesh::AskTargets{m_follower.TargetsPosition()});
-}
-
-void GatewayControl::SearchGateways(TimePoint now)
-{
-  for (const Address& seed : m_membership.SeedsToAsk(!m_duty.Reads(), now))
-    m_mesh.SendDatagram(seed, Mesh::AskGateways{true});
-}
-
-// --- what is passed on to the hall ---
-
-void GatewayControl::Beat(TimePoint now)
-{
-  m_beat_due = now + BEAT_PERIOD;
-  if (!m_duty.Reads() || m_follower.LastAnswer() == TimePoint())
-    return;
-  const Mesh::ReaderBeat beat = MakeBeat(now);
-  for (const Address& gateway : m_membership.Others(now))
-    m_mesh.SendDatagram(gateway, beat);
-}
-
-Mesh::ReaderBeat GatewayControl::MakeBeat(TimePoint now) const
-{
-  Mesh::ReaderBeat beat;
-  beat.targets = m_follower.TargetsPosition();
-  beat.targets_changed = m_follower.TargetsChanged();
-  beat.settings = m_follower.Version();
-  beat.weights = m_briefing.ToldAt(now);
-  beat.answer_age = std::chrono::duration_cast<Milliseconds>(now - m_follower.LastAnswer());
-  return beat;
-}
-
-Mesh::TellDocument GatewayControl::PackDocument(Settings::DocumentVersion base) const
-{
-  const bool has_base = base > 0 && base == m_follower.VersionBefore();
-  const std::string& text = *m_follower.DocumentText();
-  const std::string packed =
-      has_base ? Common::Compress(text, *m_follower.TextBefore()) : Common::Compress(text);
-  return {m_follower.Version(), has_base ? base : 0, Common::MakeBytes(packed)};
-}
-
-void GatewayControl::PassOnDocument(TimePoint now)
-{
-  if (!m_duty.Reads())
-    return;
-  const std::vector<Address> gateways = m_membership.Others(now);
-  if (gateways.empty())
-    return;
-  const Mesh::TellDocument tell = PackDocument(m_follower.VersionBefore());
-  for (const Address& gateway : gateways)
-    m_mesh.Send(gateway, tell);
-}
-
-void GatewayControl::PassOnTargets(TimePoint now)
-{
-  if (!m_duty.Reads())
-    return;
-  for (const Address& gateway : m_membership.Others(now))
-    m_mesh.Send(gateway, Mesh::TellTargets{m_follower.LastTargetsNews()});
-}
-
-void GatewayControl::AnswerDocument(const Address& to, Settings::DocumentVersion newer_than)
-{
-  const bool is_newer = m_follower.Document() && m_follower.Version() > newer_than;
-  if (is_newer && m_document_pacing.Take(to, m_follower.Version(), EventLoop::Now()))
-    m_mesh.Send(to, PackDocument(newer_than));
-}
-
-void GatewayControl::AnswerTargets(const Address& to, Control::Position newer_than)
-{
-  const bool is_newer = m_follower.HasTargets() && m_follower.TargetsPosition() > newer_than;
-  if (is_newer && m_targets_pacing.Take(to, m_follower.TargetsPosition(), EventLoop::Now()))
-    m_mesh.Send(to, Mesh::TellTargets{m_follower.WholeTargets()});
+      is_told, KnowsAll() ? Control::Knowledge::Whole : Control::Knowledge::Partial, now);
+  if (peer)
+    AskPeer(*peer);
 }
 
 // --- what is applied ---
@@ -302,121 +224,4 @@
   }
 }
 
-// --- what peers say ---
-
-void GatewayControl::OnMessage(const Mesh::Sender& from, Mesh::Message& message)
-{
-  std::visit(
-      Common::Overloaded{
-          [&](const Mesh::LoadReport& report) { OnLoadReport(from, report); },
-          [&](const Mesh::ReaderBeat& beat) { OnReaderBeat(from, beat); },
-          [&](const Mesh::AskDocument& ask) { AnswerDocument(from.address, ask.newer_than); },
-          [&](const Mesh::TellDocument& tell) { OnDocument(from, tell); },
-          [&](const Mesh::AskTargets& ask) { AnswerTargets(from.address, ask.newer_than); },
-          [&](const Mesh::TellTargets& tell) { OnTargets(from, tell); },
-          [&](const Mesh::AskGateways& ask)
-          { m_mesh.SendDatagram(from.address, m_membership.OnAsked(from, ask, EventLoop::Now())); },
-          [&](const Mesh::TellGateways& tell) { OnGateways(tell.gateways); },
-          [&](const Mesh::AskBriefing&)
-          { m_mesh.Send(from.address, m_briefing.WholeHello(EventLoop::Now())); },
-          [](const auto&) {}},
-      message);
-}
-
-bool GatewayControl::OfferWeights(const std::vector<Mesh::ToldWeights>& weights, TimePoint now)
-{
-  bool is_news = false;
-  for (const Mesh::ToldWeights& told : weights)
-    is_news = m_follower.OfferWeights(told.named, now - told.known) || is_news;
-  return is_news;
-}
-
-void GatewayControl::OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report)
-{
-  const TimePoint now = EventLoop::Now();
-  m_membership.OnNamed(report.near_gateways, now);
-  m_briefing.OnReported(from.address, report.stamp, now);
-  m_handlers.on_gateways(m_membership.OnCounted(report.gateways, now));
-  if (const auto ask = m_follower.OnPeerVersion(report.settings, now))
-    m_mesh.Send(report.settings_at, Mesh::AskDocument{*ask});
-  if (OfferWeights(report.weights, now))
-    ApplyOperator();
-  Gateway::TargetLoad load = report.load;
-  load.round_trip = Mesh::RoundTrip(report, now).value_or(Milliseconds(0));
-  m_handlers.on_load(load);
-}
-
-void GatewayControl::OnGateways(const std::vector<Address>& gateways)
-{
-  const TimePoint now = EventLoop::Now();
-  if (m_membership.OnNamed(gateways, now))
-    Beat(now);
-}
-
-void GatewayControl::OnReaderBeat(const Mesh::Sender& from, const Mesh::ReaderBeat& beat)
-{
-  if (from.hall != m_config.hall)
-    return;
-  const TimePoint now = EventLoop::Now();
-  const bool did_read = m_duty.Reads();
-  const bool is_new = m_membership.OnNamed({from.address}, now);
-  m_duty.OnReaderHeard(RankOf(from.address), beat.answer_age, now);
-  // A gateway that has just started reads until it hears of a reader.
-  if (is_new && m_duty.Reads() && m_follower.LastAnswer() != TimePoint())
-    m_mesh.SendDatagram(from.address, MakeBeat(now));
-  if (did_read && !m_duty.Reads())
-  {
-    LogEvent(Weight::Important, now, "reader.ends", "reader", from.instance);
-    m_follower.SetReading(false);
-  }
-  if (OfferWeights(beat.weights, now))
-    ApplyOperator();
-  if (m_follower.MissesTargets(beat.targets, beat.targets_changed) && now >= m_ask_targets_due)
-  {
-    m_ask_targets_due = now + ASK_PAUSE;
-    m_mesh.Send(from.address, Mesh::AskTargets{m_follower.TargetsPosition()});
-  }
-  if (beat.settings > m_follower.Version() && now >= m_ask_document_due)
-  {
-    m_ask_document_due = now + ASK_PAUSE;
-    m_mesh.Send(from.address, Mesh::AskDocument{m_follower.Version()});
-  }
-}
-
-void GatewayControl::OnDocument(const Mesh::Sender& from, const Mesh::TellDocument& tell)
-{
-  if (tell.version <= m_follower.Version() || !tell.packed)
-    return;
-  if (tell.base > 0 && tell.base != m_follower.Version())
-  {
-    m_mesh.Send(from.address, Mesh::AskDocument{m_follower.Version()});
-    return;
-  }
-  const std::string base = tell.base > 0 ? *m_follower.DocumentText() : "";
-  auto text = Common::Decompress(*tell.packed, base, DOCUMENT_BYTES_MOST);
-  if (!text)
-  {
-    LogEvent(Weight::Important, EventLoop::Now(), "settings.unreadable", "version", tell.version,
-             "peer", from.instance);
-    return;
-  }
-  auto parsed = m_control.ParseDocument(*text);
-  auto* document = std::get_if<Settings::Document>(&parsed);
-  if (!document)
-    return;
-  LogEvent(Weight::Important, EventLoop::Now(), "settings.from_peer", "version", document->version,
-           "peer", from.instance);
-  const auto shared = std::make_shared<const Settings::Document>(std::move(*document));
-  if (m_follower.OfferDocument(shared, Common::MakeBytes(std::move(*text))))
-    ApplyOperator();
-}
-
-void GatewayControl::OnTargets(const Mesh::Sender& from, const Mesh::TellTargets& tell)
-{
-  if (!m_follower.OfferTargets(tell.news))
-    return;
-  LogEvent(Weight::Ordinary, EventLoop::Now(), "targets.from_peer", "position", tell.news.position,
-           "changes", tell.news.changes.size(), "peer", from.instance);
-  ApplyTargets();
-}
 } // namespace Holdpost::Node
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,10 @@
   void UpdateDuty(Common::TimePoint now);
   // Asks a seed for what the platform does not tell.
   void QuerySeeds(Common::TimePoint now);
+  // Whether settings and targets are known.
+  bool KnowsAll() const;
+  // Asks another gateway for settings and targets that are newer than those known here.
+  void AskPeer(const Common::Address& peer);
   void Beat(Common::TimePoint now);
   Mesh::ReaderBeat MakeBeat(Common::TimePoint now) const;
   // Asks seeds for the other gateways of the hall.
@@ -93,9 +98,11 @@
   void AnswerDocument(const Common::Address& to, Settings::DocumentVersion newer_than);
   void AnswerTargets(const Common::Address& to, Control::Position newer_than);
   bool OfferWeights(const std::vector<Mesh::ToldWeights>& weights, Common::TimePoint now);
-  Mesh::TellDocument PackDocument(Settings::DocumentVersion base) const;
+  // The document in force, next to the text of the base if that was in force before it.
+  const Mesh::TellDocument& PackDocument(Settings::DocumentVersion base);
 
   MeshConfig m_config;
+  std::mt19937_64 m_random;
   ControlPeer::ControlPlane& m_control;
   Handlers m_handlers;
   Control::ControlFollower m_follower;
@@ -103,6 +110,8 @@
   Control::PeerQuery m_seed_query;
   Control::AnswerPacing m_document_pacing;
   Control::AnswerPacing m_targets_pacing;
+  Mesh::TellDocument m_packed_whole;
+  Mesh::TellDocument m_packed_change;
   Mesh::Briefing m_briefing;
   Mesh::GatewayMembership m_membership;
   MeshPeer::MeshEndpoint m_mesh;
--- a/Source/UnitTests/Core/Control/ReaderDutyTest.cpp
+++ b/Source/UnitTests/Core/Control/ReaderDutyTest.cpp
@@ -208,3 +208,31 @@
     CHECK(is_read);
   }
 }
+
+TEST_CASE("A process that has just started gives others a moment to tell what they know")
+{
+  ReaderDuty duty(OWN, 1);
+  duty.WaitToBeTold(START);
+  CHECK_FALSE(duty.Reads());
+  CHECK_FALSE(duty.IsFollowing());
+  CHECK_FALSE(Begins(duty, START + Milliseconds(100)));
+
+  SUBCASE("and reads the platform when nobody does")
+  {
+    CHECK(duty.NextWakeup() <= START + Milliseconds(270));
+    CHECK(Begins(duty, START + Milliseconds(270)));
+  }
+  SUBCASE("at once if no other process of its hall is known")
+  {
+    duty.OnAlone(START + Milliseconds(5));
+    CHECK(Begins(duty, START + Milliseconds(5)));
+  }
+  SUBCASE("and leaves it to a reader that it hears")
+  {
+    duty.OnReaderHeard(WORSE, Milliseconds(50), START + Milliseconds(30));
+    CHECK(duty.IsFollowing());
+    duty.OnAlone(START + Milliseconds(40));
+    CHECK_FALSE(Begins(duty, START + Milliseconds(900)));
+    CHECK(Begins(duty, START + Milliseconds(1200)));
+  }
+}
