Gateway, Sidecar: Use an engine that starts again before it is listed; fetch nothing that lies on the stage

Change: a sidecar asks its engine once for its id (its health page) and tells it with its reports; a gateway uses a target that is reported at the address of a listed one, unless it was on the list before, and for 5 s at most until it is listed. Pieces are fetched only after the stage was read, one at a time where the engine has the version, and not by all in the same second. A gateway that is not told asks the platform 20 to 250 ms after its start, so that reads come one after the other.

--- a/Source/Core/Control/ReaderDuty.cpp
+++ b/Source/Core/Control/ReaderDuty.cpp
@@ -17,11 +17,12 @@
 static constexpr Duration ANSWER_AGE_MOST = Milliseconds(1000);
 // Those that wait don't all begin at once: the first one that does is heard by the others.
 static constexpr std::uint64_t JITTER_MS = 200;
-// A process that has just started is told by others within so long, if any can, and not all that
-// wait in vain begin at once. When all 149 gateways of 5 halls started together and each read the
-// platform, its link was full and they had settings and targets after 500 ms.
-static constexpr Milliseconds TOLD_WITHIN = Milliseconds(120);
-static constexpr std::uint64_t TOLD_JITTER_MS = 150;
+// A process that has just started is told by others within so long, if any can.
+static constexpr Milliseconds TOLD_WITHIN = Milliseconds(20);
+// When all processes start together, none can. If they all asked the platform at once, its link
+// would be full and none would have settings and targets before 500 ms (149 gateways that each read
+// 26 MB / 149): so they come one after the other.
+static constexpr std::uint64_t TOLD_JITTER_MS = 230;
 static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
 // An answer that is heard of one beat late must still be younger than ANSWER_AGE_MOST when the next
 // one comes. With 1,200 ms all 30 gateways of a hall took over from a reader that was well, again
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -41,6 +41,8 @@
   std::uint32_t window_while_lacking = 16;
   // Asks a second peer for the last pieces.
   bool may_hedge = true;
+  // Fetches pieces; else only the manifest, as the pieces may be here already.
+  bool fetches_pieces = true;
   // Takes one piece at a time on an own link that is narrower than it should be, so that it is left
   // to other traffic too.
   bool adapts_window = false;
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -32,7 +32,7 @@
     PumpManifest(now, actions);
     return;
   }
-  if (m_held.IsFull())
+  if (m_held.IsFull() || !m_options.fetches_pieces)
     return;
   if (m_options.shares_crossings)
   {
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -36,6 +36,11 @@
 // The same for a plain service, of which some answers take several times as long as most.
 static constexpr Duration PLAIN_EXPECTED_LEAST = Milliseconds(50);
 
+// A target of which its agent tells is on the platform's list within so long, or it is not there.
+static constexpr Duration LISTED_WITHIN = Milliseconds(5000);
+// A target that has left the list may go on answering for so long, and get nothing new.
+static constexpr Duration GONE_LIFETIME = std::chrono::minutes(2);
+
 static void LogListed(const ListedTarget& listed, TimePoint now)
 {
   const bool is_leaving = listed.state == TargetState::Leaving;
@@ -50,7 +55,8 @@
   std::set<TargetId> before;
   for (auto& [id, target] : m_targets)
   {
-    if (std::exchange(target.is_on_list, false))
+    const bool is_awaited = target.reported_at && now - *target.reported_at < LISTED_WITHIN;
+    if (!is_awaited && std::exchange(target.is_on_list, false))
       before.insert(id);
   }
   std::map<Common::Address, TargetId> added;
@@ -59,6 +65,7 @@
     Target& target = m_targets[listed.id];
     const bool was_listed = before.erase(listed.id) > 0;
     target.is_on_list = true;
+    target.reported_at.reset();
     if (listed.incarnation < target.listed.incarnation)
       continue;
     // Also if it was off the list meanwhile, and was kept for the requests that it had.
@@ -75,7 +82,11 @@
         std::chrono::nanoseconds(Common::StableHash(listed.id, m_seed) % TIE_BREAK_MOST_NS);
   }
   for (const TargetId& id : before)
+  {
     LogEvent(Weight::Important, now, "target.gone", "target", id);
+    m_gone[id] = now;
+  }
+  std::erase_if(m_gone, [now](const auto& entry) { return now - entry.second > GONE_LIFETIME; });
   if (is_first && !list.empty())
     LogEvent(Weight::Important, now, "targets.known", "count", list.size());
   std::erase_if(m_targets, [](const auto& entry)
@@ -179,11 +190,50 @@
   }
 }
 
+TargetId TargetTable::FindBefore(const Common::Address& address) const
+{
+  const auto found = std::ranges::find_if(m_targets,
+                                          [&](const auto& entry)
+                                          {
+                                            const Target& target = entry.second;
+                                            return target.listed.address == address &&
+                                                   target.listed.needs_weights &&
+                                                   IsKnownService(target.listed.service);
+                                          });
+  return found == m_targets.end() ? TargetId() : found->first;
+}
+
+void TargetTable::AddReported(const TargetLoad& load, TimePoint now)
+{
+  if (load.id.empty() || m_targets.contains(load.id) || m_gone.contains(load.id))
+    return;
+  const TargetId before = FindBefore(load.address);
+  if (before.empty())
+    return;
+  const Target& known = m_targets.at(before);
+  Target added;
+  added.listed = known.listed;
+  added.listed.id = load.id;
+  added.listed.state = TargetState::Ready;
+  added.listed.weights_version = load.weights_version;
+  added.listed.incarnation = load.incarnation;
+  added.is_on_list = true;
+  added.reported_at = now;
+  added.is_used = known.is_used;
+  added.tie_break = known.tie_break;
+  m_targets[load.id] = std::move(added);
+  LogEvent(Weight::Important, now, "target.reported", "target", load.id, "at",
+           load.address.ToString(), "before", before);
+  ReplaceThoseAt({{load.address, load.id}}, now);
+}
+
 void TargetTable::OnLoad(const TargetLoad& load, TimePoint now)
 {
+  AddReported(load, now);
   for (auto& [id, target] : m_targets)
   {
-    if (target.listed.address != load.address || !target.IsListed())
+    const bool is_of_another = !load.id.empty() && load.id != id;
+    if (target.listed.address != load.address || !target.IsListed() || is_of_another)
       continue;
     const std::uint64_t known = target.listed.incarnation;
     const bool is_told = load.incarnation > 0 && known > 0;
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -188,6 +188,8 @@
   {
     ListedTarget listed;
     bool is_on_list = false;
+    // Since when its agent alone tells of it; empty once the platform lists it.
+    std::optional<Common::TimePoint> reported_at;
     // In reach of this gateway.
     bool is_used = true;
     // Less than any real cost: between equal targets each gateway has a choice of its own.
@@ -234,6 +236,10 @@
     return m_services.empty() || m_services.contains(service);
   }
   void UpdateReach();
+  // Takes in a target that its agent tells of, before the platform lists it.
+  void AddReported(const TargetLoad& load, Common::TimePoint now);
+  // The listed target at the address that has an agent, whatever became of it; empty if none.
+  TargetId FindBefore(const Common::Address& address) const;
   // An address belongs to one target at a time: who had those of the added ones is gone.
   void ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, Common::TimePoint now);
   const Settings::EngineProfile* EngineOf(const std::string& service) const;
@@ -308,6 +314,8 @@
   TargetReach m_reach;
   GatewayCounts m_gateways;
   std::map<TargetId, Target> m_targets;
+  // Targets that were on the list once and are not any more, though they may still answer.
+  std::map<TargetId, Common::TimePoint> m_gone;
   std::set<std::string> m_services;
   std::map<std::string, Engine> m_engines;
   // By service without an engine.
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -44,6 +44,8 @@
   std::string origin_hall;
   // Of the origin's link; 0 if not known.
   std::uint64_t origin_bytes_per_second = 0;
+  // The page at which the service's targets say who they are; empty if there is none.
+  std::string health_path = {};
 
   bool operator==(const WeightsPlan&) const = default;
 };
--- a/Source/Core/Settings/Document.h
+++ b/Source/Core/Settings/Document.h
@@ -89,6 +89,8 @@
   // For services whose targets are model engines.
   std::optional<EngineProfile> engine;
   std::vector<ModelSettings> models;
+  // The page at which a target says who it is; empty if there is none.
+  std::string health_path = {};
 };
 
 // Where weights come from.
--- a/Source/Core/Sidecar/EngineMessages.h
+++ b/Source/Core/Sidecar/EngineMessages.h
@@ -40,6 +40,12 @@
 {
 };
 
+// Under which id the engine stands in the list of targets, as a page of it says.
+struct ReadIdentity
+{
+  std::string page;
+};
+
 // Which pieces of the model are staged.
 struct ListStaged
 {
@@ -77,6 +83,11 @@
   Common::Result<EngineReport> result;
 };
 
+struct IdentityRead
+{
+  Common::Result<std::string> result;
+};
+
 struct StagedListed
 {
   Common::Result<std::vector<std::uint32_t>> result;
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -37,6 +37,8 @@
 // The same while a copy is needed soon: all have it 0.4 s sooner (5 halls of 24, links of 7.3
 // Mbit/s).
 static constexpr std::uint32_t PIECES_AT_ONCE_IN_HASTE = 6;
+// The same for a copy that this sidecar only keeps for others.
+static constexpr std::uint32_t PIECES_AT_ONCE_FOR_OTHERS = 1;
 // A peer that would wait behind more than so many asks another one.
 static constexpr std::size_t UPLOADS_WAITING = 1;
 static constexpr std::size_t UPLOADS_WAITING_IN_HASTE = 3;
@@ -76,8 +78,10 @@
   options.swarm.patience = PATIENCE;
   options.swarm.stall = STALL;
   options.swarm.backoff_most = ORIGIN_PAUSE_MOST;
-  options.upload_queue_most = m_is_in_haste ? UPLOADS_WAITING_IN_HASTE : UPLOADS_WAITING;
-  options.uploads_unconfirmed_most = PiecesAtOnce();
+  const bool is_in_haste = m_urgency == Urgency::Haste;
+  options.upload_queue_most = is_in_haste ? UPLOADS_WAITING_IN_HASTE : UPLOADS_WAITING;
+  options.uploads_unconfirmed_most = is_in_haste ? PIECES_AT_ONCE_IN_HASTE : PIECES_AT_ONCE;
+  options.swarm.fetches_pieces = m_urgency != Urgency::FindsStaged;
   options.swarm.adapts_window = true;
   options.swarm.window_in_all = PiecesAtOnce();
   options.swarm.piece_time = PieceTime();
@@ -93,7 +97,17 @@
 
 std::uint32_t Sidecar::PiecesAtOnce() const
 {
-  return m_is_in_haste ? PIECES_AT_ONCE_IN_HASTE : PIECES_AT_ONCE;
+  switch (m_urgency)
+  {
+  case Urgency::FindsStaged:
+  case Urgency::ForOthers:
+    return PIECES_AT_ONCE_FOR_OTHERS;
+  case Urgency::Usual:
+    return PIECES_AT_ONCE;
+  case Urgency::Haste:
+    break;
+  }
+  return PIECES_AT_ONCE_IN_HASTE;
 }
 
 Duration Sidecar::PieceTime() const
@@ -298,12 +312,13 @@
   }
   if (m_tell_due && now >= *m_tell_due)
     TellLoad(now, actions);
+  TickIdentity(now, actions);
   SearchGateways(now, actions);
   if (now >= m_peers_due)
     TellExchangeOfPeers(now, actions);
-  if (IsInHaste(now) != m_is_in_haste)
+  if (const Urgency urgency = UrgencyAt(now); urgency != m_urgency)
   {
-    m_is_in_haste = !m_is_in_haste;
+    m_urgency = urgency;
     m_exchange.SetOptions(MakeExchangeOptions());
   }
   Distribution::Actions made;
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -65,7 +65,7 @@
   bool is_small = true;
 };
 
-using Action = std::variant<ReadReport, ListStaged, ReadStaged, StagePiece, StartWeights,
+using Action = std::variant<ReadReport, ReadIdentity, ListStaged, ReadStaged, StagePiece, StartWeights,
                             FetchFromOrigin, CancelOriginFetch, Tell>;
 using Actions = std::vector<Action>;
 
@@ -75,6 +75,7 @@
   Sidecar(SidecarOptions options, Common::Metrics& metrics);
 
   void Handle(const ReportRead& event, Common::TimePoint now, Actions* actions);
+  void Handle(const IdentityRead& event, Common::TimePoint now, Actions* actions);
   void Handle(const StagedListed& event, Common::TimePoint now, Actions* actions);
   void Handle(const StagedRead& event, Common::TimePoint now, Actions* actions);
   void Handle(const PieceStaged& event, Common::TimePoint now, Actions* actions);
@@ -162,8 +163,18 @@
   // When the first of the named versions up to `newest` that the engine has not loaded is due.
   Common::TimePoint EarliestBound(std::uint64_t newest) const;
   Common::Duration CopyTime() const;
-  // Whether the wanted version is needed so soon that requests may wait for its pieces.
-  bool IsInHaste(Common::TimePoint now) const;
+  // How much the pieces of the wanted version are needed.
+  enum class Urgency
+  {
+    // The engine has the version, and its pieces may lie on the stage: nothing is fetched yet.
+    FindsStaged,
+    // The engine has the version: its pieces are kept for others.
+    ForOthers,
+    Usual,
+    // Needed so soon that requests may wait for them.
+    Haste,
+  };
+  Urgency UrgencyAt(Common::TimePoint now) const;
   std::uint32_t PiecesAtOnce() const;
   // What one piece takes on the own link as it is now, and what a whole copy and the rest of one
   // do.
@@ -174,6 +185,9 @@
   std::optional<Common::TimePoint> SwitchAt(Common::TimePoint now) const;
   // The origin is a dependency: each time that it is lost or regained is told.
   void NoteOrigin(const Common::Result<Common::Bytes>& result, Common::TimePoint now);
+  // Finds out under which id the engine is listed, once for each start of it.
+  void TickIdentity(Common::TimePoint now, Actions* actions);
+  void OnEngineRestarted();
   void TickStage(Common::TimePoint now, Actions* actions);
   void TickLoader(Common::TimePoint now, Actions* actions);
   void LogProgress(Common::TimePoint now);
@@ -206,7 +220,7 @@
   std::uint64_t m_wanted = 0;
   std::uint64_t m_ahead = 0;
   std::uint64_t m_before = 0;
-  bool m_is_in_haste = false;
+  Urgency m_urgency = Urgency::Usual;
   std::map<Common::Digest, std::uint64_t> m_versions;
   std::map<Common::Address, HeardGateway> m_gateways;
   Mesh::SeedSearch m_search;
@@ -220,6 +234,11 @@
   Common::TimePoint m_told_at{};
   bool m_is_reading_report = false;
   std::uint32_t m_reports_failed = 0;
+  // Under which id the engine is listed; empty until it has said so.
+  Gateway::TargetId m_target_id;
+  bool m_is_reading_identity = false;
+  std::uint32_t m_identity_reads = 0; // since its start
+  Common::TimePoint m_identity_due{};
   Common::TimePoint m_report_due{};
   Common::TimePoint m_peers_due{};
   bool m_is_view_confirmed = false;
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -16,6 +16,9 @@
 using Common::Weight;
 
 static constexpr std::uint32_t REPORTS_FAILED_MOST = 3;
+// An engine that is full does not say who it is; by then it is on the list.
+static constexpr std::uint32_t IDENTITY_READS_MOST = 4;
+static constexpr Milliseconds IDENTITY_PAUSE = Milliseconds(300);
 // Reads of what was found on the stage at once.
 static constexpr std::uint32_t FOUND_READS_MOST = 2;
 // A proof older than this says nothing of what lies on the stage now.
@@ -32,8 +35,7 @@
       LogEvent(Weight::Important, now, "engine.lost", "reason",
                std::get<Error>(event.result).message);
       m_report.reset();
-      m_loader.OnEngineLost();
-      m_stage.ProveAgain();
+      OnEngineRestarted();
     }
     return;
   }
@@ -48,8 +50,7 @@
   if (has_restarted)
   {
     LogEvent(Weight::Important, now, "engine.restarted", "weights", report->weights_version);
-    m_loader.OnEngineLost();
-    m_stage.ProveAgain();
+    OnEngineRestarted();
   }
   m_report = *report;
   m_requests_at_report = WorkOfAll(now).requests;
@@ -58,6 +59,37 @@
   TellLoad(now, actions);
 }
 
+void Sidecar::OnEngineRestarted()
+{
+  m_loader.OnEngineLost();
+  m_stage.ProveAgain();
+  m_target_id.clear();
+  m_identity_reads = 0;
+}
+
+void Sidecar::TickIdentity(TimePoint now, Actions* actions)
+{
+  const bool is_wanted = m_report && m_target_id.empty() && !m_plan.health_path.empty() &&
+                         m_identity_reads < IDENTITY_READS_MOST;
+  if (!is_wanted || m_is_reading_identity || now < m_identity_due)
+    return;
+  m_is_reading_identity = true;
+  m_identity_due = now + IDENTITY_PAUSE;
+  ++m_identity_reads;
+  actions->push_back(ReadIdentity{m_plan.health_path});
+}
+
+void Sidecar::Handle(const IdentityRead& event, TimePoint now, Actions* actions)
+{
+  m_is_reading_identity = false;
+  const auto* id = std::get_if<std::string>(&event.result);
+  // One that was asked for before the engine started anew is not that of the new one.
+  if (!id || m_identity_reads == 0)
+    return;
+  m_target_id = *id;
+  TellLoad(now, actions);
+}
+
 void Sidecar::Handle(const StagedListed& event, TimePoint /*now*/, Actions* /*actions*/)
 {
   m_is_listing = false;
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -99,6 +99,7 @@
 {
   Gateway::TargetLoad load;
   load.address = m_options.target;
+  load.id = m_target_id;
   load.is_switching = m_loader.IsUnderWay();
   load.next_version = m_loader.IsUnderWay() ? m_loader.Version() : 0;
   if (m_report)
@@ -140,7 +141,7 @@
 {
   const Gateway::TargetLoad load = LoadNow(now);
   const bool has_news = !m_told || m_told->is_switching != load.is_switching ||
-                        m_told->weights_version != load.weights_version;
+                        m_told->weights_version != load.weights_version || m_told->id != load.id;
   m_told = load;
   m_told_at = now;
   std::erase_if(m_gateways,
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "Common/EventLog.h"
+#include "Common/Hash.h"
 
 // Which version of the weights a sidecar fetches, and when its target is to take it.
 namespace Holdpost::Sidecar
@@ -115,8 +116,12 @@
   if (m_wanted > 0 || !m_began)
     return false;
   const Duration running = now - *m_began;
-  return m_report ? LoadedVersion() >= newest && running < SETTLE_TIME
-                  : m_reports_failed == 0 && running < FIRST_REPORT_TIME;
+  if (!m_report)
+    return m_reports_failed == 0 && running < FIRST_REPORT_TIME;
+  // Those that start together do not fetch together.
+  const auto spread = static_cast<Milliseconds::rep>(
+      Common::StableHash(m_options.address.ToString()) % SETTLE_TIME.count());
+  return LoadedVersion() >= newest && running < SETTLE_TIME + Milliseconds(spread);
 }
 
 bool Sidecar::MayJumpAhead(TimePoint now) const
@@ -174,16 +179,22 @@
   TellExchangeOfPeers(now, actions);
 }
 
-bool Sidecar::IsInHaste(TimePoint now) const
+Sidecar::Urgency Sidecar::UrgencyAt(TimePoint now) const
 {
-  if (m_wanted == 0 || LoadedVersion() >= m_wanted)
-    return false;
+  if (m_wanted == 0)
+    return Urgency::Usual;
+  if (LoadedVersion() >= m_wanted)
+  {
+    const bool has_looked = m_has_listed && m_found_staged.empty() && m_found_in_flight == 0;
+    return has_looked ? Urgency::ForOthers : Urgency::FindsStaged;
+  }
   // Nobody waits for answers of an engine that has no weights.
   if (LoadedVersion() == 0)
-    return true;
+    return Urgency::Haste;
   const Distribution::Swarm* swarm = WantedSwarm();
   const bool is_held = swarm && swarm->IsHeld();
-  return !is_held && now + 2 * TimeToHold(swarm, now) + SWITCH_TIME > EarliestBound(m_wanted);
+  const bool is_late = now + 2 * TimeToHold(swarm, now) + SWITCH_TIME > EarliestBound(m_wanted);
+  return !is_held && is_late ? Urgency::Haste : Urgency::Usual;
 }
 
 std::optional<TimePoint> Sidecar::SwitchAt(TimePoint now) const
--- a/Source/Node/MeshPlan.cpp
+++ b/Source/Node/MeshPlan.cpp
@@ -21,6 +21,7 @@
       plan.origin_hall = document.origin->hall;
       plan.origin_bytes_per_second = document.origin->bytes_per_second;
     }
+    plan.health_path = settings.health_path;
     return plan;
   }
   return std::nullopt;
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -146,6 +146,12 @@
                       { Feed(Sidecar::ReportRead{std::move(result)}); });
 }
 
+void SidecarNode::Do(const Sidecar::ReadIdentity& read)
+{
+  m_engine.ReadIdentity(read, [this](Result<std::string> result)
+                        { Feed(Sidecar::IdentityRead{std::move(result)}); });
+}
+
 void SidecarNode::Do(const Sidecar::ListStaged& list)
 {
   m_engine.ListStaged(list, [this](Result<std::vector<std::uint32_t>> result)
--- a/Source/Node/SidecarNode.h
+++ b/Source/Node/SidecarNode.h
@@ -38,6 +38,7 @@
   void Feed(Event event);
   void Carry(Sidecar::Actions& actions);
   void Do(const Sidecar::ReadReport& read);
+  void Do(const Sidecar::ReadIdentity& read);
   void Do(const Sidecar::ListStaged& list);
   void Do(const Sidecar::ReadStaged& read);
   void Do(const Sidecar::StagePiece& stage);
--- a/Source/Peers/Control/EngineControl.h
+++ b/Source/Peers/Control/EngineControl.h
@@ -24,6 +24,7 @@
   virtual ~EngineControl() = default;
 
   virtual void ReadReport(Done<Sidecar::EngineReport> done) = 0;
+  virtual void ReadIdentity(const Sidecar::ReadIdentity& read, Done<std::string> done) = 0;
   virtual void ListStaged(const Sidecar::ListStaged& list,
                           Done<std::vector<std::uint32_t>> done) = 0;
   virtual void ReadStaged(const Sidecar::ReadStaged& read, Done<Common::Bytes> done) = 0;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -28,6 +28,8 @@
   originHall @6 :Text;
   # Of the origin's link; 0 if not known.
   originBytesPerSecond @7 :UInt64;
+  # Where the service's targets say who they are; empty if nowhere.
+  healthPath @8 :Text;
 }
 
 struct Peer {
@@ -90,6 +92,8 @@
   incarnation @20 :UInt64;
   # The version that the target takes now; 0 if none, or if that is not known.
   nextVersion @21 :UInt32;
+  # The id of the target; empty if that is not known.
+  targetId @22 :Text;
 }
 
 # What a gateway has at the receiver's target.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -77,7 +77,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d258803507f91b92, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d258803507f91b92, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,7 +137,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -507,6 +507,9 @@
 
   inline  ::uint64_t getOriginBytesPerSecond() const;
 
+  inline bool hasHealthPath() const;
+  inline  ::capnp::Text::Reader getHealthPath() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -575,6 +578,13 @@
   inline  ::uint64_t getOriginBytesPerSecond();
   inline void setOriginBytesPerSecond( ::uint64_t value);
 
+  inline bool hasHealthPath();
+  inline  ::capnp::Text::Builder getHealthPath();
+  inline void setHealthPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHealthPath(unsigned int size);
+  inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -995,6 +1005,9 @@
 
   inline  ::uint32_t getNextVersion() const;
 
+  inline bool hasTargetId() const;
+  inline  ::capnp::Text::Reader getTargetId() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1109,6 +1122,13 @@
   inline  ::uint32_t getNextVersion();
   inline void setNextVersion( ::uint32_t value);
 
+  inline bool hasTargetId();
+  inline  ::capnp::Text::Builder getTargetId();
+  inline void setTargetId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetId(unsigned int size);
+  inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2517,6 +2537,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WeightsPlan::Reader::hasHealthPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool WeightsPlan::Builder::hasHealthPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WeightsPlan::Reader::getHealthPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WeightsPlan::Builder::getHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void WeightsPlan::Builder::setHealthPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WeightsPlan::Builder::initHealthPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void WeightsPlan::Builder::adoptHealthPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WeightsPlan::Builder::disownHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3303,6 +3357,40 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::hasTargetId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasTargetId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Load::Reader::getTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Load::Builder::getTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::setTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Load::Builder::initTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Load::Builder::adoptTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Load::Builder::disownTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint16_t Work::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -17,13 +17,14 @@
   Write(plan.origin, out.initOrigin());
   out.setOriginHall(plan.origin_hall);
   out.setOriginBytesPerSecond(plan.origin_bytes_per_second);
+  out.setHealthPath(plan.health_path);
 }
 
 static Mesh::WeightsPlan Read(MeshWire::WeightsPlan::Reader in)
 {
   return {ToText(in.getService()),    ToText(in.getModel()),          in.getPieces(),
           in.getPieceBytes(),         Milliseconds(in.getWarmUpMs()), Read(in.getOrigin()),
-          ToText(in.getOriginHall()), in.getOriginBytesPerSecond()};
+          ToText(in.getOriginHall()), in.getOriginBytesPerSecond(),   ToText(in.getHealthPath())};
 }
 
 static void WritePeers(const std::vector<Mesh::Peer>& peers, MeshWire::Hello::Builder out)
@@ -144,6 +145,8 @@
   out.setIncarnation(load.incarnation);
   out.setIsSwitching(load.is_switching);
   out.setNextVersion(static_cast<std::uint32_t>(load.next_version));
+  if (!load.id.empty())
+    out.setTargetId(load.id);
   out.setPacePercent(static_cast<std::uint16_t>(std::lround(load.pace * PERCENT)));
   if (load.switch_in)
     out.setSwitchInMs(ToWireMs(*load.switch_in) + 1);
@@ -178,6 +181,7 @@
   load.incarnation = in.getIncarnation();
   load.is_switching = in.getIsSwitching();
   load.next_version = in.getNextVersion();
+  load.id = ToText(in.getTargetId());
   load.pace = in.getPacePercent() / PERCENT;
   if (in.getSwitchInMs() > 0)
     load.switch_in = Milliseconds(in.getSwitchInMs() - 1);
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Gateway/TargetTableFixture.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using namespace Holdpost::Gateway::TableTesting;
+using Common::Milliseconds;
+
+using Fixture = TableTesting::TargetTableFixture;
+
+namespace
+{
+// What the agent at the target's address says once an engine with another id has started there.
+TargetLoad LoadOfNext(const ListedTarget& target, const TargetId& id)
+{
+  TargetLoad load = MakeLoad(target, 0);
+  load.id = id;
+  return load;
+}
+} // namespace
+
+TEST_CASE("A target that starts again under another id is used before the platform lists it")
+{
+  Fixture f;
+  f.table.SetList({f.one, f.two}, f.now);
+  f.table.OnLoad(LoadOfNext(f.one, "next"), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+  REQUIRE(f.Choose()->id == "next");
+  CHECK(f.Choose()->address == f.one.address);
+
+  SUBCASE("the one before it gets nothing, though it is still on the list")
+  {
+    f.table.SetList({f.one, f.two}, f.now);
+    CHECK(f.Choose({"llm", 1000, 100, {"next", "2"}, {}}) == std::nullopt);
+  }
+  SUBCASE("it stays when the list has it, and is gone when that drops it")
+  {
+    ListedTarget next = f.one;
+    next.id = "next";
+    f.table.SetList({next, f.two}, f.now);
+    f.table.OnLoad(LoadOfNext(f.one, "next"), f.now);
+    CHECK(f.Choose()->id == "next");
+    f.table.SetList({f.two}, f.now);
+    CHECK(f.Choose()->id == "2");
+    // It leaves without a word, and goes on answering meanwhile.
+    f.table.OnLoad(LoadOfNext(f.one, "next"), f.now);
+    CHECK(f.Choose()->id == "2");
+  }
+  SUBCASE("it is dropped if the list does not have it in time")
+  {
+    f.now += Milliseconds(6000);
+    f.table.SetList({f.two}, f.now);
+    f.table.OnLoad(LoadOfNext(f.one, "next"), f.now);
+    f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+    CHECK(f.Choose()->id == "2");
+  }
+}
+
+TEST_CASE("Reports alone make no target")
+{
+  Fixture f;
+  f.table.SetList({f.one, f.two}, f.now);
+  SUBCASE("of an address at which none was listed")
+  {
+    ListedTarget unknown = f.one;
+    unknown.address.port = 81;
+    f.table.OnLoad(LoadOfNext(unknown, "next"), f.now);
+    CHECK(f.table.Size() == 2);
+  }
+  SUBCASE("of a target that has left the list")
+  {
+    f.table.SetList({f.two}, f.now);
+    ListedTarget next = f.one;
+    next.id = "3";
+    f.table.SetList({next, f.two}, f.now);
+    f.table.OnLoad(LoadOfNext(f.one, "1"), f.now);
+    f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+    CHECK(f.Choose()->id != "1");
+  }
+  SUBCASE("and a report of another one says nothing of the listed one")
+  {
+    TargetLoad load = LoadOfNext(f.one, "next");
+    load.weights_version = 7;
+    f.table.OnLoad(load, f.now);
+    CHECK(f.table.WeightsAt("1") == 1);
+    CHECK(f.table.WeightsAt("next") == 7);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Sidecar/SidecarIdentityTest.cpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Core/Sidecar/Sidecar.h"
+#include "Support/Actions.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Sidecar;
+using Common::Milliseconds;
+using Testing::Take;
+
+namespace
+{
+const Common::TimePoint START{std::chrono::hours(1)};
+const Mesh::Sender GATEWAY{"front-1", "here", {"10.0.0.1", 7700}, 1};
+
+// A sidecar that knows at which page its engine says who it is.
+struct Fixture
+{
+  Fixture()
+  {
+    Mesh::Hello hello;
+    hello.is_gateway = true;
+    hello.wants_load = true;
+    hello.plan = {"llm", "m",           96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "here",
+                  0,     "/who-are-you"};
+    sidecar.OnMessage(GATEWAY, hello, now, &actions);
+  }
+  void Report(std::uint64_t incarnation)
+  {
+    EngineReport report;
+    report.incarnation = incarnation;
+    report.weights_version = 1;
+    sidecar.Handle(ReportRead{report}, now, &actions);
+  }
+  // The pages that are asked for within so long.
+  std::vector<ReadIdentity> Pass(Common::Duration time)
+  {
+    now += time;
+    sidecar.OnTick(now, &actions);
+    return Take<ReadIdentity>(actions);
+  }
+  // The id that the gateway is told with the next report.
+  Gateway::TargetId ToldId()
+  {
+    actions.clear();
+    Report(incarnation);
+    Gateway::TargetId id;
+    now += Milliseconds(100);
+    sidecar.Handle(ReportRead{EngineReport{incarnation, 1}}, now, &actions);
+    for (const Tell& tell : Take<Tell>(actions))
+    {
+      if (const auto* report = std::get_if<Mesh::LoadReport>(&tell.message))
+        id = report->load.id;
+    }
+    return id;
+  }
+
+  Common::Metrics metrics;
+  Holdpost::Sidecar::Sidecar sidecar{
+      {{"10.0.0.9", 7700}, "here", {"10.0.0.9", 8000}, "llm", 0, Milliseconds(8000)}, metrics};
+  Common::TimePoint now = START;
+  Actions actions;
+  std::uint64_t incarnation = 1;
+};
+} // namespace
+
+TEST_CASE("A sidecar finds out under which id its engine is listed")
+{
+  Fixture f;
+  CHECK(f.Pass(Milliseconds(10)).empty());
+  f.Report(1);
+  const auto asked = f.Pass(Milliseconds(10));
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].page == "/who-are-you");
+  CHECK(f.ToldId().empty());
+
+  SUBCASE("once, and tells it with its reports")
+  {
+    f.sidecar.Handle(IdentityRead{std::string("i-1")}, f.now, &f.actions);
+    CHECK(f.ToldId() == "i-1");
+    CHECK(f.Pass(Milliseconds(2000)).empty());
+
+    SUBCASE("and anew once the engine has started again")
+    {
+      f.incarnation = 2;
+      f.Report(2);
+      CHECK(f.ToldId().empty());
+      REQUIRE(f.Pass(Milliseconds(10)).size() == 1);
+      f.sidecar.Handle(IdentityRead{std::string("i-2")}, f.now, &f.actions);
+      CHECK(f.ToldId() == "i-2");
+    }
+  }
+  SUBCASE("an answer of the engine before is not believed")
+  {
+    f.incarnation = 2;
+    f.Report(2);
+    f.sidecar.Handle(IdentityRead{std::string("i-1")}, f.now, &f.actions);
+    CHECK(f.ToldId().empty());
+  }
+  SUBCASE("a few times if it does not say")
+  {
+    std::size_t reads = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+      f.sidecar.Handle(IdentityRead{Common::Error{Common::ErrorKind::SourceBusy, "full"}}, f.now,
+                       &f.actions);
+      reads += f.Pass(Milliseconds(400)).size();
+    }
+    CHECK(reads == 3);
+  }
+}
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -212,12 +212,30 @@
   }
   SUBCASE("and have the pieces for others a while later")
   {
-    world.RunFor(Milliseconds(10000));
+    world.RunFor(Milliseconds(40000));
     CHECK(world.At(0).PiecesHeld(2) == 96);
+    CHECK(world.At(11).PiecesHeld(2) == 96);
   }
   CHECK(world.Fault().empty());
 }
 
+TEST_CASE("What lies on the stage is not fetched again after a start")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.Name(2);
+  SecondsUntilLoaded(world, 2);
+  world.RunFor(Milliseconds(3000));
+  const double sent_before = world.CopiesBetweenNodes();
+  for (std::size_t node = 0; node < world.Count(); ++node)
+    world.Restart(node, Milliseconds(900));
+  world.RunFor(Milliseconds(40000));
+  for (std::size_t node = 0; node < world.Count(); ++node)
+    CHECK(world.At(node).PiecesHeld(2) == 96);
+  // The manifests, and a piece here and there.
+  CHECK(world.CopiesBetweenNodes() - sent_before < 0.2 * static_cast<double>(world.Count()));
+}
+
 TEST_CASE("Sidecars do not wake up more often than there is something to do")
 {
   SidecarWorld world = MakeWorld();
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -142,6 +142,7 @@
   void Feed(std::size_t node, Event event);
   void Carry(std::size_t node, Sidecar::Actions& actions);
   void Do(std::size_t node, const Sidecar::ReadReport& read);
+  void Do(std::size_t /*node*/, const Sidecar::ReadIdentity& /*read*/) {}
   void Do(std::size_t node, const Sidecar::ListStaged& list);
   void Do(std::size_t node, const Sidecar::ReadStaged& read);
   void Do(std::size_t node, const Sidecar::StagePiece& stage);
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -31,7 +31,8 @@
     hello.is_gateway = true;
     hello.settings = 17;
     hello.weights = {{{"m", 3}, Milliseconds(250)}};
-    hello.plan = {"svc", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a"};
+    hello.plan = {"svc", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a",
+                  912500, "/health"};
     hello.peers = {{{"10.1.0.5", 7700}, "oslo-a"}, {{"10.2.0.5", 7700}, "bergen-a"}};
     hello.clock = Milliseconds(123456);
     hello.wants_load = true;
@@ -63,6 +64,7 @@
     report.load.weights_version = 2;
     report.load.is_switching = true;
     report.load.next_version = 3;
+    report.load.id = "i-7f3a91c2";
     report.load.switch_in = Milliseconds(0);
     report.load.pace = 1.25;
     report.load.inbound_delay = Milliseconds(310);
