--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -30,100 +30,17 @@
 static constexpr Duration AVOID_SILENT = Milliseconds(2000);
 // Each answer moves the known lag by this part of what it was late.
 static constexpr int LAG_SHARE = 4;
-static constexpr std::uint64_t TIE_BREAK_MOST_NS = 1000;
 // An answer of an engine is not late before that: its passes begin at any moment.
 static constexpr Duration EXPECTED_LEAST = Milliseconds(150);
 // The same for a plain service, of which some answers take several times as long as most.
 static constexpr Duration PLAIN_EXPECTED_LEAST = Milliseconds(50);
 
-// A target of which its agent tells is on the platform's list within so long, or it is not there.
-static constexpr Duration LISTED_WITHIN = Milliseconds(5000);
-// A target that has left the list may go on answering for so long, and get nothing new.
-static constexpr Duration GONE_LIFETIME = std::chrono::minutes(2);
-
-static void LogListed(const ListedTarget& listed, TimePoint now)
-{
-  const bool is_leaving = listed.state == TargetState::Leaving;
-  LogEvent(Weight::Important, now, is_leaving ? "target.leaving" : "target.listed", "target",
-           listed.id, "service", listed.service, "at", listed.address.ToString(), "hall",
-           listed.hall, "weights", listed.weights_version);
-}
-
-void TargetTable::SetList(const std::vector<ListedTarget>& list, TimePoint now)
-{
-  const bool is_first = m_targets.empty();
-  std::set<TargetId> before;
-  for (auto& [id, target] : m_targets)
-  {
-    const bool is_awaited = target.reported_at && now - *target.reported_at < LISTED_WITHIN;
-    if (!is_awaited && std::exchange(target.is_on_list, false))
-      before.insert(id);
-  }
-  std::map<Common::Address, TargetId> added;
-  for (const ListedTarget& listed : list)
-  {
-    Target& target = m_targets[listed.id];
-    const bool was_listed = before.erase(listed.id) > 0;
-    target.is_on_list = true;
-    target.reported_at.reset();
-    if (listed.incarnation < target.listed.incarnation)
-      continue;
-    // Also if it was off the list meanwhile, and was kept for the requests that it had.
-    const std::uint64_t known = target.listed.incarnation;
-    const bool is_new_life = known > 0 && listed.incarnation > known;
-    if (is_new_life)
-      BeginLife(target, listed.incarnation, now);
-    if (!is_first && (!was_listed || target.listed.state != listed.state))
-      LogListed(listed, now);
-    if (!is_first && (!was_listed || is_new_life) && IsKnownService(listed.service))
-      added[listed.address] = listed.id;
-    target.listed = listed;
-    target.tie_break =
-        std::chrono::nanoseconds(Common::StableHash(listed.id, m_seed) % TIE_BREAK_MOST_NS);
-  }
-  for (const TargetId& id : before)
-  {
-    LogEvent(Weight::Important, now, "target.gone", "target", id);
-    m_gone[id] = now;
-  }
-  std::erase_if(m_gone, [now](const auto& entry) { return now - entry.second > GONE_LIFETIME; });
-  if (is_first && !list.empty())
-    LogEvent(Weight::Important, now, "targets.known", "count", list.size());
-  std::erase_if(m_targets, [](const auto& entry)
-                { return !entry.second.is_on_list && entry.second.own == 0; });
-  if (!added.empty())
-    ReplaceThoseAt(added, now);
-  UpdateReach();
-}
-
-void TargetTable::BeginLife(Target& target, std::uint64_t incarnation, TimePoint now)
-{
-  LogEvent(Weight::Important, now, "target.restarted", "target", target.listed.id, "at",
-           target.listed.address.ToString(), "incarnation", incarnation, "before",
-           target.listed.incarnation);
-  Target next;
-  next.listed = target.listed;
-  next.listed.incarnation = incarnation;
-  next.listed.weights_version = 0;
-  next.is_on_list = target.is_on_list;
-  next.is_used = target.is_used;
-  next.tie_break = target.tie_break;
-  target = std::move(next);
-}
-
 bool TargetTable::IsInLife(const TargetId& id, std::uint64_t incarnation) const
 {
   const auto found = m_targets.find(id);
   return found != m_targets.end() && found->second.listed.incarnation == incarnation;
 }
 
-void TargetTable::UpdateReach()
-{
-  const std::set<TargetId> used = m_reach.Choose(Listed(), m_gateways);
-  for (auto& [id, target] : m_targets)
-    target.is_used = !target.listed.needs_weights || used.contains(id);
-}
-
 void TargetTable::SetGateways(const GatewayCounts& gateways)
 {
   if (gateways == m_gateways)
@@ -180,53 +97,6 @@
   return all;
 }
 
-void TargetTable::ReplaceThoseAt(const std::map<Common::Address, TargetId>& added, TimePoint now)
-{
-  for (const auto& [id, target] : m_targets)
-  {
-    const auto next = added.find(target.listed.address);
-    if (next != added.end() && next->second != id && target.IsListed())
-      OnReplaced(id, now);
-  }
-}
-
-TargetId TargetTable::FindBefore(const Common::Address& address) const
-{
-  const auto found = std::ranges::find_if(m_targets,
-                                          [&](const auto& entry)
-                                          {
-                                            const Target& target = entry.second;
-                                            return target.listed.address == address &&
-                                                   target.listed.needs_weights &&
-                                                   IsKnownService(target.listed.service);
-                                          });
-  return found == m_targets.end() ? TargetId() : found->first;
-}
-
-void TargetTable::AddReported(const TargetLoad& load, TimePoint now)
-{
-  if (load.id.empty() || m_targets.contains(load.id) || m_gone.contains(load.id))
-    return;
-  const TargetId before = FindBefore(load.address);
-  if (before.empty())
-    return;
-  const Target& known = m_targets.at(before);
-  Target added;
-  added.listed = known.listed;
-  added.listed.id = load.id;
-  added.listed.state = TargetState::Ready;
-  added.listed.weights_version = load.weights_version;
-  added.listed.incarnation = load.incarnation;
-  added.is_on_list = true;
-  added.reported_at = now;
-  added.is_used = known.is_used;
-  added.tie_break = known.tie_break;
-  m_targets[load.id] = std::move(added);
-  LogEvent(Weight::Important, now, "target.reported", "target", load.id, "at",
-           load.address.ToString(), "before", before);
-  ReplaceThoseAt({{load.address, load.id}}, now);
-}
-
 void TargetTable::OnLoad(const TargetLoad& load, TimePoint now)
 {
   AddReported(load, now);
@@ -295,19 +165,6 @@
          found->second.listed.state == TargetState::Ready;
 }
 
-TargetId TargetTable::FindByAddress(const Common::Address& address) const
-{
-  const auto found = std::ranges::find_if(m_targets,
-                                          [&](const auto& entry)
-                                          {
-                                            const Target& target = entry.second;
-                                            return target.IsListed() &&
-                                                   target.listed.address == address &&
-                                                   IsKnownService(target.listed.service);
-                                          });
-  return found == m_targets.end() ? TargetId() : found->first;
-}
-
 std::uint64_t TargetTable::WeightsAt(const TargetId& id) const
 {
   const auto found = m_targets.find(id);
@@ -394,24 +251,4 @@
     found->second.avoid_until = std::max(found->second.avoid_until, now + FULL_PAUSE);
 }
 
-void TargetTable::OnReplaced(const TargetId& id, TimePoint now)
-{
-  const auto found = m_targets.find(id);
-  if (found == m_targets.end())
-    return;
-  found->second.is_replaced = true;
-  LogEvent(Weight::Important, now, "target.replaced", "target", id, "at",
-           found->second.listed.address.ToString());
-}
-
-std::vector<ListedTarget> TargetTable::Listed() const
-{
-  std::vector<ListedTarget> listed;
-  for (const auto& [id, target] : m_targets)
-  {
-    if (target.IsListed())
-      listed.push_back(target.listed);
-  }
-  return listed;
-}
 } // namespace Holdpost::Gateway
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/TargetChoosingTest.cpp
@@ -0,0 +1,239 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <map>
+
+#include <doctest/doctest.h>
+
+#include "Core/Gateway/TargetTableFixture.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using namespace Holdpost::Gateway::TableTesting;
+using Common::Milliseconds;
+
+using Fixture = TableTesting::TargetTableFixture;
+
+TEST_CASE("Weights that are due")
+{
+  Fixture f;
+  f.two.weights_version = 2;
+  f.table.SetList({f.one, f.two}, f.now);
+  f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+  const auto choose_before = [&](Milliseconds left) {
+    return f.Choose({"llm", 1000, 100, {}, {{2, f.now + left}}});
+  };
+  CHECK(choose_before(Milliseconds(5000))->id == "1");
+  // A request that could begin too late goes to the newer weights, though they are busier.
+  CHECK(choose_before(Milliseconds(250))->id == "2");
+  CHECK(choose_before(Milliseconds(650))->id == "2");
+  // Until then the free target is used: it may begin after twice the expected time and a margin for
+  // what other gateways send there.
+  CHECK(choose_before(Milliseconds(750))->id == "1");
+  CHECK(choose_before(Milliseconds(-100))->id == "2");
+
+  SUBCASE("without fresh word of a target nothing is sent there in time's last seconds")
+  {
+    f.now += Milliseconds(600);
+    f.table.OnLoad(MakeLoad(f.two, 20), f.now);
+    CHECK(choose_before(Milliseconds(1500))->id == "2");
+    CHECK(choose_before(Milliseconds(5000))->id == "1");
+  }
+  SUBCASE("an earlier bound is not forgotten for a later one")
+  {
+    const TargetWish wish{"llm", 1000, 100, {}, {{2, f.now}, {3, f.now + Milliseconds(3000)}}};
+    CHECK(f.Choose(wish)->id == "2");
+  }
+}
+
+TEST_CASE("A planned switch makes a target dear for what would hold it up")
+{
+  Fixture f;
+  TargetLoad load = MakeLoad(f.one, 0);
+  load.switch_in = Milliseconds(400);
+  f.table.OnLoad(load, f.now);
+  f.table.OnLoad(MakeLoad(f.two, 6), f.now);
+  CHECK(f.Choose({"llm", 100, 5, {}, {}})->id == "1");
+  CHECK(f.Choose({"llm", 100, 200, {}, {}})->id == "2");
+
+  SUBCASE("but not closed to it when the others are full")
+  {
+    f.table.OnLoad(MakeLoad(f.two, 40), f.now);
+    CHECK(f.Choose({"llm", 100, 200, {}, {}})->id == "1");
+  }
+}
+
+TEST_CASE("Prompts that others wait to be read hold up a request")
+{
+  Fixture f;
+  TargetLoad flooded = MakeLoad(f.one, 4);
+  flooded.unread_prompt_tokens = 8000;
+  f.table.OnLoad(flooded, f.now);
+  TargetLoad calm = MakeLoad(f.two, 10);
+  calm.unread_prompt_tokens = 0;
+  f.table.OnLoad(calm, f.now);
+  CHECK(f.Choose()->id == "2");
+  CHECK(f.Choose()->expected_start < Milliseconds(200));
+
+  SUBCASE("until they have been read")
+  {
+    f.now += Milliseconds(1400);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("what this gateway sent since the report counts on top")
+  {
+    f.table.OnDispatched("2", 1, 9000, Milliseconds(100), f.now);
+    CHECK(f.Choose()->id == "1");
+    CHECK(f.table.OwnWorkAt("2") == OwnWork{1, 9000});
+    f.table.OnStarted("2", 1, 9000, f.now);
+    CHECK(f.table.OwnWorkAt("2") == OwnWork{1, 0});
+    f.table.OnEnded("2", 1, 0);
+    CHECK(f.table.OwnWorkAt("2") == OwnWork{});
+  }
+}
+
+TEST_CASE("Of many gateways that see the same room each sends its part")
+{
+  Fixture f;
+  f.table.SetGateways({40, 40});
+  // One has room for about two more requests, the other for none.
+  f.table.OnLoad(MakeLoad(f.one, 60), f.now);
+  f.table.OnLoad(MakeLoad(f.two, 15), f.now);
+  f.table.OnArrival("llm", f.now);
+  TargetWish wish{"llm", 1000, 100, {}, {}, 1, Milliseconds(400)};
+  // Enough that a share is known to a few hundredths.
+  static constexpr int WISHES = 4000;
+  const auto count_sent = [&]
+  {
+    int sent = 0;
+    for (int i = 0; i < WISHES; ++i)
+      sent += f.Choose(wish).has_value() ? 1 : 0;
+    return sent;
+  };
+  CHECK(count_sent() < WISHES / 4);
+
+  SUBCASE("alone it may send")
+  {
+    f.table.SetGateways({1, 1});
+    CHECK(count_sent() == WISHES);
+  }
+  SUBCASE("small requests come first, and large ones still get a part")
+  {
+    const int usual = count_sent();
+    wish.prompt_tokens = 100;
+    wish.answer_tokens = 20;
+    const int small = count_sent();
+    CHECK(small > 1.5 * usual);
+    wish.prompt_tokens = 2500;
+    wish.answer_tokens = 400;
+    const int large = count_sent();
+    CHECK(large < 0.8 * usual);
+    CHECK(large > 0);
+  }
+  SUBCASE("one that refuses more than the others comes first")
+  {
+    const int usual = count_sent();
+    for (int i = 0; i < 20; ++i)
+    {
+      f.table.OnArrival("llm", f.now);
+      f.table.OnRefused("llm", f.now);
+    }
+    TargetLoad load = MakeLoad(f.two, 15);
+    load.demand = {800, 0, 0.3};
+    f.table.OnLoad(load, f.now);
+    CHECK(count_sent() > 1.5 * usual);
+  }
+  SUBCASE("a request that has run is not held to it")
+  {
+    wish.start_most.reset();
+    CHECK(count_sent() == WISHES);
+  }
+}
+
+TEST_CASE("A target that looked idle a while ago is taken to be about as busy as the others")
+{
+  TargetTable table("here");
+  const ListedTarget near = MakeTarget("1");
+  const ListedTarget far = MakeTarget("2", "there");
+  table.SetEngine("llm", Testing::MakeEngine(16));
+  table.SetList({near, far}, START);
+  table.OnLoad(MakeLoad(far, 0), START);
+  const auto chosen = [&](Common::TimePoint now)
+  {
+    table.OnLoad(MakeLoad(near, 16), now);
+    return table.Choose({"llm", 1000, 100, {}, {}}, now)->id;
+  };
+  CHECK(chosen(START + Milliseconds(100)) == "2");
+  CHECK(chosen(START + Milliseconds(600)) == "1");
+
+  SUBCASE("but it is used when nothing else can begin soon")
+  {
+    table.OnLoad(MakeLoad(near, 24), START + Milliseconds(610));
+    CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START + Milliseconds(610))->id == "2");
+  }
+}
+
+TEST_CASE("Other halls are needed while nothing here can begin soon")
+{
+  TargetTable table("here");
+  const ListedTarget near = MakeTarget("1");
+  table.SetEngine("llm", Testing::MakeEngine(16));
+  table.SetList({near, MakeTarget("2", "there")}, START);
+  table.OnLoad(MakeLoad(near, 8), START);
+  CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START));
+  CHECK(!table.NeedsOtherHalls(START));
+  table.OnLoad(MakeLoad(near, 20), START);
+  CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START));
+  CHECK(table.NeedsOtherHalls(START));
+  CHECK(!table.NeedsOtherHalls(START + Milliseconds(5000)));
+}
+
+TEST_CASE("Targets out of reach are used when no other is open")
+{
+  TargetTable table("here", 7);
+  std::vector<ListedTarget> list;
+  for (int i = 0; i < 30; ++i)
+  {
+    list.push_back(MakeTarget(std::to_string(10 + i), i < 2 ? "here" : "there"));
+    list.back().id = "t" + std::to_string(i);
+  }
+  table.SetEngine("llm", Testing::MakeEngine(16));
+  table.SetList(list, START);
+  table.SetGateways({60, 2});
+  std::vector<Common::Address> used = table.Used();
+  CHECK(used.size() < 12);
+  CHECK(table.IsUsed(list[0].address));
+  for (ListedTarget& target : list)
+  {
+    if (table.IsUsed(target.address))
+      target.state = TargetState::Leaving;
+  }
+  table.SetList(list, START);
+  // Those that leave stay in reach until they are gone.
+  const auto choice = table.Choose({"llm", 1000, 100, {}, {}}, START);
+  REQUIRE(choice);
+  CHECK(!table.IsUsed(choice->address));
+}
+
+TEST_CASE("Gateways that know of no difference between targets take different ones")
+{
+  std::vector<ListedTarget> list;
+  for (int i = 0; i < 6; ++i)
+  {
+    list.push_back(MakeTarget(std::to_string(i)));
+    list.back().service = "desk";
+    list.back().needs_weights = false;
+  }
+  std::map<TargetId, int> chosen;
+  for (std::uint64_t seed = 0; seed < 60; ++seed)
+  {
+    TargetTable table("here", seed);
+    table.SetList(list, START);
+    const TargetId first = table.Choose({"desk", 0, 0, {}, {}}, START)->id;
+    // The same one each time, so that its connection is used again.
+    CHECK(table.Choose({"desk", 0, 0, {}, {}}, START)->id == first);
+    ++chosen[first];
+  }
+  CHECK(chosen.size() == 6);
+  for (const auto& [id, count] : chosen)
+    CHECK(count < 25);
+}
