Control: A gateway that asks the platform in vain says so, though it was never answered itself

A gateway that others had told everything after its start had no answer of its own, and told the others nothing, so that fewer than five were known to fail. Change: a gateway that reads and knows settings and targets tells the others how old its last answer is, or that there is none.

--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Node/GatewayControl.h"
 
+#include <algorithm>
+
 #include "Common/Compression.h"
 #include "Common/EventLog.h"
 #include "Common/Mailbox.h"
@@ -18,6 +20,8 @@
 static constexpr Milliseconds BEAT_PERIOD = Milliseconds(300);
 // A peer that was asked is given so long to answer.
 static constexpr Milliseconds ASK_PAUSE = Milliseconds(600);
+// One that the platform has never answered says this.
+static constexpr Milliseconds ANSWER_AGE_TOLD_MOST = std::chrono::hours(1);
 // No settings document is longer.
 static constexpr std::size_t DOCUMENT_BYTES_MOST = 16 << 20;
 
@@ -32,7 +36,8 @@
 void GatewayControl::Beat(TimePoint now)
 {
   m_beat_due = now + BEAT_PERIOD;
-  if (!m_duty.Reads() || m_follower.LastAnswer() == TimePoint())
+  // Without an answer of its own it says that it asks in vain; after a start it just has none yet.
+  if (!m_duty.Reads() || !KnowsAll())
     return;
   const Mesh::ReaderBeat beat = MakeBeat(now);
   for (const Address& gateway : m_membership.Others(now))
@@ -46,7 +51,8 @@
   beat.targets_changed = m_follower.TargetsChanged();
   beat.settings = m_follower.Version();
   beat.weights = m_briefing.ToldAt(now);
-  beat.answer_age = std::chrono::duration_cast<Milliseconds>(now - m_follower.LastAnswer());
+  const auto answer_age = std::chrono::duration_cast<Milliseconds>(now - m_follower.LastAnswer());
+  beat.answer_age = std::min(answer_age, ANSWER_AGE_TOLD_MOST);
   return beat;
 }
 
@@ -174,7 +180,7 @@
   const bool is_new = m_membership.OnNamed({from.address}, now);
   m_duty.OnReaderHeard(Control::RankOf(from.address), beat.answer_age, now);
   // A gateway that has just started reads until it hears of a reader.
-  if (is_new && m_duty.Reads() && m_follower.LastAnswer() != TimePoint())
+  if (is_new && m_duty.Reads() && KnowsAll())
     m_mesh.SendDatagram(from.address, MakeBeat(now));
   if (did_read && !m_duty.Reads())
   {
