--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -65,8 +65,8 @@
   bool is_small = true;
 };
 
-using Action = std::variant<ReadReport, ReadIdentity, ListStaged, ReadStaged, StagePiece, StartWeights,
-                            FetchFromOrigin, CancelOriginFetch, Tell>;
+using Action = std::variant<ReadReport, ReadIdentity, ListStaged, ReadStaged, StagePiece,
+                            StartWeights, FetchFromOrigin, CancelOriginFetch, Tell>;
 using Actions = std::vector<Action>;
 
 class Sidecar
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -31,8 +31,8 @@
     hello.is_gateway = true;
     hello.settings = 17;
     hello.weights = {{{"m", 3}, Milliseconds(250)}};
-    hello.plan = {"svc", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a",
-                  912500, "/health"};
+    hello.plan = {"svc",      "m",    96,       24576, Milliseconds(300), {"10.9.0.1", 80},
+                  "bergen-a", 912500, "/health"};
     hello.peers = {{{"10.1.0.5", 7700}, "oslo-a"}, {{"10.2.0.5", 7700}, "bergen-a"}};
     hello.clock = Milliseconds(123456);
     hello.wants_load = true;
