Control: Before the first settings are written, one gateway of a hall waits for them

Settings are written 0.6 s after the start; until then each of 149 gateways asks 14 times a second for them, as an answer without settings reset the pause between two reads, and as a reader without settings told the others nothing. Change: a gateway whose reads were both answered may be followed, also when there are no settings yet; the pause grows to a second.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -102,10 +102,12 @@
   }
   NoteReachable(true, now);
   m_last_answer = now;
-  m_operator_backoff.Reset();
+  m_has_read_operator = true;
   const auto& read = std::get<OperatorRead>(result);
   m_operator_next = read.next;
-  // Until the first document is written there is nothing to wait at.
+  if (m_document || read.document)
+    m_operator_backoff.Reset();
+  // Until the first document is written there is nothing to wait at: it is asked for ever less.
   m_operator_due = m_document || read.document ? now : now + m_operator_backoff.Next();
   bool is_new = read.document && OfferDocument(read.document, read.text);
   for (const NamedWeights& named : read.weights)
@@ -160,6 +162,7 @@
   m_targets_backoff.Reset();
   m_targets_due = now + m_options.list_period;
   m_last_answer = now;
+  m_has_read_targets = true;
   const bool is_news = m_targets.OnRead(std::get<TargetsRead>(result), now);
   m_targets_next = m_targets.Known();
   return is_news;
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -77,6 +77,9 @@
   const std::map<std::string, NamedVersions>& Weights() const { return m_weights; }
   std::vector<Gateway::ListedTarget> Targets() const { return m_targets.All(); }
   bool HasTargets() const { return m_targets.IsKnown(); }
+  // Whether the platform has answered both reads since the start. There may be no settings yet: who
+  // follows this process need not ask for them as well.
+  bool HasReadAll() const { return m_has_read_operator && m_has_read_targets; }
   // How far the list of targets is known, and the last change in it.
   Position TargetsPosition() const { return m_targets.Known(); }
   Position TargetsChanged() const { return m_targets.Changed(); }
@@ -110,6 +113,8 @@
   Common::TimePoint m_last_answer{};
   bool m_is_reading_operator = false;
   bool m_is_reading_targets = false;
+  bool m_has_read_operator = false;
+  bool m_has_read_targets = false;
   Common::TimePoint m_operator_due{};
   Common::TimePoint m_targets_due{};
   Backoff m_operator_backoff;
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -75,6 +75,8 @@
   void QuerySeeds(Common::TimePoint now);
   // Whether settings and targets are known.
   bool KnowsAll() const;
+  // Whether others may rely on what this gateway reads.
+  bool MayBeFollowed() const;
   // Asks another gateway for settings and targets that are newer than those known here.
   void AskPeer(const Common::Address& peer);
   void Beat(Common::TimePoint now);
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -37,7 +37,7 @@
 {
   m_beat_due = now + BEAT_PERIOD;
   // Without an answer of its own it says that it asks in vain; after a start it just has none yet.
-  if (!m_duty.Reads() || !KnowsAll())
+  if (!m_duty.Reads() || !MayBeFollowed())
     return;
   const Mesh::ReaderBeat beat = MakeBeat(now);
   for (const Address& gateway : m_membership.Others(now))
@@ -165,6 +165,13 @@
   return m_follower.Document() && m_follower.HasTargets();
 }
 
+bool GatewayControl::MayBeFollowed() const
+{
+  // Before the first settings are written there is nothing to pass on, but one reader is enough to
+  // wait for them: when each of 149 gateways did, they asked 1,270 times within 4 s of their start.
+  return KnowsAll() || m_follower.HasReadAll();
+}
+
 void GatewayControl::AskPeer(const Address& peer)
 {
   m_mesh.Send(peer, Mesh::AskDocument{m_follower.Version()});
@@ -180,7 +187,7 @@
   const bool is_new = m_membership.OnNamed({from.address}, now);
   m_duty.OnReaderHeard(Control::RankOf(from.address), beat.answer_age, now);
   // A gateway that has just started reads until it hears of a reader.
-  if (is_new && m_duty.Reads() && KnowsAll())
+  if (is_new && m_duty.Reads() && MayBeFollowed())
     m_mesh.SendDatagram(from.address, MakeBeat(now));
   if (did_read && !m_duty.Reads())
   {
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -71,6 +71,24 @@
   CHECK(Take<ReadOperator>(f.actions).empty());
   f.Tick(Milliseconds(200));
   CHECK(Take<ReadOperator>(f.actions).size() == 1);
+
+  SUBCASE("Ever less often, up to once a second")
+  {
+    std::size_t reads = 0;
+    for (int step = 0; step < 500; ++step)
+    {
+      CHECK_FALSE(f.follower.OnOperatorRead(OperatorRead{nullptr, nullptr, {}, 3}, f.now));
+      f.Tick(Milliseconds(10));
+      reads += Take<ReadOperator>(f.actions).size();
+    }
+    CHECK(reads <= 12);
+  }
+  SUBCASE("Others may rely on it as soon as both reads were answered")
+  {
+    CHECK_FALSE(f.follower.HasReadAll());
+    f.follower.OnTargetsRead(TargetsRead{true, {}, 1}, f.now);
+    CHECK(f.follower.HasReadAll());
+  }
 }
 
 TEST_CASE("A list of targets from a peer counts if it was read further")
