--- a/Source/Bench/Routing/RoutingCallers.cpp
+++ b/Source/Bench/Routing/RoutingCallers.cpp
@@ -13,7 +13,7 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
-// A caller that hears nothing for so long leaves.
+// A caller that receives nothing for so long leaves.
 static constexpr Milliseconds PATIENCE{2000};
 // A request is worth this much and the rest by its size, at most so many times the mean.
 static constexpr double FIXED_WORTH = 0.3;
--- a/Source/Common/Socket.cpp
+++ b/Source/Common/Socket.cpp
@@ -12,7 +12,7 @@
 
 namespace Holdpost::Common
 {
-// A peer that is silent for so long is asked for a sign of life, so often, and so many times.
+// A peer that is silent for so long is probed so often, and so many times.
 static constexpr int KEEPALIVE_IDLE_SECONDS = 1;
 static constexpr int KEEPALIVE_INTERVAL_SECONDS = 1;
 static constexpr int KEEPALIVE_PROBES = 2;
--- a/Source/Core/Control/ControlMessages.h
+++ b/Source/Core/Control/ControlMessages.h
@@ -41,7 +41,7 @@
 // Why a target is not on the list.
 enum class Removal
 {
-  // Its entry has gone. During an outage of the platform it may have lapsed, though it lives.
+  // Its entry has gone. During an outage of the platform it may have lapsed, though it runs.
   Gone,
   // What stands there cannot be read, so whoever wrote it, the target is not there.
   Unreadable,
--- a/Source/Core/Control/PeerQuery.h
+++ b/Source/Core/Control/PeerQuery.h
@@ -15,7 +15,7 @@
 {
   // Too little to serve callers.
   Partial,
-  // What was in force when the platform was last heard.
+  // What was in force when the platform last answered.
   Whole,
 };
 
--- a/Source/Core/Control/ReaderDuty.cpp
+++ b/Source/Core/Control/ReaderDuty.cpp
@@ -15,7 +15,7 @@
 // A reader that had no answer of the platform for so long may be cut off from it. Settings have to
 // be in force, and leaving targets spared, within two seconds: the rest is for reading anew.
 static constexpr Duration ANSWER_AGE_MOST = Milliseconds(1000);
-// Those that wait don't all begin at once: the first one that does is heard by the others.
+// Those that wait don't all begin at once: the others receive the beat of the first one that does.
 static constexpr std::uint64_t JITTER_MS = 200;
 // A process that has just started is told by others within so long, if any can.
 static constexpr Milliseconds TOLD_WITHIN = Milliseconds(20);
@@ -24,9 +24,9 @@
 // 26 MB / 149): so they come one after the other.
 static constexpr std::uint64_t TOLD_JITTER_MS = 230;
 static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
-// An answer that is heard of one beat late must still be younger than ANSWER_AGE_MOST when the next
-// one comes. With 1,200 ms all 30 gateways of a hall took over from a reader that was well, again
-// and again, and each read the whole list.
+// An answer whose beat comes one period late must still be younger than ANSWER_AGE_MOST when the
+// next one comes. With 1,200 ms all 30 gateways of a hall took over from a reader that was well,
+// again and again, and each read the whole list.
 static constexpr Milliseconds LIST_PERIOD_MOST = Milliseconds(600);
 // So many go on asking a platform that answers none of them. The platform may refuse some machines
 // only, so each of the others takes a turn from time to time, one about each TURN_OF_EACH. When all
@@ -60,11 +60,11 @@
 
 void ReaderDuty::OnAlone(TimePoint now)
 {
-  if (!m_reads && !m_has_heard_reader)
+  if (!m_reads && !m_has_reader)
     m_take_over_at = std::min(m_take_over_at, now);
 }
 
-void ReaderDuty::OnReaderHeard(ReaderRank rank, Duration answer_age, TimePoint now)
+void ReaderDuty::OnReaderBeat(ReaderRank rank, Duration answer_age, TimePoint now)
 {
   if (!IsFresh(answer_age))
   {
@@ -72,7 +72,7 @@
     return;
   }
   m_failing.erase(rank);
-  m_has_heard_reader = true;
+  m_has_reader = true;
   if (m_reads && rank >= m_rank)
     return;
   m_reads = false;
--- a/Source/Core/Control/ReaderDuty.h
+++ b/Source/Core/Control/ReaderDuty.h
@@ -9,7 +9,7 @@
 
 // Decides whether this process reads the platform itself or leaves it to another one of its hall,
 // which passes on what it reads. No agreement is needed: two that read at once are only dearer,
-// and each hears of the other soon.
+// and each receives the beat of the other soon.
 namespace Holdpost::Control
 {
 // A process's place among those that could read; the least one keeps reading.
@@ -30,7 +30,7 @@
 class ReaderDuty
 {
 public:
-  // Reads from the start, until another reader is heard.
+  // Reads from the start, until the beat of another reader comes.
   ReaderDuty(ReaderRank rank, std::uint64_t seed) : m_rank(rank), m_random(seed) {}
 
   // Gives others a moment to tell what they know, before anything is asked of the platform.
@@ -41,13 +41,13 @@
   // How many processes of the hall could read, this one included.
   void SetMembers(std::size_t members) { m_members = members; }
   // Another process of the hall reads, and had an answer of the platform so long ago.
-  void OnReaderHeard(ReaderRank rank, Common::Duration answer_age, Common::TimePoint now);
+  void OnReaderBeat(ReaderRank rank, Common::Duration answer_age, Common::TimePoint now);
   // Takes over when what readers told is too old, and leaves a platform that answers nobody to a
   // few. `answered` is when it last answered this process.
   DutyChange OnTick(Common::TimePoint answered, Common::TimePoint now);
   bool Reads() const { return m_reads; }
-  // Whether it leaves the platform to a reader that it has heard.
-  bool IsFollowing() const { return !m_reads && m_has_heard_reader; }
+  // Whether it leaves the platform to another reader.
+  bool IsFollowing() const { return !m_reads && m_has_reader; }
   Common::TimePoint NextWakeup() const;
 
 private:
@@ -62,12 +62,12 @@
   std::size_t m_members = 1;
   bool m_reads = true;
   Common::TimePoint m_began{};
-  bool m_has_heard_reader = false;
+  bool m_has_reader = false;
   // Without newer word of a reader this process begins to read.
   Common::TimePoint m_take_over_at{};
   // That time is a turn at a platform that answers nobody.
   bool m_has_turn = false;
-  // Readers that have had no answer for long, and when each was heard.
+  // Readers that have had no answer for long, and when each told so.
   std::map<ReaderRank, Common::TimePoint> m_failing;
 };
 } // namespace Holdpost::Control
--- a/Source/Core/Distribution/Exchange.h
+++ b/Source/Core/Distribution/Exchange.h
@@ -55,7 +55,7 @@
                       bool is_urgent, Common::TimePoint now, Actions* actions);
   // The peer does not wait for the piece any more, or has it.
   void OnRequestAbandoned(RequestTag tag, Common::TimePoint now, Actions* actions);
-  // A piece from an earlier life, if it is of the version.
+  // A piece from an earlier incarnation, if it is of the version.
   void OfferPiece(const Common::Digest& version, std::uint32_t piece, const Common::Bytes& data,
                   Common::TimePoint now, Actions* actions);
   void OnTick(Common::TimePoint now, Actions* actions);
--- a/Source/Core/Distribution/Swarm.cpp
+++ b/Source/Core/Distribution/Swarm.cpp
@@ -139,7 +139,7 @@
   else if (m_availability[piece]++ == 0 && !m_held.Contains(piece))
   {
     m_last_new_sight = now;
-    OnDrawn(piece, now);
+    OnFetchedFromOrigin(piece, now);
   }
 }
 
@@ -165,7 +165,7 @@
   }
   if (const auto hall = m_hall_of.find(peer);
       hall != m_hall_of.end() && hall->second == m_options.origin_hall)
-    m_origin_hall_heard = now;
+    m_origin_hall_seen = now;
   if (announcement.wants_reply)
   {
     TellWhole(peer, false, actions);
--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -26,7 +26,7 @@
 
 struct SwarmOptions
 {
-  // A piece that nobody is seen to hold is drawn by the next ranked fetcher after so long without
+  // A piece that nobody is seen to hold is fetched by the next ranked fetcher after so long without
   // any new piece coming into sight.
   Common::Duration patience = Common::Milliseconds(1500);
   // A source that owes pieces and delivers nothing for so long is given up.
@@ -48,8 +48,8 @@
   bool adapts_window = false;
   // What a piece takes on the link when nothing else is on it.
   Common::Duration piece_time = Common::Milliseconds(30);
-  // What a piece takes on the origin's link: instances that share it out draw at that pace.
-  Common::Duration draw_time = Common::Milliseconds(30);
+  // What a piece takes on the origin's link: instances that share it out fetch at that pace.
+  Common::Duration origin_piece_time = Common::Milliseconds(30);
   // A version is the SHA-256 of its manifest; else the manifest of the origin is believed until its
   // pieces prove it wrong.
   bool is_named_by_content = true;
@@ -92,11 +92,11 @@
 
   void SetOptions(const SwarmOptions& options) { m_options = options; }
   // `neighbours` exchange pieces with us; `fetchers` are all that want the version and may be
-  // expected to draw their share from the origin.
+  // expected to fetch their share from the origin.
   void SetPeers(const std::vector<std::string>& neighbours, const std::vector<Fetcher>& fetchers,
                 Common::TimePoint now, Actions* actions);
-  // The view of who else wants the version is fresh. Before that nothing is drawn from the origin
-  // until the patience is over: an instance that knows nobody would draw it all.
+  // The view of who else wants the version is fresh. Before that nothing is fetched from the origin
+  // until the patience is over: an instance that knows nobody would fetch it all.
   void OnViewConfirmed(Common::TimePoint now, Actions* actions);
   void OnAnnouncement(const std::string& peer, const Announcement& announcement,
                       Common::TimePoint now, Actions* actions);
@@ -107,7 +107,7 @@
   // An answer to a FetchPiece. Late answers to cancelled fetches are dropped.
   void OnFetched(FetchId id, const Common::Result<Common::Bytes>& result, Common::TimePoint now,
                  Actions* actions);
-  // A piece that was held from an earlier life; dropped if it is not of this version.
+  // A piece that was held from an earlier incarnation; dropped if it is not of this version.
   void OfferPiece(std::uint32_t piece, const Common::Bytes& data, Common::TimePoint now,
                   Actions* actions);
   void OnTick(Common::TimePoint now, Actions* actions);
@@ -181,7 +181,7 @@
   void PumpPeers(Common::TimePoint now, Actions* actions);
   void PumpHedges(Common::TimePoint now, Actions* actions);
   void GiveUpStalled(Common::TimePoint now, Actions* actions);
-  bool MayDraw(Common::TimePoint now) const;
+  bool MayUseOrigin(Common::TimePoint now) const;
   std::optional<std::uint32_t> NextForOrigin(Common::TimePoint now, bool* is_takeover) const;
   std::optional<std::uint32_t> RarestPiece(Common::TimePoint now);
   // The least loaded neighbour that holds the piece; empty if none may be asked now.
@@ -222,7 +222,7 @@
   bool IsOriginHallIdle(Common::TimePoint now);
   void PumpOutside(Common::TimePoint now, Actions* actions);
   // Where the piece may be had outside the hall: a peer, or an empty name for the origin.
-  std::optional<std::string> OutsideSource(std::uint32_t piece, bool may_draw,
+  std::optional<std::string> OutsideSource(std::uint32_t piece, bool may_use_origin,
                                            Common::TimePoint now);
   // Whether neither this instance nor a neighbour of the hall holds the piece.
   bool IsUnseen(std::uint32_t piece) const
@@ -231,19 +231,19 @@
   }
   // When this instance may bring the piece in.
   Common::TimePoint TurnAt(std::uint32_t piece) const;
-  // Plans to draw what the hall lacks, in order, from now on.
-  void PlanDraws(Common::TimePoint now);
+  // Plans to fetch what the hall lacks, in order, from now on.
+  void PlanFetches(Common::TimePoint now);
   // When the piece should come from the origin.
-  Common::TimePoint PlannedDraw(std::uint32_t piece) const;
+  Common::TimePoint PlannedFetch(std::uint32_t piece) const;
   // The piece has come to some member of the hall. Returns whether the origin was down until then.
-  bool OnDrawn(std::uint32_t piece, Common::TimePoint now);
+  bool OnFetchedFromOrigin(std::uint32_t piece, Common::TimePoint now);
   // Tells those of the hall that are no neighbours, too, so that all know that the origin is back.
   void TellWholeHall(std::uint32_t piece, Actions* actions);
   // For how long the origin has been down as far as the hall can tell; below zero if it is not.
   Common::Duration OutageFor(Common::TimePoint now) const;
   // While the origin is down few of the hall go on asking it, the more the longer it takes. If all
   // did, its first answers would be shared between copies of the same pieces.
-  bool MayDrawForHall(Common::TimePoint now) const;
+  bool MayFetchForHall(Common::TimePoint now) const;
   bool IsClaimed(std::uint32_t piece, Common::TimePoint now) const;
   void Claim(std::uint32_t piece, Actions* actions);
   std::uint32_t OpenOutside() const;
@@ -279,7 +279,7 @@
   // Instances that want the version, by hall.
   std::map<std::string, std::vector<std::string>> m_halls;
   std::map<std::string, std::string> m_hall_of;
-  // For each piece, how many draw it from the origin before this one.
+  // For each piece, how many fetch it from the origin before this one.
   std::vector<std::uint32_t> m_ranks;
   // Who brings in what, by hall.
   std::map<std::string, Deal> m_deals;
@@ -294,14 +294,14 @@
   Common::TimePoint m_plan_begin{};
   std::vector<std::uint32_t> m_plan_position;
   // When a piece last came into the hall.
-  Common::TimePoint m_drawn_at{};
+  Common::TimePoint m_origin_fetched_at{};
   // The end of what came from the origin, in the plan's order, and how late the origin is.
-  std::uint32_t m_drawn_end = 0;
+  std::uint32_t m_fetched_end = 0;
   Common::Duration m_origin_late{};
   // When a piece that waits for its turn may be brought in.
   Common::TimePoint m_next_turn = Common::TimePoint::max();
   Common::TimePoint m_greet_due{};
-  Common::TimePoint m_origin_hall_heard{};
+  Common::TimePoint m_origin_hall_seen{};
   // When another hall was last seen to have a piece that is new here.
   Common::TimePoint m_last_outside_sight{};
   bool m_has_taken_over = false;
@@ -312,7 +312,7 @@
   std::uint32_t m_manifest_rank_in_hall = 0;
   std::vector<std::uint32_t> m_availability; // neighbours that hold each piece
   std::vector<std::uint32_t> m_in_flight;    // fetches of each piece
-  std::vector<std::uint32_t> m_draw_order;   // seeded, so that fetchers don't draw in step
+  std::vector<std::uint32_t> m_origin_order; // seeded, so that fetchers don't fetch in step
 
   std::map<FetchId, Fetch> m_fetches;
   bool m_is_view_confirmed = false;
--- a/Source/Core/Distribution/SwarmHalls.cpp
+++ b/Source/Core/Distribution/SwarmHalls.cpp
@@ -22,12 +22,12 @@
 // Times the patience that other halls wait for the origin's hall, while it answers and when it does
 // not. One that answers brings pieces as soon as the origin has any: halls that took over from it
 // in an outage of 6 s fetched the same pieces again when the origin was back, three times each.
-static constexpr int WAIT_FOR_HEARD = 20;
+static constexpr int WAIT_FOR_ANSWERING = 20;
 static constexpr int WAIT_FOR_SILENT = 2;
-// Turns that the origin's hall has for the manifest before others draw it.
+// Turns that the origin's hall has for the manifest before others fetch it.
 static constexpr std::uint32_t MANIFEST_TURNS_ELSEWHERE = 2;
 static constexpr Milliseconds SILENT_AFTER = Milliseconds(1500);
-// Members of the next hall that hear of a piece: the one that brings it in, and those that come
+// Members of the next hall that are told of a piece: the one that brings it in, and those that come
 // after it.
 static constexpr std::size_t TOLD_OF_A_PIECE = 3;
 // The next member may bring a piece in after so many times of what a piece takes, and this at
@@ -62,7 +62,7 @@
   m_hall_ranks.clear();
   for (std::uint32_t piece = 0; piece < count; ++piece)
     m_hall_ranks.push_back(m_deals[m_self.hall].RankOf(m_self.instance, piece));
-  // Those in the origin's hall draw the manifest first.
+  // Those in the origin's hall fetch the manifest first.
   m_manifest_rank_in_hall = m_hall_ranks.front();
   m_manifest_rank = m_hall_ranks.front();
   if (!IsInOriginHall())
@@ -92,8 +92,8 @@
     if (hall == m_self.hall)
       continue;
     // Others each time, as some may be out of reach.
-    const auto draw = static_cast<std::uint32_t>(m_random());
-    for (const std::string& name : FirstForPiece(m_version, draw, names, GREETED_PER_HALL))
+    const auto seed = static_cast<std::uint32_t>(m_random());
+    for (const std::string& name : FirstForPiece(m_version, seed, names, GREETED_PER_HALL))
       TellWhole(name, true, actions);
   }
   if (m_neighbours.empty())
@@ -154,12 +154,13 @@
 bool Swarm::IsOriginHallIdle(TimePoint now)
 {
   // Its members bring pieces to it; as long as they answer they are given more time.
-  const bool is_heard = now - m_origin_hall_heard < SILENT_AFTER;
+  const bool is_answering = now - m_origin_hall_seen < SILENT_AFTER;
   // What the own hall brings in meanwhile does not count.
   const Duration waited = now - std::max(m_last_outside_sight, m_view_confirmed_at);
-  const bool is_idle = waited >= (is_heard ? WAIT_FOR_HEARD : WAIT_FOR_SILENT) * m_options.patience;
-  // Who has taken over goes on until the origin's hall is heard of.
-  m_has_taken_over = is_idle || (m_has_taken_over && !is_heard);
+  const bool is_idle =
+      waited >= (is_answering ? WAIT_FOR_ANSWERING : WAIT_FOR_SILENT) * m_options.patience;
+  // Who has taken over goes on until the origin's hall answers again.
+  m_has_taken_over = is_idle || (m_has_taken_over && !is_answering);
   return m_has_taken_over;
 }
 
@@ -173,18 +174,18 @@
   // The origin sends one piece after the other, so that the first ones are passed on early. If it
   // is slower than planned, that is not the fault of those whose turn it was.
   const Duration late = m_hall_ranks[piece] > 0 ? m_origin_late : Duration::zero();
-  return PlannedDraw(piece) + late + wait;
+  return PlannedFetch(piece) + late + wait;
 }
 
-TimePoint Swarm::PlannedDraw(std::uint32_t piece) const
+TimePoint Swarm::PlannedFetch(std::uint32_t piece) const
 {
-  return m_plan_begin + m_plan_position[piece] * m_options.draw_time;
+  return m_plan_begin + m_plan_position[piece] * m_options.origin_piece_time;
 }
 
-void Swarm::PlanDraws(TimePoint now)
+void Swarm::PlanFetches(TimePoint now)
 {
   m_plan_begin = now;
-  m_drawn_end = 0;
+  m_fetched_end = 0;
   m_origin_late = Duration::zero();
   m_plan_position.assign(m_held.Size(), 0);
   std::uint32_t next = 0;
@@ -199,10 +200,10 @@
 {
   const Duration down_after =
       std::max<Duration>(OUTAGE_PIECES * m_options.piece_time, OUTAGE_LEAST);
-  return now - std::max(m_drawn_at, m_plan_begin) - down_after;
+  return now - std::max(m_origin_fetched_at, m_plan_begin) - down_after;
 }
 
-bool Swarm::MayDrawForHall(TimePoint now) const
+bool Swarm::MayFetchForHall(TimePoint now) const
 {
   const Duration outage = OutageFor(now);
   if (outage < Duration::zero())
@@ -217,19 +218,19 @@
   return true;
 }
 
-bool Swarm::OnDrawn(std::uint32_t piece, TimePoint now)
+bool Swarm::OnFetchedFromOrigin(std::uint32_t piece, TimePoint now)
 {
   const bool was_down = OutageFor(now) >= Duration::zero();
-  m_drawn_at = now;
+  m_origin_fetched_at = now;
   SourceState& origin = StateOf(PlatformSource::Origin);
   if (was_down)
   {
-    PlanDraws(now);
-    // The origin's hall hears of it, too, and comes first.
+    PlanFetches(now);
+    // The origin's hall is told of it, too, and comes first.
     if (!std::exchange(m_has_yielded, true))
       m_last_outside_sight = now;
   }
-  else if (m_plan_position[piece] < m_drawn_end)
+  else if (m_plan_position[piece] < m_fetched_end)
   {
     return false;
   }
@@ -238,8 +239,8 @@
   origin.blocked_until = std::min(origin.blocked_until, now);
   if (was_down)
     return true;
-  m_drawn_end = m_plan_position[piece] + 1;
-  m_origin_late = std::max(m_origin_late, now - PlannedDraw(piece));
+  m_fetched_end = m_plan_position[piece] + 1;
+  m_origin_late = std::max(m_origin_late, now - PlannedFetch(piece));
   return false;
 }
 
@@ -253,14 +254,15 @@
   }
 }
 
-std::optional<std::string> Swarm::OutsideSource(std::uint32_t piece, bool may_draw, TimePoint now)
+std::optional<std::string> Swarm::OutsideSource(std::uint32_t piece, bool may_use_origin,
+                                                TimePoint now)
 {
   if (const TimePoint turn = TurnAt(piece); now < turn)
   {
     m_next_turn = std::min(m_next_turn, turn);
     return std::nullopt;
   }
-  if (IsInOriginHall() && may_draw)
+  if (IsInOriginHall() && may_use_origin)
     return "";
   std::string best;
   std::uint32_t least = 0;
@@ -276,7 +278,7 @@
   }
   if (!best.empty())
     return best;
-  if (may_draw)
+  if (may_use_origin)
     return "";
   return std::nullopt;
 }
@@ -286,7 +288,7 @@
   std::uint32_t open = OpenOutside();
   const std::uint32_t window = IsLinkNarrow(now) ? 1 : m_options.window_of_outside;
   // The same for all pieces, and looked up only if one is asked for.
-  std::optional<bool> may_draw;
+  std::optional<bool> may_use_origin;
   for (const std::uint32_t piece : m_outside_order)
   {
     if (open >= window)
@@ -294,9 +296,10 @@
     if (m_held.Contains(piece) || m_in_flight[piece] > 0 || IsWithinReach(piece) ||
         IsClaimed(piece, now))
       continue;
-    if (!may_draw)
-      may_draw = MayDraw(now) && (IsInOriginHall() || IsOriginHallIdle(now)) && MayDrawForHall(now);
-    const auto source = OutsideSource(piece, *may_draw, now);
+    if (!may_use_origin)
+      may_use_origin =
+          MayUseOrigin(now) && (IsInOriginHall() || IsOriginHallIdle(now)) && MayFetchForHall(now);
+    const auto source = OutsideSource(piece, *may_use_origin, now);
     if (!source)
       continue;
     // Who comes after is told, the others wait for their turn.
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -10,7 +10,7 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
-// Nothing is drawn from the origin before the neighbours said what they hold, or for so long.
+// Nothing is fetched from the origin before the neighbours said what they hold, or for so long.
 static constexpr Duration ANSWER_TIME = Milliseconds(300);
 static constexpr Duration MANIFEST_WORD_TIME = Milliseconds(20);
 // Members of a hall ask another hall for the manifest one after the other.
@@ -64,7 +64,7 @@
   const bool has_waited = now - *m_last_new_sight >= m_manifest_rank * m_options.patience;
   // A manifest is small, so the neighbours' word on it is not awaited for long.
   const bool is_view_good = m_options.is_named_by_content
-                                ? MayDraw(now)
+                                ? MayUseOrigin(now)
                                 : m_is_view_confirmed && OpenSource(now) &&
                                       now - m_view_confirmed_at >= MANIFEST_WORD_TIME;
   const std::uint32_t copies = m_options.is_named_by_content ? 1 : 2;
@@ -79,7 +79,7 @@
 {
   const Duration waited = now - *m_last_new_sight;
   std::optional<std::uint32_t> takeover;
-  for (const std::uint32_t piece : m_draw_order)
+  for (const std::uint32_t piece : m_origin_order)
   {
     if (m_held.Contains(piece) || m_in_flight[piece] > 0 || IsWithinReach(piece))
       continue;
@@ -94,7 +94,7 @@
 
 void Swarm::PumpOrigin(TimePoint now, Actions* actions)
 {
-  while (m_platform_outstanding < m_options.window_of_platform && MayDraw(now))
+  while (m_platform_outstanding < m_options.window_of_platform && MayUseOrigin(now))
   {
     bool is_takeover = false;
     const auto piece = NextForOrigin(now, &is_takeover);
@@ -196,7 +196,7 @@
   }
 }
 
-bool Swarm::MayDraw(TimePoint now) const
+bool Swarm::MayUseOrigin(TimePoint now) const
 {
   // Neighbours may hold it all already: their word is awaited for a moment.
   const bool has_word =
--- a/Source/Core/Distribution/SwarmTransfers.cpp
+++ b/Source/Core/Distribution/SwarmTransfers.cpp
@@ -43,12 +43,12 @@
   m_in_flight.assign(count, 0);
   m_claimed_at.assign(count, TimePoint::min());
   m_seen_outside_at.assign(count, TimePoint());
-  m_draw_order.resize(count);
-  std::iota(m_draw_order.begin(), m_draw_order.end(), 0U);
-  std::ranges::shuffle(m_draw_order, m_random);
+  m_origin_order.resize(count);
+  std::iota(m_origin_order.begin(), m_origin_order.end(), 0U);
+  std::ranges::shuffle(m_origin_order, m_random);
   m_last_new_sight = now;
   m_view_confirmed_at = now;
-  PlanDraws(now);
+  PlanFetches(now);
   ComputeRanks();
   CancelOthers(MANIFEST_PIECE, actions);
   for (std::uint32_t piece = 0; piece < m_doubted_pieces.size(); ++piece)
@@ -92,7 +92,7 @@
   if (fetch.peer.empty())
   {
     m_last_new_sight = now;
-    if (OnDrawn(fetch.piece, now) && m_options.shares_crossings)
+    if (OnFetchedFromOrigin(fetch.piece, now) && m_options.shares_crossings)
       TellWholeHall(fetch.piece, actions);
     actions->push_back(CountTransfer{fetch.source == PlatformSource::Store
                                          ? TransferEvent::PieceFromStore
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -160,7 +160,7 @@
 TargetId Gateway::LivingTarget(const Tracked& tracked) const
 {
   if (!tracked.last_attempt ||
-      !m_targets.IsInLife(tracked.target, tracked.last_attempt->choice.incarnation))
+      !m_targets.IsSameIncarnation(tracked.target, tracked.last_attempt->choice.incarnation))
     return {};
   return tracked.target;
 }
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -97,7 +97,7 @@
 
 bool Gateway::Move(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
 {
-  // The present target may have begun, or begin before it hears of this.
+  // The present target may have begun, or begin before it learns of this.
   const std::uint32_t runs = tracked.runs + 1;
   const bool may_move = MayRunAgain(tracked) && runs < tracked.route.attempts_most;
   // Without an allowance it would end in an error: then it stays where it is.
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -15,7 +15,7 @@
 // What happens to a gateway's requests, and what the gateway decides on them.
 namespace Holdpost::Gateway
 {
-// The carrier numbers requests; a number is never used twice in one life of a process.
+// The carrier numbers requests; a number is never used twice by one incarnation of a process.
 using RequestNumber = std::uint64_t;
 // Events of a stream carry rising ids.
 using EventId = std::uint64_t;
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -56,7 +56,7 @@
   Common::Address address; // of the target
   // Empty if the agent does not know it.
   TargetId id = {};
-  // The life of the target that this is about; 0 if that is not told.
+  // The incarnation of the target that this is about; 0 if it is not told.
   std::uint64_t incarnation = 0;
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -27,7 +27,7 @@
 // that were expected to begin within 150 to 240 ms waited for 750 to 800 ms (204 targets), and some
 // of those whose connection was closed by then were begun on weights that were too old.
 static constexpr Duration START_MARGIN = Milliseconds(400);
-static constexpr Duration START_MARGIN_UNHEARD = Milliseconds(2000);
+static constexpr Duration START_MARGIN_UNREPORTED = Milliseconds(2000);
 // What others have sent since the last report is not known for so long: their word is on its way to
 // the agent, which reports not more often than each 10 ms, and its report on the way back. With 10
 // instead of 25 ms, gateways that saw the same idle target sent more there than it could begin:
@@ -64,7 +64,7 @@
   if (target.load->unread_prompt_tokens)
   {
     const double age_ms =
-        std::chrono::duration<double, std::milli>(now - target.load_heard).count();
+        std::chrono::duration<double, std::milli>(now - target.load_received).count();
     const double read = age_ms * engine.prompt_tokens_per_ms * READING_SHARE;
     work.unread_prompt_tokens =
         std::max(*target.load->unread_prompt_tokens - read, 0.0) + target.unread_since_load;
@@ -198,8 +198,8 @@
   if (!target.listed.needs_weights)
     return true;
   const std::uint64_t version = WeightsOf(target);
-  const bool is_fresh = target.load && now - target.load_heard < FRESH_LOAD;
-  const TimePoint begin = now + 2 * start + (is_fresh ? START_MARGIN : START_MARGIN_UNHEARD);
+  const bool is_fresh = target.load && now - target.load_received < FRESH_LOAD;
+  const TimePoint begin = now + 2 * start + (is_fresh ? START_MARGIN : START_MARGIN_UNREPORTED);
   return std::ranges::all_of(wish.weights, [&](const WeightsBound& bound)
                              { return version >= bound.version || begin < bound.due; });
 }
@@ -209,7 +209,7 @@
   const EngineProfile* engine = EngineOf(target.listed.service);
   if (!engine || !target.load || !target.load->switch_in)
     return Duration::zero();
-  const TimePoint switch_at = target.load_heard + *target.load->switch_in;
+  const TimePoint switch_at = target.load_received + *target.load->switch_in;
   const TargetWork work = WorkOf(target, *engine, now);
   const Duration whole = ExpectedStart(*engine, work, wish.prompt_tokens) +
                          ExpectedWriting(*engine, work, wish.answer_tokens);
@@ -283,7 +283,7 @@
     cost += OTHER_HALL_PENALTY;
   if (IsSilent(target, now))
     cost += SILENCE_PENALTY;
-  else if (target.load && now - target.load_heard > OLD_REPORT_AGE)
+  else if (target.load && now - target.load_received > OLD_REPORT_AGE)
     cost += OLD_REPORT_PENALTY;
   const double load = LoadOf(target, now);
   TargetChoice choice;
@@ -295,7 +295,7 @@
   choice.load = load;
   choice.has_free_slot = load < target.listed.slots;
   if (target.load)
-    choice.report_age = now - target.load_heard;
+    choice.report_age = now - target.load_received;
   candidates->choices.push_back(std::move(choice));
   candidates->options.push_back({cost, is_here});
   if (const EngineProfile* engine = EngineOf(wish.service))
--- a/Source/Core/Gateway/TargetListing.cpp
+++ b/Source/Core/Gateway/TargetListing.cpp
@@ -52,12 +52,12 @@
       continue;
     // Also if it was off the list meanwhile, and was kept for the requests that it had.
     const std::uint64_t known = target.listed.incarnation;
-    const bool is_new_life = known > 0 && listed.incarnation > known;
-    if (is_new_life)
-      BeginLife(target, listed.incarnation, now);
+    const bool is_new_incarnation = known > 0 && listed.incarnation > known;
+    if (is_new_incarnation)
+      BeginIncarnation(target, listed.incarnation, now);
     if (!is_first && (!was_listed || target.listed.state != listed.state))
       LogListed(listed, now);
-    if (!is_first && (!was_listed || is_new_life) && IsKnownService(listed.service))
+    if (!is_first && (!was_listed || is_new_incarnation) && IsKnownService(listed.service))
       added[listed.address] = listed.id;
     target.listed = listed;
     target.tie_break =
@@ -78,7 +78,7 @@
   UpdateReach();
 }
 
-void TargetTable::BeginLife(Target& target, std::uint64_t incarnation, TimePoint now)
+void TargetTable::BeginIncarnation(Target& target, std::uint64_t incarnation, TimePoint now)
 {
   LogEvent(Weight::Important, now, "target.restarted", "target", target.listed.id, "at",
            target.listed.address.ToString(), "incarnation", incarnation, "before",
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -35,7 +35,7 @@
 // The same for a plain service, of which some answers take several times as long as most.
 static constexpr Duration PLAIN_EXPECTED_LEAST = Milliseconds(50);
 
-bool TargetTable::IsInLife(const TargetId& id, std::uint64_t incarnation) const
+bool TargetTable::IsSameIncarnation(const TargetId& id, std::uint64_t incarnation) const
 {
   const auto found = m_targets.find(id);
   return found != m_targets.end() && found->second.listed.incarnation == incarnation;
@@ -110,15 +110,15 @@
     if (is_told && load.incarnation < known)
       continue;
     if (is_told && load.incarnation > known)
-      BeginLife(target, load.incarnation, now);
+      BeginIncarnation(target, load.incarnation, now);
     target.own_at_load = target.own;
     target.unread_since_load = 0;
     target.own_waiting_at_load = target.expected.size();
-    // Its agent is heard again, so the way there is open.
+    // Its agent reports again, so the way there is open.
     if (IsSilent(target, now))
       target.avoid_until = std::min(target.avoid_until, now);
     target.load = load;
-    target.load_heard = now;
+    target.load_received = now;
     if (target.listed.hall == m_hall)
       m_demand.OnTold(target.listed.service, load.demand, now);
   }
@@ -126,7 +126,7 @@
 
 bool TargetTable::HasFreshLoad(const Target& target, TimePoint now) const
 {
-  return target.load && now - target.load_heard <= LOAD_LIFETIME;
+  return target.load && now - target.load_received <= LOAD_LIFETIME;
 }
 
 std::uint64_t TargetTable::WeightsOf(const Target& target) const
@@ -138,7 +138,7 @@
 
 bool TargetTable::IsSilent(const Target& target, TimePoint now)
 {
-  return target.load && now - target.load_heard > SILENT_AFTER;
+  return target.load && now - target.load_received > SILENT_AFTER;
 }
 
 TargetTable::Access TargetTable::AccessOf(const Target& target, TimePoint now) const
@@ -147,7 +147,7 @@
     return Access::Leaving;
   if (now < target.avoid_until)
     return Access::Avoided;
-  if (target.load && target.load->is_switching && now - target.load_heard <= LOAD_LIFETIME)
+  if (target.load && target.load->is_switching && now - target.load_received <= LOAD_LIFETIME)
     return Access::Switching;
   const bool has_weights = !target.listed.needs_weights || WeightsOf(target) > 0;
   return has_weights ? Access::Open : Access::WithoutWeights;
@@ -177,7 +177,7 @@
   if (found == m_targets.end() || !found->second.load)
     return false;
   const TargetLoad& load = *found->second.load;
-  const bool is_fresh = now - found->second.load_heard < FRESH_LOAD;
+  const bool is_fresh = now - found->second.load_received < FRESH_LOAD;
   return is_fresh && load.is_switching && load.next_version >= version;
 }
 
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -62,7 +62,7 @@
   // How old the last report of it is; empty if there was none.
   std::optional<Common::Duration> report_age;
   bool has_free_slot = false;
-  // The life of the target that is meant.
+  // The incarnation of the target that is meant.
   std::uint64_t incarnation = 0;
 };
 
@@ -136,8 +136,9 @@
   // Whether a fresh report says that the target takes this version, or a later one, before it
   // begins anything.
   bool IsTaking(const TargetId& id, std::uint64_t version, Common::TimePoint now) const;
-  // Whether the target is still in that life: a later one knows nothing of earlier requests.
-  bool IsInLife(const TargetId& id, std::uint64_t incarnation) const;
+  // Whether the target has not started again since: a later incarnation knows nothing of earlier
+  // requests.
+  bool IsSameIncarnation(const TargetId& id, std::uint64_t incarnation) const;
 
   void OnArrival(const std::string& service, Common::TimePoint now)
   {
@@ -195,7 +196,7 @@
     // Less than any real cost: between equal targets each gateway has a choice of its own.
     Common::Duration tie_break{};
     // Another one has its address. Its record may stay on the list for a while; it comes back with
-    // a new life only.
+    // a new incarnation only.
     bool is_replaced = false;
     std::uint32_t own = 0;
     double unread_prompt_tokens = 0;
@@ -206,7 +207,7 @@
     std::uint32_t own_at_load = 0;
     // Own requests that had not begun then.
     std::size_t own_waiting_at_load = 0;
-    Common::TimePoint load_heard{};
+    Common::TimePoint load_received{};
     // Requests without an answer yet, by the time at which one was expected.
     std::map<std::uint64_t, Common::TimePoint> expected;
     // How much later than expected answers came of late.
@@ -229,8 +230,8 @@
     Settings::EngineProfile present;
   };
 
-  // The target has started again under its id: all that is known of it is about its life before.
-  static void BeginLife(Target& target, std::uint64_t incarnation, Common::TimePoint now);
+  // The target has started again under its id: all that is known is about the incarnation before.
+  static void BeginIncarnation(Target& target, std::uint64_t incarnation, Common::TimePoint now);
   bool IsKnownService(const std::string& service) const
   {
     return m_services.empty() || m_services.contains(service);
@@ -292,7 +293,7 @@
                                    Common::TimePoint now) const;
   Common::Duration LagOf(const Target& target, Common::TimePoint now) const;
   static Common::Duration WayTo(const Target& target);
-  // Whether its agent was heard before, and is not heard any more.
+  // Whether its agent has reported before, and does not any more.
   static bool IsSilent(const Target& target, Common::TimePoint now);
   enum class Access
   {
--- a/Source/Core/Gateway/WeightsBounds.cpp
+++ b/Source/Core/Gateway/WeightsBounds.cpp
@@ -13,7 +13,7 @@
 using Common::TimePoint;
 using Common::Weight;
 
-// Other processes may have heard of new weights a little earlier.
+// Other processes may have known of new weights a little earlier.
 static constexpr Duration SWITCH_MARGIN = Milliseconds(250);
 // Requests are looked for so long after the bound; the bound is before the real one.
 static constexpr Duration SWEEP_TIME = Milliseconds(500);
--- a/Source/Core/Membership/Membership.cpp
+++ b/Source/Core/Membership/Membership.cpp
@@ -24,7 +24,7 @@
     // What an instance says of itself goes before the list, which lags; but an instance that is
     // silent and listed elsewhere has been replaced.
     const bool is_moved = member.report.address != listed.address && !IsAlive(member, now);
-    if (member.last_heard && !is_moved)
+    if (member.last_seen && !is_moved)
       continue;
     if (is_moved)
       member = Member{Report(), std::nullopt, std::nullopt, now, true, listed.is_leaving};
@@ -58,7 +58,7 @@
   if (is_new)
     member.first_seen = now;
   member.report = report;
-  member.last_heard = now;
+  member.last_seen = now;
   member.unreachable_since.reset();
   return true;
 }
@@ -73,8 +73,8 @@
   member.report.address = address;
   member.report.incarnation = incarnation;
   member.unreachable_since.reset();
-  if (member.last_heard)
-    member.last_heard = now;
+  if (member.last_seen)
+    member.last_seen = now;
 }
 
 void Membership::OnUnreachable(const std::string& instance, TimePoint now)
@@ -89,8 +89,8 @@
   // After a while out of reach it is tried again.
   if (member.unreachable_since && now - *member.unreachable_since < m_dead_after)
     return false;
-  if (member.last_heard)
-    return now - *member.last_heard < m_dead_after;
+  if (member.last_seen)
+    return now - *member.last_seen < m_dead_after;
   return member.is_listed;
 }
 
@@ -126,7 +126,8 @@
     if (member.report.role != Role::Agent || member.is_listed_as_leaving ||
         member.report.lifecycle == Lifecycle::Leaving)
       continue;
-    // Agents hear regularly only from a few others, so silence says nothing about the rest.
+    // Agents receive reports regularly from a few others only, so silence says nothing about the
+    // rest.
     const bool is_out_of_reach =
         member.unreachable_since && now - *member.unreachable_since < m_dead_after;
     if (!is_out_of_reach && (member.is_listed || IsAlive(member, now)))
--- a/Source/Core/Membership/Membership.h
+++ b/Source/Core/Membership/Membership.h
@@ -15,7 +15,7 @@
 struct Member
 {
   Report report; // only name, hall, pool, role and address until the first report
-  std::optional<Common::TimePoint> last_heard;
+  std::optional<Common::TimePoint> last_seen;
   // When a call to it failed last without an answer since.
   std::optional<Common::TimePoint> unreachable_since;
   Common::TimePoint first_seen{};
@@ -32,7 +32,7 @@
   void OnList(const std::vector<ListedInstance>& list, Common::TimePoint now);
   // Returns false for a report of an earlier incarnation, which is dropped.
   bool OnReport(const Report& report, Common::TimePoint now);
-  // A known instance has called, which shows where it is and that it lives.
+  // A known instance has called, which shows where it is and that it runs.
   void OnSeen(const std::string& instance, const Common::Address& address,
               std::uint64_t incarnation, Common::TimePoint now);
   void OnUnreachable(const std::string& instance, Common::TimePoint now);
--- a/Source/Core/Mesh/GatewayCount.h
+++ b/Source/Core/Mesh/GatewayCount.h
@@ -6,7 +6,7 @@
 
 #include "Common/Types.h"
 
-// How many gateways there are, as sidecars have heard of them.
+// How many gateways there are, as sidecars count them.
 namespace Holdpost::Mesh
 {
 // A sidecar that is cut off from some gateways counts too few, so the largest count of late is
--- a/Source/Core/Mesh/GatewayMembership.h
+++ b/Source/Core/Mesh/GatewayMembership.h
@@ -38,7 +38,7 @@
   std::vector<Common::Address> Others(Common::TimePoint now) { return m_others.Others(now); }
   // Those of the own hall, this one included, when they were last counted.
   std::size_t Near() const { return m_near; }
-  // Seeds to ask for the others, as long as no other gateway is heard that reads the platform.
+  // Seeds to ask for the others, as long as no beat of a reader comes.
   std::vector<Common::Address> SeedsToAsk(bool hears_reader, Common::TimePoint now)
   {
     return m_search.OnTick(hears_reader, now);
--- a/Source/Core/Mesh/HallGateways.h
+++ b/Source/Core/Mesh/HallGateways.h
@@ -22,7 +22,7 @@
     {
       if (gateway == m_self)
         continue;
-      const bool is_new = m_heard.insert_or_assign(gateway, now).second;
+      const bool is_new = m_last_seen.insert_or_assign(gateway, now).second;
       is_any_new = is_any_new || is_new;
     }
     return is_any_new;
@@ -30,10 +30,10 @@
   // A gateway that no sidecar tells of any more is left out after a while.
   std::vector<Common::Address> Others(Common::TimePoint now)
   {
-    std::erase_if(m_heard, [now](const auto& entry) { return now - entry.second > LIFETIME; });
+    std::erase_if(m_last_seen, [now](const auto& entry) { return now - entry.second > LIFETIME; });
     std::vector<Common::Address> others;
-    others.reserve(m_heard.size());
-    for (const auto& [gateway, heard] : m_heard)
+    others.reserve(m_last_seen.size());
+    for (const auto& [gateway, seen] : m_last_seen)
       others.push_back(gateway);
     return others;
   }
@@ -42,6 +42,6 @@
   static constexpr Common::Milliseconds LIFETIME = Common::Milliseconds(4000);
 
   Common::Address m_self;
-  std::map<Common::Address, Common::TimePoint> m_heard;
+  std::map<Common::Address, Common::TimePoint> m_last_seen;
 };
 } // namespace Holdpost::Mesh
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -105,7 +105,7 @@
 struct LoadReport
 {
   Gateway::TargetLoad load;
-  // Gateways of all halls, as the sidecar has heard of late.
+  // Gateways of all halls, as the sidecar counts them.
   std::uint32_t gateways = 0;
   // Of the plan and the peers that the sidecar was last told.
   BriefingStamp stamp;
--- a/Source/Core/Mesh/SeedSearch.h
+++ b/Source/Core/Mesh/SeedSearch.h
@@ -16,7 +16,8 @@
   explicit SeedSearch(std::vector<Common::Address> seeds) : m_seeds(std::move(seeds)) {}
 
   void SetSeeds(std::vector<Common::Address> seeds) { m_seeds = std::move(seeds); }
-  // The seeds that are to be asked now. `is_found`: a gateway that helps has been heard of late.
+  // The seeds that are to be asked now. `is_found`: a gateway that helps has sent something of
+  // late.
   std::vector<Common::Address> OnTick(bool is_found, Common::TimePoint now);
   Common::TimePoint NextWakeup() const;
 
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -171,11 +171,11 @@
 {
   if (m_switch_most == 0)
     return true;
-  // All entries that are heard must agree, and by these settings or newer ones. In a hall without
+  // All entries that report must agree, and by these settings or newer ones. In a hall without
   // an entry nobody is served, so nothing can be switched off for callers.
   for (const auto& [entry, word] : m_load_words)
   {
-    const bool is_fresh = now - word.heard < HallSettings().Time(Field::DeadAfterMs);
+    const bool is_fresh = now - word.last_seen < HallSettings().Time(Field::DeadAfterMs);
     if (is_fresh && (!word.may_load || word.accepted < m_follower.Fold().AcceptedOffset()))
       return false;
   }
@@ -220,8 +220,8 @@
     std::visit(Common::Overloaded{[&](const Deployment::WantVersion& want)
                                   {
                                     m_weights.Want(want.version, now, actions);
-                                    // Who else wants it decides who draws what: look anew before
-                                    // anything is drawn.
+                                    // Who else wants it decides who fetches what: look anew before
+                                    // anything is fetched.
                                     RefreshList(actions);
                                     // It may have been held all along.
                                     const Distribution::Swarm* swarm =
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -78,7 +78,7 @@
   {
     bool may_load = false;
     Common::Offset accepted = 0;
-    Common::TimePoint heard{};
+    Common::TimePoint last_seen{};
   };
   std::map<std::string, LoadWord> m_load_words;
   Common::TimePoint m_candidates_due{};
--- a/Source/Core/Node/AgentWeights.cpp
+++ b/Source/Core/Node/AgentWeights.cpp
@@ -18,7 +18,7 @@
 using Common::TimePoint;
 using Settings::Field;
 
-// Who weighs origin bytes more waits so much longer before a piece may be drawn a second time.
+// Who weighs origin bytes more waits so much longer before a piece may be fetched a second time.
 static constexpr int PATIENCE_FOR_ORIGIN_BYTES = 4;
 
 AgentWeights::AgentWeights(std::string self, std::string hall, std::string pool, std::uint64_t seed,
--- a/Source/Core/Node/InstanceMessages.h
+++ b/Source/Core/Node/InstanceMessages.h
@@ -29,7 +29,7 @@
   std::string state;
 };
 
-// Who calls: under its name it may have been replaced since it was last heard of.
+// Who calls: under its name it may have been replaced since it last called.
 struct Sender
 {
   std::string instance;
--- a/Source/Core/Runs/Runs.cpp
+++ b/Source/Core/Runs/Runs.cpp
@@ -66,7 +66,8 @@
 
 void Runs::ForgetSilentEntries(TimePoint now, Common::Duration silence)
 {
-  std::erase_if(m_demands, [&](const auto& entry) { return now - entry.second.heard > silence; });
+  std::erase_if(m_demands,
+                [&](const auto& entry) { return now - entry.second.last_seen > silence; });
 }
 
 std::uint32_t Runs::CreditsFor(const std::string& entry) const
--- a/Source/Core/Runs/Runs.h
+++ b/Source/Core/Runs/Runs.h
@@ -80,7 +80,7 @@
   struct Demand
   {
     std::uint32_t requests = 0;
-    Common::TimePoint heard{};
+    Common::TimePoint last_seen{};
   };
 
   void Prune(Ledger& ledger, std::uint64_t settled_below);
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -47,10 +47,10 @@
 static constexpr Milliseconds PIECE_TIME_LEAST = Milliseconds(5);
 static constexpr Milliseconds DRAW_TIME_LEAST = Milliseconds(2);
 // While the hall lacks pieces, a member takes so many from the others at once, at least: with more
-// of them on its link, the piece that it draws takes as long as all of these, and the origin's link
-// idles. With this and draws at the origin's pace, 14 of 64 pieces were missing in a hall of 4
-// members 1.6 s after a naming, instead of 27 (links of 7.6 Mbit/s, the origin's 9.9 Mbit/s). The
-// larger the hall, the seldomer a member draws.
+// of them on its link, the piece that it fetches takes as long as all of these, and the origin's
+// link idles. With this and fetches at the origin's pace, 14 of 64 pieces were missing in a hall of
+// 4 members 1.6 s after a naming, instead of 27 (links of 7.6 Mbit/s, the origin's 9.9 Mbit/s). The
+// larger the hall, the seldomer a member fetches.
 static constexpr std::uint32_t DOWNLOADS_WHILE_LACKING_LEAST = 3;
 static constexpr std::uint32_t MEMBERS_FOR_EACH_DOWNLOAD = 3;
 static constexpr Milliseconds CLAIM_LEAST = Milliseconds(300);
@@ -85,7 +85,7 @@
   options.swarm.adapts_window = true;
   options.swarm.window_in_all = PiecesAtOnce();
   options.swarm.piece_time = PieceTime();
-  options.swarm.draw_time = DrawTime();
+  options.swarm.origin_piece_time = OriginPieceTime();
   options.swarm.window_while_lacking = DownloadsWhileLacking();
   options.swarm.is_named_by_content = false;
   options.swarm.has_weight_store = false;
@@ -119,7 +119,7 @@
   return std::max<Duration>(std::chrono::duration_cast<Duration>(time), PIECE_TIME_LEAST);
 }
 
-Duration Sidecar::DrawTime() const
+Duration Sidecar::OriginPieceTime() const
 {
   const std::uint64_t rate = m_plan.origin_bytes_per_second;
   if (rate == 0)
@@ -155,7 +155,7 @@
   return swarm ? swarm->PiecesHeld() : 0;
 }
 
-// --- what is heard ---
+// --- what is received ---
 
 void Sidecar::OnMessage(const Mesh::Sender& from, const Mesh::Message& message, TimePoint now,
                         Actions* actions)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -95,7 +95,8 @@
 
   void OnTick(Common::TimePoint now, Actions* actions);
   Common::TimePoint NextWakeup(Common::TimePoint now) const;
-  // Whether no gateway of the hall was heard for a while, so that the platform has to be asked.
+  // Whether no gateway of the hall has sent anything for a while, so that the platform has to be
+  // asked.
   bool IsAlone(Common::TimePoint now) const;
 
   bool HasPlan() const { return !m_plan.model.empty(); }
@@ -106,13 +107,13 @@
   std::uint32_t PiecesHeld(std::uint64_t version) const;
 
 private:
-  struct HeardGateway
+  struct KnownGateway
   {
     std::string hall;
     Settings::DocumentVersion settings = 0;
     Common::Milliseconds clock{0};
     // Any message of it, and the hello with the clock.
-    Common::TimePoint heard{};
+    Common::TimePoint last_seen{};
     Common::TimePoint greeted{};
     Common::TimePoint told{};
     // It needs each report.
@@ -131,21 +132,21 @@
   void OnWork(const Mesh::Sender& from, const Gateway::OwnWork& work, Common::TimePoint now,
               Actions* actions);
   // Whether a gateway of the hall has said anything within so long.
-  bool HearsGateway(Common::Duration within, Common::TimePoint now) const;
-  // Asks seeds for gateways of the hall while none is heard.
+  bool SeesGateway(Common::Duration within, Common::TimePoint now) const;
+  // Asks seeds for gateways of the hall while none is known.
   void SearchGateways(Common::TimePoint now, Actions* actions);
   void AskForBriefing(const std::vector<Common::Address>& gateways, Actions* actions);
   // What all gateways have at the target.
   Gateway::OwnWork WorkOfAll(Common::TimePoint now) const;
   // Takes the plan and the peers, if they are not older than what is known.
   void OnBriefed(const Mesh::Hello& hello, Common::TimePoint now, Actions* actions);
-  // Of all halls, as those that were heard say.
+  // Of all halls, as those that are known say.
   std::uint32_t CountGateways() const;
   // What comes to the gateways that send here.
   Gateway::GatewayDemand DemandOfAll() const;
   // The target's load as it was reported, and what has come since.
   Gateway::TargetLoad LoadNow(Common::TimePoint now) const;
-  bool IsDue(const HeardGateway& gateway, bool has_news, Common::TimePoint now) const;
+  bool IsDue(const KnownGateway& gateway, bool has_news, Common::TimePoint now) const;
   void ChooseVersion(Common::TimePoint now, Actions* actions);
   void WantVersion(std::uint64_t version, Common::TimePoint now, Actions* actions);
   void CopyAhead(std::uint64_t version, Common::TimePoint now, Actions* actions);
@@ -156,7 +157,7 @@
   // Whether a newer version is to be copied instead of the one that is wanted.
   bool MayReplaceWanted(Common::TimePoint now) const;
   // Whether so much of it is in the hall that the rest is soon there, too.
-  bool IsWantedMostlyDrawn(const Distribution::Swarm* swarm) const;
+  bool IsWantedMostlyFetched(const Distribution::Swarm* swarm) const;
   // Whether the version that was copied ahead is here before the wanted one was loaded: then that
   // one is skipped, and the target is without work for one switch instead of two.
   bool MayJumpAhead(Common::TimePoint now) const;
@@ -203,7 +204,7 @@
   Common::Duration PieceTime() const;
   std::uint32_t DownloadsWhileLacking() const;
   // What a piece takes on the origin's link.
-  Common::Duration DrawTime() const;
+  Common::Duration OriginPieceTime() const;
   Common::Duration ClaimLifetime() const;
 
   SidecarOptions m_options;
@@ -222,7 +223,7 @@
   std::uint64_t m_before = 0;
   Urgency m_urgency = Urgency::Usual;
   std::map<Common::Digest, std::uint64_t> m_versions;
-  std::map<Common::Address, HeardGateway> m_gateways;
+  std::map<Common::Address, KnownGateway> m_gateways;
   Mesh::SeedSearch m_search;
   std::vector<Mesh::Peer> m_peers;
   std::optional<Common::TimePoint> m_began;
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -164,7 +164,7 @@
     return;
   if (LoadedVersion() >= m_wanted && swarm->IsHeld() && m_stage.IsStaged())
     return;
-  // What an earlier life left on the stage need not be fetched again.
+  // What an earlier incarnation left on the stage need not be fetched again.
   if (!m_has_listed && !m_is_listing)
   {
     m_is_listing = true;
--- a/Source/Core/Sidecar/SidecarGateways.cpp
+++ b/Source/Core/Sidecar/SidecarGateways.cpp
@@ -22,14 +22,14 @@
 {
   if (!hello.is_gateway)
     return;
-  HeardGateway& gateway = m_gateways[from.address];
+  KnownGateway& gateway = m_gateways[from.address];
   gateway.hall = from.hall;
   gateway.settings = hello.settings;
   gateway.clock = hello.clock;
   gateway.wants_load = hello.wants_load;
   gateway.demand = hello.demand;
   gateway.near_gateways = hello.near_gateways;
-  gateway.heard = now;
+  gateway.last_seen = now;
   gateway.greeted = now;
   OnBriefed(hello, now, actions);
   for (const Mesh::ToldWeights& told : hello.weights)
@@ -58,19 +58,19 @@
   // After a start the gateways are given as long to speak first.
   if (!m_began || now - *m_began < ALONE_AFTER)
     return false;
-  return !HearsGateway(ALONE_AFTER, now);
+  return !SeesGateway(ALONE_AFTER, now);
 }
 
-bool Sidecar::HearsGateway(Common::Duration within, TimePoint now) const
+bool Sidecar::SeesGateway(Common::Duration within, TimePoint now) const
 {
   return std::ranges::any_of(
       m_gateways, [&](const auto& entry)
-      { return entry.second.hall == m_options.hall && now - entry.second.heard < within; });
+      { return entry.second.hall == m_options.hall && now - entry.second.last_seen < within; });
 }
 
 void Sidecar::SearchGateways(TimePoint now, Actions* actions)
 {
-  for (const Address& seed : m_search.OnTick(HasPlan() && HearsGateway(SEARCH_AFTER, now), now))
+  for (const Address& seed : m_search.OnTick(HasPlan() && SeesGateway(SEARCH_AFTER, now), now))
     actions->push_back(Tell{seed, Mesh::AskGateways{false}, true});
 }
 
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -19,7 +19,7 @@
 using Common::Weight;
 
 static constexpr Milliseconds TELL_PERIOD = Milliseconds(100);
-// The same for gateways that do not need each report: they hear of versions by it.
+// The same for gateways that do not need each report: they learn of versions by it.
 static constexpr Milliseconds TELL_PERIOD_UNUSED = Milliseconds(1000);
 // New work is told of at once, but not more often than this.
 static constexpr Milliseconds TELL_GAP = Milliseconds(10);
@@ -31,16 +31,16 @@
 static constexpr Milliseconds TELL_VERSION_FOR = Milliseconds(20000);
 static constexpr std::size_t VERSIONS_TOLD = 2;
 static constexpr Milliseconds GATEWAY_LIFETIME = Milliseconds(3000);
-// Gateways hear of a switch so long before.
+// Gateways are told of a switch so long before.
 static constexpr Milliseconds SWITCH_HORIZON = Milliseconds(3000);
 static constexpr Milliseconds PROGRESS_PERIOD = Milliseconds(500);
 
 void Sidecar::OnWork(const Mesh::Sender& from, const Gateway::OwnWork& work, TimePoint now,
                      Actions* actions)
 {
-  HeardGateway& gateway = m_gateways[from.address];
+  KnownGateway& gateway = m_gateways[from.address];
   gateway.hall = from.hall;
-  gateway.heard = now;
+  gateway.last_seen = now;
   const Gateway::OwnWork before = std::exchange(gateway.work, work);
   if (work.requests <= before.requests || m_tell_due)
     return;
@@ -54,7 +54,7 @@
   Gateway::OwnWork all;
   for (const auto& [address, gateway] : m_gateways)
   {
-    if (now - gateway.heard > WORK_LIFETIME)
+    if (now - gateway.last_seen > WORK_LIFETIME)
       continue;
     all.requests += gateway.work.requests;
     all.unread_prompt_tokens += gateway.work.unread_prompt_tokens;
@@ -64,12 +64,13 @@
 
 std::uint32_t Sidecar::CountGateways() const
 {
-  // A sidecar hears those that send to its target, and each of them knows those of its hall.
+  // A sidecar is told of work by those that send to its target, and each of them knows those of its
+  // hall.
   std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> halls;
   for (const auto& [address, gateway] : m_gateways)
   {
-    auto& [heard, told] = halls[gateway.hall];
-    ++heard;
+    auto& [seen, told] = halls[gateway.hall];
+    ++seen;
     told = std::max(told, gateway.near_gateways);
   }
   std::uint32_t count = 0;
@@ -127,7 +128,7 @@
   return load;
 }
 
-bool Sidecar::IsDue(const HeardGateway& gateway, bool has_news, TimePoint now) const
+bool Sidecar::IsDue(const KnownGateway& gateway, bool has_news, TimePoint now) const
 {
   if (has_news)
     return true;
@@ -144,8 +145,8 @@
                         m_told->weights_version != load.weights_version || m_told->id != load.id;
   m_told = load;
   m_told_at = now;
-  std::erase_if(m_gateways,
-                [now](const auto& entry) { return now - entry.second.heard > GATEWAY_LIFETIME; });
+  std::erase_if(m_gateways, [now](const auto& entry)
+                { return now - entry.second.last_seen > GATEWAY_LIFETIME; });
   Mesh::LoadReport report;
   report.load = load;
   report.gateways = CountGateways();
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -47,32 +47,33 @@
     return false;
   const TimePoint bound = m_named.at(m_wanted) + m_options.switch_within;
   // A newer one that can take its place in time saves each target a switch. But the origin may go
-  // away before it is here, and then what was drawn of the older one is all that there is.
+  // away before it is here, and then what was fetched of the older one is all that there is.
   if (now + CopyTime() + SWITCH_TIME <= bound)
-    return !IsWantedMostlyDrawn(swarm);
+    return !IsWantedMostlyFetched(swarm);
   // One that is going to be late anyhow, and is not nearly here, is not worth its bytes.
   const Duration left = TimeToHold(swarm, now);
   return now + left > bound && left > WholeCopyTime(now) / 2;
 }
 
-bool Sidecar::IsWantedMostlyDrawn(const Distribution::Swarm* swarm) const
+bool Sidecar::IsWantedMostlyFetched(const Distribution::Swarm* swarm) const
 {
   // What is left delays the newer version by up to a fifth of a copy, and each target may have to
   // switch twice: less than that is not worth it.
   static constexpr double MOSTLY = 0.8;
-  // Halls hear of each other's pieces late. All of them know when the versions were named, so when
+  // Halls learn of each other's pieces late. All of them know when the versions were named, so when
   // the gap was long enough for nearly a whole copy, half of it in sight is enough.
   static constexpr double NEARLY_WHOLE = 0.9;
   static constexpr double HALF = 0.5;
   if (!swarm || !swarm->ManifestHeld())
     return false;
   const auto pieces = static_cast<double>(swarm->ManifestHeld()->PieceCount());
-  const double drawn = pieces - swarm->PiecesUnseen();
-  if (drawn >= MOSTLY * pieces)
+  const double fetched = pieces - swarm->PiecesUnseen();
+  if (fetched >= MOSTLY * pieces)
     return true;
   const std::chrono::duration<double> gap = m_named.rbegin()->second - m_named.at(m_wanted);
-  const std::chrono::duration<double> copy = pieces * std::chrono::duration<double>(DrawTime());
-  return drawn >= HALF * pieces && gap >= NEARLY_WHOLE * copy;
+  const std::chrono::duration<double> copy =
+      pieces * std::chrono::duration<double>(OriginPieceTime());
+  return fetched >= HALF * pieces && gap >= NEARLY_WHOLE * copy;
 }
 
 Duration Sidecar::PieceTimeNow(TimePoint now) const
@@ -106,8 +107,8 @@
     return WantVersion(m_ahead, now, actions);
   const Distribution::Swarm* swarm = WantedSwarm();
   // Once all of a version is in the hall, the origin has nothing else to do.
-  const bool is_drawn = swarm && swarm->ManifestHeld() && swarm->PiecesUnseen() == 0;
-  if (newest > m_ahead && is_drawn)
+  const bool is_fetched = swarm && swarm->ManifestHeld() && swarm->PiecesUnseen() == 0;
+  if (newest > m_ahead && is_fetched)
     CopyAhead(newest, now, actions);
 }
 
--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -12,7 +12,7 @@
 using Common::TimePoint;
 using Common::Weight;
 
-// Until gateways have heard that nothing new is taken here.
+// Until gateways know that nothing new is taken here.
 static constexpr Milliseconds ANNOUNCE_TIME = Milliseconds(30);
 static constexpr Milliseconds RETRY_PAUSE = Milliseconds(150);
 
@@ -34,7 +34,8 @@
   m_state = LoaderState::Ordered;
   m_since = now;
   m_is_unanswered = false;
-  // The engine's own count of orders never falls in one life of it, and a new life forgets tokens.
+  // The engine's own count of orders never falls during one incarnation, and a new one forgets
+  // tokens.
   return StartWeights{m_model, m_version, m_orders_seen, m_orders_seen};
 }
 
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -206,7 +206,7 @@
     m_core.StopTaking();
   for (const auto& [raw, caller] : std::map(m_callers))
   {
-    // Callers hear of the end with their answer; idle connections go once no new ones come.
+    // Callers are told of the end with their answer; idle connections go once no new ones come.
     if (!caller->IsIdle() || phase != StopPhase::Leaving)
       caller->CloseSoon();
   }
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -185,8 +185,8 @@
   const TimePoint now = EventLoop::Now();
   const bool did_read = m_duty.Reads();
   const bool is_new = m_membership.OnNamed({from.address}, now);
-  m_duty.OnReaderHeard(Control::RankOf(from.address), beat.answer_age, now);
-  // A gateway that has just started reads until it hears of a reader.
+  m_duty.OnReaderBeat(Control::RankOf(from.address), beat.answer_age, now);
+  // A gateway that has just started reads until a beat of a reader comes.
   if (is_new && m_duty.Reads() && MayBeFollowed())
     m_mesh.SendDatagram(from.address, MakeBeat(now));
   if (did_read && !m_duty.Reads())
--- a/Source/Standin/PlatformStandin.cpp
+++ b/Source/Standin/PlatformStandin.cpp
@@ -221,7 +221,7 @@
 }
 
 void PlatformStandin::SendLimited(const Exchange& exchange, std::string data,
-                                  Distribution::LinkBudget& link, std::uint64_t* drawn)
+                                  Distribution::LinkBudget& link, std::uint64_t* fetched)
 {
   const TimePoint now = EventLoop::Now();
   if (link.FreeAt() > now + ORIGIN_QUEUE_MOST)
@@ -229,7 +229,7 @@
     const auto wait = std::chrono::ceil<Milliseconds>(link.FreeAt() - now - ORIGIN_QUEUE_MOST);
     return exchange->Reply(503, {{"Retry-After-Ms", std::to_string(wait.count())}}, "");
   }
-  *drawn += data.size();
+  *fetched += data.size();
   const TimePoint due = link.BookSend(data.size(), now);
   m_loop.After(due - now,
                [exchange, data = std::move(data)] {
@@ -256,9 +256,9 @@
   if (!version)
     return ReplyError(*exchange, {ErrorKind::NotFound, "there is no such version"});
   Distribution::LinkBudget& link = is_store ? m_store_link : m_origin_link;
-  std::uint64_t* drawn = is_store ? &version->store_bytes_drawn : &version->bytes_drawn;
+  std::uint64_t* fetched = is_store ? &version->store_bytes_fetched : &version->bytes_fetched;
   if (kind == "manifest")
-    return SendLimited(exchange, *version->manifest, link, drawn);
+    return SendLimited(exchange, *version->manifest, link, fetched);
   std::uint64_t piece = 0;
   std::from_chars(number.data(), number.data() + number.size(), piece);
   const std::uint64_t start = piece * version->piece_bytes;
@@ -270,7 +270,7 @@
     --m_faults.corrupt_pieces;
     data[data.size() / 2] = static_cast<char>(data[data.size() / 2] ^ 1);
   }
-  SendLimited(exchange, std::move(data), link, drawn);
+  SendLimited(exchange, std::move(data), link, fetched);
 }
 
 void PlatformStandin::HandleFaults(const Exchange& exchange)
@@ -297,10 +297,10 @@
   json versions = json::object();
   for (const auto& [digest, version] : m_versions)
   {
-    versions[digest] = {{"bytes_drawn", version.bytes_drawn},
-                        {"store_bytes_drawn", version.store_bytes_drawn},
+    versions[digest] = {{"bytes_fetched", version.bytes_fetched},
+                        {"store_bytes_fetched", version.store_bytes_fetched},
                         {"bytes", version.weights.size()},
-                        {"copies", static_cast<double>(version.bytes_drawn) /
+                        {"copies", static_cast<double>(version.bytes_fetched) /
                                        static_cast<double>(version.weights.size())}};
   }
   exchange->Reply(200, JSON_TYPE,
--- a/Source/Standin/PlatformStandin.h
+++ b/Source/Standin/PlatformStandin.h
@@ -53,8 +53,8 @@
     Common::Bytes manifest;
     std::string weights;
     std::uint32_t piece_bytes = 0;
-    std::uint64_t bytes_drawn = 0; // from the origin
-    std::uint64_t store_bytes_drawn = 0;
+    std::uint64_t bytes_fetched = 0; // from the origin
+    std::uint64_t store_bytes_fetched = 0;
   };
 
   using Exchange = std::shared_ptr<Common::HttpExchange>;
@@ -68,7 +68,7 @@
   void HandleFaults(const Exchange& exchange);
   void HandleStats(const Exchange& exchange);
   void SendLimited(const Exchange& exchange, std::string data, Distribution::LinkBudget& link,
-                   std::uint64_t* drawn);
+                   std::uint64_t* fetched);
   Version* FindVersion(const std::string& digest);
 
   Common::EventLoop& m_loop;
--- a/Source/UnitTests/Core/Control/ReaderDutyTest.cpp
+++ b/Source/UnitTests/Core/Control/ReaderDutyTest.cpp
@@ -54,7 +54,7 @@
     for (std::size_t i = 0; i < processes.size(); ++i)
     {
       if (i != from)
-        processes[i].duty.OnReaderHeard(from + 1, now - processes[from].answered, now);
+        processes[i].duty.OnReaderBeat(from + 1, now - processes[from].answered, now);
     }
   }
   void RunFor(Milliseconds time)
@@ -93,18 +93,18 @@
 };
 } // namespace
 
-TEST_CASE("A process reads until it hears of a better reader")
+TEST_CASE("A process reads until the beat of a better reader comes")
 {
   ReaderDuty duty(OWN, 1);
   CHECK(duty.Reads());
-  duty.OnReaderHeard(WORSE, Milliseconds(10), START);
+  duty.OnReaderBeat(WORSE, Milliseconds(10), START);
   CHECK(duty.Reads());
-  duty.OnReaderHeard(BETTER, Milliseconds(10), START);
+  duty.OnReaderBeat(BETTER, Milliseconds(10), START);
   CHECK_FALSE(duty.Reads());
 
   SUBCASE("and leaves it to any reader then, so that the duty does not move without need")
   {
-    duty.OnReaderHeard(WORSE, Milliseconds(10), START + Milliseconds(900));
+    duty.OnReaderBeat(WORSE, Milliseconds(10), START + Milliseconds(900));
     CHECK_FALSE(Begins(duty, START + Milliseconds(1500)));
     CHECK_FALSE(duty.Reads());
   }
@@ -118,8 +118,8 @@
   }
   SUBCASE("and takes over when the reader has lost the platform, though it still speaks")
   {
-    duty.OnReaderHeard(BETTER, Milliseconds(600), START + Milliseconds(590));
-    duty.OnReaderHeard(BETTER, Milliseconds(1100), START + Milliseconds(1090));
+    duty.OnReaderBeat(BETTER, Milliseconds(600), START + Milliseconds(590));
+    duty.OnReaderBeat(BETTER, Milliseconds(1100), START + Milliseconds(1090));
     CHECK(Begins(duty, START + Milliseconds(1200)));
   }
 }
@@ -127,7 +127,7 @@
 TEST_CASE("One that has lost the platform does not keep others from reading")
 {
   ReaderDuty duty(OWN, 1);
-  duty.OnReaderHeard(BETTER, Milliseconds(3000), START);
+  duty.OnReaderBeat(BETTER, Milliseconds(3000), START);
   CHECK(duty.Reads());
 }
 
@@ -135,8 +135,8 @@
 {
   ReaderDuty first(OWN, 1);
   ReaderDuty second(OWN + 1, 2);
-  first.OnReaderHeard(BETTER, Milliseconds(0), START);
-  second.OnReaderHeard(BETTER, Milliseconds(0), START);
+  first.OnReaderBeat(BETTER, Milliseconds(0), START);
+  second.OnReaderBeat(BETTER, Milliseconds(0), START);
   CHECK(first.NextWakeup() != second.NextWakeup());
 }
 
@@ -157,7 +157,7 @@
     {
       for (Common::TimePoint now = answered + BEAT_PERIOD; now < answered + period + CALL_TIME;
            now += BEAT_PERIOD)
-        duty.OnReaderHeard(BETTER, std::chrono::duration_cast<Milliseconds>(now - answered), now);
+        duty.OnReaderBeat(BETTER, std::chrono::duration_cast<Milliseconds>(now - answered), now);
       answered += period + CALL_TIME;
       CHECK_FALSE(Begins(duty, answered + BEAT_PERIOD - Milliseconds(1)));
     }
@@ -239,9 +239,9 @@
     duty.OnAlone(START + Milliseconds(5));
     CHECK(Begins(duty, START + Milliseconds(5)));
   }
-  SUBCASE("and leaves it to a reader that it hears")
+  SUBCASE("and leaves it to a reader whose beat comes")
   {
-    duty.OnReaderHeard(WORSE, Milliseconds(50), START + Milliseconds(30));
+    duty.OnReaderBeat(WORSE, Milliseconds(50), START + Milliseconds(30));
     CHECK(duty.IsFollowing());
     duty.OnAlone(START + Milliseconds(40));
     CHECK_FALSE(Begins(duty, START + Milliseconds(900)));
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -115,7 +115,7 @@
     f.Feed(AnswerBegan{number, 503, true, true, false});
     CHECK(Take<Dispatch>(f.actions).size() == 1);
     f.Feed(AnswerBegan{number, 503, true, true, false});
-    // Nobody else is left: it has not run, and the caller hears so.
+    // Nobody else is left: it has not run, and the caller is told so.
     f.Pass(Milliseconds(100));
     const auto refused = Take<Refuse>(f.actions);
     CHECK(Common::AnswerFor(refused.at(0).error.kind).outcome == Common::Outcome::NotRun);
--- a/Source/UnitTests/Core/Gateway/TargetLivesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetIncarnationsTest.cpp
@@ -24,13 +24,13 @@
   ListedTarget again = f.one;
   again.incarnation = 2000;
 
-  SUBCASE("its work, failures and weights are those of the new life")
+  SUBCASE("its work, failures and weights are those of the new incarnation")
   {
     again.weights_version = 0;
     f.table.SetList({again, f.two}, f.now);
     CHECK(f.table.OwnWorkAt("1").requests == 0);
     CHECK(f.table.WeightsAt("1") == 0);
-    CHECK_FALSE(f.table.IsInLife("1", 1000));
+    CHECK_FALSE(f.table.IsSameIncarnation("1", 1000));
     CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
   }
   SUBCASE("also when it was off the list meanwhile")
@@ -41,7 +41,7 @@
     CHECK(f.table.OwnWorkAt("1").requests == 0);
     CHECK(f.table.SurveyOf({"llm", 1000, 100, {}, {}}, f.now).avoided == 0);
   }
-  SUBCASE("word of the life before is not believed any more")
+  SUBCASE("reports of the incarnation before are ignored")
   {
     again.weights_version = 0;
     f.table.SetList({again, f.two}, f.now);
@@ -49,14 +49,14 @@
     CHECK(f.table.WeightsAt("1") == 0);
     f.table.SetList({f.one, f.two}, f.now);
     CHECK(f.table.WeightsAt("1") == 0);
-    CHECK(f.table.IsInLife("1", 2000));
+    CHECK(f.table.IsSameIncarnation("1", 2000));
   }
   SUBCASE("its agent may tell of it before the list does")
   {
     load.incarnation = 2000;
     load.weights_version = 0;
     f.table.OnLoad(load, f.now);
-    CHECK(f.table.IsInLife("1", 2000));
+    CHECK(f.table.IsSameIncarnation("1", 2000));
     CHECK(f.table.WeightsAt("1") == 0);
     CHECK(f.table.OwnWorkAt("1").requests == 0);
   }
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -166,7 +166,7 @@
     f.table.OnLoad(MakeLoad(f.two, 30), f.now);
     CHECK(f.Choose()->id == "1");
   }
-  SUBCASE("once a request could not be sent there it is left alone, until it is heard again")
+  SUBCASE("once a request could not be sent there it is left alone, until it reports again")
   {
     f.table.OnLoad(MakeLoad(f.two, 30), f.now);
     f.table.OnFailed("1", f.now);
--- a/Source/UnitTests/Core/Mesh/BriefingTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingTest.cpp
@@ -165,7 +165,7 @@
   CHECK_FALSE(RoundTrip(report, START + Milliseconds(200)).has_value());
 }
 
-TEST_CASE("A sidecar that hears few gateways does not make them fewer")
+TEST_CASE("A sidecar that knows few gateways does not make them fewer")
 {
   GatewayCount count;
   CHECK(count.OnReported(7, START) == 7);
--- a/Source/UnitTests/Core/Mesh/GatewayMembershipTest.cpp
+++ b/Source/UnitTests/Core/Mesh/GatewayMembershipTest.cpp
@@ -29,7 +29,7 @@
 const Address SEED = AddressOf(2);
 } // namespace
 
-TEST_CASE("A gateway asks seeds for the others until it hears one that reads the platform")
+TEST_CASE("A gateway asks seeds for the others until the beat of a reader comes")
 {
   GatewayMembership membership(SELF, "here", {SEED});
   CHECK(membership.SeedsToAsk(false, START) == std::vector{SEED});
@@ -53,7 +53,7 @@
     CHECK(asked >= 4);
     CHECK(asked <= 5);
   }
-  SUBCASE("not while it hears one, and at once when that falls silent")
+  SUBCASE("not while beats come, and at once when these stop")
   {
     CHECK(membership.SeedsToAsk(true, START + Milliseconds(300)).empty());
     CHECK(membership.NextWakeup() == Common::TimePoint::max());
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -23,13 +23,13 @@
 {
   Fixture()
   {
-    Hear(NEAR, true);
-    Hear(OTHER, true);
-    Hear(FAR, false);
+    Receive(NEAR, true);
+    Receive(OTHER, true);
+    Receive(FAR, false);
     ReadReport(2, 0);
     Reports();
   }
-  void Hear(const Mesh::Sender& from, bool wants_load, const Gateway::OwnDemand& demand = {})
+  void Receive(const Mesh::Sender& from, bool wants_load, const Gateway::OwnDemand& demand = {})
   {
     Mesh::Hello hello;
     hello.is_gateway = true;
@@ -116,7 +116,7 @@
   SUBCASE("a gateway that has fallen silent has nothing there any more")
   {
     f.now += Milliseconds(1600);
-    f.Hear(OTHER, true);
+    f.Receive(OTHER, true);
     f.ReadReport(2, 0);
     CHECK(f.Reports().at(OTHER.address).unread_prompt_tokens == 0);
   }
@@ -125,9 +125,9 @@
 TEST_CASE("Gateways are told what comes to all that send to a target")
 {
   Fixture f;
-  f.Hear(NEAR, true, {30, 0.5});
-  f.Hear(OTHER, true, {10, 0.1});
-  f.Hear(FAR, false, {500, 1});
+  f.Receive(NEAR, true, {30, 0.5});
+  f.Receive(OTHER, true, {10, 0.1});
+  f.Receive(FAR, false, {500, 1});
   f.now += Milliseconds(100);
   f.ReadReport(2, 0);
   Gateway::GatewayDemand demand = f.Reports().at(NEAR.address).demand;
@@ -137,7 +137,7 @@
 
   SUBCASE("those of other halls as long as they need it")
   {
-    f.Hear(FAR, true, {40, 0});
+    f.Receive(FAR, true, {40, 0});
     f.now += Milliseconds(100);
     f.ReadReport(2, 0);
     demand = f.Reports().at(NEAR.address).demand;
@@ -146,7 +146,7 @@
   }
 }
 
-TEST_CASE("A sidecar counts the gateways that it hears and those that they know of")
+TEST_CASE("A sidecar counts the gateways that tell it of work and those that they know of")
 {
   Fixture f;
   const auto count = [&]
@@ -188,15 +188,15 @@
   CHECK(std::get<Mesh::LoadReport>(told[0].message).stamp == Mesh::BriefingStamp{7, 50});
 }
 
-TEST_CASE("Gateways that do not need each report hear each second")
+TEST_CASE("Gateways that do not need each report get one each second")
 {
   Fixture f;
   int far = 0;
   for (int i = 0; i < 50; ++i)
   {
     f.now += Milliseconds(100);
-    f.Hear(FAR, false);
-    f.Hear(NEAR, true);
+    f.Receive(FAR, false);
+    f.Receive(NEAR, true);
     f.ReadReport(2, 0);
     far += static_cast<int>(f.Reports().contains(FAR.address));
   }
@@ -205,7 +205,7 @@
 
   SUBCASE("until they do")
   {
-    f.Hear(FAR, true);
+    f.Receive(FAR, true);
     f.now += Milliseconds(30);
     f.TellWork(NEAR, 1, 1000);
     CHECK(f.Reports().contains(FAR.address));
--- a/Source/UnitTests/Core/Sidecar/SidecarGatewaysTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarGatewaysTest.cpp
@@ -25,7 +25,7 @@
     now = START + after;
     sidecar.OnTick(now, &actions);
   }
-  void Hear(const Mesh::Message& message) { sidecar.OnMessage(GATEWAY, message, now, &actions); }
+  void Receive(const Mesh::Message& message) { sidecar.OnMessage(GATEWAY, message, now, &actions); }
   // Messages of the kind since the last call, by their receivers.
   template <typename Message>
   std::vector<Address> Told()
@@ -57,7 +57,7 @@
   SUBCASE("and some of these for a briefing, so that it need not wait until it is on the list")
   {
     const std::vector<Address> named = {{"10.0.0.1", 7700}, {"10.0.0.2", 7700}, {"10.0.0.3", 7700}};
-    fixture.Hear(Mesh::TellGateways{named});
+    fixture.Receive(Mesh::TellGateways{named});
     const std::vector<Address> asked = fixture.Told<Mesh::AskBriefing>();
     REQUIRE(asked.size() == 2);
     CHECK(asked[0] != asked[1]);
@@ -68,7 +68,7 @@
     hello.peers = {{{"10.0.0.8", 7700}, "here"}};
     hello.stamp = {7, 40};
     hello.weights = {{{"m", 3}, Milliseconds(500)}};
-    fixture.Hear(hello);
+    fixture.Receive(hello);
     CHECK(fixture.sidecar.HasPlan());
     CHECK(fixture.sidecar.WantedVersion() == 3);
     fixture.Tick(Milliseconds(300));
@@ -81,11 +81,11 @@
     CHECK_FALSE(fixture.sidecar.IsAlone(START + Milliseconds(1400)));
     CHECK(fixture.sidecar.IsAlone(START + Milliseconds(1600)));
   }
-  SUBCASE("again when a gateway that it heard has no plan yet")
+  SUBCASE("again when a gateway that called has no plan yet")
   {
     Mesh::Hello hello;
     hello.is_gateway = true;
-    fixture.Hear(hello);
+    fixture.Receive(hello);
     fixture.Tick(Milliseconds(250));
     CHECK(fixture.Told<Mesh::AskGateways>().size() == 1);
   }
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -12,14 +12,14 @@
 {
   SidecarWorld world = MakeWorld();
   world.RunFor(Milliseconds(3000));
-  const double drawn_before = world.CopiesFromOrigin();
-  CHECK(drawn_before < 0.3);
+  const double fetched_before = world.CopiesFromOrigin();
+  CHECK(fetched_before < 0.3);
   world.Name(2);
   const double seconds = SecondsUntilLoaded(world, 2);
   CHECK(world.HaveAllLoaded(2));
   CHECK(seconds < 8.0);
   CHECK(world.Fault().empty());
-  CHECK(world.CopiesFromOrigin() - drawn_before < 1.3);
+  CHECK(world.CopiesFromOrigin() - fetched_before < 1.3);
   // Into each of the two other halls once.
   CHECK(world.CopiesAcross() < 2.6);
 }
@@ -41,7 +41,7 @@
   CHECK(least >= world.Count() - 4);
 }
 
-TEST_CASE("An origin that comes back is drawn from soon")
+TEST_CASE("An origin that comes back is used again soon")
 {
   SidecarWorld world = MakeWorld();
   world.RunFor(Milliseconds(3000));
@@ -175,14 +175,14 @@
   world.RunFor(Milliseconds(3000));
   world.Name(2);
   SecondsUntilLoaded(world, 2);
-  const double drawn_before = world.CopiesFromOrigin();
+  const double fetched_before = world.CopiesFromOrigin();
   world.Restart(0, Milliseconds(100));
   world.LoseWeights(0);
   for (std::uint32_t piece = 0; piece < 96; ++piece)
     world.SpoilStage(0, piece);
   world.RunFor(Milliseconds(4000));
   CHECK(world.HasLoaded(0, 2));
-  CHECK(world.CopiesFromOrigin() - drawn_before < 0.1);
+  CHECK(world.CopiesFromOrigin() - fetched_before < 0.1);
 }
 
 TEST_CASE("Sidecars that start again beside loaded engines leave the links to callers")
@@ -193,7 +193,7 @@
   SecondsUntilLoaded(world, 2);
   world.RunFor(Milliseconds(3000));
   const double sent_before = world.CopiesBetweenNodes();
-  const double drawn_before = world.CopiesFromOrigin();
+  const double fetched_before = world.CopiesFromOrigin();
   // A loss of power takes the stages, too.
   for (std::size_t node = 0; node < world.Count(); ++node)
   {
@@ -203,7 +203,7 @@
   }
   world.RunFor(Milliseconds(9000));
   CHECK(world.CopiesBetweenNodes() == sent_before);
-  CHECK(world.CopiesFromOrigin() == drawn_before);
+  CHECK(world.CopiesFromOrigin() == fetched_before);
 
   SUBCASE("and take the next version as soon as it is named")
   {
@@ -247,7 +247,7 @@
   CHECK(world.TicksOf(0) - before < 4000);
 }
 
-TEST_CASE("After a long outage the origin is drawn from once, in order, as before it")
+TEST_CASE("After a long outage the origin is used once for each piece, in order, as before it")
 {
   for (const int per_hall : {4, 8, 24})
   {
@@ -257,19 +257,20 @@
     world.RunFor(Milliseconds(600));
     world.SetOriginDown(true);
     world.RunFor(Milliseconds(6000));
-    const double drawn_before = world.CopiesFromOrigin();
+    const double fetched_before = world.CopiesFromOrigin();
     world.SetOriginDown(false);
     const double seconds = SecondsUntilLoaded(world, 2);
     MESSAGE("3 halls of " << per_hall << ": loaded by all " << seconds / LINK_SECONDS
                           << " times the bound after the origin's return, "
-                          << world.CopiesFromOrigin() - drawn_before << " copies from the origin");
+                          << world.CopiesFromOrigin() - fetched_before
+                          << " copies from the origin");
     CHECK(world.Fault().empty());
     CHECK(seconds < 1.7 * LINK_SECONDS);
-    CHECK(world.CopiesFromOrigin() - drawn_before < 1.2);
+    CHECK(world.CopiesFromOrigin() - fetched_before < 1.2);
   }
 }
 
-TEST_CASE("Halls that hear the origin's hall leave the origin to it when it comes back")
+TEST_CASE("Halls that get answers of the origin's hall leave the origin to it when it comes back")
 {
   WorldOptions options;
   options.halls = {{"a", 16}, {"b", 16}, {"c", 16}, {"d", 16}, {"e", 16}};
@@ -283,12 +284,12 @@
   const std::uint32_t missing = 96 - world.At(16).PiecesHeld(2);
   REQUIRE(missing >= 10);
   REQUIRE(missing <= 25);
-  const double drawn_before = world.CopiesFromOrigin();
+  const double fetched_before = world.CopiesFromOrigin();
   world.SetOriginDown(false);
   CHECK(SecondsUntilLoaded(world, 2) < 2.0);
-  const double drawn = 96 * (world.CopiesFromOrigin() - drawn_before);
-  MESSAGE(missing, " pieces were missing, ", drawn, " came from the origin");
-  CHECK(drawn < 2.0 * missing);
+  const double fetched = 96 * (world.CopiesFromOrigin() - fetched_before);
+  MESSAGE(missing, " pieces were missing, ", fetched, " came from the origin");
+  CHECK(fetched < 2.0 * missing);
 }
 
 TEST_CASE("The push stays near the link's bound as halls grow")
@@ -298,7 +299,7 @@
   {
     SidecarWorld world = MakeWorld({{{"a", per_hall}, {"b", per_hall}, {"c", per_hall}}});
     world.RunFor(Milliseconds(3000));
-    const double drawn_before = world.CopiesFromOrigin();
+    const double fetched_before = world.CopiesFromOrigin();
     const double across_before = world.CopiesAcross();
     world.Name(2);
     const Common::TimePoint begin = world.Now();
@@ -315,11 +316,11 @@
         Milliseconds(20000));
     const double seconds = std::chrono::duration<double>(world.Now() - begin).count();
     MESSAGE("3 halls of " << per_hall << ": held by all after " << seconds / LINK_SECONDS
-                          << " times the bound, " << world.CopiesFromOrigin() - drawn_before
+                          << " times the bound, " << world.CopiesFromOrigin() - fetched_before
                           << " copies from the origin, " << world.CopiesAcross() - across_before
                           << " across halls");
     CHECK(seconds < most * LINK_SECONDS);
-    CHECK(world.CopiesFromOrigin() - drawn_before < 1.1);
+    CHECK(world.CopiesFromOrigin() - fetched_before < 1.1);
     // Once into each of the two other halls.
     CHECK(world.CopiesAcross() - across_before < 2.3);
   }
--- a/Source/UnitTests/Core/Sidecar/SidecarVersionsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarVersionsTest.cpp
@@ -21,12 +21,12 @@
 {
   SidecarWorld world = MakeWorld();
   world.RunFor(Milliseconds(3000));
-  const double drawn_before = world.CopiesFromOrigin();
+  const double fetched_before = world.CopiesFromOrigin();
   world.Name(2);
   world.RunFor(Milliseconds(1500));
   world.Name(3);
   CHECK(SecondsUntilLoaded(world, 3) < 8.0);
-  CHECK(world.CopiesFromOrigin() - drawn_before < 2.0);
+  CHECK(world.CopiesFromOrigin() - fetched_before < 2.0);
   CHECK(world.Fault().empty());
 }
 
@@ -61,7 +61,7 @@
   CHECK(world.Fault().empty());
 }
 
-TEST_CASE("The next version is drawn as soon as the origin is free")
+TEST_CASE("The next version is fetched as soon as the origin is free")
 {
   SidecarWorld world = MakeWorld();
   NameTwo(world, Milliseconds(2400));
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -68,7 +68,7 @@
 void SidecarWorld::StartNode(std::size_t node)
 {
   Node& self = m_nodes[node];
-  ++self.life;
+  ++self.incarnation;
   Sidecar::SidecarOptions options;
   options.address = self.address;
   options.hall = self.hall;
@@ -77,7 +77,7 @@
   options.switch_within = m_options.switch_within;
   self.core = std::make_unique<Sidecar::Sidecar>(options, m_metrics);
   self.tick_due = {};
-  Tick(node, self.life);
+  Tick(node, self.incarnation);
 }
 
 void SidecarWorld::At(TimePoint at, std::function<void()> run)
@@ -107,10 +107,10 @@
   return true;
 }
 
-void SidecarWorld::Tick(std::size_t node, std::uint64_t life)
+void SidecarWorld::Tick(std::size_t node, std::uint64_t incarnation)
 {
   Node& self = m_nodes[node];
-  if (self.life != life || !self.core)
+  if (self.incarnation != incarnation || !self.core)
     return;
   ++self.ticks;
   Sidecar::Actions actions;
@@ -147,10 +147,10 @@
     return;
   self.tick_due = next;
   At(next,
-     [this, node, next, life = self.life]
+     [this, node, next, incarnation = self.incarnation]
      {
        if (m_nodes[node].tick_due == next)
-         Tick(node, life);
+         Tick(node, incarnation);
      });
 }
 
@@ -211,17 +211,17 @@
     const Mesh::Sender gateway{
         "gw-" + m_nodes[node].hall, m_nodes[node].hall, {"10.8.0.1", 7700}, 1};
     Transfer(m_next_connection++, *m_gateway, *m_nodes[node].down, HELLO_BYTES,
-             [this, node, gateway, hello, life = m_nodes[node].life]
-             { Hear(node, life, gateway, hello); });
+             [this, node, gateway, hello, incarnation = m_nodes[node].incarnation]
+             { Receive(node, incarnation, gateway, hello); });
   }
   At(m_now + BRIEFING, [this] { Brief(); });
 }
 
-void SidecarWorld::Hear(std::size_t node, std::uint64_t life, const Mesh::Sender& from,
-                        const Mesh::Message& message)
+void SidecarWorld::Receive(std::size_t node, std::uint64_t incarnation, const Mesh::Sender& from,
+                           const Mesh::Message& message)
 {
   Node& self = m_nodes[node];
-  if (self.life != life || self.is_cut || !self.core)
+  if (self.incarnation != incarnation || self.is_cut || !self.core)
     return;
   Sidecar::Actions actions;
   self.core->OnMessage(from, message, m_now, &actions);
@@ -257,10 +257,10 @@
 void SidecarWorld::Do(std::size_t node, const Sidecar::ReadReport& /*read*/)
 {
   At(m_now + LOCAL_CALL,
-     [this, node, life = m_nodes[node].life]
+     [this, node, incarnation = m_nodes[node].incarnation]
      {
        const Node& self = m_nodes[node];
-       if (self.life != life)
+       if (self.incarnation != incarnation)
          return;
        Sidecar::EngineReport report;
        report.model = MODEL;
@@ -276,9 +276,9 @@
 void SidecarWorld::Do(std::size_t node, const Sidecar::ListStaged& /*list*/)
 {
   At(m_now + LOCAL_CALL,
-     [this, node, life = m_nodes[node].life]
+     [this, node, incarnation = m_nodes[node].incarnation]
      {
-       if (m_nodes[node].life != life)
+       if (m_nodes[node].incarnation != incarnation)
          return;
        std::vector<std::uint32_t> held;
        for (const auto& [piece, data] : m_nodes[node].stage)
@@ -290,9 +290,9 @@
 void SidecarWorld::Do(std::size_t node, const Sidecar::ReadStaged& read)
 {
   At(m_now + LOCAL_CALL,
-     [this, node, piece = read.piece, life = m_nodes[node].life]
+     [this, node, piece = read.piece, incarnation = m_nodes[node].incarnation]
      {
-       if (m_nodes[node].life == life)
+       if (m_nodes[node].incarnation == incarnation)
          Feed(node, Sidecar::StagedRead{piece, m_nodes[node].stage[piece]});
      });
 }
@@ -300,10 +300,10 @@
 void SidecarWorld::Do(std::size_t node, const Sidecar::StagePiece& stage)
 {
   At(m_now + LOCAL_CALL,
-     [this, node, stage, life = m_nodes[node].life]
+     [this, node, stage, incarnation = m_nodes[node].incarnation]
      {
        m_nodes[node].stage[stage.piece] = stage.data;
-       if (m_nodes[node].life == life)
+       if (m_nodes[node].incarnation == incarnation)
          Feed(node, Sidecar::PieceStaged{stage.piece, std::monostate()});
      });
 }
@@ -327,9 +327,9 @@
        m_nodes[node].loaded = version;
      });
   At(m_now + LOCAL_CALL,
-     [this, node, version = start.version, life = self.life]
+     [this, node, version = start.version, incarnation = self.incarnation]
      {
-       if (m_nodes[node].life == life)
+       if (m_nodes[node].incarnation == incarnation)
          Feed(node, Sidecar::StartAnswered{version, std::monostate()});
      });
 }
@@ -379,10 +379,10 @@
 
 void SidecarWorld::Do(std::size_t node, const Sidecar::FetchFromOrigin& fetch)
 {
-  const std::uint64_t life_now = m_nodes[node].life;
-  const auto fail = [this, node, id = fetch.id, life = life_now](ErrorKind kind)
+  const std::uint64_t incarnation_now = m_nodes[node].incarnation;
+  const auto fail = [this, node, id = fetch.id, incarnation = incarnation_now](ErrorKind kind)
   {
-    if (m_nodes[node].life == life && !m_nodes[node].is_cut)
+    if (m_nodes[node].incarnation == incarnation && !m_nodes[node].is_cut)
       Feed(node, Sidecar::OriginFetched{id, Error{kind, "the origin failed"}});
   };
   if (m_is_origin_down)
@@ -400,14 +400,14 @@
     data = Common::MakeBytes(std::move(spoilt));
   }
   Transfer(m_next_connection++, *m_origin, *m_nodes[node].down, data->size(),
-           [this, node, id = fetch.id, data, life = life_now, asked_newest, fail,
+           [this, node, id = fetch.id, data, incarnation = incarnation_now, asked_newest, fail,
             version = fetch.version]
            {
              if (m_is_origin_down)
                return fail(ErrorKind::Unreachable);
              if (version + 1 < asked_newest)
                return fail(ErrorKind::NotFound);
-             if (m_nodes[node].life != life || m_nodes[node].is_cut)
+             if (m_nodes[node].incarnation != incarnation || m_nodes[node].is_cut)
                return;
              Feed(node, Sidecar::OriginFetched{id, data});
            });
@@ -434,10 +434,10 @@
     if (from.hall != to.hall)
       m_across_bytes += bytes;
   }
-  const Mesh::Sender sender{from.address.ToString(), from.hall, from.address, from.life};
+  const Mesh::Sender sender{from.address.ToString(), from.hall, from.address, from.incarnation};
   Transfer(node * m_nodes.size() + receiver, *from.up, *to.down, bytes,
-           [this, receiver, sender, message = tell.message, life = to.life]
-           { Hear(receiver, life, sender, message); });
+           [this, receiver, sender, message = tell.message, incarnation = to.incarnation]
+           { Receive(receiver, incarnation, sender, message); });
 }
 
 // --- what is seen and what goes wrong ---
@@ -489,7 +489,7 @@
 void SidecarWorld::Restart(std::size_t node, Duration after)
 {
   m_nodes[node].core.reset();
-  ++m_nodes[node].life;
+  ++m_nodes[node].incarnation;
   At(m_now + after, [this, node] { StartNode(node); });
 }
 
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -86,7 +86,7 @@
     std::string hall;
     Common::Address address;
     std::unique_ptr<Sidecar::Sidecar> core;
-    std::uint64_t life = 0;
+    std::uint64_t incarnation = 0;
     std::unique_ptr<QueueLink> up;
     std::unique_ptr<QueueLink> down;
     bool is_cut = false;
@@ -130,14 +130,14 @@
 
   void At(Common::TimePoint at, std::function<void()> run);
   void StartNode(std::size_t node);
-  void Tick(std::size_t node, std::uint64_t life);
+  void Tick(std::size_t node, std::uint64_t incarnation);
   void ScheduleTick(std::size_t node);
   void Brief();
   // Whether the engine would begin a request now.
   bool TakesRequests(const Node& node) const;
   void Serve();
-  void Hear(std::size_t node, std::uint64_t life, const Mesh::Sender& from,
-            const Mesh::Message& message);
+  void Receive(std::size_t node, std::uint64_t incarnation, const Mesh::Sender& from,
+               const Mesh::Message& message);
   template <typename Event>
   void Feed(std::size_t node, Event event);
   void Carry(std::size_t node, Sidecar::Actions& actions);
--- a/Source/UnitTests/Core/SwarmTest.cpp
+++ b/Source/UnitTests/Core/SwarmTest.cpp
@@ -91,12 +91,12 @@
   Fixture f;
   f.swarm->SetPeers({}, {}, f.now, &f.actions);
 
-  SUBCASE("draws nothing before its view is confirmed")
+  SUBCASE("fetches nothing before its view is confirmed")
   {
     f.Pass(Milliseconds(1000));
     CHECK(f.Fetches().empty());
   }
-  SUBCASE("draws all once its patience is over")
+  SUBCASE("fetches all once its patience is over")
   {
     f.Pass(Milliseconds(100));
     f.Pass(Milliseconds(1500));
@@ -108,7 +108,7 @@
     f.Pass(Milliseconds(100));
     CHECK(f.swarm->NextTurn() > f.now);
   }
-  SUBCASE("draws all at once with a confirmed view, and holds the version when all is verified")
+  SUBCASE("fetches all at once with a confirmed view, and holds the version when all is verified")
   {
     f.GetManifest({});
     for (int round = 0; round < 10 && !f.has_version; ++round)
@@ -213,7 +213,7 @@
   CHECK(!f.Fetches().empty());
 }
 
-TEST_CASE("An instance that knows no other one draws all from the origin")
+TEST_CASE("An instance that knows no other one fetches all from the origin")
 {
   // It reads the platform alone, and the list of instances is not there yet.
   Fixture f;
--- a/Source/UnitTests/Peers/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Peers/CallerConnectionTest.cpp
@@ -120,7 +120,7 @@
         "HTTP/1.1 413");
 }
 
-TEST_CASE("A caller that is too slow with its request hears so")
+TEST_CASE("A caller that is too slow with its request is told so")
 {
   CallerConnectionLimits limits;
   limits.header_timeout = Milliseconds(50);
--- a/Source/UnitTests/Process/Hall.cpp
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -242,7 +242,7 @@
   return status.is_object() && status["ready"] == true && status["serving_version"] == version;
 }
 
-double Hall::CopiesDrawn(const std::string& version)
+double Hall::CopiesFetched(const std::string& version)
 {
   return Stats("platform")["versions"][version]["copies"];
 }
--- a/Source/UnitTests/Process/Hall.h
+++ b/Source/UnitTests/Process/Hall.h
@@ -80,7 +80,7 @@
   nlohmann::json Status(const std::string& name);
   nlohmann::json Stats(const std::string& name);
   bool Serves(const std::string& agent, const std::string& version);
-  double CopiesDrawn(const std::string& version);
+  double CopiesFetched(const std::string& version);
   // A completion through an entry, as organisation bygg.
   Common::HttpCall Completion(const std::string& entry, int tokens) const;
   // Waits until the condition holds; fails the test after a long time.
--- a/Source/UnitTests/Process/WeightsProcessTest.cpp
+++ b/Source/UnitTests/Process/WeightsProcessTest.cpp
@@ -49,15 +49,15 @@
   hall.WaitUntil("agent-2 has some pieces", [&] { return PiecesHeld(hall, "agent-2") > 5; });
   hall.Get("agent-2").Kill();
   hall.WaitServing({"agent-1", "agent-3", "agent-4"}, version);
-  CHECK(hall.CopiesDrawn(version) <= 1.5);
+  CHECK(hall.CopiesFetched(version) <= 1.5);
   CheckNoWrongWeights(hall, 4);
 
   SUBCASE("and its replacement takes all from its peers")
   {
-    const double before = hall.CopiesDrawn(version);
+    const double before = hall.CopiesFetched(version);
     hall.StartAgent("agent-2", "engine-2", "target-2");
     hall.WaitServing({"agent-2"}, version);
-    CHECK(hall.CopiesDrawn(version) == before);
+    CHECK(hall.CopiesFetched(version) == before);
   }
 }
 
@@ -120,7 +120,7 @@
                  });
   hall.SetFaults("platform", {{"log_down", true}});
   hall.WaitServing({"agent-1", "agent-2", "agent-3"}, version);
-  CHECK(hall.CopiesDrawn(version) <= 1.25);
+  CHECK(hall.CopiesFetched(version) <= 1.25);
 }
 
 TEST_CASE("Answers to appended claims get lost")
@@ -167,7 +167,7 @@
   CheckNoWrongWeights(hall, 4);
 }
 
-TEST_CASE("The agents that should draw most from the origin are killed at the start")
+TEST_CASE("The agents that should fetch most from the origin are killed at the start")
 {
   Hall hall(4, 0, {{"origin_bytes_per_second", 4 * MIB}});
   const std::string version = hall.MakeWeights("v1", 4 * MIB, PIECE);
@@ -176,7 +176,7 @@
   hall.Get("agent-2").Kill();
   hall.Get("agent-3").Kill();
   hall.WaitServing({"agent-1", "agent-4"}, version);
-  CHECK(hall.CopiesDrawn(version) <= 2);
+  CHECK(hall.CopiesFetched(version) <= 2);
   CheckNoWrongWeights(hall, 4);
 }
 
@@ -207,13 +207,13 @@
   CHECK(hall.Status("agent-3")["log_reachable"] == false);
 }
 
-TEST_CASE("The weight store is drawn from before the origin")
+TEST_CASE("The weight store is used before the origin")
 {
   Hall hall(3, 0, {{"has_store", true}});
   const std::string version = hall.MakeWeights("v1", MIB, PIECE);
   REQUIRE(hall.Publish(version) == 0);
   hall.WaitServing({"agent-1", "agent-2", "agent-3"}, version);
-  CHECK(hall.CopiesDrawn(version) == 0);
+  CHECK(hall.CopiesFetched(version) == 0);
 }
 
 TEST_CASE("A new agent starts after the log has dropped the first records")
--- a/Source/UnitTests/Scenario/Script.cpp
+++ b/Source/UnitTests/Scenario/Script.cpp
@@ -131,7 +131,7 @@
   if (what == "serving") // serving WEIGHTS [most|least] N
     return ExpectNumber(what, static_cast<double>(m_world.CountServing(words.at(1))), words, 2);
   if (what == "copies") // copies WEIGHTS [most|least] N
-    return ExpectNumber(what, m_world.CopiesDrawn(words.at(1)), words, 2);
+    return ExpectNumber(what, m_world.CopiesFetched(words.at(1)), words, 2);
   if (what == "answers") // answers HOW [most|least] N
     return ExpectNumber(what, m_world.Answers(words.at(1)), words, 2);
   if (what == "open") // open N
--- a/Source/UnitTests/Scenario/World.cpp
+++ b/Source/UnitTests/Scenario/World.cpp
@@ -233,10 +233,10 @@
                             { return entry.second.agent && IsServing(entry.first, weights); }));
 }
 
-double World::CopiesDrawn(const std::string& weights) const
+double World::CopiesFetched(const std::string& weights) const
 {
   const Weights& known = m_weights.at(weights);
-  return static_cast<double>(known.drawn) / static_cast<double>(known.bytes);
+  return static_cast<double>(known.fetched) / static_cast<double>(known.bytes);
 }
 
 void World::Kill(const std::string& name)
@@ -389,7 +389,7 @@
   if (action.piece != Distribution::MANIFEST_PIECE)
   {
     data = weights.pieces.at(action.piece);
-    (is_store ? weights.drawn_from_store : weights.drawn) += data->size();
+    (is_store ? weights.fetched_from_store : weights.fetched) += data->size();
     if (m_corrupt_at_origin > 0)
     {
       --m_corrupt_at_origin;
--- a/Source/UnitTests/Scenario/World.h
+++ b/Source/UnitTests/Scenario/World.h
@@ -65,7 +65,7 @@
   Common::Digest VersionOf(const std::string& weights) const;
   bool IsServing(const std::string& agent, const std::string& weights) const;
   std::size_t CountServing(const std::string& weights) const;
-  double CopiesDrawn(const std::string& weights) const;
+  double CopiesFetched(const std::string& weights) const;
   const NodeCore::Base* Find(const std::string& name) const;
   std::uint64_t Counter(const std::string& node, const std::string& name,
                         const std::string& label) const;
@@ -103,8 +103,8 @@
     Common::Bytes manifest;
     std::vector<Common::Bytes> pieces;
     std::uint64_t bytes = 0;
-    std::uint64_t drawn = 0;
-    std::uint64_t drawn_from_store = 0;
+    std::uint64_t fetched = 0;
+    std::uint64_t fetched_from_store = 0;
   };
 
   struct Target
--- a/Source/UnitTests/Support/Sockets.h
+++ b/Source/UnitTests/Support/Sockets.h
@@ -34,7 +34,7 @@
 }
 
 // From now on the socket takes nothing in, not even what would acknowledge its own bytes, as if its
-// connection had gone silent on the way. Its peer hears nothing more.
+// connection had gone silent on the way. Its peer receives nothing more.
 inline void DropAllInput(int fd)
 {
   sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
