Weights: A sidecar exchanges pieces with 8 others of its hall instead of 16

Cause: on the virtual clock members hold half of a version when the origin has sent all of it, though their links could keep up (3 halls of 16: the last has it after 1.70 times the link's bound). A piece enters a hall at one member, and as the rarest is asked for first, all neighbours ask that one at once: most requests are refused, and links idle until their pause is over. Ruled out, each alone in the same world: more uploads waiting (1.71), one or two uploads at once (2.25, 1.82), two pieces of a peer at once (1.67), two from outside at once (1.70); six each way instead of three 1.50, but messages wait 13 instead of 7 ms behind them. Change: NEIGHBOURS of a sidecar, 8. The push's test asks for 1.6 at each size instead of 1.6, 1.7, 1.9 (1.48 at 3 halls of 8, 1.49 at 16); at 3 halls of 16 it failed before (1.68).

--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -30,6 +30,10 @@
 static constexpr Milliseconds STALL = Milliseconds(900);
 // The origin is shared by few, and all wait for it when it has failed.
 static constexpr Milliseconds ORIGIN_PAUSE_MOST = Milliseconds(100);
+// Members of the hall with which a sidecar exchanges pieces. A piece enters a hall at one member;
+// if more ask that one for it at once, most are refused and their links idle: with 16 neighbours
+// copies take 1.70 instead of 1.49 times what a link needs (3 halls of 16 on the virtual clock).
+static constexpr std::size_t NEIGHBOURS = 8;
 // Pieces that share the link at once, each way. Requests and answers of the target wait behind all
 // of them: with 6 instead of 3, answers began 170 ms later (204 targets on links of 7.3 Mbit/s, 64%
 // load), and the worst 2 s of two pushes earned 0.84 instead of 0.95 of their worth.
@@ -75,6 +79,7 @@
   Distribution::ExchangeOptions options;
   options.link_bytes_per_second = m_options.link_bytes_per_second;
   options.link_pacing = Distribution::LinkPacing::Wire;
+  options.neighbours = NEIGHBOURS;
   options.swarm.patience = PATIENCE;
   options.swarm.stall = STALL;
   options.swarm.backoff_most = ORIGIN_PAUSE_MOST;
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -294,8 +294,8 @@
 
 TEST_CASE("The push stays near the link's bound as halls grow")
 {
-  // Times the bound that were measured, with some room.
-  for (const auto& [per_hall, most] : {std::pair(4, 1.6), std::pair(8, 1.7), std::pair(16, 1.9)})
+  // The aim is 1.3 at any size. Until it is reached, halls that grow must not take longer.
+  for (const auto& [per_hall, most] : {std::pair(4, 1.6), std::pair(8, 1.6), std::pair(16, 1.6)})
   {
     SidecarWorld world = MakeWorld({{{"a", per_hall}, {"b", per_hall}, {"c", per_hall}}});
     world.RunFor(Milliseconds(3000));
