--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -44,8 +44,8 @@
   m_metrics.Add("holdpost_requests_total");
 }
 
-void RequestLog::OnTurnedAway(const CallerRequest& request, const Common::ErrorAnswer& answer,
-                              Settings::DocumentVersion settings, TimePoint now)
+void RequestLog::OnRejected(const CallerRequest& request, const Common::ErrorAnswer& answer,
+                            Settings::DocumentVersion settings, TimePoint now)
 {
   m_metrics.Add("holdpost_requests_refused_total", Common::Reason(answer.name));
   LogEvent(Weight::Important, now, "request.refused", "request", request.id, "reason", answer.name,
@@ -129,7 +129,7 @@
              view.targets.listed, "open", view.targets.open, "leaving", view.targets.leaving,
              "avoided", view.targets.avoided, "switching", view.targets.switching,
              "without_weights", view.targets.without_weights, "old_weights",
-             view.targets.old_weights);
+             view.targets.old_weights, "unreported", view.targets.unreported);
 }
 
 void RequestLog::OnCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
--- a/Source/OperatorTool/LogStory.cpp
+++ b/Source/OperatorTool/LogStory.cpp
@@ -117,6 +117,7 @@
       Group{"avoided", "avoided after a failure, or full"},
       Group{"switching", "loading other weights"},
       Group{"without_weights", "without weights"},
+      Group{"unreported", "listed, but not reported by their agents since the gateway's start"},
       Group{"old_weights", "with weights that would be too old when it begins"}};
   if (!refused.fields.contains("targets"))
     return "";
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -64,6 +64,19 @@
     REQUIRE(lines.size() == 1);
     CHECK(lines[0]["old_weights"] == 2);
   }
+  SUBCASE("refused after a start: of which targets nothing was reported")
+  {
+    TargetLoad switching;
+    switching.address = f.listed.at(0).address;
+    switching.is_switching = true;
+    f.gateway.OnTargetLoad(switching, f.now, &f.actions);
+    f.Arrive("/chat/");
+    f.Pass(Milliseconds(150));
+    const auto lines = log.Lines("request.refused");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["switching"] == 1);
+    CHECK(lines[0]["unreported"] == 1);
+  }
   SUBCASE("cut in the middle: the target, when it was sent there, and the last event")
   {
     const RequestNumber number = f.Arrive("/draft/");
--- a/Source/UnitTests/OperatorTool/LogStoryTest.cpp
+++ b/Source/UnitTests/OperatorTool/LogStoryTest.cpp
@@ -95,6 +95,16 @@
       Has(story, "Of the 5 targets of the service: 3 loading other weights, 2 with weights that"));
 }
 
+TEST_CASE(
+    "The story of a request refused after a start tells of which targets nothing was reported")
+{
+  std::istringstream input(
+      R"({"t":1.0,"event":"request.refused","request":"r","reason":"queue_full","targets":5,"open":1,"unreported":4})");
+  const std::string story = TellStory(ReadLog(input, "front-1"), "r");
+  CHECK(
+      Has(story, "1 open, 4 listed, but not reported by their agents since the gateway's start."));
+}
+
 TEST_CASE("Switches of its targets are put beside a request by the time of day")
 {
   std::istringstream input(R"(
