Core: A request is rejected, messages are reports, answers or beats

Cause: comments and a name said turned away, and word for what is a report, an answer or a beat. Ruled out: a change of behaviour; the 252 unit tests pass with the same assertions.

--- a/Source/Bench/Routing/RoutingGateways.cpp
+++ b/Source/Bench/Routing/RoutingGateways.cpp
@@ -13,7 +13,7 @@
 static constexpr std::uint32_t ATTEMPTS_OF_CALLER = 2;
 // The part of what is left of its time that a caller waits before it comes back.
 static constexpr int COME_BACK_SHARE = 3;
-// Word of new work is passed on at once, but not more often.
+// News of new work is passed on at once, but not more often.
 static constexpr Milliseconds TELL_GAP{10};
 
 void RoutingWorld::Carry(Node& node, const Gateway::Actions& actions)
--- a/Source/Common/DatagramSocket.h
+++ b/Source/Common/DatagramSocket.h
@@ -25,7 +25,7 @@
   DatagramSocket& operator=(const DatagramSocket&) = delete;
 
   Result<Address> Bind(const Address& address);
-  // Dropped without a word when the kernel has no room.
+  // Dropped silently when the kernel has no room.
   void Send(const Address& to, std::string_view data);
 
 private:
--- a/Source/Core/Claims/KeptAnswers.h
+++ b/Source/Core/Claims/KeptAnswers.h
@@ -42,7 +42,7 @@
               std::size_t bytes_most);
   // Null if this entry knows nothing of the key.
   const KeptAnswer* Find(const KeyName& key) const;
-  // Drops bodies that were kept for `keep_time`. The word that a key was used stays.
+  // Drops bodies that were kept for `keep_time`. The record that a key was used stays.
   void Expire(Common::TimePoint now, Common::Duration keep_time);
   // The log does not keep the key's claim any more, so the key is no longer good.
   void Forget(const KeyName& key);
--- a/Source/Core/Control/NamedVersions.cpp
+++ b/Source/Core/Control/NamedVersions.cpp
@@ -9,7 +9,7 @@
 using Common::TimePoint;
 
 static constexpr std::size_t VERSIONS_KEPT = 4;
-// Times from others are off by how long their word took, so small differences are no news.
+// Times from others are off by how long their message took, so small differences are no news.
 static constexpr Milliseconds EARLIER_LEAST = Milliseconds(20);
 
 bool NamedVersions::Offer(std::uint64_t version, TimePoint since)
--- a/Source/Core/Control/NamedVersions.h
+++ b/Source/Core/Control/NamedVersions.h
@@ -18,7 +18,7 @@
 class NamedVersions
 {
 public:
-  // Returns whether this is news: a version that was not known, or word that it was known earlier.
+  // Returns whether this is news: a version that was not known, or that it was known earlier.
   // Versions before those that are kept are no news.
   bool Offer(std::uint64_t version, Common::TimePoint since);
   // The oldest one first.
--- a/Source/Core/Control/ReaderDuty.cpp
+++ b/Source/Core/Control/ReaderDuty.cpp
@@ -20,8 +20,8 @@
 // A process that has just started is told by others within so long, if any can.
 static constexpr Milliseconds TOLD_WITHIN = Milliseconds(20);
 // When all processes start together, none can. If they all asked the platform at once, its link
-// would be full and none would have settings and targets before 500 ms (149 gateways that each read
-// 26 MB / 149): so they come one after the other.
+// would be full and none would have settings and targets before 500 ms (149 gateways on a link of
+// 26 MB a second): so they come one after the other.
 static constexpr std::uint64_t TOLD_JITTER_MS = 230;
 static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
 // An answer whose beat comes one period late must still be younger than ANSWER_AGE_MOST when the
@@ -34,7 +34,7 @@
 // refuse as well.
 static constexpr std::size_t FAILING_READERS_MOST = 5;
 static constexpr Milliseconds TURN_OF_EACH = Milliseconds(2000);
-// Readers speak each 300 ms, and one of these may be lost.
+// Readers send a beat each 300 ms, and one of these may be lost.
 static constexpr Duration FAILING_LIFETIME = Milliseconds(700);
 
 ReaderRank RankOf(const Common::Address& process)
--- a/Source/Core/Control/ReaderDuty.h
+++ b/Source/Core/Control/ReaderDuty.h
@@ -63,7 +63,7 @@
   bool m_reads = true;
   Common::TimePoint m_began{};
   bool m_has_reader = false;
-  // Without newer word of a reader this process begins to read.
+  // Without a newer beat of a reader this process begins to read.
   Common::TimePoint m_take_over_at{};
   // That time is a turn at a platform that answers nobody.
   bool m_has_turn = false;
--- a/Source/Core/Deployment/Deployment.h
+++ b/Source/Core/Deployment/Deployment.h
@@ -54,8 +54,8 @@
   void OnVersionHeld(const Common::Digest& version, Common::TimePoint now, Actions* actions);
   void OnOrderDone(std::uint64_t order, const Common::Result<std::monostate>& result,
                    Common::TimePoint now, Actions* actions);
-  // `may_order` is the lease's word at this moment, `may_switch` the hall's limit on how many load
-  // at once.
+  // `may_order` is what the lease allows at this moment, `may_switch` the hall's limit on how many
+  // load at once.
   void OnTick(Common::TimePoint now, bool may_order, bool may_switch, Actions* actions);
 
   // The service and version that requests may be sent to; not ready while there is none.
--- a/Source/Core/Distribution/Exchange.cpp
+++ b/Source/Core/Distribution/Exchange.cpp
@@ -99,7 +99,7 @@
     found->second->OnAnnouncement(peer, announcement, now, actions);
   else if (announcement.wants_reply)
   {
-    // The peer waits for our word before it fetches from the origin: we hold nothing of it.
+    // The peer waits for our answer before it fetches from the origin: we hold nothing of it.
     actions->push_back(SendAnnouncement{peer, {announcement.version, 0, true, false, "", {}, {}}});
   }
 }
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -12,7 +12,7 @@
 
 // Nothing is fetched from the origin before the neighbours said what they hold, or for so long.
 static constexpr Duration ANSWER_TIME = Milliseconds(300);
-static constexpr Duration MANIFEST_WORD_TIME = Milliseconds(20);
+static constexpr Duration MANIFEST_ANSWER_TIME = Milliseconds(20);
 // Members of a hall ask another hall for the manifest one after the other.
 static constexpr Duration MANIFEST_TURN = Milliseconds(60);
 // Only the last pieces are asked of two peers, so that hedging costs little.
@@ -62,15 +62,15 @@
     }
   }
   const bool has_waited = now - *m_last_new_sight >= m_manifest_rank * m_options.patience;
-  // A manifest is small, so the neighbours' word on it is not awaited for long.
+  // A manifest is small, so the neighbours' answers are not awaited for long.
   const bool is_view_good = m_options.is_named_by_content
                                 ? MayUseOrigin(now)
                                 : m_is_view_confirmed && OpenSource(now) &&
-                                      now - m_view_confirmed_at >= MANIFEST_WORD_TIME;
+                                      now - m_view_confirmed_at >= MANIFEST_ANSWER_TIME;
   const std::uint32_t copies = m_options.is_named_by_content ? 1 : 2;
   while (has_waited && is_view_good && m_manifest_in_flight < copies)
     StartFetch(MANIFEST_PIECE, "", now, actions);
-  const TimePoint word_due = m_view_confirmed_at + MANIFEST_WORD_TIME;
+  const TimePoint word_due = m_view_confirmed_at + MANIFEST_ANSWER_TIME;
   if (m_is_view_confirmed && now < word_due)
     m_next_turn = word_due;
 }
@@ -198,7 +198,7 @@
 
 bool Swarm::MayUseOrigin(TimePoint now) const
 {
-  // Neighbours may hold it all already: their word is awaited for a moment.
+  // Neighbours may hold it all already: their answers are awaited for a moment.
   const bool has_word =
       now - m_view_confirmed_at >= ANSWER_TIME ||
       std::ranges::all_of(m_neighbours, [](const auto& entry)
--- a/Source/Core/Gateway/DemandWatch.cpp
+++ b/Source/Core/Gateway/DemandWatch.cpp
@@ -9,7 +9,7 @@
 using Common::TimePoint;
 
 static constexpr double RATE_LIFETIME_SECONDS = 1;
-// Word of the others is of use for so long.
+// Reports of the others are of use for so long.
 static constexpr Common::Milliseconds TOLD_LIFETIME = Common::Milliseconds(2000);
 // A share of fewer requests a second says little.
 static constexpr double ARRIVALS_LEAST = 1;
@@ -74,7 +74,7 @@
   const Service* watched = Find(service);
   if (watched && now - watched->told_at <= TOLD_LIFETIME && watched->told.near_per_second > 0)
     return watched->told;
-  // Without word of the others they are taken to get as much.
+  // Without reports of the others they are taken to get as much.
   const double own = ArrivalsPerSecond(service, now);
   return {own * static_cast<double>(gateways.near),
           own * static_cast<double>(gateways.FarUsersOfTarget()), RefusedShare(service, now)};
--- a/Source/Core/Gateway/GatewayRefusals.cpp
+++ b/Source/Core/Gateway/GatewayRefusals.cpp
@@ -22,7 +22,7 @@
 void Gateway::RefuseArrival(const RequestArrived& event, Error error, TimePoint now,
                             Actions* actions)
 {
-  m_log.OnTurnedAway(event.request, Common::AnswerFor(error.kind), Version(), now);
+  m_log.OnRejected(event.request, Common::AnswerFor(error.kind), Version(), now);
   actions->push_back(Refuse{event.number, std::move(error)});
 }
 
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -12,7 +12,7 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
-// Targets of one request, those included that turned it away.
+// Targets of one request, those included that rejected it.
 static constexpr std::uint32_t SENDS_MOST = 4;
 // A request whose target was lost before its answer began finds another one within this.
 static constexpr Duration RETRY_WITHIN = Milliseconds(300);
@@ -50,7 +50,7 @@
     return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
   m_log.OnRetried(tracked, reason, now);
   const bool may_have_run = tracked.runs > 0 || tracked.was_passed;
-  // What was spent on the target that turned it away does not shorten its wait for another one.
+  // What was spent on the target that rejected it does not shorten its wait for another one.
   if (!may_have_run)
     return EnqueueNotRun(tracked, true, now, actions);
   // One that may have run elsewhere keeps the time that it has to find another target.
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -26,8 +26,8 @@
 
   void OnArrived();
   // Refused before anything was looked for.
-  void OnTurnedAway(const CallerRequest& request, const Common::ErrorAnswer& answer,
-                    Settings::DocumentVersion settings, Common::TimePoint now);
+  void OnRejected(const CallerRequest& request, const Common::ErrorAnswer& answer,
+                  Settings::DocumentVersion settings, Common::TimePoint now);
   void OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
               Common::TimePoint now);
   void OnRetried(const TrackedRequest& tracked, std::string_view reason, Common::TimePoint now);
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -28,9 +28,9 @@
 // of those whose connection was closed by then were begun on weights that were too old.
 static constexpr Duration START_MARGIN = Milliseconds(400);
 static constexpr Duration START_MARGIN_UNREPORTED = Milliseconds(2000);
-// What others have sent since the last report is not known for so long: their word is on its way to
-// the agent, which reports not more often than each 10 ms, and its report on the way back. With 10
-// instead of 25 ms, gateways that saw the same idle target sent more there than it could begin:
+// What others have sent since the last report is not known for so long: their message is on its way
+// to the agent, which reports not more often than each 10 ms, and its report on the way back. With
+// 10 instead of 25 ms, gateways that saw the same idle target sent more there than it could begin:
 // 0.84 instead of 0.79 of the worth of the worst 2 s while 204 targets took new weights.
 static constexpr Duration BLIND_TIME = Milliseconds(25);
 // While an engine writes, too, it reads prompts at this part of its speed.
@@ -86,7 +86,7 @@
   const GatewayDemand demand = m_demand.Around(wish.service, m_gateways, now);
   const double own = m_demand.ArrivalsPerSecond(wish.service, now);
   // What a gateway is about to send for each request a second that comes to it: what came since the
-  // last word of the targets, and what waits, as any word of room sets it off.
+  // last report of the targets, and what waits, as any report of room sets it off.
   const double blind_seconds = std::chrono::duration<double>(BLIND_TIME).count();
   const double for_each = blind_seconds + static_cast<double>(wish.waiting) / std::max(own, 1.0);
   return {std::max(demand.near_per_second - own, 0.0) * for_each, demand.far_per_second * for_each,
@@ -98,7 +98,7 @@
 {
   if (!target.listed.needs_weights)
     return PlainLoadOf(target, now);
-  // Without word from its agent the others are taken to send as much as this gateway.
+  // Without reports of its agent the others are taken to send as much as this gateway.
   if (!HasFreshLoad(target, now))
     return static_cast<double>(target.own) * static_cast<double>(m_gateways.all);
   const double total = target.load->running + target.load->queued;
--- a/Source/Core/Mesh/GatewayMembership.h
+++ b/Source/Core/Mesh/GatewayMembership.h
@@ -39,9 +39,9 @@
   // Those of the own hall, this one included, when they were last counted.
   std::size_t Near() const { return m_near; }
   // Seeds to ask for the others, as long as no beat of a reader comes.
-  std::vector<Common::Address> SeedsToAsk(bool hears_reader, Common::TimePoint now)
+  std::vector<Common::Address> SeedsToAsk(bool knows_reader, Common::TimePoint now)
   {
-    return m_search.OnTick(hears_reader, now);
+    return m_search.OnTick(knows_reader, now);
   }
   Common::TimePoint NextWakeup() const { return m_search.NextWakeup(); }
 
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -101,7 +101,7 @@
   Gateway::OwnWork work;
 };
 
-// A sidecar's word on its target.
+// A sidecar's report of its target.
 struct LoadReport
 {
   Gateway::TargetLoad load;
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -49,7 +49,7 @@
 // Requests for pieces that are remembered until the peer says that it has the piece.
 static constexpr std::size_t ASKED_MOST = 256;
 static constexpr Milliseconds PIECE_TIME_LEAST = Milliseconds(5);
-static constexpr Milliseconds DRAW_TIME_LEAST = Milliseconds(2);
+static constexpr Milliseconds ORIGIN_PIECE_TIME_LEAST = Milliseconds(2);
 // While the hall lacks pieces, a member takes so many from the others at once, at least: with more
 // of them on its link, the piece that it fetches takes as long as all of these, and the origin's
 // link idles. With this and fetches at the origin's pace, 14 of 64 pieces were missing in a hall of
@@ -130,7 +130,7 @@
   if (rate == 0)
     return PieceTime();
   const std::chrono::duration<double> time(m_plan.piece_bytes / static_cast<double>(rate));
-  return std::max<Duration>(std::chrono::duration_cast<Duration>(time), DRAW_TIME_LEAST);
+  return std::max<Duration>(std::chrono::duration_cast<Duration>(time), ORIGIN_PIECE_TIME_LEAST);
 }
 
 std::uint32_t Sidecar::DownloadsWhileLacking() const
--- a/Source/Core/Sidecar/SidecarGateways.cpp
+++ b/Source/Core/Sidecar/SidecarGateways.cpp
@@ -10,7 +10,7 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
-// Without word of a gateway for so long the platform is asked.
+// Without a message of a gateway for so long the platform is asked.
 static constexpr Milliseconds ALONE_AFTER = Milliseconds(1500);
 // Gateways greet their hall's sidecars each 400 ms: one that is silent for longer is looked for.
 static constexpr Milliseconds SEARCH_AFTER = Milliseconds(900);
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -76,7 +76,7 @@
   const std::string* id = head.fields.Find(m_names.request_id);
   if (id)
     return *id == m_request.request_id;
-  // One that turns away what it could not read knows no id.
+  // One that rejects what it could not read knows no id.
   return head.status < 200 || head.fields.Find(m_names.not_run) != nullptr;
 }
 
--- a/Source/UnitTests/Bench/EngineModelTest.cpp
+++ b/Source/UnitTests/Bench/EngineModelTest.cpp
@@ -61,7 +61,7 @@
     engine.BeginPass();
     CHECK(engine.EndPass().front().is_first);
   }
-  SUBCASE("requests beyond the slots wait, and beyond the queue they are turned away")
+  SUBCASE("requests beyond the slots wait, and beyond the queue they are rejected")
   {
     engine.Submit({2, 100, 8});
     engine.BeginPass();
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -140,7 +140,7 @@
     CHECK_FALSE(other.follower.MissesTargets(14, reader.follower.TargetsChanged()));
     CHECK(other.follower.TargetsPosition() == 14);
   }
-  SUBCASE("they are lost, which the reader's next word shows")
+  SUBCASE("they are lost, which the reader's next beat shows")
   {
     CHECK(other.follower.MissesTargets(14, reader.follower.TargetsChanged()));
     CHECK(reader.follower.OnTargetsRead(TargetsRead{false, {{"d", MakeTarget("d")}}, 15},
--- a/Source/UnitTests/Core/Control/NamedVersionsTest.cpp
+++ b/Source/UnitTests/Core/Control/NamedVersionsTest.cpp
@@ -20,11 +20,11 @@
   CHECK_FALSE(versions.Offer(3, START + Milliseconds(500)));
   CHECK(versions.All().at(0).since == START);
 
-  SUBCASE("word that another process knew of it before")
+  SUBCASE("news that another process knew of it before")
   {
     CHECK(versions.Offer(3, START - Milliseconds(600)));
     CHECK(versions.All().at(0).since == START - Milliseconds(600));
-    // What differs by no more than the time that the word was under way is no news.
+    // What differs by no more than the time that the message was under way is no news.
     CHECK_FALSE(versions.Offer(3, START - Milliseconds(605)));
   }
   SUBCASE("an older one that was missed")
--- a/Source/UnitTests/Core/Gateway/DemandWatchTest.cpp
+++ b/Source/UnitTests/Core/Gateway/DemandWatchTest.cpp
@@ -55,7 +55,7 @@
   f.demand.OnTold(SERVICE, {700, 90, 0.1}, f.now);
   CHECK(f.demand.Around(SERVICE, GATEWAYS, f.now) == GatewayDemand{700, 90, 0.1});
 
-  SUBCASE("without word of them as much as comes here")
+  SUBCASE("without reports of them as much as comes here")
   {
     f.now += Milliseconds(2500);
     f.demand.OnArrival(SERVICE, f.now);
@@ -76,7 +76,7 @@
   CHECK(often.demand.FairnessWeight(SERVICE, often.now) > 1.5);
   CHECK(never.demand.FairnessWeight(SERVICE, never.now) < 0.7);
 
-  SUBCASE("but not by more than ten times, and only with word of the others")
+  SUBCASE("but not by more than ten times, and only with reports of the others")
   {
     Fixture always(1);
     always.demand.OnTold(SERVICE, {700, 90, 0}, always.now);
--- a/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
@@ -193,7 +193,7 @@
   }
 }
 
-TEST_CASE("They leave it earlier when word of that takes long to get there")
+TEST_CASE("They leave it earlier when the message takes long to get there")
 {
   Fixture f;
   f.gateway.OnWeightsNamed("m", 2, f.now);
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -258,7 +258,7 @@
 TEST_CASE("A target that is listed at the address of another one takes its place")
 {
   Fixture f;
-  // The one before has died without a word; its record lapses later.
+  // The one before has ended silently; its record lapses later.
   ListedTarget next = f.listed.at(2);
   REQUIRE(next.id == "desk-1");
   next.id = "desk-9";
--- a/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
@@ -44,7 +44,7 @@
     CHECK(f.Choose()->id == "next");
     f.table.SetList({f.two}, f.now);
     CHECK(f.Choose()->id == "2");
-    // It leaves without a word, and goes on answering meanwhile.
+    // It leaves silently, and goes on answering meanwhile.
     f.table.OnLoad(LoadOfNext(f.one, "next"), f.now);
     CHECK(f.Choose()->id == "2");
   }
--- a/Source/UnitTests/Core/Gateway/TargetChoosingTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetChoosingTest.cpp
@@ -31,7 +31,8 @@
   CHECK(choose_before(Milliseconds(750))->id == "1");
   CHECK(choose_before(Milliseconds(-100))->id == "2");
 
-  SUBCASE("without fresh word of a target nothing is sent there in time's last seconds")
+  SUBCASE("without a fresh report of a target nothing is sent there in the last seconds before the "
+          "bound")
   {
     f.now += Milliseconds(600);
     f.table.OnLoad(MakeLoad(f.two, 20), f.now);
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -75,7 +75,7 @@
   CHECK(table.Choose({"llm", 1000, 100, {}, {}}, START)->id == "2");
 }
 
-TEST_CASE("Without word of a target the other gateways are taken to send as much")
+TEST_CASE("Without reports of a target the other gateways are taken to send as much")
 {
   Fixture f;
   f.table.SetGateways({7, 7});
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -147,7 +147,7 @@
     REQUIRE(f.Run());
     CHECK(f.failure == CallFailure::Broken);
   }
-  SUBCASE("but one that turns away what it could not read is")
+  SUBCASE("but one that rejects what it could not read is")
   {
     Fixture f({"HTTP/1.1 400 Bad\r\nHoldpost-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"});
     f.Start();
