--- a/Source/OperatorTool/Commands.h
+++ b/Source/OperatorTool/Commands.h
@@ -17,4 +17,5 @@
 int RunStatus(const Arguments& arguments);
 int RunWatch(const Arguments& arguments);
 int RunExplain(const Arguments& arguments);
+int RunLosses(const Arguments& arguments);
 } // namespace Holdpost::OperatorTool
--- a/Source/OperatorTool/LogStory.cpp
+++ b/Source/OperatorTool/LogStory.cpp
@@ -72,10 +72,21 @@
   return lines;
 }
 
-static std::string TextOf(const LogLine& line, const std::string& field)
+std::string LogLine::Text(const std::string& field) const
 {
-  const auto found = line.fields.find(field);
-  return found != line.fields.end() && found->is_string() ? found->get<std::string>() : "";
+  const auto found = fields.find(field);
+  return found != fields.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+std::optional<double> LogLine::TimeOfDay() const
+{
+  std::tm parts{};
+  std::istringstream input(Text("time"));
+  if (!(input >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S")))
+    return std::nullopt;
+  double fraction = 0;
+  input >> fraction;
+  return static_cast<double>(timegm(&parts)) + fraction;
 }
 
 // What the process came to believe of anything that a request depends on, or of one of its targets.
@@ -85,7 +96,7 @@
                                         "targets.",  "gateways.",     "reload.",   "stop",
                                         "start",     "log."};
   if (line.event.starts_with("target."))
-    return targets.contains(TextOf(line, "target"));
+    return targets.contains(line.Text("target"));
   return std::ranges::any_of(GROUPS,
                              [&](const char* group) { return line.event.starts_with(group); });
 }
@@ -141,37 +152,24 @@
     return "Its caller left before the answer ended.\n";
   if (last.event != "request.refused" && last.event != "request.cut")
     return "The log does not say how it ended: lines were dropped, or it still runs.\n";
-  const std::string reason = TextOf(last, "reason");
+  const std::string reason = last.Text("reason");
   const auto cause = std::ranges::find(CAUSES, reason, &Cause::reason);
   return fmt::format("It was {}: {}\n{}",
                      last.event == "request.cut" ? "cut after it had begun" : "refused",
                      cause == CAUSES.end() ? reason : cause->text, TellTargets(last));
 }
 
-// The time of day of the line in seconds; empty if it has none.
-static std::optional<double> TimeOfDay(const LogLine& line)
-{
-  const std::string text = TextOf(line, "time");
-  std::tm parts{};
-  std::istringstream input(text);
-  if (!(input >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S")))
-    return std::nullopt;
-  double fraction = 0;
-  input >> fraction;
-  return static_cast<double>(timegm(&parts)) + fraction;
-}
-
 // What the sidecars beside its targets say of their engines around that time; all that they say if
 // the lines have no time of day.
 static std::string TellSwitches(const std::vector<LogLine>& lines,
                                 const std::set<std::string>& addresses, const LogLine& first)
 {
-  const std::optional<double> origin = TimeOfDay(first);
+  const std::optional<double> origin = first.TimeOfDay();
   std::map<std::string, std::string> sidecars;
   for (const LogLine& line : lines)
   {
-    if (line.event == "start" && addresses.contains(TextOf(line, "target")))
-      sidecars[line.process] = TextOf(line, "target");
+    if (line.event == "start" && addresses.contains(line.Text("target")))
+      sidecars[line.process] = line.Text("target");
   }
   std::string text;
   for (const LogLine& line : lines)
@@ -181,7 +179,7 @@
                           (line.event.starts_with("switch.") || line.event.starts_with("engine."));
     if (!is_meant)
       continue;
-    const std::optional<double> at = TimeOfDay(line);
+    const std::optional<double> at = line.TimeOfDay();
     if (origin && at && std::abs(*at - *origin) > NEAR_SECONDS)
       continue;
     const std::string when = origin && at ? fmt::format("{:+.1f} ms", (*at - *origin) * 1000)
@@ -199,11 +197,11 @@
   std::set<std::string> targets;
   for (const LogLine& line : lines)
   {
-    if (TextOf(line, "request") != request)
+    if (line.Text("request") != request)
       continue;
     own.push_back(&line);
-    targets.insert(TextOf(line, "target"));
-    if (const std::string at = TextOf(line, "at"); !at.empty())
+    targets.insert(line.Text("target"));
+    if (const std::string at = line.Text("at"); !at.empty())
       addresses.insert(at);
   }
   if (own.empty())
@@ -211,14 +209,14 @@
   const std::string& process = own.front()->process;
   const double begin = own.front()->time;
   const double end = own.back()->time;
-  const std::string time = TextOf(*own.front(), "time");
+  const std::string time = own.front()->Text("time");
   std::string text = fmt::format("Request {} at {}, first seen at {:.3f} s of its clock{}:\n",
                                  request, process, begin, time.empty() ? "" : ", " + time);
   for (const LogLine& line : lines)
   {
     const bool is_context = line.process == process && IsBelief(line, targets) &&
                             line.time >= begin - CONTEXT_SECONDS && line.time <= end;
-    if (is_context || TextOf(line, "request") == request)
+    if (is_context || line.Text("request") == request)
       text += Describe(line, begin, request);
   }
   return text + Conclude(*own.back()) + TellSwitches(lines, addresses, *own.front());
--- a/Source/OperatorTool/LogStory.h
+++ b/Source/OperatorTool/LogStory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <istream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,11 @@
   double time = 0;
   std::string event;
   nlohmann::ordered_json fields;
+
+  // The field if it is a text, else empty.
+  std::string Text(const std::string& field) const;
+  // Seconds since 1970 by the process's time of day; empty if the line has none.
+  std::optional<double> TimeOfDay() const;
 };
 
 // Reads lines of the structured log. What stands before the JSON object of a line, as a collector
--- a/Source/OperatorTool/Main.cpp
+++ b/Source/OperatorTool/Main.cpp
@@ -36,6 +36,7 @@
     Command{"watch", "wait until settings are in force or a version is ready",
             &OperatorTool::RunWatch},
     Command{"explain", "tell from logs what became of a request", &OperatorTool::RunExplain},
+    Command{"losses", "sum up from logs when and why requests were lost", &OperatorTool::RunLosses},
 };
 
 void PrintUsage(FILE* out)
