--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -70,9 +70,9 @@
   const std::uint32_t copies = m_options.is_named_by_content ? 1 : 2;
   while (has_waited && is_view_good && m_manifest_in_flight < copies)
     StartFetch(MANIFEST_PIECE, "", now, actions);
-  const TimePoint word_due = m_view_confirmed_at + MANIFEST_ANSWER_TIME;
-  if (m_is_view_confirmed && now < word_due)
-    m_next_turn = word_due;
+  const TimePoint answer_due = m_view_confirmed_at + MANIFEST_ANSWER_TIME;
+  if (m_is_view_confirmed && now < answer_due)
+    m_next_turn = answer_due;
 }
 
 std::optional<std::uint32_t> Swarm::NextForOrigin(TimePoint now, bool* is_takeover) const
