--- a/Source/UnitTests/Core/Control/TargetListTest.cpp
+++ b/Source/UnitTests/Core/Control/TargetListTest.cpp
@@ -54,7 +54,7 @@
 };
 } // namespace
 
-TEST_CASE("Records that lapsed while the platform was away are no deaths")
+TEST_CASE("Records that lapsed while the platform was away are no ends of targets")
 {
   Outage f(Milliseconds(5000));
   f.Read({Gone("a"), Gone("b"), Gone("c")});
@@ -112,7 +112,7 @@
   CHECK(f.Has("b"));
 }
 
-TEST_CASE("A record that goes while the platform answers is a death")
+TEST_CASE("A record that goes while the platform answers is the end of its target")
 {
   SUBCASE("after a short failure")
   {
--- a/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
@@ -47,6 +47,25 @@
   CHECK(Take<Dispatch>(f.actions).size() == 1);
 }
 
+TEST_CASE("Of requests that wait for a service, the more urgent ones are sent first")
+{
+  Fixture f;
+  auto document = MakeDocument(2);
+  for (Settings::Route& route : document->routes)
+    route.priority = route.path_prefix == "/draft/" ? 0 : 3;
+  f.gateway.OfferDocument(document, f.now);
+  for (int i = 0; i < 40; ++i)
+    f.Arrive("/chat/");
+  const auto sent = Take<Dispatch>(f.actions);
+  const RequestNumber urgent = f.Arrive("/draft/");
+  REQUIRE(Take<Dispatch>(f.actions).empty());
+  f.Feed(f.Began(sent.at(0).number));
+  f.Feed(AnswerEnded{sent.at(0).number});
+  const auto next = Take<Dispatch>(f.actions);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].number == urgent);
+}
+
 TEST_CASE("What no target begins within a pass of the engines is refused by then")
 {
   Fixture f;
