--- a/Source/Bench/Routing/RoutingBench.cpp
+++ b/Source/Bench/Routing/RoutingBench.cpp
@@ -57,6 +57,8 @@
   options.length = Common::Milliseconds(1000 * values["seconds"].as<std::int64_t>());
   if (values.count("push-at") > 0)
     options.push_at = Common::Milliseconds(1000 * values["push-at"].as<std::int64_t>());
+  options.copy_time = Common::Milliseconds(1000 * values["copy"].as<std::int64_t>());
+  options.deaf_engines = values["deaf"].as<double>();
   options.switch_within = Common::Milliseconds(10000);
   return options;
 }
@@ -74,6 +76,10 @@
   add("arrivals", po::value<double>()->default_value(500), "requests a second at the peak");
   add("seconds", po::value<std::int64_t>()->default_value(30), "length of the run");
   add("push-at", po::value<std::int64_t>(), "second at which new weights are named");
+  add("copy", po::value<std::int64_t>()->default_value(4),
+      "seconds until a target has the new weights");
+  add("deaf", po::value<double>()->default_value(0),
+      "part of the engines that go on with requests whose connection was closed");
   add("seeds", po::value<std::uint64_t>()->default_value(3), "runs of each policy");
   add("windows", po::bool_switch(), "print each two seconds");
   add("baselines", po::bool_switch(), "run the simple ways, too");
--- a/Source/Bench/Routing/RoutingGateways.cpp
+++ b/Source/Bench/Routing/RoutingGateways.cpp
@@ -109,7 +109,11 @@
   for (const auto& target : m_targets)
   {
     After(Way(node.hall, target->listed.hall),
-          [raw = target.get(), number = cancel.number] { raw->engine.Cancel(number); });
+          [raw = target.get(), number = cancel.number]
+          {
+            if (!raw->is_deaf)
+              raw->engine.Cancel(number);
+          });
   }
 }
 
--- a/Source/Bench/Routing/RoutingReport.cpp
+++ b/Source/Bench/Routing/RoutingReport.cpp
@@ -73,6 +73,12 @@
   return windows;
 }
 
+void RoutingReport::AddBegunOnOldWeights(Common::Duration before_bound)
+{
+  m_begun_too_late += before_bound < Common::Duration::zero() ? 1 : 0;
+  m_least_before_bound = std::min(m_least_before_bound.value_or(before_bound), before_bound);
+}
+
 double RoutingReport::Earned() const
 {
   std::vector<const SettledRequest*> all;
@@ -159,10 +165,18 @@
   std::vector<const SettledRequest*> all;
   for (const SettledRequest& request : m_requests)
     all.push_back(&request);
-  return fmt::format("{} reports near {} far {} largest {:.3f} class {:.3f} hall {:.3f} windows "
-                     "{:.3f} mark {:.3f}",
-                     Describe(all), near_tells, far_tells, LargestServed(), EarnedInWorstClass(),
-                     EarnedInWorstHall(), EarnedInWorstWindows(), Mark());
+  std::string text =
+      fmt::format("{} reports near {} far {} largest {:.3f} class {:.3f} hall {:.3f} windows "
+                  "{:.3f} mark {:.3f}",
+                  Describe(all), near_tells, far_tells, LargestServed(), EarnedInWorstClass(),
+                  EarnedInWorstHall(), EarnedInWorstWindows(), Mark());
+  if (m_least_before_bound)
+  {
+    text += fmt::format(" begun on old weights {:.0f} ms before the bound, {} after it",
+                        std::chrono::duration<double, std::milli>(*m_least_before_bound).count(),
+                        m_begun_too_late);
+  }
+  return text;
 }
 
 std::string RoutingReport::Windows() const
--- a/Source/Bench/Routing/RoutingReport.h
+++ b/Source/Bench/Routing/RoutingReport.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
 {
 public:
   void Add(SettledRequest request) { m_requests.push_back(std::move(request)); }
+  // A request began on weights that a named version replaces, so long before its bound.
+  void AddBegunOnOldWeights(Common::Duration before_bound);
 
   double Earned() const;
   // The mean of the two worst windows.
@@ -56,6 +59,10 @@
   double LargestServed() const;
   std::string Summary() const;
   std::string Windows() const;
+  // Requests that began on old weights after the bound.
+  std::size_t BegunTooLate() const { return m_begun_too_late; }
+  // How long before the bound the last request began on old weights; empty if none did.
+  std::optional<Common::Duration> LeastBeforeBound() const { return m_least_before_bound; }
 
   // Reports of sidecars to gateways of their hall and of others.
   std::uint64_t near_tells = 0;
@@ -66,5 +73,7 @@
   std::map<int, std::vector<const SettledRequest*>> ByWindow() const;
 
   std::vector<SettledRequest> m_requests;
+  std::size_t m_begun_too_late = 0;
+  std::optional<Common::Duration> m_least_before_bound;
 };
 } // namespace Holdpost::Bench
--- a/Source/Bench/Routing/RoutingTargets.cpp
+++ b/Source/Bench/Routing/RoutingTargets.cpp
@@ -35,7 +35,7 @@
             target.phase = Target::Phase::Serving;
             target.is_switching = false;
             target.switch_at.reset();
-            target.weights = 2;
+            target.weights = PUSHED_VERSION;
             target.engine.Admit();
             target.told.clear();
             StartPass(target);
@@ -45,8 +45,19 @@
   StartPass(target);
 }
 
+void RoutingWorld::NoteBegun(const Target& target)
+{
+  if (!m_options.push_at || target.weights >= PUSHED_VERSION)
+    return;
+  const TimePoint named = m_start + *m_options.push_at;
+  if (m_now >= named)
+    m_report.AddBegunOnOldWeights(named + m_options.switch_within - m_now);
+}
+
 void RoutingWorld::OnEngineEvent(Target& target, const EngineEvent& event)
 {
+  if (event.is_first)
+    NoteBegun(target);
   const auto found = m_requests.find(event.id);
   if (found == m_requests.end())
     return;
--- a/Source/Bench/Routing/RoutingWorld.cpp
+++ b/Source/Bench/Routing/RoutingWorld.cpp
@@ -104,6 +104,7 @@
   target->listed.slots = m_options.engine.slots;
   target->listed.needs_weights = true;
   target->weights = serves ? 1 : 0;
+  target->is_deaf = std::bernoulli_distribution(m_options.deaf_engines)(m_random);
   target->listed.weights_version = target->weights;
   Target* raw = target.get();
   m_targets.push_back(std::move(target));
@@ -143,8 +144,10 @@
   After(*m_options.push_at,
         [this]
         {
-          const Duration span =
-              m_options.switch_within - m_options.copy_time - SWITCH_MARGIN - m_options.warm_up;
+          // A copy that is late is taken at once.
+          const Duration span = std::max<Duration>(m_options.switch_within - m_options.copy_time -
+                                                       SWITCH_MARGIN - m_options.warm_up,
+                                                   Duration::zero());
           const auto count = static_cast<std::int64_t>(m_targets.size());
           for (std::int64_t i = 0; i < count; ++i)
           {
@@ -155,7 +158,7 @@
           for (const auto& node : m_nodes)
           {
             if (auto* core = std::get_if<std::unique_ptr<Gateway::Gateway>>(&node->core))
-              (*core)->OnWeightsNamed(MODEL, 2, m_now);
+              (*core)->OnWeightsNamed(MODEL, PUSHED_VERSION, m_now, m_now);
           }
         });
 }
--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -80,6 +80,8 @@
   Common::Milliseconds switch_within{8000};
   Common::Milliseconds copy_time{4000};
   Common::Milliseconds warm_up{300};
+  // The part of the engines that go on with requests whose connection was closed.
+  double deaf_engines = 0;
   Common::Milliseconds way_in_hall{1};
   Common::Milliseconds way_between_halls{3};
   // How many clients each hall's callers are, each of which meets one gateway.
@@ -141,6 +143,7 @@
   void StartPass(Target& target);
   void FinishPass(Target& target);
   void OnEngineEvent(Target& target, const EngineEvent& event);
+  void NoteBegun(const Target& target);
   void OnCallerSees(Request& request);
   void CheckSwitch(Target& target);
   void ReportLoad(Target& target);
--- a/Source/Bench/Routing/RoutingWorldParts.h
+++ b/Source/Bench/Routing/RoutingWorldParts.h
@@ -15,6 +15,8 @@
 {
 inline constexpr char MODEL[] = "model";
 inline constexpr char HOST[] = "api.example";
+// Engines begin with version 1.
+inline constexpr std::uint64_t PUSHED_VERSION = 2;
 inline constexpr Common::Milliseconds WAY_TO_CALLER{1};
 inline constexpr Common::Milliseconds DEADLINE{6000};
 // What a sidecar does: how often it tells gateways, and how long before a switch.
@@ -39,6 +41,7 @@
   EngineModel engine;
   std::size_t index;
   std::uint64_t weights = 1;
+  bool is_deaf = false;
   Phase phase = Phase::Serving;
   std::optional<Common::TimePoint> switch_at;
   bool is_switching = false;
