Gateway, Sidecar: Logs and metrics tell on which weights answers begin, and how long before the bound

Change: the version that the target tells with its answer is read; request.old_weights, request.taken_back, holdpost_old_weights_left_seconds, holdpost_begun_too_late_total, holdpost_taken_back_total; weights.named is written when it is learnt and says how long the version has been known; weights.progress says what is left until the bound and what the engine has to do. Test: RequestLogTest, an answer on weights that are to be replaced is logged near the bound and after it.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -87,9 +87,10 @@
   PumpAll(now, actions);
 }
 
-void Gateway::OnWeightsNamed(const std::string& model, std::uint64_t version, TimePoint known_since)
+void Gateway::OnWeightsNamed(const std::string& model, std::uint64_t version, TimePoint known_since,
+                             TimePoint now)
 {
-  if (const auto due = m_weights.OnNamed(model, version, known_since))
+  if (const auto due = m_weights.OnNamed(model, version, known_since, now))
     m_timers.push({*due, NO_REQUEST});
 }
 
@@ -268,6 +269,7 @@
                   actions);
   }
   m_targets.OnStarted(LivingTarget(*tracked), tracked->number, tracked->PromptTokens(), now);
+  NoteWeights(*tracked, event.weights_version, now);
   if (!is_failure)
   {
     const LastAttempt& attempt = *tracked->last_attempt;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -52,7 +52,7 @@
   void OnTargetLoad(const TargetLoad& load, Common::TimePoint now, Actions* actions);
   // New weights of a model were named; `known_since` is when some process first knew of them.
   void OnWeightsNamed(const std::string& model, std::uint64_t version,
-                      Common::TimePoint known_since);
+                      Common::TimePoint known_since, Common::TimePoint now);
   void SetGateways(const GatewayCounts& gateways, Common::TimePoint now);
   // New requests and versions are held to these from now on.
   void SetRetryLimits(const RetryLimits& limits);
@@ -114,6 +114,8 @@
   void TellWork(const TargetId& id, Actions* actions) const;
   // The weights that requests of the service have to begin on, and from when on.
   const std::vector<WeightsBound>& WeightsFor(const std::string& service) const;
+  // The model whose weights the service's targets have; empty for a plain service.
+  const std::string& ModelOf(const std::string& service) const;
   void LeaveTarget(Tracked& tracked, Actions* actions);
   // The target of a sent request; empty if it has started again since, and knows nothing of it.
   TargetId LivingTarget(const Tracked& tracked) const;
@@ -128,6 +130,8 @@
   bool Move(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   // The same for all requests of a target that takes other weights now: they would wait for that.
   void LeaveSwitching(const Common::Address& target, Common::TimePoint now, Actions* actions);
+  // Logs an answer that began on weights that a named version replaces.
+  void NoteWeights(const Tracked& tracked, std::uint64_t version, Common::TimePoint now);
   // Whether the target may begin the request on weights that are too old by then.
   bool MayBeginOnOldWeights(const Tracked& tracked, Common::TimePoint now) const;
   // The same for targets whose weights are about to be too old; what cannot be moved is given up.
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -33,14 +33,20 @@
   }
 }
 
-const std::vector<WeightsBound>& Gateway::WeightsFor(const std::string& service) const
+const std::string& Gateway::ModelOf(const std::string& service) const
 {
+  static const std::string NONE;
   for (const Settings::ServiceSettings& settings : m_document->services)
   {
     if (settings.name == service && !settings.models.empty())
-      return m_weights.Of(settings.models.front().name);
+      return settings.models.front().name;
   }
-  return m_weights.Of("");
+  return NONE;
+}
+
+const std::vector<WeightsBound>& Gateway::WeightsFor(const std::string& service) const
+{
+  return m_weights.Of(ModelOf(service));
 }
 
 Duration Gateway::StartGoal(const Tracked& tracked)
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -72,6 +72,17 @@
                              });
 }
 
+void Gateway::NoteWeights(const Tracked& tracked, std::uint64_t version, TimePoint now)
+{
+  if (version == 0)
+    return;
+  if (const auto bound = m_weights.FirstToReplace(ModelOf(tracked.service), version))
+  {
+    m_log.OnBegunOnOldWeights(tracked,
+                              {version, bound->version, WeightsBounds::TimeLeft(*bound, now)}, now);
+  }
+}
+
 void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
 {
   if (!m_weights.IsAnyDue(now))
@@ -87,6 +98,7 @@
     Tracked* tracked = Find(number);
     if (!tracked || tracked->state != State::Sent)
       continue;
+    m_log.OnTakenBack(*tracked, now);
     if (Move(*tracked, "old_weights", now, actions))
       continue;
     actions->push_back(CancelAttempt{number});
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -69,6 +69,8 @@
   bool is_other_target = false;
   // What follows are the events of a stream that succeeds.
   bool is_event_stream = false;
+  // The weights that the answer began on; 0 if the target does not tell.
+  std::uint64_t weights_version = 0;
 };
 
 // The answer that was passed on has ended whole.
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -11,6 +11,8 @@
 using Common::TimePoint;
 using Common::Weight;
 
+// Answers on old weights are told one by one if they begin so shortly before the bound, or later.
+static constexpr Milliseconds NEAR_BOUND = Milliseconds(500);
 // A target's own failures are passed on as they are.
 static constexpr int LEAST_FAILURE_STATUS = 500;
 
@@ -91,6 +93,27 @@
                    Common::ServiceOutcome(tracked.service, "begun"));
 }
 
+void RequestLog::OnBegunOnOldWeights(const TrackedRequest& tracked, const OldWeightsStart& start,
+                                     TimePoint now)
+{
+  const std::string label = Common::ServiceOutcome(tracked.service, "begun");
+  if (start.left < Duration::zero())
+    m_metrics.Add("holdpost_begun_too_late_total", label);
+  else
+    m_metrics.Record("holdpost_old_weights_left_seconds", start.left, label);
+  if (start.left < NEAR_BOUND)
+  {
+    LogFailure(tracked, now, "request.old_weights", "begun_on", start.begun_on, "replaced_by",
+               start.replaced_by, "left_ms", start.left);
+  }
+}
+
+void RequestLog::OnTakenBack(const TrackedRequest& tracked, TimePoint now)
+{
+  m_metrics.Add("holdpost_taken_back_total", Common::Reason("old_weights"));
+  LogFailure(tracked, now, "request.taken_back", "reason", "old_weights");
+}
+
 void RequestLog::OnDone(const TrackedRequest& tracked, TimePoint now)
 {
   m_metrics.Add("holdpost_answers_whole_total");
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -19,6 +19,16 @@
   Settings::DocumentVersion settings = 0;
 };
 
+// An answer that began on weights that are to be replaced.
+struct OldWeightsStart
+{
+  // As the target tells.
+  std::uint64_t begun_on = 0;
+  std::uint64_t replaced_by = 0;
+  // Until that version has to be in use everywhere; below zero if the answer began too late.
+  Common::Duration left{};
+};
+
 class RequestLog
 {
 public:
@@ -35,6 +45,11 @@
   // times are multiplied by.
   void OnStarted(const TrackedRequest& tracked, double correction, Common::TimePoint now);
   void OnBegun(const TrackedRequest& tracked, Common::TimePoint now);
+  // The answer began on weights that a named version replaces.
+  void OnBegunOnOldWeights(const TrackedRequest& tracked, const OldWeightsStart& start,
+                           Common::TimePoint now);
+  // It had not begun at a target whose weights are about to be too old, and is taken away from it.
+  void OnTakenBack(const TrackedRequest& tracked, Common::TimePoint now);
   void OnDone(const TrackedRequest& tracked, Common::TimePoint now);
   void OnLeft(const TrackedRequest& tracked, Common::TimePoint now);
   void OnRefused(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
--- a/Source/Core/Gateway/WeightsBounds.cpp
+++ b/Source/Core/Gateway/WeightsBounds.cpp
@@ -21,7 +21,7 @@
 static constexpr std::size_t BOUNDS_KEPT = 4;
 
 std::optional<TimePoint> WeightsBounds::OnNamed(const std::string& model, std::uint64_t version,
-                                                TimePoint known_since)
+                                                TimePoint known_since, TimePoint now)
 {
   std::vector<WeightsBound>& bounds = m_bounds[model];
   const TimePoint due = known_since + m_switch_within - SWITCH_MARGIN;
@@ -29,8 +29,9 @@
   const bool is_known = place != bounds.end() && place->version == version;
   if (is_known && place->due <= due)
     return std::nullopt;
-  LogEvent(Weight::Important, known_since, "weights.named", "model", model, "version", version,
-           "newest", bounds.empty() ? 0 : bounds.back().version, "known_before", is_known);
+  LogEvent(Weight::Important, now, "weights.named", "model", model, "version", version, "newest",
+           bounds.empty() ? 0 : bounds.back().version, "known_before", is_known, "age_ms",
+           now - known_since);
   if (is_known)
     place->due = due;
   else
@@ -47,6 +48,23 @@
   return found == m_bounds.end() ? NONE : found->second;
 }
 
+std::optional<WeightsBound> WeightsBounds::FirstToReplace(const std::string& model,
+                                                          std::uint64_t version) const
+{
+  std::optional<WeightsBound> first;
+  for (const WeightsBound& bound : Of(model))
+  {
+    if (bound.version > version && (!first || bound.due < first->due))
+      first = bound;
+  }
+  return first;
+}
+
+Duration WeightsBounds::TimeLeft(const WeightsBound& bound, TimePoint now)
+{
+  return bound.due + SWITCH_MARGIN - now;
+}
+
 bool WeightsBounds::IsAnyDue(TimePoint now) const
 {
   const auto is_due = [now](const WeightsBound& bound)
--- a/Source/Core/Gateway/WeightsBounds.h
+++ b/Source/Core/Gateway/WeightsBounds.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,9 +22,14 @@
   // New weights were named; `known_since` is when some process first knew of them. Returns when
   // they have to be in use, or nothing if that was known already.
   std::optional<Common::TimePoint> OnNamed(const std::string& model, std::uint64_t version,
-                                           Common::TimePoint known_since);
+                                           Common::TimePoint known_since, Common::TimePoint now);
   // Oldest first.
   const std::vector<WeightsBound>& Of(const std::string& model) const;
+  // Of the versions that replace this one, the one that has to be in use first; empty if none does.
+  std::optional<WeightsBound> FirstToReplace(const std::string& model, std::uint64_t version) const;
+  // How long it is until the version has to be in use everywhere; below zero once that is over.
+  // `due` of a bound comes a margin earlier.
+  static Common::Duration TimeLeft(const WeightsBound& bound, Common::TimePoint now);
   // Whether requests have to be looked for that may begin on old weights.
   bool IsAnyDue(Common::TimePoint now) const;
 
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -226,6 +226,9 @@
            swarm->PiecesHeld(), "from_origin", swarm->OpenAtOrigin(), "from_peers",
            swarm->OpenAtPeers(), "neighbours", swarm->NeighbourCount(), "unseen",
            swarm->PiecesUnseen(), "staged", m_stage.StagedCount(), "proven", m_stage.ProvenCount(),
-           "inbound_delay_ms", m_exchange.InboundDelay(now), "busy", m_report && m_report->is_busy);
+           "inbound_delay_ms", m_exchange.InboundDelay(now), "busy", m_report && m_report->is_busy,
+           "loaded", LoadedVersion(), "left_ms", EarliestBound(m_wanted) - now, "running",
+           m_report ? m_report->running : 0, "queued", m_report ? m_report->queued : 0,
+           "sent_by_gateways", WorkOfAll(now).requests);
 }
 } // namespace Holdpost::Sidecar
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -113,6 +113,7 @@
   began.is_not_run = head.fields.Find(m_names.not_run) != nullptr;
   began.is_other_target = head.status == 421;
   began.is_event_stream = found->second.call->IsEventStream();
+  began.weights_version = head.fields.FindNumber(m_names.weights_version).value_or(0);
   Feed(began);
 }
 
--- a/Source/Peers/Target/HeaderNames.h
+++ b/Source/Peers/Target/HeaderNames.h
@@ -23,6 +23,8 @@
   std::string expected_target = "Holdpost-Expected-Target";
   std::string expected_weights = "Holdpost-Expected-Weights";
   std::string urgency = "Holdpost-Urgency";
+  // From the target: the version of the weights that the answer began on.
+  std::string weights_version = "Holdpost-Weights-Version";
   // From the target: the request did not run and never will.
   std::string not_run = "Holdpost-Not-Run";
 };
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -56,7 +56,7 @@
   }
   SUBCASE("refused while weights are too old to begin on")
   {
-    f.gateway.OnWeightsNamed("m", 2, f.now);
+    f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
     f.now += Milliseconds(7700);
     f.Arrive("/chat/");
     f.Pass(Milliseconds(100));
@@ -130,6 +130,69 @@
   }
 }
 
+TEST_CASE("An answer on weights that are to be replaced is logged near the bound and after it")
+{
+  LogCapture log;
+  GatewayFixture f;
+  f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
+  f.gateway.OnWeightsNamed("m", 3, f.now + Milliseconds(3000), f.now);
+  f.now += Milliseconds(5000);
+  const RequestNumber number = f.Arrive("/chat/");
+  const auto sent = Take<Dispatch>(f.actions);
+  REQUIRE(sent.size() == 1);
+  const auto begin = [&](Milliseconds after_naming, std::uint64_t weights)
+  {
+    f.now = START + after_naming;
+    AnswerBegan began = f.Began(number);
+    began.weights_version = weights;
+    f.Feed(began);
+    return log.Lines("request.old_weights");
+  };
+  const std::string label = "service=\"llm\",outcome=\"begun\"";
+  SUBCASE("on weights that are in time, nothing")
+  {
+    CHECK(begin(Milliseconds(8100), 3).empty());
+  }
+  SUBCASE("of a target that does not tell, nothing")
+  {
+    CHECK(begin(Milliseconds(8100), 0).empty());
+  }
+  SUBCASE("long before the bound, nothing but the metric")
+  {
+    CHECK(begin(Milliseconds(7000), 1).empty());
+    CHECK(f.metrics.Render().find("holdpost_old_weights_left_seconds_count{" + label + "} 1") !=
+          std::string::npos);
+  }
+  SUBCASE("shortly before it")
+  {
+    const auto lines = begin(Milliseconds(7900), 1);
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["begun_on"] == 1);
+    CHECK(lines[0]["replaced_by"] == 2);
+    CHECK(lines[0]["left_ms"] == 100);
+    CHECK(lines[0]["sent_ms_ago"] == 2900);
+    CHECK(lines[0]["target"] == sent[0].target);
+    CHECK(lines[0]["expected_ms"] > 0);
+    CHECK(f.metrics.Counter("holdpost_begun_too_late_total", label) == 0);
+  }
+  SUBCASE("after it")
+  {
+    const auto lines = begin(Milliseconds(8100), 1);
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["left_ms"] == -100);
+    CHECK(f.metrics.Counter("holdpost_begun_too_late_total", label) == 1);
+  }
+  SUBCASE("a request that is taken back before it begins is logged, too")
+  {
+    f.Pass(Milliseconds(2800));
+    const auto lines = log.Lines("request.taken_back");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["reason"] == "old_weights");
+    CHECK(lines[0]["sent_ms_ago"] == 2800);
+    CHECK(f.metrics.Counter("holdpost_taken_back_total", "reason=\"old_weights\"") == 1);
+  }
+}
+
 TEST_CASE("What a gateway comes to believe of targets and gateways is logged once")
 {
   LogCapture log;
