Control: A version that was named before a process started is due once the process is held to bounds

One that reads the platform for the first time took the moment of its read for the moment of the naming, so after all processes had been killed the bound was counted anew: engines with old weights were used for up to switch_within longer. Ruled out: clocks (steady ones only), the order of targets to load (none refused). Change: KnownSince says whether a process saw the naming or only assumes its time. What is found by the first read is assumed to be as old as it may be, so that its bound lies `start_grace_ms` (the platform's ContactMs) after the start; a process that knew of it says more, whenever it is heard of. A reader that takes over knows that what is new to it was named after it was last told.

--- a/Source/Bench/Routing/RoutingWorld.cpp
+++ b/Source/Bench/Routing/RoutingWorld.cpp
@@ -158,7 +158,7 @@
           for (const auto& node : m_nodes)
           {
             if (auto* core = std::get_if<std::unique_ptr<Gateway::Gateway>>(&node->core))
-              (*core)->OnWeightsNamed(MODEL, PUSHED_VERSION, m_now, m_now);
+              (*core)->OnWeightsNamed(MODEL, {PUSHED_VERSION, {m_now}}, m_now);
           }
         });
 }
--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -22,6 +22,14 @@
 static constexpr Duration ASK_PERIOD = Milliseconds(400);
 static constexpr Duration PAUSE_MOST = Milliseconds(1000);
 
+// A reader that goes silent is replaced within this time.
+static constexpr Duration TAKE_OVER_MOST = Milliseconds(2000);
+
+Milliseconds AssumedAge(Milliseconds switch_within, Milliseconds start_grace)
+{
+  return std::max(switch_within - start_grace, Milliseconds(0));
+}
+
 Duration Backoff::Next()
 {
   m_pause = std::clamp(m_pause * 2, PAUSE_LEAST, PAUSE_MOST);
@@ -37,12 +45,15 @@
 
 void ControlFollower::OnTick(TimePoint now, Actions* actions)
 {
+  if (!m_began)
+    m_began = now;
   if (!m_reads)
     return;
   if (!m_is_reading_operator && now >= m_operator_due)
   {
     m_is_reading_operator = true;
     const bool has_state = m_operator_next > 0 && m_document;
+    m_reads_newest = !has_state;
     actions->push_back(ReadOperator{has_state ? m_operator_next : 0,
                                     has_state ? m_options.long_poll : Milliseconds(0)});
   }
@@ -110,11 +121,24 @@
   // Until the first document is written there is nothing to wait at: it is asked for ever less.
   m_operator_due = m_document || read.document ? now : now + m_operator_backoff.Next();
   bool is_new = read.document && OfferDocument(read.document, read.text);
+  const KnownSince since = SinceOfRead(now);
   for (const NamedWeights& named : read.weights)
-    is_new = OfferWeights(named, now) || is_new;
+    is_new = OfferWeights(named, since) || is_new;
+  OnToldAll(now);
   return is_new;
 }
 
+KnownSince ControlFollower::SinceOfRead(TimePoint now) const
+{
+  if (!m_reads_newest)
+    return {now};
+  if (!m_told_all_until)
+    return {m_began.value_or(now) - m_options.assumed_age, true};
+  // What a reader before this one has missed was named after it last told.
+  const bool is_take_over = now - *m_told_all_until <= TAKE_OVER_MOST;
+  return {is_take_over ? *m_told_all_until : now};
+}
+
 bool ControlFollower::OfferDocument(const std::shared_ptr<const Settings::Document>& document,
                                     const Common::Bytes& text)
 {
@@ -142,9 +166,14 @@
   return Version();
 }
 
-bool ControlFollower::OfferWeights(const NamedWeights& named, TimePoint known_since)
+bool ControlFollower::OfferWeights(const NamedWeights& named, const KnownSince& since)
+{
+  return m_weights[named.model].Offer({named.version, since});
+}
+
+void ControlFollower::OnToldAll(TimePoint until)
 {
-  return m_weights[named.model].Offer(named.version, known_since);
+  m_told_all_until = std::max(m_told_all_until.value_or(until), until);
 }
 
 bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -23,8 +23,16 @@
   Common::Milliseconds list_period{600};
   // How long one read of the operators' changes waits for the next.
   Common::Milliseconds long_poll{2500};
+  // A version that was named before the start is taken to be so old then, until a process that knew
+  // of the naming tells.
+  Common::Milliseconds assumed_age{0};
 };
 
+// How old a version may be at most when a process starts, so that its bound lies `start_grace`
+// after the start: from then on the process is held to bounds.
+Common::Milliseconds AssumedAge(Common::Milliseconds switch_within,
+                                Common::Milliseconds start_grace);
+
 // Times the attempts at something that fails: the pause doubles, with jitter, so that many
 // processes don't come back at the same moment.
 class Backoff
@@ -59,8 +67,9 @@
   // its document now, as the platform has not brought it here in time.
   std::optional<Settings::DocumentVersion> OnPeerVersion(Settings::DocumentVersion version,
                                                          Common::TimePoint now);
-  // `known_since` is when some process first knew of the version.
-  bool OfferWeights(const NamedWeights& named, Common::TimePoint known_since);
+  bool OfferWeights(const NamedWeights& named, const KnownSince& since);
+  // Another process has told of all versions that were named until then.
+  void OnToldAll(Common::TimePoint until);
   // What another process read of the list of targets; of no use if something before it is missing.
   bool OfferTargets(const TargetsNews& news);
   // Another process has read the list up to `position`, and `changed` was the last change in it.
@@ -91,9 +100,12 @@
   Common::TimePoint LastAnswer() const { return m_last_answer; }
   bool IsReachable() const { return m_is_reachable; }
   void SetListPeriod(Common::Milliseconds period) { m_options.list_period = period; }
+  void SetAssumedAge(Common::Milliseconds age) { m_options.assumed_age = age; }
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
+  // Since when versions are known that the platform has just told of.
+  KnownSince SinceOfRead(Common::TimePoint now) const;
 
   FollowerOptions m_options;
   std::shared_ptr<const Settings::Document> m_document;
@@ -110,6 +122,10 @@
   // Where the platform is asked to go on; 0 for the whole list.
   Position m_targets_next = 0;
   bool m_reads = true;
+  std::optional<Common::TimePoint> m_began;
+  // Until when all versions that were named are known.
+  std::optional<Common::TimePoint> m_told_all_until;
+  bool m_reads_newest = false; // instead of what has changed
   Common::TimePoint m_last_answer{};
   bool m_is_reading_operator = false;
   bool m_is_reading_targets = false;
--- a/Source/Core/Control/NamedVersions.cpp
+++ b/Source/Core/Control/NamedVersions.cpp
@@ -6,25 +6,33 @@
 namespace Holdpost::Control
 {
 using Common::Milliseconds;
-using Common::TimePoint;
 
 static constexpr std::size_t VERSIONS_KEPT = 4;
 // Times from others are off by how long their message took, so small differences are no news.
 static constexpr Milliseconds EARLIER_LEAST = Milliseconds(20);
 
-bool NamedVersions::Offer(std::uint64_t version, TimePoint since)
+bool KnownSince::Replaces(const KnownSince& known) const
 {
-  const auto place = std::ranges::lower_bound(m_known, version, {}, &KnownVersion::version);
-  if (place != m_known.end() && place->version == version)
+  if (is_assumed != known.is_assumed)
+    return known.is_assumed;
+  return time < known.time;
+}
+
+bool NamedVersions::Offer(const KnownVersion& offered)
+{
+  const auto place = std::ranges::lower_bound(m_known, offered.version, {}, &KnownVersion::version);
+  if (place != m_known.end() && place->version == offered.version)
   {
-    if (since + EARLIER_LEAST > place->since)
+    KnownSince least = offered.since;
+    least.time += EARLIER_LEAST;
+    if (!least.Replaces(place->since))
       return false;
-    place->since = since;
+    place->since = offered.since;
     return true;
   }
   if (place == m_known.begin() && m_known.size() >= VERSIONS_KEPT)
     return false;
-  m_known.insert(place, {version, since});
+  m_known.insert(place, offered);
   if (m_known.size() > VERSIONS_KEPT)
     m_known.erase(m_known.begin());
   return true;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -87,10 +87,10 @@
   PumpAll(now, actions);
 }
 
-void Gateway::OnWeightsNamed(const std::string& model, std::uint64_t version, TimePoint known_since,
+void Gateway::OnWeightsNamed(const std::string& model, const Control::KnownVersion& known,
                              TimePoint now)
 {
-  if (const auto due = m_weights.OnNamed(model, version, known_since, now))
+  if (const auto due = m_weights.OnNamed(model, known, now))
     m_timers.push({*due, NO_REQUEST});
 }
 
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -50,9 +50,9 @@
 
   void SetTargets(const std::vector<ListedTarget>& list, Common::TimePoint now, Actions* actions);
   void OnTargetLoad(const TargetLoad& load, Common::TimePoint now, Actions* actions);
-  // New weights of a model were named; `known_since` is when some process first knew of them.
-  void OnWeightsNamed(const std::string& model, std::uint64_t version,
-                      Common::TimePoint known_since, Common::TimePoint now);
+  // New weights of a model were named, or more is known of when they were.
+  void OnWeightsNamed(const std::string& model, const Control::KnownVersion& known,
+                      Common::TimePoint now);
   void SetGateways(const GatewayCounts& gateways, Common::TimePoint now);
   // New requests and versions are held to these from now on.
   void SetRetryLimits(const RetryLimits& limits);
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Common/Types.h"
+#include "Core/Control/NamedVersions.h"
 #include "Core/Gateway/DemandWatch.h"
 #include "Core/Gateway/EngineCorrection.h"
 #include "Core/Gateway/SpreadChoice.h"
@@ -28,6 +29,7 @@
 {
   std::uint64_t version = 0;
   Common::TimePoint due = Common::TimePoint::max();
+  Control::KnownSince since = {};
 };
 
 // A request that looks for a target.
--- a/Source/Core/Gateway/WeightsBounds.cpp
+++ b/Source/Core/Gateway/WeightsBounds.cpp
@@ -20,22 +20,23 @@
 // Versions of a model whose bounds are kept in mind.
 static constexpr std::size_t BOUNDS_KEPT = 4;
 
-std::optional<TimePoint> WeightsBounds::OnNamed(const std::string& model, std::uint64_t version,
-                                                TimePoint known_since, TimePoint now)
+std::optional<TimePoint> WeightsBounds::OnNamed(const std::string& model,
+                                                const Control::KnownVersion& known, TimePoint now)
 {
   std::vector<WeightsBound>& bounds = m_bounds[model];
-  const TimePoint due = known_since + m_switch_within - SWITCH_MARGIN;
-  const auto place = std::ranges::lower_bound(bounds, version, {}, &WeightsBound::version);
-  const bool is_known = place != bounds.end() && place->version == version;
-  if (is_known && place->due <= due)
+  const auto place = std::ranges::lower_bound(bounds, known.version, {}, &WeightsBound::version);
+  const bool is_known = place != bounds.end() && place->version == known.version;
+  if (is_known && !known.since.Replaces(place->since))
     return std::nullopt;
-  LogEvent(Weight::Important, now, "weights.named", "model", model, "version", version, "newest",
-           bounds.empty() ? 0 : bounds.back().version, "known_before", is_known, "age_ms",
-           now - known_since);
+  const TimePoint due = known.since.time + m_switch_within - SWITCH_MARGIN;
+  LogEvent(Weight::Important, now, "weights.named", "model", model, "version", known.version,
+           "newest", bounds.empty() ? 0 : bounds.back().version, "known_before", is_known, "age_ms",
+           now - known.since.time, "is_assumed", known.since.is_assumed);
+  const WeightsBound bound{known.version, due, known.since};
   if (is_known)
-    place->due = due;
+    *place = bound;
   else
-    bounds.insert(place, {version, due});
+    bounds.insert(place, bound);
   if (bounds.size() > BOUNDS_KEPT)
     bounds.erase(bounds.begin());
   return due;
--- a/Source/Core/Gateway/WeightsBounds.h
+++ b/Source/Core/Gateway/WeightsBounds.h
@@ -19,10 +19,10 @@
   explicit WeightsBounds(Common::Milliseconds switch_within) : m_switch_within(switch_within) {}
   void SetSwitchWithin(Common::Milliseconds switch_within) { m_switch_within = switch_within; }
 
-  // New weights were named; `known_since` is when some process first knew of them. Returns when
-  // they have to be in use, or nothing if that was known already.
-  std::optional<Common::TimePoint> OnNamed(const std::string& model, std::uint64_t version,
-                                           Common::TimePoint known_since, Common::TimePoint now);
+  // New weights were named, or more is known of when they were. Returns when they have to be in
+  // use, or nothing if that was known already.
+  std::optional<Common::TimePoint>
+  OnNamed(const std::string& model, const Control::KnownVersion& known, Common::TimePoint now);
   // Oldest first.
   const std::vector<WeightsBound>& Of(const std::string& model) const;
   // Of the versions that replace this one, the one that has to be in use first; empty if none does.
--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -79,9 +79,9 @@
   found->second.reported_at = now;
 }
 
-void Briefing::SetWeights(const Control::NamedWeights& named, TimePoint known_since)
+void Briefing::SetWeights(const Control::NamedWeights& named, const Control::KnownSince& since)
 {
-  if (m_weights[named.model].Offer(named.version, known_since))
+  if (m_weights[named.model].Offer({named.version, since}))
     TellSoon();
 }
 
@@ -92,8 +92,9 @@
   const std::vector<Control::KnownVersion>& all = versions.All();
   for (std::size_t i = all.size() - std::min(all.size(), VERSIONS_TOLD); i < all.size(); ++i)
   {
-    const auto known = std::chrono::duration_cast<Milliseconds>(now - all[i].since);
-    told->push_back({{model, all[i].version}, std::max(known, Milliseconds(0))});
+    const auto& [version, since] = all[i];
+    const auto known = std::chrono::duration_cast<Milliseconds>(now - since.time);
+    told->push_back({{model, version}, std::max(known, Milliseconds(0)), since.is_assumed});
   }
 }
 
--- a/Source/Core/Mesh/Briefing.h
+++ b/Source/Core/Mesh/Briefing.h
@@ -56,8 +56,7 @@
   void SetPlan(const WeightsPlan& plan, Settings::DocumentVersion settings, Common::TimePoint now);
   void SetSidecars(const std::vector<Peer>& sidecars, Control::Position changed,
                    Common::TimePoint now);
-  // `known_since` is when some process first knew of the version.
-  void SetWeights(const Control::NamedWeights& named, Common::TimePoint known_since);
+  void SetWeights(const Control::NamedWeights& named, const Control::KnownSince& since);
   // News of whether other halls are needed is told at once.
   void SetUse(TargetUse use);
   // Whether this gateway reads the platform for its hall.
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -9,6 +9,7 @@
 #include "Common/Error.h"
 #include "Common/Types.h"
 #include "Core/Control/ControlMessages.h"
+#include "Core/Control/NamedVersions.h"
 #include "Core/Distribution/Actions.h"
 #include "Core/Gateway/Target.h"
 
@@ -25,11 +26,15 @@
   std::uint64_t incarnation = 0;
 };
 
-// Named weights, and how long the sender has known of them.
+// Named weights, and how long they are known to any process.
 struct ToldWeights
 {
   Control::NamedWeights named;
   Common::Milliseconds known{0};
+  // No process that knew of the naming itself has been heard of.
+  bool is_assumed = false;
+
+  Control::KnownSince Since(Common::TimePoint now) const { return {now - known, is_assumed}; }
 };
 
 // What a sidecar needs to know of its service's model.
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -217,13 +217,13 @@
   m_exchange.SetOptions(MakeExchangeOptions());
 }
 
-void Sidecar::OnWeights(const Control::NamedWeights& named, TimePoint known_since)
+void Sidecar::OnWeights(const Control::NamedWeights& named, const Control::KnownSince& since)
 {
   if (named.model != m_plan.model)
     return;
-  const auto [found, is_new] = m_named.try_emplace(named.version, known_since);
-  if (!is_new)
-    found->second = std::min(found->second, known_since);
+  const auto [found, is_new] = m_named.try_emplace(named.version, since);
+  if (!is_new && since.Replaces(found->second))
+    found->second = since;
 }
 
 void Sidecar::OnPeers(const std::vector<Mesh::Peer>& peers, TimePoint now, Actions* actions)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -86,7 +86,7 @@
   void OnPeerBroken(const Common::Address& peer, Common::TimePoint now, Actions* actions);
   // What the platform says, when it is asked directly.
   void OnPlan(const Mesh::WeightsPlan& plan, Common::TimePoint now);
-  void OnWeights(const Control::NamedWeights& named, Common::TimePoint known_since);
+  void OnWeights(const Control::NamedWeights& named, const Control::KnownSince& since);
   void OnPeers(const std::vector<Mesh::Peer>& peers, Common::TimePoint now, Actions* actions);
 
   void SetSwitchWithin(Common::Milliseconds within) { m_options.switch_within = within; }
@@ -98,6 +98,11 @@
   // Whether no gateway of the hall has sent anything for a while, so that the platform has to be
   // asked.
   bool IsAlone(Common::TimePoint now) const;
+  // Until when gateways of the hall have told of all versions that were named; empty if never.
+  const std::optional<Common::TimePoint>& ToldVersionsUntil() const
+  {
+    return m_told_versions_until;
+  }
 
   bool HasPlan() const { return !m_plan.model.empty(); }
   std::uint64_t WantedVersion() const { return m_wanted; }
@@ -216,7 +221,8 @@
   // What gateways have told of the plan and the peers.
   Mesh::BriefingStamp m_stamp;
   // Versions that were named, and since when this is known somewhere.
-  std::map<std::uint64_t, Common::TimePoint> m_named;
+  std::map<std::uint64_t, Control::KnownSince> m_named;
+  std::optional<Common::TimePoint> m_told_versions_until;
   // The one that the engine is to load next, and a newer one that is copied meanwhile.
   std::uint64_t m_wanted = 0;
   std::uint64_t m_ahead = 0;
--- a/Source/Core/Sidecar/SidecarGateways.cpp
+++ b/Source/Core/Sidecar/SidecarGateways.cpp
@@ -33,7 +33,9 @@
   gateway.greeted = now;
   OnBriefed(hello, now, actions);
   for (const Mesh::ToldWeights& told : hello.weights)
-    OnWeights(told.named, now - told.known);
+    OnWeights(told.named, told.Since(now));
+  if (from.hall == m_options.hall)
+    m_told_versions_until = now;
   ChooseVersion(now, actions);
 }
 
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -153,10 +153,11 @@
   report.stamp = m_stamp;
   for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
   {
-    const auto known = std::chrono::duration_cast<Milliseconds>(now - named->second);
+    const auto& [version, since] = *named;
+    const auto known = std::chrono::duration_cast<Milliseconds>(now - since.time);
     if (report.weights.size() == VERSIONS_TOLD || known > TELL_VERSION_FOR)
       break;
-    report.weights.push_back({{m_plan.model, named->first}, known});
+    report.weights.push_back({{m_plan.model, version}, known, since.is_assumed});
   }
   for (const auto& [address, gateway] : m_gateways)
   {
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -45,7 +45,7 @@
   const Distribution::Swarm* swarm = WantedSwarm();
   if (m_loader.IsUnderWay() || (swarm && swarm->IsHeld()))
     return false;
-  const TimePoint bound = m_named.at(m_wanted) + m_options.switch_within;
+  const TimePoint bound = m_named.at(m_wanted).time + m_options.switch_within;
   // A newer one that can take its place in time saves each target a switch. But the origin may go
   // away before it is here, and then what was fetched of the older one is all that there is.
   if (now + CopyTime() + SWITCH_TIME <= bound)
@@ -70,7 +70,8 @@
   const double fetched = pieces - swarm->PiecesUnseen();
   if (fetched >= MOSTLY * pieces)
     return true;
-  const std::chrono::duration<double> gap = m_named.rbegin()->second - m_named.at(m_wanted);
+  const std::chrono::duration<double> gap =
+      m_named.rbegin()->second.time - m_named.at(m_wanted).time;
   const std::chrono::duration<double> copy =
       pieces * std::chrono::duration<double>(OriginPieceTime());
   return fetched >= HALF * pieces && gap >= NEARLY_WHOLE * copy;
@@ -138,10 +139,10 @@
 TimePoint Sidecar::EarliestBound(std::uint64_t newest) const
 {
   TimePoint earliest = TimePoint::max();
-  for (const auto& [version, named] : m_named)
+  for (const auto& [version, since] : m_named)
   {
     if (version > LoadedVersion() && version <= newest)
-      earliest = std::min(earliest, named + m_options.switch_within);
+      earliest = std::min(earliest, since.time + m_options.switch_within);
   }
   return earliest;
 }
@@ -156,7 +157,7 @@
 void Sidecar::WantVersion(std::uint64_t version, TimePoint now, Actions* actions)
 {
   LogEvent(Weight::Important, now, "weights.wanted", "version", version, "before", m_wanted,
-           "loaded", LoadedVersion(), "known_ms", now - m_named[version]);
+           "loaded", LoadedVersion(), "known_ms", now - m_named.at(version).time);
   // A copy that was given up must not go on taking the links.
   if (const Distribution::Swarm* swarm = WantedSwarm(); swarm && swarm->IsHeld())
     m_before = m_wanted;
@@ -206,7 +207,7 @@
   if (LoadedVersion() == 0 || (m_report && m_report->running + m_report->queued == 0))
     return now;
   // One that skips a version has to come before the bound of that one.
-  const TimePoint named = m_named.at(m_wanted);
+  const TimePoint named = m_named.at(m_wanted).time;
   const SwitchWindow window{named, EarliestBound(m_wanted) - named, CopyTime()};
   const TimePoint planned =
       PlannedSwitch(window, SwitchRank(m_options.address, m_peers, m_wanted), m_peers.size());
--- a/Source/Node/GatewayConfig.cpp
+++ b/Source/Node/GatewayConfig.cpp
@@ -38,6 +38,7 @@
   mesh.platform = reader.ReadAddress("platform", true, false);
   mesh.seeds = reader.AddressList("seeds");
   mesh.switch_within = ReadMilliseconds(reader, "switch_within_ms", mesh.switch_within);
+  mesh.start_grace = ReadMilliseconds(reader, "start_grace_ms", mesh.start_grace);
   mesh.drain_within = ReadMilliseconds(reader, "drain_within_ms", mesh.drain_within);
   mesh.stop_within = ReadSeconds(reader, "stop_within_seconds", mesh.stop_within);
   const double megabits = reader.Real("link_megabits_per_second", 0, 0, 1e6);
--- a/Source/Node/GatewayConfig.h
+++ b/Source/Node/GatewayConfig.h
@@ -29,6 +29,8 @@
   std::vector<Common::Address> seeds;
   // New weights have to be in use everywhere so long after they were named.
   Common::Milliseconds switch_within{8000};
+  // A process is not held to bounds for so long after its start.
+  Common::Milliseconds start_grace{3000};
   // A leaving target gets no new requests after so long.
   Common::Milliseconds drain_within{2000};
   // A stopping process is killed after so long.
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -20,11 +20,19 @@
 using Common::TimePoint;
 using Common::Weight;
 
+static Control::FollowerOptions FollowerOptionsOf(const MeshConfig& config)
+{
+  Control::FollowerOptions options;
+  options.list_period = Control::ListPeriod(config.drain_within);
+  options.assumed_age = Control::AssumedAge(config.switch_within, config.start_grace);
+  return options;
+}
+
 GatewayControl::GatewayControl(EventLoop& loop, const MeshConfig& config,
                                ControlPeer::ControlPlane& control, Handlers handlers)
     : m_config(config), m_random(Common::StableHash(config.instance)), m_control(control),
       m_handlers(std::move(handlers)),
-      m_follower({Control::ListPeriod(config.drain_within)}, Common::StableHash(config.instance)),
+      m_follower(FollowerOptionsOf(config), Common::StableHash(config.instance)),
       m_duty(Control::RankOf(config.mesh_listen), Common::StableHash(config.instance)),
       m_seed_query(MeshAddressesOf(config.seeds, config.mesh_listen)),
       m_briefing(config.hall, Common::StableHash(config.instance)),
@@ -57,7 +65,9 @@
   m_control.SetAddress(config.platform);
   m_seed_query.SetPeers(MeshAddressesOf(config.seeds, m_config.mesh_listen));
   m_membership.SetSeeds(MeshAddressesOf(config.seeds, m_config.mesh_listen));
-  m_follower.SetListPeriod(Control::ListPeriod(config.drain_within));
+  const Control::FollowerOptions options = FollowerOptionsOf(config);
+  m_follower.SetListPeriod(options.list_period);
+  m_follower.SetAssumedAge(options.assumed_age);
 }
 
 // --- time ---
@@ -215,7 +225,7 @@
   for (const Gateway::ListedTarget& target : targets)
   {
     if (target.service == plan->service && target.weights_version > 0)
-      m_briefing.SetWeights({plan->model, target.weights_version}, now);
+      m_briefing.SetWeights({plan->model, target.weights_version}, {now, true});
   }
   for (const auto& [model, versions] : m_follower.Weights())
   {
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -127,7 +127,7 @@
   handlers.on_document = [this](const std::shared_ptr<const Settings::Document>& document)
   { OnDocument(document); };
   handlers.on_weights = [this](const std::string& model, const Control::KnownVersion& known)
-  { m_core.OnWeightsNamed(model, known.version, known.since, EventLoop::Now()); };
+  { m_core.OnWeightsNamed(model, known, EventLoop::Now()); };
   handlers.on_targets = [this](const std::vector<Gateway::ListedTarget>& targets)
   {
     Gateway::Actions actions;
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -129,7 +129,7 @@
 {
   bool is_news = false;
   for (const Mesh::ToldWeights& told : weights)
-    is_news = m_follower.OfferWeights(told.named, now - told.known) || is_news;
+    is_news = m_follower.OfferWeights(told.named, told.Since(now)) || is_news;
   return is_news;
 }
 
@@ -196,6 +196,7 @@
   }
   if (OfferWeights(beat.weights, now))
     ApplyOperator();
+  m_follower.OnToldAll(now - beat.answer_age);
   if (m_follower.MissesTargets(beat.targets, beat.targets_changed) && now >= m_ask_targets_due)
   {
     m_ask_targets_due = now + ASK_PAUSE;
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -41,7 +41,10 @@
                       m_core->OnPeerBroken(peer, EventLoop::Now(), &actions);
                       Carry(actions);
                     }}),
-      m_follower({}, Common::StableHash(config.mesh.instance)), m_config_file(config.mesh.file)
+      m_follower(
+          {.assumed_age = Control::AssumedAge(config.mesh.switch_within, config.mesh.start_grace)},
+          Common::StableHash(config.mesh.instance)),
+      m_config_file(config.mesh.file)
 {
 }
 
@@ -214,6 +217,8 @@
   // Gateways of the hall tell what is needed; without them the platform is asked directly.
   if (!m_core->IsAlone(now))
     return;
+  if (const auto& told = m_core->ToldVersionsUntil())
+    m_follower.OnToldAll(*told);
   Control::Actions actions;
   m_follower.OnTick(now, &actions);
   for (const Control::Action& action : actions)
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -13,8 +13,10 @@
 struct Weights {
   model @0 :Text;
   version @1 :UInt64;
-  # How long the sender has known of the version.
+  # How long the version is known to any process.
   knownMs @2 :UInt32;
+  # No process that knew of the naming itself has been heard of.
+  isAssumed @3 :Bool;
 }
 
 # What a sidecar needs to know of its service's model.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -403,6 +403,8 @@
 
   inline  ::uint32_t getKnownMs() const;
 
+  inline bool getIsAssumed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -444,6 +446,9 @@
   inline  ::uint32_t getKnownMs();
   inline void setKnownMs( ::uint32_t value);
 
+  inline bool getIsAssumed();
+  inline void setIsAssumed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2340,6 +2345,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Weights::Reader::getIsAssumed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Weights::Builder::getIsAssumed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Weights::Builder::setIsAssumed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WeightsPlan::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -67,6 +67,7 @@
     out[i].setModel(weights[i].named.model);
     out[i].setVersion(weights[i].named.version);
     out[i].setKnownMs(ToWireMs(weights[i].known));
+    out[i].setIsAssumed(weights[i].is_assumed);
   }
 }
 
@@ -76,8 +77,9 @@
   weights.reserve(in.size());
   for (const auto told : in)
   {
-    weights.push_back(
-        {{ToText(told.getModel()), told.getVersion()}, Milliseconds(told.getKnownMs())});
+    weights.push_back({{ToText(told.getModel()), told.getVersion()},
+                       Milliseconds(told.getKnownMs()),
+                       told.getIsAssumed()});
   }
   return weights;
 }
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -344,3 +344,87 @@
   CHECK_FALSE(f.follower.OnPeerVersion(4, f.now + Milliseconds(400)).has_value());
   CHECK(f.follower.OnPeerVersion(4, f.now + Milliseconds(800)).has_value());
 }
+
+namespace
+{
+KnownSince SinceOf(const Fixture& f, std::uint64_t version)
+{
+  for (const KnownVersion& known : f.follower.Weights().at("m").All())
+  {
+    if (known.version == version)
+      return known.since;
+  }
+  FAIL("the version is not known");
+  return {};
+}
+
+OperatorRead NameVersion(std::uint64_t version, Settings::DocumentVersion settings, Position next)
+{
+  OperatorRead read = MakeRead(settings, next);
+  read.weights = {{"m", version}};
+  return read;
+}
+} // namespace
+
+TEST_CASE("A version that was named before the start is as old as it may be")
+{
+  FollowerOptions options;
+  options.assumed_age = AssumedAge(Milliseconds(10000), Milliseconds(4000));
+  CHECK(options.assumed_age == Milliseconds(6000));
+  Fixture f;
+  f.follower = ControlFollower(options, 1);
+  f.Tick();
+  f.now += Milliseconds(700);
+  SUBCASE("if nobody tells since when it is known")
+  {
+    f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{START - Milliseconds(6000), true});
+    SUBCASE("until a process that knew of the naming tells")
+    {
+      const KnownSince seen{START - Milliseconds(1000)};
+      CHECK(f.follower.OfferWeights({"m", 2}, seen));
+      CHECK(SinceOf(f, 2) == seen);
+    }
+    SUBCASE("and the next one is named when it is read")
+    {
+      f.Tick();
+      f.now += Milliseconds(2000);
+      f.follower.OnTargetsRead(TargetsRead{true, {}, 1}, f.now);
+      f.Tick(Milliseconds(1000));
+      f.follower.OnTargetsRead(TargetsRead{false, {}, 1}, f.now);
+      f.follower.OnOperatorRead(NameVersion(3, 2, 10), f.now);
+      CHECK(SinceOf(f, 3) == KnownSince{f.now});
+    }
+  }
+  SUBCASE("unless another process has told of all versions until a moment ago")
+  {
+    const Common::TimePoint told = f.now - Milliseconds(300);
+    f.follower.OnToldAll(told);
+    f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{told});
+  }
+}
+
+TEST_CASE("What the reader before has missed was named after it last told")
+{
+  Fixture f;
+  f.follower.SetReading(false);
+  f.Tick();
+  const Common::TimePoint told = f.now;
+  f.follower.OnToldAll(told);
+  f.now += Milliseconds(1200);
+  f.follower.SetReading(true);
+  f.Tick();
+  f.follower.OnTargetsRead(TargetsRead{true, {}, 1}, f.now);
+  SUBCASE("if that is not long ago")
+  {
+    f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{told});
+  }
+  SUBCASE("after an outage it is new")
+  {
+    f.now += Milliseconds(9000);
+    f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{f.now});
+  }
+}
--- a/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
@@ -88,8 +88,8 @@
     f.gateway.OnTargetLoad(told, f.now, &f.actions);
   };
   // A newer version is named later; the bound of the first one still counts.
-  f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
-  f.gateway.OnWeightsNamed("m", 3, f.now + Milliseconds(3000), f.now);
+  f.gateway.OnWeightsNamed("m", {2, {f.now}}, f.now);
+  f.gateway.OnWeightsNamed("m", {3, {f.now + Milliseconds(3000)}}, f.now);
   f.Pass(Milliseconds(6000));
   load(f.listed[0], 1, 0);
   load(f.listed[1], 2, 2);
@@ -121,7 +121,7 @@
 // A request waits at a target with old weights shortly before they are too old.
 TargetLoad WaitAtOldWeights(Fixture& f, const std::string& path)
 {
-  f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
+  f.gateway.OnWeightsNamed("m", {2, {f.now}}, f.now);
   f.Pass(Milliseconds(6000));
   TargetLoad told;
   told.weights_version = 1;
@@ -181,7 +181,7 @@
   SUBCASE("and if the weights that the target takes are too old themselves")
   {
     Fixture f;
-    f.gateway.OnWeightsNamed("m", 3, f.now, f.now);
+    f.gateway.OnWeightsNamed("m", {3, {f.now}}, f.now);
     TargetLoad told = WaitAtOldWeights(f, "/draft/");
     told.is_switching = true;
     told.next_version = 2;
@@ -193,10 +193,20 @@
   }
 }
 
+TEST_CASE("A bound that was assumed gives way to what a process saw")
+{
+  Fixture f;
+  f.gateway.OnWeightsNamed("m", {2, {f.now - Milliseconds(5000), true}}, f.now);
+  f.gateway.OnWeightsNamed("m", {2, {f.now - Milliseconds(1000)}}, f.now);
+  f.Pass(Milliseconds(4000));
+  f.Arrive("/chat/");
+  CHECK(Take<Dispatch>(f.actions).size() == 1);
+}
+
 TEST_CASE("They leave it earlier when the message takes long to get there")
 {
   Fixture f;
-  f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
+  f.gateway.OnWeightsNamed("m", {2, {f.now}}, f.now);
   f.Pass(Milliseconds(5500));
   TargetLoad told;
   told.address = f.listed[1].address;
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -56,7 +56,7 @@
   }
   SUBCASE("refused while weights are too old to begin on")
   {
-    f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
+    f.gateway.OnWeightsNamed("m", {2, {f.now}}, f.now);
     f.now += Milliseconds(7700);
     f.Arrive("/chat/");
     f.Pass(Milliseconds(100));
@@ -134,8 +134,8 @@
 {
   LogCapture log;
   GatewayFixture f;
-  f.gateway.OnWeightsNamed("m", 2, f.now, f.now);
-  f.gateway.OnWeightsNamed("m", 3, f.now + Milliseconds(3000), f.now);
+  f.gateway.OnWeightsNamed("m", {2, {f.now}}, f.now);
+  f.gateway.OnWeightsNamed("m", {3, {f.now + Milliseconds(3000)}}, f.now);
   f.now += Milliseconds(5000);
   const RequestNumber number = f.Arrive("/chat/");
   const auto sent = Take<Dispatch>(f.actions);
--- a/Source/UnitTests/Core/Mesh/BriefingTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingTest.cpp
@@ -42,7 +42,7 @@
   briefing.OnTick(START + Milliseconds(100), &out);
   CHECK(out.empty());
   briefing.OnReported(NEAR.address, {7, 40}, START + Milliseconds(100));
-  briefing.SetWeights({"m", 2}, START + Milliseconds(50));
+  briefing.SetWeights({"m", 2}, {START + Milliseconds(50)});
   briefing.OnTick(START + Milliseconds(100), &out);
   REQUIRE(out.size() == 1);
   const auto& told = HelloTo(out, NEAR).weights.at(0);
@@ -180,7 +180,7 @@
   CHECK(briefing.WholeHello(START).plan.model.empty());
   briefing.SetPlan(PLAN, 7, START);
   briefing.SetSidecars({NEAR, FAR}, 40, START);
-  briefing.SetWeights({"m", 2}, START);
+  briefing.SetWeights({"m", 2}, {START});
   const Hello hello = briefing.WholeHello(START);
   CHECK(hello.is_gateway);
   CHECK(hello.plan == PLAN);
