Control: A version was named when the platform's answer was sent, not when it came

Cause, the second of three: on a full link the platform's answer comes late, and the bound was counted from when it came. All traffic between two regions shares 20 to 24 Mbit/s; settings of a thousand routes and pieces of weights fill it. Ruled out: that another process had told them earlier: sidecars' datagrams get lost on a full link, and beats stay in the hall. Change: the follower measures how long reads of the list take, which the platform answers at once, and takes a version to be that much older. An open read counts as long as it is open. Left: an answer that takes longer than a read is waited for (1 s idle) is taken to be 1 s late.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -60,6 +60,7 @@
   if (!m_is_reading_targets && now >= m_targets_due)
   {
     m_is_reading_targets = true;
+    m_targets_asked = now;
     actions->push_back(ReadTargets{m_targets_next});
   }
 }
@@ -128,15 +129,23 @@
   return is_new;
 }
 
+Duration ControlFollower::AnswerDelay(TimePoint now) const
+{
+  // The platform answers reads of the list at once, so what they take is spent on the way.
+  const Duration open = m_is_reading_targets ? now - m_targets_asked : Duration::zero();
+  return std::max(m_targets_took, open);
+}
+
 KnownSince ControlFollower::SinceOfRead(TimePoint now) const
 {
+  const TimePoint written = now - AnswerDelay(now);
   if (!m_reads_newest)
-    return {now};
+    return {written};
   if (!m_told_all_until)
     return {m_began.value_or(now) - m_options.assumed_age, true};
   // What a reader before this one has missed was named after it last told.
   const bool is_take_over = now - *m_told_all_until <= TAKE_OVER_MOST;
-  return {is_take_over ? *m_told_all_until : now};
+  return {is_take_over ? std::min(*m_told_all_until, written) : written};
 }
 
 bool ControlFollower::OfferDocument(const std::shared_ptr<const Settings::Document>& document,
@@ -179,6 +188,7 @@
 bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
 {
   m_is_reading_targets = false;
+  m_targets_took = now - m_targets_asked;
   if (const auto* error = std::get_if<Error>(&result))
   {
     if (error->kind == ErrorKind::PositionGone)
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -104,6 +104,8 @@
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
+  // How long answers of the platform are under way at the moment.
+  Common::Duration AnswerDelay(Common::TimePoint now) const;
   // Since when versions are known that the platform has just told of.
   KnownSince SinceOfRead(Common::TimePoint now) const;
 
@@ -126,6 +128,8 @@
   // Until when all versions that were named are known.
   std::optional<Common::TimePoint> m_told_all_until;
   bool m_reads_newest = false; // instead of what has changed
+  Common::TimePoint m_targets_asked{};
+  Common::Duration m_targets_took{};
   Common::TimePoint m_last_answer{};
   bool m_is_reading_operator = false;
   bool m_is_reading_targets = false;
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -366,6 +366,28 @@
 }
 } // namespace
 
+TEST_CASE("A version is named when the platform's answer was sent, not when it came")
+{
+  Fixture f;
+  f.Tick();
+  f.follower.OnOperatorRead(MakeRead(1, 9), f.now);
+  f.now += Milliseconds(30);
+  f.follower.OnTargetsRead(TargetsRead{true, {}, 1}, f.now);
+  SUBCASE("by what the last read of the list took")
+  {
+    f.Tick(Milliseconds(100));
+    f.follower.OnOperatorRead(NameVersion(2, 2, 10), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{f.now - Milliseconds(30)});
+  }
+  SUBCASE("by how long the present one is open already")
+  {
+    f.Tick(Milliseconds(600));
+    f.now += Milliseconds(450);
+    f.follower.OnOperatorRead(NameVersion(2, 2, 10), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{f.now - Milliseconds(450)});
+  }
+}
+
 TEST_CASE("A version that was named before the start is as old as it may be")
 {
   FollowerOptions options;
@@ -401,7 +423,8 @@
     const Common::TimePoint told = f.now - Milliseconds(300);
     f.follower.OnToldAll(told);
     f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
-    CHECK(SinceOf(f, 2) == KnownSince{told});
+    // The list was asked for at the start and has not come yet.
+    CHECK(SinceOf(f, 2) == KnownSince{START});
   }
 }
 
