Mesh: Settings that are passed on bring the versions of weights that the sender knows of

Change: TellDocument carries the last versions, with how long they are known. Who knows the settings knows the versions.

--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -161,6 +161,8 @@
   // The text as the platform wrote it, packed next to the text of the base; 0 for none.
   Settings::DocumentVersion base = 0;
   Common::Bytes packed;
+  // The last versions that the sender knows of: who knows the settings uses targets by them.
+  std::vector<ToldWeights> weights = {};
 };
 
 // Wants a list of targets that was read further than this position.
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -102,6 +102,8 @@
   bool OfferWeights(const std::vector<Mesh::ToldWeights>& weights, Common::TimePoint now);
   // The document in force, next to the text of the base if that was in force before it.
   const Mesh::TellDocument& PackDocument(Settings::DocumentVersion base);
+  // The same with the versions of weights that are known now.
+  Mesh::TellDocument MakeTellDocument(Settings::DocumentVersion base, Common::TimePoint now);
 
   MeshConfig m_config;
   std::mt19937_64 m_random;
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -70,6 +70,13 @@
   return told;
 }
 
+Mesh::TellDocument GatewayControl::MakeTellDocument(Settings::DocumentVersion base, TimePoint now)
+{
+  Mesh::TellDocument tell = PackDocument(base);
+  tell.weights = m_briefing.ToldAt(now);
+  return tell;
+}
+
 void GatewayControl::PassOnDocument(TimePoint now)
 {
   if (!m_duty.Reads())
@@ -77,7 +84,7 @@
   const std::vector<Address> gateways = m_membership.Others(now);
   if (gateways.empty())
     return;
-  const Mesh::TellDocument tell = PackDocument(m_follower.VersionBefore());
+  const Mesh::TellDocument tell = MakeTellDocument(m_follower.VersionBefore(), now);
   for (const Address& gateway : gateways)
     m_mesh.Send(gateway, tell);
 }
@@ -92,9 +99,10 @@
 
 void GatewayControl::AnswerDocument(const Address& to, Settings::DocumentVersion newer_than)
 {
+  const TimePoint now = EventLoop::Now();
   const bool is_newer = m_follower.Document() && m_follower.Version() > newer_than;
-  if (is_newer && m_document_pacing.Take(to, m_follower.Version(), EventLoop::Now()))
-    m_mesh.Send(to, PackDocument(newer_than));
+  if (is_newer && m_document_pacing.Take(to, m_follower.Version(), now))
+    m_mesh.Send(to, MakeTellDocument(newer_than, now));
 }
 
 void GatewayControl::AnswerTargets(const Address& to, Control::Position newer_than)
@@ -211,6 +219,8 @@
 
 void GatewayControl::OnDocument(const Mesh::Sender& from, const Mesh::TellDocument& tell)
 {
+  if (OfferWeights(tell.weights, EventLoop::Now()))
+    ApplyOperator();
   if (tell.version <= m_follower.Version() || !tell.packed)
     return;
   if (tell.base > 0 && tell.base != m_follower.Version())
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -134,6 +134,7 @@
   # As the platform wrote it, packed by zstd next to the text of the base; 0 for none.
   packed @1 :Data;
   base @2 :UInt64;
+  weights @3 :List(Weights);
 }
 
 # Sent by a gateway that reads the platform for its hall.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -212,7 +212,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5cb318896613641, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c5cb318896613641, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1588,6 +1588,9 @@
 
   inline  ::uint64_t getBase() const;
 
+  inline bool hasWeights() const;
+  inline  ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Reader getWeights() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1629,6 +1632,13 @@
   inline  ::uint64_t getBase();
   inline void setBase( ::uint64_t value);
 
+  inline bool hasWeights();
+  inline  ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Builder getWeights();
+  inline void setWeights( ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Builder initWeights(unsigned int size);
+  inline void adoptWeights(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>> disownWeights();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3844,6 +3854,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DocumentAnswer::Reader::hasWeights() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool DocumentAnswer::Builder::hasWeights() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Reader DocumentAnswer::Reader::getWeights() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Builder DocumentAnswer::Builder::getWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void DocumentAnswer::Builder::setWeights( ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>::Builder DocumentAnswer::Builder::initWeights(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void DocumentAnswer::Builder::adoptWeights(
+    ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>> DocumentAnswer::Builder::disownWeights() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Weights,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ReaderBeat::Reader::getTargets() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -19,12 +19,14 @@
   out.setBase(tell.base);
   if (tell.packed)
     out.setPacked(BytesOf(*tell.packed));
+  if (!tell.weights.empty())
+    Write(tell.weights, out.initWeights(static_cast<unsigned>(tell.weights.size())));
 }
 
 Mesh::Message Read(MeshWire::DocumentAnswer::Reader in)
 {
   return Mesh::TellDocument{in.getVersion(), in.getBase(),
-                            Common::MakeBytes(ToBytes(in.getPacked()))};
+                            Common::MakeBytes(ToBytes(in.getPacked())), Read(in.getWeights())};
 }
 
 // --- targets ---
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -85,6 +85,7 @@
     REQUIRE(got.weights.size() == 2);
     CHECK(got.weights[1].named == report.weights[1].named);
     CHECK(got.weights[1].known == Milliseconds(300));
+    CHECK_FALSE(got.weights[1].is_assumed);
     CHECK(got.near_gateways == report.near_gateways);
     CHECK(got.echo == report.echo);
     CHECK(got.echo_age == report.echo_age);
@@ -113,7 +114,11 @@
   SUBCASE("documents")
   {
     CHECK(There(Mesh::AskDocument{12}).newer_than == 12);
-    const auto told = There(Mesh::TellDocument{13, 11, Common::MakeBytes("packed")});
+    const auto told = There(Mesh::TellDocument{
+        13, 11, Common::MakeBytes("packed"), {{{"m", 2}, Milliseconds(70), true}}});
+    REQUIRE(told.weights.size() == 1);
+    CHECK(told.weights[0].named.version == 2);
+    CHECK(told.weights[0].is_assumed);
     CHECK(told.version == 13);
     CHECK(told.base == 11);
     CHECK(*told.packed == "packed");
