Gateway: What lies at a target with old weights is taken back after the bound, too

One that was left at a target because that takes new weights stayed there if the target then did not take them, and a bound of which a gateway learns when it is over was never looked at. Change: each report of a target whose weights are overdue and that takes no new ones takes back what has not begun there; a bound that is learnt late is looked at for half a second from then on. Test: GatewayMovesTest, what lies at a target with old weights after the bound is taken back (both cases failed before).

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -84,6 +84,7 @@
   m_targets.OnLoad(load, now);
   if (load.is_switching)
     LeaveSwitching(load.address, now, actions);
+  LeaveIfNotTaking(m_targets.FindByAddress(load.address), now, actions);
   PumpAll(now, actions);
 }
 
@@ -91,7 +92,7 @@
                              TimePoint now)
 {
   if (const auto due = m_weights.OnNamed(model, known, now))
-    m_timers.push({*due, NO_REQUEST});
+    m_timers.push({std::max(*due, now), NO_REQUEST});
 }
 
 void Gateway::SetGateways(const GatewayCounts& gateways, TimePoint now)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -136,6 +136,11 @@
   bool MayBeginOnOldWeights(const Tracked& tracked, Common::TimePoint now) const;
   // The same for targets whose weights are about to be too old; what cannot be moved is given up.
   void LeaveOldWeights(Common::TimePoint now, Actions* actions);
+  // The same for one target after the bound, if it does not take new weights as it said.
+  void LeaveIfNotTaking(const TargetId& target, Common::TimePoint now, Actions* actions);
+  // Moves requests that have not begun away from their targets, or gives them up.
+  void TakeBack(const std::vector<RequestNumber>& requests, Common::TimePoint now,
+                Actions* actions);
   void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void OnNotRun(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -93,8 +93,29 @@
     if (tracked.state == State::Sent && MayBeginOnOldWeights(tracked, now))
       late.push_back(number);
   }
-  for (const RequestNumber number : late)
+  TakeBack(late, now, actions);
+}
+
+void Gateway::LeaveIfNotTaking(const TargetId& target, TimePoint now, Actions* actions)
+{
+  if (m_targets.OwnWorkAt(target).requests == 0 ||
+      !m_weights.IsOverdue(m_targets.WeightsAt(target), now))
+    return;
+  std::vector<RequestNumber> late;
+  for (const auto& [number, tracked] : m_requests)
+  {
+    if (tracked.state == State::Sent && tracked.target == target &&
+        MayBeginOnOldWeights(tracked, now))
+      late.push_back(number);
+  }
+  TakeBack(late, now, actions);
+}
+
+void Gateway::TakeBack(const std::vector<RequestNumber>& requests, TimePoint now, Actions* actions)
+{
+  for (const RequestNumber number : requests)
   {
+    // Moving one may settle another.
     Tracked* tracked = Find(number);
     if (!tracked || tracked->state != State::Sent)
       continue;
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -30,6 +30,8 @@
   std::uint64_t version = 0;
   Common::TimePoint due = Common::TimePoint::max();
   Control::KnownSince since = {};
+  // Requests that may begin on older weights are looked for until then.
+  Common::TimePoint sweep_until = {};
 };
 
 // A request that looks for a target.
--- a/Source/Core/Gateway/WeightsBounds.cpp
+++ b/Source/Core/Gateway/WeightsBounds.cpp
@@ -15,7 +15,7 @@
 
 // Other processes may have known of new weights a little earlier.
 static constexpr Duration SWITCH_MARGIN = Milliseconds(250);
-// Requests are looked for so long after the bound; the bound is before the real one.
+// Requests are looked for so long after the bound, or after it is known; it is before the real one.
 static constexpr Duration SWEEP_TIME = Milliseconds(500);
 // Versions of a model whose bounds are kept in mind.
 static constexpr std::size_t BOUNDS_KEPT = 4;
@@ -32,7 +32,7 @@
   LogEvent(Weight::Important, now, "weights.named", "model", model, "version", known.version,
            "newest", bounds.empty() ? 0 : bounds.back().version, "known_before", is_known, "age_ms",
            now - known.since.time, "is_assumed", known.since.is_assumed);
-  const WeightsBound bound{known.version, due, known.since};
+  const WeightsBound bound{known.version, due, known.since, std::max(due, now) + SWEEP_TIME};
   if (is_known)
     *place = bound;
   else
@@ -66,10 +66,18 @@
   return bound.due + SWITCH_MARGIN - now;
 }
 
+bool WeightsBounds::IsOverdue(std::uint64_t version, TimePoint now) const
+{
+  const auto is_overdue = [version, now](const WeightsBound& bound)
+  { return bound.version > version && now >= bound.due; };
+  return std::ranges::any_of(m_bounds, [&](const auto& entry)
+                             { return std::ranges::any_of(entry.second, is_overdue); });
+}
+
 bool WeightsBounds::IsAnyDue(TimePoint now) const
 {
   const auto is_due = [now](const WeightsBound& bound)
-  { return now >= bound.due - TARGET_WAY_MOST && now < bound.due + SWEEP_TIME; };
+  { return now >= bound.due - TARGET_WAY_MOST && now < bound.sweep_until; };
   return std::ranges::any_of(m_bounds, [&](const auto& entry)
                              { return std::ranges::any_of(entry.second, is_due); });
 }
--- a/Source/Core/Gateway/WeightsBounds.h
+++ b/Source/Core/Gateway/WeightsBounds.h
@@ -30,6 +30,8 @@
   // How long it is until the version has to be in use everywhere; below zero once that is over.
   // `due` of a bound comes a margin earlier.
   static Common::Duration TimeLeft(const WeightsBound& bound, Common::TimePoint now);
+  // Whether some model's weights of this version should have been replaced by now.
+  bool IsOverdue(std::uint64_t version, Common::TimePoint now) const;
   // Whether requests have to be looked for that may begin on old weights.
   bool IsAnyDue(Common::TimePoint now) const;
 
--- a/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
@@ -193,6 +193,34 @@
   }
 }
 
+TEST_CASE("What lies at a target with old weights after the bound is taken back")
+{
+  Fixture f;
+  SUBCASE("as the target does not take new weights after all")
+  {
+    TargetLoad told = WaitAtOldWeights(f, "/draft/");
+    told.is_switching = true;
+    told.next_version = 2;
+    f.Pass(Milliseconds(300));
+    f.gateway.OnTargetLoad(told, f.now, &f.actions);
+    f.Pass(Milliseconds(400));
+    f.gateway.OnTargetLoad(told, f.now, &f.actions);
+    f.Pass(Milliseconds(400));
+    CHECK(Testing::Only<CancelAttempt>(f.actions).empty());
+    told.is_switching = false;
+    told.next_version = 0;
+    f.gateway.OnTargetLoad(told, f.now, &f.actions);
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+  }
+  SUBCASE("as the gateway learns late when the version was named")
+  {
+    f.Arrive("/draft/");
+    f.gateway.OnWeightsNamed("m", {2, {f.now - Milliseconds(9000)}}, f.now);
+    f.Pass(Milliseconds(10));
+    CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
+  }
+}
+
 TEST_CASE("A bound that was assumed gives way to what a process saw")
 {
   Fixture f;
