HttpServer: Callbacks of connections are not deferred, so a loop that ends closes them all

Cause: libevhtp opens its connections with BEV_OPT_DEFER_CALLBACKS (bev_flags 5 after evhtp_new, 1.2.18). A callback that is deferred holds a reference on its bufferevent until it runs. When a turn of the loop is broken by Stop after bytes were read (or written) and before the deferred callback, and the server and the loop are destroyed then, evhtp_connection_free gives back the only other reference, and event_base_free (libevent 2.1.12) drops the callback without giving back its own: the bufferevent, its buffers and its socket stay, and the caller never sees the end. Traced with gdb in ~HttpServer: 2 references and the read pending before, 1 and none now. In the platform's tests the timer of Chain::RunFor is what stops the loop, and the servers are those of StandIn. Change: evhtp_set_bev_flags without the deferring. Ruled out: HttpClient, as all 27 leaked bufferevents of the first 15 runs were made by libevhtp's accept; FaultProxy, which these tests do not link; connections that were accepted and not handed over, as those that leak were freed by ~HttpServer; a shared_ptr cycle, as the bufferevents have no owner but evhtp's connection. Not chosen: to run the loop once more in ~EventLoop, as it would call objects that are gone. Hurt before: owners of an HttpServer whose loop ends before their process does. These are tests; entries, gateways' ready pages, admin pages and stand-ins end with their loop, where the kernel closes what is left.

--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -168,6 +168,9 @@
 HttpServer::HttpServer(EventLoop& loop, Limits limits, HttpHandler handler)
     : m_server(evhtp_new(loop.Base(), nullptr)), m_limits(limits), m_handler(std::move(handler))
 {
+  // libevhtp would have its callbacks deferred. One that waits holds its bufferevent, and libevent
+  // does not give that back when the loop is freed: the connection would never be closed.
+  evhtp_set_bev_flags(m_server, BEV_OPT_CLOSE_ON_FREE);
   evhtp_set_gencb(m_server, &HttpServer::HandleRequest, this);
   evhtp_set_post_accept_cb(
       m_server,
