--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -100,7 +100,6 @@
   Common::TimePoint LastAnswer() const { return m_last_answer; }
   bool IsReachable() const { return m_is_reachable; }
   void SetListPeriod(Common::Milliseconds period) { m_options.list_period = period; }
-  void SetAssumedAge(Common::Milliseconds age) { m_options.assumed_age = age; }
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -65,9 +65,7 @@
   m_control.SetAddress(config.platform);
   m_seed_query.SetPeers(MeshAddressesOf(config.seeds, m_config.mesh_listen));
   m_membership.SetSeeds(MeshAddressesOf(config.seeds, m_config.mesh_listen));
-  const Control::FollowerOptions options = FollowerOptionsOf(config);
-  m_follower.SetListPeriod(options.list_period);
-  m_follower.SetAssumedAge(options.assumed_age);
+  m_follower.SetListPeriod(Control::ListPeriod(config.drain_within));
 }
 
 // --- time ---
--- a/Source/Node/Reload.cpp
+++ b/Source/Node/Reload.cpp
@@ -61,6 +61,7 @@
   Compare(before.hall, after.hall, "hall", &plan->at_next_start);
   Compare(before.mesh_listen, after.mesh_listen, "mesh_listen", &plan->at_next_start);
   Compare(before.admin_listen, after.admin_listen, "admin_listen", &plan->at_next_start);
+  Compare(before.start_grace, after.start_grace, "start_grace_ms", &plan->at_next_start);
   Compare(before.link_bytes_per_second, after.link_bytes_per_second, "link_megabits_per_second",
           &plan->at_next_start);
 }
--- a/Source/UnitTests/Node/ReloadTest.cpp
+++ b/Source/UnitTests/Node/ReloadTest.cpp
@@ -68,6 +68,8 @@
   SidecarConfig moved = beside;
   moved.target = {"10.0.0.2", 81};
   moved.mesh.switch_within = Common::Milliseconds(9000);
+  moved.mesh.start_grace = Common::Milliseconds(4000);
   CHECK(PlanReload(beside, moved).applied == std::vector<std::string>{"switch_within_ms"});
-  CHECK(PlanReload(beside, moved).at_next_start == std::vector<std::string>{"target"});
+  CHECK(PlanReload(beside, moved).at_next_start ==
+        std::vector<std::string>{"start_grace_ms", "target"});
 }
