Control: Reading the newest state says nothing of when a version was named that others have told of

A gateway that had been told of a version by one that only assumed its age, and then read the platform itself, took the version for one that was named since it was last told of all, and that replaced the assumed age as if somebody had seen the naming. Change: a version that is known already keeps its age when the newest state is read; what is read as a change was named then. Test: ControlFollowerTest, a version that was named before the start is as old as it may be, also if another process that does not know it has told of the version before (failed before).

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -124,7 +124,11 @@
   bool is_new = read.document && OfferDocument(read.document, read.text);
   const KnownSince since = SinceOfRead(now);
   for (const NamedWeights& named : read.weights)
-    is_new = OfferWeights(named, since) || is_new;
+  {
+    // The newest state says nothing of when a version was named that others have told of.
+    if (!m_reads_newest || !IsKnown(named))
+      is_new = OfferWeights(named, since) || is_new;
+  }
   OnToldAll(now);
   return is_new;
 }
@@ -180,6 +184,14 @@
   return m_weights[named.model].Offer({named.version, since});
 }
 
+bool ControlFollower::IsKnown(const NamedWeights& named) const
+{
+  const auto versions = m_weights.find(named.model);
+  return versions != m_weights.end() &&
+         std::ranges::find(versions->second.All(), named.version, &KnownVersion::version) !=
+             versions->second.All().end();
+}
+
 void ControlFollower::OnToldAll(TimePoint until)
 {
   m_told_all_until = std::max(m_told_all_until.value_or(until), until);
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -103,6 +103,7 @@
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
+  bool IsKnown(const NamedWeights& named) const;
   // How long answers of the platform are under way at the moment.
   Common::Duration AnswerDelay(Common::TimePoint now) const;
   // Since when versions are known that the platform has just told of.
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -418,7 +418,15 @@
       CHECK(SinceOf(f, 3) == KnownSince{f.now});
     }
   }
-  SUBCASE("unless another process has told of all versions until a moment ago")
+  SUBCASE("also if another process that does not know it has told of the version before")
+  {
+    const KnownSince assumed{START - Milliseconds(5500), true};
+    f.follower.OfferWeights({"m", 2}, assumed);
+    f.follower.OnToldAll(f.now - Milliseconds(100));
+    f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
+    CHECK(SinceOf(f, 2) == assumed);
+  }
+  SUBCASE("unless another process has told of all versions until a moment ago, but not of it")
   {
     const Common::TimePoint told = f.now - Milliseconds(300);
     f.follower.OnToldAll(told);
