Control: Since when versions are known is worked out by a part of its own, and cannot become later by reading again

Of three versions within a bound a newcomer was told the last two. Change: Control/NamingWatch. A read that may have missed something counts from when all was last told, if that is not long ago or the platform has refused since, and otherwise assumes; what is known keeps its age; lateness counts up to the second for which a read is waited for; three versions are told. Left: a first start in a long outage takes what it reads first for older than it may be; a process of the version before drops that an age is assumed.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -22,14 +22,6 @@
 static constexpr Duration ASK_PERIOD = Milliseconds(400);
 static constexpr Duration PAUSE_MOST = Milliseconds(1000);
 
-// A reader that goes silent is replaced within this time.
-static constexpr Duration TAKE_OVER_MOST = Milliseconds(2000);
-
-Milliseconds AssumedAge(Milliseconds switch_within, Milliseconds start_grace)
-{
-  return std::max(switch_within - start_grace, Milliseconds(0));
-}
-
 Duration Backoff::Next()
 {
   m_pause = std::clamp(m_pause * 2, PAUSE_LEAST, PAUSE_MOST);
@@ -39,28 +31,28 @@
 }
 
 ControlFollower::ControlFollower(FollowerOptions options, std::uint64_t seed)
-    : m_options(options), m_operator_backoff(seed), m_targets_backoff(seed + 1)
+    : m_options(options), m_naming(options.assumed_age), m_operator_backoff(seed),
+      m_targets_backoff(seed + 1)
 {
 }
 
 void ControlFollower::OnTick(TimePoint now, Actions* actions)
 {
-  if (!m_began)
-    m_began = now;
+  Begin(now);
   if (!m_reads)
     return;
   if (!m_is_reading_operator && now >= m_operator_due)
   {
     m_is_reading_operator = true;
     const bool has_state = m_operator_next > 0 && m_document;
-    m_reads_newest = !has_state;
+    m_naming.OnOperatorAsked(!has_state, now);
     actions->push_back(ReadOperator{has_state ? m_operator_next : 0,
                                     has_state ? m_options.long_poll : Milliseconds(0)});
   }
   if (!m_is_reading_targets && now >= m_targets_due)
   {
     m_is_reading_targets = true;
-    m_targets_asked = now;
+    m_naming.OnListAsked(now);
     actions->push_back(ReadTargets{m_targets_next});
   }
 }
@@ -105,6 +97,7 @@
   m_is_reading_operator = false;
   if (const auto* error = std::get_if<Error>(&result))
   {
+    m_naming.OnOperatorFailed(now);
     if (error->kind == ErrorKind::PositionGone)
       m_operator_next = 0;
     else
@@ -122,34 +115,23 @@
   // Until the first document is written there is nothing to wait at: it is asked for ever less.
   m_operator_due = m_document || read.document ? now : now + m_operator_backoff.Next();
   bool is_new = read.document && OfferDocument(read.document, read.text);
-  const KnownSince since = SinceOfRead(now);
-  for (const NamedWeights& named : read.weights)
-  {
-    // The newest state says nothing of when a version was named that others have told of.
-    if (!m_reads_newest || !IsKnown(named))
-      is_new = OfferWeights(named, since) || is_new;
-  }
-  OnToldAll(now);
+  is_new = OfferRead(read.weights, now) || is_new;
+  m_naming.OnOperatorAnswered(now);
   return is_new;
 }
 
-Duration ControlFollower::AnswerDelay(TimePoint now) const
+bool ControlFollower::OfferRead(const std::vector<NamedWeights>& weights, TimePoint now)
 {
-  // The platform answers reads of the list at once, so what they take is spent on the way.
-  const Duration open = m_is_reading_targets ? now - m_targets_asked : Duration::zero();
-  return std::max(m_targets_took, open);
-}
-
-KnownSince ControlFollower::SinceOfRead(TimePoint now) const
-{
-  const TimePoint written = now - AnswerDelay(now);
-  if (!m_reads_newest)
-    return {written};
-  if (!m_told_all_until)
-    return {m_began.value_or(now) - m_options.assumed_age, true};
-  // What a reader before this one has missed was named after it last told.
-  const bool is_take_over = now - *m_told_all_until <= TAKE_OVER_MOST;
-  return {is_take_over ? std::min(*m_told_all_until, written) : written};
+  const KnownSince since = m_naming.SinceOfRead(now);
+  bool is_new = false;
+  for (const NamedWeights& named : weights)
+  {
+    // What may have been there for long says nothing of a version that is known already.
+    if (m_naming.MayHaveMissed() && IsKnown(named))
+      continue;
+    is_new = OfferWeights(named, since) || is_new;
+  }
+  return is_new;
 }
 
 bool ControlFollower::OfferDocument(const std::shared_ptr<const Settings::Document>& document,
@@ -192,15 +174,10 @@
              versions->second.All().end();
 }
 
-void ControlFollower::OnToldAll(TimePoint until)
-{
-  m_told_all_until = std::max(m_told_all_until.value_or(until), until);
-}
-
 bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
 {
   m_is_reading_targets = false;
-  m_targets_took = now - m_targets_asked;
+  m_naming.OnListAnswered(now);
   if (const auto* error = std::get_if<Error>(&result))
   {
     if (error->kind == ErrorKind::PositionGone)
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -11,6 +11,7 @@
 #include "Common/Error.h"
 #include "Core/Control/ControlMessages.h"
 #include "Core/Control/NamedVersions.h"
+#include "Core/Control/NamingWatch.h"
 #include "Core/Control/TargetList.h"
 
 // Follows what a platform tells of settings and targets: when to ask, and what is known. Versions
@@ -28,11 +29,6 @@
   Common::Milliseconds assumed_age{0};
 };
 
-// How old a version may be at most when a process starts, so that its bound lies `start_grace`
-// after the start: from then on the process is held to bounds.
-Common::Milliseconds AssumedAge(Common::Milliseconds switch_within,
-                                Common::Milliseconds start_grace);
-
 // Times the attempts at something that fails: the pause doubles, with jitter, so that many
 // processes don't come back at the same moment.
 class Backoff
@@ -52,6 +48,8 @@
 public:
   ControlFollower(FollowerOptions options, std::uint64_t seed);
 
+  // The process has started, though nothing may have to be asked yet.
+  void Begin(Common::TimePoint now) { m_naming.Begin(now); }
   void OnTick(Common::TimePoint now, Actions* actions);
   Common::TimePoint NextWakeup() const;
   // While another process reads for this one, nothing is asked of the platform.
@@ -69,7 +67,7 @@
                                                          Common::TimePoint now);
   bool OfferWeights(const NamedWeights& named, const KnownSince& since);
   // Another process has told of all versions that were named until then.
-  void OnToldAll(Common::TimePoint until);
+  void OnToldAll(Common::TimePoint until) { m_naming.OnToldAll(until); }
   // What another process read of the list of targets; of no use if something before it is missing.
   bool OfferTargets(const TargetsNews& news);
   // Another process has read the list up to `position`, and `changed` was the last change in it.
@@ -104,12 +102,10 @@
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
   bool IsKnown(const NamedWeights& named) const;
-  // How long answers of the platform are under way at the moment.
-  Common::Duration AnswerDelay(Common::TimePoint now) const;
-  // Since when versions are known that the platform has just told of.
-  KnownSince SinceOfRead(Common::TimePoint now) const;
+  bool OfferRead(const std::vector<NamedWeights>& weights, Common::TimePoint now);
 
   FollowerOptions m_options;
+  NamingWatch m_naming;
   std::shared_ptr<const Settings::Document> m_document;
   Common::Bytes m_document_text;
   Settings::DocumentVersion m_version_before = 0;
@@ -124,12 +120,6 @@
   // Where the platform is asked to go on; 0 for the whole list.
   Position m_targets_next = 0;
   bool m_reads = true;
-  std::optional<Common::TimePoint> m_began;
-  // Until when all versions that were named are known.
-  std::optional<Common::TimePoint> m_told_all_until;
-  bool m_reads_newest = false; // instead of what has changed
-  Common::TimePoint m_targets_asked{};
-  Common::Duration m_targets_took{};
   Common::TimePoint m_last_answer{};
   bool m_is_reading_operator = false;
   bool m_is_reading_targets = false;
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -98,6 +98,9 @@
   // Whether no gateway of the hall has sent anything for a while, so that the platform has to be
   // asked.
   bool IsAlone(Common::TimePoint now) const;
+  // Of which versions are named, and since when; the model is empty until a plan is known.
+  const std::string& Model() const { return m_plan.model; }
+  const std::map<std::uint64_t, Control::KnownSince>& NamedVersions() const { return m_named; }
   // Until when gateways of the hall have told of all versions that were named; empty if never.
   const std::optional<Common::TimePoint>& ToldVersionsUntil() const
   {
--- a/Source/Core/Sidecar/SidecarGateways.cpp
+++ b/Source/Core/Sidecar/SidecarGateways.cpp
@@ -34,7 +34,7 @@
   OnBriefed(hello, now, actions);
   for (const Mesh::ToldWeights& told : hello.weights)
     OnWeights(told.named, told.Since(now));
-  if (from.hall == m_options.hall)
+  if (from.hall == m_options.hall && HasPlan())
     m_told_versions_until = now;
   ChooseVersion(now, actions);
 }
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -29,7 +29,7 @@
 static constexpr Milliseconds LIST_PERIOD = Milliseconds(1000);
 // Gateways are told of a version that was named not longer ago than this, and of so many.
 static constexpr Milliseconds TELL_VERSION_FOR = Milliseconds(20000);
-static constexpr std::size_t VERSIONS_TOLD = 2;
+static constexpr std::size_t VERSIONS_TOLD = 3;
 static constexpr Milliseconds GATEWAY_LIFETIME = Milliseconds(3000);
 // Gateways are told of a switch so long before.
 static constexpr Milliseconds SWITCH_HORIZON = Milliseconds(3000);
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -214,9 +214,13 @@
 void SidecarNode::FollowControl()
 {
   const TimePoint now = EventLoop::Now();
+  m_follower.Begin(now);
   // Gateways of the hall tell what is needed; without them the platform is asked directly.
   if (!m_core->IsAlone(now))
     return;
+  // What the platform tells is compared with what gateways have told.
+  for (const auto& [version, since] : m_core->NamedVersions())
+    m_follower.OfferWeights({m_core->Model(), version}, since);
   if (const auto& told = m_core->ToldVersionsUntil())
     m_follower.OnToldAll(*told);
   Control::Actions actions;
--- a/Source/UnitTests/Core/Sidecar/SidecarGatewaysTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarGatewaysTest.cpp
@@ -90,3 +90,20 @@
     CHECK(fixture.Told<Mesh::AskGateways>().size() == 1);
   }
 }
+
+TEST_CASE("A gateway has told of no versions while the sidecar does not know the model")
+{
+  Fixture fixture;
+  fixture.Tick(Milliseconds(0));
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.weights = {{{"m", 3}, Milliseconds(30000)}};
+  fixture.Receive(hello);
+  CHECK_FALSE(fixture.sidecar.ToldVersionsUntil().has_value());
+  // It goes on with the platform, which says nothing of when the version was named.
+  fixture.sidecar.OnPlan(PLAN, fixture.now);
+  Mesh::Hello whole = hello;
+  whole.plan = PLAN;
+  fixture.Receive(whole);
+  CHECK(fixture.sidecar.ToldVersionsUntil() == fixture.now);
+}
