Gateway: Nothing goes to old weights within 4 s of a bound where no report comes through

Change: without any report for two seconds the margin is 4 s. Nothing measures the way to a hall as a whole.

--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -28,6 +28,8 @@
 // of those whose connection was closed by then were begun on weights that were too old.
 static constexpr Duration START_MARGIN = Milliseconds(400);
 static constexpr Duration START_MARGIN_UNREPORTED = Milliseconds(2000);
+// Where no report comes through, requests may be on their way for seconds.
+static constexpr Duration START_MARGIN_SILENT = Milliseconds(4000);
 // What others have sent since the last report is not known for so long: their message is on its way
 // to the agent, which reports not more often than each 10 ms, and its report on the way back. With
 // 10 instead of 25 ms, gateways that saw the same idle target sent more there than it could begin:
@@ -195,14 +197,20 @@
   return found == m_targets.end() ? Duration::zero() : WayTo(found->second);
 }
 
+Duration TargetTable::StartMargin(const Target& target, TimePoint now) const
+{
+  if (target.load && now - target.load_received < FRESH_LOAD)
+    return START_MARGIN;
+  return HasFreshLoad(target, now) ? START_MARGIN_UNREPORTED : START_MARGIN_SILENT;
+}
+
 bool TargetTable::HasGoodWeights(const Target& target, const TargetWish& wish, Duration start,
                                  TimePoint now) const
 {
   if (!target.listed.needs_weights)
     return true;
   const std::uint64_t version = WeightsOf(target);
-  const bool is_fresh = target.load && now - target.load_received < FRESH_LOAD;
-  const TimePoint begin = now + 2 * start + (is_fresh ? START_MARGIN : START_MARGIN_UNREPORTED);
+  const TimePoint begin = now + 2 * start + StartMargin(target, now);
   return std::ranges::all_of(wish.weights, [&](const WeightsBound& bound)
                              { return version >= bound.version || begin < bound.due; });
 }
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -294,6 +294,8 @@
   void NoteCrowding(const TargetWish& wish, const std::vector<SpreadOption>& options,
                     Common::TimePoint now);
   std::uint64_t WeightsOf(const Target& target) const;
+  // How much later than twice the expected time a request may begin there.
+  Common::Duration StartMargin(const Target& target, Common::TimePoint now) const;
   // Whether a request that is sent now would begin in time on weights that are good enough.
   bool HasGoodWeights(const Target& target, const TargetWish& wish, Common::Duration start,
                       Common::TimePoint now) const;
--- a/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
@@ -226,7 +226,7 @@
   Fixture f;
   f.gateway.OnWeightsNamed("m", {2, {f.now - Milliseconds(5000), true}}, f.now);
   f.gateway.OnWeightsNamed("m", {2, {f.now - Milliseconds(1000)}}, f.now);
-  f.Pass(Milliseconds(4000));
+  f.Pass(Milliseconds(2000));
   f.Arrive("/chat/");
   CHECK(Take<Dispatch>(f.actions).size() == 1);
 }
--- a/Source/UnitTests/Core/Gateway/TargetChoosingTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetChoosingTest.cpp
@@ -39,6 +39,13 @@
     CHECK(choose_before(Milliseconds(1500))->id == "2");
     CHECK(choose_before(Milliseconds(5000))->id == "1");
   }
+  SUBCASE("nor if no report has come for seconds: requests may be on their way as long")
+  {
+    f.now += Milliseconds(2100);
+    f.table.OnLoad(MakeLoad(f.two, 20), f.now);
+    CHECK(choose_before(Milliseconds(3500))->id == "2");
+    CHECK(choose_before(Milliseconds(9000))->id == "1");
+  }
   SUBCASE("an earlier bound is not forgotten for a later one")
   {
     const TargetWish wish{"llm", 1000, 100, {}, {{2, f.now}, {3, f.now + Milliseconds(3000)}}};
