--- a/Source/UnitTests/Process/Program.h
+++ b/Source/UnitTests/Process/Program.h
@@ -21,6 +21,7 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t Pid() const { return m_pid; }
   void Signal(int signal_number) const;
   void Kill();
   // Waits until the process has ended; returns its exit code, or -1 if a signal ended it.
