--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -142,6 +142,12 @@
   return target.listed.weights_version;
 }
 
+std::size_t TargetTable::Reported() const
+{
+  const auto is_reported = [](const auto& entry) { return entry.second.load.has_value(); };
+  return static_cast<std::size_t>(std::ranges::count_if(m_targets, is_reported));
+}
+
 bool TargetTable::IsUnreported(const Target& target, TimePoint now) const
 {
   const bool is_awaited = target.listed.needs_weights && !target.load;
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -176,6 +176,8 @@
   void OnReplaced(const TargetId& id, Common::TimePoint now);
 
   std::size_t Size() const { return m_targets.size(); }
+  // How many of them have been reported since this process started.
+  std::size_t Reported() const;
   // Addresses of the listed targets of services that need weights, with their halls.
   std::vector<ListedTarget> Listed() const;
   // Whether this gateway sends to the target at the address as long as it can, and all of those
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -63,6 +63,8 @@
             metrics.Set("holdpost_settings_version", static_cast<double>(m_core.Version()));
             metrics.Set("holdpost_reads_platform", m_control.Reads() ? 1 : 0);
             metrics.Set("holdpost_targets_known", static_cast<double>(m_core.Targets().Size()));
+            metrics.Set("holdpost_targets_reported",
+                        static_cast<double>(m_core.Targets().Reported()));
             metrics.Set("holdpost_log_lines_dropped",
                         static_cast<double>(Common::EventLog::Instance().Dropped()));
           },
--- a/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
@@ -72,6 +72,7 @@
   SUBCASE("it is closed once another one is reported, also if that one is busy")
   {
     f.table.OnLoad(MakeLoad(f.two, 16), f.now);
+    CHECK(f.table.Reported() == 1);
     CHECK(f.table.SurveyOf(wish, f.now).unreported == 1);
     CHECK(f.Choose()->id == "2");
   }
@@ -79,6 +80,7 @@
   {
     f.table.OnLoad(MakeLoad(f.two, 16), f.now);
     f.table.OnLoad(MakeLoad(f.one, 0), f.now);
+    CHECK(f.table.Reported() == 2);
     CHECK(f.Choose()->id == "1");
   }
   SUBCASE("it is used without reports once its record would have lapsed: its agent may have failed")
