Common: A loop that ends drops its waiting callbacks before its base

What happened: when an EventLoop was destroyed while callbacks of Defer or After still waited, as at the end of a process or a test, a Watch or a TcpConnection that such a callback owned touched freed memory. Cause: ~EventLoop freed the event base in its body; m_one_shots, a member, went after that. TcpConnection::Release and TcpListener::OnAcceptFailed hand a Watch to Defer, whose destructor calls event_free on the freed base. A callback whose end defers another one (a TcpConnection that still has its timer does) also called event_base_once on the freed base and added to a list that was being destroyed. Change: the destructor first empties the callbacks and then frees the base. One-shots that are added meanwhile stand at the end of the list, so the same pass reaches them. The one-shots themselves stay until the base is gone: libevent's own structures of event_base_once point at them, and libevent 2.1 frees those with the base. Ruled out: AddressSanitizer alone does not show it: libevent is not instrumented, and nothing else read the freed base.

--- a/Source/Common/EventLoop.cpp
+++ b/Source/Common/EventLoop.cpp
@@ -54,6 +54,10 @@
 
 EventLoop::~EventLoop()
 {
+  // What callbacks own may use the base as it goes, and may add one-shots, which this reaches, too.
+  // The one-shots themselves stay until the base's events no longer point at them.
+  for (const auto& one_shot : m_one_shots)
+    one_shot->callback = nullptr;
   event_base_free(m_base);
 }
 
