--- a/Source/Core/Control/ReaderDuty.cpp
+++ b/Source/Core/Control/ReaderDuty.cpp
@@ -20,18 +20,14 @@
 // A process that has just started is told by others within so long, if any can.
 static constexpr Milliseconds TOLD_WITHIN = Milliseconds(20);
 // When all processes start together, none can. If they all asked the platform at once, its link
-// would be full and none would have settings and targets before 500 ms (149 gateways on a link of
-// 26 MB a second): so they come one after the other.
+// would be full: so they come one after the other.
 static constexpr std::uint64_t TOLD_JITTER_MS = 230;
 static constexpr Milliseconds LIST_PERIOD_LEAST = Milliseconds(100);
 // An answer whose beat comes one period late must still be younger than ANSWER_AGE_MOST when the
-// next one comes. With 1,200 ms all 30 gateways of a hall took over from a reader that was well,
-// again and again, and each read the whole list.
+// next one comes, or other gateways take over from a reader that is well.
 static constexpr Milliseconds LIST_PERIOD_MOST = Milliseconds(600);
 // So many go on asking a platform that answers none of them. The platform may refuse some machines
-// only, so each of the others takes a turn from time to time, one about each TURN_OF_EACH. When all
-// 30 gateways of 5 halls asked on, an outage of 8 s took 3,600 calls, which the platform has to
-// refuse as well.
+// only, so each of the others takes a turn from time to time, one about each TURN_OF_EACH.
 static constexpr std::size_t FAILING_READERS_MOST = 5;
 static constexpr Milliseconds TURN_OF_EACH = Milliseconds(2000);
 // Readers send a beat each 300 ms, and one of these may be lost.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -20,8 +20,7 @@
 // Another gateway can serve the request at once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
-// For engines whose times are not known: between the two that were measured (steps of 6.7 and 9.3
-// ms, 31 and 21 prompt tokens a ms). The first answers correct it.
+// For engines whose times are not known. The first answers correct it.
 static constexpr Settings::EngineProfile ASSUMED_ENGINE = {
     .slots = 16,
     .step_ms = 8,
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -22,18 +22,15 @@
 static constexpr Duration OLD_REPORT_AGE = Milliseconds(250);
 // The same for one whose agent is silent.
 static constexpr Duration SILENCE_PENALTY = Milliseconds(400);
-// A request begins up to so much later than twice the expected time. Shortly before a bound many
-// gateways send to the few targets that may still be used, and know little of each other: requests
-// that were expected to begin within 150 to 240 ms waited for 750 to 800 ms (204 targets), and some
-// of those whose connection was closed by then were begun on weights that were too old.
+// A request begins up to so much later than twice the expected time: shortly before a bound many
+// gateways send to the few targets that may still be used, and know little of each other.
 static constexpr Duration START_MARGIN = Milliseconds(400);
 static constexpr Duration START_MARGIN_UNREPORTED = Milliseconds(2000);
 // Where no report comes through, requests may be on their way for seconds.
 static constexpr Duration START_MARGIN_SILENT = Milliseconds(4000);
 // What others have sent since the last report is not known for so long: their message is on its way
 // to the agent, which reports not more often than each 10 ms, and its report on the way back. With
-// 10 instead of 25 ms, gateways that saw the same idle target sent more there than it could begin:
-// 0.84 instead of 0.79 of the worth of the worst 2 s while 204 targets took new weights.
+// less, gateways that see the same idle target send more there than it can begin.
 static constexpr Duration BLIND_TIME = Milliseconds(25);
 // While an engine writes, too, it reads prompts at this part of its speed.
 static constexpr double READING_SHARE = 0.3;
@@ -41,16 +38,14 @@
 // one, and for a while after that.
 static constexpr double CROWDED_RATIO = 1.6;
 static constexpr Duration CROWDED_TIME = Milliseconds(1500);
-// Holding up a target's switch costs the others' requests a part of the delay. With half of it
-// gateways kept away from a target for 3 s before its switch and its engine ran half empty: a sixth
-// loses 2.2 instead of 4 of 100 requests over two switches of 20 targets at 75% load. With nothing,
-// long answers hold up switches until the bound.
+// Holding up a target's switch costs the others' requests a part of the delay. With a larger part
+// the engine runs half empty before its switch; with none, long answers hold up switches until the
+// bound.
 static constexpr int SWITCH_DELAY_SHARE = 6;
 // What was learnt of a target's lag fades in about this time.
 static constexpr double LAG_LIFETIME_SECONDS = 2;
 // When there is no room for all, requests that take less of an engine's time than usual come a
-// little sooner. With 0.4 to 2.5 the largest tenth was served least: 0.01 to 0.02 less of its
-// worth.
+// little sooner. With wider limits the largest ones are served least.
 static constexpr double SIZE_WEIGHT_LEAST = 0.9;
 static constexpr double SIZE_WEIGHT_MOST = 1.5;
 // Failures in a row that may be the requests' own: a target is used in spite of them if there is no
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -26,8 +26,7 @@
 static constexpr Duration FULL_PAUSE = Milliseconds(60);
 // After a start of all machines the list names engines that have ended, until their records lapse
 // after three heartbeats of 1.2 s. Their agents report the engines that took their places, or
-// nothing. Sending to these records cost 33 gateways 209 refused requests within 2 s of their start
-// (204 targets, all without power for 0.9 s).
+// nothing.
 static constexpr Duration UNREPORTED_MOST = Milliseconds(4000);
 // Agents report several times a second: one that is silent for so long may be cut off, and its
 // target with it. Such a target is left alone for longer once a request could not be sent there.
--- a/Source/Core/Gateway/WaitLimit.cpp
+++ b/Source/Core/Gateway/WaitLimit.cpp
@@ -6,8 +6,8 @@
 using Common::Duration;
 using Common::ErrorKind;
 
-// Of the time in which a request has to begin. Loading takes 300 ms for the models that were
-// measured: with goals of 400 ms, who comes in the last 140 ms of it can still be in time.
+// Of the time in which a request has to begin. Who comes late in a target's loading can still be in
+// time.
 static constexpr int LOADING_SHARE = 2;
 
 static bool IsCrowded(const TargetSurvey& survey)
@@ -19,7 +19,7 @@
                   Duration start_goal)
 {
   // Whoever gets nothing within a pass is up against lasting overload: waiting on would only make
-  // the refusal later. Measured with 20 engines at 96% load: 86 ms instead of 46 ms serve no more.
+  // the refusal later.
   if (IsCrowded(survey))
     return pass;
   // No more wait than the targets that load weights can run once they have them: with one of 200
--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -18,8 +18,6 @@
 static constexpr int OTHERS_JITTER_MS = 400;
 // A longer way than this is a mistake of one of the clocks.
 static constexpr Milliseconds ROUND_TRIP_MOST = Milliseconds(60000);
-// Versions of a model that are told, as a push of the one before may still be under way.
-static constexpr std::size_t VERSIONS_TOLD = 3;
 
 // Fits into 32 bits for 49 days, and wraps then.
 Milliseconds ClockOf(TimePoint now)
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -26,6 +26,9 @@
   std::uint64_t incarnation = 0;
 };
 
+// The last versions of a model that are told: pushes of the ones before may still be under way.
+inline constexpr std::size_t VERSIONS_TOLD = 3;
+
 // Named weights, and how long they are known to any process.
 struct ToldWeights
 {
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -31,15 +31,12 @@
 // The origin is shared by few, and all wait for it when it has failed.
 static constexpr Milliseconds ORIGIN_PAUSE_MOST = Milliseconds(100);
 // Members of the hall with which a sidecar exchanges pieces. A piece enters a hall at one member;
-// if more ask that one for it at once, most are refused and their links idle: with 16 neighbours
-// copies take 1.70 instead of 1.49 times what a link needs (3 halls of 16 on the virtual clock).
+// if more ask that one for it at once, most are refused and their links idle.
 static constexpr std::size_t NEIGHBOURS = 8;
 // Pieces that share the link at once, each way. Requests and answers of the target wait behind all
-// of them: with 6 instead of 3, answers began 170 ms later (204 targets on links of 7.3 Mbit/s, 64%
-// load), and the worst 2 s of two pushes earned 0.84 instead of 0.95 of their worth.
+// of them.
 static constexpr std::uint32_t PIECES_AT_ONCE = 3;
-// The same while a copy is needed soon: all have it 0.4 s sooner (5 halls of 24, links of 7.3
-// Mbit/s).
+// The same while a copy is needed soon.
 static constexpr std::uint32_t PIECES_AT_ONCE_IN_HASTE = 6;
 // The same for a copy that this sidecar only keeps for others.
 static constexpr std::uint32_t PIECES_AT_ONCE_FOR_OTHERS = 1;
@@ -52,9 +49,7 @@
 static constexpr Milliseconds ORIGIN_PIECE_TIME_LEAST = Milliseconds(2);
 // While the hall lacks pieces, a member takes so many from the others at once, at least: with more
 // of them on its link, the piece that it fetches takes as long as all of these, and the origin's
-// link idles. With this and fetches at the origin's pace, 14 of 64 pieces were missing in a hall of
-// 4 members 1.6 s after a naming, instead of 27 (links of 7.6 Mbit/s, the origin's 9.9 Mbit/s). The
-// larger the hall, the seldomer a member fetches.
+// link idles. The larger the hall, the seldomer a member fetches.
 static constexpr std::uint32_t DOWNLOADS_WHILE_LACKING_LEAST = 3;
 static constexpr std::uint32_t MEMBERS_FOR_EACH_DOWNLOAD = 3;
 static constexpr Milliseconds CLAIM_LEAST = Milliseconds(300);
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -27,9 +27,8 @@
 static constexpr Milliseconds WORK_LIFETIME = Milliseconds(1500);
 // Gateways are told of each other so often.
 static constexpr Milliseconds LIST_PERIOD = Milliseconds(1000);
-// Gateways are told of a version that was named not longer ago than this, and of so many.
+// Gateways are told of a version that was named not longer ago than this.
 static constexpr Milliseconds TELL_VERSION_FOR = Milliseconds(20000);
-static constexpr std::size_t VERSIONS_TOLD = 3;
 static constexpr Milliseconds GATEWAY_LIFETIME = Milliseconds(3000);
 // Gateways are told of a switch so long before.
 static constexpr Milliseconds SWITCH_HORIZON = Milliseconds(3000);
@@ -155,7 +154,7 @@
   {
     const auto& [version, since] = *named;
     const auto known = std::chrono::duration_cast<Milliseconds>(now - since.time);
-    if (report.weights.size() == VERSIONS_TOLD || known > TELL_VERSION_FOR)
+    if (report.weights.size() == Mesh::VERSIONS_TOLD || known > TELL_VERSION_FOR)
       break;
     report.weights.push_back({{m_plan.model, version}, known, since.is_assumed});
   }
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -30,8 +30,8 @@
 
 Duration Sidecar::CopyTime() const
 {
-  // Of the time that one link needs for one copy. With 20 targets in three halls copies took 1.36
-  // to 1.52 of it; a switch waits for its copy anyhow, and a smaller figure lets who has one begin.
+  // Of the time that one link needs for one copy. A switch waits for its copy anyhow, and a smaller
+  // figure lets who has one begin.
   static constexpr double OVER_LINK = 1.2;
   const double bytes = static_cast<double>(m_plan.pieces) * m_plan.piece_bytes;
   const auto rate =
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -176,7 +176,7 @@
 bool GatewayControl::MayBeFollowed() const
 {
   // Before the first settings are written there is nothing to pass on, but one reader is enough to
-  // wait for them: when each of 149 gateways did, they asked 1,270 times within 4 s of their start.
+  // wait for them.
   return KnowsAll() || m_follower.HasReadAll();
 }
 
