Gateway: A report looks for its target only if requests may have to leave it; which sent requests are meant is worked out in one place

Since each report of a target looked for it among all targets a second time, whether a bound was near or not, and the loop over sent requests stood three times with small differences. Change: LeaveReported asks first whether the target switches or the weights it reports are overdue, and looks for it once for both; SentThat serves LeaveOldWeights, LeaveIfNotTaking and LeaveSwitching. What is decided stays the same.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -81,9 +81,7 @@
 void Gateway::OnTargetLoad(const TargetLoad& load, TimePoint now, Actions* actions)
 {
   m_targets.OnLoad(load, now);
-  if (load.is_switching)
-    LeaveSwitching(load.address, now, actions);
-  LeaveIfNotTaking(m_targets.FindByAddress(load.address), now, actions);
+  LeaveReported(load, now, actions);
   PumpAll(now, actions);
 }
 
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -128,8 +129,10 @@
   // Takes a request that has not begun away from its target and looks for another one; returns
   // whether it may be sent again.
   bool Move(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
+  // The same for requests of the reported target if its weights do not do for them any more.
+  void LeaveReported(const TargetLoad& load, Common::TimePoint now, Actions* actions);
   // The same for all requests of a target that takes other weights now: they would wait for that.
-  void LeaveSwitching(const Common::Address& target, Common::TimePoint now, Actions* actions);
+  void LeaveSwitching(const TargetId& target, Common::TimePoint now, Actions* actions);
   // Logs an answer that began on weights that a named version replaces.
   void NoteWeights(const Tracked& tracked, std::uint64_t version, Common::TimePoint now);
   // Whether the target may begin the request on weights that are too old by then.
@@ -138,6 +141,8 @@
   void LeaveOldWeights(Common::TimePoint now, Actions* actions);
   // The same for one target after the bound, if it does not take new weights as it said.
   void LeaveIfNotTaking(const TargetId& target, Common::TimePoint now, Actions* actions);
+  // Requests that have not begun and meet the condition. What is done to one may settle others.
+  std::vector<RequestNumber> SentThat(const std::function<bool(const Tracked&)>& condition) const;
   // Moves requests that have not begun away from their targets, or gives them up.
   void TakeBack(const std::vector<RequestNumber>& requests, Common::TimePoint now,
                 Actions* actions);
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -83,17 +83,37 @@
   }
 }
 
-void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
+std::vector<RequestNumber>
+Gateway::SentThat(const std::function<bool(const Tracked&)>& condition) const
 {
-  if (!m_weights.IsAnyDue(now))
-    return;
-  std::vector<RequestNumber> late;
+  std::vector<RequestNumber> numbers;
   for (const auto& [number, tracked] : m_requests)
   {
-    if (tracked.state == State::Sent && MayBeginOnOldWeights(tracked, now))
-      late.push_back(number);
+    if (tracked.state == State::Sent && condition(tracked))
+      numbers.push_back(number);
   }
-  TakeBack(late, now, actions);
+  return numbers;
+}
+
+void Gateway::LeaveOldWeights(TimePoint now, Actions* actions)
+{
+  if (!m_weights.IsAnyDue(now))
+    return;
+  const auto is_late = [&](const Tracked& tracked) { return MayBeginOnOldWeights(tracked, now); };
+  TakeBack(SentThat(is_late), now, actions);
+}
+
+void Gateway::LeaveReported(const TargetLoad& load, TimePoint now, Actions* actions)
+{
+  // To find the target takes a look at all of them, and reports come often.
+  if (!load.is_switching && !m_weights.IsOverdue(load.weights_version, now))
+    return;
+  const TargetId target = m_targets.FindByAddress(load.address);
+  if (target.empty())
+    return;
+  if (load.is_switching)
+    LeaveSwitching(target, now, actions);
+  LeaveIfNotTaking(target, now, actions);
 }
 
 void Gateway::LeaveIfNotTaking(const TargetId& target, TimePoint now, Actions* actions)
@@ -101,14 +121,9 @@
   if (m_targets.OwnWorkAt(target).requests == 0 ||
       !m_weights.IsOverdue(m_targets.WeightsAt(target), now))
     return;
-  std::vector<RequestNumber> late;
-  for (const auto& [number, tracked] : m_requests)
-  {
-    if (tracked.state == State::Sent && tracked.target == target &&
-        MayBeginOnOldWeights(tracked, now))
-      late.push_back(number);
-  }
-  TakeBack(late, now, actions);
+  const auto is_late = [&](const Tracked& tracked)
+  { return tracked.target == target && MayBeginOnOldWeights(tracked, now); };
+  TakeBack(SentThat(is_late), now, actions);
 }
 
 void Gateway::TakeBack(const std::vector<RequestNumber>& requests, TimePoint now, Actions* actions)
@@ -142,18 +157,11 @@
   return true;
 }
 
-void Gateway::LeaveSwitching(const Common::Address& target, TimePoint now, Actions* actions)
+void Gateway::LeaveSwitching(const TargetId& target, TimePoint now, Actions* actions)
 {
-  const TargetId id = m_targets.FindByAddress(target);
-  if (id.empty())
-    return;
-  std::vector<RequestNumber> waiting;
-  for (const auto& [number, tracked] : m_requests)
-  {
-    if (tracked.state == State::Sent && tracked.target == id && MayRunAgain(tracked))
-      waiting.push_back(number);
-  }
-  for (const RequestNumber number : waiting)
+  const auto may_leave = [&](const Tracked& tracked)
+  { return tracked.target == target && MayRunAgain(tracked); };
+  for (const RequestNumber number : SentThat(may_leave))
   {
     if (Tracked* tracked = Find(number); tracked && tracked->state == State::Sent)
       Move(*tracked, "switching", now, actions);
