Mesh, Control: What is told of a version is made in one place; NamedVersions says itself whether it knows one

Briefing and SidecarReports each worked out how long a version is known, one of them without the floor of zero; ControlFollower searched in what NamedVersions keeps. ToldWeights::Of and NamedVersions::IsKnown serve them.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -127,7 +127,7 @@
   for (const NamedWeights& named : weights)
   {
     // What may have been there for long says nothing of a version that is known already.
-    if (m_naming.MayHaveMissed() && IsKnown(named))
+    if (m_naming.MayHaveMissed() && m_weights[named.model].IsKnown(named.version))
       continue;
     is_new = OfferWeights(named, since) || is_new;
   }
@@ -166,14 +166,6 @@
   return m_weights[named.model].Offer({named.version, since});
 }
 
-bool ControlFollower::IsKnown(const NamedWeights& named) const
-{
-  const auto versions = m_weights.find(named.model);
-  return versions != m_weights.end() &&
-         std::ranges::find(versions->second.All(), named.version, &KnownVersion::version) !=
-             versions->second.All().end();
-}
-
 bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
 {
   m_is_reading_targets = false;
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -101,7 +101,6 @@
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
-  bool IsKnown(const NamedWeights& named) const;
   bool OfferRead(const std::vector<NamedWeights>& weights, Common::TimePoint now);
 
   FollowerOptions m_options;
--- a/Source/Core/Control/NamedVersions.cpp
+++ b/Source/Core/Control/NamedVersions.cpp
@@ -18,6 +18,11 @@
   return time < known.time;
 }
 
+bool NamedVersions::IsKnown(std::uint64_t version) const
+{
+  return std::ranges::find(m_known, version, &KnownVersion::version) != m_known.end();
+}
+
 bool NamedVersions::Offer(const KnownVersion& offered)
 {
   const auto place = std::ranges::lower_bound(m_known, offered.version, {}, &KnownVersion::version);
--- a/Source/Core/Control/NamedVersions.h
+++ b/Source/Core/Control/NamedVersions.h
@@ -35,6 +35,7 @@
   // Returns whether this is news: a version that was not known, or more of when it was named.
   // Versions before those that are kept are no news.
   bool Offer(const KnownVersion& offered);
+  bool IsKnown(std::uint64_t version) const;
   // The oldest one first.
   const std::vector<KnownVersion>& All() const { return m_known; }
   std::uint64_t Newest() const { return m_known.empty() ? 0 : m_known.back().version; }
--- a/Source/Core/Mesh/Briefing.cpp
+++ b/Source/Core/Mesh/Briefing.cpp
@@ -89,11 +89,7 @@
 {
   const std::vector<Control::KnownVersion>& all = versions.All();
   for (std::size_t i = all.size() - std::min(all.size(), VERSIONS_TOLD); i < all.size(); ++i)
-  {
-    const auto& [version, since] = all[i];
-    const auto known = std::chrono::duration_cast<Milliseconds>(now - since.time);
-    told->push_back({{model, version}, std::max(known, Milliseconds(0)), since.is_assumed});
-  }
+    told->push_back(ToldWeights::Of(model, all[i].version, all[i].since, now));
 }
 
 std::vector<ToldWeights> Briefing::ToldAt(TimePoint now) const
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -37,6 +39,12 @@
   // No process that knew of the naming itself has been heard of.
   bool is_assumed = false;
 
+  static ToldWeights Of(const std::string& model, std::uint64_t version,
+                        const Control::KnownSince& since, Common::TimePoint now)
+  {
+    const auto known = std::chrono::duration_cast<Common::Milliseconds>(now - since.time);
+    return {{model, version}, std::max(known, Common::Milliseconds(0)), since.is_assumed};
+  }
   Control::KnownSince Since(Common::TimePoint now) const { return {now - known, is_assumed}; }
 };
 
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -152,11 +152,10 @@
   report.stamp = m_stamp;
   for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
   {
-    const auto& [version, since] = *named;
-    const auto known = std::chrono::duration_cast<Milliseconds>(now - since.time);
-    if (report.weights.size() == Mesh::VERSIONS_TOLD || known > TELL_VERSION_FOR)
+    const auto told = Mesh::ToldWeights::Of(m_plan.model, named->first, named->second, now);
+    if (report.weights.size() == Mesh::VERSIONS_TOLD || told.known > TELL_VERSION_FOR)
       break;
-    report.weights.push_back({{m_plan.model, version}, known, since.is_assumed});
+    report.weights.push_back(told);
   }
   for (const auto& [address, gateway] : m_gateways)
   {
