--- a/Source/Bench/Routing/RoutingReport.h
+++ b/Source/Bench/Routing/RoutingReport.h
@@ -59,10 +59,6 @@
   double LargestServed() const;
   std::string Summary() const;
   std::string Windows() const;
-  // Requests that began on old weights after the bound.
-  std::size_t BegunTooLate() const { return m_begun_too_late; }
-  // How long before the bound the last request began on old weights; empty if none did.
-  std::optional<Common::Duration> LeastBeforeBound() const { return m_least_before_bound; }
 
   // Reports of sidecars to gateways of their hall and of others.
   std::uint64_t near_tells = 0;
@@ -73,6 +69,7 @@
   std::map<int, std::vector<const SettledRequest*>> ByWindow() const;
 
   std::vector<SettledRequest> m_requests;
+  // Requests that began on old weights after the bound, and how long before it the last one began.
   std::size_t m_begun_too_late = 0;
   std::optional<Common::Duration> m_least_before_bound;
 };
--- /dev/null
+++ b/Source/UnitTests/Core/Control/FollowerFixture.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <memory>
+
+#include "Common/Error.h"
+#include "Core/Control/ControlFollower.h"
+
+namespace Holdpost::Testing
+{
+inline constexpr Common::TimePoint FOLLOWER_START{std::chrono::hours(1)};
+
+inline Control::OperatorRead MakeRead(Settings::DocumentVersion version, Control::Position next)
+{
+  auto document = std::make_shared<Settings::Document>();
+  document->version = version;
+  return {document, Common::MakeBytes("text"), {}, next};
+}
+
+// A follower and the time, which only passes by Tick and by hand.
+struct FollowerFixture
+{
+  Control::ControlFollower follower{{Common::Milliseconds(600), Common::Milliseconds(2500)}, 1};
+  Common::TimePoint now = FOLLOWER_START;
+  Control::Actions actions;
+
+  void Tick(Common::Duration time = Common::Milliseconds(0))
+  {
+    now += time;
+    follower.OnTick(now, &actions);
+  }
+};
+} // namespace Holdpost::Testing
