--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -156,6 +156,8 @@
   tracked.organisation = organisation ? organisation->name : "";
   tracked.priority =
       organisation && organisation->priority ? *organisation->priority : route->priority;
+  tracked.fingerprint =
+      FingerprintOf(tracked.organisation, event.request.host, event.request.content);
   tracked.request = std::move(event.request);
   tracked.arrived = now;
   tracked.first_attempt_at =
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/Error.h"
+#include "Common/Hash.h"
 #include "Common/Types.h"
 #include "Core/Gateway/Target.h"
 
@@ -41,6 +42,8 @@
   std::optional<Common::Milliseconds> deadline;
   std::optional<EventId> last_event;
   std::optional<GenerationHint> generation;
+  // The digest of the method, the path with its query, and the body.
+  Common::Digest content;
 };
 
 // --- events ---
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -25,16 +25,17 @@
 {
   if (!tracked.last_attempt)
   {
-    return LogEvent(Weight::Important, now, event, "request", tracked.request.id, fields...,
-                    "attempts", 0);
+    return LogEvent(Weight::Important, now, event, "request", tracked.request.id, "fingerprint",
+                    tracked.fingerprint.Short(), fields..., "attempts", 0);
   }
   const TargetChoice& choice = tracked.last_attempt->choice;
-  LogEvent(Weight::Important, now, event, "request", tracked.request.id, fields..., "attempts",
-           tracked.sends, "target", choice.id, "at", choice.address.ToString(), "sent_ms_ago",
-           now - tracked.last_attempt->sent, "answer_status", tracked.last_attempt->answer_status,
-           "ended_by", AttemptEndName(tracked.last_attempt->end), "load", choice.load,
-           "report_age_ms", choice.report_age.value_or(Milliseconds(-1)), "expected_ms",
-           choice.expected_start, "weights", choice.weights_version);
+  LogEvent(Weight::Important, now, event, "request", tracked.request.id, "fingerprint",
+           tracked.fingerprint.Short(), fields..., "attempts", tracked.sends, "target", choice.id,
+           "at", choice.address.ToString(), "sent_ms_ago", now - tracked.last_attempt->sent,
+           "answer_status", tracked.last_attempt->answer_status, "ended_by",
+           AttemptEndName(tracked.last_attempt->end), "load", choice.load, "report_age_ms",
+           choice.report_age.value_or(Milliseconds(-1)), "expected_ms", choice.expected_start,
+           "weights", choice.weights_version);
 }
 
 void RequestLog::RecordTime(const TrackedRequest& tracked, std::string_view outcome, TimePoint now)
@@ -63,11 +64,12 @@
   const TargetChoice& choice = tracked.last_attempt->choice;
   m_metrics.Record("holdpost_queue_seconds", now - tracked.arrived,
                    Common::ServiceOutcome(tracked.service, "sent"));
-  LogEvent(Weight::Ordinary, now, "request.sent", "request", tracked.request.id, "service",
-           tracked.service, "target", choice.id, "at", choice.address.ToString(), "attempt",
-           tracked.sends, "waited_ms", now - tracked.arrived, "load", choice.load, "report_age_ms",
-           choice.report_age.value_or(Milliseconds(-1)), "expected_ms", choice.expected_start,
-           "weights", choice.weights_version, "settings", settings);
+  LogEvent(Weight::Ordinary, now, "request.sent", "request", tracked.request.id, "fingerprint",
+           tracked.fingerprint.Short(), "service", tracked.service, "target", choice.id, "at",
+           choice.address.ToString(), "attempt", tracked.sends, "waited_ms", now - tracked.arrived,
+           "load", choice.load, "report_age_ms", choice.report_age.value_or(Milliseconds(-1)),
+           "expected_ms", choice.expected_start, "weights", choice.weights_version, "settings",
+           settings);
 }
 
 void RequestLog::OnRetried(const TrackedRequest& tracked, std::string_view reason, TimePoint now)
--- a/Source/Core/Gateway/TrackedRequest.h
+++ b/Source/Core/Gateway/TrackedRequest.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Core/Gateway/Messages.h"
+#include "Core/Gateway/RequestFingerprint.h"
 #include "Core/Gateway/TargetTable.h"
 #include "Core/Settings/Document.h"
 
@@ -39,6 +40,7 @@
   Settings::Route route;
   std::string service;
   std::string organisation;
+  RequestFingerprint fingerprint;
   int priority = 0;
   Common::TimePoint arrived{};
   // The time of the caller's first attempt, estimated from the deadline. The goal of the route is
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -34,8 +34,9 @@
   {
     if (++m_reports_failed == MAX_FAILED_REPORTS)
     {
-      LogEvent(Weight::Important, now, "engine.lost", "reason",
-               std::get<Error>(event.result).message);
+      LogEvent(Weight::Important, now, "engine.lost", "target", m_target_id, "incarnation",
+               m_report ? m_report->incarnation : 0, "running", m_report ? m_report->running : 0,
+               "reason", std::get<Error>(event.result).message);
       m_report.reset();
       OnEngineRestarted();
     }
@@ -51,7 +52,8 @@
        (report->weights_version < m_report->weights_version && !m_loader.IsUnderWay()));
   if (has_restarted)
   {
-    LogEvent(Weight::Important, now, "engine.restarted", "weights", report->weights_version);
+    LogEvent(Weight::Important, now, "engine.restarted", "before", m_target_id, "weights",
+             report->weights_version);
     OnEngineRestarted();
   }
   m_report = *report;
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -48,7 +48,8 @@
                            if (found != m_exchanges.end() && found->second.call)
                              found->second.call->ResumeReading();
                          });
-  Feed(Gateway::RequestArrived{number, TargetPeer::ReadCallerRequest(caller->Head(), m_names)});
+  Feed(Gateway::RequestArrived{
+      number, TargetPeer::ReadCallerRequest(caller->Head(), caller->Body(), m_names)});
 }
 
 void GatewayNode::OnCallerLeft(RequestNumber number)
--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -38,7 +38,16 @@
   return hint;
 }
 
-Gateway::CallerRequest ReadCallerRequest(const HttpHead& head, const HeaderNames& names)
+static Common::Digest DigestContent(const HttpHead& head, std::string_view body)
+{
+  std::string text;
+  text.reserve(head.method.size() + head.target.size() + body.size() + 2);
+  text.append(head.method).append(" ").append(head.target).append("\n").append(body);
+  return Common::Sha256(text);
+}
+
+Gateway::CallerRequest ReadCallerRequest(const HttpHead& head, std::string_view body,
+                                         const HeaderNames& names)
 {
   Gateway::CallerRequest request;
   if (const std::string* id = head.fields.Find(names.request_id))
@@ -54,6 +63,7 @@
     request.deadline = Common::Milliseconds(std::min<std::uint64_t>(*deadline, 86400000));
   request.last_event = head.fields.FindNumber(names.last_event);
   request.generation = ReadGeneration(head, names);
+  request.content = DigestContent(head, body);
   return request;
 }
 
--- a/Source/Peers/Target/TargetMessage.h
+++ b/Source/Peers/Target/TargetMessage.h
@@ -10,8 +10,9 @@
 // Translates between HTTP heads and the requests that a gateway decides on.
 namespace Holdpost::TargetPeer
 {
-// What the gateway needs to know of a caller's request.
-Gateway::CallerRequest ReadCallerRequest(const Common::HttpHead& head, const HeaderNames& names);
+// What the gateway needs to know of a caller's whole request.
+Gateway::CallerRequest ReadCallerRequest(const Common::HttpHead& head, std::string_view body,
+                                         const HeaderNames& names);
 // The request as the target gets it: method, path and body as the caller sent them, the caller's
 // fields but for those of its connection, and what the gateway sets itself.
 std::string WriteTargetRequest(const Common::HttpHead& head, const std::string& body,
--- a/Source/UnitTests/Peers/TargetMessageTest.cpp
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -32,7 +32,7 @@
 
 TEST_CASE("A caller's request is read")
 {
-  const auto request = ReadCallerRequest(MakeHead(), HeaderNames{});
+  const auto request = ReadCallerRequest(MakeHead(), "", HeaderNames{});
   CHECK(request.id == "r1");
   CHECK(request.host == "api.example");
   CHECK(request.path == "/chat/x");
