--- a/Source/Common/Error.cpp
+++ b/Source/Common/Error.cpp
@@ -36,6 +36,7 @@
     ErrorAnswer{ErrorKind::AnswerCut, "answer_cut", 502, Outcome::Unknown, 0ms},
     ErrorAnswer{ErrorKind::AnswerTooLarge, "answer_too_large", 502, Outcome::Ran, 0ms},
     ErrorAnswer{ErrorKind::Unreachable, "unreachable", 502, Outcome::Unknown, 0ms},
+    ErrorAnswer{ErrorKind::CrashesTargets, "crashes_targets", 400, Outcome::NotRun, 0ms},
     ErrorAnswer{ErrorKind::AnswerTimeout, "answer_timeout", 504, Outcome::Unknown, 0ms},
     ErrorAnswer{ErrorKind::BadSettings, "bad_settings", 400, Outcome::NotRun, 0ms},
     ErrorAnswer{ErrorKind::Conflict, "conflict", 409, Outcome::NotRun, 0ms},
--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -48,6 +48,8 @@
   AnswerCut,
   AnswerTooLarge,
   Unreachable,
+  // The request has crashed the targets that ran it, so it is sent to none any more.
+  CrashesTargets,
   AnswerTimeout,
   BadSettings,
   Conflict,
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -77,12 +77,14 @@
 void Gateway::SetTargets(const std::vector<ListedTarget>& list, TimePoint now, Actions* actions)
 {
   m_targets.SetList(list, now);
+  CountCrashes(now, actions);
   DispatchAllWaiting(now, actions);
 }
 
 void Gateway::OnTargetLoad(const TargetLoad& load, TimePoint now, Actions* actions)
 {
   m_targets.OnLoadReport(load, now);
+  CountCrashes(now, actions);
   MoveFromReportedTarget(load, now, actions);
   DispatchAllWaiting(now, actions);
 }
@@ -149,15 +151,24 @@
   if (!organisation && !route->allows_anonymous && m_routes.HasOrganisations())
     return RefuseArrival(event, {ErrorKind::BadCredential, "unknown credential"}, now, actions);
 
+  const std::string caller = organisation ? organisation->name : "";
+  const RequestFingerprint fingerprint =
+      FingerprintOf(caller, event.request.host, event.request.content);
+  if (m_crashes.IsBlocked(fingerprint))
+  {
+    return RefuseArrival(event,
+                         {ErrorKind::CrashesTargets, "the request crashes the targets that run it"},
+                         now, actions);
+  }
+
   Tracked tracked;
   tracked.number = event.number;
   tracked.route = *route;
   tracked.service = RouteTable::ServiceFor(*route, Common::StableHash(event.request.id));
-  tracked.organisation = organisation ? organisation->name : "";
+  tracked.organisation = caller;
   tracked.priority =
       organisation && organisation->priority ? *organisation->priority : route->priority;
-  tracked.fingerprint =
-      FingerprintOf(tracked.organisation, event.request.host, event.request.content);
+  tracked.fingerprint = fingerprint;
   tracked.request = std::move(event.request);
   tracked.arrived = now;
   tracked.first_attempt_at =
@@ -260,7 +271,7 @@
   ++tracked->runs;
   // Only the rest of the same event stream can continue an answer that was passed on in part.
   const bool cannot_continue = tracked->was_head_passed && !event.is_event_stream;
-  const bool is_failure = event.status >= 500 || cannot_continue;
+  const bool is_failure = event.status >= MIN_FAILURE_STATUS || cannot_continue;
   if (is_failure && MayRunAgain(*tracked) && QueueOf(tracked->service).retries.Take(now))
   {
     actions->push_back(CancelAttempt{tracked->number});
@@ -299,6 +310,8 @@
   if (!tracked)
     return;
   m_targets.OnSucceeded(TargetInSameIncarnation(*tracked));
+  if (tracked->last_attempt->answer_status < MIN_FAILURE_STATUS)
+    m_crashes.OnAnswered(tracked->fingerprint, now);
   m_log.OnDone(*tracked, now);
   ReleaseTarget(*tracked, actions);
   const std::string service = tracked->service;
@@ -317,12 +330,14 @@
     tracked->last_event = event.last_event;
   if (event.failure == AttemptFailure::NotSent)
     return OnNotRun(*tracked, "not_sent", now, actions);
+  OnAttemptLost(*tracked, event, now);
   // A run whose answer has begun was counted at the start of the answer.
   if (tracked->state == State::Sent)
     ++tracked->runs;
   RetryOrGiveUp(*tracked, "lost",
                 {ErrorKind::Unreachable, "the target was lost while it may have run"}, now,
                 actions);
+  StopBlockedRequests(now, actions);
 }
 
 void Gateway::OnTimer(Tracked& tracked, TimePoint now, Actions* actions)
@@ -352,6 +367,7 @@
 
 void Gateway::OnTick(TimePoint now, Actions* actions)
 {
+  m_crashes.OnTick(now);
   CancelOnOldWeights(now, actions);
   while (!m_timers.empty() && m_timers.top().at <= now)
   {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "Common/Metrics.h"
+#include "Core/Crashes/CrashTracker.h"
 #include "Core/Gateway/DeadlineTracker.h"
 #include "Core/Gateway/Messages.h"
 #include "Core/Gateway/RequestLog.h"
@@ -56,6 +57,12 @@
   void OnWeightsNamed(const std::string& model, const Control::KnownVersion& known,
                       Common::TimePoint now);
   void SetGateways(const GatewayCounts& gateways, Common::TimePoint now);
+  // An engine has ended without notice, as its agent reports.
+  void OnEngineEnd(const Crashes::EngineEnd& end, Common::TimePoint now, Actions* actions);
+  // Another process knows of requests that crash engines.
+  void OnCrashRecords(const std::vector<Crashes::CrashRecord>& records, Common::TimePoint now,
+                      Actions* actions);
+  Crashes::CrashLedger& CrashLedger() { return m_crashes.Ledger(); }
   // New retry limits apply to all retries from now on, and a new switch period to versions that are
   // named from now on.
   void SetRetryLimits(const RetryLimits& limits);
@@ -164,6 +171,12 @@
   // or gives it up.
   void CancelAtTargets(const std::vector<RequestNumber>& requests, Common::TimePoint now,
                        Actions* actions);
+  // Checks whether the target of an attempt that failed crashed under it.
+  void OnAttemptLost(const Tracked& tracked, const AttemptFailed& event, Common::TimePoint now);
+  // Counts the lost attempts whose engines are known to have ended since.
+  void CountCrashes(Common::TimePoint now, Actions* actions);
+  // Gives up the requests that have become blocked, wherever they are.
+  void StopBlockedRequests(Common::TimePoint now, Actions* actions);
   void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void OnNotRun(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
@@ -183,6 +196,7 @@
   DeadlineTracker m_deadline_tracker;
   TargetTable m_targets;
   SwitchDeadlines m_switch_deadlines;
+  Crashes::CrashTracker m_crashes;
   std::map<std::string, ServiceQueue> m_queues;
   std::unordered_map<RequestNumber, Tracked> m_requests;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
--- a/Source/Core/Gateway/GatewayRefusals.cpp
+++ b/Source/Core/Gateway/GatewayRefusals.cpp
@@ -64,7 +64,9 @@
     // The outcome "not run" would be wrong once a target may have run the request.
     if (answer.outcome == Common::Outcome::NotRun && tracked.runs > 0)
       error = {ErrorKind::Unreachable, error.message};
-    if (Common::AnswerFor(error.kind).outcome == Common::Outcome::NotRun)
+    const Common::ErrorAnswer& given = Common::AnswerFor(error.kind);
+    const bool may_come_back = given.retry_after > Milliseconds::zero();
+    if (given.outcome == Common::Outcome::NotRun && may_come_back)
       error.retry_after = RetryAfterFor(tracked);
     const ServiceView view = ViewOf(tracked, now);
     m_targets.OnRefused(service, now);
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -24,7 +24,8 @@
 bool Gateway::MayRunAgain(const Tracked& tracked) const
 {
   const bool is_repeatable = tracked.route.repetition == Settings::Repetition::Idempotent;
-  return is_repeatable && tracked.runs < tracked.route.max_attempts;
+  return is_repeatable && tracked.runs < tracked.route.max_attempts &&
+         !m_crashes.IsSuspect(tracked.fingerprint);
 }
 
 void Gateway::RetryOrGiveUp(Tracked& tracked, std::string_view reason,
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -46,6 +46,9 @@
   Common::Digest content;
 };
 
+// A target's own failure, which is passed on to the caller unchanged, has at least this status.
+inline constexpr int MIN_FAILURE_STATUS = 500;
+
 // --- events ---
 
 struct RequestArrived
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -14,8 +14,6 @@
 // Each answer with old weights is logged if it begins less than this time before the switch
 // deadline, or later.
 static constexpr Milliseconds NEAR_DEADLINE_PERIOD = Milliseconds(500);
-// A target's own failure, which is passed on to the caller unchanged, has at least this status.
-static constexpr int MIN_FAILURE_STATUS = 500;
 
 // The event of a failure has all data of the last attempt, because ordinary events are dropped
 // under load.
@@ -169,4 +167,10 @@
              tracked.runs, "after_ms", now - tracked.arrived, "last_event",
              tracked.last_event.value_or(0));
 }
+
+void RequestLog::OnBlocked(const RequestFingerprint& request, TimePoint now)
+{
+  m_metrics.Add("holdpost_requests_blocked_total");
+  LogEvent(Weight::Important, now, "crash.blocked", "fingerprint", request.Short());
+}
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -58,6 +58,8 @@
                  const ServiceView& view, Common::TimePoint now);
   void OnAnswerCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
                    Common::TimePoint now);
+  // The request has crashed so many engines that it is sent to none any more.
+  void OnBlocked(const RequestFingerprint& request, Common::TimePoint now);
 
 private:
   void RecordTime(const TrackedRequest& tracked, std::string_view outcome, Common::TimePoint now);
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -349,6 +349,12 @@
   return candidates;
 }
 
+static std::size_t LeastLoaded(const std::vector<TargetChoice>& choices)
+{
+  const auto least = std::ranges::min_element(choices, {}, &TargetChoice::load);
+  return static_cast<std::size_t>(least - choices.begin());
+}
+
 std::optional<TargetChoice> TargetTable::Choose(const TargetQuery& query, TimePoint now)
 {
   Candidates candidates = CandidatesFor(query, now);
@@ -358,8 +364,10 @@
   const SpreadParameters spread = SpreadParametersFor(query, candidates, now);
   if (!IsAdmitted(query, candidates.options, spread, now))
     return std::nullopt;
-  TargetChoice& choice =
-      candidates.choices[ChooseOption(candidates.options, spread, RandomFraction())];
+  const std::size_t chosen = query.prefers_idle
+                                 ? LeastLoaded(candidates.choices)
+                                 : ChooseOption(candidates.options, spread, RandomFraction());
+  TargetChoice& choice = candidates.choices[chosen];
   const Target& target = m_targets.at(choice.id);
   const auto engine = m_engines.find(query.service);
   if (engine != m_engines.end() && HasValidLoad(target, now))
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -184,11 +184,19 @@
   return target.IsListed() && AvailabilityOf(target, now) == Availability::Open;
 }
 
-bool TargetTable::IsAcceptable(const TargetId& id) const
+bool TargetTable::MayHaveCrashed(const TargetId& id) const
 {
   const auto found = m_targets.find(id);
-  return found != m_targets.end() && found->second.IsListed() &&
-         found->second.listed.state == TargetState::Ready;
+  if (found == m_targets.end() || found->second.listed.state != TargetState::Ready)
+    return false;
+  return found->second.is_on_list || found->second.is_replaced;
+}
+
+bool TargetTable::HasEnded(const TargetId& id, std::uint64_t incarnation) const
+{
+  const auto found = m_targets.find(id);
+  return found == m_targets.end() || !found->second.IsListed() ||
+         found->second.listed.incarnation != incarnation;
 }
 
 std::uint64_t TargetTable::WeightsAt(const TargetId& id) const
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -50,6 +50,8 @@
   std::size_t waiting = 0;
   // The maximum time until the start: a later start is useless.
   std::optional<Common::Duration> max_start = std::nullopt;
+  // The request may crash its target: the target with the least other work is chosen.
+  bool prefers_idle = false;
 };
 
 struct TargetChoice
@@ -141,7 +143,11 @@
   Common::Duration PassTimeOf(const std::string& service) const;
   // The mean time in which a full target finishes all its running requests.
   Common::Duration TurnoverTimeOf(const std::string& service) const;
-  bool IsAcceptable(const TargetId& id) const;
+  // Whether a connection that the target has just lost may be due to a crash: a target that is
+  // leaving, or that has left the list while it still ran, ends as planned.
+  bool MayHaveCrashed(const TargetId& id) const;
+  // Whether this incarnation of the target is known to have ended.
+  bool HasEnded(const TargetId& id, std::uint64_t incarnation) const;
   // The listed target at the address; empty if there is none.
   TargetId FindByAddress(const Common::Address& address) const;
   // The current network delay of a message to the target.
--- a/Source/Core/Mesh/BriefingSender.cpp
+++ b/Source/Core/Mesh/BriefingSender.cpp
@@ -114,6 +114,7 @@
   hello.weights = AdvertisedVersionsAt(now);
   hello.demand = m_use.demand;
   hello.near_gateways = m_use.near_gateways;
+  hello.crashes = m_crashes;
   return hello;
 }
 
--- a/Source/Core/Mesh/BriefingSender.h
+++ b/Source/Core/Mesh/BriefingSender.h
@@ -62,6 +62,8 @@
   void SetWeights(const Control::NamedWeights& named, const Control::KnownSince& since);
   // The hellos to other halls are sent immediately when targets there become needed.
   void SetTargetUse(TargetUse use);
+  // The state hash of the local crash ledger, which is sent in all hellos.
+  void SetCrashes(std::uint64_t state_hash) { m_crashes = state_hash; }
   // Whether this gateway reads the platform for its hall.
   void SetIsReader(bool reads) { m_is_reader = reads; }
   // Records the stamp of the last briefing that a sidecar received, as the sidecar reports it.
@@ -117,5 +119,6 @@
   Common::TimePoint m_local_hall_due{};
   Common::TimePoint m_other_halls_due{};
   TargetUse m_use;
+  std::uint64_t m_crashes = 0;
 };
 } // namespace Holdpost::Mesh
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -12,6 +12,7 @@
 #include "Common/Types.h"
 #include "Core/Control/ControlMessages.h"
 #include "Core/Control/NamedVersions.h"
+#include "Core/Crashes/CrashTracker.h"
 #include "Core/Distribution/Actions.h"
 #include "Core/Gateway/Target.h"
 
@@ -113,6 +114,8 @@
   Gateway::DemandReport demand;
   // The number of gateways of the sender's hall, including the sender.
   std::uint32_t near_gateways = 0;
+  // The state hash of the sender's crash ledger.
+  std::uint64_t crashes = 0;
 };
 
 // The work that a gateway has at the receiver's target, sent whenever it changes.
@@ -142,6 +145,8 @@
   // arrived.
   Common::Milliseconds echo{0};
   Common::Milliseconds echo_age{0};
+  // The state hash of the sender's crash ledger.
+  std::uint64_t crashes = 0;
 };
 
 struct Announce
@@ -227,8 +232,20 @@
 {
 };
 
-using Message =
-    std::variant<Hello, LoadReport, Announce, PieceRequest, PieceCancel, PieceReply,
-                 DocumentRequest, DocumentUpdate, TargetsRequest, TargetsUpdate, ReaderBeat,
-                 WorkUpdate, GatewaysRequest, GatewaysReply, BriefingRequest>;
+// Records of the sender's crash ledger: those that have changed, or all of them.
+struct CrashRecords
+{
+  std::vector<Crashes::CrashRecord> records;
+};
+
+// Sent by a sidecar whose engine has ended without notice.
+struct EngineEnded
+{
+  Crashes::EngineEnd end;
+};
+
+using Message = std::variant<Hello, LoadReport, Announce, PieceRequest, PieceCancel, PieceReply,
+                             DocumentRequest, DocumentUpdate, TargetsRequest, TargetsUpdate,
+                             ReaderBeat, WorkUpdate, GatewaysRequest, GatewaysReply,
+                             BriefingRequest, CrashRecords, EngineEnded>;
 } // namespace Holdpost::Mesh
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -177,6 +177,7 @@
           { OnWorkAnnounced(from, received.work, now, actions); },
           [&](const Mesh::GatewaysReply& received)
           { RequestBriefings(received.gateways, actions); },
+          [&](const Mesh::CrashRecords& told) { m_crashes.Merge(told.records, now); },
           [&](const Mesh::Announce& announce) {
             m_exchange.OnAnnouncement(from.address.ToString(), announce.announcement, now,
                                       &new_actions);
@@ -327,6 +328,7 @@
   if (m_load_due && now >= *m_load_due)
     SendLoadReports(now, actions);
   TickIdentity(now, actions);
+  SendCrashChanges(now, actions);
   SearchGateways(now, actions);
   if (now >= m_peers_due)
     UpdateExchangePeers(now, actions);
@@ -371,6 +373,8 @@
   if (m_load_due)
     next = std::min(next, *m_load_due);
   next = std::min(next, m_search.NextWakeup());
+  if (const auto crashes = Crashes::CrashExchange::NextWakeup(m_crashes))
+    next = std::min(next, *crashes);
   if (const auto exchange = m_exchange.NextWakeup(now))
     next = std::min(next, *exchange);
   if (m_loader.State() == LoaderState::Announced)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -10,6 +10,7 @@
 
 #include "Common/Metrics.h"
 #include "Core/Control/ControlMessages.h"
+#include "Core/Crashes/CrashExchange.h"
 #include "Core/Distribution/Exchange.h"
 #include "Core/Mesh/MeshMessages.h"
 #include "Core/Mesh/SeedSearch.h"
@@ -116,10 +117,14 @@
   std::uint64_t WantedVersion() const { return m_wanted; }
   std::uint64_t LoadedVersion() const { return m_report ? m_report->weights_version : 0; }
   const Distribution::Exchange& Weights() const { return m_exchange; }
+  const Crashes::CrashLedger& CrashLedger() const { return m_crashes; }
   // Number of pieces of the version that this sidecar holds.
   std::uint32_t PiecesHeld(std::uint64_t version) const;
 
 private:
+  // How many times the end of the engine is reported to gateways, as messages may be lost.
+  static constexpr std::uint32_t MAX_END_REPORTS = 4;
+
   struct KnownGateway
   {
     std::string hall;
@@ -210,6 +215,14 @@
   // Reads the id under which the engine is listed, once for each start of the engine.
   void TickIdentity(Common::TimePoint now, Actions* actions);
   void OnEngineRestarted();
+  // Remembers which start of the engine has ended, if it was known to run.
+  void OnEngineLost();
+  // Tells all known gateways that the engine has ended without notice.
+  void ReportEngineEnd(Actions* actions) const;
+  // Sends a gateway all crash records if its ledger lacks some.
+  void CompareCrashes(const Common::Address& gateway, std::uint64_t state_hash,
+                      Common::TimePoint now, Actions* actions);
+  void SendCrashChanges(Common::TimePoint now, Actions* actions);
   void TickStage(Common::TimePoint now, Actions* actions);
   void TickLoader(Common::TimePoint now, Actions* actions);
   void LogProgress(Common::TimePoint now);
@@ -248,6 +261,11 @@
   Urgency m_urgency = Urgency::Normal;
   std::map<Common::Digest, std::uint64_t> m_versions;
   std::map<Common::Address, KnownGateway> m_gateways;
+  Crashes::CrashLedger m_crashes;
+  Crashes::CrashExchange m_crash_exchange;
+  // The last start of the engine that was lost, and the number of times that its end was reported.
+  Crashes::EngineEnd m_lost_engine;
+  std::uint32_t m_end_reports = MAX_END_REPORTS;
   Mesh::SeedSearch m_search;
   std::vector<Mesh::Peer> m_peers;
   std::optional<Common::TimePoint> m_started_at;
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -37,9 +37,16 @@
       LogEvent(Weight::Important, now, "engine.lost", "target", m_target_id, "incarnation",
                m_report ? m_report->incarnation : 0, "running", m_report ? m_report->running : 0,
                "reason", std::get<Error>(event.result).message);
+      OnEngineLost();
       m_report.reset();
       OnEngineRestarted();
     }
+    // Repeated, as messages may be lost.
+    if (m_end_reports < MAX_END_REPORTS)
+    {
+      ++m_end_reports;
+      ReportEngineEnd(actions);
+    }
     return;
   }
   if (m_reports_failed >= MAX_FAILED_REPORTS)
@@ -54,8 +61,11 @@
   {
     LogEvent(Weight::Important, now, "engine.restarted", "before", m_target_id, "weights",
              report->weights_version);
+    OnEngineLost();
+    ReportEngineEnd(actions);
     OnEngineRestarted();
   }
+  m_end_reports = MAX_END_REPORTS;
   m_report = *report;
   m_requests_at_report = TotalWork(now).requests;
   m_loader.OnReport(*report, now);
@@ -63,6 +73,14 @@
   SendLoadReports(now, actions);
 }
 
+void Sidecar::OnEngineLost()
+{
+  if (!m_report)
+    return;
+  m_lost_engine = {m_options.target, m_target_id, m_report->incarnation};
+  m_end_reports = 0;
+}
+
 void Sidecar::OnEngineRestarted()
 {
   m_loader.OnEngineLost();
--- a/Source/Core/Sidecar/SidecarGateways.cpp
+++ b/Source/Core/Sidecar/SidecarGateways.cpp
@@ -33,6 +33,7 @@
   gateway.near_gateways = hello.near_gateways;
   gateway.last_seen = now;
   gateway.last_hello = now;
+  CompareCrashes(from.address, hello.crashes, now, actions);
   OnBriefing(hello, now, actions);
   for (const Mesh::AdvertisedVersion& reported : hello.weights)
     OnWeights(reported.named, reported.Since(now));
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -155,6 +155,7 @@
   report.load = load;
   report.gateways = CountGateways();
   report.stamp = m_stamp;
+  report.crashes = m_crashes.StateHash();
   for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
   {
     const auto reported =
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -80,6 +80,8 @@
   if (m_duty.IsReader() && now >= m_beat_due)
     Beat(now);
   UpdateTargetsInUse();
+  SendCrashChanges(now);
+  m_briefing.SetCrashes(m_handlers.crash_ledger().StateHash());
   std::vector<Mesh::Outgoing> outgoing;
   m_briefing.OnTick(now, &outgoing);
   for (const Mesh::Outgoing& out : outgoing)
@@ -95,9 +97,21 @@
   use.near_gateways = static_cast<std::uint32_t>(m_membership.HallGatewayCount());
   for (const Address& target : in_use.targets)
     use.sidecars.insert({target.host, m_mesh.Self().address.port});
+  m_sidecars_in_use = use.sidecars;
   m_briefing.SetTargetUse(std::move(use));
 }
 
+void GatewayControl::SendCrashChanges(TimePoint now)
+{
+  const Mesh::CrashRecords changes{m_crash_exchange.ChangesToSend(m_handlers.crash_ledger(), now)};
+  if (changes.records.empty())
+    return;
+  for (const Address& gateway : m_membership.Others(now))
+    m_mesh.SendDatagram(gateway, changes);
+  for (const Address& sidecar : m_sidecars_in_use)
+    m_mesh.SendDatagram(sidecar, changes);
+}
+
 void GatewayControl::SendWorkUpdate(const Address& target, const Gateway::GatewayWork& work)
 {
   m_mesh.SendDatagram({target.host, m_mesh.Self().address.port}, Mesh::WorkUpdate{work});
@@ -106,8 +120,10 @@
 TimePoint GatewayControl::NextWakeup() const
 {
   const TimePoint beat_due = m_duty.IsReader() ? m_beat_due : TimePoint::max();
+  const TimePoint crashes_due =
+      Crashes::CrashExchange::NextWakeup(m_handlers.crash_ledger()).value_or(TimePoint::max());
   return std::min({m_follower.NextWakeup(), m_briefing.NextWakeup(), m_seed_query.NextWakeup(),
-                   m_membership.NextWakeup(), m_duty.NextWakeup(), beat_due});
+                   m_membership.NextWakeup(), m_duty.NextWakeup(), beat_due, crashes_due});
 }
 
 // --- the platform ---
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "Core/Control/ControlFollower.h"
 #include "Core/Control/PeerQuery.h"
 #include "Core/Control/ReaderElection.h"
+#include "Core/Crashes/CrashExchange.h"
 #include "Core/Mesh/BriefingSender.h"
 #include "Core/Mesh/GatewayMembership.h"
 #include "Node/GatewayConfig.h"
@@ -40,6 +42,10 @@
     std::function<void(const std::vector<Gateway::ListedTarget>&)> on_targets;
     std::function<void(const Gateway::TargetLoad&)> on_load;
     std::function<void(const Gateway::GatewayCounts&)> on_gateways;
+    std::function<void(const std::vector<Crashes::CrashRecord>&)> on_crash_records;
+    std::function<void(const Crashes::EngineEnd&)> on_engine_end;
+    // The ledger of which records are sent to others.
+    std::function<Crashes::CrashLedger&()> crash_ledger;
     // The targets that are sent to, whether those of other halls are needed, and what comes.
     std::function<TargetsInUse()> targets_in_use;
     // Something is to be done earlier than was said.
@@ -90,6 +96,8 @@
   void ApplyTargets();
   void UpdateBriefing();
   void UpdateTargetsInUse();
+  // Sends changes of the crash ledger to the gateways of the hall and to the sidecars in use.
+  void SendCrashChanges(Common::TimePoint now);
 
   void OnMessage(const Mesh::Sender& from, Mesh::Message& message);
   void OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report);
@@ -118,6 +126,8 @@
   Mesh::DocumentUpdate m_packed_change;
   Mesh::BriefingSender m_briefing;
   Mesh::GatewayMembership m_membership;
+  Crashes::CrashExchange m_crash_exchange;
+  std::set<Common::Address> m_sidecars_in_use;
   MeshPeer::MeshEndpoint m_mesh;
   Common::TimePoint m_beat_due{};
   // The answer to these is awaited until then.
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -65,6 +65,9 @@
             metrics.Set("holdpost_targets_known", static_cast<double>(m_core.Targets().Size()));
             metrics.Set("holdpost_targets_reported",
                         static_cast<double>(m_core.Targets().ReportedCount()));
+            metrics.Set("holdpost_crash_records", static_cast<double>(m_core.CrashLedger().Size()));
+            metrics.Set("holdpost_blocked_requests",
+                        static_cast<double>(m_core.CrashLedger().BlockedCount()));
             metrics.Set("holdpost_log_lines_dropped",
                         static_cast<double>(Common::EventLog::Instance().Dropped()));
           },
@@ -144,6 +147,19 @@
   };
   handlers.on_gateways = [this](const Gateway::GatewayCounts& gateways)
   { m_core.SetGateways(gateways, EventLoop::Now()); };
+  handlers.on_crash_records = [this](const std::vector<Crashes::CrashRecord>& records)
+  {
+    Gateway::Actions actions;
+    m_core.OnCrashRecords(records, EventLoop::Now(), &actions);
+    Carry(actions);
+  };
+  handlers.on_engine_end = [this](const Crashes::EngineEnd& end)
+  {
+    Gateway::Actions actions;
+    m_core.OnEngineEnd(end, EventLoop::Now(), &actions);
+    Carry(actions);
+  };
+  handlers.crash_ledger = [this]() -> Crashes::CrashLedger& { return m_core.CrashLedger(); };
   handlers.targets_in_use = [this]
   {
     const Gateway::TargetTable& targets = m_core.Targets();
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -131,6 +131,8 @@
           [&](const Mesh::GatewaysReply& tell) { OnGateways(tell.gateways); },
           [&](const Mesh::BriefingRequest&)
           { m_mesh.Send(from.address, m_briefing.FullHello(EventLoop::Now())); },
+          [&](const Mesh::CrashRecords& told) { m_handlers.on_crash_records(told.records); },
+          [&](const Mesh::EngineEnded& told) { m_handlers.on_engine_end(told.end); },
           [](const auto&) {}},
       message);
 }
@@ -150,6 +152,9 @@
   m_membership.OnGatewaysListed(report.near_gateways, now);
   m_briefing.OnReported(from.address, report.stamp, now);
   m_handlers.on_gateways(m_membership.OnGatewaysCounted(report.gateways, now));
+  const Crashes::CrashLedger& ledger = m_handlers.crash_ledger();
+  if (m_crash_exchange.OnPeerHash(from.address, report.crashes, ledger, now))
+    m_mesh.SendDatagram(from.address, Mesh::CrashRecords{ledger.All(now)});
   if (const auto ask = m_follower.OnPeerVersion(report.settings, now))
     m_mesh.Send(report.settings_at, Mesh::DocumentRequest{*ask});
   if (OfferWeights(report.weights, now))
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -59,6 +59,8 @@
           {
             metrics.Set("holdpost_weights_wanted", static_cast<double>(m_core->WantedVersion()));
             metrics.Set("holdpost_weights_loaded", static_cast<double>(m_core->LoadedVersion()));
+            metrics.Set("holdpost_crash_records",
+                        static_cast<double>(m_core->CrashLedger().Size()));
           },
           [this] { return m_core->HasPlan() ? std::string() : std::string("no plan yet"); },
           [this] { return Status(); }});
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -63,6 +63,8 @@
   nearGateways @10 :UInt16;
   # Of the plan and the peers.
   stamp @11 :Stamp;
+  # State hash of the sender's crash ledger.
+  crashes @12 :UInt64;
 }
 
 struct Load {
@@ -96,6 +98,31 @@
   nextVersion @21 :UInt32;
   # The id of the target; empty if that is not known.
   targetId @22 :Text;
+  # State hash of the sender's crash ledger.
+  crashes @23 :UInt64;
+}
+
+# An engine that ended while it had the request of the record.
+struct Crash {
+  engine @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+struct CrashRecord {
+  # 16 bytes.
+  request @0 :Data;
+  crashes @1 :List(Crash);
+  # One more than the age of the last whole answer to the request; 0 if there was none.
+  clearedMs @2 :UInt32;
+}
+
+# The engine beside the sender has ended without notice.
+struct EngineEnded {
+  target @0 :Address;
+  # Empty if that is not known.
+  id @1 :Text;
+  # 0 if that is not known.
+  incarnation @2 :UInt64;
 }
 
 # What a gateway has at the receiver's target.
@@ -195,5 +222,8 @@
     gatewaysAnswer @17 :List(Address);
     # A sidecar asks a gateway for the plan and the peers.
     briefingRequest @18 :Void;
+    # Records of the sender's crash ledger.
+    crashRecords @19 :List(CrashRecord);
+    engineEnded @20 :EngineEnded;
   }
 }
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -23,6 +23,9 @@
 CAPNP_DECLARE_SCHEMA(c57ea4e3916d9c48);
 CAPNP_DECLARE_SCHEMA(cd2162000944b10a);
 CAPNP_DECLARE_SCHEMA(f17b276126095b8f);
+CAPNP_DECLARE_SCHEMA(a2ed59c413409a7c);
+CAPNP_DECLARE_SCHEMA(cb68e828fbafe407);
+CAPNP_DECLARE_SCHEMA(e869ceec1bd1dbb9);
 CAPNP_DECLARE_SCHEMA(91c4fc4e5efe5f39);
 CAPNP_DECLARE_SCHEMA(fe94abcaeac29e7b);
 CAPNP_DECLARE_SCHEMA(9f024de718555828);
@@ -122,7 +125,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd2162000944b10a, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cd2162000944b10a, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,7 +140,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 8, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 9, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Crash {
+  Crash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2ed59c413409a7c, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashRecord {
+  CrashRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb68e828fbafe407, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EngineEnded {
+  EngineEnded() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e869ceec1bd1dbb9, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -286,6 +334,8 @@
     GATEWAYS_REQUEST,
     GATEWAYS_ANSWER,
     BRIEFING_REQUEST,
+    CRASH_RECORDS,
+    ENGINE_ENDED,
   };
 
   struct _capnpPrivate {
@@ -831,6 +881,8 @@
   inline bool hasStamp() const;
   inline  ::Holdpost::MeshWire::Stamp::Reader getStamp() const;
 
+  inline  ::uint64_t getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -916,6 +968,9 @@
   inline void adoptStamp(::capnp::Orphan< ::Holdpost::MeshWire::Stamp>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::Stamp> disownStamp();
 
+  inline  ::uint64_t getCrashes();
+  inline void setCrashes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1013,6 +1068,8 @@
   inline bool hasTargetId() const;
   inline  ::capnp::Text::Reader getTargetId() const;
 
+  inline  ::uint64_t getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1134,6 +1191,9 @@
   inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
 
+  inline  ::uint64_t getCrashes();
+  inline void setCrashes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1163,6 +1223,280 @@
 };
 #endif  // !CAPNP_LITE
 
+class Crash::Reader {
+public:
+  typedef Crash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEngine() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crash::Builder {
+public:
+  typedef Crash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEngine();
+  inline void setEngine( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crash::Pipeline {
+public:
+  typedef Crash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashRecord::Reader {
+public:
+  typedef CrashRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Data::Reader getRequest() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline  ::uint32_t getClearedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashRecord::Builder {
+public:
+  typedef CrashRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Data::Builder getRequest();
+  inline void setRequest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequest();
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline  ::uint32_t getClearedMs();
+  inline void setClearedMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashRecord::Pipeline {
+public:
+  typedef CrashRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EngineEnded::Reader {
+public:
+  typedef EngineEnded Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::Holdpost::MeshWire::Address::Reader getTarget() const;
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineEnded::Builder {
+public:
+  typedef EngineEnded Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::Holdpost::MeshWire::Address::Builder getTarget();
+  inline void setTarget( ::Holdpost::MeshWire::Address::Reader value);
+  inline  ::Holdpost::MeshWire::Address::Builder initTarget();
+  inline void adoptTarget(::capnp::Orphan< ::Holdpost::MeshWire::Address>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::Address> disownTarget();
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineEnded::Pipeline {
+public:
+  typedef EngineEnded Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Holdpost::MeshWire::Address::Pipeline getTarget();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Work::Reader {
 public:
   typedef Work Reads;
@@ -2083,6 +2417,14 @@
   inline bool isBriefingRequest() const;
   inline  ::capnp::Void getBriefingRequest() const;
 
+  inline bool isCrashRecords() const;
+  inline bool hasCrashRecords() const;
+  inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader getCrashRecords() const;
+
+  inline bool isEngineEnded() const;
+  inline bool hasEngineEnded() const;
+  inline  ::Holdpost::MeshWire::EngineEnded::Reader getEngineEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2236,6 +2578,22 @@
   inline  ::capnp::Void getBriefingRequest();
   inline void setBriefingRequest( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isCrashRecords();
+  inline bool hasCrashRecords();
+  inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder getCrashRecords();
+  inline void setCrashRecords( ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder initCrashRecords(unsigned int size);
+  inline void adoptCrashRecords(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>> disownCrashRecords();
+
+  inline bool isEngineEnded();
+  inline bool hasEngineEnded();
+  inline  ::Holdpost::MeshWire::EngineEnded::Builder getEngineEnded();
+  inline void setEngineEnded( ::Holdpost::MeshWire::EngineEnded::Reader value);
+  inline  ::Holdpost::MeshWire::EngineEnded::Builder initEngineEnded();
+  inline void adoptEngineEnded(::capnp::Orphan< ::Holdpost::MeshWire::EngineEnded>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::EngineEnded> disownEngineEnded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2963,6 +3321,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Hello::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getCrashes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setCrashes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Load::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3420,6 +3792,217 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Load::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getCrashes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setCrashes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getEngine() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getEngine() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setEngine( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashRecord::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashRecord::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader CrashRecord::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder CrashRecord::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashRecord::Builder::setRequest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder CrashRecord::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashRecord::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> CrashRecord::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashRecord::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashRecord::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Reader CrashRecord::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Builder CrashRecord::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashRecord::Builder::setCrashes( ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Builder CrashRecord::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashRecord::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>> CrashRecord::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashRecord::Reader::getClearedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashRecord::Builder::getClearedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashRecord::Builder::setClearedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EngineEnded::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineEnded::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::Address::Reader EngineEnded::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::Address::Builder EngineEnded::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Holdpost::MeshWire::Address::Pipeline EngineEnded::Pipeline::getTarget() {
+  return  ::Holdpost::MeshWire::Address::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EngineEnded::Builder::setTarget( ::Holdpost::MeshWire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::Address::Builder EngineEnded::Builder::initTarget() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineEnded::Builder::adoptTarget(
+    ::capnp::Orphan< ::Holdpost::MeshWire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::Address> EngineEnded::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EngineEnded::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineEnded::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineEnded::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineEnded::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EngineEnded::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineEnded::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EngineEnded::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineEnded::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EngineEnded::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EngineEnded::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineEnded::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t Work::Reader::getRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5065,6 +5648,114 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Message::Reader::isCrashRecords() const {
+  return which() == Message::CRASH_RECORDS;
+}
+inline bool Message::Builder::isCrashRecords() {
+  return which() == Message::CRASH_RECORDS;
+}
+inline bool Message::Reader::hasCrashRecords() const {
+  if (which() != Message::CRASH_RECORDS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCrashRecords() {
+  if (which() != Message::CRASH_RECORDS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getCrashRecords() const {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getCrashRecords() {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCrashRecords( ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initCrashRecords(unsigned int size) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptCrashRecords(
+    ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>> Message::Builder::disownCrashRecords() {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isEngineEnded() const {
+  return which() == Message::ENGINE_ENDED;
+}
+inline bool Message::Builder::isEngineEnded() {
+  return which() == Message::ENGINE_ENDED;
+}
+inline bool Message::Reader::hasEngineEnded() const {
+  if (which() != Message::ENGINE_ENDED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasEngineEnded() {
+  if (which() != Message::ENGINE_ENDED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::EngineEnded::Reader Message::Reader::getEngineEnded() const {
+  KJ_IREQUIRE((which() == Message::ENGINE_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::EngineEnded>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::EngineEnded::Builder Message::Builder::getEngineEnded() {
+  KJ_IREQUIRE((which() == Message::ENGINE_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::EngineEnded>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setEngineEnded( ::Holdpost::MeshWire::EngineEnded::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::ENGINE_ENDED);
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::EngineEnded>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::EngineEnded::Builder Message::Builder::initEngineEnded() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::ENGINE_ENDED);
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::EngineEnded>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptEngineEnded(
+    ::capnp::Orphan< ::Holdpost::MeshWire::EngineEnded>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::ENGINE_ENDED);
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::EngineEnded>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::EngineEnded> Message::Builder::disownEngineEnded() {
+  KJ_IREQUIRE((which() == Message::ENGINE_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::EngineEnded>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -70,6 +70,10 @@
     return Mesh::GatewaysReply{Read(in.getGatewaysAnswer())};
   case MeshWire::Message::BRIEFING_REQUEST:
     return Mesh::BriefingRequest{};
+  case MeshWire::Message::CRASH_RECORDS:
+    return Read(in.getCrashRecords());
+  case MeshWire::Message::ENGINE_ENDED:
+    return Read(in.getEngineEnded());
   }
   return std::nullopt;
 }
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -110,6 +110,7 @@
     Write(hello.stamp, out.initStamp());
   out.setNearGateways(ToWireCount(hello.near_gateways));
   out.setWantsLoad(hello.wants_load);
+  out.setCrashes(hello.crashes);
   out.setArrivals(ToWireCount(hello.demand.arrivals_per_second));
   out.setRefusedPercent(ToWirePercent(hello.demand.refused_share));
 }
@@ -126,6 +127,7 @@
   hello.clock = Milliseconds(in.getClockMs());
   hello.stamp = Read(in.getStamp());
   hello.near_gateways = in.getNearGateways();
+  hello.crashes = in.getCrashes();
   hello.wants_load = in.getWantsLoad();
   hello.demand.arrivals_per_second = in.getArrivals();
   hello.demand.refused_share = in.getRefusedPercent() / PERCENT;
@@ -159,6 +161,7 @@
     Write(report.settings_at, out.initSettingsAt());
   if (!report.weights.empty())
     Write(report.weights, out.initWeights(static_cast<unsigned>(report.weights.size())));
+  out.setCrashes(report.crashes);
   out.setEchoMs(ToWireMs(report.echo));
   out.setEchoAgeMs(ToWireMs(report.echo_age));
   out.setInboundDelayMs(ToWireMs(load.inbound_delay));
@@ -196,6 +199,7 @@
   report.stamp = Read(in.getStamp());
   report.settings = in.getSettings();
   report.settings_at = Read(in.getSettingsAt());
+  report.crashes = in.getCrashes();
   report.echo = Milliseconds(in.getEchoMs());
   report.echo_age = Milliseconds(in.getEchoAgeMs());
   report.weights = Read(in.getWeights());
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -39,6 +39,7 @@
     hello.stamp = {17, 40};
     hello.near_gateways = 13;
     hello.demand = {120, 0.25};
+    hello.crashes = 0xfedcba9876543210;
     const Mesh::Hello got = There(hello);
     CHECK(got.is_gateway);
     CHECK(got.settings == 17);
@@ -50,6 +51,7 @@
     CHECK(got.wants_load);
     CHECK(got.stamp == hello.stamp);
     CHECK(got.near_gateways == 13);
+    CHECK(got.crashes == hello.crashes);
     CHECK(got.demand.arrivals_per_second == 120);
     CHECK(got.demand.refused_share == doctest::Approx(0.25));
   }
@@ -76,6 +78,7 @@
     report.near_gateways = {{"10.1.0.4", 7700}, {"10.1.0.5", 7700}};
     report.echo = Milliseconds(1000);
     report.echo_age = Milliseconds(40);
+    report.crashes = 12;
     const Mesh::LoadReport got = There(report);
     CHECK(got.load == report.load);
     CHECK(got.gateways == 7);
@@ -89,6 +92,7 @@
     CHECK(got.near_gateways == report.near_gateways);
     CHECK(got.echo == report.echo);
     CHECK(got.echo_age == report.echo_age);
+    CHECK(got.crashes == 12);
   }
   SUBCASE("the work of a gateway")
   {
@@ -146,6 +150,20 @@
     CHECK(There(Mesh::GatewaysReply{gateways}).gateways == gateways);
     There(Mesh::BriefingRequest{});
   }
+  SUBCASE("requests that crash engines, and engines that have ended")
+  {
+    const Crashes::CrashRecord counted{
+        Gateway::FingerprintOf("firm", "api.example", Common::Sha256("body")),
+        {{11, Milliseconds(40)}, {12, Milliseconds(0)}},
+        {}};
+    const Crashes::CrashRecord cleared{
+        Gateway::FingerprintOf("firm", "api.example", Common::Sha256("other")),
+        {},
+        Milliseconds(0)};
+    CHECK(There(Mesh::CrashRecords{{counted, cleared}}).records == std::vector{counted, cleared});
+    const Crashes::EngineEnd end{{"10.1.0.9", 8001}, "i-1", 1788408695000};
+    CHECK(There(Mesh::EngineEnded{end}).end == end);
+  }
   SUBCASE("a reader's beat")
   {
     const Mesh::ReaderBeat beat{40, 38, 17, {{{"m", 3}, Milliseconds(250)}}, Milliseconds(90)};
