Common: Read the clock that goes on while the machine is suspended

Fault: every deadline, lease, age and window was read from the steady clock, which stands still while a machine is suspended. An agent whose machine slept past its lease would have gone on giving orders, a gateway would have passed on deadlines and used old weights beyond their bound. Class: a clock that measures the process's own time where the time of others counts.

TimePoint is now of BootClock (CLOCK_BOOTTIME), so no value of the steady clock can be passed to any decision: the compiler refuses it.

--- a/Source/Common/EventLog.cpp
+++ b/Source/Common/EventLog.cpp
@@ -60,13 +60,14 @@
   using std::chrono::system_clock;
   if (now >= m_time_of_day_due)
   {
-    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    const auto since_boot = BootClock::now().time_since_epoch();
     m_time_of_day = system_clock::now().time_since_epoch() -
-                    std::chrono::duration_cast<system_clock::duration>(steady);
+                    std::chrono::duration_cast<system_clock::duration>(since_boot);
     m_time_of_day_due = now + TIME_OF_DAY_PERIOD;
   }
-  const auto steady = std::chrono::duration_cast<system_clock::duration>(now.time_since_epoch());
-  return system_clock::time_point(m_time_of_day + steady);
+  const auto since_boot =
+      std::chrono::duration_cast<system_clock::duration>(now.time_since_epoch());
+  return system_clock::time_point(m_time_of_day + since_boot);
 }
 
 void EventLog::Append(std::string_view line)
--- a/Source/Common/EventLog.h
+++ b/Source/Common/EventLog.h
@@ -35,7 +35,7 @@
   void Flush();
   bool HasUnwritten() const { return !m_unwritten.empty(); }
   std::uint64_t Dropped() const { return m_dropped; }
-  // The time of day at a point of the steady clock. It is looked up once a second, so that a line
+  // The time of day at a point of the boot clock. It is looked up once a second, so that a line
   // costs no call for it; a clock that is set shows in the log after that.
   std::chrono::system_clock::time_point TimeOfDay(TimePoint now);
   void SetEnabled(bool is_enabled) { m_is_enabled = is_enabled; }
@@ -55,7 +55,7 @@
   bool TakeFrom(Rate& rate, double per_second, TimePoint now);
 
   bool m_is_enabled = false;
-  std::chrono::system_clock::duration m_time_of_day{}; // at the start of the steady clock
+  std::chrono::system_clock::duration m_time_of_day{}; // at the start of the boot clock
   TimePoint m_time_of_day_due{};
   int m_output = 1; // standard output
   std::string m_unwritten;
--- a/Source/Common/EventLoop.h
+++ b/Source/Common/EventLoop.h
@@ -23,7 +23,9 @@
   Watch(const Watch&) = delete;
   Watch& operator=(const Watch&) = delete;
 
-  // For timers: fire once after `delay`, replacing what was set before.
+  // For timers: fire once after `delay`, replacing what was set before. The time for which the
+  // machine is suspended does not count, so what is due by the clock is looked for in short
+  // periods.
   void FireAfter(Duration delay);
   void Cancel();
 
@@ -47,7 +49,7 @@
   void Stop();
   // Handles what is due and returns without waiting.
   void RunDue();
-  static TimePoint Now() { return std::chrono::steady_clock::now(); }
+  static TimePoint Now() { return BootClock::now(); }
 
   std::unique_ptr<Watch> MakeTimer(std::function<void()> callback);
   std::unique_ptr<Watch> WatchSignal(int signal_number, std::function<void()> callback);
--- a/Source/Common/Types.h
+++ b/Source/Common/Types.h
@@ -8,12 +8,14 @@
 #include <string>
 #include <vector>
 
+#include "Common/BootClock.h"
+
 // The small value types that every module shares.
 namespace Holdpost::Common
 {
-// Decisions never read a clock: each call is passed the present time on the monotonic clock.
-using TimePoint = std::chrono::steady_clock::time_point;
-using Duration = std::chrono::steady_clock::duration;
+// Decisions never read a clock: each call is passed the present time on the boot clock.
+using TimePoint = BootClock::time_point;
+using Duration = BootClock::duration;
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
--- a/Source/UnitTests/Common/EventLogTest.cpp
+++ b/Source/UnitTests/Common/EventLogTest.cpp
@@ -30,7 +30,7 @@
 TEST_CASE("Lines of several processes can be put in order by their time of day")
 {
   EventLog log;
-  const auto told = log.TimeOfDay(std::chrono::steady_clock::now());
+  const auto told = log.TimeOfDay(BootClock::now());
   const auto off = std::chrono::system_clock::now() - told;
   CHECK(off < Seconds(2));
   CHECK(off > -Seconds(2));
