--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -149,9 +149,17 @@
   return std::exchange(m_newly_blocked, {});
 }
 
-std::size_t CrashLedger::BlockedCount() const
+bool CrashLedger::IsExpired(const CrashRecord& record)
 {
-  return m_blocked.size();
+  return std::ranges::all_of(record.crashes, [](const CrashRecord::Crash& crash)
+                             { return crash.age >= CRASH_LIFETIME; });
+}
+
+CrashRecord CrashLedger::RecordOf(const RequestFingerprint& request, TimePoint now) const
+{
+  const auto found = m_records.find(request);
+  return found == m_records.end() ? CrashRecord{request, {}, {}}
+                                  : Describe(request, found->second, now);
 }
 
 CrashRecord CrashLedger::Describe(const RequestFingerprint& request, const Record& record,
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -66,13 +66,16 @@
   // Equal for replicas with equal evidence; 0 for an empty replica.
   std::uint64_t StateHash() const { return m_state_hash; }
   std::vector<CrashRecord> All(Common::TimePoint now) const;
+  CrashRecord RecordOf(const RequestFingerprint& request, Common::TimePoint now) const;
+  // Whether all crashes of the record are too old to count.
+  static bool IsExpired(const CrashRecord& record);
   // The records that have changed since the last call, and the time of the first change; empty if
   // there are none.
   std::vector<CrashRecord> TakeChanged(Common::TimePoint now);
   const std::optional<Common::TimePoint>& ChangedSince() const { return m_changed_since; }
 
   std::size_t Size() const { return m_records.size(); }
-  std::size_t BlockedCount() const;
+  const std::set<RequestFingerprint>& Blocked() const { return m_blocked; }
   // Drops evidence that is too old.
   void Expire(Common::TimePoint now);
 
--- /dev/null
+++ b/Source/Core/Crashes/CrashRecorder.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Crashes/CrashRecorder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/EventLog.h"
+
+namespace Holdpost::Crashes
+{
+using Common::Error;
+using Common::LogEvent;
+using Common::TimePoint;
+using Common::Weight;
+
+void CrashRecorder::SetReading(bool is_reader)
+{
+  if (std::exchange(m_is_reader, is_reader) != is_reader && is_reader)
+    m_has_read = false;
+}
+
+std::optional<RequestFingerprint> CrashRecorder::NextToWrite(const CrashLedger& ledger) const
+{
+  const auto missing = std::ranges::find_if(ledger.Blocked(), [this](const auto& request)
+                                            { return !m_written.contains(request); });
+  if (missing == ledger.Blocked().end())
+    return std::nullopt;
+  return *missing;
+}
+
+void CrashRecorder::OnTick(const CrashLedger& ledger, TimePoint now, RecorderActions* actions)
+{
+  if (!m_is_reader || m_is_waiting || now < m_due)
+    return;
+  if (!m_has_read)
+    actions->push_back(ReadRecords{});
+  else if (!m_to_drop.empty())
+    actions->push_back(DropRecord{m_to_drop.back()});
+  else if (const auto request = NextToWrite(ledger))
+    actions->push_back(WriteRecord{ledger.RecordOf(*request, now)});
+  m_is_waiting = !actions->empty();
+}
+
+TimePoint CrashRecorder::NextWakeup(const CrashLedger& ledger) const
+{
+  const bool has_work = !m_has_read || !m_to_drop.empty() || NextToWrite(ledger);
+  return m_is_reader && !m_is_waiting && has_work ? m_due : TimePoint::max();
+}
+
+void CrashRecorder::OnAnswer(bool is_success, TimePoint now)
+{
+  m_is_waiting = false;
+  if (is_success)
+    m_backoff.Reset();
+  m_due = is_success ? now : now + m_backoff.Next();
+}
+
+std::vector<CrashRecord>
+CrashRecorder::OnRead(const Common::Result<std::vector<CrashRecord>>& result, TimePoint now)
+{
+  OnAnswer(Common::Succeeded(result), now);
+  if (const auto* error = std::get_if<Error>(&result))
+  {
+    LogEvent(Weight::Important, now, "crash.records_unread", "reason", error->message);
+    return {};
+  }
+  m_has_read = true;
+  std::vector<CrashRecord> counting;
+  for (const CrashRecord& record : std::get<std::vector<CrashRecord>>(result))
+  {
+    if (CrashLedger::IsExpired(record))
+    {
+      m_to_drop.push_back(record.request);
+      continue;
+    }
+    m_written.insert(record.request);
+    counting.push_back(record);
+  }
+  if (!counting.empty())
+    LogEvent(Weight::Important, now, "crash.records_read", "count", counting.size());
+  return counting;
+}
+
+void CrashRecorder::OnWritten(const RequestFingerprint& request, bool is_written, TimePoint now)
+{
+  OnAnswer(is_written, now);
+  if (is_written)
+    m_written.insert(request);
+  else
+    LogEvent(Weight::Important, now, "crash.record_unwritten", "fingerprint", request.Short());
+}
+
+void CrashRecorder::OnDropped(bool is_dropped, TimePoint now)
+{
+  OnAnswer(is_dropped, now);
+  if (is_dropped)
+    m_to_drop.pop_back();
+}
+} // namespace Holdpost::Crashes
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -38,6 +38,7 @@
       m_briefing(config.hall, Common::StableHash(config.instance)),
       m_membership(config.mesh_listen, config.hall,
                    MeshAddressesOf(config.seeds, config.mesh_listen)),
+      m_crash_recorder(Common::StableHash(config.instance)),
       m_mesh(loop, {[this](const Mesh::Sender& from, Mesh::Message& message)
                     { OnMessage(from, message); },
                     [](const Address&) {}})
@@ -81,6 +82,7 @@
     Beat(now);
   UpdateTargetsInUse();
   SendCrashChanges(now);
+  RecordCrashes(now);
   m_briefing.SetCrashes(m_handlers.crash_ledger().StateHash());
   std::vector<Mesh::Outgoing> outgoing;
   m_briefing.OnTick(now, &outgoing);
@@ -101,17 +103,6 @@
   m_briefing.SetTargetUse(std::move(use));
 }
 
-void GatewayControl::SendCrashChanges(TimePoint now)
-{
-  const Mesh::CrashRecords changes{m_crash_exchange.ChangesToSend(m_handlers.crash_ledger(), now)};
-  if (changes.records.empty())
-    return;
-  for (const Address& gateway : m_membership.Others(now))
-    m_mesh.SendDatagram(gateway, changes);
-  for (const Address& sidecar : m_sidecars_in_use)
-    m_mesh.SendDatagram(sidecar, changes);
-}
-
 void GatewayControl::SendWorkUpdate(const Address& target, const Gateway::GatewayWork& work)
 {
   m_mesh.SendDatagram({target.host, m_mesh.Self().address.port}, Mesh::WorkUpdate{work});
@@ -120,8 +111,10 @@
 TimePoint GatewayControl::NextWakeup() const
 {
   const TimePoint beat_due = m_duty.IsReader() ? m_beat_due : TimePoint::max();
+  const Crashes::CrashLedger& ledger = m_handlers.crash_ledger();
   const TimePoint crashes_due =
-      Crashes::CrashExchange::NextWakeup(m_handlers.crash_ledger()).value_or(TimePoint::max());
+      std::min(Crashes::CrashExchange::NextWakeup(ledger).value_or(TimePoint::max()),
+               m_crash_recorder.NextWakeup(ledger));
   return std::min({m_follower.NextWakeup(), m_briefing.NextWakeup(), m_seed_query.NextWakeup(),
                    m_membership.NextWakeup(), m_duty.NextWakeup(), beat_due, crashes_due});
 }
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -14,6 +14,7 @@
 #include "Core/Control/PeerQuery.h"
 #include "Core/Control/ReaderElection.h"
 #include "Core/Crashes/CrashExchange.h"
+#include "Core/Crashes/CrashRecorder.h"
 #include "Core/Mesh/BriefingSender.h"
 #include "Core/Mesh/GatewayMembership.h"
 #include "Node/GatewayConfig.h"
@@ -98,6 +99,11 @@
   void UpdateTargetsInUse();
   // Sends changes of the crash ledger to the gateways of the hall and to the sidecars in use.
   void SendCrashChanges(Common::TimePoint now);
+  // Keeps the records of blocked requests on the platform.
+  void RecordCrashes(Common::TimePoint now);
+  void Do(const Crashes::ReadRecords& read);
+  void Do(const Crashes::WriteRecord& write);
+  void Do(const Crashes::DropRecord& drop);
 
   void OnMessage(const Mesh::Sender& from, Mesh::Message& message);
   void OnLoadReport(const Mesh::Sender& from, const Mesh::LoadReport& report);
@@ -127,6 +133,7 @@
   Mesh::BriefingSender m_briefing;
   Mesh::GatewayMembership m_membership;
   Crashes::CrashExchange m_crash_exchange;
+  Crashes::CrashRecorder m_crash_recorder;
   std::set<Common::Address> m_sidecars_in_use;
   MeshPeer::MeshEndpoint m_mesh;
   Common::TimePoint m_beat_due{};
--- /dev/null
+++ b/Source/Node/GatewayCrashRecords.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Node/GatewayControl.h"
+
+// How a gateway shares with others which requests crash engines.
+namespace Holdpost::Node
+{
+using Common::Address;
+using Common::EventLoop;
+using Common::TimePoint;
+
+void GatewayControl::SendCrashChanges(TimePoint now)
+{
+  const Mesh::CrashRecords changes{m_crash_exchange.ChangesToSend(m_handlers.crash_ledger(), now)};
+  if (changes.records.empty())
+    return;
+  for (const Address& gateway : m_membership.Others(now))
+    m_mesh.SendDatagram(gateway, changes);
+  for (const Address& sidecar : m_sidecars_in_use)
+    m_mesh.SendDatagram(sidecar, changes);
+}
+
+void GatewayControl::RecordCrashes(TimePoint now)
+{
+  m_crash_recorder.SetReading(m_duty.IsReader());
+  Crashes::RecorderActions actions;
+  m_crash_recorder.OnTick(m_handlers.crash_ledger(), now, &actions);
+  for (const Crashes::RecorderAction& action : actions)
+    std::visit([this](const auto& typed) { Do(typed); }, action);
+}
+
+void GatewayControl::Do(const Crashes::ReadRecords& /*read*/)
+{
+  m_control.ReadCrashRecords(
+      [this](const Common::Result<std::vector<Crashes::CrashRecord>>& result)
+      {
+        const auto records = m_crash_recorder.OnRead(result, EventLoop::Now());
+        if (!records.empty())
+          m_handlers.on_crash_records(records);
+        m_handlers.on_wakeup();
+      });
+}
+
+void GatewayControl::Do(const Crashes::WriteRecord& write)
+{
+  m_control.WriteCrashRecord(write.record,
+                             [this, request = write.record.request](bool is_written)
+                             {
+                               m_crash_recorder.OnWritten(request, is_written, EventLoop::Now());
+                               m_handlers.on_wakeup();
+                             });
+}
+
+void GatewayControl::Do(const Crashes::DropRecord& drop)
+{
+  m_control.DropCrashRecord(drop.request,
+                            [this](bool is_dropped)
+                            {
+                              m_crash_recorder.OnDropped(is_dropped, EventLoop::Now());
+                              m_handlers.on_wakeup();
+                            });
+}
+} // namespace Holdpost::Node
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -67,7 +67,7 @@
                         static_cast<double>(m_core.Targets().ReportedCount()));
             metrics.Set("holdpost_crash_records", static_cast<double>(m_core.CrashLedger().Size()));
             metrics.Set("holdpost_blocked_requests",
-                        static_cast<double>(m_core.CrashLedger().BlockedCount()));
+                        static_cast<double>(m_core.CrashLedger().Blocked().size()));
             metrics.Set("holdpost_log_lines_dropped",
                         static_cast<double>(Common::EventLog::Instance().Dropped()));
           },
--- a/Source/UnitTests/Core/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashLedgerTest.cpp
@@ -34,7 +34,7 @@
   {
     ledger.Add(request, 3, START);
     CHECK(ledger.IsBlocked(request));
-    CHECK(ledger.BlockedCount() == 1);
+    CHECK(ledger.Blocked().size() == 1);
     CHECK(ledger.TakeNewlyBlocked() == std::vector{request});
     ledger.Add(request, 4, START);
     CHECK(ledger.TakeNewlyBlocked().empty());
