Gateway, Sidecar, Mesh: Keep the rate limit that an engine names, all gateways together

Cause: nothing read the field. Class of fault: a word of the other side for which there is no reader, with no default that would have refused it.

Why this works: the sidecar beside the engine hands out permits, one for each request, with the load reports that gateways get each 100 ms. So the sum is kept whatever the number of gateways, also below one request a second, and a gateway that starts, comes back or has not heard of the limit has no permit. A gateway that reads a limit in an answer stops at once and tells the sidecar. Every way to an engine passes the same choice: first attempts, retries, moves, resumed streams. What cannot be placed within the limit goes elsewhere or is refused at once. The limit ends with an answer without it to a request that was sent under it, or with the engine's restart. Where no sidecar reports, each gateway keeps an equal share.

--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -138,6 +138,8 @@
   void Do(Node& node, const Gateway::Refuse& refuse);
   void Do(Node& node, const Gateway::AbortAnswer& abort);
   void Do(Node& node, const Gateway::ReportWorkToAgent& tell);
+  // Engines of the model name no limits.
+  void Do(Node& /*node*/, const Gateway::ReportLimitToAgent& /*tell*/) {}
   void ScheduleTick(Node& node);
 
   void StartPass(Target& target);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -259,6 +259,7 @@
   if (!tracked || tracked->state != State::Sent)
     return;
   tracked->last_attempt->answer_status = event.status;
+  UpdateRateLimit(*tracked, event, now, actions);
   if (event.is_not_run || event.is_other_target)
   {
     if (event.is_other_target)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -177,6 +177,9 @@
   void CountCrashes(Common::TimePoint now, Actions* actions);
   // Gives up the requests that have become blocked, wherever they are.
   void StopBlockedRequests(Common::TimePoint now, Actions* actions);
+  // Takes over the rate limit that an answer has named, and tells the target's agent.
+  void UpdateRateLimit(const Tracked& tracked, const AnswerBegan& event, Common::TimePoint now,
+                       Actions* actions);
   void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void OnNotRun(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -125,6 +125,20 @@
     actions->push_back(ReportWorkToAgent{*agent, m_targets.WorkAt(id)});
 }
 
+void Gateway::UpdateRateLimit(const Tracked& tracked, const AnswerBegan& event, TimePoint now,
+                              Actions* actions)
+{
+  const TargetId id = TargetInSameIncarnation(tracked);
+  // An answer without a limit ends one only if its request was sent under it: an earlier one may
+  // have begun before the target named it.
+  const bool is_news = event.rate_limit || tracked.last_attempt->choice.is_limited;
+  if (id.empty() || event.is_other_target || !is_news)
+    return;
+  m_targets.OnRateLimit(id, event.rate_limit, now);
+  if (const auto agent = m_targets.AgentAddressOf(id))
+    actions->push_back(ReportLimitToAgent{*agent, event.rate_limit});
+}
+
 bool Gateway::TryDispatch(Tracked& tracked, TimePoint now, Actions* actions)
 {
   const TargetQuery query = InTimeQueryFor(tracked, now);
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -78,6 +78,9 @@
   bool is_event_stream = false;
   // The version of weights that the answer began with; 0 if the target does not report it.
   std::uint64_t weights_version = 0;
+  // The requests a second that the target takes from all gateways together; empty if it names no
+  // limit.
+  std::optional<double> rate_limit = std::nullopt;
 };
 
 // The answer was passed on completely.
@@ -174,7 +177,14 @@
   GatewayWork work;
 };
 
-using Action =
-    std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer, ReportWorkToAgent>;
+// Reports to the agent beside a target which rate limit an answer of the target has named.
+struct ReportLimitToAgent
+{
+  Common::Address target;
+  std::optional<double> per_second;
+};
+
+using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer,
+                            ReportWorkToAgent, ReportLimitToAgent>;
 using Actions = std::vector<Action>;
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -155,7 +155,7 @@
       view.targets.listed, "open", view.targets.open, "leaving", view.targets.leaving, "avoided",
       view.targets.avoided, "switching", view.targets.switching, "without_weights",
       view.targets.without_weights, "old_weights", view.targets.old_weights, "unreported",
-      view.targets.unreported);
+      view.targets.unreported, "limited", view.targets.limited);
 }
 
 void RequestLog::OnAnswerCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -84,6 +84,10 @@
   // The current network round-trip time.
   Common::Milliseconds round_trip{0};
   GatewayDemand demand;
+  // The rate limit that the target has named, and the number of requests that the receiver of the
+  // report may send under it.
+  std::optional<double> rate_limit = std::nullopt;
+  std::uint32_t permits = 0;
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -167,6 +167,9 @@
     case Availability::Unreported:
       ++summary.unreported;
       break;
+    case Availability::Limited:
+      ++summary.limited;
+      break;
     }
   }
   return summary;
@@ -316,6 +319,7 @@
   choice.id = id;
   choice.address = target.listed.address;
   choice.incarnation = target.listed.incarnation;
+  choice.is_limited = target.limit.IsLimited();
   choice.weights_version = WeightsOf(target);
   choice.expected_start = start;
   choice.load = load;
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -129,6 +129,7 @@
       target.avoid_until = std::min(target.avoid_until, now);
     target.load = load;
     target.load_received = now;
+    target.limit.OnReport(load.rate_limit, load.permits, now);
     if (target.listed.hall == m_hall)
       m_demand.OnDemandReport(target.listed.service, load.demand, now);
   }
@@ -176,7 +177,9 @@
   if (IsUnreported(target, now))
     return Availability::Unreported;
   const bool has_weights = !target.listed.needs_weights || WeightsOf(target) > 0;
-  return has_weights ? Availability::Open : Availability::WithoutWeights;
+  if (!has_weights)
+    return Availability::WithoutWeights;
+  return target.limit.MaySend(m_gateways.all, now) ? Availability::Open : Availability::Limited;
 }
 
 bool TargetTable::IsOpen(const Target& target, TimePoint now) const
@@ -219,6 +222,7 @@
                                std::uint32_t prompt_tokens, Duration expected_start, TimePoint now)
 {
   Target& target = m_targets[id];
+  target.limit.OnSent(m_gateways.all, now);
   ++target.local_requests;
   const Duration min_start =
       EngineOf(target.listed.service) ? MIN_EXPECTED_START : MIN_PLAIN_EXPECTED_START;
@@ -281,6 +285,26 @@
            "for_ms", target.avoid_until - now);
 }
 
+void TargetTable::OnRateLimit(const TargetId& id, std::optional<double> per_second, TimePoint now)
+{
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end())
+    return;
+  const bool was_limited = found->second.limit.IsLimited();
+  found->second.limit.OnAnswer(per_second, now);
+  if (was_limited != per_second.has_value())
+  {
+    LogEvent(Weight::Important, now, per_second ? "target.limited" : "target.unlimited", "target",
+             id, "per_second", per_second.value_or(0));
+  }
+}
+
+bool TargetTable::IsLimited(const TargetId& id) const
+{
+  const auto found = m_targets.find(id);
+  return found != m_targets.end() && found->second.limit.IsLimited();
+}
+
 void TargetTable::OnFull(const TargetId& id, TimePoint now)
 {
   if (const auto found = m_targets.find(id); found != m_targets.end())
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -18,6 +18,7 @@
 #include "Core/Gateway/SpreadChoice.h"
 #include "Core/Gateway/StartEstimate.h"
 #include "Core/Gateway/Target.h"
+#include "Core/Gateway/TargetLimit.h"
 #include "Core/Gateway/TargetSubset.h"
 
 // The targets that a gateway may call, their load and health as far as they are known, and the
@@ -72,6 +73,8 @@
   bool has_free_slot = false;
   // The incarnation of the chosen target.
   std::uint64_t incarnation = 0;
+  // The target was known to limit its rate.
+  bool is_limited = false;
 };
 
 // The capacity that a service has for a request at present.
@@ -101,6 +104,8 @@
   std::uint32_t without_weights = 0;
   // Targets on the target list whose agents have not reported yet, while other agents have.
   std::uint32_t unreported = 0;
+  // Targets that have named a rate limit, under which this gateway may send nothing now.
+  std::uint32_t limited = 0;
   // Targets that may start the request after a switch deadline without having its version.
   std::uint32_t old_weights = 0;
 };
@@ -188,6 +193,9 @@
   void OnFailed(const TargetId& id, Common::TimePoint now);
   // Called when the target has answered that it is full.
   void OnFull(const TargetId& id, Common::TimePoint now);
+  // Called when an answer of the target has named a rate limit, or none.
+  void OnRateLimit(const TargetId& id, std::optional<double> per_second, Common::TimePoint now);
+  bool IsLimited(const TargetId& id) const;
   // Called when another target has the address of the target: the target has ended, though it may
   // still be on the target list.
   void OnReplaced(const TargetId& id, Common::TimePoint now);
@@ -245,6 +253,7 @@
     Common::TimePoint lag_updated{};
     std::uint32_t failures = 0; // consecutive failures since the last success
     Common::TimePoint avoid_until{};
+    TargetLimit limit;
 
     bool IsListed() const { return is_on_list && !is_replaced; }
   };
@@ -349,6 +358,7 @@
     Switching,
     WithoutWeights,
     Unreported,
+    Limited,
   };
   Availability AvailabilityOf(const Target& target, Common::TimePoint now) const;
   bool IsOpen(const Target& target, Common::TimePoint now) const;
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -124,6 +125,13 @@
   Gateway::GatewayWork work;
 };
 
+// The rate limit that an answer of the receiver's target has named to a gateway; empty if an answer
+// has named none any more.
+struct LimitUpdate
+{
+  std::optional<double> per_second;
+};
+
 // A sidecar's report about its target.
 struct LoadReport
 {
@@ -247,5 +255,5 @@
 using Message = std::variant<Hello, LoadReport, Announce, PieceRequest, PieceCancel, PieceReply,
                              DocumentRequest, DocumentUpdate, TargetsRequest, TargetsUpdate,
                              ReaderBeat, WorkUpdate, GatewaysRequest, GatewaysReply,
-                             BriefingRequest, CrashRecords, EngineEnded>;
+                             BriefingRequest, CrashRecords, EngineEnded, LimitUpdate>;
 } // namespace Holdpost::Mesh
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -177,6 +177,7 @@
           { OnWorkAnnounced(from, received.work, now, actions); },
           [&](const Mesh::GatewaysReply& received)
           { RequestBriefings(received.gateways, actions); },
+          [&](const Mesh::LimitUpdate& told) { OnLimitUpdate(told.per_second, now, actions); },
           [&](const Mesh::CrashRecords& told) { m_crashes.Merge(told.records, now); },
           [&](const Mesh::Announce& announce) {
             m_exchange.OnAnnouncement(from.address.ToString(), announce.announcement, now,
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -15,6 +15,7 @@
 #include "Core/Mesh/MeshMessages.h"
 #include "Core/Mesh/SeedSearch.h"
 #include "Core/Sidecar/EngineMessages.h"
+#include "Core/Sidecar/PermitIssuer.h"
 #include "Core/Sidecar/StageManager.h"
 #include "Core/Sidecar/SwitchSchedule.h"
 #include "Core/Sidecar/WeightsLoader.h"
@@ -155,6 +156,7 @@
   // Asks the seeds for gateways of the hall while no gateway of it is known.
   void SearchGateways(Common::TimePoint now, Actions* actions);
   void RequestBriefings(const std::vector<Common::Address>& gateways, Actions* actions);
+  void OnLimitUpdate(std::optional<double> per_second, Common::TimePoint now, Actions* actions);
   // The work that all gateways together have at the target.
   Gateway::GatewayWork TotalWork(Common::TimePoint now) const;
   // Adopts the plan and the peers of the hello unless they are older than the known ones.
@@ -231,6 +233,8 @@
   void LogHeld(std::uint64_t version, Common::TimePoint now) const;
   void SendLoadReports(Common::TimePoint now, Actions* actions);
   std::vector<Common::Address> GatewaysOfLocalHall() const;
+  // The permits under the engine's rate limit for the gateways to which a report is due.
+  std::map<Common::Address, std::uint32_t> IssuePermits(bool has_news, Common::TimePoint now);
   void Translate(Distribution::Actions new_actions, Common::TimePoint now, Actions* actions);
   // The digest by which swarms identify a version.
   static Common::Digest VersionDigest(const std::string& model, std::uint64_t version);
@@ -261,6 +265,7 @@
   Urgency m_urgency = Urgency::Normal;
   std::map<Common::Digest, std::uint64_t> m_versions;
   std::map<Common::Address, KnownGateway> m_gateways;
+  PermitIssuer m_permits;
   Crashes::CrashLedger m_crashes;
   Crashes::CrashExchange m_crash_exchange;
   // The last start of the engine that was lost, and the number of times that its end was reported.
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -86,6 +86,7 @@
   m_loader.OnEngineLost();
   m_stage.VerifyAgain();
   m_target_id.clear();
+  m_permits.Reset();
   m_identity_reads = 0;
 }
 
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -125,6 +125,7 @@
     if (left < SWITCH_HORIZON)
       load.switch_in = std::max(left, Milliseconds(0));
   }
+  load.rate_limit = m_permits.Limit();
   load.demand = TotalDemand();
   load.inbound_delay = std::chrono::duration_cast<Milliseconds>(m_exchange.InboundDelay(now));
   return load;
@@ -146,7 +147,8 @@
   const Gateway::TargetLoad load = CurrentLoad(now);
   const bool has_news = !m_sent_load || m_sent_load->is_switching != load.is_switching ||
                         m_sent_load->weights_version != load.weights_version ||
-                        m_sent_load->id != load.id;
+                        m_sent_load->id != load.id ||
+                        m_sent_load->rate_limit.has_value() != load.rate_limit.has_value();
   m_sent_load = load;
   m_load_sent_at = now;
   std::erase_if(m_gateways, [now](const auto& entry)
@@ -173,10 +175,13 @@
       report.settings_at = address;
     }
   }
+  const std::map<Address, std::uint32_t> permits = IssuePermits(has_news, now);
   for (auto& [address, gateway] : m_gateways)
   {
     if (!IsLoadReportDue(gateway, has_news, now))
       continue;
+    const auto issued = permits.find(address);
+    report.load.permits = issued == permits.end() ? 0 : issued->second;
     const bool is_near = gateway.hall == m_options.hall;
     gateway.last_report = now;
     report.near_gateways.clear();
@@ -192,6 +197,25 @@
   m_load_due.reset();
 }
 
+void Sidecar::OnLimitUpdate(std::optional<double> per_second, TimePoint now, Actions* actions)
+{
+  const bool was_limited = m_permits.Limit().has_value();
+  m_permits.OnLimit(per_second, now);
+  if (was_limited != per_second.has_value())
+    SendLoadReports(now, actions);
+}
+
+std::map<Address, std::uint32_t> Sidecar::IssuePermits(bool has_news, TimePoint now)
+{
+  std::vector<PermitIssuer::Applicant> applicants;
+  for (const auto& [address, gateway] : m_gateways)
+  {
+    if (gateway.wants_load && IsLoadReportDue(gateway, has_news, now))
+      applicants.push_back({address, gateway.demand.arrivals_per_second});
+  }
+  return m_permits.Issue(applicants, now);
+}
+
 std::vector<Address> Sidecar::GatewaysOfLocalHall() const
 {
   std::vector<Address> near_gateways;
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -108,6 +108,11 @@
   m_mesh.SendDatagram({target.host, m_mesh.Self().address.port}, Mesh::WorkUpdate{work});
 }
 
+void GatewayControl::SendLimitUpdate(const Address& target, std::optional<double> per_second)
+{
+  m_mesh.SendDatagram({target.host, m_mesh.Self().address.port}, Mesh::LimitUpdate{per_second});
+}
+
 TimePoint GatewayControl::NextWakeup() const
 {
   const TimePoint beat_due = m_duty.IsReader() ? m_beat_due : TimePoint::max();
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -65,6 +65,8 @@
   Common::TimePoint NextWakeup() const;
   // Tells the sidecar beside the target what is open there.
   void SendWorkUpdate(const Common::Address& target, const Gateway::GatewayWork& work);
+  // Tells the sidecar beside the target which rate limit the target has named.
+  void SendLimitUpdate(const Common::Address& target, std::optional<double> per_second);
   // Drops connections to peers that carried nothing for a while.
   void CloseIdle(Common::TimePoint now) { m_mesh.CloseIdle(now); }
 
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -114,6 +114,7 @@
   began.is_not_run = head.fields.Find(m_names.not_run) != nullptr;
   began.is_other_target = head.status == 421;
   began.is_event_stream = found->second.call->IsEventStream();
+  began.rate_limit = TargetPeer::ReadRateLimit(head, m_names);
   began.weights_version = head.fields.FindNumber(m_names.weights_version).value_or(0);
   Feed(began);
 }
@@ -219,6 +220,11 @@
   m_control.SendWorkUpdate(tell.target, tell.work);
 }
 
+void GatewayNode::Do(const Gateway::ReportLimitToAgent& tell)
+{
+  m_control.SendLimitUpdate(tell.target, tell.per_second);
+}
+
 void GatewayNode::Carry(Gateway::Actions& actions)
 {
   for (const Gateway::Action& action : actions)
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -68,6 +68,7 @@
   void Do(const Gateway::Refuse& refuse);
   void Do(const Gateway::AbortAnswer& abort);
   void Do(const Gateway::ReportWorkToAgent& tell);
+  void Do(const Gateway::ReportLimitToAgent& tell);
   // The exchange, given up: the caller may send its next request.
   Exchange Take(Gateway::RequestNumber number);
 
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -100,6 +100,15 @@
   targetId @22 :Text;
   # State hash of the sender's crash ledger.
   crashes @23 :UInt64;
+  rateLimit @24 :RateLimit;
+  # The requests that the receiver may send under the limit.
+  permits @25 :UInt16;
+}
+
+# What a target takes from all gateways together.
+struct RateLimit {
+  isSet @0 :Bool;
+  perSecond @1 :Float64;
 }
 
 # An engine that ended while it had the request of the record.
@@ -225,5 +234,7 @@
     # Records of the sender's crash ledger.
     crashRecords @19 :List(CrashRecord);
     engineEnded @20 :EngineEnded;
+    # The rate limit that the receiver's target has named.
+    limitUpdate @21 :RateLimit;
   }
 }
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(c57ea4e3916d9c48);
 CAPNP_DECLARE_SCHEMA(cd2162000944b10a);
 CAPNP_DECLARE_SCHEMA(f17b276126095b8f);
+CAPNP_DECLARE_SCHEMA(9d8d58f647ad7459);
 CAPNP_DECLARE_SCHEMA(a2ed59c413409a7c);
 CAPNP_DECLARE_SCHEMA(cb68e828fbafe407);
 CAPNP_DECLARE_SCHEMA(e869ceec1bd1dbb9);
@@ -140,7 +141,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 9, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 9, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d8d58f647ad7459, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -336,6 +352,7 @@
     BRIEFING_REQUEST,
     CRASH_RECORDS,
     ENGINE_ENDED,
+    LIMIT_UPDATE,
   };
 
   struct _capnpPrivate {
@@ -1070,6 +1087,11 @@
 
   inline  ::uint64_t getCrashes() const;
 
+  inline bool hasRateLimit() const;
+  inline  ::Holdpost::MeshWire::RateLimit::Reader getRateLimit() const;
+
+  inline  ::uint16_t getPermits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1194,6 +1216,16 @@
   inline  ::uint64_t getCrashes();
   inline void setCrashes( ::uint64_t value);
 
+  inline bool hasRateLimit();
+  inline  ::Holdpost::MeshWire::RateLimit::Builder getRateLimit();
+  inline void setRateLimit( ::Holdpost::MeshWire::RateLimit::Reader value);
+  inline  ::Holdpost::MeshWire::RateLimit::Builder initRateLimit();
+  inline void adoptRateLimit(::capnp::Orphan< ::Holdpost::MeshWire::RateLimit>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit> disownRateLimit();
+
+  inline  ::uint16_t getPermits();
+  inline void setPermits( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1215,6 +1247,88 @@
   inline  ::Holdpost::MeshWire::Address::Pipeline getTarget();
   inline  ::Holdpost::MeshWire::Address::Pipeline getSettingsAt();
   inline  ::Holdpost::MeshWire::Stamp::Pipeline getStamp();
+  inline  ::Holdpost::MeshWire::RateLimit::Pipeline getRateLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsSet() const;
+
+  inline double getPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsSet();
+  inline void setIsSet(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2425,6 +2539,10 @@
   inline bool hasEngineEnded() const;
   inline  ::Holdpost::MeshWire::EngineEnded::Reader getEngineEnded() const;
 
+  inline bool isLimitUpdate() const;
+  inline bool hasLimitUpdate() const;
+  inline  ::Holdpost::MeshWire::RateLimit::Reader getLimitUpdate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2594,6 +2712,14 @@
   inline void adoptEngineEnded(::capnp::Orphan< ::Holdpost::MeshWire::EngineEnded>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::EngineEnded> disownEngineEnded();
 
+  inline bool isLimitUpdate();
+  inline bool hasLimitUpdate();
+  inline  ::Holdpost::MeshWire::RateLimit::Builder getLimitUpdate();
+  inline void setLimitUpdate( ::Holdpost::MeshWire::RateLimit::Reader value);
+  inline  ::Holdpost::MeshWire::RateLimit::Builder initLimitUpdate();
+  inline void adoptLimitUpdate(::capnp::Orphan< ::Holdpost::MeshWire::RateLimit>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit> disownLimitUpdate();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3806,6 +3932,87 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::hasRateLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasRateLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::RateLimit::Reader Load::Reader::getRateLimit() const {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::RateLimit::Builder Load::Builder::getRateLimit() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Holdpost::MeshWire::RateLimit::Pipeline Load::Pipeline::getRateLimit() {
+  return  ::Holdpost::MeshWire::RateLimit::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Load::Builder::setRateLimit( ::Holdpost::MeshWire::RateLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::RateLimit::Builder Load::Builder::initRateLimit() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::adoptRateLimit(
+    ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit> Load::Builder::disownRateLimit() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Load::Reader::getPermits() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getPermits() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setPermits( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateLimit::Reader::getIsSet() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimit::Builder::getIsSet() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setIsSet(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Crash::Reader::getEngine() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5756,6 +5963,60 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isLimitUpdate() const {
+  return which() == Message::LIMIT_UPDATE;
+}
+inline bool Message::Builder::isLimitUpdate() {
+  return which() == Message::LIMIT_UPDATE;
+}
+inline bool Message::Reader::hasLimitUpdate() const {
+  if (which() != Message::LIMIT_UPDATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasLimitUpdate() {
+  if (which() != Message::LIMIT_UPDATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::RateLimit::Reader Message::Reader::getLimitUpdate() const {
+  KJ_IREQUIRE((which() == Message::LIMIT_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::RateLimit::Builder Message::Builder::getLimitUpdate() {
+  KJ_IREQUIRE((which() == Message::LIMIT_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setLimitUpdate( ::Holdpost::MeshWire::RateLimit::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::LIMIT_UPDATE);
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::RateLimit::Builder Message::Builder::initLimitUpdate() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::LIMIT_UPDATE);
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptLimitUpdate(
+    ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::LIMIT_UPDATE);
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit> Message::Builder::disownLimitUpdate() {
+  KJ_IREQUIRE((which() == Message::LIMIT_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::RateLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -136,6 +136,30 @@
 
 // --- load ---
 
+static void Write(std::optional<double> per_second, MeshWire::RateLimit::Builder out)
+{
+  out.setIsSet(per_second.has_value());
+  out.setPerSecond(per_second.value_or(0));
+}
+
+static std::optional<double> ReadLimit(MeshWire::RateLimit::Reader in)
+{
+  const double per_second = in.getPerSecond();
+  if (!in.getIsSet() || !std::isfinite(per_second) || per_second < 0)
+    return std::nullopt;
+  return per_second;
+}
+
+void Write(const Mesh::LimitUpdate& told, MeshWire::Message::Builder message)
+{
+  Write(told.per_second, message.initLimitUpdate());
+}
+
+Mesh::Message Read(MeshWire::RateLimit::Reader in)
+{
+  return Mesh::LimitUpdate{ReadLimit(in)};
+}
+
 void Write(const Mesh::LoadReport& report, MeshWire::Message::Builder message)
 {
   auto out = message.initLoad();
@@ -161,6 +185,9 @@
     Write(report.settings_at, out.initSettingsAt());
   if (!report.weights.empty())
     Write(report.weights, out.initWeights(static_cast<unsigned>(report.weights.size())));
+  if (load.rate_limit)
+    Write(load.rate_limit, out.initRateLimit());
+  out.setPermits(ToWireCount(load.permits));
   out.setCrashes(report.crashes);
   out.setEchoMs(ToWireMs(report.echo));
   out.setEchoAgeMs(ToWireMs(report.echo_age));
@@ -193,6 +220,8 @@
   load.inbound_delay = Milliseconds(in.getInboundDelayMs());
   load.demand = {static_cast<double>(in.getNearArrivals()),
                  static_cast<double>(in.getFarArrivals()), in.getRefusedPercent() / PERCENT};
+  load.rate_limit = ReadLimit(in.getRateLimit());
+  load.permits = in.getPermits();
   Mesh::LoadReport report;
   report.load = load;
   report.gateways = in.getGateways();
--- a/Source/Peers/Target/HeaderNames.h
+++ b/Source/Peers/Target/HeaderNames.h
@@ -27,5 +27,7 @@
   std::string weights_version = "Holdpost-Weights-Version";
   // From the target: the request did not run and never will.
   std::string not_run = "Holdpost-Not-Run";
+  // From the target: the requests a second that it takes from all callers together.
+  std::string rate_limit = "Holdpost-Rate-Limit";
 };
 } // namespace Holdpost::TargetPeer
--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -67,6 +68,20 @@
   return request;
 }
 
+std::optional<double> ReadRateLimit(const HttpHead& answer, const HeaderNames& names)
+{
+  const std::string* text = answer.fields.Find(names.rate_limit);
+  if (!text)
+    return std::nullopt;
+  double limit = 0;
+  const char* end = text->data() + text->size();
+  const auto [read_to, error] = std::from_chars(text->data(), end, limit);
+  const bool is_number = error == std::errc() && read_to == end;
+  if (!is_number || !std::isfinite(limit) || limit < 0)
+    return std::nullopt;
+  return limit;
+}
+
 static bool IsPassedOn(const HttpHead& head, std::string_view name, const HeaderNames& names)
 {
   const std::array<std::string_view, 7> replaced = {
--- a/Source/Peers/Target/TargetMessage.h
+++ b/Source/Peers/Target/TargetMessage.h
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "Common/HttpMessage.h"
 #include "Core/Gateway/Messages.h"
@@ -13,6 +15,9 @@
 // What the gateway needs to know of a caller's whole request.
 Gateway::CallerRequest ReadCallerRequest(const Common::HttpHead& head, std::string_view body,
                                          const HeaderNames& names);
+// The rate limit that a target's answer names, in requests a second; empty if it names none, or
+// none that can be kept.
+std::optional<double> ReadRateLimit(const Common::HttpHead& answer, const HeaderNames& names);
 // The request as the target gets it: method, path and body as the caller sent them, the caller's
 // fields but for those of its connection, and what the gateway sets itself.
 std::string WriteTargetRequest(const Common::HttpHead& head, const std::string& body,
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -70,6 +70,8 @@
     report.load.switch_in = Milliseconds(0);
     report.load.pace = 1.25;
     report.load.inbound_delay = Milliseconds(310);
+    report.load.rate_limit = 0.7;
+    report.load.permits = 2;
     report.gateways = 7;
     report.stamp = {16, 38};
     report.settings = 99;
@@ -164,6 +166,11 @@
     const Crashes::EngineEnd end{{"10.1.0.9", 8001}, "i-1", 1788408695000};
     CHECK(There(Mesh::EngineEnded{end}).end == end);
   }
+  SUBCASE("a rate limit that a target has named, or none any more")
+  {
+    CHECK(There(Mesh::LimitUpdate{0.7}).per_second == 0.7);
+    CHECK_FALSE(There(Mesh::LimitUpdate{}).per_second.has_value());
+  }
   SUBCASE("a reader's beat")
   {
     const Mesh::ReaderBeat beat{40, 38, 17, {{{"m", 3}, Milliseconds(250)}}, Milliseconds(90)};
--- a/Source/UnitTests/Peers/TargetMessageTest.cpp
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -81,3 +81,22 @@
   answer.fields.Add("Content-Length", "5");
   CHECK(AnswerFieldLines(answer) == "Content-Type: text/plain\r\nX-Stamp: s\r\n");
 }
+
+TEST_CASE("The rate limit of a target is read from its answer")
+{
+  const auto limit_of = [](const std::string& text)
+  {
+    Common::HttpHead answer;
+    answer.fields.Add("Holdpost-Rate-Limit", text);
+    return ReadRateLimit(answer, HeaderNames{});
+  };
+  CHECK(limit_of("2") == 2.0);
+  CHECK(limit_of("1.6") == 1.6);
+  CHECK(limit_of("0") == 0.0);
+  CHECK_FALSE(ReadRateLimit(Common::HttpHead{}, HeaderNames{}).has_value());
+  SUBCASE("and what is no number of requests a second is none")
+  {
+    for (const std::string text : {"", "few", "2 a second", "-1", "nan", "inf", "1e999"})
+      CHECK_FALSE(limit_of(text).has_value());
+  }
+}
