Gateway: Send nothing after a standstill until what others sent has been read

It sent 3 to 5 crashing requests within 1 ms, before it read that they are blocked.

A gateway that has not ticked for a second, by the clock that counts suspensions, now sends nothing for 150 ms, reads meanwhile, and counts waits from then on.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -34,8 +34,6 @@
     .usual_prompt_tokens = 1000,
     .usual_answer_tokens = 100,
 };
-// The request number in timers that do not belong to a request.
-static constexpr RequestNumber NO_REQUEST = 0;
 
 Gateway::Gateway(GatewayOptions options, Common::Metrics& metrics)
     : m_options(std::move(options)), m_log(metrics), m_targets(m_options.hall, m_options.seed),
@@ -198,7 +196,7 @@
   const TargetSummary summary = m_targets.SummaryOf(QueryFor(tracked), now);
   const Duration wait = MaxWait(summary, WaitingCountOf(tracked.service),
                                 m_targets.PassTimeOf(tracked.service), StartGoal(tracked));
-  tracked.refuse_at = std::min(tracked.deadline, now + wait);
+  tracked.refuse_at = std::min(tracked.deadline, std::max(now, m_dispatch_from) + wait);
   m_timers.push({tracked.refuse_at, tracked.number});
   OnTimer(tracked, now, actions);
 }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -67,6 +67,9 @@
   // named from now on.
   void SetRetryLimits(const RetryLimits& limits);
   void SetSwitchWithin(Common::Milliseconds within) { m_switch_deadlines.SetSwitchWithin(within); }
+  // Sends no request until the time, because the process has stood still and has yet to read what
+  // others sent meanwhile.
+  void HoldDispatch(Common::TimePoint until);
   // Refuses all new requests from now on, as the process is about to end.
   void StopAccepting() { m_accepts_requests = false; }
 
@@ -83,6 +86,9 @@
   const TargetTable& Targets() const { return m_targets; }
 
 private:
+  // The request number in timers that do not belong to a request.
+  static constexpr RequestNumber NO_REQUEST = 0;
+
   using State = RequestState;
   using Tracked = TrackedRequest;
 
@@ -204,6 +210,7 @@
   std::unordered_map<RequestNumber, Tracked> m_requests;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
   GatewayCounts m_gateways;
+  Common::TimePoint m_dispatch_from{};
   bool m_accepts_requests = true;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -20,8 +20,16 @@
 // margin.
 static constexpr Duration MOVE_MARGIN = Milliseconds(300);
 
+void Gateway::HoldDispatch(TimePoint until)
+{
+  m_dispatch_from = until;
+  m_timers.push({until, NO_REQUEST});
+}
+
 void Gateway::DispatchWaiting(const std::string& service, TimePoint now, Actions* actions)
 {
+  if (now < m_dispatch_from)
+    return;
   for (auto& [priority, queue] : m_queues[service].waiting)
   {
     while (const auto next = queue.Take())
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -39,6 +39,7 @@
 
 void GatewayNode::OnRequest(const std::shared_ptr<CallerConnection>& caller)
 {
+  CheckStall(EventLoop::Now());
   const RequestNumber number = m_next_number++;
   m_exchanges[number].caller = caller;
   caller->SetOpenRequest([this, number] { OnCallerLeft(number); },
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -25,6 +26,10 @@
 using nlohmann::json;
 
 static constexpr Milliseconds HOUSEKEEPING_PERIOD = Milliseconds(250);
+// A process that has not ticked for this time has been frozen, or its machine was suspended.
+static constexpr Milliseconds STALL_TIME = Milliseconds(1000);
+// The time after that in which it reads what others sent meanwhile, or are about to send again.
+static constexpr Milliseconds CATCH_UP_TIME = Milliseconds(150);
 
 GatewayNode::GatewayNode(EventLoop& loop, const GatewayConfig& config,
                          ControlPeer::ControlPlane& control, TargetPeer::HeaderNames names)
@@ -234,9 +239,19 @@
   m_loop.Stop();
 }
 
+void GatewayNode::CheckStall(TimePoint now)
+{
+  const TimePoint before = std::exchange(m_checked_at, now);
+  if (before == TimePoint() || now - before < STALL_TIME)
+    return;
+  LogEvent(Weight::Important, now, "process.stalled", "for_ms", now - before);
+  m_core.HoldDispatch(now + CATCH_UP_TIME);
+}
+
 void GatewayNode::Tick()
 {
   const TimePoint now = EventLoop::Now();
+  CheckStall(now);
   m_tick_due = {};
   m_control.Tick(now);
   Gateway::Actions actions;
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -79,6 +79,8 @@
   void Reload(ReloadTrigger trigger);
   void HandleStopSignal();
   void CheckStop();
+  // Notices that the process has stood still, by the time since its last call.
+  void CheckStall(Common::TimePoint now);
   void Tick();
   void ScheduleTick();
 
@@ -100,6 +102,7 @@
   std::vector<std::unique_ptr<Common::Watch>> m_signals;
   Common::TimePoint m_tick_due{};
   Common::TimePoint m_housekeeping_due{};
+  Common::TimePoint m_checked_at{};
   Gateway::StopPlan m_stop;
   FileWatch m_config_file;
   int m_exit_code = 0;
--- a/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
@@ -167,3 +167,26 @@
     CHECK(refused[0].error.kind == ErrorKind::Unreachable);
   }
 }
+
+TEST_CASE("A gateway that stood still sends nothing until it has read what others sent")
+{
+  CrashingFixture f;
+  f.gateway.HoldDispatch(f.now + Milliseconds(150));
+  f.Arrive("/chat/");
+  CHECK(Only<Dispatch>(f.actions).empty());
+
+  SUBCASE("and then serves what came meanwhile")
+  {
+    f.Advance(Milliseconds(150));
+    CHECK(Only<Dispatch>(f.actions).size() == 1);
+  }
+  SUBCASE("and refuses what crashes engines as not run")
+  {
+    f.gateway.OnCrashRecords(f.ToldByOther(), f.now, &f.actions);
+    f.Advance(Milliseconds(150));
+    CHECK(Only<Dispatch>(f.actions).empty());
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error.kind == ErrorKind::CrashesTargets);
+  }
+}
