--- a/Source/UnitTests/Core/Sidecar/SidecarCrashesTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarCrashesTest.cpp
@@ -72,7 +72,7 @@
   Common::Metrics metrics;
   Common::TimePoint now = START;
   Actions actions;
-  Sidecar::Sidecar sidecar{{{"10.0.1.1", 7700}, "here", TARGET, "llm"}, metrics};
+  Holdpost::Sidecar::Sidecar sidecar{{{"10.0.1.1", 7700}, "here", TARGET, "llm"}, metrics};
 };
 } // namespace
 
