--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -106,6 +106,8 @@
   const auto found = m_exchanges.find(number);
   if (found == m_exchanges.end())
     return;
+  Common::UnreadFields::Instance().NoteUnknown("answer", head.fields, m_known_answer_fields,
+                                               EventLoop::Now());
   found->second.answer = head;
   found->second.is_whole = is_whole;
   Gateway::AnswerBegan began;
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -11,6 +11,7 @@
 #include "Common/Hash.h"
 #include "Common/Mailbox.h"
 #include "Node/Startup.h"
+#include "Peers/Target/TargetMessage.h"
 
 namespace Holdpost::Node
 {
@@ -34,6 +35,7 @@
 GatewayNode::GatewayNode(EventLoop& loop, const GatewayConfig& config,
                          ControlPeer::ControlPlane& control, TargetPeer::HeaderNames names)
     : m_loop(loop), m_config(config), m_names(std::move(names)),
+      m_known_answer_fields(TargetPeer::KnownAnswerFields(m_names)),
       m_core({config.mesh.hall, config.retries, config.mesh.switch_within,
               Common::StableHash(config.mesh.instance)},
              m_metrics),
@@ -73,6 +75,8 @@
             metrics.Set("holdpost_crash_records", static_cast<double>(m_core.CrashLedger().Size()));
             metrics.Set("holdpost_blocked_requests",
                         static_cast<double>(m_core.CrashLedger().Blocked().size()));
+            metrics.Set("holdpost_unread_fields",
+                        static_cast<double>(Common::UnreadFields::Instance().Count()));
             metrics.Set("holdpost_log_lines_dropped",
                         static_cast<double>(Common::EventLog::Instance().Dropped()));
           },
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -9,6 +9,7 @@
 #include "Common/HttpServer.h"
 #include "Common/Metrics.h"
 #include "Common/TcpConnection.h"
+#include "Common/UnreadFields.h"
 #include "Core/Gateway/Gateway.h"
 #include "Core/Gateway/StopPlan.h"
 #include "Node/GatewayConfig.h"
@@ -87,6 +88,7 @@
   Common::EventLoop& m_loop;
   GatewayConfig m_config;
   TargetPeer::HeaderNames m_names;
+  Common::KnownFields m_known_answer_fields;
   Common::Metrics m_metrics;
   Gateway::Gateway m_core;
   GatewayControl m_control;
--- a/Source/Peers/Target/HeaderNames.h
+++ b/Source/Peers/Target/HeaderNames.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 // The names of the header fields by which callers, gateways and targets speak of a request. A
 // platform that has names of its own hands in another table.
@@ -29,5 +30,7 @@
   std::string not_run = "Holdpost-Not-Run";
   // From the target: the requests a second that it takes from all callers together.
   std::string rate_limit = "Holdpost-Rate-Limit";
+  // From the target, and passed on without being read.
+  std::vector<std::string> passed_on = {};
 };
 } // namespace Holdpost::TargetPeer
--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -82,6 +82,15 @@
   return limit;
 }
 
+Common::KnownFields KnownAnswerFields(const HeaderNames& names)
+{
+  std::vector<std::string> known = {"Content-Type", "Content-Length", "Date",
+                                    "Server",       names.request_id, names.weights_version,
+                                    names.not_run,  names.rate_limit};
+  known.insert(known.end(), names.passed_on.begin(), names.passed_on.end());
+  return Common::KnownFields(std::move(known));
+}
+
 static bool IsPassedOn(const HttpHead& head, std::string_view name, const HeaderNames& names)
 {
   const std::array<std::string_view, 7> replaced = {
