Gateway, Sidecar, Mesh: Send nothing to a target that has said that it leaves

What callers saw: nothing yet, as such targets serve on for a while; after that their requests break off.

Cause: targets say in their answers that they leave, and nobody read it. The target list was the only source, and the platform may be away while a target leaves.

The head of every answer is handed to the gateway's decisions as soon as it comes (AnswerHead), before a stream's first event, and also that of a late answer to an earlier request. LeavingTargets keeps which incarnation of which target leaves; lists, reports and lapses do not end it, another incarnation does. Every send passes TargetTable::AvailabilityOf, so retries, moves and resumed streams are held, too. Sidecars read the same field in their engine's reports, at most 100 ms later, and tell all gateways that know them, of any hall; for plain targets the gateway that reads it tells those of its hall, and one that asks for the list gets it with the list.

--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -138,8 +138,9 @@
   void Do(Node& node, const Gateway::Refuse& refuse);
   void Do(Node& node, const Gateway::AbortAnswer& abort);
   void Do(Node& node, const Gateway::ReportWorkToAgent& tell);
-  // Engines of the model name no limits.
+  // Engines of the model name no limits, and do not leave.
   void Do(Node& /*node*/, const Gateway::ReportLimitToAgent& /*tell*/) {}
+  void Do(Node& /*node*/, const Gateway::ReportLeaving& /*tell*/) {}
   void ScheduleTick(Node& node);
 
   void StartPass(Target& target);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -251,6 +251,25 @@
   DispatchWaiting(service, now, actions);
 }
 
+void Gateway::OnLeavingTargets(const std::vector<LeavingTarget>& targets, TimePoint now)
+{
+  for (const LeavingTarget& target : targets)
+    m_targets.OnLeaving(target, now);
+}
+
+void Gateway::Handle(const AnswerHead& event, TimePoint now, Actions* actions)
+{
+  const Tracked* tracked = Find(event.number);
+  if (!tracked || !tracked->last_attempt || !event.is_leaving)
+    return;
+  const TargetChoice& choice = tracked->last_attempt->choice;
+  if (event.is_other_target)
+    return m_targets.OnOtherLeaving(choice.address, choice.id, now);
+  const LeavingTarget leaving{choice.id, choice.incarnation};
+  if (m_targets.OnLeaving(leaving, now))
+    actions->push_back(ReportLeaving{leaving});
+}
+
 void Gateway::Handle(const AnswerBegan& event, TimePoint now, Actions* actions)
 {
   Tracked* tracked = Find(event.number);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -62,6 +62,8 @@
   // Another process knows of requests that crash engines.
   void OnCrashRecords(const std::vector<Crashes::CrashRecord>& records, Common::TimePoint now,
                       Actions* actions);
+  // Another gateway knows of targets that leave.
+  void OnLeavingTargets(const std::vector<LeavingTarget>& targets, Common::TimePoint now);
   Crashes::CrashLedger& CrashLedger() { return m_crashes.Ledger(); }
   // New retry limits apply to all retries from now on, and a new switch period to versions that are
   // named from now on.
@@ -75,6 +77,7 @@
 
   void Handle(RequestArrived event, Common::TimePoint now, Actions* actions);
   void Handle(const CallerLeft& event, Common::TimePoint now, Actions* actions);
+  void Handle(const AnswerHead& event, Common::TimePoint now, Actions* actions);
   void Handle(const AnswerBegan& event, Common::TimePoint now, Actions* actions);
   void Handle(const AnswerEnded& event, Common::TimePoint now, Actions* actions);
   void Handle(const AttemptFailed& event, Common::TimePoint now, Actions* actions);
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -63,6 +63,19 @@
   RequestNumber number = 0;
 };
 
+// The head of an answer has come from the target, before its first event or its body. It tells what
+// the target says of itself.
+struct AnswerHead
+{
+  RequestNumber number = 0;
+  // The answer is to another, earlier request on the same connection.
+  bool is_foreign = false;
+  // Another target has taken over the address of the chosen target.
+  bool is_other_target = false;
+  // The target leaves and wants no more requests.
+  bool is_leaving = false;
+};
+
 // The target began to answer. The executor buffers the received part until it is passed on.
 struct AnswerBegan
 {
@@ -184,7 +197,13 @@
   std::optional<double> per_second;
 };
 
+// Reports to the other gateways that a target has said that it leaves.
+struct ReportLeaving
+{
+  LeavingTarget target;
+};
+
 using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer,
-                            ReportWorkToAgent, ReportLimitToAgent>;
+                            ReportWorkToAgent, ReportLimitToAgent, ReportLeaving>;
 using Actions = std::vector<Action>;
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -88,10 +88,21 @@
   // report may send under it.
   std::optional<double> rate_limit = std::nullopt;
   std::uint32_t permits = 0;
+  // The target has told its agent that it leaves.
+  bool is_leaving = false;
 
   bool operator==(const TargetLoad&) const = default;
 };
 
+// An incarnation of a target that has said that it leaves.
+struct LeavingTarget
+{
+  TargetId id;
+  std::uint64_t incarnation = 0; // 0 if it is not known
+
+  bool operator==(const LeavingTarget&) const = default;
+};
+
 // The unfinished work that one gateway has at a target.
 struct GatewayWork
 {
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -130,6 +130,8 @@
     target.load = load;
     target.load_received = now;
     target.limit.OnReport(load.rate_limit, load.permits, now);
+    if (load.is_leaving)
+      OnLeaving({id, target.listed.incarnation}, now);
     if (target.listed.hall == m_hall)
       m_demand.OnDemandReport(target.listed.service, load.demand, now);
   }
@@ -166,9 +168,33 @@
   return target.load && now - target.load_received > SILENT_AFTER;
 }
 
+bool TargetTable::IsLeaving(const Target& target) const
+{
+  return target.listed.state != TargetState::Ready ||
+         m_leaving.Contains(target.listed.id, target.listed.incarnation);
+}
+
+bool TargetTable::OnLeaving(const LeavingTarget& target, TimePoint now)
+{
+  if (!m_leaving.Add(target, now))
+    return false;
+  LogEvent(Weight::Important, now, "target.says_leaving", "target", target.id, "incarnation",
+           target.incarnation);
+  return true;
+}
+
+void TargetTable::OnOtherLeaving(const Common::Address& address, const TargetId& id, TimePoint now)
+{
+  for (const auto& [other_id, other] : m_targets)
+  {
+    if (other_id != id && other.IsListed() && other.listed.address == address)
+      OnLeaving({other_id, other.listed.incarnation}, now);
+  }
+}
+
 TargetTable::Availability TargetTable::AvailabilityOf(const Target& target, TimePoint now) const
 {
-  if (target.listed.state != TargetState::Ready)
+  if (IsLeaving(target))
     return Availability::Leaving;
   if (now < target.avoid_until)
     return Availability::Avoided;
@@ -190,7 +216,7 @@
 bool TargetTable::MayHaveCrashed(const TargetId& id) const
 {
   const auto found = m_targets.find(id);
-  if (found == m_targets.end() || found->second.listed.state != TargetState::Ready)
+  if (found == m_targets.end() || IsLeaving(found->second))
     return false;
   return found->second.is_on_list || found->second.is_replaced;
 }
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -15,6 +15,7 @@
 #include "Core/Control/NamedVersions.h"
 #include "Core/Gateway/DemandTracker.h"
 #include "Core/Gateway/EngineCorrection.h"
+#include "Core/Gateway/LeavingTargets.h"
 #include "Core/Gateway/SpreadChoice.h"
 #include "Core/Gateway/StartEstimate.h"
 #include "Core/Gateway/Target.h"
@@ -196,6 +197,11 @@
   // Called when an answer of the target has named a rate limit, or none.
   void OnRateLimit(const TargetId& id, std::optional<double> per_second, Common::TimePoint now);
   bool IsLimited(const TargetId& id) const;
+  // Called when the target has said that it leaves. Returns false if it is known.
+  bool OnLeaving(const LeavingTarget& target, Common::TimePoint now);
+  // Called when a target at the address other than `id` has said that it leaves.
+  void OnOtherLeaving(const Common::Address& address, const TargetId& id, Common::TimePoint now);
+  std::vector<LeavingTarget> Leaving() const { return m_leaving.All(); }
   // Called when another target has the address of the target: the target has ended, though it may
   // still be on the target list.
   void OnReplaced(const TargetId& id, Common::TimePoint now);
@@ -360,6 +366,9 @@
     Unreported,
     Limited,
   };
+  // Whether the target list or the target itself says that it leaves.
+  bool IsLeaving(const Target& target) const;
+  // The one place that decides whether a target may be sent a request, and if not, why.
   Availability AvailabilityOf(const Target& target, Common::TimePoint now) const;
   bool IsOpen(const Target& target, Common::TimePoint now) const;
   // How long the request, if it is sent to the target now, would delay the target's planned switch
@@ -374,6 +383,7 @@
   std::map<TargetId, Target> m_targets;
   // Targets that have left the target list but may still answer, with the time at which they left.
   std::map<TargetId, Common::TimePoint> m_departed_at;
+  LeavingTargets m_leaving;
   std::set<std::string> m_services;
   std::map<std::string, Engine> m_engines;
   // The mean request time by service, for services without an engine.
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -252,8 +252,15 @@
   Crashes::EngineEnd end;
 };
 
-using Message = std::variant<Hello, LoadReport, Announce, PieceRequest, PieceCancel, PieceReply,
-                             DocumentRequest, DocumentUpdate, TargetsRequest, TargetsUpdate,
-                             ReaderBeat, WorkUpdate, GatewaysRequest, GatewaysReply,
-                             BriefingRequest, CrashRecords, EngineEnded, LimitUpdate>;
+// Targets that have said that they leave.
+struct LeavingTargets
+{
+  std::vector<Gateway::LeavingTarget> targets;
+};
+
+using Message =
+    std::variant<Hello, LoadReport, Announce, PieceRequest, PieceCancel, PieceReply,
+                 DocumentRequest, DocumentUpdate, TargetsRequest, TargetsUpdate, ReaderBeat,
+                 WorkUpdate, GatewaysRequest, GatewaysReply, BriefingRequest, CrashRecords,
+                 EngineEnded, LimitUpdate, LeavingTargets>;
 } // namespace Holdpost::Mesh
--- a/Source/Core/Sidecar/EngineMessages.h
+++ b/Source/Core/Sidecar/EngineMessages.h
@@ -31,6 +31,8 @@
   std::uint32_t running = 0;
   // The factor by which the engine is slower than its profile.
   double pace = 1;
+  // The engine leaves and wants no more requests.
+  bool is_leaving = false;
 };
 
 // --- requests to the engine ---
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -118,6 +118,7 @@
     load.incarnation = m_report->incarnation;
     load.is_switching = load.is_switching || m_report->is_busy;
     load.pace = m_report->pace;
+    load.is_leaving = m_report->is_leaving;
   }
   if (const auto switch_at = SwitchAt(now); switch_at && LoadedVersion() > 0)
   {
@@ -147,7 +148,7 @@
   const Gateway::TargetLoad load = CurrentLoad(now);
   const bool has_news = !m_sent_load || m_sent_load->is_switching != load.is_switching ||
                         m_sent_load->weights_version != load.weights_version ||
-                        m_sent_load->id != load.id ||
+                        m_sent_load->id != load.id || m_sent_load->is_leaving != load.is_leaving ||
                         m_sent_load->rate_limit.has_value() != load.rate_limit.has_value();
   m_sent_load = load;
   m_load_sent_at = now;
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -113,6 +113,12 @@
   m_mesh.SendDatagram({target.host, m_mesh.Self().address.port}, Mesh::LimitUpdate{per_second});
 }
 
+void GatewayControl::SendLeaving(const Gateway::LeavingTarget& target)
+{
+  for (const Address& gateway : m_membership.Others(EventLoop::Now()))
+    m_mesh.Send(gateway, Mesh::LeavingTargets{{target}});
+}
+
 TimePoint GatewayControl::NextWakeup() const
 {
   const TimePoint beat_due = m_duty.IsReader() ? m_beat_due : TimePoint::max();
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -45,6 +45,9 @@
     std::function<void(const Gateway::GatewayCounts&)> on_gateways;
     std::function<void(const std::vector<Crashes::CrashRecord>&)> on_crash_records;
     std::function<void(const Crashes::EngineEnd&)> on_engine_end;
+    std::function<void(const std::vector<Gateway::LeavingTarget>&)> on_leaving;
+    // The targets that are known to leave.
+    std::function<std::vector<Gateway::LeavingTarget>()> leaving_targets;
     // The ledger of which records are sent to others.
     std::function<Crashes::CrashLedger&()> crash_ledger;
     // The targets that are sent to, whether those of other halls are needed, and what comes.
@@ -67,6 +70,8 @@
   void SendWorkUpdate(const Common::Address& target, const Gateway::GatewayWork& work);
   // Tells the sidecar beside the target which rate limit the target has named.
   void SendLimitUpdate(const Common::Address& target, std::optional<double> per_second);
+  // Tells the other gateways of the hall that the target leaves.
+  void SendLeaving(const Gateway::LeavingTarget& target);
   // Drops connections to peers that carried nothing for a while.
   void CloseIdle(Common::TimePoint now) { m_mesh.CloseIdle(now); }
 
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -98,7 +98,21 @@
                         [this, number](std::string_view data) { OnBody(number, data); },
                         [this, number] { OnCallEnded(number); },
                         [this, number](TargetPeer::CallFailure failure)
-                        { OnCallFailed(number, failure); }});
+                        { OnCallFailed(number, failure); },
+                        [this, number](const Common::HttpHead& head, bool is_foreign)
+                        { OnAnswerHead(number, head, is_foreign); }});
+}
+
+void GatewayNode::OnAnswerHead(RequestNumber number, const Common::HttpHead& head, bool is_foreign)
+{
+  Common::UnreadFields::Instance().NoteUnknown("answer", head.fields, m_known_answer_fields,
+                                               EventLoop::Now());
+  Gateway::AnswerHead arrived;
+  arrived.number = number;
+  arrived.is_foreign = is_foreign;
+  arrived.is_other_target = head.status == 421;
+  arrived.is_leaving = TargetPeer::SaysLeaving(head, m_names);
+  Feed(arrived);
 }
 
 void GatewayNode::OnAnswer(RequestNumber number, const Common::HttpHead& head, bool is_whole)
@@ -106,8 +120,6 @@
   const auto found = m_exchanges.find(number);
   if (found == m_exchanges.end())
     return;
-  Common::UnreadFields::Instance().NoteUnknown("answer", head.fields, m_known_answer_fields,
-                                               EventLoop::Now());
   found->second.answer = head;
   found->second.is_whole = is_whole;
   Gateway::AnswerBegan began;
@@ -228,6 +240,11 @@
   m_control.SendLimitUpdate(tell.target, tell.per_second);
 }
 
+void GatewayNode::Do(const Gateway::ReportLeaving& tell)
+{
+  m_control.SendLeaving(tell.target);
+}
+
 void GatewayNode::Carry(Gateway::Actions& actions)
 {
   for (const Gateway::Action& action : actions)
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -168,6 +168,9 @@
     m_core.OnEngineEnd(end, EventLoop::Now(), &actions);
     Carry(actions);
   };
+  handlers.on_leaving = [this](const std::vector<Gateway::LeavingTarget>& targets)
+  { m_core.OnLeavingTargets(targets, EventLoop::Now()); };
+  handlers.leaving_targets = [this] { return m_core.Targets().Leaving(); };
   handlers.crash_ledger = [this]() -> Crashes::CrashLedger& { return m_core.CrashLedger(); };
   handlers.targets_in_use = [this]
   {
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -55,6 +55,7 @@
   void OnAccepted(int fd);
   void OnRequest(const std::shared_ptr<CallerPeer::CallerConnection>& caller);
   void OnCallerLeft(Gateway::RequestNumber number);
+  void OnAnswerHead(Gateway::RequestNumber number, const Common::HttpHead& head, bool is_foreign);
   void OnAnswer(Gateway::RequestNumber number, const Common::HttpHead& head, bool is_whole);
   void OnBody(Gateway::RequestNumber number, std::string_view data);
   void OnCallEnded(Gateway::RequestNumber number);
@@ -70,6 +71,7 @@
   void Do(const Gateway::AbortAnswer& abort);
   void Do(const Gateway::ReportWorkToAgent& tell);
   void Do(const Gateway::ReportLimitToAgent& tell);
+  void Do(const Gateway::ReportLeaving& tell);
   // The exchange, given up: the caller may send its next request.
   Exchange Take(Gateway::RequestNumber number);
 
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -108,8 +108,11 @@
 void GatewayControl::AnswerTargets(const Address& to, Control::Position newer_than)
 {
   const bool is_newer = m_follower.HasTargets() && m_follower.TargetsPosition() > newer_than;
-  if (is_newer && m_targets_pacing.TryAcquire(to, m_follower.TargetsPosition(), EventLoop::Now()))
-    m_mesh.Send(to, Mesh::TargetsUpdate{m_follower.FullTargetList()});
+  if (!is_newer || !m_targets_pacing.TryAcquire(to, m_follower.TargetsPosition(), EventLoop::Now()))
+    return;
+  // First what the list may not say yet.
+  m_mesh.Send(to, Mesh::LeavingTargets{m_handlers.leaving_targets()});
+  m_mesh.Send(to, Mesh::TargetsUpdate{m_follower.FullTargetList()});
 }
 
 // --- what peers say ---
@@ -133,6 +136,7 @@
           { m_mesh.Send(from.address, m_briefing.FullHello(EventLoop::Now())); },
           [&](const Mesh::CrashRecords& told) { m_handlers.on_crash_records(told.records); },
           [&](const Mesh::EngineEnded& told) { m_handlers.on_engine_end(told.end); },
+          [&](const Mesh::LeavingTargets& told) { m_handlers.on_leaving(told.targets); },
           [](const auto&) {}},
       message);
 }
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -103,6 +103,8 @@
   rateLimit @24 :RateLimit;
   # The requests that the receiver may send under the limit.
   permits @25 :UInt16;
+  # The target has told the sender that it leaves.
+  isLeaving @26 :Bool;
 }
 
 # What a target takes from all gateways together.
@@ -197,6 +199,11 @@
   incarnation @9 :UInt64;
 }
 
+struct LeavingTarget {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct TargetsAnswer {
   # How far the sender has read the platform's list.
   position @0 :UInt64;
@@ -236,5 +243,7 @@
     engineEnded @20 :EngineEnded;
     # The rate limit that the receiver's target has named.
     limitUpdate @21 :RateLimit;
+    # Targets that have said that they leave.
+    leavingTargets @22 :List(LeavingTarget);
   }
 }
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -34,6 +34,7 @@
 CAPNP_DECLARE_SCHEMA(c5cb318896613641);
 CAPNP_DECLARE_SCHEMA(f5465432b7e0e1dd);
 CAPNP_DECLARE_SCHEMA(c92e386bb283052b);
+CAPNP_DECLARE_SCHEMA(dc21fcfbec558cca);
 CAPNP_DECLARE_SCHEMA(8cec377795438859);
 CAPNP_DECLARE_SCHEMA(9c770350d7e440fb);
 
@@ -313,6 +314,21 @@
   };
 };
 
+struct LeavingTarget {
+  LeavingTarget() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc21fcfbec558cca, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct TargetsAnswer {
   TargetsAnswer() = delete;
 
@@ -353,6 +369,7 @@
     CRASH_RECORDS,
     ENGINE_ENDED,
     LIMIT_UPDATE,
+    LEAVING_TARGETS,
   };
 
   struct _capnpPrivate {
@@ -1092,6 +1109,8 @@
 
   inline  ::uint16_t getPermits() const;
 
+  inline bool getIsLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1226,6 +1245,9 @@
   inline  ::uint16_t getPermits();
   inline void setPermits( ::uint16_t value);
 
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2356,6 +2378,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingTarget::Reader {
+public:
+  typedef LeavingTarget Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingTarget::Builder {
+public:
+  typedef LeavingTarget Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingTarget::Pipeline {
+public:
+  typedef LeavingTarget Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class TargetsAnswer::Reader {
 public:
   typedef TargetsAnswer Reads;
@@ -2543,6 +2651,10 @@
   inline bool hasLimitUpdate() const;
   inline  ::Holdpost::MeshWire::RateLimit::Reader getLimitUpdate() const;
 
+  inline bool isLeavingTargets() const;
+  inline bool hasLeavingTargets() const;
+  inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader getLeavingTargets() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2720,6 +2832,14 @@
   inline void adoptLimitUpdate(::capnp::Orphan< ::Holdpost::MeshWire::RateLimit>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::RateLimit> disownLimitUpdate();
 
+  inline bool isLeavingTargets();
+  inline bool hasLeavingTargets();
+  inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder getLeavingTargets();
+  inline void setLeavingTargets( ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder initLeavingTargets(unsigned int size);
+  inline void adoptLeavingTargets(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>> disownLeavingTargets();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3985,6 +4105,20 @@
       ::capnp::bounded<23>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RateLimit::Reader::getIsSet() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4993,6 +5127,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeavingTarget::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingTarget::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingTarget::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingTarget::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingTarget::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingTarget::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingTarget::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingTarget::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingTarget::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingTarget::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingTarget::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TargetsAnswer::Reader::getPosition() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6017,6 +6199,60 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isLeavingTargets() const {
+  return which() == Message::LEAVING_TARGETS;
+}
+inline bool Message::Builder::isLeavingTargets() {
+  return which() == Message::LEAVING_TARGETS;
+}
+inline bool Message::Reader::hasLeavingTargets() const {
+  if (which() != Message::LEAVING_TARGETS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasLeavingTargets() {
+  if (which() != Message::LEAVING_TARGETS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getLeavingTargets() const {
+  KJ_IREQUIRE((which() == Message::LEAVING_TARGETS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getLeavingTargets() {
+  KJ_IREQUIRE((which() == Message::LEAVING_TARGETS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setLeavingTargets( ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::LEAVING_TARGETS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initLeavingTargets(unsigned int size) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::LEAVING_TARGETS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptLeavingTargets(
+    ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::LEAVING_TARGETS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>> Message::Builder::disownLeavingTargets() {
+  KJ_IREQUIRE((which() == Message::LEAVING_TARGETS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -74,6 +74,8 @@
     return Read(in.getCrashRecords());
   case MeshWire::Message::ENGINE_ENDED:
     return Read(in.getEngineEnded());
+  case MeshWire::Message::LEAVING_TARGETS:
+    return Read(in.getLeavingTargets());
   case MeshWire::Message::LIMIT_UPDATE:
     return Read(in.getLimitUpdate());
   }
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -97,6 +97,25 @@
   return Mesh::TargetsUpdate{std::move(news)};
 }
 
+void Write(const Mesh::LeavingTargets& told, MeshWire::Message::Builder message)
+{
+  auto out = message.initLeavingTargets(static_cast<unsigned>(told.targets.size()));
+  for (unsigned i = 0; i < out.size(); ++i)
+  {
+    out[i].setId(told.targets[i].id);
+    out[i].setIncarnation(told.targets[i].incarnation);
+  }
+}
+
+Mesh::Message Read(capnp::List<MeshWire::LeavingTarget>::Reader in)
+{
+  Mesh::LeavingTargets told;
+  told.targets.reserve(in.size());
+  for (const auto target : in)
+    told.targets.push_back({ToText(target.getId()), target.getIncarnation()});
+  return told;
+}
+
 // --- gateways ---
 
 void Write(const Mesh::GatewaysRequest& ask, MeshWire::Message::Builder message)
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -188,6 +188,7 @@
   if (load.rate_limit)
     Write(load.rate_limit, out.initRateLimit());
   out.setPermits(ToWireCount(load.permits));
+  out.setIsLeaving(load.is_leaving);
   out.setCrashes(report.crashes);
   out.setEchoMs(ToWireMs(report.echo));
   out.setEchoAgeMs(ToWireMs(report.echo_age));
@@ -222,6 +223,7 @@
                  static_cast<double>(in.getFarArrivals()), in.getRefusedPercent() / PERCENT};
   load.rate_limit = ReadLimit(in.getRateLimit());
   load.permits = in.getPermits();
+  load.is_leaving = in.getIsLeaving();
   Mesh::LoadReport report;
   report.load = load;
   report.gateways = in.getGateways();
--- a/Source/Peers/Mesh/MeshWireParts.h
+++ b/Source/Peers/Mesh/MeshWireParts.h
@@ -113,6 +113,8 @@
 Mesh::Message Read(MeshWire::RateLimit::Reader in);
 void Write(const Mesh::EngineEnded& told, MeshWire::Message::Builder message);
 Mesh::Message Read(MeshWire::EngineEnded::Reader in);
+void Write(const Mesh::LeavingTargets& told, MeshWire::Message::Builder message);
+Mesh::Message Read(capnp::List<MeshWire::LeavingTarget>::Reader in);
 void Write(const Mesh::TargetsUpdate& tell, MeshWire::Message::Builder message);
 Mesh::Message Read(MeshWire::TargetsAnswer::Reader in);
 void Write(const Mesh::ReaderBeat& beat, MeshWire::Message::Builder message);
--- a/Source/Peers/Target/HeaderNames.h
+++ b/Source/Peers/Target/HeaderNames.h
@@ -30,6 +30,8 @@
   std::string not_run = "Holdpost-Not-Run";
   // From the target: the requests a second that it takes from all callers together.
   std::string rate_limit = "Holdpost-Rate-Limit";
+  // From the target: 1 if it leaves and wants no more requests.
+  std::string leaving = "Holdpost-Leaving";
   // From the target, and passed on without being read.
   std::vector<std::string> passed_on = {};
 };
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -83,6 +83,8 @@
 void TargetCall::OnHead(HttpHead head)
 {
   m_is_foreign = !IsOurs(head);
+  if (head.status >= 200 && m_handlers.on_head)
+    m_handlers.on_head(head, m_is_foreign);
   if (m_is_foreign)
   {
     m_is_spoilt = true;
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -55,6 +55,9 @@
     std::function<void()> on_end;
     // No call follows.
     std::function<void(CallFailure failure)> on_failure;
+    // The head of an answer has come, before anything else is told of it. It is foreign if it
+    // answers an earlier request on the same connection.
+    std::function<void(const Common::HttpHead& head, bool is_foreign)> on_head = nullptr;
   };
 
   TargetCall(TargetPool& pool, const HeaderNames& names)
--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -82,11 +82,16 @@
   return limit;
 }
 
+bool SaysLeaving(const HttpHead& answer, const HeaderNames& names)
+{
+  return answer.fields.FindNumber(names.leaving) == 1;
+}
+
 Common::KnownFields KnownAnswerFields(const HeaderNames& names)
 {
   std::vector<std::string> known = {"Content-Type", "Content-Length", "Date",
                                     "Server",       names.request_id, names.weights_version,
-                                    names.not_run,  names.rate_limit};
+                                    names.not_run,  names.rate_limit, names.leaving};
   known.insert(known.end(), names.passed_on.begin(), names.passed_on.end());
   return Common::KnownFields(std::move(known));
 }
--- a/Source/Peers/Target/TargetMessage.h
+++ b/Source/Peers/Target/TargetMessage.h
@@ -19,6 +19,8 @@
 // The rate limit that a target's answer names, in requests a second; empty if it names none, or
 // none that can be kept.
 std::optional<double> ReadRateLimit(const Common::HttpHead& answer, const HeaderNames& names);
+// Whether an answer says that its target leaves.
+bool SaysLeaving(const Common::HttpHead& answer, const HeaderNames& names);
 // The fields of a target's answer that are read, or that need no reader.
 Common::KnownFields KnownAnswerFields(const HeaderNames& names);
 // The request as the target gets it: method, path and body as the caller sent them, the caller's
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -171,6 +171,11 @@
     CHECK(There(Mesh::LimitUpdate{0.7}).per_second == 0.7);
     CHECK_FALSE(There(Mesh::LimitUpdate{}).per_second.has_value());
   }
+  SUBCASE("targets that have said that they leave")
+  {
+    const std::vector<Gateway::LeavingTarget> leaving = {{"i-1", 1788408695000}, {"i-2", 0}};
+    CHECK(There(Mesh::LeavingTargets{leaving}).targets == leaving);
+  }
   SUBCASE("a reader's beat")
   {
     const Mesh::ReaderBeat beat{40, 38, 17, {{{"m", 3}, Milliseconds(250)}}, Milliseconds(90)};
--- a/Source/UnitTests/Peers/TargetMessageTest.cpp
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -100,3 +100,17 @@
       CHECK_FALSE(limit_of(text).has_value());
   }
 }
+
+TEST_CASE("A target that leaves says so in its answers")
+{
+  const auto says_leaving = [](const std::string& text)
+  {
+    Common::HttpHead answer;
+    answer.fields.Add("holdpost-leaving", text);
+    return SaysLeaving(answer, HeaderNames{});
+  };
+  CHECK(says_leaving("1"));
+  CHECK_FALSE(SaysLeaving(Common::HttpHead{}, HeaderNames{}));
+  for (const std::string text : {"", "0", "no", "-1", "11"})
+    CHECK_FALSE(says_leaving(text));
+}
