Gateway: Keep the rest that a target asks for, and return from it one request at a time

Cause: a target that turns requests away with a Retry-After was avoided for a fixed 60 ms. Nothing read the time.

TargetRests keeps the end of the rest by target and incarnation, apart from the list, on the clock that goes on during a suspension. Several answers: the latest end counts. What is no number of seconds counts as no rest, and is logged. TargetTable::AvailabilityOf has one more answer, Resting; requests whose connections have not come up are taken back (a full queue of connections may deliver them seconds later). Afterwards each gateway returns at a moment of its own, up to an eighth of the rest or 500 ms later, and sends one request at a time until one is accepted. A rest binds the gateway that was asked, so others are not told: the target may have room for them. If all targets rest, callers are refused at once with the time until the first returns.

--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -138,9 +138,10 @@
   void Do(Node& node, const Gateway::Refuse& refuse);
   void Do(Node& node, const Gateway::AbortAnswer& abort);
   void Do(Node& node, const Gateway::ReportWorkToAgent& tell);
-  // Engines of the model name no limits, and do not leave.
+  // Engines of the model name no limits, do not leave and do not rest.
   void Do(Node& /*node*/, const Gateway::ReportLimitToAgent& /*tell*/) {}
   void Do(Node& /*node*/, const Gateway::ReportLeaving& /*tell*/) {}
+  void Do(Node& /*node*/, const Gateway::RecallConnecting& /*recall*/) {}
   void ScheduleTick(Node& node);
 
   void StartPass(Target& target);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -260,14 +260,30 @@
 void Gateway::Handle(const AnswerHead& event, TimePoint now, Actions* actions)
 {
   const Tracked* tracked = Find(event.number);
-  if (!tracked || !tracked->last_attempt || !event.is_leaving)
+  if (!tracked || !tracked->last_attempt)
     return;
-  const TargetChoice& choice = tracked->last_attempt->choice;
+  const TargetChoice choice = tracked->last_attempt->choice;
   if (event.is_other_target)
-    return m_targets.OnOtherLeaving(choice.address, choice.id, now);
-  const LeavingTarget leaving{choice.id, choice.incarnation};
-  if (m_targets.OnLeaving(leaving, now))
-    actions->push_back(ReportLeaving{leaving});
+  {
+    if (event.is_leaving)
+      m_targets.OnOtherLeaving(choice.address, choice.id, now);
+    return;
+  }
+  const LeavingTarget target{choice.id, choice.incarnation};
+  if (event.is_leaving && m_targets.OnLeaving(target, now))
+    actions->push_back(ReportLeaving{target});
+  if (event.rest)
+    BeginRest(choice, *event.rest, now, actions);
+  else if (!event.is_rejected && !event.is_foreign)
+    m_targets.OnAccepted(choice.id, event.number);
+}
+
+void Gateway::BeginRest(const TargetChoice& choice, Duration rest, TimePoint now, Actions* actions)
+{
+  const TimePoint until = m_targets.OnRestAsked(choice, rest, now);
+  m_log.OnRestAsked(choice.id, rest, until - now, now);
+  m_timers.push({until, NO_REQUEST});
+  actions->push_back(RecallConnecting{choice.id});
 }
 
 void Gateway::Handle(const AnswerBegan& event, TimePoint now, Actions* actions)
@@ -343,7 +359,8 @@
   if (!tracked || tracked->state == State::Waiting)
     return;
   tracked->last_attempt->end = event.end;
-  m_targets.OnFailed(TargetInSameIncarnation(*tracked), now);
+  if (event.end != AttemptEnd::Recalled)
+    m_targets.OnFailed(TargetInSameIncarnation(*tracked), now);
   if (event.last_event)
     tracked->last_event = event.last_event;
   if (event.failure == AttemptFailure::NotSent)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -189,6 +189,9 @@
   // Takes over the rate limit that an answer has named, and tells the target's agent.
   void UpdateRateLimit(const Tracked& tracked, const AnswerBegan& event, Common::TimePoint now,
                        Actions* actions);
+  // The target has asked for rest.
+  void BeginRest(const TargetChoice& choice, Common::Duration rest, Common::TimePoint now,
+                 Actions* actions);
   void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void OnNotRun(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
@@ -196,7 +199,7 @@
   void Forget(RequestNumber number);
   // The state of the request's service, for the log.
   ServiceView ViewOf(const Tracked& tracked, Common::TimePoint now) const;
-  Common::Milliseconds RetryAfterFor(const Tracked& tracked) const;
+  Common::Milliseconds RetryAfterFor(const Tracked& tracked, const TargetSummary& targets) const;
   Tracked* Find(RequestNumber number);
   void RefuseArrival(const RequestArrived& event, Common::Error error, Common::TimePoint now,
                      Actions* actions);
--- a/Source/Core/Gateway/GatewayRefusals.cpp
+++ b/Source/Core/Gateway/GatewayRefusals.cpp
@@ -27,16 +27,25 @@
   actions->push_back(Refuse{event.number, std::move(error)});
 }
 
+// The time until the first target returns from its rest, if no other target accepts requests.
+static Milliseconds TimeUntilReturn(const TargetSummary& targets)
+{
+  if (targets.open > 0 || targets.avoided > 0 || !targets.next_return)
+    return Milliseconds::zero();
+  return std::chrono::ceil<Milliseconds>(*targets.next_return);
+}
+
 // Returns the time after which the caller may retry. By then a full target has ended about all
 // requests that it runs now. The times are spread out by the request id; otherwise callers that
 // were refused together would retry together.
-Milliseconds Gateway::RetryAfterFor(const Tracked& tracked) const
+Milliseconds Gateway::RetryAfterFor(const Tracked& tracked, const TargetSummary& targets) const
 {
   const Duration turnover = m_targets.TurnoverTimeOf(tracked.service);
   const double spread = static_cast<double>(Common::StableHash(tracked.request.id) % 1000) / 1000;
   const auto wait = std::chrono::duration_cast<Milliseconds>(RETRY_AFTER_TURNOVER_SHARE * turnover);
   const auto spread_wait = std::chrono::duration_cast<Milliseconds>(spread * wait);
-  return std::clamp(wait + spread_wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+  return TimeUntilReturn(targets) +
+         std::clamp(wait + spread_wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER);
 }
 
 // Describes the service as a new request of the same kind would find it now.
@@ -66,9 +75,9 @@
       error = {ErrorKind::Unreachable, error.message};
     const Common::ErrorAnswer& given = Common::AnswerFor(error.kind);
     const bool may_come_back = given.retry_after > Milliseconds::zero();
-    if (given.outcome == Common::Outcome::NotRun && may_come_back)
-      error.retry_after = RetryAfterFor(tracked);
     const ServiceView view = ViewOf(tracked, now);
+    if (given.outcome == Common::Outcome::NotRun && may_come_back)
+      error.retry_after = RetryAfterFor(tracked, view.targets);
     m_targets.OnRefused(service, now);
     m_log.OnRefused(tracked, Common::AnswerFor(error.kind), view, now);
     actions->push_back(Refuse{tracked.number, std::move(error)});
--- a/Source/Core/Gateway/Messages.cpp
+++ b/Source/Core/Gateway/Messages.cpp
@@ -19,6 +19,8 @@
     return "bad_answer";
   case AttemptEnd::PartialEvent:
     return "partial_event";
+  case AttemptEnd::Recalled:
+    return "recalled";
   }
   return "none";
 }
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -74,6 +74,10 @@
   bool is_other_target = false;
   // The target leaves and wants no more requests.
   bool is_leaving = false;
+  // The target has turned the request away.
+  bool is_rejected = false;
+  // The time for which the target wants no more requests from this gateway; empty if it names none.
+  std::optional<Common::Duration> rest = std::nullopt;
 };
 
 // The target began to answer. The executor buffers the received part until it is passed on.
@@ -123,6 +127,8 @@
   BadAnswer,
   // The answer ended in the middle of an event.
   PartialEvent,
+  // The gateway took the request back before the connection came up.
+  Recalled,
 };
 std::string_view AttemptEndName(AttemptEnd end);
 
@@ -157,6 +163,12 @@
   bool may_repeat = false;
 };
 
+// Takes back the requests to the target whose connections have not come up yet.
+struct RecallConnecting
+{
+  TargetId target;
+};
+
 // Passes the answer of the present attempt on to the caller.
 struct PassAnswer
 {
@@ -204,6 +216,6 @@
 };
 
 using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer,
-                            ReportWorkToAgent, ReportLimitToAgent, ReportLeaving>;
+                            ReportWorkToAgent, ReportLimitToAgent, ReportLeaving, RecallConnecting>;
 using Actions = std::vector<Action>;
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -155,7 +155,7 @@
       view.targets.listed, "open", view.targets.open, "leaving", view.targets.leaving, "avoided",
       view.targets.avoided, "switching", view.targets.switching, "without_weights",
       view.targets.without_weights, "old_weights", view.targets.old_weights, "unreported",
-      view.targets.unreported, "limited", view.targets.limited);
+      view.targets.unreported, "limited", view.targets.limited, "resting", view.targets.resting);
 }
 
 void RequestLog::OnAnswerCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
@@ -168,6 +168,14 @@
              tracked.last_event.value_or(0));
 }
 
+void RequestLog::OnRestAsked(const TargetId& target, Duration rest, Duration returns_in,
+                             TimePoint now)
+{
+  m_metrics.Add("holdpost_rests_asked_total");
+  LogEvent(Weight::Important, now, "target.resting", "target", target, "asked_ms", rest,
+           "returns_in_ms", returns_in);
+}
+
 void RequestLog::OnBlocked(const RequestFingerprint& request, TimePoint now)
 {
   m_metrics.Add("holdpost_requests_blocked_total");
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -58,6 +58,9 @@
                  const ServiceView& view, Common::TimePoint now);
   void OnAnswerCut(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
                    Common::TimePoint now);
+  // A target has turned requests away and asked for rest; `returns_in` includes the spread.
+  void OnRestAsked(const TargetId& target, Common::Duration rest, Common::Duration returns_in,
+                   Common::TimePoint now);
   // The request has crashed so many engines that it is sent to none any more.
   void OnBlocked(const RequestFingerprint& request, Common::TimePoint now);
 
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -170,6 +170,14 @@
     case Availability::Limited:
       ++summary.limited;
       break;
+    case Availability::Resting:
+    {
+      const Duration left =
+          m_rests.TimeLeft(id, target.listed.incarnation, now).value_or(Duration());
+      summary.next_return = std::min(summary.next_return.value_or(left), left);
+      ++summary.resting;
+      break;
+    }
     }
   }
   return summary;
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -174,6 +174,11 @@
          m_leaving.Contains(target.listed.id, target.listed.incarnation);
 }
 
+TimePoint TargetTable::OnRestAsked(const TargetChoice& choice, Duration rest, TimePoint now)
+{
+  return m_rests.OnAsked(choice.id, choice.incarnation, rest, now);
+}
+
 bool TargetTable::OnLeaving(const LeavingTarget& target, TimePoint now)
 {
   if (!m_leaving.Add(target, now))
@@ -196,6 +201,8 @@
 {
   if (IsLeaving(target))
     return Availability::Leaving;
+  if (!m_rests.MaySend(target.listed.id, target.listed.incarnation, now))
+    return Availability::Resting;
   if (now < target.avoid_until)
     return Availability::Avoided;
   if (target.load && target.load->is_switching && now - target.load_received <= LOAD_LIFETIME)
@@ -249,6 +256,7 @@
 {
   Target& target = m_targets[id];
   target.limit.OnSent(m_gateways.all, now);
+  m_rests.OnSent(id, request, now);
   ++target.local_requests;
   const Duration min_start =
       EngineOf(target.listed.service) ? MIN_EXPECTED_START : MIN_PLAIN_EXPECTED_START;
@@ -279,6 +287,7 @@
 void TargetTable::OnEnded(const TargetId& id, std::uint64_t request,
                           std::uint32_t unread_prompt_tokens)
 {
+  m_rests.OnEnded(id, request);
   const auto found = m_targets.find(id);
   if (found == m_targets.end())
     return;
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -20,6 +20,7 @@
 #include "Core/Gateway/StartEstimate.h"
 #include "Core/Gateway/Target.h"
 #include "Core/Gateway/TargetLimit.h"
+#include "Core/Gateway/TargetRests.h"
 #include "Core/Gateway/TargetSubset.h"
 
 // The targets that a gateway may call, their load and health as far as they are known, and the
@@ -107,6 +108,10 @@
   std::uint32_t unreported = 0;
   // Targets that have named a rate limit, under which this gateway may send nothing now.
   std::uint32_t limited = 0;
+  // Targets that have asked this gateway for rest, and the time until the first of them may be sent
+  // a request again.
+  std::uint32_t resting = 0;
+  std::optional<Common::Duration> next_return;
   // Targets that may start the request after a switch deadline without having its version.
   std::uint32_t old_weights = 0;
 };
@@ -116,7 +121,7 @@
 public:
   // `seed` determines the choices between equally good targets.
   explicit TargetTable(const std::string& hall, std::uint64_t seed = 0)
-      : m_hall(hall), m_seed(seed), m_subset(hall, seed), m_random(seed)
+      : m_hall(hall), m_seed(seed), m_subset(hall, seed), m_rests(seed), m_random(seed)
   {
   }
 
@@ -197,6 +202,12 @@
   // Called when an answer of the target has named a rate limit, or none.
   void OnRateLimit(const TargetId& id, std::optional<double> per_second, Common::TimePoint now);
   bool IsLimited(const TargetId& id) const;
+  // Called when the target has turned a request away and asked for rest. Returns the time at which
+  // requests may be sent to it again.
+  Common::TimePoint OnRestAsked(const TargetChoice& choice, Common::Duration rest,
+                                Common::TimePoint now);
+  // Called when the target has not turned the request away.
+  void OnAccepted(const TargetId& id, std::uint64_t request) { m_rests.OnAccepted(id, request); }
   // Called when the target has said that it leaves. Returns false if it is known.
   bool OnLeaving(const LeavingTarget& target, Common::TimePoint now);
   // Called when a target at the address other than `id` has said that it leaves.
@@ -365,6 +376,7 @@
     WithoutWeights,
     Unreported,
     Limited,
+    Resting,
   };
   // Whether the target list or the target itself says that it leaves.
   bool IsLeaving(const Target& target) const;
@@ -384,6 +396,7 @@
   // Targets that have left the target list but may still answer, with the time at which they left.
   std::map<TargetId, Common::TimePoint> m_departed_at;
   LeavingTargets m_leaving;
+  TargetRests m_rests;
   std::set<std::string> m_services;
   std::map<std::string, Engine> m_engines;
   // The mean request time by service, for services without an engine.
--- a/Source/Core/Gateway/WaitLimit.cpp
+++ b/Source/Core/Gateway/WaitLimit.cpp
@@ -31,8 +31,11 @@
   // A gateway that has just started receives the target list and the load reports within moments.
   if (summary.listed == 0 || summary.unreported > 0)
     return pass;
-  // All targets have weights that are too old, have no weights, or are leaving: no capacity is
-  // about to become free.
+  // A target that is about to return from its rest accepts one request at first.
+  if (summary.resting > 0 && summary.next_return && *summary.next_return < pass)
+    return pass;
+  // All targets have weights that are too old, have no weights, are leaving, or rest: no capacity
+  // is about to become free.
   return Duration::zero();
 }
 
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -112,6 +112,8 @@
   arrived.is_foreign = is_foreign;
   arrived.is_other_target = head.status == 421;
   arrived.is_leaving = TargetPeer::SaysLeaving(head, m_names);
+  arrived.rest = TargetPeer::ReadRest(head);
+  arrived.is_rejected = arrived.rest || head.fields.Find(m_names.not_run) != nullptr;
   Feed(arrived);
 }
 
@@ -245,6 +247,19 @@
   m_control.SendLeaving(tell.target);
 }
 
+void GatewayNode::Do(const Gateway::RecallConnecting& recall)
+{
+  std::vector<std::shared_ptr<TargetPeer::TargetCall>> connecting;
+  for (const auto& [number, exchange] : m_exchanges)
+  {
+    const auto& call = exchange.call;
+    if (call && call->IsConnecting() && call->Target() == recall.target)
+      connecting.push_back(call);
+  }
+  for (const auto& call : connecting)
+    call->Recall();
+}
+
 void GatewayNode::Carry(Gateway::Actions& actions)
 {
   for (const Gateway::Action& action : actions)
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -72,6 +72,7 @@
   void Do(const Gateway::ReportWorkToAgent& tell);
   void Do(const Gateway::ReportLimitToAgent& tell);
   void Do(const Gateway::ReportLeaving& tell);
+  void Do(const Gateway::RecallConnecting& recall);
   // The exchange, given up: the caller may send its next request.
   Exchange Take(Gateway::RequestNumber number);
 
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -208,6 +208,12 @@
   m_connection.reset();
 }
 
+void TargetCall::Recall()
+{
+  if (IsConnecting())
+    Fail(CallFailure::NotSent, AttemptEnd::Recalled);
+}
+
 void TargetCall::GiveBack()
 {
   if (!m_connection)
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -70,6 +70,11 @@
   void Pass();
   // No call follows. A target that still works on the request is told by a reset.
   void Cancel();
+  // Whether no byte of the request can have reached the target yet.
+  bool IsConnecting() const { return m_connection && !m_connection->IsConnected(); }
+  const std::string& Target() const { return m_request.target; }
+  // Gives the request up before its connection has come up.
+  void Recall();
   void PauseReading();
   void ResumeReading();
 
--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include "Common/EventLoop.h"
+
 namespace Holdpost::TargetPeer
 {
 using Common::AppendField;
@@ -14,6 +16,11 @@
 using Common::HttpHead;
 
 static constexpr std::string_view BEARER = "Bearer ";
+static constexpr const char* RETRY_AFTER = "Retry-After";
+static constexpr int SERVICE_UNAVAILABLE = 503;
+static constexpr int TOO_MANY_REQUESTS = 429;
+// Larger values are no time that can be kept, but do mean a long one.
+static constexpr double MAX_REST_SECONDS = 1e6;
 
 static std::uint32_t ReadNumber(std::string_view text)
 {
@@ -68,18 +75,42 @@
   return request;
 }
 
+// A finite number from 0 that takes up the whole text.
+static std::optional<double> ReadDecimal(std::string_view text)
+{
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto [read_to, error] = std::from_chars(text.data(), end, number);
+  const bool is_number = error == std::errc() && read_to == end;
+  if (!is_number || !std::isfinite(number) || number < 0)
+    return std::nullopt;
+  return number;
+}
+
 std::optional<double> ReadRateLimit(const HttpHead& answer, const HeaderNames& names)
 {
   const std::string* text = answer.fields.Find(names.rate_limit);
   if (!text)
     return std::nullopt;
-  double limit = 0;
-  const char* end = text->data() + text->size();
-  const auto [read_to, error] = std::from_chars(text->data(), end, limit);
-  const bool is_number = error == std::errc() && read_to == end;
-  if (!is_number || !std::isfinite(limit) || limit < 0)
+  return ReadDecimal(*text);
+}
+
+std::optional<Common::Duration> ReadRest(const HttpHead& answer)
+{
+  const bool is_rejected =
+      answer.status == SERVICE_UNAVAILABLE || answer.status == TOO_MANY_REQUESTS;
+  const std::string* text = is_rejected ? answer.fields.Find(RETRY_AFTER) : nullptr;
+  if (!text)
     return std::nullopt;
-  return limit;
+  const auto seconds = ReadDecimal(*text);
+  if (!seconds || *seconds <= 0)
+  {
+    Common::UnreadFields::Instance().Note("unreadable answer", RETRY_AFTER, *text,
+                                          Common::EventLoop::Now());
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> rest(std::min(*seconds, MAX_REST_SECONDS));
+  return std::chrono::duration_cast<Common::Duration>(rest);
 }
 
 bool SaysLeaving(const HttpHead& answer, const HeaderNames& names)
@@ -89,9 +120,9 @@
 
 Common::KnownFields KnownAnswerFields(const HeaderNames& names)
 {
-  std::vector<std::string> known = {"Content-Type", "Content-Length", "Date",
-                                    "Server",       names.request_id, names.weights_version,
-                                    names.not_run,  names.rate_limit, names.leaving};
+  std::vector<std::string> known = {
+      "Content-Type",   "Content-Length",      "Date",        "Server",         RETRY_AFTER,
+      names.request_id, names.weights_version, names.not_run, names.rate_limit, names.leaving};
   known.insert(known.end(), names.passed_on.begin(), names.passed_on.end());
   return Common::KnownFields(std::move(known));
 }
--- a/Source/Peers/Target/TargetMessage.h
+++ b/Source/Peers/Target/TargetMessage.h
@@ -19,6 +19,9 @@
 // The rate limit that a target's answer names, in requests a second; empty if it names none, or
 // none that can be kept.
 std::optional<double> ReadRateLimit(const Common::HttpHead& answer, const HeaderNames& names);
+// The time for which a target that turns a request away wants no more of them; empty if its answer
+// names none, or none that can be read. A target's answer is asked about with its status.
+std::optional<Common::Duration> ReadRest(const Common::HttpHead& answer);
 // Whether an answer says that its target leaves.
 bool SaysLeaving(const Common::HttpHead& answer, const HeaderNames& names);
 // The fields of a target's answer that are read, or that need no reader.
--- a/Source/UnitTests/Peers/TargetMessageTest.cpp
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -114,3 +114,32 @@
   for (const std::string text : {"", "0", "no", "-1", "11"})
     CHECK_FALSE(says_leaving(text));
 }
+
+TEST_CASE("The rest that a target asks for is read from its answer")
+{
+  using Seconds = std::chrono::duration<double>;
+  const auto rest_of = [](int status, const std::string& text) -> std::optional<double>
+  {
+    Common::HttpHead answer;
+    answer.status = status;
+    answer.fields.Add("retry-after", text);
+    const auto rest = ReadRest(answer);
+    return rest ? std::optional(Seconds(*rest).count()) : std::nullopt;
+  };
+  CHECK(rest_of(503, "3") == 3.0);
+  CHECK(rest_of(503, "0.75") == 0.75);
+  CHECK(rest_of(429, "2") == 2.0);
+  // A thousand years are a long time, but not one that overflows.
+  CHECK(rest_of(503, "31557600000").value_or(0) >= 86400);
+  SUBCASE("and only from one that turns the request away")
+  {
+    CHECK_FALSE(rest_of(200, "3").has_value());
+    CHECK_FALSE(rest_of(500, "3").has_value());
+  }
+  SUBCASE("and what is no number of seconds is none")
+  {
+    for (const std::string text :
+         {"", "soon", "3 s", "0", "-1", "nan", "inf", "1e999", "Thu, 03 Dec 2026 17:00:00 GMT"})
+      CHECK_FALSE(rest_of(503, text).has_value());
+  }
+}
