Control, Platform: Read a store anew that has come back from an older copy

What callers saw: requests reached a target for seconds after the store had taken that it leaves; some may break off.

Cause: positions of the platform were bare offsets. After a restore, offsets are given out again: a read from a known one got 410, the full list that followed ended before the known position and was dropped without a line, until the offsets had passed it.

A position now holds the era that the store names in its answers, above the offset, so that all positions of a later era are larger: readers, followers, beats and briefings order them as before. An answer of another era than the position asked from counts as gone; reads of the newest state follow at once. Whoever sees a new era, by a read or from the reader of its hall, reads list and settings anew, also while a long poll waits; late answers of earlier reads are ignored by their number. What is known outlasts the copy: TargetRecords keeps the revision of each target's record, so that a target that leaves or is gone stays so until it writes a later one; targets that are missing in the copy have the time in which records are written again. Settings and weights have versions of their own. Records of blocked requests are read and written again.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -48,7 +48,8 @@
     const bool has_state = m_operator_next > 0 && m_document;
     m_naming_tracker.OnOperatorRequested(!has_state, now);
     actions->push_back(ReadOperatorChanges{has_state ? m_operator_next : 0,
-                                           has_state ? m_options.long_poll : Milliseconds(0)});
+                                           has_state ? m_options.long_poll : Milliseconds(0),
+                                           ++m_operator_read});
   }
   if (!m_is_reading_targets && now >= m_targets_due)
   {
@@ -94,23 +95,50 @@
   }
 }
 
-bool ControlFollower::OnOperatorRead(const Result<OperatorChanges>& result, TimePoint now)
+void ControlFollower::NoteEra(std::uint64_t era, TimePoint now)
 {
+  const std::uint64_t before = std::exchange(m_era, std::max(m_era, era));
+  // A process that has just started knows no position of an earlier era.
+  if (era <= before || (!m_has_read_operator && !m_targets.IsKnown()))
+    return;
+  LogEvent(Weight::Important, now, "platform.restored", "era", era, "before", before, "settings",
+           Version(), "targets", m_targets.Size());
+  m_operator_next = 0;
+  m_is_reading_operator_changes = false;
+  m_operator_due = now;
+  m_operator_backoff.Reset();
+  m_targets_next = 0;
+  m_targets_due = now;
+}
+
+void ControlFollower::OnOperatorFailed(const Error& error, TimePoint now)
+{
+  m_naming_tracker.OnOperatorFailed(now);
+  const bool is_position_gone = error.kind == ErrorKind::PositionGone;
+  const bool may_read_newest = is_position_gone && m_operator_next > 0;
+  if (is_position_gone)
+    m_operator_next = 0;
+  else
+    NoteReachable(false, now);
+  m_operator_due = may_read_newest ? now : now + m_operator_backoff.Next();
+}
+
+bool ControlFollower::OnOperatorRead(const Result<OperatorChanges>& result, TimePoint now,
+                                     std::optional<std::uint64_t> number)
+{
+  if (number.value_or(m_operator_read) != m_operator_read)
+    return false;
   m_is_reading_operator_changes = false;
   if (const auto* error = std::get_if<Error>(&result))
   {
-    m_naming_tracker.OnOperatorFailed(now);
-    if (error->kind == ErrorKind::PositionGone)
-      m_operator_next = 0;
-    else
-      NoteReachable(false, now);
-    m_operator_due = now + m_operator_backoff.Next();
+    OnOperatorFailed(*error, now);
     return false;
   }
   NoteReachable(true, now);
   m_last_answer = now;
   m_has_read_operator = true;
   const auto& read = std::get<OperatorChanges>(result);
+  NoteEra(EraOf(read.next), now);
   m_operator_next = read.next;
   if (m_document || read.document)
     m_operator_backoff.Reset();
@@ -176,34 +204,39 @@
   m_naming_tracker.OnListAnswered(now);
   if (const auto* error = std::get_if<Error>(&result))
   {
-    if (error->kind == ErrorKind::PositionGone)
+    const bool is_position_gone = error->kind == ErrorKind::PositionGone;
+    const bool may_read_whole = is_position_gone && m_targets_next > 0;
+    if (is_position_gone)
       m_targets_next = 0;
     else
       m_targets.OnReadFailed(now);
-    m_targets_due = now + m_targets_backoff.Next();
+    m_targets_due = may_read_whole ? now : now + m_targets_backoff.Next();
     return false;
   }
   m_targets_backoff.Reset();
-  m_targets_due = now + m_options.list_period;
   m_last_answer = now;
   m_has_read_targets = true;
+  NoteEra(EraOf(std::get<TargetsRead>(result).next), now);
+  m_targets_due = now + m_options.list_period;
   const bool is_changed = m_targets.OnRead(std::get<TargetsRead>(result), now);
   m_targets_next = m_targets.KnownPosition();
   return is_changed;
 }
 
-bool ControlFollower::OfferTargets(const TargetListChanges& update)
+bool ControlFollower::OfferTargets(const TargetListChanges& update, TimePoint now)
 {
-  if (!m_targets.Offer(update))
+  if (!m_targets.Offer(update, now))
     return false;
+  NoteEra(EraOf(update.position), now);
   m_targets_next = m_targets.KnownPosition();
   return true;
 }
 
-bool ControlFollower::OnPeerTargetsPosition(Position position, Position changed)
+bool ControlFollower::OnPeerTargetsPosition(Position position, Position changed, TimePoint now)
 {
   if (m_targets.OnPeerPosition(position, changed))
     return true;
+  NoteEra(EraOf(position), now);
   m_targets_next = m_targets.KnownPosition();
   return false;
 }
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -56,7 +56,9 @@
   void SetReading(bool is_reader);
 
   // Each of these functions returns true if the known state changes.
-  bool OnOperatorRead(const Common::Result<OperatorChanges>& result, Common::TimePoint now);
+  // `read` is the number of the read that the result belongs to; the last one if it is empty.
+  bool OnOperatorRead(const Common::Result<OperatorChanges>& result, Common::TimePoint now,
+                      std::optional<std::uint64_t> read = std::nullopt);
   bool OnTargetsRead(const Common::Result<TargetsRead>& result, Common::TimePoint now);
   // Applies a document that another process sent.
   bool OfferDocument(const std::shared_ptr<const Settings::Document>& document,
@@ -74,11 +76,11 @@
   }
   // Applies target list changes that another process read. They are ignored if earlier changes are
   // missing.
-  bool OfferTargets(const TargetListChanges& update);
+  bool OfferTargets(const TargetListChanges& update, Common::TimePoint now);
   // Handles the news that another process has read the target list up to `position` and that its
   // last change is at `changed`. Returns whether that process has to be asked for the list, because
   // this process lacks a change.
-  bool OnPeerTargetsPosition(Position position, Position changed);
+  bool OnPeerTargetsPosition(Position position, Position changed, Common::TimePoint now);
 
   const std::shared_ptr<const Settings::Document>& Document() const { return m_document; }
   Settings::DocumentVersion Version() const { return m_document ? m_document->version : 0; }
@@ -96,6 +98,8 @@
   // The position up to which the target list is known, and the position of its last change.
   Position TargetsPosition() const { return m_targets.KnownPosition(); }
   Position LastTargetsChange() const { return m_targets.ChangedPosition(); }
+  // The newest era of the platform that is known.
+  std::uint64_t Era() const { return m_era; }
   // The changes of the last read, for processes that know the target list up to its base.
   const TargetListChanges& LastTargetListChanges() const { return m_targets.LastUpdate(); }
   // The full target list, for processes that know none of it.
@@ -107,6 +111,11 @@
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
+  // If the platform has come back from an older copy, reads it anew: positions of earlier eras no
+  // longer exist, and a read that waits at one may wait in vain.
+  void NoteEra(std::uint64_t era, Common::TimePoint now);
+  // The read failed, because the position is gone or the platform does not answer.
+  void OnOperatorFailed(const Common::Error& error, Common::TimePoint now);
   bool OfferReadWeights(const std::vector<NamedWeights>& weights, Common::TimePoint now);
 
   FollowerOptions m_options;
@@ -121,6 +130,8 @@
   // The time since which other processes are known to have newer settings.
   std::optional<Common::TimePoint> m_behind_since;
   Common::TimePoint m_peer_request_due{};
+  std::uint64_t m_era = 0;
+  std::uint64_t m_operator_read = 0; // the number of the last read
   Position m_operator_next = 0;
   // The position from which the platform is asked for target list changes; 0 requests the full
   // list.
--- a/Source/Core/Control/ControlMessages.h
+++ b/Source/Core/Control/ControlMessages.h
@@ -17,9 +17,39 @@
 // and a target list, and the platform's answers.
 namespace Holdpost::Control
 {
-// A position in a sequence of changes; 0 requests the newest full state.
+// A position in the platform's sequence of changes; 0 requests the newest full state. A platform
+// that comes back from an older copy begins a new era, in which it gives out offsets again. All
+// positions of an era are larger than those of the eras before.
 using Position = std::uint64_t;
 
+inline constexpr unsigned OFFSET_BITS = 44;
+
+constexpr Position MakePosition(std::uint64_t era, std::uint64_t offset)
+{
+  return era << OFFSET_BITS | offset;
+}
+
+constexpr std::uint64_t EraOf(Position position)
+{
+  return position >> OFFSET_BITS;
+}
+
+constexpr std::uint64_t OffsetOf(Position position)
+{
+  return position & ((std::uint64_t{1} << OFFSET_BITS) - 1);
+}
+
+// Which of several records of a target one is.
+struct RecordVersion
+{
+  // The era in which it was read.
+  std::uint64_t era = 0;
+  // Increases with each record that the target writes; 0 if it is not known.
+  std::uint64_t revision = 0;
+
+  bool operator==(const RecordVersion&) const = default;
+};
+
 // A version of a model's weights that an operator has named.
 struct NamedWeights
 {
@@ -54,6 +84,7 @@
   Gateway::TargetId id;
   std::optional<Gateway::ListedTarget> target; // empty if removed
   Removal removal = Removal::Gone;
+  RecordVersion version = {};
 
   bool operator==(const TargetChange&) const = default;
 };
@@ -83,6 +114,8 @@
 {
   Position from = 0;
   Common::Milliseconds wait{0};
+  // Counts the reads, so that a late answer is not taken for that of a later read.
+  std::uint64_t number = 0;
 };
 
 struct ReadTargets
--- a/Source/Core/Control/TargetList.cpp
+++ b/Source/Core/Control/TargetList.cpp
@@ -40,6 +40,9 @@
   if (read.next < m_known_position)
     return false;
   const bool is_first = !std::exchange(m_is_known, true);
+  const bool is_restored = !is_first && EraOf(read.next) > EraOf(m_known_position);
+  if (is_restored)
+    m_lapse_tolerated_until = now + RECOVERY_TIME;
   const TargetsById before = m_targets;
   std::set<Gateway::TargetId> gone;
   if (read.is_whole)
@@ -49,25 +52,13 @@
   }
   for (const TargetChange& change : read.changes)
   {
-    const bool may_have_lapsed = !change.target && change.removal == Removal::Gone;
-    if (may_have_lapsed)
-    {
-      gone.insert(change.id);
-      continue;
-    }
     gone.erase(change.id);
-    m_lapsed.erase(change.id);
-    if (change.target)
-      m_targets[change.id] = *change.target;
-    else
-      m_targets.erase(change.id);
+    if (const auto lapsed = Apply(change, read.next, now))
+      gone.insert(*lapsed);
   }
-  KeepLapsed(&gone, now);
+  KeepLapsed(&gone, is_restored, now);
   for (const Gateway::TargetId& id : gone)
-  {
-    m_targets.erase(id);
-    m_lapsed.erase(id);
-  }
+    Remove(id, now);
   RemoveLapsed(now);
   m_known_position = read.next;
   if (before == m_targets && !is_first)
@@ -77,10 +68,55 @@
   return true;
 }
 
-void TargetList::KeepLapsed(std::set<Gateway::TargetId>* gone, TimePoint now)
+std::optional<Gateway::TargetId> TargetList::Apply(const TargetChange& change, Position next,
+                                                   TimePoint now)
+{
+  if (!change.target)
+  {
+    if (change.removal == Removal::Gone)
+      return change.id;
+    Remove(change.id, now);
+    return std::nullopt;
+  }
+  const RecordVersion version{EraOf(next), change.version.revision};
+  if (m_records.IsOutdated(change.id, change.target->incarnation, version))
+  {
+    LogEvent(Weight::Important, now, "target.record_outdated", "target", change.id, "revision",
+             version.revision, "known", m_records.VersionOf(change.id).revision);
+    return std::nullopt;
+  }
+  m_lapsed.erase(change.id);
+  m_targets[change.id] = *change.target;
+  m_records.OnRecord(change.id, change.target->incarnation, version);
+  return std::nullopt;
+}
+
+void TargetList::Remove(const Gateway::TargetId& id, TimePoint now)
+{
+  m_targets.erase(id);
+  m_lapsed.erase(id);
+  m_records.OnRemoved(id, now);
+}
+
+void TargetList::KeepLapsed(const Gateway::TargetId& id, TimePoint now)
+{
+  if (m_lapsed.insert(id).second)
+  {
+    LogEvent(Weight::Important, now, "target.lapsed", "target", id, "waits_ms",
+             m_lapse_tolerated_until - now);
+  }
+}
+
+void TargetList::KeepLapsed(std::set<Gateway::TargetId>* gone, bool is_restored, TimePoint now)
 {
   if (now >= m_lapse_tolerated_until)
     return;
+  if (is_restored)
+  {
+    for (const Gateway::TargetId& id : *gone)
+      KeepLapsed(id, now);
+    return gone->clear();
+  }
   struct Count
   {
     std::size_t ready = 0;
@@ -106,9 +142,7 @@
                   const Count& count = services[found->second.service];
                   if (2 * count.gone < count.ready)
                     return false;
-                  if (m_lapsed.insert(id).second)
-                    LogEvent(Weight::Important, now, "target.lapsed", "target", id, "waits_ms",
-                             m_lapse_tolerated_until - now);
+                  KeepLapsed(id, now);
                   return true;
                 });
 }
@@ -117,9 +151,8 @@
 {
   if (now < m_lapse_tolerated_until)
     return;
-  for (const Gateway::TargetId& id : m_lapsed)
-    m_targets.erase(id);
-  m_lapsed.clear();
+  for (const Gateway::TargetId& id : std::exchange(m_lapsed, {}))
+    Remove(id, now);
 }
 
 // Most records of the target list only confirm that a target is still present, and one read may
@@ -131,7 +164,7 @@
   {
     const auto previous = before.find(id);
     if (previous == before.end() || previous->second != target)
-      update.changes.push_back({id, target});
+      update.changes.push_back({id, target, Removal::Gone, m_records.VersionOf(id)});
   }
   for (const auto& [id, target] : before)
   {
@@ -146,25 +179,31 @@
   TargetListChanges update{0, m_known_position, {}};
   update.changes.reserve(m_targets.size());
   for (const auto& [id, target] : m_targets)
-    update.changes.push_back({id, target});
+    update.changes.push_back({id, target, Removal::Gone, m_records.VersionOf(id)});
   return update;
 }
 
-bool TargetList::Offer(const TargetListChanges& update)
+bool TargetList::Offer(const TargetListChanges& update, TimePoint now)
 {
   const bool is_whole = update.base == 0;
   if (update.position <= m_known_position || (!is_whole && m_known_position < update.base))
     return false;
   if (is_whole)
-    m_targets.clear();
+  {
+    for (const auto& [id, target] : std::exchange(m_targets, {}))
+      m_records.OnRemoved(id, now);
+  }
   // The process that read the list does the waiting for targets whose records lapsed.
   m_lapsed.clear();
   for (const TargetChange& change : update.changes)
   {
-    if (change.target)
-      m_targets[change.id] = *change.target;
-    else
-      m_targets.erase(change.id);
+    if (!change.target)
+    {
+      Remove(change.id, now);
+      continue;
+    }
+    m_targets[change.id] = *change.target;
+    m_records.OnRecord(change.id, change.target->incarnation, change.version);
   }
   m_known_position = update.position;
   m_changed_position = update.position;
--- a/Source/Core/Control/TargetList.h
+++ b/Source/Core/Control/TargetList.h
@@ -8,6 +8,7 @@
 
 #include "Common/Types.h"
 #include "Core/Control/ControlMessages.h"
+#include "Core/Control/TargetRecords.h"
 
 // The platform's target list. One process reads it from the platform and forwards it to the
 // others; this class serves both.
@@ -20,7 +21,7 @@
   bool OnRead(const TargetsRead& read, Common::TimePoint now);
   void OnReadFailed(Common::TimePoint now);
   // Applies changes that another process read. They are ignored if earlier changes are missing.
-  bool Offer(const TargetListChanges& update);
+  bool Offer(const TargetListChanges& update, Common::TimePoint now);
   // Handles the news that another process has read the list up to `position` and that its last
   // change is at `changed`. Returns whether that process has to be asked for the list, because this
   // process lacks a change.
@@ -40,9 +41,14 @@
 private:
   using TargetsById = std::map<Gateway::TargetId, Gateway::ListedTarget>;
 
+  // Applies one change. Returns the target if its record is gone, which may have lapsed.
+  std::optional<Gateway::TargetId> Apply(const TargetChange& change, Position next,
+                                         Common::TimePoint now);
   // Removes the targets from `gone` whose records presumably lapsed during an outage of the
-  // platform.
-  void KeepLapsed(std::set<Gateway::TargetId>* gone, Common::TimePoint now);
+  // platform, or were written after the copy from which it has come back.
+  void KeepLapsed(std::set<Gateway::TargetId>* gone, bool is_restored, Common::TimePoint now);
+  void KeepLapsed(const Gateway::TargetId& id, Common::TimePoint now);
+  void Remove(const Gateway::TargetId& id, Common::TimePoint now);
   // Drops the targets whose records lapsed and were not written again in time.
   void RemoveLapsed(Common::TimePoint now);
   void NoteAnswered(Common::TimePoint now);
@@ -60,5 +66,6 @@
   // write them again.
   Common::TimePoint m_lapse_tolerated_until{};
   std::set<Gateway::TargetId> m_lapsed;
+  TargetRecords m_records;
 };
 } // namespace Holdpost::Control
--- /dev/null
+++ b/Source/Core/Control/TargetRecords.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "Common/Types.h"
+#include "Core/Control/ControlMessages.h"
+
+namespace Holdpost::Control
+{
+// Remembers which record of each target is known. When the platform comes back from an older copy,
+// records that were replaced or removed come back, too; they must not take the place of what is
+// known. Within one era, the platform's order counts.
+class TargetRecords
+{
+public:
+  // Whether the record is older than the one that is known, which an earlier era had.
+  bool IsOutdated(const Gateway::TargetId& id, std::uint64_t incarnation,
+                  const RecordVersion& version) const;
+  void OnRecord(const Gateway::TargetId& id, std::uint64_t incarnation,
+                const RecordVersion& version);
+  // The target's record was removed.
+  void OnRemoved(const Gateway::TargetId& id, Common::TimePoint now);
+  RecordVersion VersionOf(const Gateway::TargetId& id) const;
+
+private:
+  struct Known
+  {
+    std::uint64_t incarnation = 0;
+    RecordVersion version;
+    std::optional<Common::TimePoint> removed_at;
+  };
+
+  void ForgetRemoved(Common::TimePoint now);
+
+  std::map<Gateway::TargetId, Known> m_records;
+};
+} // namespace Holdpost::Control
--- a/Source/Core/Crashes/CrashRecorder.cpp
+++ b/Source/Core/Crashes/CrashRecorder.cpp
@@ -19,6 +19,16 @@
     m_has_read = false;
 }
 
+void CrashRecorder::SetEra(std::uint64_t era)
+{
+  if (std::exchange(m_era, era) == era)
+    return;
+  m_has_read = false;
+  m_written.clear();
+  m_to_drop.clear();
+  m_is_call_outdated = m_is_waiting;
+}
+
 std::optional<RequestFingerprint> CrashRecorder::NextToWrite(const CrashLedger& ledger) const
 {
   const auto missing = std::ranges::find_if(ledger.Blocked(), [this](const auto& request)
@@ -47,23 +57,23 @@
   return m_is_reader && !m_is_waiting && has_work ? m_due : TimePoint::max();
 }
 
-void CrashRecorder::OnAnswer(bool is_success, TimePoint now)
+bool CrashRecorder::OnAnswer(bool is_success, TimePoint now)
 {
   m_is_waiting = false;
   if (is_success)
     m_backoff.Reset();
   m_due = is_success ? now : now + m_backoff.Next();
+  return is_success && !std::exchange(m_is_call_outdated, false);
 }
 
 std::vector<CrashRecord>
 CrashRecorder::OnRead(const Common::Result<std::vector<CrashRecord>>& result, TimePoint now)
 {
-  OnAnswer(Common::Succeeded(result), now);
+  const bool counts = OnAnswer(Common::Succeeded(result), now);
   if (const auto* error = std::get_if<Error>(&result))
-  {
     LogEvent(Weight::Important, now, "crash.records_unread", "reason", error->message);
+  if (!counts)
     return {};
-  }
   m_has_read = true;
   std::vector<CrashRecord> counting;
   for (const CrashRecord& record : std::get<std::vector<CrashRecord>>(result))
@@ -83,17 +93,15 @@
 
 void CrashRecorder::OnWritten(const RequestFingerprint& request, bool is_written, TimePoint now)
 {
-  OnAnswer(is_written, now);
-  if (is_written)
+  if (OnAnswer(is_written, now))
     m_written.insert(request);
-  else
+  else if (!is_written)
     LogEvent(Weight::Important, now, "crash.record_unwritten", "fingerprint", request.Short());
 }
 
 void CrashRecorder::OnDropped(bool is_dropped, TimePoint now)
 {
-  OnAnswer(is_dropped, now);
-  if (is_dropped)
+  if (OnAnswer(is_dropped, now))
     m_to_drop.pop_back();
 }
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashRecorder.h
+++ b/Source/Core/Crashes/CrashRecorder.h
@@ -42,6 +42,9 @@
   // Whether this process reads the platform for its hall. Each time that it begins to, the records
   // are read again, as another process may have written some.
   void SetReading(bool is_reader);
+  // In a new era the platform may have lost records that were written. They are read again, and
+  // those that are missing are written again.
+  void SetEra(std::uint64_t era);
   void OnTick(const CrashLedger& ledger, Common::TimePoint now, RecorderActions* actions);
   Common::TimePoint NextWakeup(const CrashLedger& ledger) const;
   // Returns the records that count, for the ledger.
@@ -52,9 +55,13 @@
 
 private:
   std::optional<RequestFingerprint> NextToWrite(const CrashLedger& ledger) const;
-  void OnAnswer(bool is_success, Common::TimePoint now);
+  // Returns whether the answer counts: it is a success, and of the present era.
+  bool OnAnswer(bool is_success, Common::TimePoint now);
 
   bool m_is_reader = false;
+  std::uint64_t m_era = 0;
+  // The call that is open was made in an earlier era.
+  bool m_is_call_outdated = false;
   bool m_has_read = false;
   bool m_is_waiting = false;
   Common::TimePoint m_due{};
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -163,21 +163,22 @@
 
 void GatewayControl::Ask(const Control::ReadOperatorChanges& read)
 {
-  m_control.ReadOperatorChanges(read,
-                                [this](const Result<Control::OperatorChanges>& result)
-                                {
-                                  const TimePoint now = EventLoop::Now();
-                                  const auto version = m_follower.Version();
-                                  const bool is_news = m_follower.OnOperatorRead(result, now);
-                                  if (m_follower.Version() > version)
-                                    PassOnDocument(now);
-                                  if (is_news)
-                                  {
-                                    ApplyOperator();
-                                    Beat(now);
-                                  }
-                                  m_handlers.on_wakeup();
-                                });
+  m_control.ReadOperatorChanges(
+      read,
+      [this, number = read.number](const Result<Control::OperatorChanges>& result)
+      {
+        const TimePoint now = EventLoop::Now();
+        const auto version = m_follower.Version();
+        const bool is_news = m_follower.OnOperatorRead(result, now, number);
+        if (m_follower.Version() > version)
+          PassOnDocument(now);
+        if (is_news)
+        {
+          ApplyOperator();
+          Beat(now);
+        }
+        m_handlers.on_wakeup();
+      });
 }
 
 void GatewayControl::Ask(const Control::ReadTargets& read)
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -77,6 +77,8 @@
 
   bool IsPlatformReachable() const { return m_follower.IsReachable(); }
   bool HasTargets() const { return m_follower.HasTargets(); }
+  // The newest era of the platform that is known here.
+  std::uint64_t PlatformEra() const { return m_follower.Era(); }
   // Whether this gateway reads the platform for its hall.
   bool IsReader() const { return m_duty.IsReader(); }
 
--- a/Source/Node/GatewayCrashRecords.cpp
+++ b/Source/Node/GatewayCrashRecords.cpp
@@ -22,6 +22,7 @@
 void GatewayControl::RecordCrashes(TimePoint now)
 {
   m_crash_recorder.SetReading(m_duty.IsReader());
+  m_crash_recorder.SetEra(m_follower.Era());
   Crashes::RecorderActions actions;
   m_crash_recorder.OnTick(m_handlers.crash_ledger(), now, &actions);
   for (const Crashes::RecorderAction& action : actions)
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -69,6 +69,9 @@
             metrics.Set("holdpost_open_requests", static_cast<double>(m_core.OpenRequests()));
             metrics.Set("holdpost_settings_version", static_cast<double>(m_core.Version()));
             metrics.Set("holdpost_reads_platform", m_control.IsReader() ? 1 : 0);
+            metrics.Set("holdpost_platform_era", static_cast<double>(m_control.PlatformEra()));
+            metrics.Set("holdpost_targets_leaving",
+                        static_cast<double>(m_core.Targets().Leaving().size()));
             metrics.Set("holdpost_targets_known", static_cast<double>(m_core.Targets().Size()));
             metrics.Set("holdpost_targets_reported",
                         static_cast<double>(m_core.Targets().ReportedCount()));
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -217,7 +217,7 @@
   if (OfferWeights(beat.weights, now))
     ApplyOperator();
   m_follower.OnAllVersionsAnnounced(now - beat.answer_age);
-  if (m_follower.OnPeerTargetsPosition(beat.targets, beat.targets_changed) &&
+  if (m_follower.OnPeerTargetsPosition(beat.targets, beat.targets_changed, now) &&
       now >= m_ask_targets_due)
   {
     m_ask_targets_due = now + ASK_PAUSE;
@@ -262,7 +262,7 @@
 
 void GatewayControl::OnTargets(const Mesh::Sender& from, const Mesh::TargetsUpdate& tell)
 {
-  if (!m_follower.OfferTargets(tell.news))
+  if (!m_follower.OfferTargets(tell.news, EventLoop::Now()))
     return;
   LogEvent(Weight::Ordinary, EventLoop::Now(), "targets.from_peer", "position", tell.news.position,
            "changes", tell.news.changes.size(), "peer", from.instance);
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -231,12 +231,13 @@
   {
     if (const auto* read = std::get_if<Control::ReadOperatorChanges>(&action))
     {
-      m_control.ReadOperatorChanges(*read,
-                                    [this](const Result<Control::OperatorChanges>& result)
-                                    {
-                                      if (m_follower.OnOperatorRead(result, EventLoop::Now()))
-                                        ApplyControl();
-                                    });
+      m_control.ReadOperatorChanges(
+          *read,
+          [this, number = read->number](const Result<Control::OperatorChanges>& result)
+          {
+            if (m_follower.OnOperatorRead(result, EventLoop::Now(), number))
+              ApplyControl();
+          });
     }
     if (const auto* read = std::get_if<Control::ReadTargets>(&action))
     {
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -307,7 +307,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c92e386bb283052b, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c92e386bb283052b, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2277,6 +2277,10 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2351,6 +2355,12 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5127,6 +5137,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Target::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Target::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Target::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Target::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Target::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Target::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeavingTarget::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -52,7 +52,11 @@
 static void Write(const Control::TargetChange& change, MeshWire::Target::Builder out)
 {
   if (change.target)
+  {
+    out.setRevision(change.version.revision);
+    out.setEra(change.version.era);
     return Write(*change.target, out);
+  }
   out.setId(change.id);
   out.setIsGone(true);
 }
@@ -92,7 +96,12 @@
     if (target.getIsGone())
       news.changes.push_back({ToText(target.getId()), std::nullopt});
     else
-      news.changes.push_back({ToText(target.getId()), Read(target)});
+    {
+      news.changes.push_back({ToText(target.getId()),
+                              Read(target),
+                              Control::Removal::Gone,
+                              {target.getEra(), target.getRevision()}});
+    }
   }
   return Mesh::TargetsUpdate{std::move(news)};
 }
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -1,5 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <optional>
 #include <random>
+#include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -77,10 +80,10 @@
   Fixture f;
   f.Tick();
   CHECK_FALSE(f.follower.HasTargets());
-  CHECK(f.follower.OfferTargets({0, 20, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}}));
+  CHECK(f.follower.OfferTargets({0, 20, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}}, f.now));
   CHECK(f.follower.HasTargets());
   CHECK(f.follower.Targets().size() == 2);
-  CHECK_FALSE(f.follower.OfferTargets({0, 20, {{"c", MakeTarget("c")}}}));
+  CHECK_FALSE(f.follower.OfferTargets({0, 20, {{"c", MakeTarget("c")}}}, f.now));
   CHECK(f.follower.Targets().size() == 2);
 
   // The platform is asked for changes since that position.
@@ -92,7 +95,7 @@
   // When the platform has lost its history, it returns the full list; an earlier read by a peer is
   // older.
   f.follower.OnTargetsRead(Error{ErrorKind::PositionGone, "gone"}, f.now);
-  CHECK_FALSE(f.follower.OfferTargets({0, 15, {{"c", MakeTarget("c")}}}));
+  CHECK_FALSE(f.follower.OfferTargets({0, 15, {{"c", MakeTarget("c")}}}, f.now));
   CHECK(f.follower.Targets().size() == 2);
 }
 
@@ -103,7 +106,7 @@
   reader.Tick();
   CHECK(reader.follower.OnTargetsRead(
       TargetsRead{true, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}, 5}, reader.now));
-  CHECK(other.follower.OfferTargets(reader.follower.FullTargetList()));
+  CHECK(other.follower.OfferTargets(reader.follower.FullTargetList(), other.now));
   CHECK(other.follower.Targets() == reader.follower.Targets());
 
   // Records that only confirm that a target is present are not changes, so a process that does not
@@ -118,23 +121,24 @@
 
   SUBCASE("the changes arrive")
   {
-    CHECK(other.follower.OfferTargets(update));
+    CHECK(other.follower.OfferTargets(update, other.now));
     CHECK(other.follower.Targets() == reader.follower.Targets());
-    CHECK_FALSE(other.follower.OnPeerTargetsPosition(14, reader.follower.LastTargetsChange()));
+    CHECK_FALSE(
+        other.follower.OnPeerTargetsPosition(14, reader.follower.LastTargetsChange(), other.now));
     CHECK(other.follower.TargetsPosition() == 14);
   }
   SUBCASE("the changes are lost, which the reader's next heartbeat shows")
   {
-    CHECK(other.follower.OnPeerTargetsPosition(14, reader.follower.LastTargetsChange()));
+    CHECK(other.follower.OnPeerTargetsPosition(14, reader.follower.LastTargetsChange(), other.now));
     CHECK(reader.follower.OnTargetsRead(TargetsRead{false, {{"d", MakeTarget("d")}}, 15},
                                         reader.now));
-    CHECK_FALSE(other.follower.OfferTargets(reader.follower.LastTargetListChanges()));
-    CHECK(other.follower.OfferTargets(reader.follower.FullTargetList()));
+    CHECK_FALSE(other.follower.OfferTargets(reader.follower.LastTargetListChanges(), other.now));
+    CHECK(other.follower.OfferTargets(reader.follower.FullTargetList(), other.now));
     CHECK(other.follower.Targets() == reader.follower.Targets());
   }
   SUBCASE("a local read that started earlier returns an older list, which is ignored")
   {
-    CHECK(other.follower.OfferTargets(update));
+    CHECK(other.follower.OfferTargets(update, other.now));
     CHECK_FALSE(
         other.follower.OnTargetsRead(TargetsRead{false, {{"b", MakeTarget("b")}}, 8}, other.now));
     CHECK(other.follower.Targets() == reader.follower.Targets());
@@ -147,11 +151,11 @@
   f.Tick();
   ControlFollower other{{}, 2};
   CHECK(f.follower.OnTargetsRead(TargetsRead{true, {{"a", MakeTarget("a")}}, 5}, f.now));
-  REQUIRE(other.OfferTargets(f.follower.FullTargetList()));
+  REQUIRE(other.OfferTargets(f.follower.FullTargetList(), f.now));
   const auto read = [&](const TargetsRead& targets)
   {
     if (f.follower.OnTargetsRead(targets, f.now))
-      CHECK(other.OfferTargets(f.follower.LastTargetListChanges()));
+      CHECK(other.OfferTargets(f.follower.LastTargetListChanges(), f.now));
     CHECK(other.Targets() == f.follower.Targets());
   };
   SUBCASE("a target is added and removed within one read")
@@ -219,7 +223,7 @@
   f.follower.OnTargetsRead(TargetsRead{true, {{"a", MakeTarget("a")}, {"b", MakeTarget("b")}}, 5},
                            f.now);
   ControlFollower next{{}, 2};
-  REQUIRE(next.OfferTargets(f.follower.FullTargetList()));
+  REQUIRE(next.OfferTargets(f.follower.FullTargetList(), f.now));
   next.SetReading(false);
   // Both records have lapsed after an outage; the target "a" does not come back.
   f.follower.OnTargetsRead(Error{ErrorKind::PlatformUnavailable, "down"}, f.now);
@@ -227,7 +231,7 @@
   f.follower.OnTargetsRead(TargetsRead{false, {{"a", std::nullopt}, {"b", std::nullopt}}, 7},
                            f.now);
   REQUIRE(f.follower.Targets().size() == 2);
-  next.OnPeerTargetsPosition(f.follower.TargetsPosition(), f.follower.LastTargetsChange());
+  next.OnPeerTargetsPosition(f.follower.TargetsPosition(), f.follower.LastTargetsChange(), f.now);
   next.SetReading(true);
   Actions actions;
   next.OnTick(f.now, &actions);
@@ -329,3 +333,161 @@
   CHECK_FALSE(f.follower.OnPeerVersion(4, f.now + Milliseconds(400)).has_value());
   CHECK(f.follower.OnPeerVersion(4, f.now + Milliseconds(800)).has_value());
 }
+
+namespace
+{
+// A follower that knows settings 27 and two targets, read in era 3 up to offset 100.
+struct RestoredFixture : Fixture
+{
+  RestoredFixture()
+  {
+    Tick();
+    follower.OnOperatorRead(MakeRead(27, MakePosition(3, 100)), now);
+    follower.OnTargetsRead(Whole({Record("a", 50), Record("b", 60)}, MakePosition(3, 100)), now);
+    Tick();
+    actions.clear();
+  }
+  static TargetChange Record(const std::string& id, std::uint64_t revision,
+                             Gateway::TargetState state = Gateway::TargetState::Ready)
+  {
+    Gateway::ListedTarget target = MakeTarget(id);
+    target.state = state;
+    return {id, target, Removal::Gone, {0, revision}};
+  }
+  static TargetsRead Whole(std::vector<TargetChange> changes, Position next)
+  {
+    return {true, std::move(changes), next};
+  }
+  static TargetsRead Changes(std::vector<TargetChange> changes, Position next)
+  {
+    return {false, std::move(changes), next};
+  }
+  // The state of the target; empty if it is not known.
+  std::optional<Gateway::TargetState> StateOf(const std::string& id) const
+  {
+    for (const Gateway::ListedTarget& target : follower.Targets())
+    {
+      if (target.id == id)
+        return target.state;
+    }
+    return std::nullopt;
+  }
+};
+constexpr auto READY = Gateway::TargetState::Ready;
+constexpr auto LEAVING = Gateway::TargetState::Leaving;
+} // namespace
+
+TEST_CASE("A platform that has come back from an older copy is read anew")
+{
+  RestoredFixture f;
+  CHECK(f.follower.Era() == 3);
+  f.Tick(Milliseconds(700));
+  CHECK(Take<ReadTargets>(f.actions).at(0).from == MakePosition(3, 100));
+
+  SUBCASE("when a position is gone, at once and in full")
+  {
+    f.follower.OnTargetsRead(Error{ErrorKind::PositionGone, "gone"}, f.now);
+    f.Tick();
+    CHECK(Take<ReadTargets>(f.actions).at(0).from == 0);
+    // Its offsets have gone back behind those that were known.
+    CHECK(f.follower.OnTargetsRead(
+        f.Whole({f.Record("a", 50, LEAVING), f.Record("b", 60)}, MakePosition(4, 20)), f.now));
+    CHECK(f.StateOf("a") == LEAVING);
+    CHECK(f.follower.TargetsPosition() == MakePosition(4, 20));
+  }
+  SUBCASE("although a read of settings still waits for a change")
+  {
+    f.follower.OnTargetsRead(f.Whole({f.Record("a", 50), f.Record("b", 60)}, MakePosition(4, 20)),
+                             f.now);
+    f.Tick();
+    const auto reads = Take<ReadOperatorChanges>(f.actions);
+    REQUIRE(reads.size() == 1);
+    CHECK(reads[0].from == 0);
+    // The answer to the earlier read comes late, and is ignored.
+    CHECK_FALSE(
+        f.follower.OnOperatorRead(MakeRead(99, MakePosition(3, 120)), f.now, reads[0].number - 1));
+    CHECK(f.follower.OnOperatorRead(MakeRead(31, MakePosition(4, 2)), f.now, reads[0].number));
+    f.Tick();
+    CHECK(Take<ReadOperatorChanges>(f.actions).at(0).from == MakePosition(4, 2));
+  }
+  SUBCASE("and a late answer of the earlier era changes nothing")
+  {
+    f.follower.OnTargetsRead(f.Whole({f.Record("a", 51, LEAVING)}, MakePosition(4, 20)), f.now);
+    CHECK_FALSE(
+        f.follower.OnTargetsRead(f.Changes({f.Record("a", 52)}, MakePosition(3, 101)), f.now));
+    CHECK(f.StateOf("a") == LEAVING);
+  }
+  SUBCASE("also when another process has read it")
+  {
+    CHECK(f.follower.OnPeerTargetsPosition(MakePosition(4, 20), MakePosition(4, 20), f.now));
+    CHECK(f.follower.OfferTargets({0, MakePosition(4, 20), {f.Record("a", 50)}}, f.now));
+    CHECK(f.follower.Era() == 4);
+    f.Tick();
+    CHECK(Take<ReadOperatorChanges>(f.actions).at(0).from == 0);
+  }
+  SUBCASE("and older settings do not take the place of newer ones")
+  {
+    f.follower.OnTargetsRead(f.Whole({f.Record("a", 50)}, MakePosition(4, 20)), f.now);
+    f.Tick();
+    CHECK_FALSE(f.follower.OnOperatorRead(MakeRead(23, MakePosition(4, 2)), f.now));
+    CHECK(f.follower.Version() == 27);
+  }
+}
+
+TEST_CASE("What is known of targets outlasts a restore until they say otherwise")
+{
+  RestoredFixture f;
+  SUBCASE("a target that leaves")
+  {
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 55, LEAVING)}, MakePosition(3, 101)), f.now);
+    f.follower.OnTargetsRead(f.Whole({f.Record("a", 50), f.Record("b", 60)}, MakePosition(4, 20)),
+                             f.now);
+    CHECK(f.StateOf("a") == LEAVING);
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 54)}, MakePosition(4, 21)), f.now);
+    CHECK(f.StateOf("a") == LEAVING);
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 56)}, MakePosition(4, 22)), f.now);
+    CHECK(f.StateOf("a") == READY);
+  }
+  SUBCASE("a target that is gone")
+  {
+    f.follower.OnTargetsRead(f.Changes({{"a", std::nullopt}}, MakePosition(3, 101)), f.now);
+    REQUIRE_FALSE(f.StateOf("a").has_value());
+    f.follower.OnTargetsRead(f.Whole({f.Record("a", 50), f.Record("b", 60)}, MakePosition(4, 20)),
+                             f.now);
+    CHECK_FALSE(f.StateOf("a").has_value());
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 51)}, MakePosition(4, 21)), f.now);
+    CHECK(f.StateOf("a") == READY);
+  }
+  SUBCASE("a target that is younger than the copy, for the time in which it writes again")
+  {
+    f.follower.OnTargetsRead(f.Whole({f.Record("b", 60)}, MakePosition(4, 20)), f.now);
+    CHECK(f.StateOf("a") == READY);
+    f.now += Milliseconds(2500);
+    SUBCASE("which it does")
+    {
+      f.follower.OnTargetsRead(f.Changes({f.Record("a", 52)}, MakePosition(4, 21)), f.now);
+      CHECK(f.StateOf("a") == READY);
+    }
+    SUBCASE("which it does not")
+    {
+      f.follower.OnTargetsRead(f.Changes({f.Record("b", 61)}, MakePosition(4, 21)), f.now);
+      CHECK_FALSE(f.StateOf("a").has_value());
+    }
+  }
+  SUBCASE("through the process that reads next")
+  {
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 55, LEAVING)}, MakePosition(3, 101)), f.now);
+    f.follower.OnTargetsRead(f.Whole({f.Record("a", 50), f.Record("b", 60)}, MakePosition(4, 20)),
+                             f.now);
+    RestoredFixture next;
+    REQUIRE(next.follower.OfferTargets(f.follower.FullTargetList(), next.now));
+    next.follower.OnTargetsRead(
+        next.Whole({next.Record("a", 50), next.Record("b", 60)}, MakePosition(4, 25)), next.now);
+    CHECK(next.StateOf("a") == LEAVING);
+  }
+  SUBCASE("while within one era the platform's order counts")
+  {
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 3, LEAVING)}, MakePosition(3, 101)), f.now);
+    CHECK(f.StateOf("a") == LEAVING);
+  }
+}
--- a/Source/UnitTests/Core/Crashes/CrashRecorderTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashRecorderTest.cpp
@@ -64,6 +64,21 @@
       CHECK(Only<WriteRecord>(f.Tick()).size() == 1);
     }
   }
+  SUBCASE("again once the platform has come back from an older copy")
+  {
+    f.recorder.OnRead(f.ledger.All(f.now), f.now);
+    CHECK(f.Tick().empty());
+    f.recorder.SetEra(2);
+    REQUIRE(Only<ReadRecords>(f.Tick()).size() == 1);
+    f.recorder.OnRead(std::vector<CrashRecord>{}, f.now);
+    REQUIRE(Only<WriteRecord>(f.Tick()).size() == 1);
+    // What was written before another restore may be lost, although it was acknowledged.
+    f.recorder.SetEra(3);
+    f.recorder.OnWritten(REQUEST, true, f.now);
+    REQUIRE(Only<ReadRecords>(f.Tick()).size() == 1);
+    f.recorder.OnRead(std::vector<CrashRecord>{}, f.now);
+    CHECK(Only<WriteRecord>(f.Tick()).size() == 1);
+  }
   SUBCASE("but does not write those that are there")
   {
     const auto read = f.recorder.OnRead(f.ledger.All(f.now), f.now);
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -138,7 +138,9 @@
     Gateway::ListedTarget leaving{"i-2", "files", "bergen-a", {"10.2.0.9", 8001}, 6};
     leaving.state = Gateway::TargetState::Leaving;
     const Control::TargetListChanges news{
-        38, 40, {{"i-1", model}, {"i-2", leaving}, {"i-3", std::nullopt}}};
+        38,
+        40,
+        {{"i-1", model, Control::Removal::Gone, {4, 57}}, {"i-2", leaving}, {"i-3", std::nullopt}}};
     const Control::TargetListChanges told = There(Mesh::TargetsUpdate{news}).news;
     CHECK(told.base == 38);
     CHECK(told.position == 40);
