Gateway: Put the question whether a target may be sent to into one file

TargetAvailability.cpp holds what the list, agents, answers and failures say of a target, and AvailabilityOf, through which every send passes; TargetTable.cpp had half of it.

--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -5,36 +5,13 @@
 #include <cmath>
 #include <utility>
 
-#include "Common/EventLog.h"
-#include "Common/Hash.h"
-
 namespace Holdpost::Gateway
 {
 using Common::Duration;
-using Common::LogEvent;
 using Common::Milliseconds;
 using Common::TimePoint;
-using Common::Weight;
 using Settings::EngineProfile;
 
-// The age up to which a load report is used; an older one says nothing about the present.
-static constexpr Duration LOAD_LIFETIME = Milliseconds(2000);
-// How long a target is avoided after its first failure. The time doubles with each consecutive
-// failure, MAX_AVOID_DOUBLINGS times at most.
-static constexpr Duration MIN_AVOID_TIME = Milliseconds(250);
-static constexpr std::uint32_t MAX_AVOID_DOUBLINGS = 4;
-// A target that has answered that it is full is avoided until it has probably finished a request.
-static constexpr Duration FULL_AVOID_TIME = Milliseconds(60);
-// After a start of all machines, the target list names engines that have ended, until their records
-// expire after three heartbeat intervals of 1.2 s. Their agents report the engines that replaced
-// them, or do not report. Until it has been known for this time, a listed target without a report
-// gets no requests while other agents report.
-static constexpr Duration MAX_UNREPORTED_TIME = Milliseconds(4000);
-// Agents report several times a second: an agent that has been silent for this time may be
-// disconnected, and its target with it. Such a target is avoided for longer once a request could
-// not be sent to it.
-static constexpr Duration SILENT_AFTER = Milliseconds(800);
-static constexpr Duration SILENT_AVOID_TIME = Milliseconds(2000);
 // The divisor of an answer's lateness: each answer changes the target's lag by this fraction of it.
 static constexpr int LAG_DIVISOR = 4;
 // The minimum of an engine's expected start time: no answer counts as late before it, because the
@@ -155,71 +132,6 @@
   return static_cast<std::size_t>(std::ranges::count_if(m_targets, is_reported));
 }
 
-bool TargetTable::IsUnreported(const Target& target, TimePoint now) const
-{
-  const bool is_awaited = target.listed.needs_weights && !target.load;
-  const bool has_other_reports =
-      m_last_report != TimePoint::min() && now - m_last_report <= LOAD_LIFETIME;
-  return is_awaited && has_other_reports && now - target.known_since < MAX_UNREPORTED_TIME;
-}
-
-bool TargetTable::IsSilent(const Target& target, TimePoint now)
-{
-  return target.load && now - target.load_received > SILENT_AFTER;
-}
-
-bool TargetTable::IsLeaving(const Target& target) const
-{
-  return target.listed.state != TargetState::Ready ||
-         m_leaving.Contains(target.listed.id, target.listed.incarnation);
-}
-
-TimePoint TargetTable::OnRestAsked(const TargetChoice& choice, Duration rest, TimePoint now)
-{
-  return m_rests.OnAsked(choice.id, choice.incarnation, rest, now);
-}
-
-bool TargetTable::OnLeaving(const LeavingTarget& target, TimePoint now)
-{
-  if (!m_leaving.Add(target, now))
-    return false;
-  LogEvent(Weight::Important, now, "target.says_leaving", "target", target.id, "incarnation",
-           target.incarnation);
-  return true;
-}
-
-void TargetTable::OnOtherLeaving(const Common::Address& address, const TargetId& id, TimePoint now)
-{
-  for (const auto& [other_id, other] : m_targets)
-  {
-    if (other_id != id && other.IsListed() && other.listed.address == address)
-      OnLeaving({other_id, other.listed.incarnation}, now);
-  }
-}
-
-TargetTable::Availability TargetTable::AvailabilityOf(const Target& target, TimePoint now) const
-{
-  if (IsLeaving(target))
-    return Availability::Leaving;
-  if (!m_rests.MaySend(target.listed.id, target.listed.incarnation, now))
-    return Availability::Resting;
-  if (now < target.avoid_until)
-    return Availability::Avoided;
-  if (target.load && target.load->is_switching && now - target.load_received <= LOAD_LIFETIME)
-    return Availability::Switching;
-  if (IsUnreported(target, now))
-    return Availability::Unreported;
-  const bool has_weights = !target.listed.needs_weights || WeightsOf(target) > 0;
-  if (!has_weights)
-    return Availability::WithoutWeights;
-  return target.limit.MaySend(m_gateways.all, now) ? Availability::Open : Availability::Limited;
-}
-
-bool TargetTable::IsOpen(const Target& target, TimePoint now) const
-{
-  return target.IsListed() && AvailabilityOf(target, now) == Availability::Open;
-}
-
 bool TargetTable::MayHaveCrashed(const TargetId& id) const
 {
   const auto found = m_targets.find(id);
@@ -305,45 +217,4 @@
     found->second.failures = 0;
 }
 
-void TargetTable::OnFailed(const TargetId& id, TimePoint now)
-{
-  const auto found = m_targets.find(id);
-  if (found == m_targets.end())
-    return;
-  Target& target = found->second;
-  const std::uint32_t doublings = std::min(target.failures, MAX_AVOID_DOUBLINGS);
-  ++target.failures;
-  target.avoid_until = now + MIN_AVOID_TIME * (1U << doublings);
-  if (IsSilent(target, now))
-    target.avoid_until = std::max(target.avoid_until, now + SILENT_AVOID_TIME);
-  LogEvent(Weight::Important, now, "target.avoided", "target", id, "failures", target.failures,
-           "for_ms", target.avoid_until - now);
-}
-
-void TargetTable::OnRateLimit(const TargetId& id, std::optional<double> per_second, TimePoint now)
-{
-  const auto found = m_targets.find(id);
-  if (found == m_targets.end())
-    return;
-  const bool was_limited = found->second.limit.IsLimited();
-  found->second.limit.OnAnswer(per_second, now);
-  if (was_limited != per_second.has_value())
-  {
-    LogEvent(Weight::Important, now, per_second ? "target.limited" : "target.unlimited", "target",
-             id, "per_second", per_second.value_or(0));
-  }
-}
-
-bool TargetTable::IsLimited(const TargetId& id) const
-{
-  const auto found = m_targets.find(id);
-  return found != m_targets.end() && found->second.limit.IsLimited();
-}
-
-void TargetTable::OnFull(const TargetId& id, TimePoint now)
-{
-  if (const auto found = m_targets.find(id); found != m_targets.end())
-    found->second.avoid_until = std::max(found->second.avoid_until, now + FULL_AVOID_TIME);
-}
-
 } // namespace Holdpost::Gateway
