Control, Crashes: The first era is no restore; forget removed records once a read

Found by reading the change again. The first read of settings after a start was taken for a restore: a wrong line, and one more read. Records of removed targets were looked through at each removal, so a whole list cost the square of its length. After an acknowledgement of an earlier era that had failed, the next good one was not counted. Unit tests: see below.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -97,11 +97,11 @@
 
 void ControlFollower::NoteEra(std::uint64_t era, TimePoint now)
 {
-  const std::uint64_t before = std::exchange(m_era, std::max(m_era, era));
-  // A process that has just started knows no position of an earlier era.
-  if (era <= before || (!m_has_read_operator && !m_targets.IsKnown()))
+  const std::optional<std::uint64_t> before = m_era;
+  m_era = std::max(before.value_or(era), era);
+  if (m_era == before || !before)
     return;
-  LogEvent(Weight::Important, now, "platform.restored", "era", era, "before", before, "settings",
+  LogEvent(Weight::Important, now, "platform.restored", "era", era, "before", *before, "settings",
            Version(), "targets", m_targets.Size());
   m_operator_next = 0;
   m_is_reading_operator_changes = false;
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -99,7 +99,7 @@
   Position TargetsPosition() const { return m_targets.KnownPosition(); }
   Position LastTargetsChange() const { return m_targets.ChangedPosition(); }
   // The newest era of the platform that is known.
-  std::uint64_t Era() const { return m_era; }
+  std::uint64_t Era() const { return m_era.value_or(0); }
   // The changes of the last read, for processes that know the target list up to its base.
   const TargetListChanges& LastTargetListChanges() const { return m_targets.LastUpdate(); }
   // The full target list, for processes that know none of it.
@@ -130,8 +130,8 @@
   // The time since which other processes are known to have newer settings.
   std::optional<Common::TimePoint> m_behind_since;
   Common::TimePoint m_peer_request_due{};
-  std::uint64_t m_era = 0;
-  std::uint64_t m_operator_read = 0; // the number of the last read
+  std::optional<std::uint64_t> m_era; // empty until the first answer or list
+  std::uint64_t m_operator_read = 0;  // the number of the last read
   Position m_operator_next = 0;
   // The position from which the platform is asked for target list changes; 0 requests the full
   // list.
--- a/Source/Core/Control/TargetList.cpp
+++ b/Source/Core/Control/TargetList.cpp
@@ -60,6 +60,7 @@
   for (const Gateway::TargetId& id : gone)
     Remove(id, now);
   RemoveLapsed(now);
+  m_records.ForgetRemoved(now);
   m_known_position = read.next;
   if (before == m_targets && !is_first)
     return false;
@@ -205,6 +206,7 @@
     m_targets[change.id] = *change.target;
     m_records.OnRecord(change.id, change.target->incarnation, change.version);
   }
+  m_records.ForgetRemoved(now);
   m_known_position = update.position;
   m_changed_position = update.position;
   m_is_known = true;
--- a/Source/Core/Control/TargetRecords.cpp
+++ b/Source/Core/Control/TargetRecords.cpp
@@ -36,7 +36,6 @@
 {
   if (const auto found = m_records.find(id); found != m_records.end())
     found->second.removed_at = found->second.removed_at.value_or(now);
-  ForgetRemoved(now);
 }
 
 RecordVersion TargetRecords::VersionOf(const Gateway::TargetId& id) const
--- a/Source/Core/Control/TargetRecords.h
+++ b/Source/Core/Control/TargetRecords.h
@@ -24,6 +24,8 @@
   // The target's record was removed.
   void OnRemoved(const Gateway::TargetId& id, Common::TimePoint now);
   RecordVersion VersionOf(const Gateway::TargetId& id) const;
+  // Forgets targets whose records were removed so long ago that no copy has them.
+  void ForgetRemoved(Common::TimePoint now);
 
 private:
   struct Known
@@ -33,8 +35,6 @@
     std::optional<Common::TimePoint> removed_at;
   };
 
-  void ForgetRemoved(Common::TimePoint now);
-
   std::map<Gateway::TargetId, Known> m_records;
 };
 } // namespace Holdpost::Control
--- a/Source/Core/Crashes/CrashRecorder.cpp
+++ b/Source/Core/Crashes/CrashRecorder.cpp
@@ -63,7 +63,8 @@
   if (is_success)
     m_backoff.Reset();
   m_due = is_success ? now : now + m_backoff.Next();
-  return is_success && !std::exchange(m_is_call_outdated, false);
+  const bool is_outdated = std::exchange(m_is_call_outdated, false);
+  return is_success && !is_outdated;
 }
 
 std::vector<CrashRecord>
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -262,7 +262,7 @@
   const Tracked* tracked = Find(event.number);
   if (!tracked || !tracked->last_attempt)
     return;
-  const TargetChoice choice = tracked->last_attempt->choice;
+  const TargetChoice& choice = tracked->last_attempt->choice;
   if (event.is_other_target)
   {
     if (event.is_leaving)
--- a/Source/Core/Gateway/TargetAvailability.cpp
+++ b/Source/Core/Gateway/TargetAvailability.cpp
@@ -31,6 +31,7 @@
 // not be sent to it.
 static constexpr Duration SILENT_AFTER = Milliseconds(800);
 static constexpr Duration SILENT_AVOID_TIME = Milliseconds(2000);
+
 bool TargetTable::IsUnreported(const Target& target, TimePoint now) const
 {
   const bool is_awaited = target.listed.needs_weights && !target.load;
--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -9,6 +9,7 @@
 #include "Core/Control/ControlFollower.h"
 #include "FollowerFixture.h"
 #include "Support/Actions.h"
+#include "Support/LogCapture.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Control;
@@ -434,6 +435,20 @@
   }
 }
 
+TEST_CASE("The first era that a process hears of is no restore")
+{
+  Testing::LogCapture capture;
+  Fixture f;
+  f.Tick();
+  f.follower.OnOperatorRead(MakeRead(27, MakePosition(3, 100)), f.now);
+  f.follower.OnTargetsRead(TargetsRead{true, {{"a", MakeTarget("a")}}, MakePosition(3, 100)},
+                           f.now);
+  CHECK(f.follower.Era() == 3);
+  CHECK(capture.Text().find("platform.restored") == std::string::npos);
+  f.follower.OnOperatorRead(MakeRead(31, MakePosition(4, 2)), f.now);
+  CHECK(capture.Text().find("platform.restored") != std::string::npos);
+}
+
 TEST_CASE("What is known of targets outlasts a restore until they say otherwise")
 {
   RestoredFixture f;
