Control, Mesh: Pass on the last revision of removed targets, for the process that reads next

Cause: a gateway that had taken over reading during the outage knew the target only by the record with which it was listed, as records that change nothing are not passed on. The copy's record had a higher revision than that, though a lower one than the last, and took the target back.

A record's version now includes the incarnation. Removals that are passed on carry the version of the last record, and whole lists the targets that were removed in the last five minutes, so a gateway that starts knows them, too.

The test failed before: PlatformRestoreTest, 'a target that is gone, through the process that reads next', in all three cases (told of the change, of the whole list, just started).

--- a/Source/Core/Control/ControlMessages.h
+++ b/Source/Core/Control/ControlMessages.h
@@ -44,7 +44,9 @@
 {
   // The era in which it was read.
   std::uint64_t era = 0;
-  // Increases with each record that the target writes; 0 if it is not known.
+  // Of the target that wrote it; 0 if it is not known.
+  std::uint64_t incarnation = 0;
+  // Increases with each record that the incarnation writes; 0 if it is not known.
   std::uint64_t revision = 0;
 
   bool operator==(const RecordVersion&) const = default;
@@ -84,6 +86,7 @@
   Gateway::TargetId id;
   std::optional<Gateway::ListedTarget> target; // empty if removed
   Removal removal = Removal::Gone;
+  // Of the record, or of the last one before the target was removed.
   RecordVersion version = {};
 
   bool operator==(const TargetChange&) const = default;
--- a/Source/Core/Control/TargetList.cpp
+++ b/Source/Core/Control/TargetList.cpp
@@ -79,8 +79,8 @@
     Remove(change.id, now);
     return std::nullopt;
   }
-  const RecordVersion version{EraOf(next), change.version.revision};
-  if (m_records.IsOutdated(change.id, change.target->incarnation, version))
+  const RecordVersion version{EraOf(next), change.target->incarnation, change.version.revision};
+  if (m_records.IsOutdated(change.id, version))
   {
     LogEvent(Weight::Important, now, "target.record_outdated", "target", change.id, "revision",
              version.revision, "known", m_records.VersionOf(change.id).revision);
@@ -88,7 +88,7 @@
   }
   m_lapsed.erase(change.id);
   m_targets[change.id] = *change.target;
-  m_records.OnRecord(change.id, change.target->incarnation, version);
+  m_records.OnRecord(change.id, version);
   return std::nullopt;
 }
 
@@ -170,7 +170,7 @@
   for (const auto& [id, target] : before)
   {
     if (!m_targets.contains(id))
-      update.changes.push_back({id, std::nullopt});
+      update.changes.push_back({id, std::nullopt, Removal::Gone, m_records.VersionOf(id)});
   }
   return update;
 }
@@ -181,6 +181,9 @@
   update.changes.reserve(m_targets.size());
   for (const auto& [id, target] : m_targets)
     update.changes.push_back({id, target, Removal::Gone, m_records.VersionOf(id)});
+  // Whoever reads next has to know them, too, if the platform comes back from an older copy.
+  for (const Gateway::TargetId& id : m_records.Removed())
+    update.changes.push_back({id, std::nullopt, Removal::Gone, m_records.VersionOf(id)});
   return update;
 }
 
@@ -198,13 +201,11 @@
   m_lapsed.clear();
   for (const TargetChange& change : update.changes)
   {
-    if (!change.target)
-    {
+    m_records.OnRecord(change.id, change.version);
+    if (change.target)
+      m_targets[change.id] = *change.target;
+    else
       Remove(change.id, now);
-      continue;
-    }
-    m_targets[change.id] = *change.target;
-    m_records.OnRecord(change.id, change.target->incarnation, change.version);
   }
   m_records.ForgetRemoved(now);
   m_known_position = update.position;
--- a/Source/Core/Control/TargetRecords.cpp
+++ b/Source/Core/Control/TargetRecords.cpp
@@ -11,8 +11,7 @@
 // A copy is seconds old, so a record that was removed so long ago does not come back.
 static constexpr Duration REMOVED_LIFETIME = std::chrono::minutes(5);
 
-bool TargetRecords::IsOutdated(const Gateway::TargetId& id, std::uint64_t incarnation,
-                               const RecordVersion& version) const
+bool TargetRecords::IsOutdated(const Gateway::TargetId& id, const RecordVersion& version) const
 {
   const auto found = m_records.find(id);
   if (found == m_records.end())
@@ -21,15 +20,14 @@
   const bool is_numbered = version.revision > 0 && known.version.revision > 0;
   if (!is_numbered || version.era <= known.version.era)
     return false;
-  const std::tuple read(incarnation, version.revision);
-  const std::tuple remembered(known.incarnation, known.version.revision);
+  const std::tuple read(version.incarnation, version.revision);
+  const std::tuple remembered(known.version.incarnation, known.version.revision);
   return known.removed_at ? read <= remembered : read < remembered;
 }
 
-void TargetRecords::OnRecord(const Gateway::TargetId& id, std::uint64_t incarnation,
-                             const RecordVersion& version)
+void TargetRecords::OnRecord(const Gateway::TargetId& id, const RecordVersion& version)
 {
-  m_records[id] = {incarnation, version, std::nullopt};
+  m_records[id] = {version, std::nullopt};
 }
 
 void TargetRecords::OnRemoved(const Gateway::TargetId& id, TimePoint now)
@@ -44,6 +42,17 @@
   return found == m_records.end() ? RecordVersion{} : found->second.version;
 }
 
+std::vector<Gateway::TargetId> TargetRecords::Removed() const
+{
+  std::vector<Gateway::TargetId> removed;
+  for (const auto& [id, known] : m_records)
+  {
+    if (known.removed_at)
+      removed.push_back(id);
+  }
+  return removed;
+}
+
 void TargetRecords::ForgetRemoved(TimePoint now)
 {
   std::erase_if(m_records,
--- a/Source/Core/Control/TargetRecords.h
+++ b/Source/Core/Control/TargetRecords.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "Common/Types.h"
 #include "Core/Control/ControlMessages.h"
@@ -17,20 +18,19 @@
 {
 public:
   // Whether the record is older than the one that is known, which an earlier era had.
-  bool IsOutdated(const Gateway::TargetId& id, std::uint64_t incarnation,
-                  const RecordVersion& version) const;
-  void OnRecord(const Gateway::TargetId& id, std::uint64_t incarnation,
-                const RecordVersion& version);
+  bool IsOutdated(const Gateway::TargetId& id, const RecordVersion& version) const;
+  void OnRecord(const Gateway::TargetId& id, const RecordVersion& version);
   // The target's record was removed.
   void OnRemoved(const Gateway::TargetId& id, Common::TimePoint now);
   RecordVersion VersionOf(const Gateway::TargetId& id) const;
+  // The targets whose records were removed lately.
+  std::vector<Gateway::TargetId> Removed() const;
   // Forgets targets whose records were removed so long ago that no copy has them.
   void ForgetRemoved(Common::TimePoint now);
 
 private:
   struct Known
   {
-    std::uint64_t incarnation = 0;
     RecordVersion version;
     std::optional<Common::TimePoint> removed_at;
   };
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -197,7 +197,8 @@
   isGone @8 :Bool;
   # Grows with each start under the id; 0 if that is not known.
   incarnation @9 :UInt64;
-  # Grows with each record that the target writes; 0 if that is not known.
+  # Of the last record, also if the target is gone. Grows with each record that the target writes; 0
+  # if that is not known.
   revision @10 :UInt64;
   # Of the platform, in which the record was read.
   era @11 :UInt64;
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -51,12 +51,11 @@
 
 static void Write(const Control::TargetChange& change, MeshWire::Target::Builder out)
 {
+  out.setRevision(change.version.revision);
+  out.setEra(change.version.era);
   if (change.target)
-  {
-    out.setRevision(change.version.revision);
-    out.setEra(change.version.era);
     return Write(*change.target, out);
-  }
+  out.setIncarnation(change.version.incarnation);
   out.setId(change.id);
   out.setIsGone(true);
 }
@@ -93,15 +92,12 @@
   news.changes.reserve(in.getTargets().size());
   for (const auto target : in.getTargets())
   {
-    if (target.getIsGone())
-      news.changes.push_back({ToText(target.getId()), std::nullopt});
-    else
-    {
-      news.changes.push_back({ToText(target.getId()),
-                              Read(target),
-                              Control::Removal::Gone,
-                              {target.getEra(), target.getRevision()}});
-    }
+    Control::TargetChange change;
+    change.id = ToText(target.getId());
+    change.version = {target.getEra(), target.getIncarnation(), target.getRevision()};
+    if (!target.getIsGone())
+      change.target = Read(target);
+    news.changes.push_back(std::move(change));
   }
   return Mesh::TargetsUpdate{std::move(news)};
 }
--- a/Source/UnitTests/Core/Control/PlatformRestoreTest.cpp
+++ b/Source/UnitTests/Core/Control/PlatformRestoreTest.cpp
@@ -44,7 +44,7 @@
   {
     Gateway::ListedTarget target = MakeTarget(id);
     target.state = state;
-    return {id, target, Removal::Gone, {0, revision}};
+    return {id, target, Removal::Gone, {0, 0, revision}};
   }
   static TargetsRead Whole(std::vector<TargetChange> changes, Position next)
   {
@@ -191,6 +191,29 @@
         next.Whole({next.Record("a", 50), next.Record("b", 60)}, MakePosition(4, 25)), next.now);
     CHECK(next.StateOf("a") == LEAVING);
   }
+  SUBCASE("a target that is gone, through the process that reads next")
+  {
+    // It has heard of no record since the first, as none of them was a change.
+    RestoredFixture next;
+    f.follower.OnTargetsRead(f.Changes({f.Record("a", 70)}, MakePosition(3, 101)), f.now);
+    f.follower.OnTargetsRead(f.Changes({{"a", std::nullopt}}, MakePosition(3, 102)), f.now);
+    SUBCASE("which was told of the change")
+    {
+      REQUIRE(next.follower.OfferTargets(f.follower.LastTargetListChanges(), next.now));
+    }
+    SUBCASE("which was told the whole list")
+    {
+      REQUIRE(next.follower.OfferTargets(f.follower.FullTargetList(), next.now));
+    }
+    SUBCASE("which has just started")
+    {
+      next.follower = ControlFollower({}, 1);
+      REQUIRE(next.follower.OfferTargets(f.follower.FullTargetList(), next.now));
+    }
+    next.follower.OnTargetsRead(
+        next.Whole({next.Record("a", 65), next.Record("b", 60)}, MakePosition(4, 25)), next.now);
+    CHECK_FALSE(next.StateOf("a").has_value());
+  }
   SUBCASE("while within one era the platform's order counts")
   {
     f.follower.OnTargetsRead(f.Changes({f.Record("a", 3, LEAVING)}, MakePosition(3, 101)), f.now);
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -140,7 +140,9 @@
     const Control::TargetListChanges news{
         38,
         40,
-        {{"i-1", model, Control::Removal::Gone, {4, 57}}, {"i-2", leaving}, {"i-3", std::nullopt}}};
+        {{"i-1", model, Control::Removal::Gone, {4, 0, 57}},
+         {"i-2", leaving},
+         {"i-3", std::nullopt, Control::Removal::Gone, {4, 1788408695000, 9}}}};
     const Control::TargetListChanges told = There(Mesh::TargetsUpdate{news}).news;
     CHECK(told.base == 38);
     CHECK(told.position == 40);
