Unit tests: A rest of a hundred years instead of a thousand

A thousand years are more nanoseconds than a time can hold, so the test's own conversion overflowed; the sanitizers said so. What is tested is the same: a rest of more than an hour is kept for an hour. A thousand years in an answer are read in TargetMessageTest, as seconds.

--- a/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
@@ -134,7 +134,7 @@
   }
   SUBCASE("for an hour at most")
   {
-    const TimePoint long_until = rests.OnAsked("t", 7, std::chrono::hours(24 * 365000), START);
+    const TimePoint long_until = rests.OnAsked("t", 7, std::chrono::hours(24 * 36500), START);
     CHECK(long_until <= START + std::chrono::hours(1) + Milliseconds(500));
   }
 }
