--- a/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
+++ b/Source/UnitTests/Core/Control/ControlFollowerTest.cpp
@@ -13,19 +13,10 @@
 using Common::ErrorKind;
 using Common::Milliseconds;
 using Testing::MakeRead;
+using Testing::MakeTarget;
 using Testing::Take;
 using Fixture = Testing::FollowerFixture;
 
-namespace
-{
-Gateway::ListedTarget MakeTarget(const std::string& id)
-{
-  Gateway::ListedTarget target;
-  target.id = id;
-  return target;
-}
-} // namespace
-
 TEST_CASE("A follower reads the newest state first and then waits for changes")
 {
   Fixture f;
--- a/Source/UnitTests/Core/Control/FollowerFixture.h
+++ b/Source/UnitTests/Core/Control/FollowerFixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include "Common/Error.h"
 #include "Core/Control/ControlFollower.h"
@@ -17,6 +18,13 @@
   return {document, Common::MakeBytes("text"), {}, next};
 }
 
+inline Gateway::ListedTarget MakeTarget(const std::string& id)
+{
+  Gateway::ListedTarget target;
+  target.id = id;
+  return target;
+}
+
 // A follower with a simulated clock, which advances only through Tick or by assignment.
 struct FollowerFixture
 {
--- a/Source/UnitTests/Core/Control/PlatformRestoreTest.cpp
+++ b/Source/UnitTests/Core/Control/PlatformRestoreTest.cpp
@@ -16,18 +16,12 @@
 using Common::ErrorKind;
 using Common::Milliseconds;
 using Testing::MakeRead;
+using Testing::MakeTarget;
 using Testing::Take;
 using Fixture = Testing::FollowerFixture;
 
 namespace
 {
-Gateway::ListedTarget MakeTarget(const std::string& id)
-{
-  Gateway::ListedTarget target;
-  target.id = id;
-  return target;
-}
-
 // A follower that knows settings 27 and two targets, read in era 3 up to offset 100.
 struct RestoredFixture : Fixture
 {
