--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -56,15 +56,15 @@
   return is_new;
 }
 
-void CrashLedger::Clear(const RequestFingerprint& request, TimePoint now)
+std::size_t CrashLedger::Clear(const RequestFingerprint& request, TimePoint now)
 {
   const auto found = m_records.find(request);
-  if (found == m_records.end() || found->second.crashes.empty())
-    return;
-  if (!ClearBefore(found->second, now))
-    return;
+  const std::size_t before = CrashesOf(request);
+  if (before == 0 || !ClearBefore(found->second, now))
+    return 0;
   OnChanged(request, now);
   UpdateStateHash();
+  return before - CrashesOf(request);
 }
 
 bool CrashLedger::MergeOne(const CrashRecord& told, TimePoint now)
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -49,8 +49,9 @@
 public:
   // Records that an engine ended while it had the request. Returns whether that was not known.
   bool Add(const RequestFingerprint& request, EngineRun engine, Common::TimePoint now);
-  // An engine answered the request whole, so the request did not cause its earlier crashes.
-  void Clear(const RequestFingerprint& request, Common::TimePoint now);
+  // An engine answered the request whole, so the request did not cause its earlier crashes. Returns
+  // how many of them no longer count.
+  std::size_t Clear(const RequestFingerprint& request, Common::TimePoint now);
   // Adds what another replica knows.
   void Merge(const std::vector<CrashRecord>& records, Common::TimePoint now);
 
--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -84,6 +84,15 @@
            lost.target, "crashes", m_ledger.CrashesOf(lost.request));
 }
 
+void CrashTracker::OnAnswered(const RequestFingerprint& request, TimePoint now)
+{
+  if (const std::size_t cleared = m_ledger.Clear(request, now))
+  {
+    LogEvent(Weight::Ordinary, now, "crash.cleared", "fingerprint", request.Short(), "crashes",
+             cleared);
+  }
+}
+
 void CrashTracker::OnTick(TimePoint now)
 {
   std::erase_if(m_pending,
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -45,10 +45,7 @@
   void OnEngineEnd(const EngineEnd& end, Common::TimePoint now);
   // The known targets have changed.
   void OnTargets(const HasEnded& has_ended, Common::TimePoint now);
-  void OnAnswered(const RequestFingerprint& request, Common::TimePoint now)
-  {
-    m_ledger.Clear(request, now);
-  }
+  void OnAnswered(const RequestFingerprint& request, Common::TimePoint now);
   void OnTick(Common::TimePoint now);
 
   bool IsBlocked(const RequestFingerprint& request) const { return m_ledger.IsBlocked(request); }
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -311,7 +311,7 @@
   m_targets.OnSucceeded(TargetInSameIncarnation(*tracked));
   if (tracked->last_attempt->answer_status < MIN_FAILURE_STATUS)
     m_crashes.OnAnswered(tracked->fingerprint, now);
-  m_log.OnDone(*tracked, now);
+  m_log.OnDone(*tracked, event.ends_with_connection, now);
   ReleaseTarget(*tracked, actions);
   const std::string service = tracked->service;
   Forget(event.number);
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -42,6 +42,8 @@
   std::optional<Common::Milliseconds> deadline;
   std::optional<EventId> last_event;
   std::optional<GenerationHint> generation;
+  // The ids of the parts that the prompt shares with others, in order and each once.
+  std::vector<std::string> shared_parts;
   // The digest of the method, the path with its query, and the body.
   Common::Digest content;
 };
@@ -104,6 +106,9 @@
 struct AnswerEnded
 {
   RequestNumber number = 0;
+  // Nothing but the end of its connection marks the end of the answer, so that it looks the same if
+  // the target ends.
+  bool ends_with_connection = false;
 };
 
 enum class AttemptFailure
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -1,6 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Core/Gateway/RequestLog.h"
 
+#include <algorithm>
+
+#include <fmt/ranges.h>
+
 #include "Common/EventLog.h"
 
 namespace Holdpost::Gateway
@@ -15,6 +19,16 @@
 // deadline, or later.
 static constexpr Milliseconds NEAR_DEADLINE_PERIOD = Milliseconds(500);
 
+// How many of a prompt's parts are logged.
+static constexpr std::size_t MAX_LOGGED_PARTS = 4;
+
+static std::string SharedParts(const TrackedRequest& tracked)
+{
+  const auto& parts = tracked.request.shared_parts;
+  const auto count = static_cast<std::ptrdiff_t>(std::min(parts.size(), MAX_LOGGED_PARTS));
+  return fmt::format("{}", fmt::join(parts.begin(), parts.begin() + count, ","));
+}
+
 // The event of a failure has all data of the last attempt, because ordinary events are dropped
 // under load.
 template <typename... Fields>
@@ -24,16 +38,17 @@
   if (!tracked.last_attempt)
   {
     return LogEvent(Weight::Important, now, event, "request", tracked.request.id, "fingerprint",
-                    tracked.fingerprint.Short(), fields..., "attempts", 0);
+                    tracked.fingerprint.Short(), "parts", SharedParts(tracked), fields...,
+                    "attempts", 0);
   }
   const TargetChoice& choice = tracked.last_attempt->choice;
   LogEvent(Weight::Important, now, event, "request", tracked.request.id, "fingerprint",
-           tracked.fingerprint.Short(), fields..., "attempts", tracked.sends, "target", choice.id,
-           "at", choice.address.ToString(), "sent_ms_ago", now - tracked.last_attempt->sent,
-           "answer_status", tracked.last_attempt->answer_status, "ended_by",
-           AttemptEndName(tracked.last_attempt->end), "load", choice.load, "report_age_ms",
-           choice.report_age.value_or(Milliseconds(-1)), "expected_ms", choice.expected_start,
-           "weights", choice.weights_version);
+           tracked.fingerprint.Short(), "parts", SharedParts(tracked), fields..., "attempts",
+           tracked.sends, "target", choice.id, "at", choice.address.ToString(), "sent_ms_ago",
+           now - tracked.last_attempt->sent, "answer_status", tracked.last_attempt->answer_status,
+           "ended_by", AttemptEndName(tracked.last_attempt->end), "load", choice.load,
+           "report_age_ms", choice.report_age.value_or(Milliseconds(-1)), "expected_ms",
+           choice.expected_start, "weights", choice.weights_version);
 }
 
 void RequestLog::RecordTime(const TrackedRequest& tracked, std::string_view outcome, TimePoint now)
@@ -116,9 +131,11 @@
   LogFailure(tracked, now, "request.taken_back", "reason", "old_weights");
 }
 
-void RequestLog::OnDone(const TrackedRequest& tracked, TimePoint now)
+void RequestLog::OnDone(const TrackedRequest& tracked, bool ends_with_connection, TimePoint now)
 {
   m_metrics.Add("holdpost_answers_whole_total");
+  if (ends_with_connection)
+    m_metrics.Add("holdpost_answers_ended_with_connection_total");
   RecordTime(tracked, "done", now);
   const int status = tracked.last_attempt->answer_status;
   if (status >= MIN_FAILURE_STATUS)
@@ -128,7 +145,8 @@
   }
   LogEvent(Weight::Ordinary, now, "request.done", "request", tracked.request.id, "target",
            tracked.target, "first_ms", tracked.answer_passed_at - tracked.arrived, "took_ms",
-           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status);
+           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status, "ended_with",
+           ends_with_connection ? "connection" : "mark");
 }
 
 void RequestLog::OnCallerLeft(const TrackedRequest& tracked, TimePoint now)
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -171,7 +171,11 @@
 
 void GatewayNode::OnCallEnded(RequestNumber number)
 {
-  Feed(Gateway::AnswerEnded{number});
+  const auto found = m_exchanges.find(number);
+  const bool ends_with_connection =
+      found != m_exchanges.end() &&
+      found->second.answer.framing == Common::BodyFraming::UntilClose;
+  Feed(Gateway::AnswerEnded{number, ends_with_connection});
   const Exchange exchange = Take(number);
   if (!exchange.caller)
     return;
--- a/Source/Peers/Target/HeaderNames.h
+++ b/Source/Peers/Target/HeaderNames.h
@@ -15,6 +15,8 @@
   std::string model = "Holdpost-Model";
   std::string token_counts = "Holdpost-Token-Counts"; // of the prompt, and the most of the answer
   std::string length_hint = "Holdpost-Length-Hint";   // the caller's guess of the answer's tokens
+  // The parts of the prompt in order, as ID:TOKENS by commas. The last is the request's own.
+  std::string prompt_parts = "Holdpost-Prompt-Parts";
   std::string last_event = "Last-Event-Id";
   std::string credential = "Authorization"; // "Bearer CREDENTIAL"; never passed on
   // From the caller and, with what is left, to the target.
--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "Common/EventLoop.h"
+#include "Peers/Target/PromptParts.h"
 
 namespace Holdpost::TargetPeer
 {
@@ -71,6 +72,7 @@
     request.deadline = Common::Milliseconds(std::min<std::uint64_t>(*deadline, 86400000));
   request.last_event = head.fields.FindNumber(names.last_event);
   request.generation = ReadGeneration(head, names);
+  request.shared_parts = ReadSharedParts(head, names);
   request.content = DigestContent(head, body);
   return request;
 }
--- a/Source/UnitTests/Peers/TargetMessageTest.cpp
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -143,3 +143,41 @@
       CHECK_FALSE(rest_of(503, text).has_value());
   }
 }
+
+TEST_CASE("The parts that a prompt shares with others are read")
+{
+  using Parts = std::vector<std::string>;
+  const auto parts_of = [](const std::vector<std::string>& fields)
+  {
+    Common::HttpHead head;
+    for (const std::string& field : fields)
+      head.fields.Add("holdpost-prompt-parts", field);
+    return ReadCallerRequest(head, "", HeaderNames{}).shared_parts;
+  };
+  CHECK(parts_of({"5c1e07a2:800,91bd3f06:410,e4402b7d:250"}) == Parts{"5c1e07a2", "91bd3f06"});
+  SUBCASE("without the last one, which is the request's own")
+  {
+    CHECK(parts_of({}).empty());
+    CHECK(parts_of({""}).empty());
+    CHECK(parts_of({"5c1e07a2:800"}).empty());
+    CHECK(parts_of({"5c1e07a2:800,5c1e07a2:800"}) == Parts{"5c1e07a2"});
+  }
+  SUBCASE("each once, whatever its spelling")
+  {
+    CHECK(parts_of({"0AB:1, ab:2 ,00aB:3,1:4"}) == Parts{"ab"});
+    CHECK(parts_of({"0:1,000:2,1:4"}) == Parts{"0"});
+    CHECK(parts_of({"xy:1,XY:2,1:4"}) == Parts{"xy", "XY"});
+  }
+  SUBCASE("without tokens, without an id, and from a field that is sent twice")
+  {
+    CHECK(parts_of({"a,b:,:7,,c"}) == Parts{"a", "b"});
+    CHECK(parts_of({"a:1,b:2", "c:3,d:4"}) == Parts{"a", "b", "c"});
+  }
+  SUBCASE("up to a maximum")
+  {
+    std::string field;
+    for (int i = 0; i < 3000; ++i)
+      field += std::to_string(i) + ":1,";
+    CHECK(parts_of({field + "ff:1"}).size() == 64);
+  }
+}
