--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -14,6 +14,8 @@
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
+#include "Common/HttpMessage.h"
+
 namespace Holdpost::Common
 {
 static constexpr int LISTEN_BACKLOG = 1024;
@@ -102,10 +104,29 @@
   evhtp_send_reply_chunk_start(m_raw, static_cast<evhtp_res>(status));
 }
 
+void HttpExchange::StartUnframed(int status, const HttpHeaders& headers)
+{
+  if (!IsOpen())
+    return;
+  m_is_unframed = true;
+  // libevhtp would add a length.
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
+  for (const auto& [name, value] : headers)
+    AppendField(&head, name, value);
+  AppendField(&head, "Connection", "close");
+  head += "\r\n";
+  bufferevent_write(m_raw->conn->bev, head.data(), head.size());
+}
+
 void HttpExchange::SendChunk(std::string_view data)
 {
   if (!IsOpen() || data.empty())
     return;
+  if (m_is_unframed)
+  {
+    bufferevent_write(m_raw->conn->bev, data.data(), data.size());
+    return;
+  }
   evbuffer* buffer = evbuffer_new();
   evbuffer_add(buffer, data.data(), data.size());
   evhtp_send_reply_chunk(m_raw, buffer);
@@ -116,6 +137,8 @@
 {
   if (!IsOpen())
     return;
+  if (m_is_unframed)
+    return Cut();
   m_ended = true;
   evhtp_send_reply_chunk_end(m_raw);
 }
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -46,6 +46,8 @@
 
   void Reply(int status, const HttpHeaders& headers, std::string_view body);
   void StartStream(int status, const HttpHeaders& headers);
+  // Begins an answer with neither a length nor chunks, which ends with its connection.
+  void StartUnframed(int status, const HttpHeaders& headers);
   void SendChunk(std::string_view data);
   void EndStream();
   // Sends what is buffered, then closes without the end mark, so that nobody takes the answer for
@@ -68,6 +70,7 @@
   evhtp_request* m_raw;
   HttpRequest m_request;
   bool m_ended = false;
+  bool m_is_unframed = false;
   bool m_cut_when_drained = false;
   std::function<void()> m_on_drained;
   std::function<void()> m_on_gone;
