--- /dev/null
+++ b/Source/Core/Crashes/CauseInference.cpp
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Crashes/CauseInference.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace Holdpost::Crashes
+{
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// A part that was in so many engines at once, without a whole answer in the time before, needs no
+// trials in sequence: a sound part that is used so often is answered all the time.
+static constexpr std::size_t MIN_CRASHES_WITHOUT_ANSWER = 5;
+static constexpr Milliseconds MIN_TIME_WITHOUT_ANSWER = std::chrono::seconds(30);
+// The probability up to which the trials of a part are no coincidence.
+static constexpr double MAX_COINCIDENCE = 0.0005;
+// The same for a part that was answered whole shortly before, and would have turned since.
+static constexpr double MAX_COINCIDENCE_OF_ANSWERED = 0.000001;
+// The same for a part that another process, which may have seen more, has inferred to be a cause.
+static constexpr double MAX_COINCIDENCE_IF_INFERRED = 0.05;
+
+std::size_t TrialsOf(std::vector<EngineCrash> crashes)
+{
+  std::ranges::sort(crashes, {}, &EngineCrash::at);
+  std::size_t trials = 0;
+  std::optional<TimePoint> last;
+  for (const EngineCrash& crash : crashes)
+  {
+    if (last && crash.sent <= *last)
+      continue;
+    ++trials;
+    last = crash.at;
+  }
+  return trials;
+}
+
+static bool IsLongUnanswered(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes)
+{
+  if (!evidence.last_answer)
+    return true;
+  const auto first = std::ranges::min_element(crashes, {}, &EngineCrash::at);
+  return first->at - *evidence.last_answer >= MIN_TIME_WITHOUT_ANSWER;
+}
+
+// A part that no request of the recent past shows to be sound, and that failed enough trials.
+static bool IsMainSuspect(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes)
+{
+  return IsPromptPart(evidence.cause) && TrialsOf(crashes) >= BLOCKING_TRIALS &&
+         IsLongUnanswered(evidence, crashes);
+}
+
+// The share of this process's requests that were lost since the first of the crashes with engines
+// that ended for a reason of which nothing is known.
+static std::optional<double> CoincidenceShare(const CauseEvidence& evidence,
+                                              const std::vector<EngineCrash>& crashes,
+                                              const OutcomeHistory& outcomes,
+                                              const std::set<EngineRun>& attributed)
+{
+  const TimePoint first = std::ranges::min_element(crashes, {}, &EngineCrash::at)->at;
+  return outcomes.LossShare(first,
+                            [&](EngineRun engine)
+                            {
+                              return !attributed.contains(engine) &&
+                                     std::ranges::find(evidence.crashes, engine,
+                                                       &EngineCrash::engine) ==
+                                         evidence.crashes.end();
+                            });
+}
+
+static bool IsConclusive(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes,
+                         const OutcomeHistory& outcomes, bool knows_answers,
+                         const std::set<EngineRun>& attributed)
+{
+  if (!IsPromptPart(evidence.cause))
+    return crashes.size() >= BLOCKING_CRASHES;
+  const std::size_t trials = TrialsOf(crashes);
+  const bool is_in_many = knows_answers && crashes.size() >= MIN_CRASHES_WITHOUT_ANSWER &&
+                          IsLongUnanswered(evidence, crashes);
+  if (trials < BLOCKING_TRIALS && !is_in_many)
+    return false;
+  const auto share = CoincidenceShare(evidence, crashes, outcomes, attributed);
+  if (!share)
+    return trials >= BLOCKING_TRIALS && evidence.is_inferred_elsewhere;
+  double most = IsLongUnanswered(evidence, crashes) ? MAX_COINCIDENCE : MAX_COINCIDENCE_OF_ANSWERED;
+  if (evidence.is_inferred_elsewhere)
+    most = MAX_COINCIDENCE_IF_INFERRED;
+  // Crashes at once tell less than trials in sequence, but a part in so many engines at once would
+  // be answered in others.
+  const std::size_t failures = std::max(trials, is_in_many ? BLOCKING_TRIALS : 0);
+  return std::pow(*share, static_cast<double>(failures)) <= most;
+}
+
+static std::vector<EngineCrash> Unexplained(const CauseEvidence& evidence,
+                                            const std::set<EngineRun>& explained)
+{
+  std::vector<EngineCrash> crashes = evidence.crashes;
+  std::erase_if(crashes,
+                [&](const EngineCrash& crash) { return explained.contains(crash.engine); });
+  return crashes;
+}
+
+// Larger for the more probable cause.
+static auto RankOf(const CauseEvidence& evidence, std::size_t crashes)
+{
+  return std::tuple(crashes, !evidence.last_answer, !IsPromptPart(evidence.cause),
+                    evidence.position, BytesOf(evidence.cause));
+}
+
+// The engine runs that ended under causes, or may have ended under main suspects.
+static std::set<EngineRun> AttributedRuns(const std::vector<CauseEvidence>& evidence,
+                                          const std::set<EngineRun>& explained)
+{
+  std::set<EngineRun> attributed = explained;
+  for (const CauseEvidence& candidate : evidence)
+  {
+    const std::vector<EngineCrash> crashes = Unexplained(candidate, explained);
+    if (!IsMainSuspect(candidate, crashes))
+      continue;
+    for (const EngineCrash& crash : crashes)
+      attributed.insert(crash.engine);
+  }
+  return attributed;
+}
+
+// The most probable cause that is conclusive by the crashes that are not explained yet; null if
+// there is none.
+static const CauseEvidence* NextCause(const std::vector<CauseEvidence>& evidence,
+                                      const OutcomeHistory& outcomes, bool knows_answers,
+                                      const std::set<EngineRun>& explained)
+{
+  const std::set<EngineRun> attributed = AttributedRuns(evidence, explained);
+  const CauseEvidence* best = nullptr;
+  std::size_t best_crashes = 0;
+  for (const CauseEvidence& candidate : evidence)
+  {
+    const std::vector<EngineCrash> crashes = Unexplained(candidate, explained);
+    if (!IsConclusive(candidate, crashes, outcomes, knows_answers, attributed))
+      continue;
+    if (best && RankOf(candidate, crashes.size()) <= RankOf(*best, best_crashes))
+      continue;
+    best = &candidate;
+    best_crashes = crashes.size();
+  }
+  return best;
+}
+
+Inference InferCauses(const std::vector<CauseEvidence>& evidence, const OutcomeHistory& outcomes,
+                      bool knows_answers)
+{
+  Inference inference;
+  while (const CauseEvidence* cause =
+             NextCause(evidence, outcomes, knows_answers, inference.explained))
+  {
+    inference.causes.insert(cause->cause);
+    for (const EngineCrash& crash : cause->crashes)
+      inference.explained.insert(crash.engine);
+  }
+  return inference;
+}
+} // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashRecorder.cpp
+++ b/Source/Core/Crashes/CrashRecorder.cpp
@@ -29,10 +29,10 @@
   m_is_call_outdated = m_is_waiting;
 }
 
-std::optional<RequestFingerprint> CrashRecorder::NextToWrite(const CrashLedger& ledger) const
+std::optional<CrashCause> CrashRecorder::NextToWrite(const CrashLedger& ledger) const
 {
-  const auto missing = std::ranges::find_if(ledger.Blocked(), [this](const auto& request)
-                                            { return !m_written.contains(request); });
+  const auto missing = std::ranges::find_if(ledger.Blocked(), [this](const auto& cause)
+                                            { return !m_written.contains(cause); });
   if (missing == ledger.Blocked().end())
     return std::nullopt;
   return *missing;
@@ -46,8 +46,8 @@
     actions->push_back(ReadRecords{});
   else if (!m_to_drop.empty())
     actions->push_back(DropRecord{m_to_drop.back()});
-  else if (const auto request = NextToWrite(ledger))
-    actions->push_back(WriteRecord{ledger.RecordOf(*request, now)});
+  else if (const auto cause = NextToWrite(ledger))
+    actions->push_back(WriteRecord{ledger.RecordOf(*cause, now)});
   m_is_waiting = !actions->empty();
 }
 
@@ -81,10 +81,10 @@
   {
     if (CrashLedger::IsExpired(record))
     {
-      m_to_drop.push_back(record.request);
+      m_to_drop.push_back(record.cause);
       continue;
     }
-    m_written.insert(record.request);
+    m_written.insert(record.cause);
     counting.push_back(record);
   }
   if (!counting.empty())
@@ -92,12 +92,13 @@
   return counting;
 }
 
-void CrashRecorder::OnWritten(const RequestFingerprint& request, bool is_written, TimePoint now)
+void CrashRecorder::OnWritten(const CrashCause& cause, bool is_written, TimePoint now)
 {
   if (OnAnswer(is_written, now))
-    m_written.insert(request);
+    m_written.insert(cause);
   else if (!is_written)
-    LogEvent(Weight::Important, now, "crash.record_unwritten", "fingerprint", request.Short());
+    LogEvent(Weight::Important, now, "crash.record_unwritten", "cause", KindName(cause),
+             "fingerprint", ShortName(cause));
 }
 
 void CrashRecorder::OnDropped(bool is_dropped, TimePoint now)
--- a/Source/Core/Crashes/CrashRecorder.h
+++ b/Source/Core/Crashes/CrashRecorder.h
@@ -11,7 +11,7 @@
 #include "Core/Control/ControlFollower.h"
 #include "Core/Crashes/CrashLedger.h"
 
-// Keeps the records of blocked requests on the platform, so that they outlast the end of all
+// Keeps the records of blocked causes on the platform, so that they outlast the end of all
 // processes. Only processes that read the platform for their hall use it.
 namespace Holdpost::Crashes
 {
@@ -28,7 +28,7 @@
 // Removes a record that no longer counts.
 struct DropRecord
 {
-  RequestFingerprint request;
+  CrashCause cause;
 };
 
 using RecorderAction = std::variant<ReadRecords, WriteRecord, DropRecord>;
@@ -50,11 +50,11 @@
   // Returns the records that count, for the ledger.
   std::vector<CrashRecord> OnRead(const Common::Result<std::vector<CrashRecord>>& result,
                                   Common::TimePoint now);
-  void OnWritten(const RequestFingerprint& request, bool is_written, Common::TimePoint now);
+  void OnWritten(const CrashCause& cause, bool is_written, Common::TimePoint now);
   void OnDropped(bool is_dropped, Common::TimePoint now);
 
 private:
-  std::optional<RequestFingerprint> NextToWrite(const CrashLedger& ledger) const;
+  std::optional<CrashCause> NextToWrite(const CrashLedger& ledger) const;
   // Returns whether the answer counts: it is a success, and of the present era.
   bool OnAnswer(bool is_success, Common::TimePoint now);
 
@@ -66,8 +66,8 @@
   bool m_is_waiting = false;
   Common::TimePoint m_due{};
   Control::Backoff m_backoff;
-  // The blocked requests whose records are on the platform.
-  std::set<RequestFingerprint> m_written;
-  std::vector<RequestFingerprint> m_to_drop;
+  // The blocked causes whose records are on the platform.
+  std::set<CrashCause> m_written;
+  std::vector<CrashCause> m_to_drop;
 };
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -17,33 +17,48 @@
 // engine that ends without notice stays on the target list for three heartbeat intervals of 1.2 s,
 // and the list is read several times in 2 s.
 static constexpr Milliseconds END_NOTICE_TIME = Milliseconds(6000);
+// After this time the answers of a process tell which parts are answered at all.
+static constexpr Milliseconds MIN_ANSWERS_TIME = std::chrono::seconds(10);
 static constexpr std::size_t MAX_PENDING = 512;
 static constexpr std::size_t MAX_KNOWN_ENDS = 512;
 
-static EngineRun EngineRunOf(const LostAttempt& lost)
+static EngineRun EngineRunOf(const Attempt& attempt)
 {
-  return Common::StableHash(lost.target, lost.incarnation);
+  return Common::StableHash(attempt.target, attempt.incarnation);
 }
 
-static bool IsOf(const LostAttempt& lost, const EngineEnd& end)
+static bool IsOf(const Attempt& attempt, const EngineEnd& engine)
 {
-  if (lost.address != end.target)
+  if (attempt.address != engine.target)
     return false;
-  if (!end.id.empty() && end.id != lost.target)
+  if (!engine.id.empty() && engine.id != attempt.target)
     return false;
-  return end.incarnation == 0 || lost.incarnation == 0 || end.incarnation == lost.incarnation;
+  return engine.incarnation == 0 || attempt.incarnation == 0 ||
+         engine.incarnation == attempt.incarnation;
 }
 
-void CrashTracker::OnLost(const LostAttempt& lost, bool has_ended, TimePoint now)
+static bool Contains(const RequestCauses& causes, const CrashCause& cause)
 {
-  const bool is_known_end =
-      std::ranges::any_of(m_ends, [&](const KnownEnd& known)
-                          { return now - known.at < END_NOTICE_TIME && IsOf(lost, known.end); });
-  if (has_ended || is_known_end)
-    return Count(lost, now);
-  if (m_pending.size() >= MAX_PENDING)
-    m_pending.erase(m_pending.begin());
-  m_pending.push_back({lost, now});
+  if (const auto* part = std::get_if<PromptPart>(&cause))
+    return std::ranges::find(causes.parts, *part) != causes.parts.end();
+  return causes.request == std::get<RequestFingerprint>(cause);
+}
+
+bool CrashTracker::IsKnownEnd(const Attempt& attempt, TimePoint now) const
+{
+  return std::ranges::any_of(m_ends,
+                             [&](const KnownEnd& known) {
+                               return now - known.at < END_NOTICE_TIME && IsOf(attempt, known.end);
+                             });
+}
+
+void CrashTracker::OnLost(const Attempt& lost, bool has_ended, TimePoint now)
+{
+  if (has_ended || IsKnownEnd(lost, now))
+    return Count({lost, now}, now);
+  if (m_lost.size() >= MAX_PENDING)
+    m_lost.erase(m_lost.begin());
+  m_lost.push_back({lost, now});
 }
 
 void CrashTracker::OnEngineEnd(const EngineEnd& end, TimePoint now)
@@ -55,56 +70,125 @@
       m_ends.erase(m_ends.begin());
     m_ends.push_back({end, now});
   }
-  CountWhere([&](const LostAttempt& lost) { return IsOf(lost, end); }, now);
+  CountWhere([&](const Attempt& attempt) { return IsOf(attempt, end); }, now);
 }
 
 void CrashTracker::OnTargets(const HasEnded& has_ended, TimePoint now)
 {
-  if (!m_pending.empty())
+  if (!m_lost.empty())
     CountWhere(has_ended, now);
 }
 
 void CrashTracker::CountWhere(const HasEnded& condition, TimePoint now)
 {
-  std::erase_if(m_pending,
-                [&](const Pending& pending)
-                {
-                  const bool is_counted = condition(pending.lost);
-                  if (is_counted)
-                    Count(pending.lost, now);
-                  return is_counted;
-                });
+  const auto is_counted = [&](const Pending& pending)
+  {
+    if (!condition(pending.attempt))
+      return false;
+    Count(pending, now);
+    return true;
+  };
+  std::erase_if(m_lost, is_counted);
+}
+
+void CrashTracker::Count(const Pending& pending, TimePoint now)
+{
+  const Attempt& attempt = pending.attempt;
+  const EngineCrash crash{EngineRunOf(attempt), pending.at, attempt.sent,
+                          attempt.causes.organisation};
+  m_ledger.Outcomes().OnLost(crash.engine, pending.at);
+  for (const CrashCause& cause : m_ledger.Add(ListOf(attempt.causes), crash, now))
+  {
+    ApplyAnswers(cause, now);
+    const std::size_t crashes = m_ledger.CrashesOf(cause);
+    // Each part of all lost requests has a first crash, which says little.
+    if (IsPromptPart(cause) && crashes < 2)
+      continue;
+    LogEvent(Weight::Important, now, "crash.counted", "cause", KindName(cause), "fingerprint",
+             ShortName(cause), "target", attempt.target, "crashes", crashes);
+  }
 }
 
-void CrashTracker::Count(const LostAttempt& lost, TimePoint now)
+void CrashTracker::ApplyAnswers(const CrashCause& cause, TimePoint now)
 {
-  if (!m_ledger.Add(lost.request, EngineRunOf(lost), now))
+  const auto* part = std::get_if<PromptPart>(&cause);
+  if (!part)
     return;
-  LogEvent(Weight::Important, now, "crash.counted", "fingerprint", lost.request.Short(), "target",
-           lost.target, "crashes", m_ledger.CrashesOf(lost.request));
+  if (const auto answered_at = m_answered.LastAnswer(*part))
+    m_ledger.Clear(cause, *answered_at, now);
 }
 
-void CrashTracker::OnAnswered(const RequestFingerprint& request, TimePoint now)
+void CrashTracker::OnRecords(const std::vector<CrashRecord>& records, TimePoint now)
 {
-  if (const std::size_t cleared = m_ledger.Clear(request, now))
+  m_ledger.Merge(records, now);
+  for (const CrashRecord& record : records)
+    ApplyAnswers(record.cause, now);
+}
+
+void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now)
+{
+  m_ledger.Outcomes().OnAnswered(answered_at);
+  for (const PromptPart& part : causes.parts)
+    m_answered.OnAnswered(part, answered_at);
+  if (m_ledger.Size() == 0)
+    return;
+  for (const CrashCause& cause : ListOf(causes))
   {
-    LogEvent(Weight::Ordinary, now, "crash.cleared", "fingerprint", request.Short(), "crashes",
-             cleared);
+    if (const std::size_t cleared = m_ledger.Clear(cause, answered_at, now))
+    {
+      LogEvent(Weight::Ordinary, now, "crash.cleared", "cause", KindName(cause), "fingerprint",
+               ShortName(cause), "crashes", cleared);
+    }
   }
 }
 
 void CrashTracker::OnTick(TimePoint now)
 {
-  std::erase_if(m_pending,
-                [now](const Pending& pending) { return now - pending.at >= END_NOTICE_TIME; });
-  std::erase_if(m_ends, [now](const KnownEnd& known) { return now - known.at >= END_NOTICE_TIME; });
-  m_ledger.Expire(now);
+  if (!m_started)
+    m_started = now;
+  m_ledger.SetKnowsAnswers(now - *m_started >= MIN_ANSWERS_TIME);
+  const auto is_over = [now](const auto& entry) { return now - entry.at >= END_NOTICE_TIME; };
+  std::erase_if(m_lost, is_over);
+  std::erase_if(m_ends, is_over);
+  m_ledger.OnTick(now);
+}
+
+std::optional<CrashCause> CrashTracker::BlockedBy(const RequestCauses& causes) const
+{
+  if (m_ledger.Blocked().empty())
+    return std::nullopt;
+  for (const CrashCause& cause : ListOf(causes))
+  {
+    if (m_ledger.IsBlockedFor(cause, causes.organisation))
+      return cause;
+  }
+  return std::nullopt;
 }
 
-bool CrashTracker::IsSuspect(const RequestFingerprint& request) const
+bool CrashTracker::IsSuspect(const CrashCause& cause) const
 {
-  const auto pending = static_cast<std::size_t>(std::ranges::count_if(
-      m_pending, [&](const Pending& entry) { return entry.lost.request == request; }));
-  return m_ledger.CrashesOf(request) + pending + 1 >= BLOCKING_CRASHES;
+  if (m_ledger.IsConclusive(cause))
+    return true;
+  std::vector<EngineCrash> crashes = m_ledger.UnexplainedCrashesOf(cause);
+  for (const Pending& lost : m_lost)
+  {
+    const EngineRun engine = EngineRunOf(lost.attempt);
+    if (Contains(lost.attempt.causes, cause) && !m_ledger.IsExplained(engine))
+      crashes.push_back({engine, lost.at, lost.attempt.sent});
+  }
+  const auto* part = std::get_if<PromptPart>(&cause);
+  if (!part)
+    return crashes.size() + 1 >= BLOCKING_CRASHES;
+  if (const auto answered_at = m_answered.LastAnswer(*part))
+    std::erase_if(crashes, [&](const EngineCrash& crash) { return crash.at <= *answered_at; });
+  return TrialsOf(std::move(crashes)) + 1 >= BLOCKING_TRIALS;
+}
+
+bool CrashTracker::IsSuspect(const RequestCauses& causes) const
+{
+  if (m_ledger.Size() == 0 && m_lost.empty())
+    return false;
+  return std::ranges::any_of(ListOf(causes),
+                             [this](const CrashCause& cause) { return IsSuspect(cause); });
 }
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -1,16 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "Core/Crashes/AnsweredParts.h"
 #include "Core/Crashes/CrashLedger.h"
 #include "Core/Gateway/Target.h"
 
-// Decides which lost attempts of a gateway's requests are evidence of a crash. A lost answer alone
-// is none: connections are reset, answers break off and paths are cut while the engine runs on. It
-// becomes evidence when the engine is known to have ended, by its agent or by the target list.
+// Decides which attempts of a gateway's requests are evidence of a crash. A lost answer alone is none: connections are reset, answers break off and paths are
+// cut while the engine runs on. It becomes evidence when the engine is known to have ended, by its
+// agent or by the target list.
 namespace Holdpost::Crashes
 {
 // An engine has ended without notice, as the agent beside it reports.
@@ -25,40 +28,50 @@
   bool operator==(const EngineEnd&) const = default;
 };
 
-// An attempt that ended without a whole answer although the target may have run the request.
-struct LostAttempt
+// An attempt of a request at a target, which may have run the request.
+struct Attempt
 {
-  RequestFingerprint request;
+  RequestCauses causes;
   Gateway::TargetId target;
   Common::Address address;
   std::uint64_t incarnation = 0;
+  Common::TimePoint sent{};
 };
 
 class CrashTracker
 {
 public:
   // Whether the engine that had the attempt is known to have ended.
-  using HasEnded = std::function<bool(const LostAttempt&)>;
+  using HasEnded = std::function<bool(const Attempt&)>;
 
-  // An attempt was lost at a target that was listed as ready, or that has been replaced already.
-  void OnLost(const LostAttempt& lost, bool has_ended, Common::TimePoint now);
+  // An attempt ended without a whole answer, at a target that was listed as ready, or that has been
+  // replaced already.
+  void OnLost(const Attempt& lost, bool has_ended, Common::TimePoint now);
+  // An engine answered a request whole.
+  void OnAnswered(const RequestCauses& causes, Common::TimePoint answered_at,
+                  Common::TimePoint now);
   void OnEngineEnd(const EngineEnd& end, Common::TimePoint now);
   // The known targets have changed.
   void OnTargets(const HasEnded& has_ended, Common::TimePoint now);
-  void OnAnswered(const RequestFingerprint& request, Common::TimePoint now);
+  // Another process knows of causes.
+  void OnRecords(const std::vector<CrashRecord>& records, Common::TimePoint now);
   void OnTick(Common::TimePoint now);
+  std::optional<Common::TimePoint> NextWakeup() const { return m_ledger.NextWakeup(); }
 
-  bool IsBlocked(const RequestFingerprint& request) const { return m_ledger.IsBlocked(request); }
-  // Whether one more crash would block the request. Lost attempts count that are not known to be
-  // crashes yet, because their outcome is known only after the next attempt would be sent.
-  bool IsSuspect(const RequestFingerprint& request) const;
+  // The first cause for which the request is not sent to any engine; empty if there is none.
+  std::optional<CrashCause> BlockedBy(const RequestCauses& causes) const;
+  bool IsBlocked(const RequestCauses& causes) const { return BlockedBy(causes).has_value(); }
+  // Whether one more crash would block a cause of the request. Lost attempts count that are not
+  // known to be crashes yet, because their outcome is known only after the next attempt would be
+  // sent.
+  bool IsSuspect(const RequestCauses& causes) const;
   CrashLedger& Ledger() { return m_ledger; }
   const CrashLedger& Ledger() const { return m_ledger; }
 
 private:
   struct Pending
   {
-    LostAttempt lost;
+    Attempt attempt;
     Common::TimePoint at;
   };
 
@@ -68,12 +81,18 @@
     Common::TimePoint at;
   };
 
-  void Count(const LostAttempt& lost, Common::TimePoint now);
+  bool IsKnownEnd(const Attempt& attempt, Common::TimePoint now) const;
+  bool IsSuspect(const CrashCause& cause) const;
+  void Count(const Pending& pending, Common::TimePoint now);
   // Counts and forgets the pending attempts that meet the condition.
   void CountWhere(const HasEnded& condition, Common::TimePoint now);
+  // Takes the answers into account that this process saw before it knew of the crashes.
+  void ApplyAnswers(const CrashCause& cause, Common::TimePoint now);
 
   CrashLedger m_ledger;
-  std::vector<Pending> m_pending;
+  AnsweredParts m_answered;
+  std::vector<Pending> m_lost;
   std::vector<KnownEnd> m_ends;
+  std::optional<Common::TimePoint> m_started;
 };
 } // namespace Holdpost::Crashes
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -150,23 +150,21 @@
     return RefuseArrival(event, {ErrorKind::BadCredential, "unknown credential"}, now, actions);
 
   const std::string caller = organisation ? organisation->name : "";
-  const RequestFingerprint fingerprint =
-      FingerprintOf(caller, event.request.host, event.request.content);
-  if (m_crashes.IsBlocked(fingerprint))
-  {
-    return RefuseArrival(event,
-                         {ErrorKind::CrashesTargets, "the request crashes the targets that run it"},
-                         now, actions);
-  }
+  const std::string service = RouteTable::ServiceFor(*route, Common::StableHash(event.request.id));
+  Crashes::RequestCauses causes =
+      Crashes::CausesOf(FingerprintOf(caller, event.request.host, event.request.content), service,
+                        caller, event.request.shared_parts);
+  if (const auto cause = m_crashes.BlockedBy(causes))
+    return RefuseBlocked(event, causes, *cause, now, actions);
 
   Tracked tracked;
   tracked.number = event.number;
   tracked.route = *route;
-  tracked.service = RouteTable::ServiceFor(*route, Common::StableHash(event.request.id));
+  tracked.service = service;
   tracked.organisation = caller;
   tracked.priority =
       organisation && organisation->priority ? *organisation->priority : route->priority;
-  tracked.fingerprint = fingerprint;
+  tracked.causes = std::move(causes);
   tracked.request = std::move(event.request);
   tracked.arrived = now;
   tracked.first_attempt_at =
@@ -309,8 +307,7 @@
   if (!tracked)
     return;
   m_targets.OnSucceeded(TargetInSameIncarnation(*tracked));
-  if (tracked->last_attempt->answer_status < MIN_FAILURE_STATUS)
-    m_crashes.OnAnswered(tracked->fingerprint, now);
+  OnAnswerWhole(*tracked, now);
   m_log.OnDone(*tracked, event.ends_with_connection, now);
   ReleaseTarget(*tracked, actions);
   const std::string service = tracked->service;
@@ -368,6 +365,7 @@
 void Gateway::OnTick(TimePoint now, Actions* actions)
 {
   m_crashes.OnTick(now);
+  StopBlockedRequests(now, actions);
   CancelOnOldWeights(now, actions);
   while (!m_timers.empty() && m_timers.top().at <= now)
   {
@@ -381,8 +379,9 @@
 
 std::optional<TimePoint> Gateway::NextWakeup() const
 {
+  const std::optional<TimePoint> crashes_due = m_crashes.NextWakeup();
   if (m_timers.empty())
-    return std::nullopt;
-  return m_timers.top().at;
+    return crashes_due;
+  return std::min(m_timers.top().at, crashes_due.value_or(TimePoint::max()));
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -180,12 +180,16 @@
   // or gives it up.
   void CancelAtTargets(const std::vector<RequestNumber>& requests, Common::TimePoint now,
                        Actions* actions);
+  static Crashes::Attempt AttemptOf(const Tracked& tracked);
   // Checks whether the target of an attempt that failed crashed under it.
   void OnAttemptLost(const Tracked& tracked, const AttemptFailed& event, Common::TimePoint now);
+  // Clears what the answer shows to be harmless.
+  void OnAnswerWhole(const Tracked& tracked, Common::TimePoint now);
   // Counts the lost attempts whose engines are known to have ended since.
   void CountCrashes(Common::TimePoint now, Actions* actions);
   // Gives up the requests that have become blocked, wherever they are.
   void StopBlockedRequests(Common::TimePoint now, Actions* actions);
+  void StopBlocked(Tracked& tracked, Common::TimePoint now, Actions* actions);
   // Takes over the rate limit that an answer has named, and tells the target's agent.
   void UpdateRateLimit(const Tracked& tracked, const AnswerBegan& event, Common::TimePoint now,
                        Actions* actions);
@@ -203,6 +207,8 @@
   Tracked* Find(RequestNumber number);
   void RefuseArrival(const RequestArrived& event, Common::Error error, Common::TimePoint now,
                      Actions* actions);
+  void RefuseBlocked(const RequestArrived& event, const Crashes::RequestCauses& causes,
+                     const Crashes::CrashCause& cause, Common::TimePoint now, Actions* actions);
 
   GatewayOptions m_options;
   RequestLog m_log;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -102,7 +102,7 @@
   query.answer_tokens = generation ? generation->expected_answer_tokens : 0;
   query.tried = tracked.tried;
   query.weights = SwitchDeadlinesFor(tracked.service);
-  query.prefers_idle = m_crashes.IsSuspect(tracked.fingerprint);
+  query.prefers_idle = m_crashes.IsSuspect(tracked.causes);
   return query;
 }
 
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -25,7 +25,7 @@
 {
   const bool is_repeatable = tracked.route.repetition == Settings::Repetition::Idempotent;
   return is_repeatable && tracked.runs < tracked.route.max_attempts &&
-         !m_crashes.IsSuspect(tracked.fingerprint);
+         !m_crashes.IsSuspect(tracked.causes);
 }
 
 void Gateway::RetryOrGiveUp(Tracked& tracked, std::string_view reason,
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -50,6 +50,8 @@
 
 // A target's own failure, which is passed on to the caller unchanged, has at least this status.
 inline constexpr int MIN_FAILURE_STATUS = 500;
+// A target that rejects a request, or redirects its caller, answers with at least this status.
+inline constexpr int MIN_REJECTION_STATUS = 300;
 
 // --- events ---
 
@@ -191,6 +193,9 @@
 {
   RequestNumber number = 0;
   Common::Error error;
+  // The id of the prompt part for which the request is refused, so that its caller may leave it
+  // out.
+  std::optional<std::string> blocked_part = std::nullopt;
 };
 
 // Ends an answer that was passed on only in part, in such a way that the caller cannot take it for
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -22,9 +22,9 @@
 // How many of a prompt's parts are logged.
 static constexpr std::size_t MAX_LOGGED_PARTS = 4;
 
-static std::string SharedParts(const TrackedRequest& tracked)
+static std::string FirstParts(const CallerRequest& request)
 {
-  const auto& parts = tracked.request.shared_parts;
+  const auto& parts = request.shared_parts;
   const auto count = static_cast<std::ptrdiff_t>(std::min(parts.size(), MAX_LOGGED_PARTS));
   return fmt::format("{}", fmt::join(parts.begin(), parts.begin() + count, ","));
 }
@@ -38,17 +38,18 @@
   if (!tracked.last_attempt)
   {
     return LogEvent(Weight::Important, now, event, "request", tracked.request.id, "fingerprint",
-                    tracked.fingerprint.Short(), "parts", SharedParts(tracked), fields...,
+                    tracked.causes.request.Short(), "parts", FirstParts(tracked.request), fields...,
                     "attempts", 0);
   }
   const TargetChoice& choice = tracked.last_attempt->choice;
   LogEvent(Weight::Important, now, event, "request", tracked.request.id, "fingerprint",
-           tracked.fingerprint.Short(), "parts", SharedParts(tracked), fields..., "attempts",
-           tracked.sends, "target", choice.id, "at", choice.address.ToString(), "sent_ms_ago",
-           now - tracked.last_attempt->sent, "answer_status", tracked.last_attempt->answer_status,
-           "ended_by", AttemptEndName(tracked.last_attempt->end), "load", choice.load,
-           "report_age_ms", choice.report_age.value_or(Milliseconds(-1)), "expected_ms",
-           choice.expected_start, "weights", choice.weights_version);
+           tracked.causes.request.Short(), "parts", FirstParts(tracked.request), fields...,
+           "attempts", tracked.sends, "target", choice.id, "at", choice.address.ToString(),
+           "sent_ms_ago", now - tracked.last_attempt->sent, "answer_status",
+           tracked.last_attempt->answer_status, "ended_by",
+           AttemptEndName(tracked.last_attempt->end), "load", choice.load, "report_age_ms",
+           choice.report_age.value_or(Milliseconds(-1)), "expected_ms", choice.expected_start,
+           "weights", choice.weights_version);
 }
 
 void RequestLog::RecordTime(const TrackedRequest& tracked, std::string_view outcome, TimePoint now)
@@ -67,8 +68,8 @@
 {
   m_metrics.Add("holdpost_requests_refused_total", Common::Reason(answer.name));
   LogEvent(Weight::Important, now, "request.refused", "request", request.id, "reason", answer.name,
-           "status", answer.http_status, "host", request.host, "path", request.path, "settings",
-           settings);
+           "status", answer.http_status, "host", request.host, "path", request.path, "parts",
+           FirstParts(request), "settings", settings);
 }
 
 void RequestLog::OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
@@ -78,7 +79,7 @@
   m_metrics.Record("holdpost_queue_seconds", now - tracked.arrived,
                    Common::ServiceOutcome(tracked.service, "sent"));
   LogEvent(Weight::Ordinary, now, "request.sent", "request", tracked.request.id, "fingerprint",
-           tracked.fingerprint.Short(), "service", tracked.service, "target", choice.id, "at",
+           tracked.causes.request.Short(), "service", tracked.service, "target", choice.id, "at",
            choice.address.ToString(), "attempt", tracked.sends, "waited_ms", now - tracked.arrived,
            "load", choice.load, "report_age_ms", choice.report_age.value_or(Milliseconds(-1)),
            "expected_ms", choice.expected_start, "weights", choice.weights_version, "settings",
@@ -194,9 +195,11 @@
            "returns_in_ms", returns_in);
 }
 
-void RequestLog::OnBlocked(const RequestFingerprint& request, TimePoint now)
+void RequestLog::OnBlocked(const Crashes::CrashCause& cause, std::size_t crashes, TimePoint now)
 {
-  m_metrics.Add("holdpost_requests_blocked_total");
-  LogEvent(Weight::Important, now, "crash.blocked", "fingerprint", request.Short());
+  const std::string_view kind = Crashes::KindName(cause);
+  m_metrics.Add("holdpost_requests_blocked_total", Common::Reason(kind));
+  LogEvent(Weight::Important, now, "crash.blocked", "cause", kind, "fingerprint",
+           Crashes::ShortName(cause), "crashes", crashes);
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -61,8 +61,8 @@
   // A target has turned requests away and asked for rest; `returns_in` includes the spread.
   void OnRestAsked(const TargetId& target, Common::Duration rest, Common::Duration returns_in,
                    Common::TimePoint now);
-  // The request has crashed so many engines that it is sent to none any more.
-  void OnBlocked(const RequestFingerprint& request, Common::TimePoint now);
+  // The cause has crashed so many engines that requests of it are sent to none any more.
+  void OnBlocked(const Crashes::CrashCause& cause, std::size_t crashes, Common::TimePoint now);
 
 private:
   void RecordTime(const TrackedRequest& tracked, std::string_view outcome, Common::TimePoint now);
--- a/Source/Core/Gateway/TrackedRequest.h
+++ b/Source/Core/Gateway/TrackedRequest.h
@@ -5,8 +5,8 @@
 #include <set>
 #include <string>
 
+#include "Core/Crashes/CrashCause.h"
 #include "Core/Gateway/Messages.h"
-#include "Core/Gateway/RequestFingerprint.h"
 #include "Core/Gateway/TargetTable.h"
 #include "Core/Settings/Document.h"
 
@@ -40,7 +40,7 @@
   Settings::Route route;
   std::string service;
   std::string organisation;
-  RequestFingerprint fingerprint;
+  Crashes::RequestCauses causes;
   int priority = 0;
   Common::TimePoint arrived{};
   // The time of the caller's first attempt, estimated from the deadline. The goal of the route is
--- a/Source/Node/GatewayCrashRecords.cpp
+++ b/Source/Node/GatewayCrashRecords.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Node/GatewayControl.h"
 
-// How a gateway shares with others which requests crash engines.
+// How a gateway shares with others what crashes engines.
 namespace Holdpost::Node
 {
 using Common::Address;
@@ -44,16 +44,16 @@
 void GatewayControl::Do(const Crashes::WriteRecord& write)
 {
   m_control.WriteCrashRecord(write.record,
-                             [this, request = write.record.request](bool is_written)
+                             [this, cause = write.record.cause](bool is_written)
                              {
-                               m_crash_recorder.OnWritten(request, is_written, EventLoop::Now());
+                               m_crash_recorder.OnWritten(cause, is_written, EventLoop::Now());
                                m_handlers.on_wakeup();
                              });
 }
 
 void GatewayControl::Do(const Crashes::DropRecord& drop)
 {
-  m_control.DropCrashRecord(drop.request,
+  m_control.DropCrashRecord(drop.cause,
                             [this](bool is_dropped)
                             {
                               m_crash_recorder.OnDropped(is_dropped, EventLoop::Now());
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -173,8 +173,7 @@
 {
   const auto found = m_exchanges.find(number);
   const bool ends_with_connection =
-      found != m_exchanges.end() &&
-      found->second.answer.framing == Common::BodyFraming::UntilClose;
+      found != m_exchanges.end() && found->second.answer.framing == Common::BodyFraming::UntilClose;
   Feed(Gateway::AnswerEnded{number, ends_with_connection});
   const Exchange exchange = Take(number);
   if (!exchange.caller)
@@ -227,6 +226,8 @@
     Common::AppendField(&fields, m_names.request_id, *id);
   Common::AppendField(&fields, "Holdpost-Error", row.name);
   Common::AppendField(&fields, "Holdpost-Outcome", Common::OutcomeName(row.outcome));
+  if (refuse.blocked_part)
+    Common::AppendField(&fields, "Holdpost-Blocked-Part", *refuse.blocked_part);
   exchange.caller->Answer(row.http_status, Common::ReasonPhrase(row.http_status), fields, "");
 }
 
--- a/Source/Peers/Control/ControlPlane.h
+++ b/Source/Peers/Control/ControlPlane.h
@@ -33,7 +33,7 @@
   // Replaces the record of the request.
   virtual void WriteCrashRecord(const Crashes::CrashRecord& record,
                                 std::function<void(bool is_written)> done) = 0;
-  virtual void DropCrashRecord(const Crashes::RequestFingerprint& request,
+  virtual void DropCrashRecord(const Crashes::CrashCause& cause,
                                std::function<void(bool is_dropped)> done) = 0;
   // A document as the platform writes it, got from another process.
   virtual Common::Result<Settings::Document> ParseDocument(const std::string& text) const = 0;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -117,14 +117,24 @@
 struct Crash {
   engine @0 :UInt64;
   ageMs @1 :UInt32;
+  # Since the request was sent to the engine.
+  sentAgeMs @2 :UInt32;
+  # A hash of the name of the request's organisation.
+  organisation @3 :UInt32;
 }
 
 struct CrashRecord {
   # 16 bytes.
-  request @0 :Data;
+  cause @0 :Data;
   crashes @1 :List(Crash);
-  # One more than the age of the last whole answer to the request; 0 if there was none.
+  # One more than the age of the last whole answer to the cause; 0 if there was none.
   clearedMs @2 :UInt32;
+  # The cause is a part of prompts instead of a whole request.
+  isPart @3 :Bool;
+  # Of a part in its prompts.
+  position @4 :UInt16;
+  # The sender has inferred that the cause crashes engines.
+  isInferred @5 :Bool;
 }
 
 # The engine beside the sender has ended without notice.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -172,7 +172,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2ed59c413409a7c, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a2ed59c413409a7c, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1380,6 +1380,10 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint32_t getSentAgeMs() const;
+
+  inline  ::uint32_t getOrganisation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1414,6 +1418,12 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint32_t getSentAgeMs();
+  inline void setSentAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getOrganisation();
+  inline void setOrganisation( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1457,14 +1467,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Data::Reader getRequest() const;
+  inline bool hasCause() const;
+  inline  ::capnp::Data::Reader getCause() const;
 
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
   inline  ::uint32_t getClearedMs() const;
 
+  inline bool getIsPart() const;
+
+  inline  ::uint16_t getPosition() const;
+
+  inline bool getIsInferred() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1493,12 +1509,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::capnp::Data::Builder getRequest();
-  inline void setRequest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownRequest();
+  inline bool hasCause();
+  inline  ::capnp::Data::Builder getCause();
+  inline void setCause( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCause(unsigned int size);
+  inline void adoptCause(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCause();
 
   inline bool hasCrashes();
   inline  ::capnp::List< ::Holdpost::MeshWire::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
@@ -1510,6 +1526,15 @@
   inline  ::uint32_t getClearedMs();
   inline void setClearedMs( ::uint32_t value);
 
+  inline bool getIsPart();
+  inline void setIsPart(bool value);
+
+  inline  ::uint16_t getPosition();
+  inline void setPosition( ::uint16_t value);
+
+  inline bool getIsInferred();
+  inline void setIsInferred(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4185,36 +4210,64 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashRecord::Reader::hasRequest() const {
+inline  ::uint32_t Crash::Reader::getSentAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getSentAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setSentAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setOrganisation( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashRecord::Reader::hasCause() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashRecord::Builder::hasRequest() {
+inline bool CrashRecord::Builder::hasCause() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader CrashRecord::Reader::getRequest() const {
+inline  ::capnp::Data::Reader CrashRecord::Reader::getCause() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder CrashRecord::Builder::getRequest() {
+inline  ::capnp::Data::Builder CrashRecord::Builder::getCause() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashRecord::Builder::setRequest( ::capnp::Data::Reader value) {
+inline void CrashRecord::Builder::setCause( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder CrashRecord::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Data::Builder CrashRecord::Builder::initCause(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CrashRecord::Builder::adoptRequest(
+inline void CrashRecord::Builder::adoptCause(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> CrashRecord::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Data> CrashRecord::Builder::disownCause() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -4267,6 +4320,48 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashRecord::Reader::getIsPart() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashRecord::Builder::getIsPart() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void CrashRecord::Builder::setIsPart(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t CrashRecord::Reader::getPosition() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t CrashRecord::Builder::getPosition() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CrashRecord::Builder::setPosition( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashRecord::Reader::getIsInferred() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashRecord::Builder::getIsInferred() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void CrashRecord::Builder::setIsInferred(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EngineEnded::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Mesh/MeshCrashCodec.cpp
+++ b/Source/Peers/Mesh/MeshCrashCodec.cpp
@@ -1,17 +1,23 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Peers/Mesh/MeshWireParts.h"
 
-// What processes tell each other of requests that crash engines.
+// What processes tell each other of what crashes engines.
 namespace Holdpost::MeshPeer
 {
 static void Write(const Crashes::CrashRecord& record, MeshWire::CrashRecord::Builder out)
 {
-  out.setRequest(capnp::Data::Reader(record.request.bytes.data(), record.request.bytes.size()));
+  const auto& bytes = Crashes::BytesOf(record.cause);
+  out.setCause(capnp::Data::Reader(bytes.data(), bytes.size()));
+  out.setIsPart(Crashes::IsPromptPart(record.cause));
+  out.setPosition(static_cast<std::uint16_t>(record.position));
+  out.setIsInferred(record.is_inferred);
   auto crashes = out.initCrashes(static_cast<unsigned>(record.crashes.size()));
   for (unsigned i = 0; i < crashes.size(); ++i)
   {
     crashes[i].setEngine(record.crashes[i].engine);
     crashes[i].setAgeMs(ToWireMs(record.crashes[i].age));
+    crashes[i].setSentAgeMs(ToWireMs(record.crashes[i].sent_age));
+    crashes[i].setOrganisation(record.crashes[i].organisation);
   }
   if (record.cleared)
     out.setClearedMs(ToWireMs(*record.cleared) + 1);
@@ -24,18 +30,34 @@
     Write(told.records[i], out[i]);
 }
 
+template <typename Cause>
+static Cause ReadCause(capnp::Data::Reader bytes)
+{
+  Cause cause;
+  std::ranges::copy(bytes, cause.bytes.begin());
+  return cause;
+}
+
 Mesh::Message Read(capnp::List<MeshWire::CrashRecord>::Reader in)
 {
   Mesh::CrashRecords told;
   for (const auto record : in)
   {
-    const auto bytes = record.getRequest();
-    if (bytes.size() != Gateway::RequestFingerprint::BYTES)
+    const auto bytes = record.getCause();
+    if (bytes.size() != Crashes::PromptPart::BYTES)
       continue;
     Crashes::CrashRecord read;
-    std::ranges::copy(bytes, read.request.bytes.begin());
+    if (record.getIsPart())
+      read.cause = ReadCause<Crashes::PromptPart>(bytes);
+    else
+      read.cause = ReadCause<Crashes::RequestFingerprint>(bytes);
+    read.position = record.getPosition();
+    read.is_inferred = record.getIsInferred();
     for (const auto crash : record.getCrashes())
-      read.crashes.push_back({crash.getEngine(), Milliseconds(crash.getAgeMs())});
+    {
+      read.crashes.push_back({crash.getEngine(), Milliseconds(crash.getAgeMs()),
+                              Milliseconds(crash.getSentAgeMs()), crash.getOrganisation()});
+    }
     if (record.getClearedMs() > 0)
       read.cleared = Milliseconds(record.getClearedMs() - 1);
     told.records.push_back(std::move(read));
--- a/Source/UnitTests/Core/Crashes/CrashExchangeTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashExchangeTest.cpp
@@ -20,8 +20,8 @@
   CrashLedger ledger;
   CrashExchange exchange;
   CHECK_FALSE(CrashExchange::NextWakeup(ledger).has_value());
-  ledger.Add(REQUEST, 1, START);
-  ledger.Add(REQUEST, 2, START + Milliseconds(60));
+  ledger.Add({REQUEST}, {1, START}, START);
+  ledger.Add({REQUEST}, {2, START + Milliseconds(60)}, START + Milliseconds(60));
   CHECK(CrashExchange::NextWakeup(ledger) == START + Milliseconds(100));
   CHECK(exchange.ChangesToSend(ledger, START + Milliseconds(90)).empty());
   const auto changes = exchange.ChangesToSend(ledger, START + Milliseconds(100));
@@ -34,7 +34,7 @@
 {
   CrashLedger ledger;
   CrashExchange exchange;
-  ledger.Add(REQUEST, 1, START);
+  ledger.Add({REQUEST}, {1, START}, START);
 
   SUBCASE("at once if it has none, as after its start, and not again while they are under way")
   {
--- a/Source/UnitTests/Core/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashLedgerTest.cpp
@@ -21,29 +21,29 @@
 {
   const RequestFingerprint request = MakeRequest("crashes");
   CrashLedger ledger;
-  CHECK(ledger.Add(request, 1, START));
-  CHECK(ledger.Add(request, 2, START));
+  CHECK(ledger.Add({request}, {1, START}, START).size() == 1);
+  CHECK(ledger.Add({request}, {2, START}, START).size() == 1);
   SUBCASE("and the same engine counts once")
   {
-    CHECK_FALSE(ledger.Add(request, 2, START + Milliseconds(10)));
+    CHECK(ledger.Add({request}, {2, START + Milliseconds(10)}, START + Milliseconds(10)).empty());
     CHECK(ledger.CrashesOf(request) == 2);
     CHECK_FALSE(ledger.IsBlocked(request));
     CHECK(ledger.TakeNewlyBlocked().empty());
   }
   SUBCASE("which is told once")
   {
-    ledger.Add(request, 3, START);
+    ledger.Add({request}, {3, START}, START);
     CHECK(ledger.IsBlocked(request));
     CHECK(ledger.Blocked().size() == 1);
-    CHECK(ledger.TakeNewlyBlocked() == std::vector{request});
-    ledger.Add(request, 4, START);
+    CHECK(ledger.TakeNewlyBlocked() == std::vector<CrashCause>{request});
+    ledger.Add({request}, {4, START}, START);
     CHECK(ledger.TakeNewlyBlocked().empty());
     CHECK_FALSE(ledger.IsBlocked(MakeRequest("harmless")));
   }
   SUBCASE("unless an engine has answered it whole in between")
   {
-    ledger.Clear(request, START + Milliseconds(100));
-    ledger.Add(request, 3, START + Milliseconds(200));
+    ledger.Clear(request, START + Milliseconds(100), START + Milliseconds(100));
+    ledger.Add({request}, {3, START + Milliseconds(200)}, START + Milliseconds(200));
     CHECK(ledger.CrashesOf(request) == 1);
     // Evidence from before, which another process still holds, does not come back.
     ledger.Merge({{request, {{1, Milliseconds(300)}, {2, Milliseconds(300)}}, {}}},
@@ -52,7 +52,7 @@
   }
   SUBCASE("and served again when the crashes are half an hour old")
   {
-    ledger.Add(request, 3, START);
+    ledger.Add({request}, {3, START}, START);
     ledger.Expire(START + std::chrono::minutes(29));
     CHECK(ledger.IsBlocked(request));
     ledger.Expire(START + std::chrono::minutes(31));
@@ -68,14 +68,14 @@
   const RequestFingerprint second = MakeRequest("second");
   CrashLedger one;
   CrashLedger other;
-  one.Add(first, 5, START);
-  one.Add(first, 4, START);
-  one.Add(first, 3, START);
-  one.Add(second, 1, START);
-  other.Add(first, 2, START);
-  other.Add(first, 1, START);
-  other.Add(second, 2, START);
-  other.Clear(second, START + Milliseconds(50));
+  one.Add({first}, {5, START}, START);
+  one.Add({first}, {4, START}, START);
+  one.Add({first}, {3, START}, START);
+  one.Add({second}, {1, START}, START);
+  other.Add({first}, {2, START}, START);
+  other.Add({first}, {1, START}, START);
+  other.Add({second}, {2, START}, START);
+  other.Clear(second, START + Milliseconds(50), START + Milliseconds(50));
   const Common::TimePoint now = START + Milliseconds(100);
   const auto of_one = one.All(now);
   const auto of_other = other.All(now);
@@ -103,9 +103,9 @@
   CrashLedger ledger;
   const RequestFingerprint blocked = MakeRequest("blocked");
   for (EngineRun engine = 1; engine <= 3; ++engine)
-    ledger.Add(blocked, engine, START);
+    ledger.Add({blocked}, {engine, START}, START);
   for (int i = 0; i < 5000; ++i)
-    ledger.Add(MakeRequest(std::to_string(i)), 9, START);
+    ledger.Add({MakeRequest(std::to_string(i))}, {9, START}, START);
   CHECK(ledger.Size() == 2048);
   CHECK(ledger.IsBlocked(blocked));
 }
--- a/Source/UnitTests/Core/Crashes/CrashRecorderTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashRecorderTest.cpp
@@ -26,7 +26,7 @@
   void Block()
   {
     for (EngineRun engine = 1; engine <= BLOCKING_CRASHES; ++engine)
-      ledger.Add(REQUEST, engine, now);
+      ledger.Add({REQUEST}, {engine, now}, now);
   }
 
   Common::TimePoint now{std::chrono::hours(1)};
@@ -106,7 +106,7 @@
   CHECK(f.recorder.OnRead(std::vector{old}, f.now).empty());
   const auto dropped = Only<DropRecord>(f.Tick());
   REQUIRE(dropped.size() == 1);
-  CHECK(dropped[0].request == REQUEST);
+  CHECK(dropped[0].cause == CrashCause(REQUEST));
   f.recorder.OnDropped(true, f.now);
   CHECK(f.Tick().empty());
 }
--- a/Source/UnitTests/Core/Crashes/CrashTrackerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashTrackerTest.cpp
@@ -13,16 +13,16 @@
 const RequestFingerprint REQUEST =
     Gateway::FingerprintOf("firm", "api.example", Common::Sha256("body"));
 
-LostAttempt LostAt(const std::string& target, std::uint16_t port)
+Attempt LostAt(const std::string& target, std::uint16_t port)
 {
-  return {REQUEST, target, {"10.0.0.1", port}, 7};
+  return {{REQUEST}, target, {"10.0.0.1", port}, 7};
 }
 } // namespace
 
 TEST_CASE("A lost answer is evidence of a crash once its engine is known to have ended")
 {
   CrashTracker tracker;
-  const LostAttempt lost = LostAt("llm-1", 8001);
+  const Attempt lost = LostAt("llm-1", 8001);
   tracker.OnLost(lost, false, START);
   CHECK(tracker.Ledger().CrashesOf(REQUEST) == 0);
 
@@ -40,7 +40,7 @@
   }
   SUBCASE("by the target list")
   {
-    tracker.OnTargets([](const LostAttempt& attempt) { return attempt.target == "llm-1"; },
+    tracker.OnTargets([](const Attempt& attempt) { return attempt.target == "llm-1"; },
                       START + Milliseconds(4000));
     CHECK(tracker.Ledger().CrashesOf(REQUEST) == 1);
   }
@@ -62,7 +62,7 @@
 TEST_CASE("The end of an engine may be known before its answers are lost")
 {
   CrashTracker tracker;
-  const LostAttempt lost = LostAt("llm-1", 8001);
+  const Attempt lost = LostAt("llm-1", 8001);
   tracker.OnEngineEnd({lost.address, "llm-1", 7}, START);
   tracker.OnLost(lost, false, START + Milliseconds(500));
   CHECK(tracker.Ledger().CrashesOf(REQUEST) == 1);
@@ -72,9 +72,9 @@
 {
   CrashTracker tracker;
   tracker.OnLost(LostAt("llm-1", 8001), true, START);
-  CHECK_FALSE(tracker.IsSuspect(REQUEST));
+  CHECK_FALSE(tracker.IsSuspect(RequestCauses{REQUEST}));
   // Whether the second engine has ended is not known yet.
   tracker.OnLost(LostAt("llm-2", 8002), false, START);
-  CHECK(tracker.IsSuspect(REQUEST));
-  CHECK_FALSE(tracker.IsBlocked(REQUEST));
+  CHECK(tracker.IsSuspect(RequestCauses{REQUEST}));
+  CHECK_FALSE(tracker.IsBlocked(RequestCauses{REQUEST}));
 }
--- a/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
@@ -45,7 +45,7 @@
   std::vector<Crashes::CrashRecord> ToldByOther()
   {
     Crashes::CrashRecord record;
-    record.request = FingerprintOf("firm", "api.example", {});
+    record.cause = FingerprintOf("firm", "api.example", {});
     record.crashes = {{1, Milliseconds(90)}, {2, Milliseconds(60)}, {3, Milliseconds(30)}};
     return {record};
   }
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -166,7 +166,13 @@
         Gateway::FingerprintOf("firm", "api.example", Common::Sha256("other")),
         {},
         Milliseconds(0)};
-    CHECK(There(Mesh::CrashRecords{{counted, cleared}}).records == std::vector{counted, cleared});
+    const Crashes::CrashRecord part{Crashes::PromptPartOf("llm", "5c1e07a2"),
+                                    {{13, Milliseconds(40), Milliseconds(300), 0xfedcba98}},
+                                    {},
+                                    2,
+                                    true};
+    CHECK(There(Mesh::CrashRecords{{counted, cleared, part}}).records ==
+          std::vector{counted, cleared, part});
     const Crashes::EngineEnd end{{"10.1.0.9", 8001}, "i-1", 1788408695000};
     CHECK(There(Mesh::EngineEnded{end}).end == end);
   }
