Crashes: An answer that ends with its connection clears evidence only once its engine is known to run on

Cause: an engine that ends closes its connections in good order, and such an answer then looks whole. The crash itself cleared the evidence of it.

Such an answer is now undecided: it counts as a crash if its engine is known to have ended, and as whole once the agent beside the engine reports the same incarnation 600 ms later, or nothing is heard of an end for 6 s.

--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -17,6 +17,8 @@
 // engine that ends without notice stays on the target list for three heartbeat intervals of 1.2 s,
 // and the list is read several times in 2 s.
 static constexpr Milliseconds END_NOTICE_TIME = Milliseconds(6000);
+// An agent knows of the end of its engine within this time.
+static constexpr Milliseconds AGENT_NOTICE_TIME = Milliseconds(600);
 // After this time the answers of a process tell which parts are answered at all.
 static constexpr Milliseconds MIN_ANSWERS_TIME = std::chrono::seconds(10);
 static constexpr std::size_t MAX_PENDING = 512;
@@ -52,13 +54,27 @@
                              });
 }
 
+// Adds to attempts whose outcome is not known yet; the oldest is forgotten first.
+template <typename Pending>
+static void AddPending(std::vector<Pending>* attempts, Pending pending)
+{
+  if (attempts->size() >= MAX_PENDING)
+    attempts->erase(attempts->begin());
+  attempts->push_back(std::move(pending));
+}
+
 void CrashTracker::OnLost(const Attempt& lost, bool has_ended, TimePoint now)
 {
   if (has_ended || IsKnownEnd(lost, now))
     return Count({lost, now}, now);
-  if (m_lost.size() >= MAX_PENDING)
-    m_lost.erase(m_lost.begin());
-  m_lost.push_back({lost, now});
+  AddPending(&m_lost, Pending{lost, now});
+}
+
+void CrashTracker::OnEndedWithConnection(const Attempt& attempt, bool has_ended, TimePoint now)
+{
+  if (has_ended || IsKnownEnd(attempt, now))
+    return Count({attempt, now}, now);
+  AddPending(&m_ended_with_connection, Pending{attempt, now});
 }
 
 void CrashTracker::OnEngineEnd(const EngineEnd& end, TimePoint now)
@@ -73,9 +89,26 @@
   CountWhere([&](const Attempt& attempt) { return IsOf(attempt, end); }, now);
 }
 
+void CrashTracker::OnEngineRuns(const EngineEnd& engine, TimePoint now)
+{
+  // Another start of the engine may have the same address.
+  const bool is_identified = !engine.id.empty() || engine.incarnation != 0;
+  if (!is_identified)
+    return;
+  std::erase_if(m_ended_with_connection,
+                [&](const Pending& pending)
+                {
+                  const bool is_proved =
+                      IsOf(pending.attempt, engine) && now - pending.at >= AGENT_NOTICE_TIME;
+                  if (is_proved)
+                    OnAnswered(pending.attempt.causes, pending.at, now);
+                  return is_proved;
+                });
+}
+
 void CrashTracker::OnTargets(const HasEnded& has_ended, TimePoint now)
 {
-  if (!m_lost.empty())
+  if (!m_lost.empty() || !m_ended_with_connection.empty())
     CountWhere(has_ended, now);
 }
 
@@ -89,6 +122,7 @@
     return true;
   };
   std::erase_if(m_lost, is_counted);
+  std::erase_if(m_ended_with_connection, is_counted);
 }
 
 void CrashTracker::Count(const Pending& pending, TimePoint now)
@@ -150,6 +184,14 @@
   const auto is_over = [now](const auto& entry) { return now - entry.at >= END_NOTICE_TIME; };
   std::erase_if(m_lost, is_over);
   std::erase_if(m_ends, is_over);
+  std::erase_if(m_ended_with_connection,
+                [&](const Pending& pending)
+                {
+                  if (!is_over(pending))
+                    return false;
+                  OnAnswered(pending.attempt.causes, pending.at, now);
+                  return true;
+                });
   m_ledger.OnTick(now);
 }
 
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -11,7 +11,8 @@
 #include "Core/Crashes/CrashLedger.h"
 #include "Core/Gateway/Target.h"
 
-// Decides which attempts of a gateway's requests are evidence of a crash. A lost answer alone is none: connections are reset, answers break off and paths are
+// Decides which attempts of a gateway's requests are evidence of a crash, and which are evidence
+// against one. A lost answer alone is none: connections are reset, answers break off and paths are
 // cut while the engine runs on. It becomes evidence when the engine is known to have ended, by its
 // agent or by the target list.
 namespace Holdpost::Crashes
@@ -47,10 +48,16 @@
   // An attempt ended without a whole answer, at a target that was listed as ready, or that has been
   // replaced already.
   void OnLost(const Attempt& lost, bool has_ended, Common::TimePoint now);
+  // The answer to an attempt at such a target looks whole, but nothing except the end of its
+  // connection marked its end. It counts as lost if the engine ended then, and as whole once the
+  // engine is known to have run on.
+  void OnEndedWithConnection(const Attempt& attempt, bool has_ended, Common::TimePoint now);
   // An engine answered a request whole.
   void OnAnswered(const RequestCauses& causes, Common::TimePoint answered_at,
                   Common::TimePoint now);
   void OnEngineEnd(const EngineEnd& end, Common::TimePoint now);
+  // The agent beside an engine reports that this incarnation of it runs.
+  void OnEngineRuns(const EngineEnd& engine, Common::TimePoint now);
   // The known targets have changed.
   void OnTargets(const HasEnded& has_ended, Common::TimePoint now);
   // Another process knows of causes.
@@ -92,6 +99,7 @@
   CrashLedger m_ledger;
   AnsweredParts m_answered;
   std::vector<Pending> m_lost;
+  std::vector<Pending> m_ended_with_connection;
   std::vector<KnownEnd> m_ends;
   std::optional<Common::TimePoint> m_started;
 };
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -82,6 +82,7 @@
 void Gateway::OnTargetLoad(const TargetLoad& load, TimePoint now, Actions* actions)
 {
   m_targets.OnLoadReport(load, now);
+  m_crashes.OnEngineRuns({load.address, load.id, load.incarnation}, now);
   CountCrashes(now, actions);
   MoveFromReportedTarget(load, now, actions);
   DispatchAllWaiting(now, actions);
@@ -307,7 +308,7 @@
   if (!tracked)
     return;
   m_targets.OnSucceeded(TargetInSameIncarnation(*tracked));
-  OnAnswerWhole(*tracked, now);
+  OnAnswerWhole(*tracked, event.ends_with_connection, now);
   m_log.OnDone(*tracked, event.ends_with_connection, now);
   ReleaseTarget(*tracked, actions);
   const std::string service = tracked->service;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -184,7 +184,7 @@
   // Checks whether the target of an attempt that failed crashed under it.
   void OnAttemptLost(const Tracked& tracked, const AttemptFailed& event, Common::TimePoint now);
   // Clears what the answer shows to be harmless.
-  void OnAnswerWhole(const Tracked& tracked, Common::TimePoint now);
+  void OnAnswerWhole(const Tracked& tracked, bool ends_with_connection, Common::TimePoint now);
   // Counts the lost attempts whose engines are known to have ended since.
   void CountCrashes(Common::TimePoint now, Actions* actions);
   // Gives up the requests that have become blocked, wherever they are.
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -56,11 +56,16 @@
   m_crashes.OnLost(AttemptOf(tracked), m_targets.HasEnded(choice.id, choice.incarnation), now);
 }
 
-void Gateway::OnAnswerWhole(const Tracked& tracked, TimePoint now)
+void Gateway::OnAnswerWhole(const Tracked& tracked, bool ends_with_connection, TimePoint now)
 {
   // An answer that rejects the request does not show what running it does.
-  if (tracked.last_attempt->answer_status < MIN_REJECTION_STATUS)
-    m_crashes.OnAnswered(tracked.causes, now, now);
+  if (tracked.last_attempt->answer_status >= MIN_REJECTION_STATUS)
+    return;
+  const TargetChoice& choice = tracked.last_attempt->choice;
+  if (!ends_with_connection || !m_targets.MayHaveCrashed(choice.id))
+    return m_crashes.OnAnswered(tracked.causes, now, now);
+  m_crashes.OnEndedWithConnection(AttemptOf(tracked),
+                                  m_targets.HasEnded(choice.id, choice.incarnation), now);
 }
 
 void Gateway::CountCrashes(TimePoint now, Actions* actions)
--- a/Source/UnitTests/Core/Crashes/PromptPartLedgerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/PromptPartLedgerTest.cpp
@@ -131,6 +131,45 @@
   CHECK(tracker.Ledger().CrashesOf(FIRST) == 1);
 }
 
+TEST_CASE("An answer that ends with its connection counts once it is known how the engine fared")
+{
+  CrashTracker tracker;
+  tracker.OnLost(AttemptAt(1, 1000), true, At(1200));
+  const Attempt attempt = AttemptAt(2, 2000);
+  tracker.OnEndedWithConnection(attempt, false, At(2200));
+  CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 1);
+
+  SUBCASE("as a crash if it has ended")
+  {
+    tracker.OnEngineEnd({attempt.address, attempt.target, 7}, At(2450));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 2);
+    tracker.OnEngineRuns({attempt.address, attempt.target, 7}, At(3000));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 2);
+  }
+  SUBCASE("as whole if it runs on")
+  {
+    // The agent may not know of the end yet.
+    tracker.OnEngineRuns({attempt.address, attempt.target, 7}, At(2300));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 1);
+    tracker.OnEngineRuns({attempt.address, "llm-9", 7}, At(2900));
+    tracker.OnEngineRuns({attempt.address, "", 0}, At(2900));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 1);
+    tracker.OnEngineRuns({attempt.address, attempt.target, 7}, At(2900));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 0);
+  }
+  SUBCASE("as whole if nothing is heard of its end")
+  {
+    tracker.OnTick(At(8300));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 0);
+  }
+  SUBCASE("as a crash at once if the end is known already")
+  {
+    tracker.OnEngineEnd({{"10.0.0.1", 3}, "llm-3", 7}, At(2100));
+    tracker.OnEndedWithConnection(AttemptAt(3, 2000), false, At(2200));
+    CHECK(tracker.Ledger().CrashesOf(CULPRIT) == 2);
+  }
+}
+
 TEST_CASE("A request that crashes engines does not get its parts blocked")
 {
   CrashTracker tracker;
