Crashes: Judge coincidences by the outcomes of the whole fleet, and tell starting gateways of causes first

After all processes were killed at once up to 2 late arrivals.

Cause: each gateway judged by its own answers only, 1.6 a second at 40 gateways, so that none had enough of them for seconds. A gateway that starts got the target list before the crash records.

Losses now come from the replicated records of lost requests, answers of the other gateways are estimated from the local ones by their number, on the low side.

--- a/Source/Core/Crashes/CauseInference.cpp
+++ b/Source/Core/Crashes/CauseInference.cpp
@@ -14,6 +14,8 @@
 // trials in sequence: a sound part that is used so often is answered all the time.
 static constexpr std::size_t MIN_CRASHES_WITHOUT_ANSWER = 5;
 static constexpr Milliseconds MIN_TIME_WITHOUT_ANSWER = std::chrono::seconds(30);
+// With fewer requests that ended, their share says little.
+static constexpr double MIN_OUTCOMES = 12;
 // The probability up to which the trials of a part are no coincidence.
 static constexpr double MAX_COINCIDENCE = 0.0005;
 // The same for a part that was answered whole shortly before, and would have turned since.
@@ -51,32 +53,35 @@
          IsLongUnanswered(evidence, crashes);
 }
 
-// The share of this process's requests that were lost since the first of the crashes with engines
-// that ended for a reason of which nothing is known.
+// The estimated share of all requests that were lost since the first of the crashes with engines
+// that ended for a reason of which nothing is known. Empty if too few have ended to tell.
 static std::optional<double> CoincidenceShare(const CauseEvidence& evidence,
                                               const std::vector<EngineCrash>& crashes,
-                                              const OutcomeHistory& outcomes,
+                                              const FleetOutcomes& outcomes,
                                               const std::set<EngineRun>& attributed)
 {
   const TimePoint first = std::ranges::min_element(crashes, {}, &EngineCrash::at)->at;
-  return outcomes.LossShare(first,
-                            [&](EngineRun engine)
-                            {
-                              return !attributed.contains(engine) &&
-                                     std::ranges::find(evidence.crashes, engine,
-                                                       &EngineCrash::engine) ==
-                                         evidence.crashes.end();
-                            });
+  const auto is_coincidence = [&](const EngineCrash& lost)
+  {
+    return lost.at >= first && !attributed.contains(lost.engine) &&
+           std::ranges::find(evidence.crashes, lost.engine, &EngineCrash::engine) ==
+               evidence.crashes.end();
+  };
+  const auto lost = static_cast<double>(std::ranges::count_if(outcomes.lost, is_coincidence));
+  const double ended = outcomes.answers.AnsweredSince(first) + lost;
+  if (ended < MIN_OUTCOMES)
+    return std::nullopt;
+  // Laplace's rule: a few outcomes never make a loss impossible or certain.
+  return (lost + 1) / (ended + 2);
 }
 
 static bool IsConclusive(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes,
-                         const OutcomeHistory& outcomes, bool knows_answers,
-                         const std::set<EngineRun>& attributed)
+                         const FleetOutcomes& outcomes, const std::set<EngineRun>& attributed)
 {
   if (!IsPromptPart(evidence.cause))
     return crashes.size() >= BLOCKING_CRASHES;
   const std::size_t trials = TrialsOf(crashes);
-  const bool is_in_many = knows_answers && crashes.size() >= MIN_CRASHES_WITHOUT_ANSWER &&
+  const bool is_in_many = outcomes.knows_answers && crashes.size() >= MIN_CRASHES_WITHOUT_ANSWER &&
                           IsLongUnanswered(evidence, crashes);
   if (trials < BLOCKING_TRIALS && !is_in_many)
     return false;
@@ -127,7 +132,7 @@
 // The most probable cause that is conclusive by the crashes that are not explained yet; null if
 // there is none.
 static const CauseEvidence* NextCause(const std::vector<CauseEvidence>& evidence,
-                                      const OutcomeHistory& outcomes, bool knows_answers,
+                                      const FleetOutcomes& outcomes,
                                       const std::set<EngineRun>& explained)
 {
   const std::set<EngineRun> attributed = AttributedRuns(evidence, explained);
@@ -136,7 +141,7 @@
   for (const CauseEvidence& candidate : evidence)
   {
     const std::vector<EngineCrash> crashes = Unexplained(candidate, explained);
-    if (!IsConclusive(candidate, crashes, outcomes, knows_answers, attributed))
+    if (!IsConclusive(candidate, crashes, outcomes, attributed))
       continue;
     if (best && RankOf(candidate, crashes.size()) <= RankOf(*best, best_crashes))
       continue;
@@ -146,12 +151,10 @@
   return best;
 }
 
-Inference InferCauses(const std::vector<CauseEvidence>& evidence, const OutcomeHistory& outcomes,
-                      bool knows_answers)
+Inference InferCauses(const std::vector<CauseEvidence>& evidence, const FleetOutcomes& outcomes)
 {
   Inference inference;
-  while (const CauseEvidence* cause =
-             NextCause(evidence, outcomes, knows_answers, inference.explained))
+  while (const CauseEvidence* cause = NextCause(evidence, outcomes, inference.explained))
   {
     inference.causes.insert(cause->cause);
     for (const EngineCrash& crash : cause->crashes)
--- a/Source/Core/Crashes/CauseInference.h
+++ b/Source/Core/Crashes/CauseInference.h
@@ -8,13 +8,16 @@
 #include <vector>
 
 #include "Common/Types.h"
+#include "Core/Crashes/AnswerHistory.h"
 #include "Core/Crashes/CrashCause.h"
-#include "Core/Crashes/OutcomeHistory.h"
 
 // Infers what crashes engines from the engines that ended. An engine that ends has many requests,
 // each with several possible causes, most of which are innocent.
 namespace Holdpost::Crashes
 {
+// Identifies one start of one engine, the same in all processes.
+using EngineRun = std::uint64_t;
+
 // A request is a cause once this number of engines have ended under it.
 inline constexpr std::size_t BLOCKING_CRASHES = 3;
 // A prompt part is a cause once at least this number of trials in sequence have ended their
@@ -45,6 +48,16 @@
   bool is_inferred_elsewhere = false;
 };
 
+// How requests ended lately, whatever their causes.
+struct FleetOutcomes
+{
+  AnswerHistory answers;
+  // Requests that were lost with engines that ended, in all processes.
+  std::vector<EngineCrash> lost;
+  // Whole answers of the recent past would be known to this process.
+  bool knows_answers = false;
+};
+
 struct Inference
 {
   std::set<CrashCause> causes;
@@ -60,9 +73,8 @@
 // Chooses the fewest causes that explain the crashes: repeatedly the one with the most crashes that
 // no other one explains. Of equal ones, first those that were never answered, then requests before
 // parts, as they are narrower, then parts that come late in their prompts. A part is a cause only
-// if its trials are improbable as a coincidence, by the share of this process's requests that were
-// lost meanwhile with other engines. Where that share is not known, the inference of other
-// processes is taken over. `knows_answers`: whole answers of the recent past would be known.
-Inference InferCauses(const std::vector<CauseEvidence>& evidence, const OutcomeHistory& outcomes,
-                      bool knows_answers);
+// if its trials are improbable as a coincidence, by the share of all requests that were lost
+// meanwhile with other engines. Where that share is not known, the inference of other processes is
+// taken over.
+Inference InferCauses(const std::vector<CauseEvidence>& evidence, const FleetOutcomes& outcomes);
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -141,8 +141,15 @@
 void CrashLedger::Reassess(TimePoint now)
 {
   std::vector<CauseEvidence> evidence;
+  m_outcomes.lost.clear();
   for (const auto& [cause, record] : m_records)
   {
+    // Each lost request has a record of its own.
+    if (!IsPromptPart(cause))
+    {
+      for (const auto& [engine, crash] : record.crashes)
+        m_outcomes.lost.push_back(crash);
+    }
     if (record.crashes.size() < std::min(BLOCKING_CRASHES, BLOCKING_TRIALS))
       continue;
     CauseEvidence& added = evidence.emplace_back(
@@ -150,7 +157,7 @@
     for (const auto& [engine, crash] : record.crashes)
       added.crashes.push_back(crash);
   }
-  Inference inference = InferCauses(evidence, m_outcomes, m_knows_answers);
+  Inference inference = InferCauses(evidence, m_outcomes);
   m_explained = std::move(inference.explained);
   m_settle_due.reset();
   std::erase_if(m_conclusive_since,
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -57,10 +57,10 @@
   std::size_t Clear(const CrashCause& cause, Common::TimePoint answered_at, Common::TimePoint now);
   // Adds what another replica knows.
   void Merge(const std::vector<CrashRecord>& records, Common::TimePoint now);
-  // How the requests of this process ended; empty in a process that sends none.
-  OutcomeHistory& Outcomes() { return m_outcomes; }
+  // The whole answers of this process; none in a process that sends no requests.
+  AnswerHistory& Answers() { return m_outcomes.answers; }
   // Whether this process sees answers, and has done so for a while.
-  void SetKnowsAnswers(bool knows_answers) { m_knows_answers = knows_answers; }
+  void SetKnowsAnswers(bool knows_answers) { m_outcomes.knows_answers = knows_answers; }
 
   // The number of engines that crashed under the cause, up to a maximum.
   std::size_t CrashesOf(const CrashCause& cause) const;
@@ -129,8 +129,7 @@
   std::set<CrashCause> m_blocked;
   std::set<CrashCause> m_blocked_for_all;
   std::vector<CrashCause> m_newly_blocked;
-  OutcomeHistory m_outcomes;
-  bool m_knows_answers = false;
+  FleetOutcomes m_outcomes;
   std::uint64_t m_state_hash = 0;
   Common::TimePoint m_expire_due{};
 };
--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -130,7 +130,6 @@
   const Attempt& attempt = pending.attempt;
   const EngineCrash crash{EngineRunOf(attempt), pending.at, attempt.sent,
                           attempt.causes.organisation};
-  m_ledger.Outcomes().OnLost(crash.engine, pending.at);
   for (const CrashCause& cause : m_ledger.Add(ListOf(attempt.causes), crash, now))
   {
     ApplyAnswers(cause, now);
@@ -161,7 +160,7 @@
 
 void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now)
 {
-  m_ledger.Outcomes().OnAnswered(answered_at);
+  m_ledger.Answers().OnAnswered(answered_at);
   for (const PromptPart& part : causes.parts)
     m_answered.OnAnswered(part, answered_at);
   if (m_ledger.Size() == 0)
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -58,6 +58,8 @@
   void OnEngineEnd(const EngineEnd& end, Common::TimePoint now);
   // The agent beside an engine reports that this incarnation of it runs.
   void OnEngineRuns(const EngineEnd& engine, Common::TimePoint now);
+  // The number of gateways that send to the same targets has changed.
+  void SetGatewayCount(std::size_t count) { m_ledger.Answers().SetProcessCount(count); }
   // The known targets have changed.
   void OnTargets(const HasEnded& has_ended, Common::TimePoint now);
   // Another process knows of causes.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -103,6 +103,7 @@
            m_gateways.all, "near", gateways.same_hall);
   m_gateways = gateways;
   m_targets.SetGateways(gateways);
+  m_crashes.SetGatewayCount(gateways.all);
   for (auto& [service, queue] : m_queues)
     queue.retries.SetGateways(gateways.all);
 }
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -110,8 +110,9 @@
   const bool is_newer = m_follower.HasTargets() && m_follower.TargetsPosition() > newer_than;
   if (!is_newer || !m_targets_pacing.TryAcquire(to, m_follower.TargetsPosition(), EventLoop::Now()))
     return;
-  // First what the list may not say yet.
+  // First what the list may not say yet, and what may not be sent to the targets.
   m_mesh.Send(to, Mesh::LeavingTargets{m_handlers.leaving_targets()});
+  m_mesh.Send(to, Mesh::CrashRecords{m_handlers.crash_ledger().All(EventLoop::Now())});
   m_mesh.Send(to, Mesh::TargetsUpdate{m_follower.FullTargetList()});
 }
 
--- a/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
@@ -38,17 +38,18 @@
 }
 
 // Of a process most of whose requests were answered whole.
-OutcomeHistory MostAnswered()
+FleetOutcomes MostAnswered(bool knows_answers = false)
 {
-  OutcomeHistory outcomes;
+  FleetOutcomes outcomes;
+  outcomes.knows_answers = knows_answers;
   for (int ms = 0; ms < 5000; ms += 50)
-    outcomes.OnAnswered(At(ms));
+    outcomes.answers.OnAnswered(At(ms));
   return outcomes;
 }
 
 Inference Infer(const std::vector<CauseEvidence>& evidence, bool knows_answers = false)
 {
-  return InferCauses(evidence, MostAnswered(), knows_answers);
+  return InferCauses(evidence, MostAnswered(knows_answers));
 }
 
 // Three crashes, each of a request that was sent after the one before.
@@ -87,34 +88,35 @@
 
 TEST_CASE("Trials of a part are no evidence where many requests are lost with other engines")
 {
-  OutcomeHistory outcomes = MostAnswered();
-  CHECK(InferCauses({{Part("a"), ThreeTrials()}}, outcomes, false).causes.size() == 1);
+  FleetOutcomes outcomes = MostAnswered();
+  CHECK(InferCauses({{Part("a"), ThreeTrials()}}, outcomes).causes.size() == 1);
   for (int ms = 1000; ms < 5000; ms += 100)
-    outcomes.OnLost(90, At(ms));
-  CHECK(InferCauses({{Part("a"), ThreeTrials()}}, outcomes, false).causes.empty());
+    outcomes.lost.push_back({90, At(ms)});
+  CHECK(InferCauses({{Part("a"), ThreeTrials()}}, outcomes).causes.empty());
   SUBCASE("unless another cause explains how these ended")
   {
     std::vector<EngineCrash> other = {Crash(90, 1000), Crash(91, 1400), Crash(92, 1800),
                                       Crash(93, 2200)};
-    CHECK(InferCauses({{Part("a"), ThreeTrials()}, {Request("x"), other}}, outcomes, false)
-              .causes.size() == 2);
+    CHECK(
+        InferCauses({{Part("a"), ThreeTrials()}, {Request("x"), other}}, outcomes).causes.size() ==
+        2);
   }
   SUBCASE("and more trials are needed")
   {
     std::vector<EngineCrash> trials;
     for (EngineRun engine = 1; engine <= 9; ++engine)
       trials.push_back(Crash(engine, 1000 + 400 * static_cast<int>(engine)));
-    CHECK(InferCauses({{Part("a"), trials}}, outcomes, false).causes.size() == 1);
+    CHECK(InferCauses({{Part("a"), trials}}, outcomes).causes.size() == 1);
   }
 }
 
 TEST_CASE("A process that has seen too little takes the inference of others over")
 {
-  const OutcomeHistory none;
+  const FleetOutcomes none;
   CauseEvidence evidence{Part("a"), ThreeTrials()};
-  CHECK(InferCauses({evidence}, none, false).causes.empty());
+  CHECK(InferCauses({evidence}, none).causes.empty());
   evidence.is_inferred_elsewhere = true;
-  CHECK(InferCauses({evidence}, none, false).causes.size() == 1);
+  CHECK(InferCauses({evidence}, none).causes.size() == 1);
 }
 
 TEST_CASE("Crashes that one cause explains are no evidence against another one")
@@ -156,6 +158,8 @@
   struct Options
   {
     int engines = 12;
+    // The inference is that of one of them.
+    int gateways = 7;
     double requests_per_second = 100;
     double culprit_share = 0;
     int culprits = 1;
@@ -165,7 +169,11 @@
     int seconds = 9;
   };
 
-  History(const Options& options, std::uint64_t seed) : m_options(options), m_random(seed) {}
+  History(const Options& options, std::uint64_t seed) : m_options(options), m_random(seed)
+  {
+    m_outcomes.knows_answers = true;
+    m_outcomes.answers.SetProcessCount(options.gateways);
+  }
 
   // Plays one step after the other, and infers the causes from time to time. Stops sending requests
   // of a part that is blocked.
@@ -197,8 +205,6 @@
   static constexpr int NOTICE_MS = 400;
   static constexpr int SETTLE_MS = 150;
   static constexpr int DOWN_MS = 3000;
-  // The inference is that of one of them.
-  static constexpr int GATEWAYS = 7;
 
   struct Run
   {
@@ -241,7 +247,7 @@
     if (m_down_until[engine] > m_now)
       return;
     const int ends = m_now + (is_culprit ? 150 + Below(200) : 700 + Below(900));
-    m_runs.push_back({engine, m_now, ends, is_culprit, parts, Below(GATEWAYS)});
+    m_runs.push_back({engine, m_now, ends, is_culprit, parts, Below(m_options.gateways)});
   }
   void EndRuns()
   {
@@ -263,7 +269,7 @@
       for (const std::string& part : run.parts)
         m_known[part].answers.push_back(m_now);
       if (run.gateway == 0)
-        m_outcomes.OnAnswered(At(m_now));
+        m_outcomes.answers.OnAnswered(At(m_now));
     }
   }
   void EndEngine(int engine)
@@ -273,8 +279,7 @@
     {
       if (run.engine != engine)
         continue;
-      if (run.gateway == 0)
-        m_outcomes.OnLost(m_engine_run, At(m_now));
+      m_outcomes.lost.push_back({m_engine_run, At(m_now)});
       for (std::uint32_t i = 0; i < run.parts.size(); ++i)
       {
         Known& known = m_known[run.parts[i]];
@@ -326,7 +331,7 @@
       evidence.push_back(std::move(added));
     }
     std::set<std::string> conclusive;
-    for (const CrashCause& cause : InferCauses(evidence, m_outcomes, true).causes)
+    for (const CrashCause& cause : InferCauses(evidence, m_outcomes).causes)
       conclusive.insert(names.at(cause));
     std::erase_if(m_since, [&](const auto& entry) { return !conclusive.contains(entry.first); });
     m_blocked.clear();
@@ -350,7 +355,7 @@
   std::set<std::string> m_sound_blocked;
   std::set<std::string> m_culprits_found;
   EngineRun m_engine_run = 0;
-  OutcomeHistory m_outcomes;
+  FleetOutcomes m_outcomes;
   int m_crashes = 0;
 };
 
@@ -397,6 +402,12 @@
     options.culprit_share = 0.1;
     culprits = 1;
   }
+  SUBCASE("half of the engines are killed, seen by a gateway that has few requests of its own")
+  {
+    options.kills_per_second = 0.6;
+    options.killed_at_once = 6;
+    options.gateways = 40;
+  }
   SUBCASE("two culprits at once, beside kills from outside")
   {
     options.engines = 20;
