Crashes: Prefer what was not answered for long, and judge by answers of engines only

Cause, by reading what the ledger then does: the first part that all prompts share is in every engine that ends, also in those that end for other reasons, so it had more ends than the crashing part; and whole answers of plain targets, which read no prompts, made its failed trials look improbable while no engine answered anything.

A part that was answered shortly before now comes after those that were not, whatever their numbers, and only answers to prompts with shared parts count as outcomes.

--- a/Source/Core/Crashes/CauseInference.cpp
+++ b/Source/Core/Crashes/CauseInference.cpp
@@ -107,10 +107,10 @@
 }
 
 // Larger for the more probable cause.
-static auto RankOf(const CauseEvidence& evidence, std::size_t crashes)
+static auto RankOf(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes)
 {
-  return std::tuple(crashes, !evidence.last_answer, !IsPromptPart(evidence.cause),
-                    evidence.position, BytesOf(evidence.cause));
+  return std::tuple(IsLongUnanswered(evidence, crashes), crashes.size(),
+                    !IsPromptPart(evidence.cause), evidence.position, BytesOf(evidence.cause));
 }
 
 // The engine runs that ended under causes, or may have ended under main suspects.
@@ -137,16 +137,16 @@
 {
   const std::set<EngineRun> attributed = AttributedRuns(evidence, explained);
   const CauseEvidence* best = nullptr;
-  std::size_t best_crashes = 0;
+  std::vector<EngineCrash> best_crashes;
   for (const CauseEvidence& candidate : evidence)
   {
     const std::vector<EngineCrash> crashes = Unexplained(candidate, explained);
     if (!IsConclusive(candidate, crashes, outcomes, attributed))
       continue;
-    if (best && RankOf(candidate, crashes.size()) <= RankOf(*best, best_crashes))
+    if (best && RankOf(candidate, crashes) <= RankOf(*best, best_crashes))
       continue;
     best = &candidate;
-    best_crashes = crashes.size();
+    best_crashes = crashes;
   }
   return best;
 }
--- a/Source/Core/Crashes/CauseInference.h
+++ b/Source/Core/Crashes/CauseInference.h
@@ -51,6 +51,7 @@
 // How requests ended lately, whatever their causes.
 struct FleetOutcomes
 {
+  // Of requests whose prompts have shared parts.
   AnswerHistory answers;
   // Requests that were lost with engines that ended, in all processes.
   std::vector<EngineCrash> lost;
@@ -71,10 +72,10 @@
 std::size_t TrialsOf(std::vector<EngineCrash> crashes);
 
 // Chooses the fewest causes that explain the crashes: repeatedly the one with the most crashes that
-// no other one explains. Of equal ones, first those that were never answered, then requests before
-// parts, as they are narrower, then parts that come late in their prompts. A part is a cause only
-// if its trials are improbable as a coincidence, by the share of all requests that were lost
-// meanwhile with other engines. Where that share is not known, the inference of other processes is
-// taken over.
+// no other one explains. What was not answered for long goes first, as a part that most prompts
+// have is in most engines that end; of equal ones, requests before parts, as they are narrower,
+// then parts that come late in their prompts. A part is a cause only if its trials are improbable
+// as a coincidence, by the share of all requests that were lost meanwhile with other engines. Where
+// that share is not known, the inference of other processes is taken over.
 Inference InferCauses(const std::vector<CauseEvidence>& evidence, const FleetOutcomes& outcomes);
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -160,7 +160,9 @@
 
 void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now)
 {
-  m_ledger.Answers().OnAnswered(answered_at);
+  // Answers of targets that read no prompts show nothing of how engines fare.
+  if (!causes.parts.empty())
+    m_ledger.Answers().OnAnswered(answered_at);
   for (const PromptPart& part : causes.parts)
     m_answered.OnAnswered(part, answered_at);
   if (m_ledger.Size() == 0)
--- a/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
@@ -129,6 +129,13 @@
     CHECK(found.causes == std::set{Part("b")});
     CHECK(found.explained == std::set<EngineRun>{1, 2, 3, 4});
   }
+  SUBCASE("but not a part that most prompts have, which was answered shortly before")
+  {
+    std::vector<EngineCrash> more = all;
+    more.push_back(Crash(5, 2600));
+    const Inference found = Infer({{Part("a"), more, At(900)}, {Part("b"), all}});
+    CHECK(found.causes == std::set{Part("b")});
+  }
   SUBCASE("of equal ones, the one that was never answered")
   {
     CHECK(Infer({{Part("a"), all, At(900), 7}, {Part("b"), all}}).causes == std::set{Part("b")});
--- a/Source/UnitTests/Core/Crashes/PromptPartLedgerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/PromptPartLedgerTest.cpp
@@ -117,6 +117,17 @@
   CHECK_FALSE(tracker.IsSuspect(MakeCauses()));
 }
 
+TEST_CASE("Answers of targets that read no prompts do not show that engines run")
+{
+  CrashTracker tracker;
+  for (int ms = 1000; ms < 5000; ms += 20)
+    tracker.OnAnswered(MakeCauses("firm", {}), At(ms), At(ms));
+  for (std::uint16_t engine = 1; engine <= 4; ++engine)
+    tracker.OnLost(AttemptAt(engine, 1000 * engine), true, At(1000 * engine + 200));
+  tracker.OnTick(At(6000));
+  CHECK_FALSE(tracker.IsBlocked(MakeCauses()));
+}
+
 TEST_CASE("An answer that this process saw before it learnt of a crash clears it")
 {
   CrashTracker other;
