--- a/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
@@ -116,6 +116,40 @@
   CHECK(InferCauses({evidence}, none).causes.size() == 1);
 }
 
+// Soak seed 926: three engines were down most of the time, and no gateway could tell.
+TEST_CASE("Where next to nothing is answered, a part is a cause after five trials")
+{
+  FleetOutcomes outcomes;
+  outcomes.knows_answers = true;
+  for (int ms = -10000; ms < 0; ms += 200)
+    outcomes.answers.OnAnswered(At(ms));
+  std::vector<EngineCrash> trials;
+  for (EngineRun engine = 1; engine <= 5; ++engine)
+    trials.push_back(Crash(engine, 1000 * static_cast<int>(engine)));
+  CHECK(InferCauses({{Part("a"), trials}}, outcomes).causes == std::set{Part("a")});
+  SUBCASE("not a part that was answered lately")
+  {
+    CHECK(InferCauses({{Part("a"), trials, At(-1000)}}, outcomes).causes.empty());
+    CHECK(InferCauses({{Part("f"), trials, At(-1000)}, {Part("a"), trials}}, outcomes).causes ==
+          std::set{Part("a")});
+  }
+  SUBCASE("not by a process that cannot tell what was answered lately")
+  {
+    CHECK(InferCauses({{Part("a"), trials}}, FleetOutcomes()).causes.empty());
+  }
+  SUBCASE("not after fewer trials")
+  {
+    trials.pop_back();
+    CHECK(InferCauses({{Part("a"), trials}}, outcomes).causes.empty());
+  }
+  SUBCASE("not if engines that end for another reason lose requests, too")
+  {
+    for (int ms = 1500; ms < 5000; ms += 700)
+      outcomes.lost.push_back({90, At(ms)});
+    CHECK(InferCauses({{Part("a"), trials}}, outcomes).causes.empty());
+  }
+}
+
 TEST_CASE("Crashes that one cause explains are no evidence against another one")
 {
   const std::vector<EngineCrash> all = {Crash(1, 1000), Crash(2, 1400), Crash(3, 1800),
@@ -152,9 +186,25 @@
   }
 }
 
-TEST_CASE("In random histories culprits are found, and sound parts are not taken for them")
+namespace
+{
+// All of the culprits of each history are found, and no sound part is taken for one.
+void PlayAndCheck(const HistoryOptions& options, std::size_t culprits)
 {
   static constexpr int HISTORIES = 500;
+  const HistoriesOutcome outcome = PlayHistories(options, HISTORIES);
+  MESSAGE(outcome.sound_blocked << " sound parts blocked in " << HISTORIES << " histories, "
+                                << outcome.culprits_found << " of " << HISTORIES * culprits
+                                << " culprits found, " << outcome.mean_crashes
+                                << " crashes by them in the mean, " << outcome.most_crashes
+                                << " at most");
+  CHECK(outcome.sound_blocked == 0);
+  CHECK(outcome.culprits_found == HISTORIES * culprits);
+}
+} // namespace
+
+TEST_CASE("In random histories culprits are found, and sound parts are not taken for them")
+{
   HistoryOptions options;
   std::size_t culprits = 0;
   SUBCASE("one culprit")
@@ -184,6 +234,26 @@
     options.kills_per_second = 0.5;
     culprits = 2;
   }
+  SUBCASE("one culprit in a fleet of three engines, which are down most of the time")
+  {
+    options.engines = 3;
+    options.gateways = 4;
+    options.requests_per_second = 25;
+    options.first_parts = 1;
+    options.culprit_share = 0.4;
+    options.seconds = 24;
+    culprits = 1;
+  }
+  SUBCASE("all of three engines are killed from outside again and again, at little load")
+  {
+    options.engines = 3;
+    options.gateways = 4;
+    options.requests_per_second = 3;
+    options.first_parts = 1;
+    options.kills_per_second = 0.5;
+    options.killed_at_once = 3;
+    options.seconds = 60;
+  }
   SUBCASE("one engine after the other is killed from outside")
   {
     options.kills_per_second = 1;
@@ -198,12 +268,20 @@
     options.kills_per_second = 0.5;
     options.killed_at_once = 12;
   }
-  const HistoriesOutcome outcome = PlayHistories(options, HISTORIES);
-  MESSAGE(outcome.sound_blocked << " sound parts blocked in " << HISTORIES << " histories, "
-                                << outcome.culprits_found << " of " << HISTORIES * culprits
-                                << " culprits found, " << outcome.mean_crashes
-                                << " crashes by them in the mean, " << outcome.most_crashes
-                                << " at most");
-  CHECK(outcome.sound_blocked == 0);
-  CHECK(outcome.culprits_found == HISTORIES * culprits);
+  PlayAndCheck(options, culprits);
+}
+
+// Takes sound parts for culprits; KNOWN-RED.txt.
+TEST_CASE(
+    "Sound parts are not taken for culprits where few engines are killed one after the other" *
+    doctest::skip())
+{
+  HistoryOptions options;
+  options.engines = 3;
+  options.gateways = 4;
+  options.requests_per_second = 3;
+  options.first_parts = 1;
+  options.kills_per_second = 1;
+  options.seconds = 60;
+  PlayAndCheck(options, 0);
 }
--- a/Source/UnitTests/Core/Crashes/CrashHistories.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashHistories.cpp
@@ -95,7 +95,7 @@
   // Few first parts, and documents of which some are asked for often and most rarely.
   void Send()
   {
-    std::vector<std::string> parts = {"first-" + std::to_string(Below(10))};
+    std::vector<std::string> parts = {"first-" + std::to_string(Below(m_options.first_parts))};
     const int document = Below(40);
     parts.push_back("document-" + std::to_string(document * document / 20));
     const bool is_culprit = m_now >= CALM_MS && Chance(m_options.culprit_share);
--- a/Source/UnitTests/Core/Crashes/CrashHistories.h
+++ b/Source/UnitTests/Core/Crashes/CrashHistories.h
@@ -14,6 +14,8 @@
   // The inference is that of one of them.
   int gateways = 7;
   double requests_per_second = 100;
+  // How many first parts the prompts have among them.
+  int first_parts = 10;
   double culprit_share = 0;
   int culprits = 1;
   // Engines that are killed from outside, each second, and how many at once.
