Crashes: Five trials without an answer are enough where next to nothing else ends

Cause: a part is judged by the share of requests that are lost with other engines. Where all engines are down most of the time, fewer than 12 requests end meanwhile, so no gateway can tell the share, and none infers anything that others could take over.

A part that was not answered for 30 s and fails five trials in sequence needs no share now, unless more requests were lost with other engines than answered. Engines that are killed together are one trial, as before.

--- a/Source/Core/Crashes/CauseInference.cpp
+++ b/Source/Core/Crashes/CauseInference.cpp
@@ -16,6 +16,11 @@
 static constexpr Milliseconds MIN_TIME_WITHOUT_ANSWER = std::chrono::seconds(30);
 // With fewer requests that ended, their share says little.
 static constexpr double MIN_OUTCOMES = 12;
+// So many trials without a whole answer in the time before are enough where next to nothing ends
+// whole, as in a small fleet that is down most of the time.
+static constexpr std::size_t MIN_TRIALS_WITHOUT_OUTCOMES = 5;
+// Unless more requests are lost with other engines than are answered.
+static constexpr double MAX_LOST_SHARE_WITHOUT_OUTCOMES = 0.5;
 // The probability up to which the trials of a part are no coincidence.
 static constexpr double MAX_COINCIDENCE = 0.0005;
 // The same for a part that was answered whole shortly before, and would have turned since.
@@ -53,12 +58,23 @@
          IsLongUnanswered(evidence, crashes);
 }
 
-// The estimated share of all requests that were lost since the first of the crashes with engines
-// that ended for a reason of which nothing is known. Empty if too few have ended to tell.
-static std::optional<double> CoincidenceShare(const CauseEvidence& evidence,
-                                              const std::vector<EngineCrash>& crashes,
-                                              const FleetOutcomes& outcomes,
-                                              const std::set<EngineRun>& attributed)
+// The requests that ended since the first of the crashes of a possible cause.
+struct OutcomesSince
+{
+  // Those that were lost with engines that ended for a reason of which nothing is known.
+  double lost = 0;
+  double ended = 0;
+
+  bool AreMany() const { return ended >= MIN_OUTCOMES; }
+  // The estimated share that is lost. Laplace's rule: a few outcomes never make a loss impossible
+  // or certain.
+  double LostShare() const { return (lost + 1) / (ended + 2); }
+};
+
+static OutcomesSince CountOutcomes(const CauseEvidence& evidence,
+                                   const std::vector<EngineCrash>& crashes,
+                                   const FleetOutcomes& outcomes,
+                                   const std::set<EngineRun>& attributed)
 {
   const TimePoint first = std::ranges::min_element(crashes, {}, &EngineCrash::at)->at;
   const auto is_coincidence = [&](const EngineCrash& lost)
@@ -68,11 +84,7 @@
                evidence.crashes.end();
   };
   const auto lost = static_cast<double>(std::ranges::count_if(outcomes.lost, is_coincidence));
-  const double ended = outcomes.answers.AnsweredSince(first) + lost;
-  if (ended < MIN_OUTCOMES)
-    return std::nullopt;
-  // Laplace's rule: a few outcomes never make a loss impossible or certain.
-  return (lost + 1) / (ended + 2);
+  return {lost, outcomes.answers.AnsweredSince(first) + lost};
 }
 
 static bool IsConclusive(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes,
@@ -85,16 +97,20 @@
                           IsLongUnanswered(evidence, crashes);
   if (trials < BLOCKING_TRIALS && !is_in_many)
     return false;
-  const auto share = CoincidenceShare(evidence, crashes, outcomes, attributed);
-  if (!share)
-    return trials >= BLOCKING_TRIALS && evidence.is_inferred_elsewhere;
+  const OutcomesSince since = CountOutcomes(evidence, crashes, outcomes, attributed);
+  if (!since.AreMany())
+  {
+    return (trials >= BLOCKING_TRIALS && evidence.is_inferred_elsewhere) ||
+           (is_in_many && trials >= MIN_TRIALS_WITHOUT_OUTCOMES &&
+            since.LostShare() <= MAX_LOST_SHARE_WITHOUT_OUTCOMES);
+  }
   double most = IsLongUnanswered(evidence, crashes) ? MAX_COINCIDENCE : MAX_COINCIDENCE_OF_ANSWERED;
   if (evidence.is_inferred_elsewhere)
     most = MAX_COINCIDENCE_IF_INFERRED;
   // Crashes at once tell less than trials in sequence, but a part in so many engines at once would
   // be answered in others.
   const std::size_t failures = std::max(trials, is_in_many ? BLOCKING_TRIALS : 0);
-  return std::pow(*share, static_cast<double>(failures)) <= most;
+  return std::pow(since.LostShare(), static_cast<double>(failures)) <= most;
 }
 
 static std::vector<EngineCrash> Unexplained(const CauseEvidence& evidence,
