--- a/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
@@ -29,6 +29,8 @@
 // Two plain targets that a gateway sends requests to.
 struct RestFixture : GatewayFixture
 {
+  using GatewayFixture::GatewayFixture;
+
   // Sends a request; the target is empty if it was not sent.
   std::pair<RequestNumber, TargetId> Send()
   {
@@ -51,6 +53,13 @@
       Complete(number);
     return target;
   }
+  void TurnAwayRequest(RequestNumber number, Duration rest)
+  {
+    Feed(AsksForRest(number, rest));
+    AnswerBegan rejected = Began(number, 503);
+    rejected.is_not_run = true;
+    Feed(rejected);
+  }
   // Sends requests until one is at the target, and lets the target turn it away.
   void TurnAway(const TargetId& target, Duration rest)
   {
@@ -63,10 +72,7 @@
       REQUIRE_FALSE(sent_to.empty());
       open.push_back(number);
     }
-    Feed(AsksForRest(open.back(), rest));
-    AnswerBegan rejected = Began(open.back(), 503);
-    rejected.is_not_run = true;
-    Feed(rejected);
+    TurnAwayRequest(open.back(), rest);
     for (const RequestNumber number : open)
       Complete(number);
   }
@@ -174,6 +180,49 @@
   }
 }
 
+// At 40 gateways each has too few retries for the first request after each rest.
+TEST_CASE("A target that may ask for rest again is not tried with requests that cannot be retried")
+{
+  static constexpr Duration REST = Milliseconds(200);
+  RestFixture f(RetryLimits{Milliseconds(10000), 0, 5});
+  std::size_t refused = 0;
+  std::size_t turned_away = 0;
+  // The target that an idle gateway chooses.
+  const auto send_to_resting = [&]
+  {
+    const auto [number, target] = f.Send();
+    f.actions.clear();
+    if (target == "desk-2")
+    {
+      ++turned_away;
+      f.TurnAwayRequest(number, REST);
+    }
+    refused += Take<Refuse>(f.actions).size();
+    f.Complete(number);
+    f.Advance(REST * 2);
+  };
+  for (int i = 0; i < 40; ++i)
+    send_to_resting();
+  CHECK(refused == 0);
+  CHECK(turned_away >= 4);
+
+  SUBCASE("unless no other target has room")
+  {
+    CHECK(f.Send().second == "desk-1");
+    CHECK(f.Send().second == "desk-1");
+    CHECK(f.Send().second == "desk-2");
+  }
+  SUBCASE("until there are retries again")
+  {
+    f.Advance(Milliseconds(11000));
+    const std::size_t before = turned_away;
+    for (int i = 0; i < 10; ++i)
+      send_to_resting();
+    CHECK(turned_away > before);
+    CHECK(refused == 0);
+  }
+}
+
 TEST_CASE("When all targets rest, requests are refused at once until the first returns")
 {
   RestFixture f;
