Crashes: One function for each step of the ledger's judgement, one for both kinds of open attempts

CrashLedger::Reassess gathered, inferred and published; IsConclusive read six conditions; OnLost and OnEndedWithConnection differed in one list, for which a template stood outside the class.

--- a/Source/Core/Crashes/CauseInference.cpp
+++ b/Source/Core/Crashes/CauseInference.cpp
@@ -21,7 +21,8 @@
 static constexpr std::size_t MIN_TRIALS_WITHOUT_OUTCOMES = 5;
 // Unless more requests are lost with other engines than are answered.
 static constexpr double MAX_LOST_SHARE_WITHOUT_OUTCOMES = 0.5;
-// The probability up to which the trials of a part are no coincidence.
+// The probability up to which the trials of a part that was not answered for long are no
+// coincidence.
 static constexpr double MAX_COINCIDENCE = 0.0005;
 // The same for a part that was answered whole shortly before, and would have turned since.
 static constexpr double MAX_COINCIDENCE_OF_ANSWERED = 0.000001;
@@ -87,30 +88,42 @@
   return {lost, outcomes.answers.AnsweredSince(first) + lost};
 }
 
-static bool IsConclusive(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes,
-                         const FleetOutcomes& outcomes, const std::set<EngineRun>& attributed)
+// The probability up to which the trials of the part are no coincidence.
+static double MaxCoincidence(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes)
+{
+  if (evidence.is_inferred_elsewhere)
+    return MAX_COINCIDENCE_IF_INFERRED;
+  return IsLongUnanswered(evidence, crashes) ? MAX_COINCIDENCE : MAX_COINCIDENCE_OF_ANSWERED;
+}
+
+static bool IsConclusivePart(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes,
+                             const FleetOutcomes& outcomes, const std::set<EngineRun>& attributed)
 {
-  if (!IsPromptPart(evidence.cause))
-    return crashes.size() >= BLOCKING_CRASHES;
   const std::size_t trials = TrialsOf(crashes);
   const bool is_in_many = outcomes.knows_answers && crashes.size() >= MIN_CRASHES_WITHOUT_ANSWER &&
                           IsLongUnanswered(evidence, crashes);
   if (trials < BLOCKING_TRIALS && !is_in_many)
     return false;
   const OutcomesSince since = CountOutcomes(evidence, crashes, outcomes, attributed);
-  if (!since.AreMany())
+  if (since.AreMany())
   {
-    return (trials >= BLOCKING_TRIALS && evidence.is_inferred_elsewhere) ||
-           (is_in_many && trials >= MIN_TRIALS_WITHOUT_OUTCOMES &&
-            since.LostShare() <= MAX_LOST_SHARE_WITHOUT_OUTCOMES);
+    // Crashes at once tell less than trials in sequence, but a part in so many engines at once
+    // would be answered in others.
+    const auto failures = static_cast<double>(std::max(trials, BLOCKING_TRIALS));
+    return std::pow(since.LostShare(), failures) <= MaxCoincidence(evidence, crashes);
   }
-  double most = IsLongUnanswered(evidence, crashes) ? MAX_COINCIDENCE : MAX_COINCIDENCE_OF_ANSWERED;
-  if (evidence.is_inferred_elsewhere)
-    most = MAX_COINCIDENCE_IF_INFERRED;
-  // Crashes at once tell less than trials in sequence, but a part in so many engines at once would
-  // be answered in others.
-  const std::size_t failures = std::max(trials, is_in_many ? BLOCKING_TRIALS : 0);
-  return std::pow(since.LostShare(), static_cast<double>(failures)) <= most;
+  if (evidence.is_inferred_elsewhere && trials >= BLOCKING_TRIALS)
+    return true;
+  return is_in_many && trials >= MIN_TRIALS_WITHOUT_OUTCOMES &&
+         since.LostShare() <= MAX_LOST_SHARE_WITHOUT_OUTCOMES;
+}
+
+static bool IsConclusive(const CauseEvidence& evidence, const std::vector<EngineCrash>& crashes,
+                         const FleetOutcomes& outcomes, const std::set<EngineRun>& attributed)
+{
+  if (!IsPromptPart(evidence.cause))
+    return crashes.size() >= BLOCKING_CRASHES;
+  return IsConclusivePart(evidence, crashes, outcomes, attributed);
 }
 
 static std::vector<EngineCrash> Unexplained(const CauseEvidence& evidence,
--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -138,18 +138,25 @@
   return is_old;
 }
 
-void CrashLedger::Reassess(TimePoint now)
+std::vector<EngineCrash> CrashLedger::LostRequests() const
 {
-  std::vector<CauseEvidence> evidence;
-  m_outcomes.lost.clear();
+  std::vector<EngineCrash> lost;
   for (const auto& [cause, record] : m_records)
   {
     // Each lost request has a record of its own.
-    if (!IsPromptPart(cause))
-    {
-      for (const auto& [engine, crash] : record.crashes)
-        m_outcomes.lost.push_back(crash);
-    }
+    if (IsPromptPart(cause))
+      continue;
+    for (const auto& [engine, crash] : record.crashes)
+      lost.push_back(crash);
+  }
+  return lost;
+}
+
+std::vector<CauseEvidence> CrashLedger::Evidence() const
+{
+  std::vector<CauseEvidence> evidence;
+  for (const auto& [cause, record] : m_records)
+  {
     if (record.crashes.size() < std::min(BLOCKING_CRASHES, BLOCKING_TRIALS))
       continue;
     CauseEvidence& added = evidence.emplace_back(
@@ -157,14 +164,17 @@
     for (const auto& [engine, crash] : record.crashes)
       added.crashes.push_back(crash);
   }
-  Inference inference = InferCauses(evidence, m_outcomes);
-  m_explained = std::move(inference.explained);
+  return evidence;
+}
+
+void CrashLedger::Block(const std::set<CrashCause>& causes, TimePoint now)
+{
   m_settle_due.reset();
   std::erase_if(m_conclusive_since,
-                [&](const auto& entry) { return !inference.causes.contains(entry.first); });
+                [&](const auto& entry) { return !causes.contains(entry.first); });
   std::set<CrashCause> blocked;
   std::set<CrashCause> blocked_for_all;
-  for (const CrashCause& cause : inference.causes)
+  for (const CrashCause& cause : causes)
   {
     if (!IsSettled(cause, now))
       continue;
@@ -180,6 +190,14 @@
   }
   m_blocked = std::move(blocked);
   m_blocked_for_all = std::move(blocked_for_all);
+}
+
+void CrashLedger::Reassess(TimePoint now)
+{
+  m_outcomes.lost = LostRequests();
+  Inference inference = InferCauses(Evidence(), m_outcomes);
+  m_explained = std::move(inference.explained);
+  Block(inference.causes, now);
   UpdateStateHash();
 }
 
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -114,6 +114,11 @@
   bool MergeOne(const CrashRecord& told, Common::TimePoint now);
   void OnChanged(const CrashCause& cause, Common::TimePoint now);
   void EvictIfFull();
+  std::vector<EngineCrash> LostRequests() const;
+  // Of the causes with enough crashes to be blocked.
+  std::vector<CauseEvidence> Evidence() const;
+  // Blocks those of the conclusive causes that have settled, and no others.
+  void Block(const std::set<CrashCause>& causes, Common::TimePoint now);
   // Updates what follows from the records.
   void Reassess(Common::TimePoint now);
   // Whether a conclusive cause may be blocked now.
--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -54,27 +54,24 @@
                              });
 }
 
-// Adds to attempts whose outcome is not known yet; the oldest is forgotten first.
-template <typename Pending>
-static void AddPending(std::vector<Pending>* attempts, Pending pending)
+void CrashTracker::CountOrAwaitEnd(const Attempt& attempt, bool has_ended, TimePoint now,
+                                   std::vector<Pending>* awaiting)
 {
-  if (attempts->size() >= MAX_PENDING)
-    attempts->erase(attempts->begin());
-  attempts->push_back(std::move(pending));
+  if (has_ended || IsKnownEnd(attempt, now))
+    return Count({attempt, now}, now);
+  if (awaiting->size() >= MAX_PENDING)
+    awaiting->erase(awaiting->begin());
+  awaiting->push_back({attempt, now});
 }
 
 void CrashTracker::OnLost(const Attempt& lost, bool has_ended, TimePoint now)
 {
-  if (has_ended || IsKnownEnd(lost, now))
-    return Count({lost, now}, now);
-  AddPending(&m_lost, Pending{lost, now});
+  CountOrAwaitEnd(lost, has_ended, now, &m_lost);
 }
 
 void CrashTracker::OnEndedWithConnection(const Attempt& attempt, bool has_ended, TimePoint now)
 {
-  if (has_ended || IsKnownEnd(attempt, now))
-    return Count({attempt, now}, now);
-  AddPending(&m_ended_with_connection, Pending{attempt, now});
+  CountOrAwaitEnd(attempt, has_ended, now, &m_ended_with_connection);
 }
 
 void CrashTracker::OnEngineEnd(const EngineEnd& end, TimePoint now)
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -92,6 +92,10 @@
 
   bool IsKnownEnd(const Attempt& attempt, Common::TimePoint now) const;
   bool IsSuspect(const CrashCause& cause) const;
+  // Counts the attempt if its engine has ended, or adds it to those that wait for such news; the
+  // oldest of these is forgotten if there are too many.
+  void CountOrAwaitEnd(const Attempt& attempt, bool has_ended, Common::TimePoint now,
+                       std::vector<Pending>* awaiting);
   void Count(const Pending& pending, Common::TimePoint now);
   // Counts and forgets the pending attempts that meet the condition.
   void CountWhere(const HasEnded& condition, Common::TimePoint now);
