Gateway: Requests that cannot be retried keep away from targets that reject them

Cause: after each rest, and 60 ms after each rejection without one, a gateway tries the target with one more request. If it is rejected again, a retry brings it to another target. At 40 gateways each has 1.7 requests a second and a fortieth of the fixed retries: these were used up, and the next rejection went to the caller.

A request that could not be retried now goes to a target that has rejected one and accepted none since only if no other target has a free slot, so no capacity is lost when retries are used up for long.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -193,7 +193,7 @@
   if (!waiting || waiting->state != State::Waiting)
     return;
   Tracked& tracked = *waiting;
-  const TargetSummary summary = m_targets.SummaryOf(QueryFor(tracked), now);
+  const TargetSummary summary = m_targets.SummaryOf(QueryFor(tracked, now), now);
   const Duration wait = MaxWait(summary, WaitingCountOf(tracked.service),
                                 m_targets.PassTimeOf(tracked.service), StartGoal(tracked));
   tracked.refuse_at = std::min(tracked.deadline, std::max(now, m_dispatch_from) + wait);
@@ -351,7 +351,7 @@
       return GiveUp(tracked, {ErrorKind::Unreachable, "no target could run it again"}, now,
                     actions);
     }
-    const ErrorKind reason = RefusalReason(m_targets.SummaryOf(QueryFor(tracked), now));
+    const ErrorKind reason = RefusalReason(m_targets.SummaryOf(QueryFor(tracked, now), now));
     return GiveUp(tracked, {reason, "no target can begin it in time"}, now, actions);
   }
   if (now < tracked.deadline)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -116,7 +116,7 @@
   void EnqueueNotRun(Tracked& request, bool is_retry, Common::TimePoint now, Actions* actions);
   void DispatchWaiting(const std::string& service, Common::TimePoint now, Actions* actions);
   void DispatchAllWaiting(Common::TimePoint now, Actions* actions);
-  TargetQuery QueryFor(const Tracked& tracked) const;
+  TargetQuery QueryFor(const Tracked& tracked, Common::TimePoint now) const;
   // The query of a request that is sent only if it can begin in time.
   TargetQuery InTimeQueryFor(const Tracked& tracked, Common::TimePoint now) const;
   std::size_t WaitingCountOf(const std::string& service) const;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -93,7 +93,7 @@
   return std::max(StartGoal(tracked) - (now - tracked.first_attempt_at), Duration(1));
 }
 
-TargetQuery Gateway::QueryFor(const Tracked& tracked) const
+TargetQuery Gateway::QueryFor(const Tracked& tracked, TimePoint now) const
 {
   const std::optional<GenerationHint>& generation = tracked.request.generation;
   TargetQuery query;
@@ -102,6 +102,8 @@
   query.answer_tokens = generation ? generation->expected_answer_tokens : 0;
   query.tried = tracked.tried;
   query.weights = SwitchDeadlinesFor(tracked.service);
+  const auto queue = m_queues.find(tracked.service);
+  query.may_be_retried = queue != m_queues.end() && queue->second.retries.Permits(now);
   query.prefers_idle = m_crashes.IsSuspect(tracked.causes);
   return query;
 }
@@ -119,7 +121,7 @@
 
 TargetQuery Gateway::InTimeQueryFor(const Tracked& tracked, TimePoint now) const
 {
-  TargetQuery query = QueryFor(tracked);
+  TargetQuery query = QueryFor(tracked, now);
   query.waiting = WaitingCountOf(tracked.service);
   const bool may_be_refused = tracked.runs == 0 && !tracked.was_head_passed;
   if (may_be_refused)
--- a/Source/Core/Gateway/GatewayRefusals.cpp
+++ b/Source/Core/Gateway/GatewayRefusals.cpp
@@ -51,7 +51,7 @@
 // Describes the service as a new request of the same kind would find it now.
 ServiceView Gateway::ViewOf(const Tracked& tracked, TimePoint now) const
 {
-  TargetQuery query = QueryFor(tracked);
+  TargetQuery query = QueryFor(tracked, now);
   query.max_start = StartGoal(tracked);
   query.waiting = WaitingCountOf(tracked.service);
   return {m_targets.Utilization(tracked.service, now), m_targets.CapacityFor(query, now),
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -187,7 +187,7 @@
     return;
   tracked.move_at = TimePoint::max();
   // A move only helps if another target can begin the request at once.
-  const auto choice = m_targets.Choose(QueryFor(tracked), now);
+  const auto choice = m_targets.Choose(QueryFor(tracked, now), now);
   if (choice && choice->has_free_slot)
     Move(tracked, "overdue", now, actions);
 }
--- a/Source/Core/Gateway/RetryAllowance.cpp
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -29,14 +29,14 @@
   ++SliceAt(now).requests;
 }
 
-bool RetryAllowance::Take(TimePoint now)
+bool RetryAllowance::Permits(TimePoint now) const
 {
-  Slice& current = SliceAt(now);
+  const std::uint64_t index = IndexAt(now);
   double requests = 0;
   double retries = 0;
   for (const Slice& slice : m_slices)
   {
-    const std::uint64_t age = current.index - slice.index;
+    const std::uint64_t age = index - slice.index;
     // Retries are summed over one slice more than requests, so that the limits hold in any window.
     if (age <= SLICES)
       retries += slice.retries;
@@ -44,9 +44,14 @@
       requests += slice.requests;
   }
   const double fixed = SAFETY_FACTOR * m_limits.extra / static_cast<double>(m_gateways);
-  if (retries + 1 > m_limits.ratio * SAFETY_FACTOR * requests + fixed)
+  return retries + 1 <= m_limits.ratio * SAFETY_FACTOR * requests + fixed;
+}
+
+bool RetryAllowance::Take(TimePoint now)
+{
+  if (!Permits(now))
     return false;
-  ++current.retries;
+  ++SliceAt(now).retries;
   return true;
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RetryAllowance.h
+++ b/Source/Core/Gateway/RetryAllowance.h
@@ -28,6 +28,8 @@
   void SetGateways(std::size_t gateways) { m_gateways = gateways == 0 ? 1 : gateways; }
 
   void OnRequest(Common::TimePoint now);
+  // Whether the limits permit a retry now.
+  bool Permits(Common::TimePoint now) const;
   // Takes one retry from the allowance if the limits permit it; returns whether they do.
   bool Take(Common::TimePoint now);
 
--- a/Source/Core/Gateway/TargetAvailability.cpp
+++ b/Source/Core/Gateway/TargetAvailability.cpp
@@ -114,8 +114,18 @@
 
 void TargetTable::OnFull(const TargetId& id, TimePoint now)
 {
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end())
+    return;
+  found->second.avoid_until = std::max(found->second.avoid_until, now + FULL_AVOID_TIME);
+  found->second.is_rejecting = true;
+}
+
+void TargetTable::OnAccepted(const TargetId& id, std::uint64_t request)
+{
+  m_rests.OnAccepted(id, request);
   if (const auto found = m_targets.find(id); found != m_targets.end())
-    found->second.avoid_until = std::max(found->second.avoid_until, now + FULL_AVOID_TIME);
+    found->second.is_rejecting = false;
 }
 
 void TargetTable::OnRateLimit(const TargetId& id, std::optional<double> per_second, TimePoint now)
--- a/Source/Core/Gateway/TargetCandidates.cpp
+++ b/Source/Core/Gateway/TargetCandidates.cpp
@@ -101,17 +101,32 @@
     candidates->sum_of_delays += StartDelayPerRequest(*engine, load, PaceOf(target));
 }
 
-TargetTable::Candidates TargetTable::CandidatesFor(const TargetQuery& query, TimePoint now) const
+TargetTable::Candidates TargetTable::OpenCandidatesFor(const TargetQuery& query, TimePoint now,
+                                                       bool has_rejecting) const
 {
+  const auto is_candidate = [&](const TargetId& id, const Target& target)
+  { return IsOpenFor(id, target, query, now) && (has_rejecting || !target.is_rejecting); };
   const bool is_subset_open = std::ranges::any_of(
       m_targets, [&](const auto& entry)
-      { return entry.second.is_used && IsOpenFor(entry.first, entry.second, query, now); });
+      { return entry.second.is_used && is_candidate(entry.first, entry.second); });
   Candidates candidates;
   for (const auto& [id, target] : m_targets)
   {
-    if ((target.is_used || !is_subset_open) && IsOpenFor(id, target, query, now))
+    if ((target.is_used || !is_subset_open) && is_candidate(id, target))
       AddCandidate(id, target, query, now, &candidates);
   }
+  return candidates;
+}
+
+TargetTable::Candidates TargetTable::CandidatesFor(const TargetQuery& query, TimePoint now) const
+{
+  if (!query.may_be_retried)
+  {
+    Candidates accepting = OpenCandidatesFor(query, now, false);
+    if (std::ranges::any_of(accepting.choices, &TargetChoice::has_free_slot))
+      return accepting;
+  }
+  Candidates candidates = OpenCandidatesFor(query, now, true);
   if (!candidates.choices.empty())
     return candidates;
   for (const auto& [id, target] : m_targets)
--- a/Source/Core/Gateway/TargetQuery.h
+++ b/Source/Core/Gateway/TargetQuery.h
@@ -41,6 +41,8 @@
   std::size_t waiting = 0;
   // The maximum time until the start: a later start is useless.
   std::optional<Common::Duration> max_start = std::nullopt;
+  // Whether the request could be sent to another target if the first one turns it away.
+  bool may_be_retried = true;
   // The request may crash its target: the target with the least other work is chosen.
   bool prefers_idle = false;
 };
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -119,7 +119,7 @@
   Common::TimePoint OnRestAsked(const TargetChoice& choice, Common::Duration rest,
                                 Common::TimePoint now);
   // Called when the target has not turned the request away.
-  void OnAccepted(const TargetId& id, std::uint64_t request) { m_rests.OnAccepted(id, request); }
+  void OnAccepted(const TargetId& id, std::uint64_t request);
   // Called when the target has said that it leaves. Returns false if it is known.
   bool OnLeaving(const LeavingTarget& target, Common::TimePoint now);
   // Called when a target at the address other than `id` has said that it leaves.
@@ -182,6 +182,8 @@
     Common::TimePoint lag_updated{};
     std::uint32_t failures = 0; // consecutive failures since the last success
     Common::TimePoint avoid_until{};
+    // The target has rejected a request, and accepted none since.
+    bool is_rejecting = false;
     TargetLimit limit;
 
     bool IsListed() const { return is_on_list && !is_replaced; }
@@ -243,8 +245,12 @@
   SpreadParameters SpreadParametersFor(const TargetQuery& query, const Candidates& candidates,
                                        Common::TimePoint now) const;
   // The open targets in the subset that this gateway uses, or all open targets if none of the
-  // subset is open. If no target is open, the candidates are avoided targets that qualify as a last
-  // resort.
+  // subset is open.
+  Candidates OpenCandidatesFor(const TargetQuery& query, Common::TimePoint now,
+                               bool has_rejecting) const;
+  // The open candidates. A request that cannot be retried does not go to a target that may
+  // reject it again while another one has a free slot. If no target is open, the candidates are
+  // avoided targets that qualify as a last resort.
   Candidates CandidatesFor(const TargetQuery& query, Common::TimePoint now) const;
   void AddCandidate(const TargetId& id, const Target& target, const TargetQuery& query,
                     Common::TimePoint now, Candidates* candidates) const;
--- a/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
@@ -53,9 +53,11 @@
       Complete(number);
     return target;
   }
-  void TurnAwayRequest(RequestNumber number, Duration rest)
+  // Without a rest the target is just full.
+  void TurnAwayRequest(RequestNumber number, std::optional<Duration> rest)
   {
-    Feed(AsksForRest(number, rest));
+    if (rest)
+      Feed(AsksForRest(number, *rest));
     AnswerBegan rejected = Began(number, 503);
     rejected.is_not_run = true;
     Feed(rejected);
@@ -181,9 +183,16 @@
 }
 
 // At 40 gateways each has too few retries for the first request after each rest.
-TEST_CASE("A target that may ask for rest again is not tried with requests that cannot be retried")
+TEST_CASE(
+    "A target that may turn requests away again is not tried with requests that cannot be retried")
 {
   static constexpr Duration REST = Milliseconds(200);
+  std::optional<Duration> asked = REST;
+  SUBCASE("which asks for rest") {}
+  SUBCASE("which names no time")
+  {
+    asked.reset();
+  }
   RestFixture f(RetryLimits{Milliseconds(10000), 0, 5});
   std::size_t refused = 0;
   std::size_t turned_away = 0;
@@ -195,7 +204,7 @@
     if (target == "desk-2")
     {
       ++turned_away;
-      f.TurnAwayRequest(number, REST);
+      f.TurnAwayRequest(number, asked);
     }
     refused += Take<Refuse>(f.actions).size();
     f.Complete(number);
@@ -206,21 +215,18 @@
   CHECK(refused == 0);
   CHECK(turned_away >= 4);
 
-  SUBCASE("unless no other target has room")
-  {
-    CHECK(f.Send().second == "desk-1");
-    CHECK(f.Send().second == "desk-1");
-    CHECK(f.Send().second == "desk-2");
-  }
-  SUBCASE("until there are retries again")
-  {
-    f.Advance(Milliseconds(11000));
-    const std::size_t before = turned_away;
-    for (int i = 0; i < 10; ++i)
-      send_to_resting();
-    CHECK(turned_away > before);
-    CHECK(refused == 0);
-  }
+  // Until there are retries again.
+  f.Advance(Milliseconds(11000));
+  const std::size_t before = turned_away;
+  for (int i = 0; i < 10; ++i)
+    send_to_resting();
+  CHECK(turned_away > before);
+  CHECK(refused == 0);
+
+  // And while no other target has room.
+  CHECK(f.Send().second == "desk-1");
+  CHECK(f.Send().second == "desk-1");
+  CHECK(f.Send().second == "desk-2");
 }
 
 TEST_CASE("When all targets rest, requests are refused at once until the first returns")
