--- a/Source/Core/Gateway/TargetCandidates.cpp
+++ b/Source/Core/Gateway/TargetCandidates.cpp
@@ -102,10 +102,10 @@
 }
 
 TargetTable::Candidates TargetTable::OpenCandidatesFor(const TargetQuery& query, TimePoint now,
-                                                       bool has_rejecting) const
+                                                       bool includes_rejecting) const
 {
   const auto is_candidate = [&](const TargetId& id, const Target& target)
-  { return IsOpenFor(id, target, query, now) && (has_rejecting || !target.is_rejecting); };
+  { return IsOpenFor(id, target, query, now) && (includes_rejecting || !target.is_rejecting); };
   const bool is_subset_open = std::ranges::any_of(
       m_targets, [&](const auto& entry)
       { return entry.second.is_used && is_candidate(entry.first, entry.second); });
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -247,7 +247,7 @@
   // The open targets in the subset that this gateway uses, or all open targets if none of the
   // subset is open.
   Candidates OpenCandidatesFor(const TargetQuery& query, Common::TimePoint now,
-                               bool has_rejecting) const;
+                               bool includes_rejecting) const;
   // The open candidates. A request that cannot be retried does not go to a target that may
   // reject it again while another one has a free slot. If no target is open, the candidates are
   // avoided targets that qualify as a last resort.
--- a/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetRestsTest.cpp
@@ -196,8 +196,8 @@
   RestFixture f(RetryLimits{Milliseconds(10000), 0, 5});
   std::size_t refused = 0;
   std::size_t turned_away = 0;
-  // The target that an idle gateway chooses.
-  const auto send_to_resting = [&]
+  // An idle gateway chooses desk-2, which turns all requests away.
+  const auto send_one = [&]
   {
     const auto [number, target] = f.Send();
     f.actions.clear();
@@ -211,7 +211,7 @@
     f.Advance(REST * 2);
   };
   for (int i = 0; i < 40; ++i)
-    send_to_resting();
+    send_one();
   CHECK(refused == 0);
   CHECK(turned_away >= 4);
 
@@ -219,7 +219,7 @@
   f.Advance(Milliseconds(11000));
   const std::size_t before = turned_away;
   for (int i = 0; i < 10; ++i)
-    send_to_resting();
+    send_one();
   CHECK(turned_away > before);
   CHECK(refused == 0);
 
