Unit tests: One place for the times, causes and small fleets that tests of crashes share

START, At and Part stood in three files, the options of a fleet of three engines in five places. A comment no longer tells where a test comes from.

--- a/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
@@ -2,27 +2,16 @@
 #include <doctest/doctest.h>
 
 #include "Core/Crashes/CauseInference.h"
+#include "CrashFixtures.h"
 #include "CrashHistories.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Crashes;
-using Common::Milliseconds;
-using Common::TimePoint;
+using Testing::At;
+using Testing::Part;
 
 namespace
 {
-const TimePoint START{std::chrono::hours(1)};
-
-TimePoint At(int ms)
-{
-  return START + Milliseconds(ms);
-}
-
-CrashCause Part(const std::string& id)
-{
-  return PromptPartOf("llm", id);
-}
-
 CrashCause Request(const std::string& body)
 {
   return Gateway::FingerprintOf("firm", "api.example", Common::Sha256(body));
@@ -116,7 +105,7 @@
   CHECK(InferCauses({evidence}, none).causes.size() == 1);
 }
 
-// Soak seed 926: three engines were down most of the time, and no gateway could tell.
+// Few engines that a part keeps down leave no outcomes to judge by.
 TEST_CASE("Where next to nothing is answered, a part is a cause after five trials")
 {
   FleetOutcomes outcomes;
@@ -195,6 +184,18 @@
 
 namespace
 {
+// A small fleet, whose prompts all have the same first part.
+HistoryOptions ThreeEngines(double requests_per_second, int seconds)
+{
+  HistoryOptions options;
+  options.engines = 3;
+  options.gateways = 4;
+  options.first_parts = 1;
+  options.requests_per_second = requests_per_second;
+  options.seconds = seconds;
+  return options;
+}
+
 // All of the culprits of each history are found, and no sound part is taken for one.
 void PlayAndCheck(const HistoryOptions& options, std::size_t culprits)
 {
@@ -243,33 +244,21 @@
   }
   SUBCASE("one culprit in a fleet of three engines, which are down most of the time")
   {
-    options.engines = 3;
-    options.gateways = 4;
-    options.requests_per_second = 25;
-    options.first_parts = 1;
+    options = ThreeEngines(25, 24);
     options.culprit_share = 0.4;
-    options.seconds = 24;
     culprits = 1;
   }
   SUBCASE("one of three engines after the other is killed from outside after the start")
   {
-    options.engines = 3;
-    options.gateways = 4;
-    options.requests_per_second = 3;
-    options.first_parts = 1;
+    options = ThreeEngines(3, 9);
     options.kills_per_second = 1;
-    options.seconds = 9;
     options.begins_in_trouble = true;
   }
   SUBCASE("all of three engines are killed from outside again and again, at little load")
   {
-    options.engines = 3;
-    options.gateways = 4;
-    options.requests_per_second = 3;
-    options.first_parts = 1;
+    options = ThreeEngines(3, 60);
     options.kills_per_second = 0.5;
     options.killed_at_once = 3;
-    options.seconds = 60;
   }
   SUBCASE("one engine after the other is killed from outside")
   {
@@ -293,13 +282,8 @@
     "Sound parts are not taken for culprits where few engines are killed one after the other" *
     doctest::skip())
 {
-  HistoryOptions options;
-  options.engines = 3;
-  options.gateways = 4;
-  options.requests_per_second = 3;
-  options.first_parts = 1;
+  HistoryOptions options = ThreeEngines(3, 60);
   options.kills_per_second = 1;
-  options.seconds = 60;
   PlayAndCheck(options, 0);
 }
 
@@ -307,12 +291,7 @@
 TEST_CASE("Culprits are told from sound parts right after the start of all processes" *
           doctest::skip())
 {
-  HistoryOptions options;
-  options.engines = 3;
-  options.gateways = 4;
-  options.requests_per_second = 25;
-  options.first_parts = 1;
-  options.seconds = 24;
+  HistoryOptions options = ThreeEngines(25, 24);
   options.begins_in_trouble = true;
   SUBCASE("in a tenth of the requests")
   {
--- a/Source/UnitTests/Core/Crashes/CrashHistories.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashHistories.cpp
@@ -7,26 +7,16 @@
 #include <string>
 
 #include "Core/Crashes/CauseInference.h"
+#include "CrashFixtures.h"
 
 namespace Holdpost::Crashes
 {
-using Common::Milliseconds;
 using Common::TimePoint;
+using Testing::At;
+using Testing::Part;
 
 namespace
 {
-const TimePoint START{std::chrono::hours(1)};
-
-TimePoint At(int ms)
-{
-  return START + Milliseconds(ms);
-}
-
-CrashCause Part(const std::string& id)
-{
-  return PromptPartOf("llm", id);
-}
-
 // A random history of a fleet: requests with parts run at engines, which end under crashing parts
 // or from outside.
 class History
--- a/Source/UnitTests/Core/Crashes/PromptPartLedgerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/PromptPartLedgerTest.cpp
@@ -2,24 +2,21 @@
 #include <doctest/doctest.h>
 
 #include "Core/Crashes/CrashTracker.h"
+#include "CrashFixtures.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Crashes;
 using Common::Address;
 using Common::Milliseconds;
 using Common::TimePoint;
+using Testing::At;
+using Testing::START;
 
 namespace
 {
-const TimePoint START{std::chrono::hours(1)};
 const PromptPart CULPRIT = PromptPartOf("llm", "bad");
 const PromptPart FIRST = PromptPartOf("llm", "f1");
 
-TimePoint At(int ms)
-{
-  return START + Milliseconds(ms);
-}
-
 // No two requests are alike.
 RequestCauses MakeCauses(const std::string& organisation = "firm",
                          const std::vector<std::string>& parts = {"f1", "bad"})
