Gateway and sidecar: Requests wait for late weights that arrive in time for their callers

Cause: a gateway knows that no target may begin a request, but not when one may. It refused each at once and named a time to come back that belongs to full engines (0.15 to 2 s); callers came back once, in vain.

Fix: sidecars report when their engine will have the weights and whether pieces arrive; gateways let as many requests wait as these engines have slots, check them ten times a second, refuse the others at once and tell them when the weights are expected. No request begins on weights past their deadline, as before.

--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -114,6 +114,13 @@
   // Enqueues a request that no target has run. The request waits only for the time in which
   // capacity may be expected to become free.
   void EnqueueNotRun(Tracked& request, bool is_retry, Common::TimePoint now, Actions* actions);
+  // The time until the latest start of an answer that its caller still waits for, and that is whole
+  // by the deadline.
+  Common::Duration TimeForStart(const Tracked& tracked, Common::TimePoint now) const;
+  // Lets a request that awaits weights wait on until the next check, if they are still expected in
+  // time; returns whether they are.
+  bool KeepAwaitingWeights(Tracked& tracked, Common::TimePoint now);
+  void ScheduleWeightsCheck(Tracked& tracked, Common::TimePoint now);
   void DispatchWaiting(const std::string& service, Common::TimePoint now, Actions* actions);
   void DispatchAllWaiting(Common::TimePoint now, Actions* actions);
   TargetQuery QueryFor(const Tracked& tracked, Common::TimePoint now) const;
--- a/Source/Core/Gateway/GatewayRefusals.cpp
+++ b/Source/Core/Gateway/GatewayRefusals.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "Common/Hash.h"
+#include "Core/Gateway/WaitLimit.h"
 
 // The part of the gateway that gives requests up, and computes after which time callers may retry.
 namespace Holdpost::Gateway
@@ -35,15 +36,26 @@
   return std::chrono::ceil<Milliseconds>(*targets.next_return);
 }
 
-// Returns the time after which the caller may retry. By then a full target has ended about all
-// requests that it runs now. The times are spread out by the request id; otherwise callers that
-// were refused together would retry together.
+// The time until the first target may have loaded weights; empty if targets lack something else.
+static std::optional<Duration> TimeUntilWeights(const TargetSummary& targets)
+{
+  if (RefusalReason(targets) != ErrorKind::NoWeights)
+    return std::nullopt;
+  return targets.weights.enough_in ? targets.weights.enough_in : targets.weights.first_in;
+}
+
+// Returns the time after which the caller may retry: until targets have loaded weights, or until a
+// full target has ended about all requests that it runs now. The times are spread out by the
+// request id; otherwise callers that were refused together would retry together.
 Milliseconds Gateway::RetryAfterFor(const Tracked& tracked, const TargetSummary& targets) const
 {
   const Duration turnover = m_targets.TurnoverTimeOf(tracked.service);
   const double spread = static_cast<double>(Common::StableHash(tracked.request.id) % 1000) / 1000;
   const auto wait = std::chrono::duration_cast<Milliseconds>(RETRY_AFTER_TURNOVER_SHARE * turnover);
   const auto spread_wait = std::chrono::duration_cast<Milliseconds>(spread * wait);
+  // Targets that have just loaded weights have no work that would have to end first.
+  if (const auto weights = TimeUntilWeights(targets))
+    return std::chrono::ceil<Milliseconds>(*weights) + MIN_RETRY_AFTER + spread_wait;
   return TimeUntilReturn(targets) +
          std::clamp(wait + spread_wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER);
 }
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -72,6 +72,14 @@
            FirstParts(request), "settings", settings);
 }
 
+void RequestLog::OnAwaitsWeights(const TrackedRequest& tracked, Duration ready_in, TimePoint now)
+{
+  m_metrics.Add("holdpost_waits_for_weights_total");
+  LogEvent(Weight::Ordinary, now, "request.awaits_weights", "request", tracked.request.id,
+           "service", tracked.service, "ready_in_ms", ready_in, "deadline_in_ms",
+           tracked.deadline - now);
+}
+
 void RequestLog::OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
                         TimePoint now)
 {
@@ -173,7 +181,9 @@
       "refused_share", view.capacity.demand.refused_share, "settings", view.settings, "targets",
       view.targets.listed, "open", view.targets.open, "leaving", view.targets.leaving, "avoided",
       view.targets.avoided, "switching", view.targets.switching, "without_weights",
-      view.targets.without_weights, "old_weights", view.targets.old_weights, "unreported",
+      view.targets.without_weights, "old_weights", view.targets.old_weights, "weights_in_ms",
+      view.targets.weights.enough_in.value_or(Milliseconds(-1)), "weights_at_best_ms",
+      view.targets.weights.first_in.value_or(Milliseconds(-1)), "unreported",
       view.targets.unreported, "limited", view.targets.limited, "resting", view.targets.resting);
 }
 
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -39,6 +39,9 @@
   // The request was refused on arrival, before the gateway looked for a target.
   void OnRejected(const CallerRequest& request, const Common::ErrorAnswer& answer,
                   Settings::DocumentVersion settings, Common::TimePoint now);
+  // No target can begin the request, but targets are expected to have loaded weights in time.
+  void OnAwaitsWeights(const TrackedRequest& tracked, Common::Duration ready_in,
+                       Common::TimePoint now);
   void OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
               Common::TimePoint now);
   void OnRetried(const TrackedRequest& tracked, std::string_view reason, Common::TimePoint now);
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -53,6 +53,19 @@
   bool operator==(const GatewayDemand&) const = default;
 };
 
+// When a target is expected to have loaded the weights that its agent fetches.
+struct WeightsForecast
+{
+  std::uint64_t version = 0;
+  // The time until the target can begin requests with the version. While nothing arrives, it is the
+  // least time: what remains would take so long if the transfers went on now.
+  Common::Milliseconds ready_in{0};
+  // Nothing is missing, or missing pieces are arriving.
+  bool is_arriving = false;
+
+  bool operator==(const WeightsForecast&) const = default;
+};
+
 // A load report on a target, made by the agent that runs beside it.
 struct TargetLoad
 {
@@ -90,6 +103,8 @@
   std::uint32_t permits = 0;
   // The target has told its agent that it leaves.
   bool is_leaving = false;
+  // Empty if the target has the newest weights that its agent knows of.
+  std::optional<WeightsForecast> weights_forecast = std::nullopt;
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -91,55 +91,6 @@
       { return entry.second.listed.service == service && entry.second.IsListed(); }));
 }
 
-TargetSummary TargetTable::SummaryOf(const TargetQuery& query, TimePoint now) const
-{
-  TargetSummary summary;
-  for (const auto& [id, target] : m_targets)
-  {
-    if (target.listed.service != query.service || !target.IsListed())
-      continue;
-    ++summary.listed;
-    switch (AvailabilityOf(target, now))
-    {
-    case Availability::Open:
-    {
-      const Duration start = ExpectedStartAt(target, query.prompt_tokens, now);
-      ++(MeetsSwitchDeadlines(target, query, start, now) ? summary.open : summary.old_weights);
-      break;
-    }
-    case Availability::Leaving:
-      ++summary.leaving;
-      break;
-    case Availability::Avoided:
-      ++summary.avoided;
-      break;
-    case Availability::Switching:
-      ++summary.switching;
-      summary.switching_capacity += static_cast<double>(target.listed.slots) /
-                                    static_cast<double>(std::max<std::size_t>(m_gateways.all, 1));
-      break;
-    case Availability::WithoutWeights:
-      ++summary.without_weights;
-      break;
-    case Availability::Unreported:
-      ++summary.unreported;
-      break;
-    case Availability::Limited:
-      ++summary.limited;
-      break;
-    case Availability::Resting:
-    {
-      const Duration left =
-          m_rests.TimeLeft(id, target.listed.incarnation, now).value_or(Duration());
-      summary.next_return = std::min(summary.next_return.value_or(left), left);
-      ++summary.resting;
-      break;
-    }
-    }
-  }
-  return summary;
-}
-
 Duration TargetTable::ExpectedStartAt(const Target& target, std::uint32_t prompt_tokens,
                                       TimePoint now) const
 {
--- a/Source/Core/Gateway/TargetQuery.h
+++ b/Source/Core/Gateway/TargetQuery.h
@@ -80,6 +80,16 @@
   GatewayDemand demand;
 };
 
+// When targets without usable weights are expected to load usable ones.
+struct WeightsOutlook
+{
+  // The time until so many targets have loaded them that their slots suffice for all waiting
+  // requests; empty if that is not to be expected.
+  std::optional<Common::Duration> enough_in;
+  // The time until the first target has, at best: it may be waiting for a source of weights.
+  std::optional<Common::Duration> first_in;
+};
+
 // Counts the targets of a service by whether they accept a request, and if not, by the reason. Each
 // listed target counts once.
 struct TargetSummary
@@ -104,5 +114,6 @@
   std::optional<Common::Duration> next_return;
   // Targets that may start the request after a switch deadline without having its version.
   std::uint32_t old_weights = 0;
+  WeightsOutlook weights;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -66,6 +66,9 @@
   Common::Duration PassTimeOf(const std::string& service) const;
   // The mean time in which a full target finishes all its running requests.
   Common::Duration TurnoverTimeOf(const std::string& service) const;
+  // The time from the start to the end of an answer while all slots of its target are in use; zero
+  // for a plain service.
+  Common::Duration GenerationTimeOf(const std::string& service, std::uint32_t answer_tokens) const;
   // Whether a connection that the target has just lost may be due to a crash: a target that is
   // leaving, or that has left the list while it still ran, ends as planned.
   bool MayHaveCrashed(const TargetId& id) const;
@@ -277,6 +280,20 @@
   // all switch deadlines that are due by its start.
   bool MeetsSwitchDeadlines(const Target& target, const TargetQuery& query, Common::Duration start,
                             Common::TimePoint now) const;
+  // When the target is expected to have loaded weights with which the request may begin then; empty
+  // if that is not known.
+  struct ExpectedWeights
+  {
+    Common::Duration ready_in{};
+    bool is_arriving = false;
+    // The requests of this gateway for which the target has slots.
+    double capacity = 0;
+  };
+  std::optional<ExpectedWeights> WeightsExpectedAt(const Target& target, const TargetQuery& query,
+                                                   Common::TimePoint now) const;
+  // The part of the target's slots that falls to this gateway.
+  double CapacityShareOf(const Target& target) const;
+  static WeightsOutlook OutlookOf(std::vector<ExpectedWeights> expected, std::size_t waiting);
   Common::Duration ExpectedStartAt(const Target& target, std::uint32_t prompt_tokens,
                                    Common::TimePoint now) const;
   Common::Duration LagOf(const Target& target, Common::TimePoint now) const;
--- a/Source/Core/Gateway/TargetTimes.cpp
+++ b/Source/Core/Gateway/TargetTimes.cpp
@@ -102,4 +102,14 @@
   return engine ? SlotInterval(*engine, 1) * std::max<std::uint32_t>(engine->slots, 1)
                 : PlainTimeOf(service);
 }
+
+Duration TargetTable::GenerationTimeOf(const std::string& service,
+                                       std::uint32_t answer_tokens) const
+{
+  const EngineProfile* engine = EngineOf(service);
+  if (!engine)
+    return Duration::zero();
+  return ExpectedGeneration(*engine, {.requests = static_cast<double>(engine->slots)},
+                            answer_tokens);
+}
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TrackedRequest.h
+++ b/Source/Core/Gateway/TrackedRequest.h
@@ -51,6 +51,8 @@
   Common::TimePoint deadline{};
   // If no target can begin the request by this time, it is refused.
   Common::TimePoint refuse_at{};
+  // No target can begin the request, and it waits until targets have loaded weights.
+  bool awaits_weights = false;
   // If the target has not begun to answer at this time, the request may move to another target.
   Common::TimePoint move_at{};
   RequestState state = RequestState::Waiting;
--- a/Source/Core/Gateway/WaitLimit.cpp
+++ b/Source/Core/Gateway/WaitLimit.cpp
@@ -11,6 +11,9 @@
 // in time.
 static constexpr int LOADING_WAIT_DIVISOR = 2;
 
+// The time from the end of the loading until a request that has waited for it begins.
+static constexpr Duration START_AFTER_LOADING = Common::Milliseconds(300);
+
 static bool HasUsableTargets(const TargetSummary& summary)
 {
   return summary.open > 0 || summary.avoided > 0;
@@ -39,6 +42,20 @@
   return Duration::zero();
 }
 
+bool MayAwaitWeights(const TargetSummary& summary, Duration left)
+{
+  return !HasUsableTargets(summary) && summary.weights.enough_in &&
+         *summary.weights.enough_in + START_AFTER_LOADING <= left;
+}
+
+bool MayKeepAwaitingWeights(const TargetSummary& summary, Duration left)
+{
+  // The targets that have loaded the weights begin the waiting requests one after the other.
+  if (HasUsableTargets(summary))
+    return left >= START_AFTER_LOADING;
+  return MayAwaitWeights(summary, left);
+}
+
 ErrorKind RefusalReason(const TargetSummary& summary)
 {
   const bool lacks_weights =
--- a/Source/Core/Gateway/WaitLimit.h
+++ b/Source/Core/Gateway/WaitLimit.h
@@ -15,6 +15,11 @@
 // request. `start_goal` is the time after its arrival by which the request has to begin.
 Common::Duration MaxWait(const TargetSummary& summary, std::size_t waiting, Common::Duration pass,
                          Common::Duration start_goal);
+// Whether a request that no target can begin waits until targets have loaded weights. `left` is the
+// time until the latest start that is of use to its caller.
+bool MayAwaitWeights(const TargetSummary& summary, Common::Duration left);
+// Whether a request that has waited for weights so far goes on waiting.
+bool MayKeepAwaitingWeights(const TargetSummary& summary, Common::Duration left);
 // The error kind with which a request that has waited in vain is refused.
 Common::ErrorKind RefusalReason(const TargetSummary& summary);
 } // namespace Holdpost::Gateway
--- a/Source/Core/Settings/Document.h
+++ b/Source/Core/Settings/Document.h
@@ -49,6 +49,8 @@
   Common::Milliseconds timeout{30000};
   // An answer, or a stream's first event, is on time within so long.
   Common::Milliseconds goal{1000};
+  // A stream is on time while its events are no farther apart; 0 if that is not known.
+  Common::Milliseconds pause_goal{0};
   // 0 is the most urgent.
   int priority = 0;
   // Targets that one request may be sent to.
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -306,6 +306,9 @@
               const std::string label =
                   fmt::format("event=\"{}\"", Distribution::TransferEventName(count.event));
               m_metrics.Add("holdpost_transfers_total", label);
+              if (count.event == Distribution::TransferEvent::PieceFromOrigin ||
+                  count.event == Distribution::TransferEvent::PieceFromPeer)
+                m_last_piece_at = now;
               if (count.bytes > 0)
                 m_metrics.Add("holdpost_transfer_bytes_total", label, count.bytes);
             }},
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -119,6 +119,9 @@
   std::uint64_t LoadedVersion() const { return m_report ? m_report->weights_version : 0; }
   const Distribution::Exchange& Weights() const { return m_exchange; }
   const Crashes::CrashLedger& CrashLedger() const { return m_crashes; }
+  // When the engine can begin requests with the wanted version; empty if it has the version, or if
+  // the engine is not known to run.
+  std::optional<Gateway::WeightsForecast> ForecastWeights(Common::TimePoint now) const;
   // Number of pieces of the version that this sidecar holds.
   std::uint32_t PiecesHeld(std::uint64_t version) const;
 
@@ -210,6 +213,10 @@
   Common::Duration CurrentPieceTime(Common::TimePoint now) const;
   Common::Duration CurrentCopyTime(Common::TimePoint now) const;
   Common::Duration RemainingCopyTime(const Distribution::Swarm* swarm, Common::TimePoint now) const;
+  // The time until all pieces of the wanted version are held if they arrive as usual.
+  Common::Duration ExpectedCopyTime(const Distribution::Swarm* swarm, Common::TimePoint now) const;
+  // Whether no piece of the wanted version is missing, or some have arrived lately.
+  bool ArePiecesArriving(const Distribution::Swarm* swarm, Common::TimePoint now) const;
   // The time at which the engine should load the wanted version; empty if the engine has it.
   std::optional<Common::TimePoint> SwitchAt(Common::TimePoint now) const;
   // The origin is a dependency: the sidecar logs each time that the origin is lost or regained.
@@ -264,6 +271,8 @@
   std::uint64_t m_previous = 0;
   Urgency m_urgency = Urgency::Normal;
   std::map<Common::Digest, std::uint64_t> m_versions;
+  // When the last piece of any version arrived from the origin or a peer.
+  std::optional<Common::TimePoint> m_last_piece_at;
   std::map<Common::Address, KnownGateway> m_gateways;
   PermitIssuer m_permits;
   Crashes::CrashLedger m_crashes;
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -126,6 +126,7 @@
     if (left < SWITCH_HORIZON)
       load.switch_in = std::max(left, Milliseconds(0));
   }
+  load.weights_forecast = ForecastWeights(now);
   load.rate_limit = m_permits.Limit();
   load.demand = TotalDemand();
   load.inbound_delay = std::chrono::duration_cast<Milliseconds>(m_exchange.InboundDelay(now));
@@ -146,9 +147,13 @@
 void Sidecar::SendLoadReports(TimePoint now, Actions* actions)
 {
   const Gateway::TargetLoad load = CurrentLoad(now);
+  const auto are_arriving = [](const Gateway::TargetLoad& reported)
+  { return reported.weights_forecast && reported.weights_forecast->is_arriving; };
   const bool has_news = !m_sent_load || m_sent_load->is_switching != load.is_switching ||
                         m_sent_load->weights_version != load.weights_version ||
-                        m_sent_load->id != load.id || m_sent_load->is_leaving != load.is_leaving ||
+                        m_sent_load->id != load.id ||
+                        are_arriving(*m_sent_load) != are_arriving(load) ||
+                        m_sent_load->is_leaving != load.is_leaving ||
                         m_sent_load->rate_limit.has_value() != load.rate_limit.has_value();
   m_sent_load = load;
   m_load_sent_at = now;
@@ -254,13 +259,16 @@
   const Distribution::Swarm* swarm = WantedSwarm();
   if (!swarm)
     return;
+  const auto forecast = ForecastWeights(now);
   LogEvent(Weight::Important, now, "weights.progress", "version", m_wanted, "pieces",
            swarm->PiecesHeld(), "from_origin", swarm->OpenPlatformFetches(), "from_peers",
            swarm->OpenPeerFetches(), "neighbours", swarm->NeighbourCount(), "unseen",
            swarm->UnavailablePieces(), "staged", m_stage.StagedCount(), "proven",
            m_stage.VerifiedCount(), "inbound_delay_ms", m_exchange.InboundDelay(now), "busy",
-           m_report && m_report->is_busy, "loaded", LoadedVersion(), "left_ms",
-           EarliestSwitchDeadline(m_wanted) - now, "running", m_report ? m_report->running : 0,
-           "queued", m_report ? m_report->queued : 0, "sent_by_gateways", TotalWork(now).requests);
+           m_report && m_report->is_busy, "loaded", LoadedVersion(), "ready_in_ms",
+           forecast ? forecast->ready_in : Milliseconds(-1), "arriving",
+           forecast && forecast->is_arriving, "left_ms", EarliestSwitchDeadline(m_wanted) - now,
+           "running", m_report ? m_report->running : 0, "queued", m_report ? m_report->queued : 0,
+           "sent_by_gateways", TotalWork(now).requests);
 }
 } // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/WeightsLoader.h
+++ b/Source/Core/Sidecar/WeightsLoader.h
@@ -42,6 +42,8 @@
   LoaderState State() const { return m_state; }
   bool IsUnderWay() const { return m_state != LoaderState::Idle; }
   std::uint64_t Version() const { return m_version; }
+  // The time of the last change of the state.
+  Common::TimePoint Since() const { return m_since; }
 
 private:
   std::string m_model;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -105,6 +105,16 @@
   permits @25 :UInt16;
   # The target has told the sender that it leaves.
   isLeaving @26 :Bool;
+  # Not set if the target has the newest weights that the sender knows of.
+  weightsForecast @27 :WeightsForecast;
+}
+
+# When a target is expected to have loaded new weights.
+struct WeightsForecast {
+  version @0 :UInt32;
+  readyInMs @1 :UInt32;
+  # Nothing is missing, or missing pieces are arriving.
+  isArriving @2 :Bool;
 }
 
 # What a target takes from all gateways together.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(c57ea4e3916d9c48);
 CAPNP_DECLARE_SCHEMA(cd2162000944b10a);
 CAPNP_DECLARE_SCHEMA(f17b276126095b8f);
+CAPNP_DECLARE_SCHEMA(dc2af6ec24307672);
 CAPNP_DECLARE_SCHEMA(9d8d58f647ad7459);
 CAPNP_DECLARE_SCHEMA(a2ed59c413409a7c);
 CAPNP_DECLARE_SCHEMA(cb68e828fbafe407);
@@ -142,7 +143,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 9, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f17b276126095b8f, 9, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WeightsForecast {
+  WeightsForecast() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc2af6ec24307672, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1111,6 +1127,9 @@
 
   inline bool getIsLeaving() const;
 
+  inline bool hasWeightsForecast() const;
+  inline  ::Holdpost::MeshWire::WeightsForecast::Reader getWeightsForecast() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1248,6 +1267,13 @@
   inline bool getIsLeaving();
   inline void setIsLeaving(bool value);
 
+  inline bool hasWeightsForecast();
+  inline  ::Holdpost::MeshWire::WeightsForecast::Builder getWeightsForecast();
+  inline void setWeightsForecast( ::Holdpost::MeshWire::WeightsForecast::Reader value);
+  inline  ::Holdpost::MeshWire::WeightsForecast::Builder initWeightsForecast();
+  inline void adoptWeightsForecast(::capnp::Orphan< ::Holdpost::MeshWire::WeightsForecast>&& value);
+  inline ::capnp::Orphan< ::Holdpost::MeshWire::WeightsForecast> disownWeightsForecast();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1270,6 +1296,93 @@
   inline  ::Holdpost::MeshWire::Address::Pipeline getSettingsAt();
   inline  ::Holdpost::MeshWire::Stamp::Pipeline getStamp();
   inline  ::Holdpost::MeshWire::RateLimit::Pipeline getRateLimit();
+  inline  ::Holdpost::MeshWire::WeightsForecast::Pipeline getWeightsForecast();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WeightsForecast::Reader {
+public:
+  typedef WeightsForecast Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getVersion() const;
+
+  inline  ::uint32_t getReadyInMs() const;
+
+  inline bool getIsArriving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WeightsForecast::Builder {
+public:
+  typedef WeightsForecast Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline  ::uint32_t getReadyInMs();
+  inline void setReadyInMs( ::uint32_t value);
+
+  inline bool getIsArriving();
+  inline void setIsArriving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WeightsForecast::Pipeline {
+public:
+  typedef WeightsForecast Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4154,6 +4267,87 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::hasWeightsForecast() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasWeightsForecast() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Holdpost::MeshWire::WeightsForecast::Reader Load::Reader::getWeightsForecast() const {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::WeightsForecast>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::Holdpost::MeshWire::WeightsForecast::Builder Load::Builder::getWeightsForecast() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::WeightsForecast>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Holdpost::MeshWire::WeightsForecast::Pipeline Load::Pipeline::getWeightsForecast() {
+  return  ::Holdpost::MeshWire::WeightsForecast::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void Load::Builder::setWeightsForecast( ::Holdpost::MeshWire::WeightsForecast::Reader value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::WeightsForecast>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::Holdpost::MeshWire::WeightsForecast::Builder Load::Builder::initWeightsForecast() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::WeightsForecast>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::adoptWeightsForecast(
+    ::capnp::Orphan< ::Holdpost::MeshWire::WeightsForecast>&& value) {
+  ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::WeightsForecast>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Holdpost::MeshWire::WeightsForecast> Load::Builder::disownWeightsForecast() {
+  return ::capnp::_::PointerHelpers< ::Holdpost::MeshWire::WeightsForecast>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WeightsForecast::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WeightsForecast::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WeightsForecast::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WeightsForecast::Reader::getReadyInMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WeightsForecast::Builder::getReadyInMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WeightsForecast::Builder::setReadyInMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WeightsForecast::Reader::getIsArriving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool WeightsForecast::Builder::getIsArriving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void WeightsForecast::Builder::setIsArriving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RateLimit::Reader::getIsSet() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -160,6 +160,18 @@
   return Mesh::LimitUpdate{ReadLimit(in)};
 }
 
+static void Write(const Gateway::WeightsForecast& forecast, MeshWire::WeightsForecast::Builder out)
+{
+  out.setVersion(static_cast<std::uint32_t>(forecast.version));
+  out.setReadyInMs(ToWireMs(forecast.ready_in));
+  out.setIsArriving(forecast.is_arriving);
+}
+
+static Gateway::WeightsForecast Read(MeshWire::WeightsForecast::Reader in)
+{
+  return {in.getVersion(), Milliseconds(in.getReadyInMs()), in.getIsArriving()};
+}
+
 void Write(const Mesh::LoadReport& report, MeshWire::Message::Builder message)
 {
   auto out = message.initLoad();
@@ -189,6 +201,8 @@
     Write(load.rate_limit, out.initRateLimit());
   out.setPermits(ToWireCount(load.permits));
   out.setIsLeaving(load.is_leaving);
+  if (load.weights_forecast)
+    Write(*load.weights_forecast, out.initWeightsForecast());
   out.setCrashes(report.crashes);
   out.setEchoMs(ToWireMs(report.echo));
   out.setEchoAgeMs(ToWireMs(report.echo_age));
@@ -224,6 +238,8 @@
   load.rate_limit = ReadLimit(in.getRateLimit());
   load.permits = in.getPermits();
   load.is_leaving = in.getIsLeaving();
+  if (in.hasWeightsForecast())
+    load.weights_forecast = Read(in.getWeightsForecast());
   Mesh::LoadReport report;
   report.load = load;
   report.gateways = in.getGateways();
--- a/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
@@ -138,3 +138,103 @@
   }
   CHECK(times.size() > 10);
 }
+
+namespace
+{
+// Both targets have old weights whose switch deadline has passed, and their agents fetch new ones.
+struct LatePush : Fixture
+{
+  LatePush()
+  {
+    auto document = MakeDocument(2);
+    for (Settings::Route& route : document->routes)
+      route.pause_goal = Milliseconds(500);
+    gateway.OfferDocument(document, now);
+    gateway.OnWeightsNamed("m", {2, {now}}, now);
+    Advance(Milliseconds(9000));
+    actions.clear();
+  }
+  void Report(std::uint64_t weights, std::optional<WeightsForecast> forecast)
+  {
+    for (const char* id : {"llm-1", "llm-2"})
+    {
+      TargetLoad load;
+      load.address = listed[id == std::string("llm-1") ? 0 : 1].address;
+      load.weights_version = weights;
+      load.weights_forecast = forecast;
+      gateway.OnTargetLoad(load, now, &actions);
+    }
+  }
+  void ReportArriving(Milliseconds ready_in) { Report(1, WeightsForecast{2, ready_in, true}); }
+  void ReportWaiting(Milliseconds ready_in) { Report(1, WeightsForecast{2, ready_in, false}); }
+};
+} // namespace
+
+TEST_CASE("Callers whose request could begin after a late push are not refused before it")
+{
+  LatePush f;
+  SUBCASE("a request waits for the weights that arrive, and is sent when they are loaded")
+  {
+    f.ReportArriving(Milliseconds(2500));
+    const RequestNumber number = f.Arrive("/chat/");
+    for (int step = 1; step < 25; ++step)
+    {
+      f.Advance(Milliseconds(100));
+      f.ReportArriving(Milliseconds(2500 - 100 * step));
+    }
+    CHECK(Take<Refuse>(f.actions).empty());
+    f.Advance(Milliseconds(100));
+    f.Report(2, std::nullopt);
+    const auto sent = Take<Dispatch>(f.actions);
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].number == number);
+  }
+  SUBCASE("it is refused as soon as the weights do not arrive any more")
+  {
+    f.ReportArriving(Milliseconds(2500));
+    f.Arrive("/chat/");
+    f.Advance(Milliseconds(500));
+    f.ReportWaiting(Milliseconds(2000));
+    f.Advance(Milliseconds(100));
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error.kind == ErrorKind::NoWeights);
+    CHECK(refused[0].error.retry_after >= Milliseconds(1900));
+  }
+  SUBCASE("only as many wait as the targets have slots")
+  {
+    f.ReportArriving(Milliseconds(2500));
+    for (int i = 0; i < 6; ++i)
+      f.Arrive("/chat/");
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 2);
+    CHECK(refused[0].error.retry_after >= Milliseconds(2500));
+  }
+  SUBCASE("a caller that would leave before is refused at once, and told when to come back")
+  {
+    // Callers leave after 4 s without an event.
+    f.ReportArriving(Milliseconds(4500));
+    f.Arrive("/chat/");
+    CHECK(Take<Refuse>(f.actions).size() == 1);
+    f.ReportArriving(Milliseconds(2500));
+    f.Arrive("/chat/", "key-1", Milliseconds(2600));
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error.retry_after >= Milliseconds(2500));
+  }
+  SUBCASE("it is refused at once while nothing arrives, and told the least time")
+  {
+    f.ReportWaiting(Milliseconds(3900));
+    f.Arrive("/chat/");
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error.retry_after >= Milliseconds(3900));
+  }
+  SUBCASE("weights that a newer version has replaced by then are not waited for")
+  {
+    f.gateway.OnWeightsNamed("m", {3, {f.now - Milliseconds(7000)}}, f.now);
+    f.ReportArriving(Milliseconds(2500));
+    f.Arrive("/chat/");
+    CHECK(Take<Refuse>(f.actions).size() == 1);
+  }
+}
--- a/Source/UnitTests/Core/Gateway/WaitLimitTest.cpp
+++ b/Source/UnitTests/Core/Gateway/WaitLimitTest.cpp
@@ -62,6 +62,31 @@
   }
 }
 
+TEST_CASE("A request waits for weights that are loaded in time for its caller")
+{
+  TargetSummary summary;
+  summary.listed = 4;
+  summary.old_weights = 4;
+  CHECK_FALSE(MayAwaitWeights(summary, Milliseconds(6000)));
+  // Nothing arrives.
+  summary.weights.first_in = Milliseconds(2000);
+  CHECK_FALSE(MayAwaitWeights(summary, Milliseconds(6000)));
+  summary.weights.enough_in = Milliseconds(2000);
+  CHECK(MayAwaitWeights(summary, Milliseconds(2500)));
+  CHECK_FALSE(MayAwaitWeights(summary, Milliseconds(2100)));
+  CHECK_FALSE(MayKeepAwaitingWeights(summary, Milliseconds(2100)));
+  SUBCASE("but not if a target has usable weights")
+  {
+    summary.open = 1;
+    CHECK_FALSE(MayAwaitWeights(summary, Milliseconds(2500)));
+    SUBCASE("unless it has waited so far")
+    {
+      CHECK(MayKeepAwaitingWeights(summary, Milliseconds(500)));
+      CHECK_FALSE(MayKeepAwaitingWeights(summary, Milliseconds(100)));
+    }
+  }
+}
+
 TEST_CASE("The reason of a refusal shows whether targets lack capacity or weights")
 {
   TargetSummary summary;
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -72,6 +72,7 @@
     report.load.inbound_delay = Milliseconds(310);
     report.load.rate_limit = 0.7;
     report.load.permits = 2;
+    report.load.weights_forecast = {4, Milliseconds(2600), true};
     report.gateways = 7;
     report.stamp = {16, 38};
     report.settings = 99;
