Gateway: Targets that never report or answer hold up no requests

Cause: after the first 4 s a listed target of which no report ever came was open like all others, and looked idle, as only this gateway's own requests counted. Its first request moved once when overdue, and the second silent target kept it until the deadline (two attempts are allowed). A first list with two targets at one address, as a store from an older copy has it, marked neither as replaced.

Fix: without a report or an answer in the last 2 s, while others report, one request at a time tries a target, at the cost of a silent one, and the target is avoided once that is overdue. A retry prefers targets that are shown to run, and goes on looking for one. A report replaces other targets at its address. A call on a kept connection that was given up after 0.4 s without a byte closes the target's other kept ones. The same fault elsewhere: a retry without a target no longer holds up the requests behind it. attempt.unanswered says on what kind of connection an attempt had no answer.

--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -122,6 +122,9 @@
   bool KeepAwaitingWeights(Tracked& tracked, Common::TimePoint now);
   void ScheduleWeightsCheck(Tracked& tracked, Common::TimePoint now);
   void DispatchWaiting(const std::string& service, Common::TimePoint now, Actions* actions);
+  // Sends what can be sent from the queue. Returns false if a request that has tried no target has
+  // to wait, so that less urgent ones have to wait, too.
+  bool DispatchFrom(Routing::FairQueue& queue, Common::TimePoint now, Actions* actions);
   void DispatchAllWaiting(Common::TimePoint now, Actions* actions);
   TargetQuery QueryFor(const Tracked& tracked, Common::TimePoint now) const;
   // The query of a request that is sent only if it can begin in time.
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -32,17 +32,33 @@
     return;
   for (auto& [priority, queue] : m_queues[service].waiting)
   {
-    while (const auto next = queue.Take())
-    {
-      Tracked& tracked = *Find(next->number);
-      if (TryDispatch(tracked, now, actions))
-        continue;
-      queue.AddFront(tracked.organisation, 1, *next);
+    if (!DispatchFrom(queue, now, actions))
       return;
-    }
   }
 }
 
+bool Gateway::DispatchFrom(Routing::FairQueue& queue, TimePoint now, Actions* actions)
+{
+  // A retry may find no target only because it has tried those that are open; the requests behind
+  // it may go there.
+  std::vector<Routing::Waiting> passed_over;
+  bool is_blocked = false;
+  while (!is_blocked)
+  {
+    const auto next = queue.Take();
+    if (!next)
+      break;
+    const Tracked& tracked = *Find(next->number);
+    if (TryDispatch(*Find(next->number), now, actions))
+      continue;
+    passed_over.push_back(*next);
+    is_blocked = tracked.tried.empty();
+  }
+  for (auto waiting = passed_over.rbegin(); waiting != passed_over.rend(); ++waiting)
+    queue.AddFront(Find(waiting->number)->organisation, 1, *waiting);
+  return !is_blocked;
+}
+
 const std::string& Gateway::ModelOf(const std::string& service) const
 {
   static const std::string NONE;
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -15,6 +15,9 @@
 
 // The maximum number of times that a request is sent to a target, including targets that reject it.
 static constexpr std::uint32_t MAX_SENDS = 4;
+// A request whose answer is overdue, at a target of which nothing shows that it runs, moves to
+// another target as soon as one can begin it. This is the period at which one is looked for.
+static constexpr Duration MOVE_RETRY_PERIOD = Milliseconds(250);
 // The maximum wait for another target if the first one was lost before the answer began.
 static constexpr Duration MAX_RETRY_WAIT = Milliseconds(300);
 // The maximum wait for another target if a stream broke. Callers wait for about this time for the
@@ -185,10 +188,14 @@
 {
   if (now < tracked.move_at)
     return;
-  tracked.move_at = TimePoint::max();
+  const bool is_unproven = m_targets.OnOverdue(TargetInSameIncarnation(tracked), now);
+  tracked.move_at = is_unproven ? now + MOVE_RETRY_PERIOD : TimePoint::max();
   // A move only helps if another target can begin the request at once.
   const auto choice = m_targets.Choose(QueryFor(tracked, now), now);
-  if (choice && choice->has_free_slot)
-    Move(tracked, "overdue", now, actions);
+  const bool may_begin_elsewhere = choice && choice->has_free_slot;
+  if (may_begin_elsewhere && Move(tracked, "overdue", now, actions))
+    return;
+  if (is_unproven)
+    m_timers.push({tracked.move_at, tracked.number});
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetAvailability.cpp
+++ b/Source/Core/Gateway/TargetAvailability.cpp
@@ -31,13 +31,26 @@
 // not be sent to it.
 static constexpr Duration SILENT_AFTER = Milliseconds(800);
 static constexpr Duration SILENT_AVOID_TIME = Milliseconds(2000);
+// The time for which an answer shows that a target without reports runs.
+static constexpr Duration PROOF_LIFETIME = Milliseconds(2000);
 
 bool TargetTable::IsUnreported(const Target& target, TimePoint now) const
 {
   const bool is_awaited = target.listed.needs_weights && !target.load;
-  const bool has_other_reports =
-      m_last_report != TimePoint::min() && now - m_last_report <= LOAD_LIFETIME;
-  return is_awaited && has_other_reports && now - target.known_since < MAX_UNREPORTED_TIME;
+  return is_awaited && HasRecentReports(now) && now - target.known_since < MAX_UNREPORTED_TIME;
+}
+
+bool TargetTable::HasRecentReports(TimePoint now) const
+{
+  return m_last_report != TimePoint::min() && now - m_last_report <= LOAD_LIFETIME;
+}
+
+bool TargetTable::LacksProof(const Target& target, TimePoint now) const
+{
+  const bool has_answered =
+      target.answered_at != TimePoint::min() && now - target.answered_at <= PROOF_LIFETIME;
+  return target.listed.needs_weights && HasRecentReports(now) && !HasValidLoad(target, now) &&
+         !has_answered;
 }
 
 bool TargetTable::IsSilent(const Target& target, TimePoint now)
@@ -61,7 +74,8 @@
     return Availability::Avoided;
   if (HasValidLoad(target, now) && target.load->is_switching)
     return Availability::Switching;
-  if (IsUnreported(target, now))
+  // Without proof that the target runs, one request at a time tries it.
+  if (IsUnreported(target, now) || (LacksProof(target, now) && !target.expected_starts.empty()))
     return Availability::Unreported;
   const bool has_weights = !target.listed.needs_weights || WeightsOf(target) > 0;
   if (!has_weights)
@@ -106,12 +120,21 @@
   const std::uint32_t doublings = std::min(target.failures, MAX_AVOID_DOUBLINGS);
   ++target.failures;
   target.avoid_until = now + MIN_AVOID_TIME * (1U << doublings);
-  if (IsSilent(target, now))
+  if (IsSilent(target, now) || LacksProof(target, now))
     target.avoid_until = std::max(target.avoid_until, now + SILENT_AVOID_TIME);
   LogEvent(Weight::Important, now, "target.avoided", "target", id, "failures", target.failures,
            "for_ms", target.avoid_until - now);
 }
 
+bool TargetTable::OnOverdue(const TargetId& id, TimePoint now)
+{
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end() || !LacksProof(found->second, now))
+    return false;
+  OnFailed(id, now);
+  return true;
+}
+
 void TargetTable::OnFull(const TargetId& id, TimePoint now)
 {
   const auto found = m_targets.find(id);
--- a/Source/Core/Gateway/TargetCandidates.cpp
+++ b/Source/Core/Gateway/TargetCandidates.cpp
@@ -19,7 +19,7 @@
 // busy as the others, because all gateways that read the same reports send requests to it.
 static constexpr Duration OLD_REPORT_PENALTY = Milliseconds(150);
 static constexpr Duration OLD_REPORT_AGE = Milliseconds(250);
-// Added to the cost of a target whose agent has stopped reporting.
+// Added to the cost of a target whose agent does not report, while others do.
 static constexpr Duration SILENCE_PENALTY = Milliseconds(400);
 // How long the requests that other gateways send are missing from the load reports: their message
 // travels to the agent, the agent reports at most once every 10 ms, and its report travels back.
@@ -79,7 +79,7 @@
   Duration cost = start + SwitchDelay(target, query, now) / SWITCH_DELAY_DIVISOR + target.tie_break;
   if (!is_in_this_hall)
     cost += OTHER_HALL_PENALTY;
-  if (IsSilent(target, now))
+  if (IsSilent(target, now) || LacksProof(target, now))
     cost += SILENCE_PENALTY;
   else if (target.load && now - target.load_received > OLD_REPORT_AGE)
     cost += OLD_REPORT_PENALTY;
@@ -102,10 +102,14 @@
 }
 
 TargetTable::Candidates TargetTable::OpenCandidatesFor(const TargetQuery& query, TimePoint now,
-                                                       bool includes_rejecting) const
+                                                       CandidateFilter filter) const
 {
   const auto is_candidate = [&](const TargetId& id, const Target& target)
-  { return IsOpenFor(id, target, query, now) && (includes_rejecting || !target.is_rejecting); };
+  {
+    return IsOpenFor(id, target, query, now) &&
+           !(filter.excludes_rejecting && target.is_rejecting) &&
+           !(filter.excludes_unproven && LacksProof(target, now));
+  };
   const bool is_subset_open = std::ranges::any_of(
       m_targets, [&](const auto& entry)
       { return entry.second.is_used && is_candidate(entry.first, entry.second); });
@@ -118,16 +122,33 @@
   return candidates;
 }
 
+TargetTable::CandidateFilter TargetTable::PreferredFor(const TargetQuery& query,
+                                                       TimePoint now) const
+{
+  CandidateFilter filter;
+  if (!query.may_be_retried)
+  {
+    filter.excludes_rejecting =
+        std::ranges::any_of(m_targets, [](const auto& entry) { return entry.second.is_rejecting; });
+  }
+  if (!query.tried.empty())
+  {
+    filter.excludes_unproven = std::ranges::any_of(m_targets, [&](const auto& entry)
+                                                   { return LacksProof(entry.second, now); });
+  }
+  return filter;
+}
+
 TargetTable::Candidates TargetTable::CandidatesFor(const TargetQuery& query, TimePoint now) const
 {
-  const auto is_rejecting = [](const auto& entry) { return entry.second.is_rejecting; };
-  if (!query.may_be_retried && std::ranges::any_of(m_targets, is_rejecting))
+  const CandidateFilter preferred = PreferredFor(query, now);
+  if (preferred.excludes_rejecting || preferred.excludes_unproven)
   {
-    Candidates accepting = OpenCandidatesFor(query, now, false);
-    if (std::ranges::any_of(accepting.choices, &TargetChoice::has_free_slot))
-      return accepting;
+    Candidates candidates = OpenCandidatesFor(query, now, preferred);
+    if (std::ranges::any_of(candidates.choices, &TargetChoice::has_free_slot))
+      return candidates;
   }
-  Candidates candidates = OpenCandidatesFor(query, now, true);
+  Candidates candidates = OpenCandidatesFor(query, now, {});
   if (!candidates.choices.empty())
     return candidates;
   for (const auto& [id, target] : m_targets)
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -87,6 +87,10 @@
 {
   m_last_report = now;
   AddReported(load, now);
+  // The list may still name earlier targets at the address.
+  if (const auto found = m_targets.find(load.id);
+      found != m_targets.end() && found->second.IsListed())
+    MarkReplacedAt({{load.address, load.id}}, now);
   for (auto& [id, target] : m_targets)
   {
     const bool is_for_other_target = !load.id.empty() && load.id != id;
@@ -184,6 +188,7 @@
   if (found == m_targets.end())
     return;
   Target& target = found->second;
+  target.answered_at = now;
   target.unread_prompt_tokens = std::max(0.0, target.unread_prompt_tokens - prompt_tokens);
   const auto expected = target.expected_starts.extract(request);
   if (!expected)
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -112,6 +112,9 @@
   void OnSucceeded(const TargetId& id);
   // Called when the target could not be reached, or when its answer broke off.
   void OnFailed(const TargetId& id, Common::TimePoint now);
+  // Called when an answer is overdue. A target of which nothing shows that it runs is avoided.
+  // Returns whether it is such a target.
+  bool OnOverdue(const TargetId& id, Common::TimePoint now);
   // Called when the target has answered that it is full.
   void OnFull(const TargetId& id, Common::TimePoint now);
   // Called when an answer of the target has named a rate limit, or none.
@@ -180,6 +183,8 @@
     Common::TimePoint load_received{};
     // The unanswered requests, each with the time at which its answer was expected to start.
     std::map<std::uint64_t, Common::TimePoint> expected_starts;
+    // When the last answer of the target started.
+    Common::TimePoint answered_at = Common::TimePoint::min();
     // How much later than expected the recent answers started.
     Common::Duration lag{};
     Common::TimePoint lag_updated{};
@@ -247,13 +252,22 @@
   };
   SpreadParameters SpreadParametersFor(const TargetQuery& query, const Candidates& candidates,
                                        Common::TimePoint now) const;
+  // Which open targets are left out.
+  struct CandidateFilter
+  {
+    bool excludes_rejecting = false;
+    bool excludes_unproven = false;
+  };
   // The open targets in the subset that this gateway uses, or all open targets if none of the
   // subset is open.
   Candidates OpenCandidatesFor(const TargetQuery& query, Common::TimePoint now,
-                               bool includes_rejecting) const;
-  // The open candidates. A request that cannot be retried does not go to a target that may
-  // reject it again while another one has a free slot. If no target is open, the candidates are
-  // avoided targets that qualify as a last resort.
+                               CandidateFilter filter) const;
+  // Which targets the request should not go to while others have a free slot.
+  CandidateFilter PreferredFor(const TargetQuery& query, Common::TimePoint now) const;
+  // The open candidates. While another target has a free slot, a request that cannot be retried
+  // does not go to a target that may reject it again, and a retry does not go to a target of which
+  // nothing shows that it runs. If no target is open, the candidates are avoided targets that
+  // qualify as a last resort.
   Candidates CandidatesFor(const TargetQuery& query, Common::TimePoint now) const;
   void AddCandidate(const TargetId& id, const Target& target, const TargetQuery& query,
                     Common::TimePoint now, Candidates* candidates) const;
@@ -304,6 +318,11 @@
   bool IsUnreported(const Target& target, Common::TimePoint now) const;
   // Whether the target's agent has reported before, but has stopped reporting.
   static bool IsSilent(const Target& target, Common::TimePoint now);
+  // Whether any agent has reported lately.
+  bool HasRecentReports(Common::TimePoint now) const;
+  // Whether neither a report nor an answer has shown lately that the target runs, while other
+  // agents report.
+  bool LacksProof(const Target& target, Common::TimePoint now) const;
   enum class Availability
   {
     Open,
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include "Common/EventLog.h"
 #include "Peers/Target/TargetMessage.h"
 
 // What passes between callers, the gateway's decisions and targets.
@@ -16,6 +17,9 @@
 // Bytes of one answer that wait for a slow caller before the target is held back.
 static constexpr std::size_t UNSENT_BYTES_MOST = 256 << 10;
 
+// An attempt that is cancelled after this time without a byte from its target is logged.
+static constexpr Common::Milliseconds UNANSWERED_TIME = Common::Milliseconds(1000);
+
 // --- callers ---
 
 template <typename Event>
@@ -199,11 +203,32 @@
   Feed(failed);
 }
 
+static std::string_view ConnectionName(const TargetPeer::TargetCall& call)
+{
+  if (call.IsConnecting())
+    return "connecting";
+  return call.IsOnKeptConnection() ? "kept" : "new";
+}
+
+void GatewayNode::LogUnanswered(const TargetPeer::TargetCall& call)
+{
+  const Common::TimePoint now = EventLoop::Now();
+  const auto unanswered = call.UnansweredFor(now);
+  if (!unanswered || *unanswered < UNANSWERED_TIME)
+    return;
+  m_metrics.Add("holdpost_attempts_unanswered_total");
+  Common::LogEvent(Common::Weight::Important, now, "attempt.unanswered", "request",
+                   call.RequestId(), "target", call.Target(), "connection", ConnectionName(call),
+                   "for_ms", *unanswered);
+}
+
 void GatewayNode::Do(const Gateway::CancelAttempt& cancel)
 {
   const auto found = m_exchanges.find(cancel.number);
-  if (found != m_exchanges.end() && found->second.call)
-    found->second.call->Cancel();
+  if (found == m_exchanges.end() || !found->second.call)
+    return;
+  LogUnanswered(*found->second.call);
+  found->second.call->Cancel();
 }
 
 // Fractions of a second are allowed: a caller that waits a whole second too long may be too late.
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -66,6 +66,8 @@
   void Carry(Gateway::Actions& actions);
   void Do(const Gateway::Dispatch& dispatch);
   void Do(const Gateway::PassAnswer& pass);
+  // Logs an attempt that its target has not answered for long.
+  void LogUnanswered(const TargetPeer::TargetCall& call);
   void Do(const Gateway::CancelAttempt& cancel);
   void Do(const Gateway::Refuse& refuse);
   void Do(const Gateway::AbortAnswer& abort);
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -13,11 +13,15 @@
 static constexpr Milliseconds IDLE_MOST = Milliseconds(8000);
 // A target may close a kept connection a little before the time that it told.
 static constexpr Milliseconds IDLE_MARGIN = Milliseconds(700);
+// A call that is given up without a byte on a kept connection after this time says that the
+// connection may have gone silent.
+static constexpr Milliseconds MAX_SILENCE = Milliseconds(400);
 
 void TargetCall::Start(CallRequest request, Handlers handlers)
 {
   m_request = std::move(request);
   m_handlers = std::move(handlers);
+  m_started = Common::EventLoop::Now();
   m_events = EventStream(m_request.resume_after);
   m_parser.Restart(m_request.is_head_method);
   const TargetPool::Lease lease =
@@ -44,6 +48,7 @@
 
 std::size_t TargetCall::OnData(std::string_view data)
 {
+  m_has_bytes = true;
   m_is_reading = true;
   const std::size_t consumed = m_parser.Feed(data);
   m_is_reading = false;
@@ -195,11 +200,22 @@
   handlers.on_failure(failure);
 }
 
+std::optional<Common::Duration> TargetCall::UnansweredFor(Common::TimePoint now) const
+{
+  if (m_is_over || m_has_bytes)
+    return std::nullopt;
+  return now - m_started;
+}
+
 void TargetCall::Cancel()
 {
+  const auto unanswered = UnansweredFor(Common::EventLoop::Now());
   if (std::exchange(m_is_over, true))
     return;
   m_handlers = {};
+  // The other kept connections are as old as this one.
+  if (m_is_reused && unanswered && *unanswered >= MAX_SILENCE)
+    m_pool.Forget(m_request.target);
   if (!m_connection)
     return;
   if (m_is_whole)
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -73,6 +73,12 @@
   // Whether no byte of the request can have reached the target yet.
   bool IsConnecting() const { return m_connection && !m_connection->IsConnected(); }
   const std::string& Target() const { return m_request.target; }
+  const std::string& RequestId() const { return m_request.request_id; }
+  // How long the call has gone without a byte from the target; empty if one has come or the call is
+  // over.
+  std::optional<Common::Duration> UnansweredFor(Common::TimePoint now) const;
+  // Whether the request went out on a kept connection.
+  bool IsOnKeptConnection() const { return m_is_reused; }
   // Gives the request up before its connection has come up.
   void Recall();
   void PauseReading();
@@ -106,6 +112,8 @@
   std::string m_held;
   EventStream m_events;
   Gateway::AttemptEnd m_ended_by = Gateway::AttemptEnd::None;
+  Common::TimePoint m_started{};
+  bool m_has_bytes = false; // some have come from the target
   bool m_is_event_stream = false;
   bool m_is_reused = false; // the connection had been kept
   // The answer that is being read belongs to another request.
--- a/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayMovesTest.cpp
@@ -259,3 +259,34 @@
   f.Advance(Milliseconds(60));
   CHECK(Testing::Only<CancelAttempt>(f.actions).size() == 1);
 }
+
+TEST_CASE("A retry that finds no other target does not hold up the requests behind it")
+{
+  Fixture f;
+  const RequestNumber first = f.Arrive("/chat/");
+  const TargetId lost = Take<Dispatch>(f.actions).at(0).target;
+  // The other target is full.
+  const auto report = [&]
+  {
+    for (const ListedTarget& target : {f.listed[0], f.listed[1]})
+    {
+      TargetLoad load;
+      load.address = target.address;
+      load.running = target.id == lost ? 0 : 2;
+      load.queued = target.id == lost ? 0 : 20;
+      load.weights_version = 1;
+      f.gateway.OnTargetLoad(load, f.now, &f.actions);
+    }
+  };
+  report();
+  f.Feed(AttemptFailed{first, AttemptFailure::Lost, std::nullopt, AttemptEnd::BadAnswer});
+  // The target is avoided for 250 ms; the retry waits on.
+  f.Advance(Milliseconds(260));
+  report();
+  f.actions.clear();
+  const RequestNumber second = f.Arrive("/chat/");
+  const auto sent = Take<Dispatch>(f.actions);
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].number == second);
+  CHECK(sent[0].target == lost);
+}
--- a/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
@@ -129,3 +129,62 @@
     CHECK(f.table.WeightsAt("next") == 7);
   }
 }
+
+TEST_CASE("A listed target that never reports does not hold up requests after its first time")
+{
+  Fixture f;
+  f.table.SetList({f.one, f.two}, f.now);
+  f.now += Milliseconds(5000);
+  f.table.OnLoadReport(MakeLoad(f.two, 0), f.now);
+  const TargetQuery query = {"llm", 1000, 100, {}, {}};
+  SUBCASE("the one that reports is preferred, though it has more work")
+  {
+    f.table.OnLoadReport(MakeLoad(f.two, 4), f.now);
+    CHECK(f.Choose()->id == "2");
+  }
+  SUBCASE("one request at a time tries it")
+  {
+    const TargetQuery elsewhere = {"llm", 1000, 100, {"2"}, {}};
+    REQUIRE(f.Choose(elsewhere)->id == "1");
+    f.table.OnDispatched("1", 7, 1000, Milliseconds(100), f.now);
+    CHECK(f.Choose(elsewhere) == std::nullopt);
+    CHECK(f.table.SummaryOf(query, f.now).unreported == 1);
+    SUBCASE("until it has answered")
+    {
+      f.table.OnStarted("1", 7, 1000, f.now + Milliseconds(100));
+      f.now += Milliseconds(200);
+      f.table.OnDispatched("1", 8, 1000, Milliseconds(100), f.now);
+      CHECK(f.Choose(elsewhere)->id == "1");
+    }
+    SUBCASE("it is avoided for 2 s once that request is overdue")
+    {
+      CHECK(f.table.OnOverdue("1", f.now + Milliseconds(500)));
+      f.table.OnEnded("1", 7, 1000);
+      f.table.OnLoadReport(MakeLoad(f.two, 0), f.now + Milliseconds(2400));
+      f.now += Milliseconds(2400);
+      CHECK(f.Choose(elsewhere) == std::nullopt);
+      CHECK_FALSE(f.table.OnOverdue("2", f.now));
+    }
+  }
+  SUBCASE("a retry goes to the one that reports")
+  {
+    ListedTarget three = MakeTarget("3");
+    f.table.SetList({f.one, f.two, three}, f.now - Milliseconds(4500));
+    f.table.OnLoadReport(MakeLoad(f.two, 12), f.now);
+    for (int i = 0; i < 20; ++i)
+      CHECK(f.Choose({"llm", 1000, 100, {"3"}, {}})->id == "2");
+  }
+}
+
+TEST_CASE("A report names the target at an address for which the first list has two")
+{
+  Fixture f;
+  ListedTarget earlier = f.one;
+  earlier.id = "earlier";
+  TargetTable table{"here"};
+  table.SetEngine("llm", Testing::MakeEngine(16));
+  table.SetList({earlier, f.one}, f.now);
+  table.OnLoadReport(LoadOfNext(f.one, f.one.id), f.now);
+  CHECK(table.Listed().size() == 1);
+  CHECK(table.FindByAddress(f.one.address) == f.one.id);
+}
