Gateway: One that has stood still sends nothing until others have sent their crash records

Cause: a gateway that woke waited 150 ms for what others had sent. If that was lost while it stood still, sidecars send it again only 1 s after its first hello. Only new requests and the tick looked whether the process had stood still; a lost attempt, an answer or a report may send what waits, too.

Fix: the gateway asks up to eight sidecars for all records each 100 ms (CrashRecordsRequest, CrashRecordsAnswer), and holds its requests until two have answered, as one may have stood still, too; for 1.5 s at most, as all may be cut off. Everything that may send a request takes its time from the check.

--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -246,6 +246,17 @@
   std::vector<Crashes::CrashRecord> records;
 };
 
+// Sent by a gateway that has stood still; requests all records of the receiver's crash ledger.
+struct CrashRecordsRequest
+{
+};
+
+// All records of the sender's crash ledger, in answer to a request.
+struct CrashRecordsAnswer
+{
+  std::vector<Crashes::CrashRecord> records;
+};
+
 // Sent by a sidecar whose engine has ended without notice.
 struct EngineEnded
 {
@@ -262,5 +273,5 @@
     std::variant<Hello, LoadReport, Announce, PieceRequest, PieceCancel, PieceReply,
                  DocumentRequest, DocumentUpdate, TargetsRequest, TargetsUpdate, ReaderBeat,
                  WorkUpdate, GatewaysRequest, GatewaysReply, BriefingRequest, CrashRecords,
-                 EngineEnded, LimitUpdate, LeavingTargets>;
+                 EngineEnded, LimitUpdate, LeavingTargets, CrashRecordsRequest, CrashRecordsAnswer>;
 } // namespace Holdpost::Mesh
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -179,6 +179,11 @@
           { RequestBriefings(received.gateways, actions); },
           [&](const Mesh::LimitUpdate& told) { OnLimitUpdate(told.per_second, now, actions); },
           [&](const Mesh::CrashRecords& told) { m_crashes.Merge(told.records, now); },
+          [&](const Mesh::CrashRecordsRequest&)
+          {
+            actions->push_back(
+                SendMessage{from.address, Mesh::CrashRecordsAnswer{m_crashes.All(now)}, true});
+          },
           [&](const Mesh::Announce& announce) {
             m_exchange.OnAnnouncement(from.address.ToString(), announce.announcement, now,
                                       &new_actions);
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -82,6 +82,7 @@
     Beat(now);
   UpdateTargetsInUse();
   SendCrashChanges(now);
+  AskForCrashRecords(now);
   RecordCrashes(now);
   m_briefing.SetCrashes(m_handlers.crash_ledger().StateHash());
   std::vector<Mesh::Outgoing> outgoing;
@@ -123,9 +124,9 @@
 {
   const TimePoint beat_due = m_duty.IsReader() ? m_beat_due : TimePoint::max();
   const Crashes::CrashLedger& ledger = m_handlers.crash_ledger();
-  const TimePoint crashes_due =
-      std::min(Crashes::CrashExchange::NextWakeup(ledger).value_or(TimePoint::max()),
-               m_crash_recorder.NextWakeup(ledger));
+  const TimePoint crashes_due = std::min(
+      {Crashes::CrashExchange::NextWakeup(ledger).value_or(TimePoint::max()),
+       m_crash_recorder.NextWakeup(ledger), m_catch_up.NextWakeup().value_or(TimePoint::max())});
   return std::min({m_follower.NextWakeup(), m_briefing.NextWakeup(), m_seed_query.NextWakeup(),
                    m_membership.NextWakeup(), m_duty.NextWakeup(), beat_due, crashes_due});
 }
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -15,6 +15,7 @@
 #include "Core/Control/ReaderElection.h"
 #include "Core/Crashes/CrashExchange.h"
 #include "Core/Crashes/CrashRecorder.h"
+#include "Core/Crashes/LedgerCatchUp.h"
 #include "Core/Mesh/BriefingSender.h"
 #include "Core/Mesh/GatewayMembership.h"
 #include "Node/GatewayConfig.h"
@@ -52,6 +53,8 @@
     std::function<Crashes::CrashLedger&()> crash_ledger;
     // The targets that are sent to, whether those of other halls are needed, and what comes.
     std::function<TargetsInUse()> targets_in_use;
+    // The crash ledger is up to date again.
+    std::function<void()> on_caught_up;
     // Something is to be done earlier than was said.
     std::function<void()> on_wakeup;
   };
@@ -72,6 +75,8 @@
   void SendLimitUpdate(const Common::Address& target, std::optional<double> per_second);
   // Tells the other gateways of the hall that the target leaves.
   void SendLeaving(const Gateway::LeavingTarget& target);
+  // The process has stood still: asks others for the crash records that it may lack.
+  void CatchUp(Common::TimePoint now);
   // Drops connections to peers that carried nothing for a while.
   void CloseIdle(Common::TimePoint now) { m_mesh.CloseIdle(now); }
 
@@ -108,6 +113,8 @@
   void UpdateTargetsInUse();
   // Sends changes of the crash ledger to the gateways of the hall and to the sidecars in use.
   void SendCrashChanges(Common::TimePoint now);
+  void AskForCrashRecords(Common::TimePoint now);
+  void OnCrashRecordsAnswer(const Mesh::Sender& from, const Mesh::CrashRecordsAnswer& tell);
   // Keeps the records of blocked requests on the platform.
   void RecordCrashes(Common::TimePoint now);
   void Do(const Crashes::ReadRecords& read);
@@ -143,6 +150,7 @@
   Mesh::GatewayMembership m_membership;
   Crashes::CrashExchange m_crash_exchange;
   Crashes::CrashRecorder m_crash_recorder;
+  Crashes::LedgerCatchUp m_catch_up;
   std::set<Common::Address> m_sidecars_in_use;
   MeshPeer::MeshEndpoint m_mesh;
   Common::TimePoint m_beat_due{};
--- a/Source/Node/GatewayCrashRecords.cpp
+++ b/Source/Node/GatewayCrashRecords.cpp
@@ -1,12 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Node/GatewayControl.h"
 
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
 // How a gateway shares with others what crashes engines.
 namespace Holdpost::Node
 {
 using Common::Address;
 using Common::EventLoop;
+using Common::LogEvent;
 using Common::TimePoint;
+using Common::Weight;
 
 void GatewayControl::SendCrashChanges(TimePoint now)
 {
@@ -19,6 +25,30 @@
     m_mesh.SendDatagram(sidecar, changes);
 }
 
+void GatewayControl::CatchUp(TimePoint now)
+{
+  std::vector<Address> replicas(m_sidecars_in_use.begin(), m_sidecars_in_use.end());
+  std::ranges::shuffle(replicas, m_random);
+  m_catch_up.Begin(replicas, now);
+}
+
+void GatewayControl::AskForCrashRecords(TimePoint now)
+{
+  for (const Address& replica : m_catch_up.OnTick(now))
+    m_mesh.SendDatagram(replica, Mesh::CrashRecordsRequest{});
+}
+
+void GatewayControl::OnCrashRecordsAnswer(const Mesh::Sender& from,
+                                          const Mesh::CrashRecordsAnswer& tell)
+{
+  m_handlers.on_crash_records(tell.records);
+  if (!m_catch_up.OnAnswer(from.address))
+    return;
+  LogEvent(Weight::Important, EventLoop::Now(), "process.caught_up", "records",
+           m_handlers.crash_ledger().Size());
+  m_handlers.on_caught_up();
+}
+
 void GatewayControl::RecordCrashes(TimePoint now)
 {
   m_crash_recorder.SetReading(m_duty.IsReader());
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -26,7 +26,7 @@
 void GatewayNode::Feed(Event event)
 {
   Gateway::Actions actions;
-  m_core.Handle(std::move(event), EventLoop::Now(), &actions);
+  m_core.Handle(std::move(event), CheckedNow(), &actions);
   Carry(actions);
 }
 
@@ -43,7 +43,6 @@
 
 void GatewayNode::OnRequest(const std::shared_ptr<CallerConnection>& caller)
 {
-  CheckStall(EventLoop::Now());
   const RequestNumber number = m_next_number++;
   m_exchanges[number].caller = caller;
   caller->SetOpenRequest([this, number] { OnCallerLeft(number); },
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -29,8 +29,6 @@
 static constexpr Milliseconds HOUSEKEEPING_PERIOD = Milliseconds(250);
 // A process that has not ticked for this time has been frozen, or its machine was suspended.
 static constexpr Milliseconds STALL_TIME = Milliseconds(1000);
-// The time after that in which it reads what others sent meanwhile, or are about to send again.
-static constexpr Milliseconds CATCH_UP_TIME = Milliseconds(150);
 
 GatewayNode::GatewayNode(EventLoop& loop, const GatewayConfig& config,
                          ControlPeer::ControlPlane& control, TargetPeer::HeaderNames names)
@@ -148,13 +146,13 @@
   handlers.on_targets = [this](const std::vector<Gateway::ListedTarget>& targets)
   {
     Gateway::Actions actions;
-    m_core.SetTargets(targets, EventLoop::Now(), &actions);
+    m_core.SetTargets(targets, CheckedNow(), &actions);
     Carry(actions);
   };
   handlers.on_load = [this](const Gateway::TargetLoad& load)
   {
     Gateway::Actions actions;
-    m_core.OnTargetLoad(load, EventLoop::Now(), &actions);
+    m_core.OnTargetLoad(load, CheckedNow(), &actions);
     Carry(actions);
   };
   handlers.on_gateways = [this](const Gateway::GatewayCounts& gateways)
@@ -168,7 +166,7 @@
   handlers.on_engine_end = [this](const Crashes::EngineEnd& end)
   {
     Gateway::Actions actions;
-    m_core.OnEngineEnd(end, EventLoop::Now(), &actions);
+    m_core.OnEngineEnd(end, CheckedNow(), &actions);
     Carry(actions);
   };
   handlers.on_leaving = [this](const std::vector<Gateway::LeavingTarget>& targets)
@@ -182,6 +180,7 @@
     return GatewayControl::TargetsInUse{targets.UsedAddresses(), targets.NeedsOtherHalls(now),
                                         targets.CurrentDemand(now)};
   };
+  handlers.on_caught_up = [this] { EndHold(); };
   handlers.on_wakeup = [this] { Tick(); };
   return handlers;
 }
@@ -255,13 +254,30 @@
   if (before == TimePoint() || now - before < STALL_TIME)
     return;
   LogEvent(Weight::Important, now, "process.stalled", "for_ms", now - before);
-  m_core.HoldDispatch(now + CATCH_UP_TIME);
+  m_core.HoldDispatch(now + Crashes::LedgerCatchUp::MAX_TIME);
+  m_control.CatchUp(now);
+  ScheduleTick();
 }
 
-void GatewayNode::Tick()
+void GatewayNode::EndHold()
+{
+  const TimePoint now = EventLoop::Now();
+  m_core.HoldDispatch(now);
+  Gateway::Actions actions;
+  m_core.OnTick(now, &actions);
+  Carry(actions);
+}
+
+TimePoint GatewayNode::CheckedNow()
 {
   const TimePoint now = EventLoop::Now();
   CheckStall(now);
+  return now;
+}
+
+void GatewayNode::Tick()
+{
+  const TimePoint now = CheckedNow();
   m_tick_due = {};
   m_control.Tick(now);
   Gateway::Actions actions;
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -87,6 +87,11 @@
   void CheckStop();
   // Notices that the process has stood still, by the time since its last call.
   void CheckStall(Common::TimePoint now);
+  // The present time, once it is known whether the process has stood still. Everything that may
+  // send a request takes its time from here.
+  Common::TimePoint CheckedNow();
+  // Sends what has waited since the process stood still.
+  void EndHold();
   void Tick();
   void ScheduleTick();
 
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -136,6 +136,7 @@
           [&](const Mesh::BriefingRequest&)
           { m_mesh.Send(from.address, m_briefing.FullHello(EventLoop::Now())); },
           [&](const Mesh::CrashRecords& told) { m_handlers.on_crash_records(told.records); },
+          [&](const Mesh::CrashRecordsAnswer& tell) { OnCrashRecordsAnswer(from, tell); },
           [&](const Mesh::EngineEnded& told) { m_handlers.on_engine_end(told.end); },
           [&](const Mesh::LeavingTargets& told) { m_handlers.on_leaving(told.targets); },
           [](const auto&) {}},
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -270,5 +270,8 @@
     limitUpdate @21 :RateLimit;
     # Targets that have said that they leave.
     leavingTargets @22 :List(LeavingTarget);
+    # Asks for all records of the receiver's crash ledger.
+    crashRecordsRequest @23 :Void;
+    crashRecordsAnswer @24 :List(CrashRecord);
   }
 }
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -386,6 +386,8 @@
     ENGINE_ENDED,
     LIMIT_UPDATE,
     LEAVING_TARGETS,
+    CRASH_RECORDS_REQUEST,
+    CRASH_RECORDS_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -2803,6 +2805,13 @@
   inline bool hasLeavingTargets() const;
   inline  ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader getLeavingTargets() const;
 
+  inline bool isCrashRecordsRequest() const;
+  inline  ::capnp::Void getCrashRecordsRequest() const;
+
+  inline bool isCrashRecordsAnswer() const;
+  inline bool hasCrashRecordsAnswer() const;
+  inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader getCrashRecordsAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2988,6 +2997,18 @@
   inline void adoptLeavingTargets(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::LeavingTarget,  ::capnp::Kind::STRUCT>> disownLeavingTargets();
 
+  inline bool isCrashRecordsRequest();
+  inline  ::capnp::Void getCrashRecordsRequest();
+  inline void setCrashRecordsRequest( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isCrashRecordsAnswer();
+  inline bool hasCrashRecordsAnswer();
+  inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder getCrashRecordsAnswer();
+  inline void setCrashRecordsAnswer( ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder initCrashRecordsAnswer(unsigned int size);
+  inline void adoptCrashRecordsAnswer(::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>> disownCrashRecordsAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6580,6 +6601,86 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isCrashRecordsRequest() const {
+  return which() == Message::CRASH_RECORDS_REQUEST;
+}
+inline bool Message::Builder::isCrashRecordsRequest() {
+  return which() == Message::CRASH_RECORDS_REQUEST;
+}
+inline  ::capnp::Void Message::Reader::getCrashRecordsRequest() const {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Message::Builder::getCrashRecordsRequest() {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setCrashRecordsRequest( ::capnp::Void value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS_REQUEST);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Message::Reader::isCrashRecordsAnswer() const {
+  return which() == Message::CRASH_RECORDS_ANSWER;
+}
+inline bool Message::Builder::isCrashRecordsAnswer() {
+  return which() == Message::CRASH_RECORDS_ANSWER;
+}
+inline bool Message::Reader::hasCrashRecordsAnswer() const {
+  if (which() != Message::CRASH_RECORDS_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCrashRecordsAnswer() {
+  if (which() != Message::CRASH_RECORDS_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getCrashRecordsAnswer() const {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getCrashRecordsAnswer() {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCrashRecordsAnswer( ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS_ANSWER);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initCrashRecordsAnswer(unsigned int size) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS_ANSWER);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptCrashRecordsAnswer(
+    ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Message::CRASH_RECORDS_ANSWER);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>> Message::Builder::disownCrashRecordsAnswer() {
+  KJ_IREQUIRE((which() == Message::CRASH_RECORDS_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Holdpost::MeshWire::CrashRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Peers/Mesh/MeshCodec.cpp
+++ b/Source/Peers/Mesh/MeshCodec.cpp
@@ -71,7 +71,11 @@
   case MeshWire::Message::BRIEFING_REQUEST:
     return Mesh::BriefingRequest{};
   case MeshWire::Message::CRASH_RECORDS:
-    return Read(in.getCrashRecords());
+    return Mesh::CrashRecords{Read(in.getCrashRecords())};
+  case MeshWire::Message::CRASH_RECORDS_REQUEST:
+    return Mesh::CrashRecordsRequest{};
+  case MeshWire::Message::CRASH_RECORDS_ANSWER:
+    return Mesh::CrashRecordsAnswer{Read(in.getCrashRecordsAnswer())};
   case MeshWire::Message::ENGINE_ENDED:
     return Read(in.getEngineEnded());
   case MeshWire::Message::LEAVING_TARGETS:
--- a/Source/Peers/Mesh/MeshCrashCodec.cpp
+++ b/Source/Peers/Mesh/MeshCrashCodec.cpp
@@ -23,11 +23,26 @@
     out.setClearedMs(ToWireMs(*record.cleared) + 1);
 }
 
-void Write(const Mesh::CrashRecords& told, MeshWire::Message::Builder message)
+static void Write(const std::vector<Crashes::CrashRecord>& records,
+                  capnp::List<MeshWire::CrashRecord>::Builder out)
 {
-  auto out = message.initCrashRecords(static_cast<unsigned>(told.records.size()));
   for (unsigned i = 0; i < out.size(); ++i)
-    Write(told.records[i], out[i]);
+    Write(records[i], out[i]);
+}
+
+void Write(const Mesh::CrashRecords& told, MeshWire::Message::Builder message)
+{
+  Write(told.records, message.initCrashRecords(static_cast<unsigned>(told.records.size())));
+}
+
+void Write(const Mesh::CrashRecordsRequest& /*ask*/, MeshWire::Message::Builder message)
+{
+  message.setCrashRecordsRequest();
+}
+
+void Write(const Mesh::CrashRecordsAnswer& tell, MeshWire::Message::Builder message)
+{
+  Write(tell.records, message.initCrashRecordsAnswer(static_cast<unsigned>(tell.records.size())));
 }
 
 template <typename Cause>
@@ -38,9 +53,9 @@
   return cause;
 }
 
-Mesh::Message Read(capnp::List<MeshWire::CrashRecord>::Reader in)
+std::vector<Crashes::CrashRecord> Read(capnp::List<MeshWire::CrashRecord>::Reader in)
 {
-  Mesh::CrashRecords told;
+  std::vector<Crashes::CrashRecord> records;
   for (const auto record : in)
   {
     const auto bytes = record.getCause();
@@ -60,9 +75,9 @@
     }
     if (record.getClearedMs() > 0)
       read.cleared = Milliseconds(record.getClearedMs() - 1);
-    told.records.push_back(std::move(read));
+    records.push_back(std::move(read));
   }
-  return told;
+  return records;
 }
 
 void Write(const Mesh::EngineEnded& told, MeshWire::Message::Builder message)
--- a/Source/Peers/Mesh/MeshWireParts.h
+++ b/Source/Peers/Mesh/MeshWireParts.h
@@ -108,7 +108,9 @@
 void Write(const Mesh::GatewaysReply& tell, MeshWire::Message::Builder message);
 void Write(const Mesh::BriefingRequest& ask, MeshWire::Message::Builder message);
 void Write(const Mesh::CrashRecords& told, MeshWire::Message::Builder message);
-Mesh::Message Read(capnp::List<MeshWire::CrashRecord>::Reader in);
+void Write(const Mesh::CrashRecordsRequest& ask, MeshWire::Message::Builder message);
+void Write(const Mesh::CrashRecordsAnswer& tell, MeshWire::Message::Builder message);
+std::vector<Crashes::CrashRecord> Read(capnp::List<MeshWire::CrashRecord>::Reader in);
 void Write(const Mesh::LimitUpdate& told, MeshWire::Message::Builder message);
 Mesh::Message Read(MeshWire::RateLimit::Reader in);
 void Write(const Mesh::EngineEnded& told, MeshWire::Message::Builder message);
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -174,6 +174,8 @@
                                     true};
     CHECK(There(Mesh::CrashRecords{{counted, cleared, part}}).records ==
           std::vector{counted, cleared, part});
+    CHECK(There(Mesh::CrashRecordsAnswer{{counted, part}}).records == std::vector{counted, part});
+    There(Mesh::CrashRecordsRequest{});
     const Crashes::EngineEnd end{{"10.1.0.9", 8001}, "i-1", 1788408695000};
     CHECK(There(Mesh::EngineEnded{end}).end == end);
   }
