Crashes: Engines that ended are compared by the time for which they had a part

Cause: a part was judged by how many of its requests were lost in sequence, against the share of all requests that are lost. Sound suspects hid each other's coincidences, and without answers there is no share. For how long an engine had a part before it ended was not used.

Evidence: a listing of each sound part that was blocked (trials, ends with and without it, times): rare parts with a few trials whose engines had them for most of their time, or parts in as many ends as the culprit.

Records carry when the first request of a part was sent, answers how long they took. Records of earlier processes do not have these times and are judged as before.

CrashHistories tells the inference the times that it plays; its random draws are the same.

--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -98,7 +98,8 @@
                   const bool is_proved =
                       IsOf(pending.attempt, engine) && now - pending.at >= AGENT_NOTICE_TIME;
                   if (is_proved)
-                    OnAnswered(pending.attempt.causes, pending.at, now);
+                    OnAnswered(pending.attempt.causes, pending.at, now,
+                               pending.at - pending.attempt.sent);
                   return is_proved;
                 });
 }
@@ -126,7 +127,7 @@
 {
   const Attempt& attempt = pending.attempt;
   const EngineCrash crash{EngineRunOf(attempt), pending.at, attempt.sent,
-                          attempt.causes.organisation};
+                          attempt.causes.organisation, attempt.sent};
   for (const CrashCause& cause : m_ledger.Add(ListOf(attempt.causes), crash, now))
   {
     ApplyAnswers(cause, now);
@@ -155,11 +156,12 @@
     ApplyAnswers(record.cause, now);
 }
 
-void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now)
+void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now,
+                              std::optional<Common::Duration> took)
 {
   // Answers of targets that read no prompts show nothing of how engines fare.
   if (!causes.parts.empty())
-    m_ledger.Answers().OnAnswered(answered_at);
+    m_ledger.Answers().OnAnswered(answered_at, took);
   for (const PromptPart& part : causes.parts)
     m_answered.OnAnswered(part, answered_at);
   if (m_ledger.Size() == 0)
@@ -187,7 +189,8 @@
                 {
                   if (!is_over(pending))
                     return false;
-                  OnAnswered(pending.attempt.causes, pending.at, now);
+                  OnAnswered(pending.attempt.causes, pending.at, now,
+                             pending.at - pending.attempt.sent);
                   return true;
                 });
   m_ledger.OnTick(now);
--- a/Source/UnitTests/Core/Crashes/CrashHistories.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashHistories.cpp
@@ -123,7 +123,7 @@
       for (const std::string& part : run.parts)
         m_known[part].answers.push_back(m_now);
       if (run.gateway == 0)
-        m_outcomes.answers.OnAnswered(At(m_now));
+        m_outcomes.answers.OnAnswered(At(m_now), Common::Milliseconds(m_now - run.sent));
     }
   }
   void EndEngine(int engine)
@@ -133,14 +133,15 @@
     {
       if (run.engine != engine)
         continue;
-      m_outcomes.lost.push_back({m_engine_run, At(m_now)});
+      m_outcomes.lost.push_back({m_engine_run, At(m_now), At(run.sent)});
       for (std::uint32_t i = 0; i < run.parts.size(); ++i)
       {
         Known& known = m_known[run.parts[i]];
         known.position = std::max(known.position, i);
         // Gateways report what they lost in any order.
-        known.crashes.emplace_back(m_now + NOTICE_MS + Below(200),
-                                   EngineCrash{m_engine_run, At(m_now), At(run.sent)});
+        known.crashes.emplace_back(
+            m_now + NOTICE_MS + Below(200),
+            EngineCrash{m_engine_run, At(m_now), At(run.sent), 0, At(run.sent)});
       }
     }
     std::erase_if(m_runs, [engine](const Run& run) { return run.engine == engine; });
@@ -178,6 +179,7 @@
           continue;
         EngineCrash& kept = crashes.try_emplace(crash.engine, crash).first->second;
         kept.sent = std::max(kept.sent, crash.sent);
+        kept.first_sent = std::min(kept.first_sent, crash.first_sent);
       }
       for (const auto& [engine, crash] : crashes)
         added.crashes.push_back(crash);
@@ -214,13 +216,14 @@
 };
 } // namespace
 
-HistoriesOutcome PlayHistories(const HistoryOptions& options, int histories)
+HistoriesOutcome PlayHistories(const HistoryOptions& options, int histories,
+                               std::uint64_t first_seed)
 {
   HistoriesOutcome outcome;
   int crashes = 0;
-  for (int seed = 1; seed <= histories; ++seed)
+  for (int number = 0; number < histories; ++number)
   {
-    History history(options, static_cast<std::uint64_t>(seed));
+    History history(options, first_seed + static_cast<std::uint64_t>(number));
     history.Play();
     outcome.sound_blocked += history.SoundBlocked();
     outcome.culprits_found += history.CulpritsFound();
