Revert "Crashes: Engines that ended are compared by the time for which they had a part"

Callers would have seen more engines end under a crashing part, though both histories of KNOWN-RED.txt were mended by it.

Cause, as far as traced: the second condition on a part that the lost share shows to be a cause. Requests of these tests take 30 to 60 ms, and a gateway counts about half of the others' answers, so that the time without the part is too short and one or two more trials are needed.

--- a/Source/Core/Crashes/AnswerHistory.cpp
+++ b/Source/Core/Crashes/AnswerHistory.cpp
@@ -10,15 +10,11 @@
 
 static constexpr Milliseconds PERIOD = Milliseconds(50);
 static constexpr Milliseconds LIFETIME = std::chrono::seconds(60);
-// The divisor of the moving average of an answer's time.
-static constexpr int MEAN_TIME_DIVISOR = 16;
 // Other processes count for this share of the local one, as callers are spread unevenly.
 static constexpr double OTHER_PROCESS_SHARE = 0.5;
 
-void AnswerHistory::OnAnswered(TimePoint at, std::optional<Common::Duration> took)
+void AnswerHistory::OnAnswered(TimePoint at)
 {
-  if (took)
-    m_mean_time = m_mean_time ? *m_mean_time + (*took - *m_mean_time) / MEAN_TIME_DIVISOR : *took;
   while (!m_answers.empty() && at - m_answers.front().begin >= LIFETIME)
     m_answers.pop_front();
   if (m_answers.empty() || at - m_answers.back().begin >= PERIOD)
--- a/Source/Core/Crashes/AnswerHistory.h
+++ b/Source/Core/Crashes/AnswerHistory.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <deque>
-#include <optional>
 
 #include "Common/Types.h"
 
@@ -16,10 +15,7 @@
 public:
   // The number of processes that send to the same engines, including this one.
   void SetProcessCount(std::size_t count) { m_process_count = count; }
-  // `took` is the time from the dispatch to the end of the answer.
-  void OnAnswered(Common::TimePoint at, std::optional<Common::Duration> took = std::nullopt);
-  // The moving average of the time of whole answers; empty if it is not known.
-  const std::optional<Common::Duration>& MeanTime() const { return m_mean_time; }
+  void OnAnswered(Common::TimePoint at);
   // An estimate, on the low side, of the whole answers of all processes since the time.
   double AnsweredSince(Common::TimePoint since) const;
 
@@ -33,6 +29,5 @@
 
   std::size_t m_process_count = 1;
   std::deque<Answers> m_answers;
-  std::optional<Common::Duration> m_mean_time;
 };
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CauseInference.h
+++ b/Source/Core/Crashes/CauseInference.h
@@ -33,8 +33,6 @@
   // When the request was sent to the engine; the last one if there were several.
   Common::TimePoint sent{};
   OrganisationHash organisation = 0;
-  // When the first of these requests was sent to the engine; empty if that is not known.
-  std::optional<Common::TimePoint> first_sent = std::nullopt;
 };
 
 // The crashes of a possible cause since it was last answered whole.
@@ -78,8 +76,6 @@
 // have is in most engines that end; of equal ones, requests before parts, as they are narrower,
 // then parts that come late in their prompts. A part is a cause only if its trials are improbable
 // as a coincidence, by the share of all requests that were lost meanwhile with other engines. Where
-// that share is not known, the inference of other processes is taken over. Where it is known when
-// the requests were sent, engines must also have ended more often with the part than without it; a
-// part of which that is certain needs no other evidence.
+// that share is not known, the inference of other processes is taken over.
 Inference InferCauses(const std::vector<CauseEvidence>& evidence, const FleetOutcomes& outcomes);
 } // namespace Holdpost::Crashes
--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -34,11 +34,7 @@
   const auto [known, is_new] = record.crashes.try_emplace(crash.engine, crash);
   if (!is_new)
   {
-    EngineCrash& merged = known->second;
-    merged.sent = std::max(merged.sent, std::min(crash.sent, merged.at));
-    if (crash.first_sent)
-      merged.first_sent =
-          std::min(merged.first_sent.value_or(*crash.first_sent), *crash.first_sent);
+    known->second.sent = std::max(known->second.sent, std::min(crash.sent, known->second.at));
     return false;
   }
   if (record.crashes.size() <= MAX_CRASHES)
@@ -102,10 +98,8 @@
   {
     if (crash.age >= CRASH_LIFETIME)
       continue;
-    EngineCrash read{crash.engine, now - crash.age, now - std::max(crash.age, crash.sent_age),
-                     crash.organisation};
-    if (crash.first_sent_age >= crash.sent_age)
-      read.first_sent = now - std::max(crash.age, crash.first_sent_age);
+    const EngineCrash read{crash.engine, now - crash.age, now - std::max(crash.age, crash.sent_age),
+                           crash.organisation};
     is_changed = AddCrash(record, read) || is_changed;
   }
   if (told.is_inferred && !record.crashes.empty())
@@ -310,12 +304,7 @@
   CrashRecord described{
       cause, {}, {}, record.position, IsBlocked(cause) || record.is_inferred_elsewhere};
   for (const auto& [engine, crash] : record.crashes)
-  {
-    CrashRecord::Crash& added = described.crashes.emplace_back(
-        CrashRecord::Crash{engine, age(crash.at), age(crash.sent), crash.organisation});
-    if (crash.first_sent)
-      added.first_sent_age = age(*crash.first_sent);
-  }
+    described.crashes.push_back({engine, age(crash.at), age(crash.sent), crash.organisation});
   if (record.cleared_at)
     described.cleared = age(*record.cleared_at);
   return described;
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -27,8 +27,6 @@
     // How long ago the request was sent to the engine; taken for `age` if it is less.
     Common::Milliseconds sent_age{0};
     OrganisationHash organisation = 0;
-    // The same for the first of these requests; less than `sent_age` if it is not known.
-    Common::Milliseconds first_sent_age{-1};
 
     bool operator==(const Crash&) const = default;
   };
--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -98,8 +98,7 @@
                   const bool is_proved =
                       IsOf(pending.attempt, engine) && now - pending.at >= AGENT_NOTICE_TIME;
                   if (is_proved)
-                    OnAnswered(pending.attempt.causes, pending.at, now,
-                               pending.at - pending.attempt.sent);
+                    OnAnswered(pending.attempt.causes, pending.at, now);
                   return is_proved;
                 });
 }
@@ -127,7 +126,7 @@
 {
   const Attempt& attempt = pending.attempt;
   const EngineCrash crash{EngineRunOf(attempt), pending.at, attempt.sent,
-                          attempt.causes.organisation, attempt.sent};
+                          attempt.causes.organisation};
   for (const CrashCause& cause : m_ledger.Add(ListOf(attempt.causes), crash, now))
   {
     ApplyAnswers(cause, now);
@@ -156,12 +155,11 @@
     ApplyAnswers(record.cause, now);
 }
 
-void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now,
-                              std::optional<Common::Duration> took)
+void CrashTracker::OnAnswered(const RequestCauses& causes, TimePoint answered_at, TimePoint now)
 {
   // Answers of targets that read no prompts show nothing of how engines fare.
   if (!causes.parts.empty())
-    m_ledger.Answers().OnAnswered(answered_at, took);
+    m_ledger.Answers().OnAnswered(answered_at);
   for (const PromptPart& part : causes.parts)
     m_answered.OnAnswered(part, answered_at);
   if (m_ledger.Size() == 0)
@@ -189,8 +187,7 @@
                 {
                   if (!is_over(pending))
                     return false;
-                  OnAnswered(pending.attempt.causes, pending.at, now,
-                             pending.at - pending.attempt.sent);
+                  OnAnswered(pending.attempt.causes, pending.at, now);
                   return true;
                 });
   m_ledger.OnTick(now);
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -52,9 +52,9 @@
   // connection marked its end. It counts as lost if the engine ended then, and as whole once the
   // engine is known to have run on.
   void OnEndedWithConnection(const Attempt& attempt, bool has_ended, Common::TimePoint now);
-  // An engine answered a request whole; `took` is the time since it was sent there.
-  void OnAnswered(const RequestCauses& causes, Common::TimePoint answered_at, Common::TimePoint now,
-                  std::optional<Common::Duration> took = std::nullopt);
+  // An engine answered a request whole.
+  void OnAnswered(const RequestCauses& causes, Common::TimePoint answered_at,
+                  Common::TimePoint now);
   void OnEngineEnd(const EngineEnd& end, Common::TimePoint now);
   // The agent beside an engine reports that this incarnation of it runs.
   void OnEngineRuns(const EngineEnd& engine, Common::TimePoint now);
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -63,7 +63,7 @@
     return;
   const TargetChoice& choice = tracked.last_attempt->choice;
   if (!ends_with_connection || !m_targets.MayHaveCrashed(choice.id))
-    return m_crashes.OnAnswered(tracked.causes, now, now, now - tracked.last_attempt->sent);
+    return m_crashes.OnAnswered(tracked.causes, now, now);
   m_crashes.OnEndedWithConnection(AttemptOf(tracked),
                                   m_targets.HasEnded(choice.id, choice.incarnation), now);
 }
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -131,8 +131,6 @@
   sentAgeMs @2 :UInt32;
   # A hash of the name of the request's organisation.
   organisation @3 :UInt32;
-  # One more than the time since the first such request was sent to the engine; 0 if not known.
-  firstSentAgeMs @4 :UInt32;
 }
 
 struct CrashRecord {
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -1499,8 +1499,6 @@
 
   inline  ::uint32_t getOrganisation() const;
 
-  inline  ::uint32_t getFirstSentAgeMs() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1541,9 +1539,6 @@
   inline  ::uint32_t getOrganisation();
   inline void setOrganisation( ::uint32_t value);
 
-  inline  ::uint32_t getFirstSentAgeMs();
-  inline void setFirstSentAgeMs( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4458,20 +4453,6 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getFirstSentAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Crash::Builder::getFirstSentAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Crash::Builder::setFirstSentAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool CrashRecord::Reader::hasCause() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Mesh/MeshCrashCodec.cpp
+++ b/Source/Peers/Mesh/MeshCrashCodec.cpp
@@ -18,8 +18,6 @@
     crashes[i].setAgeMs(ToWireMs(record.crashes[i].age));
     crashes[i].setSentAgeMs(ToWireMs(record.crashes[i].sent_age));
     crashes[i].setOrganisation(record.crashes[i].organisation);
-    if (record.crashes[i].first_sent_age >= Milliseconds::zero())
-      crashes[i].setFirstSentAgeMs(ToWireMs(record.crashes[i].first_sent_age) + 1);
   }
   if (record.cleared)
     out.setClearedMs(ToWireMs(*record.cleared) + 1);
@@ -73,8 +71,7 @@
     for (const auto crash : record.getCrashes())
     {
       read.crashes.push_back({crash.getEngine(), Milliseconds(crash.getAgeMs()),
-                              Milliseconds(crash.getSentAgeMs()), crash.getOrganisation(),
-                              Milliseconds(crash.getFirstSentAgeMs()) - Milliseconds(1)});
+                              Milliseconds(crash.getSentAgeMs()), crash.getOrganisation()});
     }
     if (record.getClearedMs() > 0)
       read.cleared = Milliseconds(record.getClearedMs() - 1);
--- a/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CauseInferenceTest.cpp
@@ -1,6 +1,4 @@
 // SPDX-License-Identifier: Apache-2.0
-#include <cstdlib>
-
 #include <doctest/doctest.h>
 
 #include "Core/Crashes/CauseInference.h"
@@ -198,18 +196,11 @@
   return options;
 }
 
-// HOLDPOST_HISTORY_SEED plays other histories by hand.
-std::uint64_t FirstSeed()
-{
-  const char* seed = std::getenv("HOLDPOST_HISTORY_SEED");
-  return seed ? std::strtoull(seed, nullptr, 10) : 1;
-}
-
 // All of the culprits of each history are found, and no sound part is taken for one.
 void PlayAndCheck(const HistoryOptions& options, std::size_t culprits)
 {
   static constexpr int HISTORIES = 500;
-  const HistoriesOutcome outcome = PlayHistories(options, HISTORIES, FirstSeed());
+  const HistoriesOutcome outcome = PlayHistories(options, HISTORIES);
   MESSAGE(outcome.sound_blocked << " sound parts blocked in " << HISTORIES << " histories, "
                                 << outcome.culprits_found << " of " << HISTORIES * culprits
                                 << " culprits found, " << outcome.mean_crashes
@@ -286,16 +277,19 @@
   PlayAndCheck(options, culprits);
 }
 
-// Rare parts that are lost some times in sequence must not be blocked.
-TEST_CASE("Sound parts are not taken for culprits where few engines are killed one after the other")
+// Takes sound parts for culprits; KNOWN-RED.txt.
+TEST_CASE(
+    "Sound parts are not taken for culprits where few engines are killed one after the other" *
+    doctest::skip())
 {
   HistoryOptions options = ThreeEngines(3, 60);
   options.kills_per_second = 1;
   PlayAndCheck(options, 0);
 }
 
-// No process knows which parts are answered.
-TEST_CASE("Culprits are told from sound parts right after the start of all processes")
+// No process knows which parts are answered; KNOWN-RED.txt.
+TEST_CASE("Culprits are told from sound parts right after the start of all processes" *
+          doctest::skip())
 {
   HistoryOptions options = ThreeEngines(25, 24);
   options.begins_in_trouble = true;
--- a/Source/UnitTests/Core/Crashes/CrashHistories.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashHistories.cpp
@@ -123,7 +123,7 @@
       for (const std::string& part : run.parts)
         m_known[part].answers.push_back(m_now);
       if (run.gateway == 0)
-        m_outcomes.answers.OnAnswered(At(m_now), Common::Milliseconds(m_now - run.sent));
+        m_outcomes.answers.OnAnswered(At(m_now));
     }
   }
   void EndEngine(int engine)
@@ -133,15 +133,14 @@
     {
       if (run.engine != engine)
         continue;
-      m_outcomes.lost.push_back({m_engine_run, At(m_now), At(run.sent)});
+      m_outcomes.lost.push_back({m_engine_run, At(m_now)});
       for (std::uint32_t i = 0; i < run.parts.size(); ++i)
       {
         Known& known = m_known[run.parts[i]];
         known.position = std::max(known.position, i);
         // Gateways report what they lost in any order.
-        known.crashes.emplace_back(
-            m_now + NOTICE_MS + Below(200),
-            EngineCrash{m_engine_run, At(m_now), At(run.sent), 0, At(run.sent)});
+        known.crashes.emplace_back(m_now + NOTICE_MS + Below(200),
+                                   EngineCrash{m_engine_run, At(m_now), At(run.sent)});
       }
     }
     std::erase_if(m_runs, [engine](const Run& run) { return run.engine == engine; });
@@ -179,7 +178,6 @@
           continue;
         EngineCrash& kept = crashes.try_emplace(crash.engine, crash).first->second;
         kept.sent = std::max(kept.sent, crash.sent);
-        kept.first_sent = std::min(kept.first_sent, crash.first_sent);
       }
       for (const auto& [engine, crash] : crashes)
         added.crashes.push_back(crash);
@@ -216,14 +214,13 @@
 };
 } // namespace
 
-HistoriesOutcome PlayHistories(const HistoryOptions& options, int histories,
-                               std::uint64_t first_seed)
+HistoriesOutcome PlayHistories(const HistoryOptions& options, int histories)
 {
   HistoriesOutcome outcome;
   int crashes = 0;
-  for (int number = 0; number < histories; ++number)
+  for (int seed = 1; seed <= histories; ++seed)
   {
-    History history(options, first_seed + static_cast<std::uint64_t>(number));
+    History history(options, static_cast<std::uint64_t>(seed));
     history.Play();
     outcome.sound_blocked += history.SoundBlocked();
     outcome.culprits_found += history.CulpritsFound();
--- a/Source/UnitTests/Core/Crashes/CrashHistories.h
+++ b/Source/UnitTests/Core/Crashes/CrashHistories.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 
 // Random histories of a fleet whose engines end under crashing parts or from outside, for tests of
 // the inference of causes.
@@ -36,7 +35,6 @@
   double mean_crashes = 0;
 };
 
-// Plays so many histories, whose seeds follow each other.
-HistoriesOutcome PlayHistories(const HistoryOptions& options, int histories,
-                               std::uint64_t first_seed = 1);
+// Plays histories with the seeds 1 to `histories`.
+HistoriesOutcome PlayHistories(const HistoryOptions& options, int histories);
 } // namespace Holdpost::Crashes
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -167,12 +167,11 @@
         Gateway::FingerprintOf("firm", "api.example", Common::Sha256("other")),
         {},
         Milliseconds(0)};
-    const Crashes::CrashRecord part{
-        Crashes::PromptPartOf("llm", "5c1e07a2"),
-        {{13, Milliseconds(40), Milliseconds(300), 0xfedcba98, Milliseconds(450)}},
-        {},
-        2,
-        true};
+    const Crashes::CrashRecord part{Crashes::PromptPartOf("llm", "5c1e07a2"),
+                                    {{13, Milliseconds(40), Milliseconds(300), 0xfedcba98}},
+                                    {},
+                                    2,
+                                    true};
     CHECK(There(Mesh::CrashRecords{{counted, cleared, part}}).records ==
           std::vector{counted, cleared, part});
     CHECK(There(Mesh::CrashRecordsAnswer{{counted, part}}).records == std::vector{counted, part});
