Gateway: One that wakes and knows no sidecars does not hold its requests for 1.5 s

Callers saw, since: a gateway of plain services, or one that knows no targets with sidecars yet, held each request for 1.5 s after it had stood still.

Cause: the hold was set for the longest time before it was known whether there is anyone to ask; without replicas no answer ever ends it. Fix: without sidecars the gateway waits 150 ms, as before.

--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -75,8 +75,9 @@
   void SendLimitUpdate(const Common::Address& target, std::optional<double> per_second);
   // Tells the other gateways of the hall that the target leaves.
   void SendLeaving(const Gateway::LeavingTarget& target);
-  // The process has stood still: asks others for the crash records that it may lack.
-  void CatchUp(Common::TimePoint now);
+  // The process has stood still: asks sidecars for the crash records that it may lack. Returns
+  // whether there are any to ask.
+  bool CatchUp(Common::TimePoint now);
   // Drops connections to peers that carried nothing for a while.
   void CloseIdle(Common::TimePoint now) { m_mesh.CloseIdle(now); }
 
--- a/Source/Node/GatewayCrashRecords.cpp
+++ b/Source/Node/GatewayCrashRecords.cpp
@@ -25,11 +25,12 @@
     m_mesh.SendDatagram(sidecar, changes);
 }
 
-void GatewayControl::CatchUp(TimePoint now)
+bool GatewayControl::CatchUp(TimePoint now)
 {
   std::vector<Address> replicas(m_sidecars_in_use.begin(), m_sidecars_in_use.end());
   std::ranges::shuffle(replicas, m_random);
   m_catch_up.Begin(replicas, now);
+  return m_catch_up.IsUnderWay(now);
 }
 
 void GatewayControl::AskForCrashRecords(TimePoint now)
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -29,6 +29,9 @@
 static constexpr Milliseconds HOUSEKEEPING_PERIOD = Milliseconds(250);
 // A process that has not ticked for this time has been frozen, or its machine was suspended.
 static constexpr Milliseconds STALL_TIME = Milliseconds(1000);
+// The time after that in which it reads what others sent meanwhile, if it knows of none that it
+// could ask.
+static constexpr Common::Duration READING_TIME = Milliseconds(150);
 
 GatewayNode::GatewayNode(EventLoop& loop, const GatewayConfig& config,
                          ControlPeer::ControlPlane& control, TargetPeer::HeaderNames names)
@@ -254,8 +257,8 @@
   if (before == TimePoint() || now - before < STALL_TIME)
     return;
   LogEvent(Weight::Important, now, "process.stalled", "for_ms", now - before);
-  m_core.HoldDispatch(now + Crashes::LedgerCatchUp::MAX_TIME);
-  m_control.CatchUp(now);
+  const bool asks_others = m_control.CatchUp(now);
+  m_core.HoldDispatch(now + (asks_others ? Crashes::LedgerCatchUp::MAX_TIME : READING_TIME));
   ScheduleTick();
 }
 
