Gateway: Requests wait for late weights by half of the slots that targets will have

Cause: requests waited for all slots, so that those that arrived afterwards, and could be in time, found none.

--- a/Source/Core/Gateway/TargetQuery.h
+++ b/Source/Core/Gateway/TargetQuery.h
@@ -83,8 +83,8 @@
 // When targets without usable weights are expected to load usable ones.
 struct WeightsOutlook
 {
-  // The time until so many targets have loaded them that their slots suffice for all waiting
-  // requests; empty if that is not to be expected.
+  // The time until so many targets have loaded them that half of their slots suffice for all
+  // waiting requests; empty if that is not to be expected.
   std::optional<Common::Duration> enough_in;
   // The time until the first target has, at best: it may be waiting for a source of weights.
   std::optional<Common::Duration> first_in;
--- a/Source/Core/Gateway/TargetSummary.cpp
+++ b/Source/Core/Gateway/TargetSummary.cpp
@@ -11,6 +11,10 @@
 using Common::Duration;
 using Common::TimePoint;
 
+// The part of a target's slots for which requests wait while it loads weights. The other slots go
+// to requests that arrive afterwards and can still be in time.
+static constexpr double WAITING_SLOT_SHARE = 0.5;
+
 double TargetTable::CapacityShareOf(const Target& target) const
 {
   return static_cast<double>(target.listed.slots) /
@@ -44,7 +48,7 @@
   {
     if (!next.is_arriving)
       continue;
-    capacity += next.capacity;
+    capacity += WAITING_SLOT_SHARE * next.capacity;
     if (capacity < static_cast<double>(waiting))
       continue;
     outlook.enough_in = next.ready_in;
--- a/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayWaitingTest.cpp
@@ -201,13 +201,13 @@
     CHECK(refused[0].error.kind == ErrorKind::NoWeights);
     CHECK(refused[0].error.retry_after >= Milliseconds(1900));
   }
-  SUBCASE("only as many wait as the targets have slots")
+  SUBCASE("only as many wait as the targets have slots for beside new requests")
   {
     f.ReportArriving(Milliseconds(2500));
     for (int i = 0; i < 6; ++i)
       f.Arrive("/chat/");
     const auto refused = Take<Refuse>(f.actions);
-    REQUIRE(refused.size() == 2);
+    REQUIRE(refused.size() == 4);
     CHECK(refused[0].error.retry_after >= Milliseconds(2500));
   }
   SUBCASE("a caller that would leave before is refused at once, and told when to come back")
