Gateway: The waiting of requests in a file of its own, one pass over the targets for each report

Found on reading the change again; no decision changes. OnLoadReport looked for other targets at the address of each report in a second pass over all targets, with a map made for it, though its own loop compares the addresses anyway; AddReported did the same a third time. DispatchFrom looked each request up twice.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -5,7 +5,6 @@
 
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
-#include "Core/Gateway/CallerPatience.h"
 #include "Core/Gateway/WaitLimit.h"
 
 namespace Holdpost::Gateway
@@ -22,9 +21,6 @@
 // once.
 static constexpr Milliseconds LEAVING_RETRY_AFTER = Milliseconds(50);
 static constexpr Milliseconds NOT_READY_RETRY_AFTER = Milliseconds(300);
-// The period at which a request that waits for the loading of weights is checked: it is refused at
-// once when it cannot begin in time any more.
-static constexpr Milliseconds WEIGHTS_CHECK_PERIOD = Milliseconds(100);
 // The profile that is assumed for engines whose times are not known; the measured start times of
 // the first answers correct it.
 static constexpr Settings::EngineProfile ASSUMED_ENGINE = {
@@ -188,80 +184,6 @@
   EnqueueNotRun(placed, false, now, actions);
 }
 
-void Gateway::EnqueueNotRun(Tracked& request, bool is_retry, TimePoint now, Actions* actions)
-{
-  const RequestNumber number = request.number;
-  request.refuse_at = request.deadline;
-  Enqueue(request, is_retry, now, actions);
-  Tracked* waiting = Find(number);
-  if (!waiting || waiting->state != State::Waiting)
-    return;
-  Tracked& tracked = *waiting;
-  TargetQuery query = QueryFor(tracked, now);
-  query.waiting = WaitingCountOf(tracked.service);
-  const TargetSummary summary = m_targets.SummaryOf(query, now);
-  tracked.awaits_weights = MayAwaitWeights(summary, TimeForStart(tracked, now));
-  if (tracked.awaits_weights)
-  {
-    m_log.OnAwaitsWeights(tracked, *summary.weights.enough_in, now);
-    return ScheduleWeightsCheck(tracked, now);
-  }
-  const Duration wait =
-      MaxWait(summary, query.waiting, m_targets.PassTimeOf(tracked.service), StartGoal(tracked));
-  tracked.refuse_at = std::min(tracked.deadline, std::max(now, m_dispatch_from) + wait);
-  m_timers.push({tracked.refuse_at, tracked.number});
-  OnTimer(tracked, now, actions);
-}
-
-Duration Gateway::TimeForStart(const Tracked& tracked, TimePoint now) const
-{
-  const std::optional<GenerationHint>& generation = tracked.request.generation;
-  const Duration answer_time = m_targets.GenerationTimeOf(
-      tracked.service, generation ? generation->expected_answer_tokens : 0);
-  const TimePoint latest = tracked.deadline - answer_time;
-  if (!tracked.route.is_stream)
-    return latest - now;
-  return std::min(latest, tracked.arrived + CallerPatience(tracked.route)) - now;
-}
-
-void Gateway::ScheduleWeightsCheck(Tracked& tracked, TimePoint now)
-{
-  tracked.refuse_at = std::min(tracked.deadline, now + WEIGHTS_CHECK_PERIOD);
-  m_timers.push({tracked.refuse_at, tracked.number});
-}
-
-bool Gateway::KeepAwaitingWeights(Tracked& tracked, TimePoint now)
-{
-  const TargetSummary summary = m_targets.SummaryOf(QueryFor(tracked, now), now);
-  if (!MayKeepAwaitingWeights(summary, TimeForStart(tracked, now)))
-    return false;
-  ScheduleWeightsCheck(tracked, now);
-  return true;
-}
-
-// The fair queue counts deficits in prompt tokens. A request without a model counts as a small
-// request, with 100 tokens.
-static std::int64_t CostOf(const CallerRequest& request)
-{
-  return request.generation ? std::max<std::int64_t>(request.generation->prompt_tokens, 1) : 100;
-}
-
-void Gateway::Enqueue(Tracked& tracked, bool is_retry, TimePoint now, Actions* actions)
-{
-  tracked.state = State::Waiting;
-  tracked.target.clear();
-  // The timer of the deadline was set when the request arrived.
-  if (tracked.refuse_at < tracked.deadline)
-    m_timers.push({tracked.refuse_at, tracked.number});
-  Routing::FairQueue& queue = QueueOf(tracked.service).waiting[tracked.priority];
-  const Routing::Waiting waiting{tracked.number, CostOf(tracked.request)};
-  if (is_retry)
-    queue.AddFront(tracked.organisation, 1, waiting);
-  else
-    queue.Add(tracked.organisation, 1, waiting);
-  DispatchWaiting(tracked.service, now, actions);
-}
-
 void Gateway::DispatchAllWaiting(TimePoint now, Actions* actions)
 {
   for (const auto& [service, queue] : m_queues)
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -48,8 +48,8 @@
     const auto next = queue.Take();
     if (!next)
       break;
-    const Tracked& tracked = *Find(next->number);
-    if (TryDispatch(*Find(next->number), now, actions))
+    Tracked& tracked = *Find(next->number);
+    if (TryDispatch(tracked, now, actions))
       continue;
     passed_over.push_back(*next);
     is_blocked = tracked.tried.empty();
--- a/Source/Core/Gateway/TargetListing.cpp
+++ b/Source/Core/Gateway/TargetListing.cpp
@@ -151,7 +151,6 @@
   m_targets[load.id] = std::move(added);
   LogEvent(Weight::Important, now, "target.reported", "target", load.id, "at",
            load.address.ToString(), "before", predecessor);
-  MarkReplacedAt({{load.address, load.id}}, now);
 }
 
 TargetId TargetTable::FindByAddress(const Common::Address& address) const
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -87,15 +87,19 @@
 {
   m_last_report = now;
   AddReported(load, now);
-  // The list may still name earlier targets at the address.
-  if (const auto found = m_targets.find(load.id);
-      found != m_targets.end() && found->second.IsListed())
-    MarkReplacedAt({{load.address, load.id}}, now);
+  const auto named = m_targets.find(load.id);
+  const bool names_listed = named != m_targets.end() && named->second.IsListed();
   for (auto& [id, target] : m_targets)
   {
-    const bool is_for_other_target = !load.id.empty() && load.id != id;
-    if (target.listed.address != load.address || !target.IsListed() || is_for_other_target)
+    if (target.listed.address != load.address || !target.IsListed())
       continue;
+    if (!load.id.empty() && load.id != id)
+    {
+      // The list still names an earlier target at the address.
+      if (names_listed)
+        OnReplaced(id, now);
+      continue;
+    }
     const std::uint64_t known = target.listed.incarnation;
     const bool has_incarnations = load.incarnation > 0 && known > 0;
     if (has_incarnations && load.incarnation < known)
