--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -218,7 +218,7 @@
   m_metrics.Add("holdpost_attempts_unanswered_total");
   Common::LogEvent(Common::Weight::Important, now, "attempt.unanswered", "request",
                    call.RequestId(), "target", call.Target(), "connection", ConnectionName(call),
-                   "for_ms", *unanswered);
+                   "for_ms", *unanswered, "received_bytes", call.ReceivedBytes());
 }
 
 void GatewayNode::Do(const Gateway::CancelAttempt& cancel)
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -51,6 +51,7 @@
   m_has_bytes = true;
   m_is_reading = true;
   const std::size_t consumed = m_parser.Feed(data);
+  m_received_bytes += consumed;
   m_is_reading = false;
   if (m_is_over)
     return data.size();
@@ -202,7 +203,7 @@
 
 std::optional<Common::Duration> TargetCall::UnansweredFor(Common::TimePoint now) const
 {
-  if (m_is_over || m_has_bytes)
+  if (m_is_over || m_is_answered)
     return std::nullopt;
   return now - m_started;
 }
@@ -214,7 +215,7 @@
     return;
   m_handlers = {};
   // The other kept connections are as old as this one.
-  if (m_is_reused && unanswered && *unanswered >= MAX_SILENCE)
+  if (m_is_reused && !m_has_bytes && unanswered && *unanswered >= MAX_SILENCE)
     m_pool.Forget(m_request.target);
   if (!m_connection)
     return;
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -74,9 +74,11 @@
   bool IsConnecting() const { return m_connection && !m_connection->IsConnected(); }
   const std::string& Target() const { return m_request.target; }
   const std::string& RequestId() const { return m_request.request_id; }
-  // How long the call has gone without a byte from the target; empty if one has come or the call is
-  // over.
+  // How long the call has gone without an answer that can be passed on; empty if there is one or
+  // the call is over.
   std::optional<Common::Duration> UnansweredFor(Common::TimePoint now) const;
+  // The number of bytes of answers that have been read from the target.
+  std::size_t ReceivedBytes() const { return m_received_bytes; }
   // Whether the request went out on a kept connection.
   bool IsOnKeptConnection() const { return m_is_reused; }
   // Gives the request up before its connection has come up.
@@ -114,6 +116,7 @@
   Gateway::AttemptEnd m_ended_by = Gateway::AttemptEnd::None;
   Common::TimePoint m_started{};
   bool m_has_bytes = false; // some have come from the target
+  std::size_t m_received_bytes = 0;
   bool m_is_event_stream = false;
   bool m_is_reused = false; // the connection had been kept
   // The answer that is being read belongs to another request.
