Gateway: Targets at which requests hang are tried again before these end

Callers saw 503 at once for every request to a service, for up to 3 s, although its targets were idle.

Cause: the expected start at a target includes by how much its unanswered requests are overdue. Once that exceeds what the route's goal allows, nothing is sent there any more, and no answer can show that the target runs until the hanging requests reach their deadline.

Fix: an answer that was expected later than a hanging one and has started ends the effect of that one. If every target looks late, one that has been sent nothing for 500 ms is tried by the next request, on a new connection.

--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -193,6 +193,7 @@
   dispatch.resume_after = tracked.last_event;
   dispatch.is_stream = tracked.route.is_stream;
   dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
+  dispatch.needs_new_connection = choice->is_probe;
   actions->push_back(std::move(dispatch));
   ReportWork(choice->id, actions);
   return true;
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -168,6 +168,8 @@
   bool is_stream = false;
   // The request may be sent again if the connection turns out to be dead.
   bool may_repeat = false;
+  // The kept connections to the target may be dead.
+  bool needs_new_connection = false;
 };
 
 // Takes back the requests to the target whose connections have not come up yet.
--- a/Source/Core/Gateway/TargetChoosing.cpp
+++ b/Source/Core/Gateway/TargetChoosing.cpp
@@ -28,8 +28,6 @@
 // request, and for CROWDED_TIME after that.
 static constexpr double CROWDED_RATIO = 1.6;
 static constexpr Duration CROWDED_TIME = Milliseconds(1500);
-// The time constant of the exponential decay of a target's measured lag.
-static constexpr double LAG_DECAY_SECONDS = 2;
 // Limits of the weight that a request's size has in its admission. When capacity is short, requests
 // that need less engine time than usual are admitted slightly more often. With wider limits the
 // largest requests are served least.
@@ -101,18 +99,6 @@
   return lag + ExpectedStart(*engine, WorkOf(target, *engine, now), prompt_tokens);
 }
 
-Duration TargetTable::LagOf(const Target& target, TimePoint now) const
-{
-  const double age = std::chrono::duration<double>(now - target.lag_updated).count();
-  const Duration decayed_lag =
-      std::chrono::duration_cast<Duration>(target.lag * std::exp(-age / LAG_DECAY_SECONDS));
-  // An answer that is overdue now says more than the answers that arrived.
-  Duration overdue{};
-  for (const auto& [request, expected] : target.expected_starts)
-    overdue = std::max(overdue, now - expected);
-  return std::max({decayed_lag, overdue, NetworkDelayTo(target)});
-}
-
 Duration TargetTable::NetworkDelayTo(const Target& target)
 {
   return target.load ? std::max(target.load->round_trip, target.load->inbound_delay)
@@ -214,6 +200,8 @@
   UpdateCrowding(query, candidates.options, now);
   if (candidates.choices.empty())
     return std::nullopt;
+  if (auto probe = ProbeFor(query, candidates.choices, now))
+    return probe;
   const SpreadParameters spread = SpreadParametersFor(query, candidates, now);
   if (!IsAdmitted(query, candidates.options, spread, now))
     return std::nullopt;
--- a/Source/Core/Gateway/TargetQuery.h
+++ b/Source/Core/Gateway/TargetQuery.h
@@ -67,6 +67,8 @@
   std::uint64_t incarnation = 0;
   // The target was known to limit its rate.
   bool is_limited = false;
+  // The request tests whether the target answers, as earlier requests to it are unanswered.
+  bool is_probe = false;
 };
 
 // The capacity that a service has for a request at present.
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -178,6 +178,7 @@
   target.limit.OnSent(m_gateways.all, now);
   m_rests.OnSent(id, request, now);
   ++target.local_requests;
+  target.sent_at = now;
   const Duration min_start =
       EngineOf(target.listed.service) ? MIN_EXPECTED_START : MIN_PLAIN_EXPECTED_START;
   target.expected_starts[request] = now + std::max(expected_start, min_start);
@@ -197,6 +198,7 @@
   const auto expected = target.expected_starts.extract(request);
   if (!expected)
     return;
+  target.latest_started = std::max(target.latest_started, expected.mapped());
   // The expected time already included the lag at the time of the dispatch, so the lateness adds to
   // it.
   const Duration previous_lag = LagOf(target, now);
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -183,6 +183,10 @@
     Common::TimePoint load_received{};
     // The unanswered requests, each with the time at which its answer was expected to start.
     std::map<std::uint64_t, Common::TimePoint> expected_starts;
+    // The latest of these times among the answers that have started.
+    Common::TimePoint latest_started = Common::TimePoint::min();
+    // When the last request was sent.
+    Common::TimePoint sent_at{};
     // When the last answer of the target started.
     Common::TimePoint answered_at = Common::TimePoint::min();
     // How much later than expected the recent answers started.
@@ -311,6 +315,16 @@
   Common::Duration ExpectedStartAt(const Target& target, std::uint32_t prompt_tokens,
                                    Common::TimePoint now) const;
   Common::Duration LagOf(const Target& target, Common::TimePoint now) const;
+  // The lag that the answers show that have started.
+  Common::Duration MeasuredLagOf(const Target& target, Common::TimePoint now) const;
+  // By how much the answers are late that have not started; zero if the target has since started an
+  // answer that was expected later.
+  static Common::Duration OverdueOf(const Target& target, Common::TimePoint now);
+  // The target that is tried with this request although its unanswered requests let it look late,
+  // as all targets look late and it has been sent nothing for a while; empty if there is none.
+  std::optional<TargetChoice> ProbeFor(const TargetQuery& query,
+                                       const std::vector<TargetChoice>& choices,
+                                       Common::TimePoint now) const;
   static Common::Duration NetworkDelayTo(const Target& target);
   // Whether the target's agent has not reported since the target became known to this gateway,
   // while other agents report. The target has then probably ended, and its record has not expired
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -91,6 +91,8 @@
   request.is_stream = dispatch.is_stream;
   request.resume_after = dispatch.resume_after;
   request.may_repeat = dispatch.may_repeat;
+  if (dispatch.needs_new_connection)
+    m_pool.Forget(dispatch.target);
   exchange.call = std::make_shared<TargetPeer::TargetCall>(m_pool, m_names);
   exchange.is_whole = false;
   exchange.body.clear();
