Sidecar: Gateways are told at once when pieces of late weights begin to arrive

Callers who asked within about 0.1 s (longer on a busy machine) after pieces began to arrive were refused, although their request could have waited for the weights: LateWeightsTest, "they are served once the weights are loaded".

Cause: a sidecar noticed the change only when its next periodic report was due, every 100 ms to gateways that need its load and after that of its own timers. Evidence: the refusals came 20 to 23 ms after the request, with the origin's third piece sent.

Fix: the first piece after a pause sends a report to all gateways.

--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -313,7 +313,7 @@
               m_metrics.Add("holdpost_transfers_total", label);
               if (count.event == Distribution::TransferEvent::PieceFromOrigin ||
                   count.event == Distribution::TransferEvent::PieceFromPeer)
-                m_last_piece_at = now;
+                OnPieceArrived(now, actions);
               if (count.bytes > 0)
                 m_metrics.Add("holdpost_transfer_bytes_total", label, count.bytes);
             }},
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -217,6 +217,8 @@
   Common::Duration ExpectedCopyTime(const Distribution::Swarm* swarm, Common::TimePoint now) const;
   // Whether no piece of the wanted version is missing, or some have arrived lately.
   bool ArePiecesArriving(const Distribution::Swarm* swarm, Common::TimePoint now) const;
+  // Reports to all gateways at once when pieces begin to arrive.
+  void OnPieceArrived(Common::TimePoint now, Actions* actions);
   // The time at which the engine should load the wanted version; empty if the engine has it.
   std::optional<Common::TimePoint> SwitchAt(Common::TimePoint now) const;
   // The origin is a dependency: the sidecar logs each time that the origin is lost or regained.
--- a/Source/Core/Sidecar/SidecarForecast.cpp
+++ b/Source/Core/Sidecar/SidecarForecast.cpp
@@ -39,6 +39,15 @@
   return m_last_piece_at && now - *m_last_piece_at < max_gap;
 }
 
+void Sidecar::OnPieceArrived(TimePoint now, Actions* actions)
+{
+  const bool is_first = !ArePiecesArriving(WantedSwarm(), now);
+  m_last_piece_at = now;
+  // Gateways refuse requests that could wait for the version until they know that it arrives.
+  if (is_first)
+    SendLoadReports(now, actions);
+}
+
 std::optional<Gateway::WeightsForecast> Sidecar::ForecastWeights(TimePoint now) const
 {
   if (m_wanted == 0 || !m_report || LoadedVersion() >= m_wanted)
