Gateway: One that wakes sends what it held before it looks at how long that waited

Callers saw 503: a gateway that had stood still refused all requests that had come meanwhile, 20 of 20, although the targets were idle.

Cause: a held request may wait until the end of the hold and one pass of its targets, 1.3 ms for a plain service that is fast. The tick that ends the hold went through the timers before it sent anything, so one that came 1.3 ms late refused everything. Evidence: 20 refusals in one moment, `waited_ms` 153, both targets open with `best_expected_ms` 1.3.

Fix: the tick that ends a hold sends first.

The subcase of GatewayCrashesTest failed before (1 of 2 sent, 1 refused).

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -331,6 +331,7 @@
   m_crashes.OnTick(now);
   StopBlockedRequests(now, actions);
   CancelOnOldWeights(now, actions);
+  EndDispatchHold(now, actions);
   while (!m_timers.empty() && m_timers.top().at <= now)
   {
     const RequestNumber number = m_timers.top().number;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -121,6 +121,9 @@
   // time; returns whether they are.
   bool KeepAwaitingWeights(Tracked& tracked, Common::TimePoint now);
   void ScheduleWeightsCheck(Tracked& tracked, Common::TimePoint now);
+  // Sends the requests that were held, once the hold is over. Their timers come after that: the
+  // time for which they may wait can be shorter than the delay of a tick.
+  void EndDispatchHold(Common::TimePoint now, Actions* actions);
   void DispatchWaiting(const std::string& service, Common::TimePoint now, Actions* actions);
   // Sends what can be sent from the queue. Returns false if a request that has tried no target has
   // to wait, so that less urgent ones have to wait, too.
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -26,6 +26,14 @@
   m_timers.push({until, NO_REQUEST});
 }
 
+void Gateway::EndDispatchHold(TimePoint now, Actions* actions)
+{
+  if (m_dispatch_from == TimePoint{} || now < m_dispatch_from)
+    return;
+  m_dispatch_from = {};
+  DispatchAllWaiting(now, actions);
+}
+
 void Gateway::DispatchWaiting(const std::string& service, TimePoint now, Actions* actions)
 {
   if (now < m_dispatch_from)
--- a/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
@@ -180,6 +180,15 @@
     f.Advance(Milliseconds(150));
     CHECK(Only<Dispatch>(f.actions).size() == 1);
   }
+  // In one of thirty wake-ups, all that plain services had been sent meanwhile was refused.
+  SUBCASE("and then serves what came meanwhile, however late it is run")
+  {
+    f.SetTargets({MakeTarget("llm-1", "llm", 1), MakeTarget("desk-1", "desk")});
+    f.Arrive("/status/");
+    f.Advance(Milliseconds(180));
+    CHECK(Only<Dispatch>(f.actions).size() == 2);
+    CHECK(Only<Refuse>(f.actions).empty());
+  }
   SUBCASE("and refuses what crashes engines as not run")
   {
     f.gateway.OnCrashRecords(f.ToldByOther(), f.now, &f.actions);
