Gateway: Targets that were sent something lately are not copied to be probed

In an overload in which every target looks late, ProbeFor copied the choice of each target, with its strings, and computed its lag twice, before it looked whether the target may be probed at all. The time of the last send is looked at first now. No decision changes: GatewayProbesTest and all other unit tests pass unchanged (ctest, all 7 programs, beside six soaks and four busy processes).

--- a/Source/Core/Gateway/TargetLag.cpp
+++ b/Source/Core/Gateway/TargetLag.cpp
@@ -55,10 +55,12 @@
   for (const TargetChoice& choice : choices)
   {
     const Target& target = m_targets.at(choice.id);
+    if (now - target.sent_at < PROBE_PERIOD)
+      continue;
     TargetChoice probe = choice;
     probe.expected_start += MeasuredLagOf(target, now) - LagOf(target, now);
     probe.is_probe = true;
-    if (now - target.sent_at >= PROBE_PERIOD && !is_late(probe))
+    if (!is_late(probe))
       return probe;
   }
   return std::nullopt;
