--- a/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
@@ -180,7 +180,7 @@
     f.Advance(Milliseconds(150));
     CHECK(Only<Dispatch>(f.actions).size() == 1);
   }
-  // In one of thirty wake-ups, all that plain services had been sent meanwhile was refused.
+  // Regression: a late tick refused everything that was held.
   SUBCASE("and then serves what came meanwhile, however late it is run")
   {
     f.SetTargets({MakeTarget("llm-1", "llm", 1), MakeTarget("desk-1", "desk")});
