Gateway: Log and count what is used of the allowance of retries

Nothing told what a gateway had used of its allowance when it ended, nor how many requests were not retried for want of one. `retries.used` says, once a second for each service that uses it, how many requests, retries and denied retries the last window has, how many are allowed and by how many gateways the fixed part is shared; `holdpost_retries_denied_total` counts the denied ones by reason. No decision changes.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -231,7 +231,7 @@
   // Only the rest of the same event stream can continue an answer that was passed on in part.
   const bool cannot_continue = tracked->was_head_passed && !event.is_event_stream;
   const bool is_failure = event.status >= MIN_FAILURE_STATUS || cannot_continue;
-  if (is_failure && MayRunAgain(*tracked) && QueueOf(tracked->service).retries.Take(now))
+  if (is_failure && MayRunAgain(*tracked) && TakeRetry(*tracked, "failure_answer", now))
   {
     actions->push_back(CancelAttempt{tracked->number});
     return Retry(*tracked, "failure_answer", now, actions);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -209,6 +209,8 @@
   // The target has asked for rest.
   void BeginRest(const TargetChoice& choice, Common::Duration rest, Common::TimePoint now,
                  Actions* actions);
+  // Takes a retry from the allowance of the request's service; returns whether it permits one.
+  bool TakeRetry(const Tracked& tracked, std::string_view reason, Common::TimePoint now);
   void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
   void OnNotRun(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   void GiveUp(Tracked& tracked, Common::Error error, Common::TimePoint now, Actions* actions);
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -31,11 +31,21 @@
          !m_crashes.IsSuspect(tracked.causes);
 }
 
+bool Gateway::TakeRetry(const Tracked& tracked, std::string_view reason, TimePoint now)
+{
+  RetryAllowance& allowance = QueueOf(tracked.service).retries;
+  const bool is_permitted = allowance.Take(now);
+  if (!is_permitted)
+    m_log.OnRetryDenied(reason);
+  m_log.OnRetryUsed(tracked.service, allowance.UsageAt(now), now);
+  return is_permitted;
+}
+
 void Gateway::RetryOrGiveUp(Tracked& tracked, std::string_view reason,
                             const Error& error_if_not_retried, TimePoint now, Actions* actions)
 {
   const bool may_resume = !tracked.was_head_passed || tracked.route.is_resumable;
-  if (!may_resume || !MayRunAgain(tracked) || !QueueOf(tracked.service).retries.Take(now))
+  if (!may_resume || !MayRunAgain(tracked) || !TakeRetry(tracked, reason, now))
     return GiveUp(tracked, error_if_not_retried, now, actions);
   Retry(tracked, reason, now, actions);
 }
@@ -52,7 +62,7 @@
 void Gateway::OnNotRun(Tracked& tracked, std::string_view reason, TimePoint now, Actions* actions)
 {
   ReleaseTarget(tracked, actions);
-  if (tracked.sends >= MAX_SENDS || !QueueOf(tracked.service).retries.Take(now))
+  if (tracked.sends >= MAX_SENDS || !TakeRetry(tracked, reason, now))
     return GiveUp(tracked, {ErrorKind::TargetRefused, "no target had room"}, now, actions);
   m_log.OnRetried(tracked, reason, now);
   const bool may_have_run = tracked.runs > 0 || tracked.was_head_passed;
@@ -165,7 +175,7 @@
   const bool may_move = MayRunAgain(tracked) && runs < tracked.route.max_attempts;
   // Without an allowance for a retry the move would end in an error, so the request stays at its
   // target.
-  if (!may_move || !QueueOf(tracked.service).retries.Take(now))
+  if (!may_move || !TakeRetry(tracked, reason, now))
     return false;
   tracked.runs = runs;
   actions->push_back(CancelAttempt{tracked.number});
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -19,6 +19,9 @@
 // deadline, or later.
 static constexpr Milliseconds NEAR_DEADLINE_PERIOD = Milliseconds(500);
 
+// The period at which the use of a service's allowance of retries is logged while it is used.
+static constexpr Milliseconds RETRY_USAGE_PERIOD = Milliseconds(1000);
+
 // How many of a prompt's parts are logged.
 static constexpr std::size_t MAX_LOGGED_PARTS = 4;
 
@@ -101,6 +104,22 @@
              tracked.was_head_passed);
 }
 
+void RequestLog::OnRetryDenied(std::string_view reason)
+{
+  m_metrics.Add("holdpost_retries_denied_total", Common::Reason(reason));
+}
+
+void RequestLog::OnRetryUsed(const std::string& service, const RetryUsage& usage, TimePoint now)
+{
+  const auto [logged_at, is_first] = m_usage_logged_at.try_emplace(service, now);
+  if (!is_first && now - logged_at->second < RETRY_USAGE_PERIOD)
+    return;
+  logged_at->second = now;
+  LogEvent(Weight::Important, now, "retries.used", "service", service, "requests", usage.requests,
+           "retries", usage.retries, "denied", usage.denied, "allowed", usage.allowed, "gateways",
+           usage.gateways);
+}
+
 void RequestLog::OnStarted(const TrackedRequest& tracked, double correction, TimePoint now)
 {
   const LastAttempt& attempt = *tracked.last_attempt;
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -1,9 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <map>
+#include <string>
 #include <string_view>
 
 #include "Common/Metrics.h"
+#include "Core/Gateway/RetryAllowance.h"
 #include "Core/Gateway/TrackedRequest.h"
 
 // The log events and metrics that show the outcome of a request and the data behind each decision.
@@ -45,6 +48,10 @@
   void OnSent(const TrackedRequest& tracked, Settings::DocumentVersion settings,
               Common::TimePoint now);
   void OnRetried(const TrackedRequest& tracked, std::string_view reason, Common::TimePoint now);
+  // The request would have been tried at another target, but the allowance did not permit it.
+  void OnRetryDenied(std::string_view reason);
+  // A retry was taken or denied. Logs at most one line a second for each service.
+  void OnRetryUsed(const std::string& service, const RetryUsage& usage, Common::TimePoint now);
   // The present target has sent its first event. `correction` is the factor by which the engine's
   // published times are multiplied.
   void OnStarted(const TrackedRequest& tracked, double correction, Common::TimePoint now);
@@ -71,5 +78,6 @@
   void RecordTime(const TrackedRequest& tracked, std::string_view outcome, Common::TimePoint now);
 
   Common::Metrics& m_metrics;
+  std::map<std::string, Common::TimePoint> m_usage_logged_at;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RetryAllowance.cpp
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -20,7 +20,7 @@
   const std::uint64_t index = IndexAt(now);
   Slice& slice = m_slices[index % m_slices.size()];
   if (slice.index != index)
-    slice = {index, 0, 0};
+    slice = {.index = index};
   return slice;
 }
 
@@ -29,29 +29,39 @@
   ++SliceAt(now).requests;
 }
 
-bool RetryAllowance::Permits(TimePoint now) const
+RetryUsage RetryAllowance::UsageAt(TimePoint now) const
 {
   const std::uint64_t index = IndexAt(now);
-  double requests = 0;
-  double retries = 0;
+  RetryUsage usage;
   for (const Slice& slice : m_slices)
   {
     const std::uint64_t age = index - slice.index;
     // Retries are summed over one slice more than requests, so that the limits hold in any window.
     if (age <= SLICES)
-      retries += slice.retries;
+    {
+      usage.retries += slice.retries;
+      usage.denied += slice.denied;
+    }
     if (age < SLICES)
-      requests += slice.requests;
+      usage.requests += slice.requests;
   }
-  const double fixed = SAFETY_FACTOR * m_limits.extra / static_cast<double>(m_gateways);
-  return retries + 1 <= m_limits.ratio * SAFETY_FACTOR * requests + fixed;
+  usage.gateways = m_gateways;
+  usage.allowed = SAFETY_FACTOR * (m_limits.ratio * usage.requests +
+                                   m_limits.extra / static_cast<double>(m_gateways));
+  return usage;
+}
+
+bool RetryAllowance::Permits(TimePoint now) const
+{
+  const RetryUsage usage = UsageAt(now);
+  return usage.retries + 1 <= usage.allowed;
 }
 
 bool RetryAllowance::Take(TimePoint now)
 {
-  if (!Permits(now))
-    return false;
-  ++SliceAt(now).retries;
-  return true;
+  const bool is_permitted = Permits(now);
+  Slice& slice = SliceAt(now);
+  ++(is_permitted ? slice.retries : slice.denied);
+  return is_permitted;
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RetryAllowance.h
+++ b/Source/Core/Gateway/RetryAllowance.h
@@ -20,6 +20,18 @@
   bool operator==(const RetryLimits&) const = default;
 };
 
+// What a gateway has used of its share in the last window.
+struct RetryUsage
+{
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
+  // Retries that the limits did not permit.
+  std::uint32_t denied = 0;
+  // The largest number of retries that the limits permit for these requests.
+  double allowed = 0;
+  std::size_t gateways = 1;
+};
+
 class RetryAllowance
 {
 public:
@@ -30,8 +42,10 @@
   void OnRequest(Common::TimePoint now);
   // Whether the limits permit a retry now.
   bool Permits(Common::TimePoint now) const;
-  // Takes one retry from the allowance if the limits permit it; returns whether they do.
+  // Takes one retry from the allowance if the limits permit it, and counts it as denied otherwise;
+  // returns whether they do.
   bool Take(Common::TimePoint now);
+  RetryUsage UsageAt(Common::TimePoint now) const;
 
 private:
   struct Slice
@@ -39,6 +53,7 @@
     std::uint64_t index = 0;
     std::uint32_t requests = 0;
     std::uint32_t retries = 0;
+    std::uint32_t denied = 0;
   };
   static constexpr std::size_t SLICES = 20;
 
