Gateway: A process in its first window uses a small part of its share of retries

Cause: what is spent in a window of 10 s is kept in a process that lives shorter. A gateway that starts had a whole share of the fixed part and of what its requests earn, whatever its predecessor had used a second before.

Processes that have run for a window now use 0.8 of the limits, as before, and others 0.15, earned by their own requests and time. At most one life of a place in any window can be of the first kind, and what the others earn lies inside the window, so the sum holds without anything being remembered, also if all machines are killed.

RetryBudgetTest counts retries at the runners: real processes, three kills of all gateways. Before: 257 retries of 165 allowed at 6 gateways, 320 of 164 at 40. Now 66 and 80.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -117,7 +117,7 @@
 
 Gateway::ServiceQueue& Gateway::QueueOf(const std::string& service)
 {
-  auto [found, is_new] = m_queues.try_emplace(service);
+  auto [found, is_new] = m_queues.try_emplace(service, m_options.started);
   if (is_new)
   {
     found->second.retries.SetLimits(m_options.retries);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -37,6 +37,8 @@
   Common::Milliseconds switch_within{8000};
   // Seeds the random choice between equally good targets.
   std::uint64_t seed = 0;
+  // The start of this process, before which it knows of no retries.
+  Common::TimePoint started{};
 };
 
 class Gateway
@@ -104,6 +106,8 @@
 
   struct ServiceQueue
   {
+    explicit ServiceQueue(Common::TimePoint started) : retries(started) {}
+
     // Waiting requests by priority; the most urgent priority is first.
     std::map<int, Routing::FairQueue> waiting;
     RetryAllowance retries;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -38,7 +38,7 @@
 {
   if (now < m_dispatch_from)
     return;
-  for (auto& [priority, queue] : m_queues[service].waiting)
+  for (auto& [priority, queue] : QueueOf(service).waiting)
   {
     if (!DispatchFrom(queue, now, actions))
       return;
--- a/Source/Core/Gateway/RetryAllowance.cpp
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -1,13 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Core/Gateway/RetryAllowance.h"
 
+#include <algorithm>
+
 namespace Holdpost::Gateway
 {
 using Common::TimePoint;
 
-// Reduces the allowance, because other gateways may count a request in another slice than this one,
-// and because a gateway that has just started or ended is counted late.
-static constexpr double SAFETY_FACTOR = 0.8;
+// The part of the limits for processes that have run for a window. It is as large for one that ends
+// at any time after that.
+static constexpr double ESTABLISHED_PART = 0.8;
+// The part for processes that have not. Any number of them may follow one another within a window,
+// so that this part is earned by the requests and the time of each life. What is left of the limits
+// is for retries that arrive in another slice than they were counted in.
+static constexpr double RESTARTED_PART = 0.15;
 
 std::uint64_t RetryAllowance::IndexAt(TimePoint now) const
 {
@@ -46,11 +52,19 @@
       usage.requests += slice.requests;
   }
   usage.gateways = m_gateways;
-  usage.allowed = SAFETY_FACTOR * (m_limits.ratio * usage.requests +
-                                   m_limits.extra / static_cast<double>(m_gateways));
+  const double fixed = m_limits.extra / static_cast<double>(m_gateways);
+  const double lived = LivedPartOfWindow(now);
+  const double part = lived < 1 ? RESTARTED_PART : ESTABLISHED_PART;
+  usage.allowed = part * (m_limits.ratio * usage.requests + lived * fixed);
   return usage;
 }
 
+double RetryAllowance::LivedPartOfWindow(TimePoint now) const
+{
+  const std::chrono::duration<double> lived = now - m_started;
+  return std::min(1.0, lived / m_limits.window);
+}
+
 bool RetryAllowance::Permits(TimePoint now) const
 {
   const RetryUsage usage = UsageAt(now);
--- a/Source/Core/Gateway/RetryAllowance.h
+++ b/Source/Core/Gateway/RetryAllowance.h
@@ -32,9 +32,14 @@
   std::size_t gateways = 1;
 };
 
+// All processes together stay within the limits without keeping anything beyond their own lives. A
+// process does not know what its predecessor retried in the last window, so that in the first
+// window of its life it uses a small part of its share only, which the others leave free.
 class RetryAllowance
 {
 public:
+  // `started` is the start of this process, before which it knows of no retries.
+  explicit RetryAllowance(Common::TimePoint started = {}) : m_started(started) {}
   void SetLimits(const RetryLimits& limits) { m_limits = limits; }
   // The number of gateways that share the fixed part of the allowance equally.
   void SetGateways(std::size_t gateways) { m_gateways = gateways == 0 ? 1 : gateways; }
@@ -60,6 +65,10 @@
   Slice& SliceAt(Common::TimePoint now);
   std::uint64_t IndexAt(Common::TimePoint now) const;
 
+  // The part of the window for which the process has run.
+  double LivedPartOfWindow(Common::TimePoint now) const;
+
+  Common::TimePoint m_started;
   RetryLimits m_limits;
   std::size_t m_gateways = 1;
   std::array<Slice, SLICES + 1> m_slices;
