Gateway: Gateways that are cut off keep their shares of the allowance of retries

While halls were cut from each other, engines got more retries than are allowed: sidecars stop counting gateways that they do not hear, so that 4 s later the gateways of each side shared the whole fixed part.

Cause: a count of who is heard was taken for the number of those who use a share. Nothing tells a cut from an end, so the share is now that of the most gateways counted in the last 15 to 30 minutes, as cuts last for minutes, and a gateway that has counted none has no fixed part until it has.

Price: for 15 minutes or more after gateways are gone for good, their part of the fixed part is not used. The log line names the sharers; RequestLogTest checks it, and counts the line of its fixture, which now counts itself.

--- a/Source/Bench/Routing/RoutingWorld.cpp
+++ b/Source/Bench/Routing/RoutingWorld.cpp
@@ -82,7 +82,7 @@
             Gateway::GatewayOptions{hall.name, retries, m_options.switch_within, m_random()},
             m_metrics);
         core->OfferDocument(document, m_now);
-        core->SetGateways({gateways, hall.gateways}, m_now);
+        core->SetGateways({gateways, hall.gateways, gateways}, m_now);
         node->core = std::move(core);
       }
       m_nodes.push_back(std::move(node));
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -100,12 +100,12 @@
   if (gateways == m_gateways)
     return;
   LogEvent(Weight::Important, now, "gateways.counted", "count", gateways.all, "before",
-           m_gateways.all, "near", gateways.same_hall);
+           m_gateways.all, "near", gateways.same_hall, "retry_sharers", gateways.retry_sharers);
   m_gateways = gateways;
   m_targets.SetGateways(gateways);
   m_crashes.SetGatewayCount(gateways.all);
   for (auto& [service, queue] : m_queues)
-    queue.retries.SetGateways(gateways.all);
+    queue.retries.SetGateways(gateways.retry_sharers);
 }
 
 void Gateway::SetRetryLimits(const RetryLimits& limits)
@@ -121,7 +121,7 @@
   if (is_new)
   {
     found->second.retries.SetLimits(m_options.retries);
-    found->second.retries.SetGateways(m_gateways.all);
+    found->second.retries.SetGateways(m_gateways.retry_sharers);
   }
   return found->second;
 }
--- a/Source/Core/Gateway/RetryAllowance.cpp
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -52,7 +52,7 @@
       usage.requests += slice.requests;
   }
   usage.gateways = m_gateways;
-  const double fixed = m_limits.extra / static_cast<double>(m_gateways);
+  const double fixed = m_gateways == 0 ? 0 : m_limits.extra / static_cast<double>(m_gateways);
   const double lived = LivedPartOfWindow(now);
   const double part = lived < 1 ? RESTARTED_PART : ESTABLISHED_PART;
   usage.allowed = part * (m_limits.ratio * usage.requests + lived * fixed);
--- a/Source/Core/Gateway/RetryAllowance.h
+++ b/Source/Core/Gateway/RetryAllowance.h
@@ -29,7 +29,8 @@
   std::uint32_t denied = 0;
   // The largest number of retries that the limits permit for these requests.
   double allowed = 0;
-  std::size_t gateways = 1;
+  // Those that share the fixed part; 0 if they were not counted.
+  std::size_t gateways = 0;
 };
 
 // All processes together stay within the limits without keeping anything beyond their own lives. A
@@ -41,8 +42,9 @@
   // `started` is the start of this process, before which it knows of no retries.
   explicit RetryAllowance(Common::TimePoint started = {}) : m_started(started) {}
   void SetLimits(const RetryLimits& limits) { m_limits = limits; }
-  // The number of gateways that share the fixed part of the allowance equally.
-  void SetGateways(std::size_t gateways) { m_gateways = gateways == 0 ? 1 : gateways; }
+  // The number of gateways that share the fixed part of the allowance equally; 0 if it is not
+  // known, in which case this gateway has none of it.
+  void SetGateways(std::size_t gateways) { m_gateways = gateways; }
 
   void OnRequest(Common::TimePoint now);
   // Whether the limits permit a retry now.
@@ -70,7 +72,7 @@
 
   Common::TimePoint m_started;
   RetryLimits m_limits;
-  std::size_t m_gateways = 1;
+  std::size_t m_gateways = 0;
   std::array<Slice, SLICES + 1> m_slices;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/TargetSubset.h
+++ b/Source/Core/Gateway/TargetSubset.h
@@ -19,6 +19,9 @@
 {
   std::size_t all = 1;
   std::size_t same_hall = 1; // gateways of this gateway's hall, including this gateway
+  // The gateways that may be using their shares of the allowance of retries: those that are there,
+  // and those that have gone lately or are cut off. 0 as long as none were counted.
+  std::size_t retry_sharers = 0;
 
   bool operator==(const GatewayCounts&) const = default;
   // The approximate number of gateways of other halls that use one target.
--- a/Source/Core/Mesh/GatewayCount.h
+++ b/Source/Core/Mesh/GatewayCount.h
@@ -14,10 +14,12 @@
 class GatewayCount
 {
 public:
+  explicit GatewayCount(Common::Duration window) : m_window(window) {}
+
   // Returns the count that is in use after the report.
   std::size_t OnReported(std::size_t count, Common::TimePoint now)
   {
-    if (now - m_window_began > WINDOW)
+    if (now - m_window_began > m_window)
     {
       m_previous_largest = m_largest;
       m_largest = 0;
@@ -28,8 +30,7 @@
   }
 
 private:
-  static constexpr Common::Milliseconds WINDOW = Common::Milliseconds(2000);
-
+  Common::Duration m_window;
   std::size_t m_largest = 0;
   std::size_t m_previous_largest = 0;
   Common::TimePoint m_window_began{};
--- a/Source/Core/Mesh/GatewayMembership.cpp
+++ b/Source/Core/Mesh/GatewayMembership.cpp
@@ -14,7 +14,7 @@
 Gateway::GatewayCounts GatewayMembership::OnGatewaysCounted(std::size_t all, TimePoint now)
 {
   m_hall_gateway_count = m_others.Others(now).size() + 1;
-  return {m_count.OnReported(all, now), m_hall_gateway_count};
+  return {m_count.OnReported(all, now), m_hall_gateway_count, m_retry_sharers.OnReported(all, now)};
 }
 
 GatewaysReply GatewayMembership::OnGatewaysRequest(const Sender& from, const GatewaysRequest& ask,
--- a/Source/Core/Mesh/GatewayMembership.h
+++ b/Source/Core/Mesh/GatewayMembership.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -47,10 +48,15 @@
   Common::TimePoint NextWakeup() const { return m_search.NextWakeup(); }
 
 private:
+  static constexpr Common::Milliseconds COUNT_WINDOW = Common::Milliseconds(2000);
+  static constexpr Common::Duration RETRY_SHARERS_WINDOW = std::chrono::minutes(15);
+
   Common::Address m_self;
   std::string m_hall;
   HallGateways m_others;
-  GatewayCount m_count;
+  GatewayCount m_count{COUNT_WINDOW};
+  // Gateways that are cut off go on using their shares, for as long as the cut lasts.
+  GatewayCount m_retry_sharers{RETRY_SHARERS_WINDOW};
   std::size_t m_hall_gateway_count = 1;
   GatewayDirectory m_directory;
   SeedSearch m_search;
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -80,6 +80,7 @@
   explicit GatewayFixture(const RetryLimits& retries = FIXTURE_RETRIES)
       : gateway({"here", retries, Milliseconds(8000)}, metrics)
   {
+    gateway.SetGateways({1, 1, 1}, now);
     gateway.OfferDocument(MakeDocument(1), now);
     SetTargets({MakeTarget("llm-1", "llm", 1), MakeTarget("llm-2", "llm", 1),
                 MakeTarget("desk-1", "desk"), MakeTarget("desk-2", "desk")});
--- a/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RequestLogTest.cpp
@@ -202,6 +202,7 @@
   LogCapture log;
   GatewayFixture f;
   CHECK(log.Lines("targets.known").size() == 1);
+  CHECK(log.Lines("gateways.counted").size() == 1);
   std::vector<ListedTarget> list = f.listed;
   list[0].state = TargetState::Leaving;
   list.pop_back();
@@ -221,8 +222,9 @@
   CHECK(log.Lines("target.avoided")[0]["failures"] == 1);
   CHECK(log.Lines("target.avoided")[0]["for_ms"] > 0);
 
-  f.gateway.SetGateways({3, 1}, f.now);
-  f.gateway.SetGateways({3, 1}, f.now);
-  REQUIRE(log.Lines("gateways.counted").size() == 1);
-  CHECK(log.Lines("gateways.counted")[0]["before"] == 1);
+  f.gateway.SetGateways({3, 1, 3}, f.now);
+  f.gateway.SetGateways({3, 1, 3}, f.now);
+  REQUIRE(log.Lines("gateways.counted").size() == 2);
+  CHECK(log.Lines("gateways.counted")[1]["before"] == 1);
+  CHECK(log.Lines("gateways.counted")[1]["retry_sharers"] == 3);
 }
--- a/Source/UnitTests/Core/Gateway/RetryAllowanceTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RetryAllowanceTest.cpp
@@ -170,6 +170,7 @@
 {
   RetryAllowance allowance(START);
   allowance.SetLimits({Milliseconds(10000), 0.2, 100});
+  allowance.SetGateways(1);
   const auto taken_at = [&allowance](Milliseconds since_start)
   {
     int taken = 0;
@@ -197,3 +198,15 @@
     CHECK(taken_at(Milliseconds(10000)) >= 75);
   }
 }
+
+TEST_CASE("A gateway that has not counted the others has no fixed part")
+{
+  RetryAllowance allowance;
+  allowance.SetLimits({Milliseconds(10000), 0.2, 100});
+  CHECK_FALSE(allowance.Take(START));
+  for (int i = 0; i < 100; ++i)
+    allowance.OnRequest(START);
+  CHECK(allowance.Take(START));
+  allowance.SetGateways(10);
+  CHECK(allowance.UsageAt(START).allowed > 20);
+}
--- a/Source/UnitTests/Core/Mesh/BriefingSenderTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingSenderTest.cpp
@@ -169,7 +169,7 @@
 
 TEST_CASE("A sidecar that knows few gateways does not lower the count of gateways")
 {
-  GatewayCount count;
+  GatewayCount count(Milliseconds(2000));
   CHECK(count.OnReported(7, START) == 7);
   CHECK(count.OnReported(2, START + Milliseconds(100)) == 7);
   CHECK(count.OnReported(2, START + Milliseconds(2500)) == 7);
--- a/Source/UnitTests/Core/Mesh/GatewayMembershipTest.cpp
+++ b/Source/UnitTests/Core/Mesh/GatewayMembershipTest.cpp
@@ -106,10 +106,31 @@
   CHECK(membership.OnGatewaysListed({AddressOf(3), AddressOf(4), SELF}, START));
   CHECK_FALSE(membership.OnGatewaysListed({AddressOf(3), SELF}, START + Milliseconds(100)));
   CHECK(membership.OnGatewaysCounted(12, START + Milliseconds(200)) ==
-        Gateway::GatewayCounts{12, 3});
+        Gateway::GatewayCounts{12, 3, 12});
   CHECK(membership.HallGatewayCount() == 3);
 }
 
+// Regression: each side of a cut had the whole fixed part of the allowance of retries.
+TEST_CASE("Gateways that are cut off still have their shares of the allowance of retries")
+{
+  GatewayMembership membership(SELF, "here", {});
+  membership.OnGatewaysCounted(12, START);
+  Common::TimePoint now = START;
+  for (; now < START + std::chrono::minutes(14); now += std::chrono::seconds(1))
+    membership.OnGatewaysCounted(4, now);
+  CHECK(membership.OnGatewaysCounted(4, now) == Gateway::GatewayCounts{4, 1, 12});
+  SUBCASE("until they have been away for so long that they have gone")
+  {
+    for (; now < START + std::chrono::minutes(31); now += std::chrono::seconds(1))
+      membership.OnGatewaysCounted(4, now);
+    CHECK(membership.OnGatewaysCounted(4, now) == Gateway::GatewayCounts{4, 1, 4});
+  }
+  SUBCASE("new ones share from their first count")
+  {
+    CHECK(membership.OnGatewaysCounted(24, now) == Gateway::GatewayCounts{24, 1, 24});
+  }
+}
+
 TEST_CASE("All gateways of a hall find each other through one seed within 600 ms of a start")
 {
   // The gateways start within 300 ms of each other, in any order, while no target list is known.
