Gateway: A reload that changes the window keeps the retries taken before it

Retries were counted in slices of a twentieth of the window, numbered from the start of the clock.

It is the same class of fault as that of restarts: what was spent is forgotten within the window. Slices now have a length of their own, 250 ms, and a longer window reaches back to retries that are not known any more, as after a start. RetryAllowanceTest, "A reload that changes the window".

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -108,21 +108,18 @@
     queue.retries.SetGateways(gateways.retry_sharers);
 }
 
-void Gateway::SetRetryLimits(const RetryLimits& limits)
+void Gateway::SetRetryLimits(const RetryLimits& limits, TimePoint now)
 {
   m_options.retries = limits;
   for (auto& [service, queue] : m_queues)
-    queue.retries.SetLimits(limits);
+    queue.retries.SetLimits(limits, now);
 }
 
 Gateway::ServiceQueue& Gateway::QueueOf(const std::string& service)
 {
-  auto [found, is_new] = m_queues.try_emplace(service, m_options.started);
+  auto [found, is_new] = m_queues.try_emplace(service, m_options.retries, m_options.started);
   if (is_new)
-  {
-    found->second.retries.SetLimits(m_options.retries);
     found->second.retries.SetGateways(m_gateways.retry_sharers);
-  }
   return found->second;
 }
 
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -69,7 +69,7 @@
   Crashes::CrashLedger& CrashLedger() { return m_crashes.Ledger(); }
   // New retry limits apply to all retries from now on, and a new switch period to versions that are
   // named from now on.
-  void SetRetryLimits(const RetryLimits& limits);
+  void SetRetryLimits(const RetryLimits& limits, Common::TimePoint now);
   void SetSwitchWithin(Common::Milliseconds within) { m_switch_deadlines.SetSwitchWithin(within); }
   // Sends no request until the time, because the process has stood still and has yet to read what
   // others sent meanwhile.
@@ -106,7 +106,7 @@
 
   struct ServiceQueue
   {
-    explicit ServiceQueue(Common::TimePoint started) : retries(started) {}
+    ServiceQueue(const RetryLimits& limits, Common::TimePoint started) : retries(limits, started) {}
 
     // Waiting requests by priority; the most urgent priority is first.
     std::map<int, Routing::FairQueue> waiting;
--- a/Source/Core/Gateway/RetryAllowance.cpp
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -15,19 +15,22 @@
 // is for retries that arrive in another slice than they were counted in.
 static constexpr double RESTARTED_PART = 0.15;
 
-std::uint64_t RetryAllowance::IndexAt(TimePoint now) const
+void RetryAllowance::SetLimits(const RetryLimits& limits, TimePoint now)
 {
-  const auto slice = std::max<Common::Duration>(m_limits.window / SLICES, Common::Milliseconds(1));
-  return static_cast<std::uint64_t>(now.time_since_epoch() / slice);
+  if (limits.window > m_limits.window)
+    m_known_from = std::max(m_known_from, now - m_limits.window);
+  m_limits = limits;
 }
 
 RetryAllowance::Slice& RetryAllowance::SliceAt(TimePoint now)
 {
-  const std::uint64_t index = IndexAt(now);
-  Slice& slice = m_slices[index % m_slices.size()];
-  if (slice.index != index)
-    slice = {.index = index};
-  return slice;
+  const std::int64_t oldest = IndexAt(now - m_limits.window);
+  while (!m_slices.empty() && m_slices.front().index < oldest)
+    m_slices.pop_front();
+  const std::int64_t index = IndexAt(now);
+  if (m_slices.empty() || m_slices.back().index < index)
+    m_slices.push_back({.index = index});
+  return m_slices.back();
 }
 
 void RetryAllowance::OnRequest(TimePoint now)
@@ -37,32 +40,32 @@
 
 RetryUsage RetryAllowance::UsageAt(TimePoint now) const
 {
-  const std::uint64_t index = IndexAt(now);
+  const std::int64_t oldest = IndexAt(now - m_limits.window);
   RetryUsage usage;
   for (const Slice& slice : m_slices)
   {
-    const std::uint64_t age = index - slice.index;
-    // Retries are summed over one slice more than requests, so that the limits hold in any window.
-    if (age <= SLICES)
+    // The slice in which the window begins counts for retries only, so that the limits hold in any
+    // window.
+    if (slice.index >= oldest)
     {
       usage.retries += slice.retries;
       usage.denied += slice.denied;
     }
-    if (age < SLICES)
+    if (slice.index > oldest)
       usage.requests += slice.requests;
   }
   usage.gateways = m_gateways;
   const double fixed = m_gateways == 0 ? 0 : m_limits.extra / static_cast<double>(m_gateways);
-  const double lived = LivedPartOfWindow(now);
-  const double part = lived < 1 ? RESTARTED_PART : ESTABLISHED_PART;
-  usage.allowed = part * (m_limits.ratio * usage.requests + lived * fixed);
+  const double known = KnownPartOfWindow(now);
+  const double part = known < 1 ? RESTARTED_PART : ESTABLISHED_PART;
+  usage.allowed = part * (m_limits.ratio * usage.requests + known * fixed);
   return usage;
 }
 
-double RetryAllowance::LivedPartOfWindow(TimePoint now) const
+double RetryAllowance::KnownPartOfWindow(TimePoint now) const
 {
-  const std::chrono::duration<double> lived = now - m_started;
-  return std::min(1.0, lived / m_limits.window);
+  const std::chrono::duration<double> known = now - m_known_from;
+  return std::min(1.0, known / m_limits.window);
 }
 
 bool RetryAllowance::Permits(TimePoint now) const
--- a/Source/Core/Gateway/RetryAllowance.h
+++ b/Source/Core/Gateway/RetryAllowance.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <deque>
 
 #include "Common/Types.h"
 
@@ -40,8 +40,13 @@
 {
 public:
   // `started` is the start of this process, before which it knows of no retries.
-  explicit RetryAllowance(Common::TimePoint started = {}) : m_started(started) {}
-  void SetLimits(const RetryLimits& limits) { m_limits = limits; }
+  explicit RetryAllowance(const RetryLimits& limits, Common::TimePoint started = {})
+      : m_known_from(started), m_limits(limits)
+  {
+  }
+  // A longer window than before reaches back to retries that are not known any more, as after a
+  // start.
+  void SetLimits(const RetryLimits& limits, Common::TimePoint now);
   // The number of gateways that share the fixed part of the allowance equally; 0 if it is not
   // known, in which case this gateway has none of it.
   void SetGateways(std::size_t gateways) { m_gateways = gateways; }
@@ -57,22 +62,23 @@
 private:
   struct Slice
   {
-    std::uint64_t index = 0;
+    std::int64_t index = 0;
     std::uint32_t requests = 0;
     std::uint32_t retries = 0;
     std::uint32_t denied = 0;
   };
-  static constexpr std::size_t SLICES = 20;
+  // The length of a slice does not depend on the limits, so that a reload keeps what was counted.
+  static constexpr Common::Milliseconds SLICE_TIME = Common::Milliseconds(250);
 
+  static std::int64_t IndexAt(Common::TimePoint now) { return now.time_since_epoch() / SLICE_TIME; }
   Slice& SliceAt(Common::TimePoint now);
-  std::uint64_t IndexAt(Common::TimePoint now) const;
-
-  // The part of the window for which the process has run.
-  double LivedPartOfWindow(Common::TimePoint now) const;
+  // The part of the window for which retries are known.
+  double KnownPartOfWindow(Common::TimePoint now) const;
 
-  Common::TimePoint m_started;
+  Common::TimePoint m_known_from;
   RetryLimits m_limits;
   std::size_t m_gateways = 0;
-  std::array<Slice, SLICES + 1> m_slices;
+  // Those of the window, the oldest first.
+  std::deque<Slice> m_slices;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -217,7 +217,7 @@
   m_config.mesh.seeds = fresh.mesh.seeds;
   m_config.mesh.switch_within = fresh.mesh.switch_within;
   m_config.mesh.drain_within = fresh.mesh.drain_within;
-  m_core.SetRetryLimits(fresh.retries);
+  m_core.SetRetryLimits(fresh.retries, now);
   m_core.SetSwitchWithin(fresh.mesh.switch_within);
   m_control.SetConfig(m_config.mesh);
   m_stop.SetStopWithin(fresh.mesh.stop_within);
--- a/Source/UnitTests/Core/Gateway/RetryAllowanceTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RetryAllowanceTest.cpp
@@ -19,8 +19,7 @@
 
 TEST_CASE("Retries are limited to a share of the requests plus a fixed part")
 {
-  RetryAllowance allowance;
-  allowance.SetLimits({Milliseconds(10000), 0.2, 100});
+  RetryAllowance allowance({Milliseconds(10000), 0.2, 100});
   allowance.SetGateways(10);
   SUBCASE("the fixed part is divided between the gateways")
   {
@@ -111,8 +110,7 @@
 private:
   static RetryAllowance StartAt(Common::TimePoint started)
   {
-    RetryAllowance allowance(started);
-    allowance.SetLimits({Milliseconds(10000), RATIO, EXTRA});
+    RetryAllowance allowance({Milliseconds(10000), RATIO, EXTRA}, started);
     allowance.SetGateways(GATEWAYS);
     return allowance;
   }
@@ -168,8 +166,7 @@
 
 TEST_CASE("A process in its first window has a small part of its share")
 {
-  RetryAllowance allowance(START);
-  allowance.SetLimits({Milliseconds(10000), 0.2, 100});
+  RetryAllowance allowance({Milliseconds(10000), 0.2, 100}, START);
   allowance.SetGateways(1);
   const auto taken_at = [&allowance](Milliseconds since_start)
   {
@@ -201,8 +198,7 @@
 
 TEST_CASE("A gateway that has not counted the others has no fixed part")
 {
-  RetryAllowance allowance;
-  allowance.SetLimits({Milliseconds(10000), 0.2, 100});
+  RetryAllowance allowance({Milliseconds(10000), 0.2, 100});
   CHECK_FALSE(allowance.Take(START));
   for (int i = 0; i < 100; ++i)
     allowance.OnRequest(START);
@@ -210,3 +206,33 @@
   allowance.SetGateways(10);
   CHECK(allowance.UsageAt(START).allowed > 20);
 }
+
+// Regression: a reload that changed the window forgot the retries that were taken before it.
+TEST_CASE("A reload that changes the window keeps what was taken before")
+{
+  RetryAllowance allowance({Milliseconds(10000), 0.2, 100});
+  allowance.SetGateways(1);
+  const auto take_all = [&allowance](Common::TimePoint now)
+  {
+    int taken = 0;
+    while (allowance.Take(now))
+      ++taken;
+    return taken;
+  };
+  const int taken = take_all(START);
+  REQUIRE(taken > 70);
+  SUBCASE("a shorter one")
+  {
+    allowance.SetLimits({Milliseconds(5000), 0.2, 100}, START + Milliseconds(500));
+    CHECK(take_all(START + Milliseconds(4900)) == 0);
+    CHECK(take_all(START + Milliseconds(5500)) == taken);
+  }
+  SUBCASE("a longer one, which reaches back to what is not known any more")
+  {
+    allowance.SetLimits({Milliseconds(20000), 0.2, 100}, START + Milliseconds(9000));
+    CHECK(take_all(START + Milliseconds(9000)) == 0);
+    // 1 s before the known part begins, 80 retries may have been taken.
+    CHECK(take_all(START + Milliseconds(18000)) == 0);
+    CHECK(take_all(START + Milliseconds(20500)) == taken);
+  }
+}
