Targets: Bytes without end before or in an answer end the call

A target in trouble may send bytes that are no answer for as long as its caller reads. Gateways read interim heads and answers to other requests until the deadline, and kept what had no end inside a chunk's extension, its size, a trailer or one event.

The parser now takes what has to be read as a whole for a head, so that it has the limit of a head (16 KiB). Before an answer 1 MiB may come, and one event may have 1 MiB; the limit on a body (64 MiB) stays. What exceeds one ends the attempt as `too_many_bytes`, which `request.retry`, `request.refused` and `request.cut` name: the connection is reset, the request is tried elsewhere or ends with an error, and the engine is not taken for one that has crashed.

--- a/Source/Common/HttpParser.cpp
+++ b/Source/Common/HttpParser.cpp
@@ -160,7 +160,13 @@
     consumed += taken;
     m_has_begun = true;
     if (error == http::error::need_more)
+    {
+      // What has to be read as a whole, as a chunk's header and its extensions, is no longer than a
+      // head.
+      if (data.size() - consumed > m_limits.header_bytes)
+        m_error = HttpParseError::HeaderTooLarge;
       break;
+    }
     if (error)
       m_error = KindOf(error);
     else if (taken == 0)
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -48,7 +48,9 @@
 void Gateway::OnAttemptLost(const Tracked& tracked, const AttemptFailed& event, TimePoint now)
 {
   // A target that sends what is no answer has not ended.
-  if (event.failure != AttemptFailure::Lost || event.end == AttemptEnd::BadAnswer)
+  const bool has_sent_no_answer =
+      event.end == AttemptEnd::BadAnswer || event.end == AttemptEnd::TooManyBytes;
+  if (event.failure != AttemptFailure::Lost || has_sent_no_answer)
     return;
   const TargetChoice& choice = tracked.last_attempt->choice;
   if (!m_targets.MayHaveCrashed(choice.id))
--- a/Source/Core/Gateway/Messages.cpp
+++ b/Source/Core/Gateway/Messages.cpp
@@ -17,6 +17,8 @@
     return "closed_early";
   case AttemptEnd::BadAnswer:
     return "bad_answer";
+  case AttemptEnd::TooManyBytes:
+    return "too_many_bytes";
   case AttemptEnd::PartialEvent:
     return "partial_event";
   case AttemptEnd::Recalled:
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -132,6 +132,8 @@
   ClosedEarly,
   // The received bytes are no valid answer, or belong to another request.
   BadAnswer,
+  // More bytes came than an answer, its head or what may precede it can have.
+  TooManyBytes,
   // The answer ended in the middle of an event.
   PartialEvent,
   // The gateway took the request back before the connection came up.
--- a/Source/Peers/Target/EventStream.h
+++ b/Source/Peers/Target/EventStream.h
@@ -22,8 +22,12 @@
   std::optional<std::uint64_t> LastEvent() const { return m_last; }
   // Part of an event has come that is not whole yet.
   bool HasPartialEvent() const { return !m_partial.empty(); }
+  // The event that is not whole yet has more bytes than an event may have.
+  bool IsEventTooLong() const { return m_partial.size() > MAX_EVENT_BYTES; }
 
 private:
+  static constexpr std::size_t MAX_EVENT_BYTES = 1 << 20;
+
   std::string m_partial;
   std::string m_whole;
   std::optional<std::uint64_t> m_last;
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -10,6 +10,8 @@
 
 // Answers up to this size are passed on only when they are whole.
 static constexpr std::size_t HELD_BYTES_MOST = 64 << 10;
+// The bytes of interim heads, and of answers to other requests, that may precede an answer.
+static constexpr std::size_t MAX_BYTES_BEFORE_ANSWER = 1 << 20;
 static constexpr Milliseconds IDLE_MOST = Milliseconds(8000);
 // A target may close a kept connection a little before the time that it told.
 static constexpr Milliseconds IDLE_MARGIN = Milliseconds(700);
@@ -55,9 +57,9 @@
   m_is_reading = false;
   if (m_is_over)
     return data.size();
-  if (m_parser.Error() != Common::HttpParseError::None)
+  if (const auto end = EndByBytes(consumed))
   {
-    Fail(CallFailure::Broken, AttemptEnd::BadAnswer);
+    Fail(CallFailure::Broken, *end);
     return data.size();
   }
   if (!m_parser.IsDone())
@@ -77,6 +79,26 @@
   return consumed;
 }
 
+std::optional<AttemptEnd> TargetCall::EndByBytes(std::size_t consumed)
+{
+  const bool has_own_head = m_head && !m_is_foreign && m_head->status >= 200;
+  if (!has_own_head)
+    m_bytes_before_answer += consumed;
+  if (m_bytes_before_answer > MAX_BYTES_BEFORE_ANSWER || m_events.IsEventTooLong())
+    return AttemptEnd::TooManyBytes;
+  switch (m_parser.Error())
+  {
+  case Common::HttpParseError::None:
+    return std::nullopt;
+  case Common::HttpParseError::Malformed:
+    return AttemptEnd::BadAnswer;
+  case Common::HttpParseError::HeaderTooLarge:
+  case Common::HttpParseError::BodyTooLarge:
+    break;
+  }
+  return AttemptEnd::TooManyBytes;
+}
+
 bool TargetCall::IsOurs(const HttpHead& head) const
 {
   const std::string* id = head.fields.Find(m_names.request_id);
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -97,6 +97,9 @@
   void OnMessageEnd() override;
 
   std::size_t OnData(std::string_view data);
+  // What ends the call after these bytes were parsed: they are no answer, or have no end; empty if
+  // nothing does.
+  std::optional<Gateway::AttemptEnd> EndByBytes(std::size_t consumed);
   void OnConnectionEnd(Common::ConnectionEnd end);
   void Answer(bool is_whole);
   void Finish();
@@ -117,6 +120,7 @@
   Common::TimePoint m_started{};
   bool m_has_bytes = false; // some have come from the target
   std::size_t m_received_bytes = 0;
+  std::size_t m_bytes_before_answer = 0;
   bool m_is_event_stream = false;
   bool m_is_reused = false; // the connection had been kept
   // The answer that is being read belongs to another request.
--- a/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayCrashesTest.cpp
@@ -88,6 +88,12 @@
     f.EndEngine(first);
     CHECK(f.Crashes() == 0);
   }
+  SUBCASE("nor one whose answer has no end")
+  {
+    f.Lose(number, AttemptEnd::TooManyBytes);
+    f.EndEngine(first);
+    CHECK(f.Crashes() == 0);
+  }
   SUBCASE("until one answers it whole")
   {
     f.Lose(number);
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -390,3 +390,94 @@
   CHECK(f.body == "three");
   CHECK(f.server.Accepted() == 3);
 }
+
+namespace
+{
+// Runs the call while its server goes on sending the same bytes, and returns how many it sent.
+std::size_t RunEndless(Fixture& f, const std::string& first, const std::string& again)
+{
+  static constexpr std::size_t UNSENT_BYTES = 256 << 10;
+  std::string block;
+  while (block.size() < (16 << 10))
+    block += again;
+  std::size_t sent = 0;
+  const auto is_over = [&] { return f.ended || f.failure.has_value(); };
+  RunUntil(f.loop,
+           [&]
+           {
+             if (is_over())
+               return true;
+             if (f.server.Accepted() == 0 || f.server.Bytes(0).empty() || f.server.EndOf(0))
+               return false;
+             Common::TcpConnection& connection = f.server.Connection(0);
+             if (sent == 0)
+               connection.Write(first);
+             if (connection.UnsentBytes() < UNSENT_BYTES)
+             {
+               connection.Write(block);
+               sent += block.size();
+             }
+             return false;
+           });
+  return sent;
+}
+
+struct EndlessBytes
+{
+  const char* where;
+  std::string first;
+  std::string again;
+  bool is_stream = false;
+};
+
+std::vector<EndlessBytes> AllEndlessBytes()
+{
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string foreign = "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r0\r\n";
+  return {
+      {"in the first line", "HTTP/1.1 200 ", "OK"},
+      {"in the fields of a head", "HTTP/1.1 200 OK\r\n", "X-Field: some value\r\n"},
+      {"in one field", "HTTP/1.1 200 OK\r\nX-Field: ", "value"},
+      {"in empty lines before a head", "", "\r\n"},
+      {"in interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"in answers to other requests", "", Answer(std::string(1000, 'x'), "r0")},
+      {"in the body of an answer to another request", foreign + "\r\n", "body"},
+      {"in the extension of a chunk", chunked + "5;extension=", "value"},
+      {"in the size of a chunk", chunked, "0"},
+      {"in the trailer", chunked + "0\r\n", "X-Field: some value\r\n"},
+      {"in one event", StreamHead() + "ffffff\r\ndata: ", "text", true},
+      {"in the fields of one event", StreamHead() + "ffffff\r\n", "data: text\n", true},
+      {"in a body", "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n\r\n", "body"},
+  };
+}
+} // namespace
+
+// Regression: what came without end in interim heads, foreign answers, chunk extensions or one
+// event was read until the deadline, and partly kept.
+TEST_CASE("Bytes without end end the call, and the next request is answered")
+{
+  // What an answer may have, and what the buffers of two sockets take.
+  constexpr std::size_t MAX_SENT_BYTES = (64 << 20) + (16 << 20);
+  constexpr std::size_t MAX_SENT_BEFORE_BODY = 16 << 20;
+  for (const EndlessBytes& endless : AllEndlessBytes())
+  {
+    CAPTURE(std::string(endless.where));
+    Fixture f({});
+    f.Start(endless.is_stream);
+    const std::size_t sent = RunEndless(f, endless.first, endless.again);
+    MESSAGE(std::string(endless.where) << ": " << sent << " bytes sent");
+    REQUIRE(f.failure == CallFailure::Broken);
+    const Gateway::AttemptEnd end = f.call->EndedBy();
+    const bool is_named =
+        end == Gateway::AttemptEnd::TooManyBytes || end == Gateway::AttemptEnd::BadAnswer;
+    CHECK(is_named);
+    const bool is_body = std::string(endless.where) == "in a body";
+    CHECK(sent <= (is_body ? MAX_SENT_BYTES : MAX_SENT_BEFORE_BODY));
+    CHECK(RunUntil(f.loop, [&f] { return f.server.EndOf(0).has_value(); }));
+    f.answers = {Answer("next")};
+    f.Start();
+    REQUIRE(f.Run());
+    CHECK(f.body == "next");
+  }
+}
