HTTP client: Answers of the store, of engines and of the origin have limits

Sidecars and gateways read the answers of the platform's store, of engines and of the origin without a limit on their head, body or time: a peer that goes on sending kept a call for ever, and what it sent stayed in memory.

A head may now have 64 KiB, a body 16 MiB by default (64 MiB for an engine's run, as at gateways), and a connection may bring twice that with its framing, which evhttp does not limit. Pieces of weights have no limit in time besides the stall of the swarm, as links may be narrow.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -17,6 +18,10 @@
 namespace Holdpost::Common
 {
 static constexpr std::size_t IDLE_CONNECTIONS_PER_ADDRESS = 8;
+// The bytes of an answer's first line and fields, with those of interim answers before it.
+static constexpr std::size_t MAX_HEADER_BYTES = 64 << 10;
+// What a body may have on the way, with the headers of its chunks, for each byte of its own.
+static constexpr std::size_t FRAMING_FACTOR = 2;
 
 struct HttpClient::Pending
 {
@@ -28,9 +33,20 @@
   HttpCallbacks callbacks;
   evhttp_connection* connection = nullptr;
   evhttp_request* raw = nullptr;
-  bool failed = false;
+  // Why there is no whole answer; empty until that is known.
+  std::string_view failure;
+  // evhttp limits the head and the body, but not interim answers and the headers of chunks.
+  std::size_t received_bytes = 0;
+  std::size_t max_received_bytes = 0;
+  evbuffer_cb_entry* byte_counter = nullptr;
+  std::unique_ptr<Watch> total_timer;
 };
 
+static evbuffer* InputOf(evhttp_connection* connection)
+{
+  return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+}
+
 static evhttp_cmd_type MethodFromName(const std::string& name)
 {
   static const std::map<std::string, evhttp_cmd_type> METHODS = {
@@ -133,6 +149,12 @@
   const timeval timeout = {call.idle_timeout.count() / 1000,
                            (call.idle_timeout.count() % 1000) * 1000};
   evhttp_connection_set_timeout_tv(pending->connection, &timeout);
+  evhttp_connection_set_max_headers_size(pending->connection, MAX_HEADER_BYTES);
+  evhttp_connection_set_max_body_size(pending->connection,
+                                      static_cast<ev_ssize_t>(call.max_body_bytes));
+  CountBytes(*pending, MAX_HEADER_BYTES + FRAMING_FACTOR * call.max_body_bytes);
+  if (call.total_timeout)
+    StartTotalTimer(*pending, *call.total_timeout);
   const CallId id = pending->id;
   const bool is_new_connection = !pending->is_reused;
   evhttp_connection* const connection = pending->connection;
@@ -155,6 +177,48 @@
   return id;
 }
 
+void HttpClient::CountBytes(Pending& pending, std::size_t max_bytes)
+{
+  pending.max_received_bytes = max_bytes;
+  const auto count = [](evbuffer* /*input*/, const evbuffer_cb_info* info, void* call)
+  {
+    auto& self = *static_cast<Pending*>(call);
+    const bool was_within_limit = self.received_bytes <= self.max_received_bytes;
+    self.received_bytes += info->n_added;
+    if (!was_within_limit || self.received_bytes <= self.max_received_bytes)
+      return;
+    // evhttp is still on the stack.
+    self.client->m_loop.Defer([client = self.client, id = self.id]
+                              { client->GiveUp(id, "the answer has too many bytes, from"); });
+  };
+  pending.byte_counter = evbuffer_add_cb(InputOf(pending.connection), count, &pending);
+}
+
+void HttpClient::StartTotalTimer(Pending& pending, Milliseconds timeout)
+{
+  pending.total_timer = m_loop.MakeTimer([this, id = pending.id]
+                                         { GiveUp(id, "the answer did not end in time, from"); });
+  pending.total_timer->FireAfter(timeout);
+}
+
+static Error NoAnswer(std::string_view reason, const Address& from)
+{
+  return {ErrorKind::Unreachable, fmt::format("{} {}", reason, from.ToString())};
+}
+
+void HttpClient::GiveUp(CallId id, std::string_view reason)
+{
+  const auto found = m_pending.find(id);
+  if (found == m_pending.end())
+    return;
+  const HttpCallbacks callbacks = std::move(found->second->callbacks);
+  Error error = NoAnswer(reason, found->second->to);
+  // The timer may be what runs at this moment, so it is destroyed later.
+  m_loop.Defer([timer = std::shared_ptr<Watch>(std::move(found->second->total_timer))] {});
+  Cancel(id);
+  callbacks.on_done(std::move(error));
+}
+
 void HttpClient::Cancel(CallId id)
 {
   const auto found = m_pending.find(id);
@@ -183,6 +247,8 @@
 void HttpClient::Release(Pending& pending, bool may_be_reused)
 {
   evhttp_connection* connection = pending.connection;
+  if (pending.byte_counter)
+    evbuffer_remove_cb_entry(InputOf(connection), std::exchange(pending.byte_counter, nullptr));
   auto& idle = m_idle[pending.to];
   if (may_be_reused && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
   {
@@ -205,14 +271,15 @@
   const std::unique_ptr<Pending> owned = std::move(found->second);
   m_pending.erase(found);
   const int status = raw ? evhttp_request_get_response_code(raw) : 0;
-  if (owned->failed || status == 0)
+  if (status == 0 && owned->failure.empty())
+    owned->failure = "no whole answer from";
+  if (!owned->failure.empty())
   {
     Release(*owned, false);
     // Kept connections are as old as this one: what ended it has ended them, too.
     if (owned->is_reused)
       CloseIdle(owned->to);
-    owned->callbacks.on_done(Error{ErrorKind::Unreachable,
-                                   fmt::format("no whole answer from {}", owned->to.ToString())});
+    owned->callbacks.on_done(NoAnswer(owned->failure, owned->to));
     return;
   }
   HttpReply reply{status, ReadHeaders(raw), TakeBody(raw)};
@@ -250,9 +317,22 @@
   self.callbacks.on_chunk(TakeBody(raw));
 }
 
-void HttpClient::HandleError(int /*error*/, void* pending)
+static std::string_view FailureOf(int error)
+{
+  switch (error)
+  {
+  case EVREQ_HTTP_DATA_TOO_LONG:
+    return "the answer has too many bytes, from";
+  case EVREQ_HTTP_INVALID_HEADER:
+    return "the head of the answer is too long or none, from";
+  default:
+    return "no whole answer from";
+  }
+}
+
+void HttpClient::HandleError(int error, void* pending)
 {
   // evhttp calls HandleDone next, with or without the request; the answer is not whole.
-  static_cast<Pending*>(pending)->failed = true;
+  static_cast<Pending*>(pending)->failure = FailureOf(error);
 }
 } // namespace Holdpost::Common
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -29,6 +30,10 @@
   std::string body = {};
   // Ends the call when the peer has neither taken nor sent a byte for this long.
   Milliseconds idle_timeout = Milliseconds(10000);
+  // Ends the call when its answer has not ended after this time, though bytes come.
+  std::optional<Milliseconds> total_timeout = std::nullopt;
+  // Ends the call when the body of its answer is longer.
+  std::size_t max_body_bytes = 16 << 20;
   // Set only for calls that may be sent twice: an idle connection may be closed under us.
   bool may_reuse_connection = false;
 };
@@ -74,6 +79,11 @@
   static void HandleError(int error, void* pending);
   void Connect(const HttpCall& call, Pending& pending);
   void CloseIdle(const Address& peer);
+  void StartTotalTimer(Pending& pending, Milliseconds timeout);
+  // Ends the call when its connection has brought more bytes.
+  void CountBytes(Pending& pending, std::size_t max_bytes);
+  // Ends the call without an answer; the peer's address is added to the reason.
+  void GiveUp(CallId id, std::string_view reason);
   void Release(Pending& pending, bool may_be_reused);
   void Finish(Pending& pending, evhttp_request* raw);
 
--- a/Source/Peers/Engine/EngineClient.cpp
+++ b/Source/Peers/Engine/EngineClient.cpp
@@ -4,6 +4,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/HttpParser.h"
+
 namespace Holdpost::EnginePeer
 {
 using Common::Error;
@@ -118,6 +120,7 @@
   call.path = request.path;
   call.body = request.body;
   call.idle_timeout = RUN_IDLE_TIMEOUT;
+  call.max_body_bytes = Common::HttpParserLimits().body_bytes;
   if (!request.content_type.empty())
     call.headers["Content-Type"] = request.content_type;
   call.headers["Holdpost-Request"] =
