Gateway: Comments on the parts of the allowance of retries say what is summed

No code changes. The comment on the larger part said how large it is at the end of a process; it now says why it can be so large: of the processes that follow one another in the same place, at most one in any window has run for a window.

--- a/Source/Core/Gateway/RetryAllowance.cpp
+++ b/Source/Core/Gateway/RetryAllowance.cpp
@@ -7,12 +7,12 @@
 {
 using Common::TimePoint;
 
-// The part of the limits for processes that have run for a window. It is as large for one that ends
-// at any time after that.
+// The part of the limits for processes that have run for a window. Of those that follow one another
+// in the same place, at most one in any window has.
 static constexpr double ESTABLISHED_PART = 0.8;
-// The part for processes that have not. Any number of them may follow one another within a window,
-// so that this part is earned by the requests and the time of each life. What is left of the limits
-// is for retries that arrive in another slice than they were counted in.
+// The part for processes that have not. Any number of them may follow one another in a window, so
+// each earns it by the requests and the time of its own life. The rest of the limits is for retries
+// that arrive in another slice than they were counted in.
 static constexpr double RESTARTED_PART = 0.15;
 
 void RetryAllowance::SetLimits(const RetryLimits& limits, TimePoint now)
