Gateway: A target that is listed again is not taken for one that was replaced

It had taken an older list from a peer while the store came back from an older copy. That list named engines that had ended at the addresses of running ones, which were known by their reports only: the running ones were marked as replaced. The next list named them and marked the others, so that all six were marked, and nothing takes the mark of a listed target back.

A target that comes onto the list, or starts again, is now the one at its address.

--- a/Source/Core/Gateway/TargetListing.cpp
+++ b/Source/Core/Gateway/TargetListing.cpp
@@ -63,7 +63,11 @@
     if (!is_first && (!was_listed || target.listed.state != listed.state))
       LogListed(listed, now);
     if (!is_first && (!was_listed || is_new_incarnation) && IsKnownService(listed.service))
+    {
       added[listed.address] = listed.id;
+      // An older list may have replaced it by its predecessor meanwhile.
+      target.is_replaced = false;
+    }
     target.listed = listed;
     target.tie_break =
         std::chrono::nanoseconds(Common::StableHash(listed.id, m_seed) % MAX_TIE_BREAK_NS);
--- a/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
@@ -60,6 +60,26 @@
   }
 }
 
+// Regression: after an older list named its predecessor again, a target was never used again.
+TEST_CASE("A target that is listed again is used, though an older list replaced it meanwhile")
+{
+  Fixture f;
+  f.table.SetList({f.one, f.two}, f.now);
+  f.table.OnLoadReport(LoadOfNext(f.one, "next"), f.now);
+  f.table.OnLoadReport(MakeLoad(f.two, 16), f.now);
+  f.table.SetList({f.two}, f.now);
+  REQUIRE(f.Choose()->id == "next");
+  f.table.SetList({f.one, f.two}, f.now);
+  ListedTarget next = f.one;
+  next.id = "next";
+  next.incarnation = f.one.incarnation + 1;
+  f.table.SetList({f.one, next, f.two}, f.now);
+  f.table.OnLoadReport(LoadOfNext(f.one, "next"), f.now);
+  CHECK(f.Choose()->id == "next");
+  f.table.SetList({next, f.two}, f.now);
+  CHECK(f.Choose()->id == "next");
+}
+
 // After a start of all machines, the target list contains records of engines that have ended.
 TEST_CASE(
     "A listed target of which nothing is reported, though others are, gets nothing for a while")
