--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -9,7 +9,7 @@
 
 static constexpr int GATEWAYS = 2;
 static constexpr std::size_t RECORD_BYTES = 262144;
-static constexpr std::size_t DEPTH = 131000;
+static constexpr std::size_t DEPTH = 131000; // levels
 static constexpr double FAULT_AT_S = 5;
 static constexpr double END_S = 25;
 static constexpr int OWN_ENDS = 3;
@@ -62,8 +62,7 @@
       is_written = true;
       if (has_trouble)
       {
-        const std::string value = "{\"Service\":\"files\",\"Notes\":" + std::string(DEPTH, '[') +
-                                  std::string(DEPTH, ']') + "}";
+        const std::string value = std::string(DEPTH, '[') + std::string(DEPTH, ']');
         if (value.size() + 16 > RECORD_BYTES)
           return 2;
         store.Put("keyed.servers", "other-1", value);
