JSON: Limit the depth of what other programs write

One entry of another writer on the list of targets, 262,008 bytes of lists inside one another, ends every gateway by SIGSEGV, and again 0.1 s after each start. Nothing is served.

Cause: NoteUnknownFields writes each unknown field out by json::dump, which calls itself for each level. 131,000 levels exceed a stack of 8 MiB. The class is wider than that call: the library parses and destroys a value of any depth in a loop, but writes it out, copies and compares it by recursion, and nothing limited the depth of JSON from the store, engines, the origin, callers or operators.

Change: Common::ParseJson refuses a text of more than 64 levels before there is a value, and reads no further than the 65th. Values that are no object have no unknown fields. YAML (500 levels) and Cap'n Proto (64) are limited by their libraries; a test shows it for YAML.

Ruled out: a larger stack (another depth ends it), catching the signal, and limiting dump alone (copies and comparisons are as deep).

--- a/Source/Core/Distribution/Manifest.cpp
+++ b/Source/Core/Distribution/Manifest.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
+
 namespace Holdpost::Distribution
 {
 using Common::Error;
@@ -69,7 +71,7 @@
 {
   try
   {
-    Manifest manifest = ParseManifest(json::parse(text));
+    Manifest manifest = ParseManifest(Common::ParseJson(text));
     if (const std::string fault = FindManifestError(manifest); !fault.empty())
       return Error{ErrorKind::BadSettings, fault};
     return manifest;
--- a/Source/Core/Settings/Fold.cpp
+++ b/Source/Core/Settings/Fold.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
 #include "Common/Mailbox.h"
 
 namespace Holdpost::Settings
@@ -141,7 +142,7 @@
   for (const auto& [path, node] : m_tree)
   {
     nodes[path.ToString()] = {{"offset", node.offset},
-                              {"settings", json::parse(ValuesToJson(node.values))}};
+                              {"settings", Common::ParseJson(ValuesToJson(node.values))}};
   }
   json offsets = json::object();
   for (const auto& [path, offset] : m_node_offsets)
@@ -189,7 +190,7 @@
     return Error{ErrorKind::Conflict, "the state offered is not newer than the own one"};
   try
   {
-    const json object = json::parse(state);
+    const json object = Common::ParseJson(state);
     Tree tree = TreeFromJson(object.at("nodes"));
     const Offset accepted = object.at("accepted");
     if (object.at("position") != position || accepted < m_accepted_offset ||
--- a/Source/Core/Settings/Record.cpp
+++ b/Source/Core/Settings/Record.cpp
@@ -4,6 +4,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
+
 namespace Holdpost::Settings
 {
 using Common::Error;
@@ -140,7 +142,7 @@
 {
   try
   {
-    return RecordFromJson(json::parse(text));
+    return RecordFromJson(Common::ParseJson(text));
   }
   catch (const std::exception& error)
   {
--- a/Source/OperatorTool/LogStory.cpp
+++ b/Source/OperatorTool/LogStory.cpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include "Common/Json.h"
+
 namespace Holdpost::OperatorTool
 {
 using nlohmann::ordered_json;
@@ -53,7 +55,8 @@
     const auto begin = text.find('{');
     if (begin == std::string::npos)
       continue;
-    ordered_json object = ordered_json::parse(text.substr(begin), nullptr, false);
+    ordered_json object =
+        Common::ParseJsonOrDiscard<ordered_json>(std::string_view(text).substr(begin));
     if (!object.is_object() || !object.contains("event") || !object.contains("t"))
       continue;
     LogLine line{process, object["t"], object["event"], {}};
--- a/Source/OperatorTool/StatusCommands.cpp
+++ b/Source/OperatorTool/StatusCommands.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include "Common/Json.h"
 #include "OperatorTool/CommandLine.h"
 #include "OperatorTool/OperatorConfig.h"
 #include "OperatorTool/Session.h"
@@ -27,7 +28,7 @@
   const auto* whole = std::get_if<HttpReply>(&reply);
   if (!whole || whole->status != 200)
     return nullptr;
-  return json::parse(whole->body, nullptr, false);
+  return Common::ParseJsonOrDiscard(whole->body);
 }
 
 static std::string AgentDetail(const json& status)
--- a/Source/Peers/Caller/CallerCodec.cpp
+++ b/Source/Peers/Caller/CallerCodec.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
 #include "Core/Settings/Path.h"
 
 namespace Holdpost::CallerPeer
@@ -31,7 +32,7 @@
 {
   if (request.method != "POST")
     return Error{ErrorKind::BadRequest, "completions are sent with POST"};
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = Common::ParseJsonOrDiscard(request.body);
   if (!body.is_object())
     return Error{ErrorKind::BadRequest, "the body is no JSON object"};
   const auto model = body.find("model");
--- a/Source/Peers/Platform/PlatformClient.cpp
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
 #include "Common/YamlReader.h"
 
 namespace Holdpost::PlatformPeer
@@ -81,7 +82,7 @@
 {
   try
   {
-    const json object = json::parse(body);
+    const json object = Common::ParseJson(body);
     LogRead read;
     read.sent = sent;
     read.first = object.at("first");
@@ -90,7 +91,7 @@
       read.records.push_back({record.at("offset"), record.at("text")});
     return read;
   }
-  catch (const json::exception& error)
+  catch (const std::exception& error)
   {
     return Error{ErrorKind::PlatformUnavailable, error.what()};
   }
@@ -117,7 +118,7 @@
   const auto& reply = std::get<HttpReply>(result);
   if (reply.status != 200)
     return ErrorFor(reply);
-  const json object = json::parse(reply.body, nullptr, false);
+  const json object = Common::ParseJsonOrDiscard(reply.body);
   if (!object.is_object() || !object.contains("offset"))
     return Error{ErrorKind::PlatformUnavailable, "the log's answer cannot be read"};
   return object["offset"].get<Offset>();
@@ -159,12 +160,12 @@
   try
   {
     std::vector<Membership::ListedInstance> list;
-    const json body = json::parse(text);
+    const json body = Common::ParseJson(text);
     for (const json& object : body.at("instances"))
       list.push_back(ListedFromJson(object));
     return list;
   }
-  catch (const json::exception& error)
+  catch (const std::exception& error)
   {
     return Error{ErrorKind::PlatformUnavailable, error.what()};
   }
--- a/Source/Standin/EngineStandin.cpp
+++ b/Source/Standin/EngineStandin.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "Common/Json.h"
 #include "Standin/HealthPages.h"
 
 namespace Holdpost::Standin
@@ -102,7 +103,7 @@
 {
   if (IsFenced(exchange))
     return;
-  const json order = json::parse(exchange->Request().body, nullptr, false);
+  const json order = Common::ParseJsonOrDiscard(exchange->Request().body);
   const std::string version = order.value("version", "");
   if (m_faults.refuse_loads > 0)
   {
@@ -134,7 +135,7 @@
 
 void EngineStandin::HandleCompletion(const Exchange& exchange)
 {
-  const json body = json::parse(exchange->Request().body, nullptr, false);
+  const json body = Common::ParseJsonOrDiscard(exchange->Request().body);
   if (m_loaded.empty() || !body.is_object())
     return exchange->Reply(503, JSON_TYPE, R"({"error":"no model is loaded"})");
   const auto stream = std::make_shared<Stream>();
@@ -190,7 +191,7 @@
 
 void EngineStandin::HandleFaults(const Exchange& exchange)
 {
-  const json faults = json::parse(exchange->Request().body, nullptr, false);
+  const json faults = Common::ParseJsonOrDiscard(exchange->Request().body);
   if (!faults.is_object())
     return ReplyError(*exchange, {ErrorKind::BadRequest, "the body is no JSON object"});
   m_faults.cut_answers = faults.value("cut_answers", m_faults.cut_answers);
--- a/Source/Standin/PlatformStandin.cpp
+++ b/Source/Standin/PlatformStandin.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include "Common/Json.h"
 #include "Common/Log.h"
 #include "Core/Distribution/Manifest.h"
 #include "Standin/HealthPages.h"
@@ -171,7 +172,7 @@
       request.path.size() > 11 ? request.path.substr(std::string("/instances/").size()) : "";
   if (request.method == "PUT")
   {
-    json entry = json::parse(request.body, nullptr, false);
+    json entry = Common::ParseJsonOrDiscard(request.body);
     if (!entry.is_object())
       return ReplyError(*exchange, {ErrorKind::BadRequest, "the body is no JSON object"});
     entry["instance"] = name;
@@ -275,7 +276,7 @@
 
 void PlatformStandin::HandleFaults(const Exchange& exchange)
 {
-  const json faults = json::parse(exchange->Request().body, nullptr, false);
+  const json faults = Common::ParseJsonOrDiscard(exchange->Request().body);
   if (!faults.is_object())
     return ReplyError(*exchange, {ErrorKind::BadRequest, "the body is no JSON object"});
   m_faults.is_log_down = faults.value("log_down", m_faults.is_log_down);
--- a/Source/UnitTests/Common/YamlReaderTest.cpp
+++ b/Source/UnitTests/Common/YamlReaderTest.cpp
@@ -1,5 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <filesystem>
+#include <fstream>
+
 #include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <unistd.h>
 
 #include "Common/YamlReader.h"
 
@@ -56,3 +61,21 @@
   CHECK_FALSE(ParseAddress("127.0.0.1").has_value());
   CHECK_FALSE(ParseAddress("127.0.0.1:99999").has_value());
 }
+
+TEST_CASE("No depth of an operator's file ends the process that reads it")
+{
+  static constexpr std::size_t DEPTH = 131000;
+  std::string dashes;
+  for (std::size_t i = 0; i < DEPTH; ++i)
+    dashes += "- ";
+  for (const std::string& text : {std::string(DEPTH, '['), std::string(DEPTH, '{'), dashes})
+  {
+    const std::filesystem::path file =
+        std::filesystem::temp_directory_path() / fmt::format("holdpost-yaml-{}", getpid());
+    std::ofstream(file) << text;
+    const auto loaded = LoadYaml(file);
+    std::filesystem::remove(file);
+    REQUIRE(std::holds_alternative<Problems>(loaded));
+    CHECK(!std::get<Problems>(loaded).front().text.empty());
+  }
+}
