Log: Records that cannot be read do not fill the log

What operators saw: an entry of another writer that cannot be read was logged each time that it was read, with an error text that may carry a token of 262,144 bytes; each unknown field was written out as text on every read, although only the first one of its name is logged.

Nothing remembered what was already told.

A field is written out only if it will be logged. A text in a log line has 4 KiB at most.

--- a/Source/Common/EventLog.cpp
+++ b/Source/Common/EventLog.cpp
@@ -17,6 +17,8 @@
 // Lines that wait for a reader that does not read; more are dropped.
 static constexpr std::size_t UNWRITTEN_BYTES_MOST = 256 << 10;
 static constexpr Duration TIME_OF_DAY_PERIOD = Seconds(1);
+// Of one text in a line; what is longer is cut.
+static constexpr std::size_t MAX_TEXT_BYTES = 4096;
 
 EventLog& EventLog::Instance()
 {
@@ -113,6 +115,7 @@
 
 void AppendJsonText(fmt::memory_buffer& line, std::string_view text)
 {
+  text = text.substr(0, MAX_TEXT_BYTES);
   if (std::ranges::all_of(text, IsPlain))
   {
     fmt::format_to(std::back_inserter(line), "\"{}\"", text);
--- a/Source/Common/EventLog.h
+++ b/Source/Common/EventLog.h
@@ -68,7 +68,7 @@
 
 namespace Detail
 {
-// Appends a JSON string with quotes.
+// Appends a JSON string with quotes. A text that other programs made up may be cut.
 void AppendJsonText(fmt::memory_buffer& line, std::string_view text);
 void BeginLine(fmt::memory_buffer& line, std::string_view event, TimePoint now);
 
--- a/Source/Common/UnreadFields.cpp
+++ b/Source/Common/UnreadFields.cpp
@@ -26,14 +26,22 @@
   return instance;
 }
 
-void UnreadFields::Note(std::string_view message, std::string_view field, std::string_view value,
-                        TimePoint now)
+static std::string RecordKey(std::string_view message, std::string_view field)
 {
-  if (m_seen.size() >= MAX_NAMES)
-    return;
   std::string key = fmt::format("{} {}", message, field.substr(0, MAX_LOGGED_CHARACTERS));
   std::ranges::transform(key, key.begin(), [](unsigned char c) { return std::tolower(c); });
-  if (!m_seen.insert(std::move(key)).second)
+  return key;
+}
+
+bool UnreadFields::IsRecorded(std::string_view message, std::string_view field) const
+{
+  return m_seen.size() >= MAX_NAMES || m_seen.contains(RecordKey(message, field));
+}
+
+void UnreadFields::Note(std::string_view message, std::string_view field, std::string_view value,
+                        TimePoint now)
+{
+  if (m_seen.size() >= MAX_NAMES || !m_seen.insert(RecordKey(message, field)).second)
     return;
   LogEvent(Weight::Important, now, "field.unread", "message", message, "field",
            field.substr(0, MAX_LOGGED_CHARACTERS), "value", value.substr(0, MAX_LOGGED_CHARACTERS));
--- a/Source/Common/UnreadFields.h
+++ b/Source/Common/UnreadFields.h
@@ -34,6 +34,8 @@
   // The fields of this process.
   static UnreadFields& Instance();
 
+  // Whether a field needs no further record: it has one, or there is no room for another.
+  bool IsRecorded(std::string_view message, std::string_view field) const;
   // Records a field of a message; logs it if it is the first one of its name. `message` names the
   // kind of message, `value` is logged in part.
   void Note(std::string_view message, std::string_view field, std::string_view value,
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -10,6 +10,7 @@
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
 #include "Common/Mailbox.h"
+#include "Common/UnreadableRecords.h"
 #include "Node/Startup.h"
 #include "Peers/Target/TargetMessage.h"
 
@@ -81,6 +82,8 @@
                         static_cast<double>(m_core.CrashLedger().Blocked().size()));
             metrics.Set("holdpost_unread_fields",
                         static_cast<double>(Common::UnreadFields::Instance().Count()));
+            metrics.Set("holdpost_records_unreadable",
+                        static_cast<double>(Common::UnreadableRecords::Instance().Count()));
             metrics.Set("holdpost_log_lines_dropped",
                         static_cast<double>(Common::EventLog::Instance().Dropped()));
           },
--- a/Source/UnitTests/Common/EventLogTest.cpp
+++ b/Source/UnitTests/Common/EventLogTest.cpp
@@ -64,6 +64,16 @@
   }
 }
 
+TEST_CASE("A long text of another program is cut in the log")
+{
+  LogCapture capture;
+  const TimePoint now{std::chrono::hours(4)};
+  LogEvent(Weight::Important, now, "answer", "reason", std::string(1 << 20, 'x'));
+  LogEvent(Weight::Important, now, "answer", "reason", std::string(1 << 20, '\n'));
+  CHECK(capture.Lines("answer").size() == 2);
+  CHECK(capture.Text().size() < 16384);
+}
+
 TEST_CASE("A reader that does not read holds nothing up")
 {
   int ends[2];
