Platform: An append that is answered without an offset is an error

What happened: holdpost-entry and holdpost-agent ended by an uncaught exception when the log answered an append with 200 and an "offset" that is no number.

Cause: ParseAppended asked only whether the field is there, and get<Offset>() throws outside of any handler.

Change: an offset that is not a whole number of at least 0 is PlatformUnavailable, like a body that is no JSON.

--- a/Source/Peers/Platform/PlatformClient.cpp
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -119,9 +119,10 @@
   if (reply.status != 200)
     return ErrorFor(reply);
   const json object = Common::ParseJsonOrDiscard(reply.body);
-  if (!object.is_object() || !object.contains("offset"))
+  const auto offset = object.find("offset");
+  if (offset == object.end() || !offset->is_number_unsigned())
     return Error{ErrorKind::PlatformUnavailable, "the log's answer cannot be read"};
-  return object["offset"].get<Offset>();
+  return offset->get<Offset>();
 }
 
 void PlatformClient::Append(const std::string& record, std::function<void(Result<Offset>)> done)
