Target calls: A kept connection is read again after a slow caller

What callers saw: a request on a kept connection that hears nothing until its deadline.

Cause: reading from a target is paused while the caller takes its answer slowly. When the last bytes of the answer had been read already, the connection went back to the pool paused, and nobody read the answer to the next request on it.

Change: GiveBack resumes reading before the pool gets the connection.

"A connection that was paused at the end of an answer is read when it is used again" fails without the line.

--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -275,6 +275,8 @@
   }
   if (!m_request.may_repeat)
     connection->SetKeepalive(true);
+  // A slow caller may have held the last bytes back.
+  connection->ResumeReading();
   m_pool.Release(m_request.target, connection, idle_most);
 }
 
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -57,8 +57,13 @@
                    if (passes)
                      started->Pass();
                  },
-                 [this](std::string_view data) { body.append(data); }, [this] { ended = true; },
-                 [this](CallFailure how) { failure = how; }});
+                 [this, started = call.get()](std::string_view data)
+                 {
+                   body.append(data);
+                   if (pauses)
+                     started->PauseReading();
+                 },
+                 [this] { ended = true; }, [this](CallFailure how) { failure = how; }});
   }
   bool Run()
   {
@@ -72,6 +77,7 @@
   bool closes = false;
   bool resets = false;
   bool may_repeat = true;
+  bool pauses = false; // reading, when bytes of the body have come
   FakeServer server;
   TargetPool pool{loop};
   std::shared_ptr<TargetCall> call;
@@ -117,6 +123,23 @@
   CHECK(f.server.Accepted() == 1);
 }
 
+// Guards against requests that hear nothing, on a connection whose reading was paused for the
+// caller of the request before.
+TEST_CASE("A connection that was paused at the end of an answer is read when it is used again")
+{
+  Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok",
+             "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok"});
+  f.pauses = true;
+  f.Start();
+  REQUIRE(f.Run());
+  f.pauses = false;
+  f.server.ForgetBytes(0);
+  f.Start();
+  REQUIRE(f.Run());
+  CHECK(f.ended);
+  CHECK(f.server.Accepted() == 1);
+}
+
 TEST_CASE("An answer with another id belongs to another request")
 {
   SUBCASE("it is skipped when the right one follows, and the connection is not used again")
