Gateway: A stop, and a connection that closes, wait for slow callers

Cause: what a target has sent in full may still lie in the gateway. StopPlan counted exchanges with targets only, and CloseGracefully gave one second for all that was left, so that a slow caller of any answer with "Connection: close" was cut, too, without a stop.

Change: a connection that closes sends what is left for as long as its peer takes bytes (the user timeout of 4 s ends one that takes none), and lingers for a second after that. CallerConnection lives until then, and a stop waits for callers with unsent bytes, up to 0.3 s before the kill. The log line "stop" has unsent_answers.

--- a/Source/Common/TcpConnection.cpp
+++ b/Source/Common/TcpConnection.cpp
@@ -76,6 +76,7 @@
 
 TcpConnection::~TcpConnection()
 {
+  m_on_over = nullptr;
   Release();
 }
 
@@ -108,6 +109,8 @@
   m_input = {};
   m_output.Clear();
   CountHeld();
+  if (const auto on_over = std::exchange(m_on_over, nullptr))
+    on_over();
 }
 
 void TcpConnection::HandleRead(int /*fd*/, short /*what*/, void* self)
@@ -304,6 +307,7 @@
   if (m_is_closing)
   {
     shutdown(m_fd, SHUT_WR);
+    m_timer->FireAfter(m_linger);
     return;
   }
   const std::shared_ptr<const Handlers> handlers = m_handlers;
@@ -386,12 +390,14 @@
   Close();
 }
 
-void TcpConnection::CloseGracefully(Milliseconds linger)
+void TcpConnection::CloseGracefully(Milliseconds linger, std::function<void()> on_over)
 {
   if (m_fd < 0 || m_is_closing)
     return;
   const std::shared_ptr<TcpConnection> held = shared_from_this();
   m_is_closing = true;
+  m_linger = linger;
+  m_on_over = std::move(on_over);
   SetHandlers({});
   m_input = {};
   CountHeld();
@@ -399,8 +405,16 @@
   if (m_is_connecting)
     return Release();
   // The connection keeps itself until it is over.
-  m_timer = m_loop.MakeTimer([held] { held->Release(); });
+  m_timer = m_loop.MakeTimer([held] { held->OnLingerOver(); });
   m_timer->FireAfter(linger);
   Flush();
 }
+
+void TcpConnection::OnLingerOver()
+{
+  // A peer that takes nothing for long ends the connection by itself.
+  if (!m_output.IsEmpty())
+    return m_timer->FireAfter(m_linger);
+  Release();
+}
 } // namespace Holdpost::Common
--- a/Source/Common/TcpConnection.h
+++ b/Source/Common/TcpConnection.h
@@ -85,9 +85,10 @@
   void Close();
   // Ends at once with a reset, so that the peer cannot take what it got for whole.
   void Reset();
-  // Sends what is unsent, tells the peer that no more follows, and closes once the peer has closed
-  // or `linger` is over. What the peer still sends is thrown away.
-  void CloseGracefully(Milliseconds linger);
+  // Sends what is unsent, however long the peer takes to read it, tells the peer that no more
+  // follows, and closes once the peer has closed or `linger` is over after that. What the peer
+  // still sends is thrown away. `on_over` is called when the connection is closed.
+  void CloseGracefully(Milliseconds linger, std::function<void()> on_over = nullptr);
 
   bool IsOpen() const { return m_fd >= 0 && !m_is_closing; }
   bool IsConnected() const { return m_fd >= 0 && !m_is_connecting; }
@@ -114,6 +115,7 @@
   void Flush();
   void OnAllSent();
   void OnSendFailed();
+  void OnLingerOver();
   void WaitForWritable();
   void End(ConnectionEnd end);
   void Release();
@@ -131,6 +133,7 @@
   event* m_read_event = nullptr;
   event* m_write_event = nullptr;
   std::unique_ptr<Watch> m_timer;
+  std::function<void()> m_on_over;
   // Shared, so that a handler that replaces them lives until it returns.
   std::shared_ptr<const Handlers> m_handlers = std::make_shared<const Handlers>();
   std::size_t m_max_unread = std::numeric_limits<std::size_t>::max();
--- a/Source/Core/Gateway/StopPlan.h
+++ b/Source/Core/Gateway/StopPlan.h
@@ -33,7 +33,9 @@
       m_stop_requested_at = now;
   }
   bool IsStopRequested() const { return m_stop_requested_at.has_value(); }
-  StopPhase PhaseAt(Common::TimePoint now, std::size_t open_requests) const
+  // `open_answers` counts requests without a whole answer, and answers of which callers have yet to
+  // take bytes.
+  StopPhase PhaseAt(Common::TimePoint now, std::size_t open_answers) const
   {
     if (!m_stop_requested_at)
       return StopPhase::Serving;
@@ -42,7 +44,7 @@
       return StopPhase::Ended;
     if (elapsed < ACCEPT_PERIOD)
       return StopPhase::Leaving;
-    return open_requests == 0 ? StopPhase::Ended : StopPhase::Draining;
+    return open_answers == 0 ? StopPhase::Ended : StopPhase::Draining;
   }
 
 private:
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -240,12 +240,19 @@
   CheckStop();
 }
 
+std::size_t GatewayNode::UnsentAnswers() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_callers, [](const auto& entry) { return entry.second->HasUnsentAnswer(); }));
+}
+
 void GatewayNode::CheckStop()
 {
   using Gateway::StopPhase;
-  const StopPhase phase = m_stop.PhaseAt(EventLoop::Now(), m_exchanges.size());
-  if (phase == StopPhase::Serving)
+  if (!m_stop.IsStopRequested())
     return;
+  const std::size_t unsent = UnsentAnswers();
+  const StopPhase phase = m_stop.PhaseAt(EventLoop::Now(), m_exchanges.size() + unsent);
   if (phase != StopPhase::Leaving)
     m_core.StopAccepting();
   for (const auto& [raw, caller] : std::map(m_callers))
@@ -256,7 +263,8 @@
   }
   if (phase != StopPhase::Ended)
     return;
-  LogEvent(Weight::Important, EventLoop::Now(), "stop", "open_requests", m_exchanges.size());
+  LogEvent(Weight::Important, EventLoop::Now(), "stop", "open_requests", m_exchanges.size(),
+           "unsent_answers", unsent);
   m_loop.Stop();
 }
 
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -90,6 +90,8 @@
   void Reload(ReloadTrigger trigger);
   void HandleStopSignal();
   void CheckStop();
+  // Answers that have ended and of which callers have yet to take bytes.
+  std::size_t UnsentAnswers() const;
   // Notices that the process has stood still, by the time since its last call.
   void CheckStall(Common::TimePoint now);
   // The present time, once it is known whether the process has stood still. Everything that may
--- a/Source/Peers/Caller/CallerConnection.cpp
+++ b/Source/Peers/Caller/CallerConnection.cpp
@@ -88,7 +88,7 @@
 {
   if (m_state == State::Answering)
     return 0;
-  if (m_state == State::Closed)
+  if (IsClosing())
     return data.size();
   if (m_state == State::Idle)
   {
@@ -100,7 +100,7 @@
     ArmTimer(m_limits.header_timeout);
   }
   const std::size_t consumed = m_parser.Feed(data);
-  if (m_state == State::Closed)
+  if (IsClosing())
     return data.size();
   switch (m_parser.Error())
   {
@@ -328,10 +328,15 @@
 void CallerConnection::CloseGracefully()
 {
   const auto self = shared_from_this();
-  m_state = State::Closed;
+  m_state = State::Closing;
   m_timer->Cancel();
   DropBody();
-  m_connection->CloseGracefully(LINGER);
+  m_connection->CloseGracefully(LINGER, [self] { self->OnOver(); });
+}
+
+void CallerConnection::OnOver()
+{
+  m_state = State::Closed;
   const Handlers handlers = std::exchange(m_handlers, {});
   if (handlers.on_closed)
     handlers.on_closed();
@@ -339,7 +344,7 @@
 
 void CallerConnection::Close()
 {
-  if (m_state != State::Closed)
+  if (!IsClosing())
     CloseGracefully();
 }
 } // namespace Holdpost::CallerPeer
--- a/Source/Peers/Caller/CallerConnection.h
+++ b/Source/Peers/Caller/CallerConnection.h
@@ -30,7 +30,8 @@
   {
     // A whole request is here. One answer must follow before the next request is read.
     std::function<void(CallerConnection& connection)> on_request;
-    // The connection is over; no call follows.
+    // The connection is over, and the caller has got all that was written unless it left before; no
+    // call follows.
     std::function<void()> on_closed;
     // More of a request has come that is not whole yet.
     std::function<void(CallerConnection& connection)> on_partial_request = nullptr;
@@ -75,10 +76,14 @@
   // Ends an answer that has begun so that it cannot be taken for whole.
   void AbortAnswer();
   std::size_t UnsentBytes() const { return m_connection->UnsentBytes(); }
+  // An answer has ended, and the caller has yet to take bytes of it.
+  bool HasUnsentAnswer() const { return !IsAnswering() && UnsentBytes() > 0; }
 
   // The connection closes after the present answer, or now if nothing is open.
   void CloseSoon();
   bool IsIdle() const { return m_state == State::Idle; }
+  // Nothing more is read or answered.
+  bool IsClosing() const { return m_state >= State::Closing; }
   void Close();
 
 private:
@@ -88,6 +93,8 @@
     Idle,
     Reading,
     Answering,
+    // The last answer goes to the caller; nothing more is read.
+    Closing,
     Closed,
   };
 
@@ -104,6 +111,7 @@
   void FinishAnswer();
   void BecomeIdle();
   void CloseGracefully();
+  void OnOver();
   std::string HeadLines(int status, std::string_view reason, std::string_view fields) const;
   void ArmTimer(Common::Milliseconds delay);
 
--- a/Source/UnitTests/Common/TcpConnectionTest.cpp
+++ b/Source/UnitTests/Common/TcpConnectionTest.cpp
@@ -86,6 +86,31 @@
   }
 }
 
+// Guards against answers that are cut when their connection closes before the peer has read them.
+TEST_CASE("What a slow peer has yet to read is sent however long that takes")
+{
+  EventLoop loop;
+  Server server(loop);
+  const auto client =
+      TcpConnection::Connect(loop, server.address, Milliseconds(1000), Milliseconds(4000));
+  RunUntil(loop, [&] { return !server.accepted.empty(); });
+  server.accepted.front()->PauseReading();
+  const std::string much(24 << 20, 'x'); // more than the kernel's buffers take
+  client->Write(much);
+  bool is_over = false;
+  client->CloseGracefully(Milliseconds(50), [&] { is_over = true; });
+  const TimePoint resumes = EventLoop::Now() + Milliseconds(400);
+  RunUntil(loop, [&] { return EventLoop::Now() >= resumes; });
+  CHECK(client->UnsentBytes() > 0);
+  CHECK(!is_over);
+  server.accepted.front()->ResumeReading();
+  RunUntil(loop, [&] { return server.end.has_value(); });
+  CHECK(server.end == ConnectionEnd::Finished);
+  CHECK(server.got.size() == much.size());
+  RunUntil(loop, [&] { return is_over; });
+  CHECK(loop.Buffers().Held() == 0);
+}
+
 TEST_CASE("A connection holds no memory that it does not need")
 {
   EventLoop loop;
--- a/Source/UnitTests/Peers/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Peers/CallerConnectionTest.cpp
@@ -259,3 +259,24 @@
     CHECK(f.targets.empty());
   }
 }
+
+TEST_CASE("A caller that reads slowly gets its whole last answer")
+{
+  Fixture f;
+  FakeClient client(f.loop, f.address);
+  client.Send(Get("/1"));
+  REQUIRE(f.Run([&] { return f.targets.size() == 1; }));
+  client.Connection().PauseReading();
+  f.caller->CloseSoon();
+  f.caller->BeginAnswer(200, "OK", "");
+  f.caller->SendPart(std::string(24 << 20, 'a'));
+  f.caller->EndAnswer();
+  Testing::RunFor(f.loop, Milliseconds(1300));
+  CHECK(f.caller->HasUnsentAnswer());
+  CHECK(f.closed == 0);
+  client.Connection().ResumeReading();
+  REQUIRE(f.Run([&] { return client.End().has_value(); }));
+  CHECK(client.End() == Common::ConnectionEnd::Finished);
+  CHECK(client.Bytes().ends_with("\r\n0\r\n\r\n"));
+  REQUIRE(f.Run([&] { return f.closed == 1; }));
+}
