--- a/Source/Common/Json.h
+++ b/Source/Common/Json.h
@@ -5,8 +5,11 @@
 #include <stdexcept>
 #include <string_view>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "Common/Error.h"
+
 // Parsing of JSON that other programs wrote. The library's parser takes any depth, but its values
 // are written out, copied and compared by functions that call themselves for each level, so the
 // depth is limited before there is a value. All JSON that comes from outside is parsed here.
@@ -43,4 +46,18 @@
     return Json(Json::value_t::discarded);
   return Json::parse(text, nullptr, false);
 }
+
+// Runs a decoder that throws what the functions above, or the library's accessors, throw.
+template <typename Decode>
+auto Guarded(std::string_view what, const Decode& decode) -> Result<decltype(decode())>
+{
+  try
+  {
+    return decode();
+  }
+  catch (const std::exception& error)
+  {
+    return Error{ErrorKind::BadSettings, fmt::format("{}: {}", what, error.what())};
+  }
+}
 } // namespace Holdpost::Common
