Gateway: Large requests leave memory for small ones

What callers saw: small requests refused with 503 memory_full while large ones are held back, although they are to be served meanwhile.

Cause: ReadAdmission let as many large requests go on as fit into the maximum to its last byte. When they were whole, the gateway was full, and a full gateway refuses everything. The bytes of a small request came on top.

Change: large requests fill nine tenths of the maximum at most; a request that is larger than that is refused at once. Small ones and answers have the rest.

"Large requests leave room for small ones" fails with the old rule (100 of 100 MiB held, the small request refused). The figures of the other sections follow the new room (90 instead of 100 MiB); the bound of the simulated callers is tighter than before (95 instead of 100 MiB).

--- a/Source/Core/Gateway/ReadAdmission.cpp
+++ b/Source/Core/Gateway/ReadAdmission.cpp
@@ -13,6 +13,8 @@
 // Shares of the maximum at which memory becomes short, and at which it no longer is.
 static constexpr double SHORT_SHARE = 0.75;
 static constexpr double ENOUGH_SHARE = 0.65;
+// The share that large requests may fill. Small ones and answers need the rest.
+static constexpr double LARGE_SHARE = 0.9;
 // Callers give an attempt up if nobody has read it within about a second, so a request that is held
 // back is refused in time for another attempt, and one that is not whole by then is not waited for.
 static constexpr Milliseconds MAX_HOLD_TIME = Milliseconds(500);
@@ -31,6 +33,11 @@
   return read_bytes <= MAX_SMALL_BYTES;
 }
 
+std::size_t ReadAdmission::MaxRequestBytes() const
+{
+  return static_cast<std::size_t>(static_cast<double>(m_max_bytes) * LARGE_SHARE);
+}
+
 std::size_t ReadAdmission::HeldBackCount() const
 {
   return static_cast<std::size_t>(
@@ -57,7 +64,7 @@
   std::size_t expected = held_bytes;
   for (const auto& [number, read] : m_reads)
   {
-    if (IsStalled(read, now) || expected + read.request.missing_bytes > m_max_bytes)
+    if (IsStalled(read, now) || expected + read.request.missing_bytes > MaxRequestBytes())
       continue;
     expected += read.request.missing_bytes;
     fitting.push_back(number);
@@ -69,7 +76,7 @@
                                    std::size_t held_bytes, TimePoint now)
 {
   UpdateShortage(held_bytes, now);
-  const bool can_ever_fit = request.read_bytes + request.missing_bytes <= m_max_bytes;
+  const bool can_ever_fit = request.read_bytes + request.missing_bytes <= MaxRequestBytes();
   if (IsFull(held_bytes) || !can_ever_fit)
   {
     m_reads.erase(number);
--- a/Source/Core/Gateway/ReadAdmission.h
+++ b/Source/Core/Gateway/ReadAdmission.h
@@ -12,10 +12,10 @@
 
 // Decides which requests may go on being read while the memory for callers is short. Small requests
 // always may, until nothing is left. Of the large ones as many go on, in the order of their
-// beginning, as are sure to fit when they are whole; the others are held back for a short time, in
-// which requests may end and free memory, and are then refused. Those of which nothing more comes
-// are refused first, and none is read for long, so that callers that never finish do not keep the
-// memory.
+// beginning, as are sure to fit when they are whole, with room left for small ones. The others are
+// held back for a short time, in which requests may end and free memory, and are then refused.
+// Those of which nothing more comes are refused first, and none is read for long, so that callers
+// that never finish do not keep the memory.
 namespace Holdpost::Gateway
 {
 // The refusal of a request for which there is no memory; says when to come back.
@@ -48,6 +48,8 @@
 
   void SetMaxBytes(std::size_t max_bytes) { m_max_bytes = max_bytes; }
   std::size_t MaxBytes() const { return m_max_bytes; }
+  // A larger request is refused at once.
+  std::size_t MaxRequestBytes() const;
   // Whether a request is too small to be held back.
   static bool IsSmall(std::size_t read_bytes);
 
--- a/Source/Node/CallerMemory.cpp
+++ b/Source/Node/CallerMemory.cpp
@@ -53,9 +53,9 @@
 {
   const std::size_t read = caller.ReadBytes();
   // One that does not tell its length may be small, whatever its maximum is.
-  const std::size_t most = std::min(max_body_bytes, m_admission.MaxBytes());
+  const std::size_t most = std::min(max_body_bytes, m_admission.MaxRequestBytes());
   const std::size_t whole = caller.DeclaredBytes().value_or(most);
-  if (Gateway::ReadAdmission::IsSmall(read) && !IsFull() && whole <= m_admission.MaxBytes())
+  if (Gateway::ReadAdmission::IsSmall(read) && !IsFull() && whole <= m_admission.MaxRequestBytes())
     return;
   const auto [entry, is_new] = m_numbers.try_emplace(&caller, m_next_number);
   if (is_new)
--- a/Source/UnitTests/Core/Gateway/ReadAdmissionTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ReadAdmissionTest.cpp
@@ -71,15 +71,15 @@
   {
     CHECK(f.Read(38, 2 * MIB, 4 * MIB) == ReadDecision::HoldBack);
     CHECK(f.admission.IsShort());
-    // 76 MiB are held, so 12 of the first can take 2 MiB more.
-    CHECK(f.Read(12, 2 * MIB, 4 * MIB) == ReadDecision::ReadOn);
-    CHECK(f.Read(13, 2 * MIB, 4 * MIB) == ReadDecision::HoldBack);
+    // 76 of 90 MiB are held, so 7 of the first can take 2 MiB more.
+    CHECK(f.Read(7, 2 * MIB, 4 * MIB) == ReadDecision::ReadOn);
+    CHECK(f.Read(8, 2 * MIB, 4 * MIB) == ReadDecision::HoldBack);
 
     SUBCASE("until memory is freed")
     {
       f.partial.clear();
       const auto changes = f.Review();
-      CHECK(changes.read_on == std::vector<ReadNumber>{13, 38});
+      CHECK(changes.read_on == std::vector<ReadNumber>{8, 38});
       CHECK(changes.refused.empty());
       CHECK(!f.admission.IsShort());
     }
@@ -87,7 +87,7 @@
     {
       f.Finish(1, 0);
       f.Finish(2, 0);
-      CHECK(f.Review().read_on == std::vector<ReadNumber>{13});
+      CHECK(f.Review().read_on == std::vector<ReadNumber>{8});
       CHECK(f.admission.IsShort());
     }
     SUBCASE("but not for long: the last are refused in time to go elsewhere, and the others go on")
@@ -103,7 +103,7 @@
       f.time = Milliseconds(500);
       const auto changes = f.Review();
       CHECK(changes.refused == std::vector<ReadNumber>{38, 37, 36, 35, 34, 33});
-      CHECK(changes.read_on.size() == 20);
+      CHECK(changes.read_on.size() == 25);
       CHECK(!f.admission.IsShort());
     }
     SUBCASE("and those of which nothing more comes are refused first")
@@ -133,8 +133,25 @@
 TEST_CASE("A request that can never fit is refused at once")
 {
   Fixture f;
-  CHECK(f.Read(1, 1, 101 * MIB) == ReadDecision::Refuse);
-  CHECK(f.Read(2, 1, 100 * MIB) == ReadDecision::ReadOn);
+  CHECK(f.Read(1, 1, 91 * MIB) == ReadDecision::Refuse);
+  CHECK(f.Read(2, 1, 90 * MIB) == ReadDecision::ReadOn);
+}
+
+// Guards against small requests that are refused since large ones were let in until all memory was
+// used.
+TEST_CASE("Large requests leave room for small ones")
+{
+  Fixture f;
+  for (ReadNumber number = 1; number <= 25; ++number)
+    f.Read(number, 3 * MIB, 4 * MIB);
+  for (ReadNumber number = 1; number <= 25; ++number)
+  {
+    if (f.Read(number, 3 * MIB + MIB / 2, 4 * MIB) == ReadDecision::ReadOn)
+      f.Finish(number, 4 * MIB);
+  }
+  CHECK(f.whole > 0);
+  CHECK(f.Held() <= 95 * MIB);
+  CHECK(f.Read(100, 1000, 2000) == ReadDecision::ReadOn);
 }
 
 TEST_CASE("When all memory is used nothing more is taken in, and the largest request that is not "
@@ -184,7 +201,7 @@
         refused += decision == ReadDecision::Refuse ? 1 : 0;
         if (decision != ReadDecision::ReadOn)
           reading.erase(number);
-        CHECK(f.Held() <= 100 * MIB);
+        CHECK(f.Held() <= 95 * MIB);
       }
       const auto changes = f.Review();
       refused += changes.refused.size();
