--- a/Source/UnitTests/Process/Hall.cpp
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -112,6 +112,8 @@
 Hall::~Hall()
 {
   m_daemons.clear();
+  if (m_keeps_files)
+    return;
   std::error_code ignored;
   std::filesystem::remove_all(m_dir, ignored);
 }
@@ -266,7 +268,11 @@
   const auto deadline = std::chrono::steady_clock::now() + WAIT_MOST;
   while (!condition())
   {
-    REQUIRE_MESSAGE(std::chrono::steady_clock::now() < deadline, "did not come true: ", what);
+    if (std::chrono::steady_clock::now() >= deadline)
+    {
+      m_keeps_files = true;
+      FAIL("did not come true: ", what, "; logs are kept in ", m_dir);
+    }
     m_caller.RunDue();
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
--- a/Source/UnitTests/Process/Hall.h
+++ b/Source/UnitTests/Process/Hall.h
@@ -83,7 +83,7 @@
   double CopiesFetched(const std::string& version);
   // A completion through an entry, as organisation bygg.
   Common::HttpCall Completion(const std::string& entry, int tokens) const;
-  // Waits until the condition holds; fails the test after a long time.
+  // Waits until the condition holds; fails the test after a long time, and leaves the logs behind.
   void WaitUntil(const std::string& what, const std::function<bool()>& condition);
   void WaitServing(const std::vector<std::string>& agents, const std::string& version);
   std::string Path(const std::string& name) const { return m_dir + "/" + name; }
@@ -97,5 +97,7 @@
   std::map<std::string, std::unique_ptr<Daemon>> m_daemons;
   Caller m_caller;
   int m_starts = 0;
+  // Also when the test is over.
+  bool m_keeps_files = false;
 };
 } // namespace Holdpost::Process
