--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -141,7 +141,11 @@
     return OnTick(now, actions);
   }
   if (swarm)
+  {
+    const std::uint64_t bad_reads = m_stage.BadReads();
     m_stage.OnRead(event, *swarm, now);
+    m_metrics.Add("holdpost_stage_pieces_bad_total", {}, m_stage.BadReads() - bad_reads);
+  }
   OnTick(now, actions);
 }
 
@@ -219,13 +223,14 @@
     if (verified_since && now - *verified_since > VERIFICATION_LIFETIME && is_due)
       m_stage.VerifyAgain();
     else if (verified_since && is_due)
-      m_loader.Begin(m_plan.model, m_wanted, now);
+      m_loader.Begin({m_plan.model, m_wanted, *verified_since}, now);
     if (m_loader.IsUnderWay())
       SendLoadReports(now, actions);
   }
   if (const auto start = m_loader.OnTick(now))
   {
     m_metrics.Add("holdpost_orders_total");
+    m_metrics.Record("holdpost_order_verified_seconds", now - m_loader.VerifiedSince());
     actions->push_back(*start);
   }
 }
--- a/Source/Core/Sidecar/StageManager.cpp
+++ b/Source/Core/Sidecar/StageManager.cpp
@@ -3,10 +3,14 @@
 
 #include <algorithm>
 
+#include "Common/EventLog.h"
+
 namespace Holdpost::Sidecar
 {
+using Common::LogEvent;
 using Common::Milliseconds;
 using Common::TimePoint;
+using Common::Weight;
 
 // The maximum number of calls to the engine at once.
 static constexpr std::uint32_t MAX_CONCURRENT_CALLS = 2;
@@ -83,13 +87,27 @@
     return;
   const auto* data = std::get_if<Common::Bytes>(&read.result);
   if (data && swarm.IsValidPiece(read.piece, **data))
-    return SetState(read.piece, State::Verified);
+  {
+    SetState(read.piece, State::Verified);
+    if (VerifiedSince())
+      LogVerified(now);
+    return;
+  }
+  ++m_bad_reads;
+  LogEvent(Weight::Important, now, "stage.piece_bad", "version", m_version, "piece", read.piece,
+           "reason", data ? "corrupt" : std::get<Common::Error>(read.result).message);
   // The piece was lost or is corrupt: it is staged again.
   SetState(read.piece, State::Missing);
   if (!data)
     m_not_before = now + RETRY_DELAY;
 }
 
+void StageManager::LogVerified(TimePoint now) const
+{
+  LogEvent(Weight::Important, now, "stage.verified", "version", m_version, "pieces",
+           m_pieces.size(), "took_ms", now - *m_verification_started_at);
+}
+
 void StageManager::OnFound(std::uint32_t piece)
 {
   if (piece < m_pieces.size() && m_pieces[piece] == State::Missing)
--- a/Source/Core/Sidecar/StageManager.h
+++ b/Source/Core/Sidecar/StageManager.h
@@ -39,6 +39,8 @@
   std::optional<Common::TimePoint> VerifiedSince() const;
   // Discards the verification, so that all pieces are read back once more.
   void VerifyAgain();
+  // Number of pieces that were read back and were missing or not correct, since the start.
+  std::uint64_t BadReads() const { return m_bad_reads; }
   std::size_t StagedCount() const { return m_staged; }
   std::size_t VerifiedCount() const { return m_verified; }
   bool IsStaged() const { return m_staged == m_pieces.size() && !m_pieces.empty(); }
@@ -54,6 +56,7 @@
   };
 
   void SetState(std::uint32_t piece, State state);
+  void LogVerified(Common::TimePoint now) const;
 
   std::string m_model;
   std::uint64_t m_version = 0;
@@ -61,7 +64,7 @@
   std::size_t m_staged = 0; // pieces that are Staged, Reading or Verified
   std::size_t m_verified = 0;
   std::uint32_t m_in_flight = 0;
-  std::uint64_t m_epoch = 0;
+  std::uint64_t m_bad_reads = 0;
   std::optional<Common::TimePoint> m_verification_started_at;
   Common::TimePoint m_not_before{};
 };
--- a/Source/Core/Sidecar/WeightsLoader.h
+++ b/Source/Core/Sidecar/WeightsLoader.h
@@ -26,12 +26,21 @@
   Loading,
 };
 
+// A version that lies on the engine's stage.
+struct StagedVersion
+{
+  std::string model;
+  std::uint64_t version = 0;
+  // When the first of its pieces was read back. All of them were correct when they were read.
+  Common::TimePoint verified_since{};
+};
+
 class WeightsLoader
 {
 public:
   // Starts loading the version. Does nothing while a version is being loaded or shortly after a
   // failed order.
-  void Begin(const std::string& model, std::uint64_t version, Common::TimePoint now);
+  void Begin(const StagedVersion& staged, Common::TimePoint now);
   // The order that is due at this time, if any.
   std::optional<LoadStagedWeights> OnTick(Common::TimePoint now);
   void OnAnswered(const LoadAnswered& answered, Common::TimePoint now);
@@ -41,13 +50,13 @@
 
   LoaderState State() const { return m_state; }
   bool IsUnderWay() const { return m_state != LoaderState::Idle; }
-  std::uint64_t Version() const { return m_version; }
+  std::uint64_t Version() const { return m_staged.version; }
+  Common::TimePoint VerifiedSince() const { return m_staged.verified_since; }
   // The time of the last change of the state.
   Common::TimePoint Since() const { return m_since; }
 
 private:
-  std::string m_model;
-  std::uint64_t m_version = 0;
+  StagedVersion m_staged;
   LoaderState m_state = LoaderState::Idle;
   Common::TimePoint m_since{};
   std::uint64_t m_orders_seen = 0;
--- a/Source/UnitTests/Core/Sidecar/StageTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -149,7 +149,7 @@
   report.weights_version = 1;
   report.orders = 4;
   loader.OnReport(report, START);
-  loader.Begin("m", 2, START);
+  loader.Begin({"m", 2, START}, START);
   CHECK(loader.State() == LoaderState::Announced);
   CHECK_FALSE(loader.OnTick(START).has_value());
   const auto order = loader.OnTick(START + Milliseconds(40));
@@ -185,9 +185,9 @@
     loader.OnAnswered({2, Error{ErrorKind::Unreachable, ""}}, START);
     loader.OnReport(report, START);
     CHECK_FALSE(loader.IsUnderWay());
-    loader.Begin("m", 2, START);
+    loader.Begin({"m", 2, START}, START);
     CHECK_FALSE(loader.IsUnderWay());
-    loader.Begin("m", 2, START + Milliseconds(200));
+    loader.Begin({"m", 2, START}, START + Milliseconds(200));
     CHECK(loader.IsUnderWay());
   }
   SUBCASE("refused: the order may be sent again later")
