Sidecar: Count answers of stage calls only for the call that they belong to

The age of a verification was kept once for all pieces, so it was lost while readings were under way.

Each call of the stage and each order has a ticket now, and its answer counts only if the ticket is still the one that decides on the piece. Calls of an older version stay in the number of calls under way, and the piece is not written again before they have ended. Each piece remembers when its reading began; a reading that brought no content is repeated.

Tests: "Answers of calls that were made before the state changed do not count" (three cases), "A reading that brings no content is repeated and writes nothing", "The age of a verification is that of its first reading". They use tickets, which the code before does not have; that answers of older calls counted there was read, not run.

--- a/Source/Core/Sidecar/EngineMessages.h
+++ b/Source/Core/Sidecar/EngineMessages.h
@@ -15,6 +15,9 @@
 // keeps staged pieces of weights and loads the staged weights when it receives a load order.
 namespace Holdpost::Sidecar
 {
+// Identifies a call, so that an answer counts only for the call that it belongs to.
+using CallTicket = std::uint64_t;
+
 // The state that the engine reports.
 struct EngineReport
 {
@@ -56,12 +59,14 @@
 
 struct ReadStaged
 {
+  CallTicket ticket = 0;
   std::string model;
   std::uint32_t piece = 0;
 };
 
 struct StagePiece
 {
+  CallTicket ticket = 0;
   std::string model;
   std::uint32_t piece = 0;
   Common::Bytes data;
@@ -70,6 +75,7 @@
 // Orders the engine to load the staged weights once its running requests have ended.
 struct LoadStagedWeights
 {
+  CallTicket ticket = 0;
   std::string model;
   std::uint64_t version = 0;
   // Number of orders that the engine has accepted so far: it refuses this one if it has accepted
@@ -99,12 +105,14 @@
 
 struct StagedRead
 {
+  CallTicket ticket = 0;
   std::uint32_t piece = 0;
   Common::Result<Common::Bytes> result;
 };
 
 struct PieceStaged
 {
+  CallTicket ticket = 0;
   std::uint32_t piece = 0;
   Common::Result<std::monostate> result;
 };
@@ -112,7 +120,7 @@
 // The engine may have accepted an order even if no answer to it arrived.
 struct LoadAnswered
 {
-  std::uint64_t version = 0;
+  CallTicket ticket = 0;
   Common::Result<std::monostate> result;
 };
 } // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -234,6 +234,8 @@
   void CompareCrashes(const Common::Address& gateway, std::uint64_t state_hash,
                       Common::TimePoint now, Actions* actions);
   void SendCrashChanges(Common::TimePoint now, Actions* actions);
+  // Passes a piece that was found on the stage on to the exchange.
+  void OnFoundRead(const StagedRead& event, Common::TimePoint now, Actions* actions);
   void TickStage(Common::TimePoint now, Actions* actions);
   void TickLoader(Common::TimePoint now, Actions* actions);
   void LogProgress(Common::TimePoint now);
@@ -306,7 +308,7 @@
   std::vector<std::uint32_t> m_found_staged;
   bool m_has_listed_stage = false;
   bool m_is_listing = false;
-  std::uint32_t m_found_in_flight = 0;
+  std::set<CallTicket> m_found_reads;
   std::optional<Gateway::TargetLoad> m_sent_load;
   Common::TimePoint m_progress_due{};
   // Piece requests of peers, by the tag under which the exchange knows them.
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -125,22 +125,9 @@
 
 void Sidecar::Handle(const StagedRead& event, TimePoint now, Actions* actions)
 {
-  const Distribution::Swarm* swarm = WantedSwarm();
-  if (m_found_in_flight > 0)
-  {
-    --m_found_in_flight;
-    if (const auto* data = std::get_if<Common::Bytes>(&event.result))
-    {
-      Distribution::Actions new_actions;
-      m_exchange.RestorePiece(VersionDigest(m_plan.model, m_wanted), event.piece, *data, now,
-                              &new_actions);
-      Translate(std::move(new_actions), now, actions);
-      if (swarm && swarm->IsValidPiece(event.piece, **data))
-        m_stage.OnFound(event.piece);
-    }
-    return OnTick(now, actions);
-  }
-  if (swarm)
+  if (m_found_reads.erase(event.ticket) > 0)
+    OnFoundRead(event, now, actions);
+  else if (const Distribution::Swarm* swarm = WantedSwarm())
   {
     const std::uint64_t bad_reads = m_stage.BadReads();
     m_stage.OnRead(event, *swarm, now);
@@ -149,6 +136,20 @@
   OnTick(now, actions);
 }
 
+void Sidecar::OnFoundRead(const StagedRead& event, TimePoint now, Actions* actions)
+{
+  const auto* data = std::get_if<Common::Bytes>(&event.result);
+  if (!data)
+    return;
+  Distribution::Actions new_actions;
+  m_exchange.RestorePiece(VersionDigest(m_plan.model, m_wanted), event.piece, *data, now,
+                          &new_actions);
+  Translate(std::move(new_actions), now, actions);
+  const Distribution::Swarm* swarm = WantedSwarm();
+  if (swarm && swarm->IsValidPiece(event.piece, **data))
+    m_stage.OnFound(event.piece);
+}
+
 void Sidecar::Handle(const PieceStaged& event, TimePoint now, Actions* actions)
 {
   m_stage.OnStaged(event, now);
@@ -198,16 +199,17 @@
     m_is_listing = true;
     actions->push_back(ListStaged{m_plan.model});
   }
-  while (!m_found_staged.empty() && m_found_in_flight < MAX_CONCURRENT_FOUND_READS)
+  while (!m_found_staged.empty() && m_found_reads.size() < MAX_CONCURRENT_FOUND_READS)
   {
-    ++m_found_in_flight;
-    actions->push_back(ReadStaged{m_plan.model, m_found_staged.back()});
+    const CallTicket ticket = m_stage.IssueTicket();
+    m_found_reads.insert(ticket);
+    actions->push_back(ReadStaged{ticket, m_plan.model, m_found_staged.back()});
     m_found_staged.pop_back();
   }
-  if (!m_has_listed_stage || m_found_in_flight > 0)
+  if (!m_has_listed_stage || !m_found_reads.empty())
     return;
   StageActions new_actions;
-  m_stage.OnTick(*swarm, now, &new_actions);
+  m_stage.OnTick(*swarm, StageAccess::ReadAndWrite, now, &new_actions);
   for (StageAction& action : new_actions)
     std::visit([&](auto& typed) { actions->push_back(std::move(typed)); }, action);
 }
@@ -217,13 +219,13 @@
   if (m_wanted > 0 && m_report && !m_report->is_busy && LoadedVersion() < m_wanted &&
       !m_loader.IsUnderWay())
   {
-    const auto verified_since = m_stage.VerifiedSince();
+    const auto verified = m_stage.Verified();
     const std::optional<TimePoint> switch_at = SwitchAt(now);
     const bool is_due = switch_at && now >= *switch_at;
-    if (verified_since && now - *verified_since > VERIFICATION_LIFETIME && is_due)
+    if (verified && now - verified->began > VERIFICATION_LIFETIME && is_due)
       m_stage.VerifyAgain();
-    else if (verified_since && is_due)
-      m_loader.Begin({m_plan.model, m_wanted, *verified_since}, now);
+    else if (verified && is_due)
+      m_loader.Begin({m_plan.model, m_wanted, verified->began}, now);
     if (m_loader.IsUnderWay())
       SendLoadReports(now, actions);
   }
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -193,7 +193,7 @@
   if (LoadedVersion() >= m_wanted)
   {
     const bool is_stage_checked =
-        m_has_listed_stage && m_found_staged.empty() && m_found_in_flight == 0;
+        m_has_listed_stage && m_found_staged.empty() && m_found_reads.empty();
     return is_stage_checked ? Urgency::ForPeers : Urgency::ChecksStage;
   }
   // An engine without weights answers no requests, so transfers at full rate delay nobody.
--- a/Source/Core/Sidecar/StageManager.cpp
+++ b/Source/Core/Sidecar/StageManager.cpp
@@ -13,7 +13,7 @@
 using Common::Weight;
 
 // The maximum number of calls to the engine at once.
-static constexpr std::uint32_t MAX_CONCURRENT_CALLS = 2;
+static constexpr std::size_t MAX_CONCURRENT_CALLS = 2;
 static constexpr Milliseconds RETRY_DELAY = Milliseconds(100);
 
 void StageManager::SetVersion(const std::string& model, std::uint64_t version, std::uint32_t pieces)
@@ -22,57 +22,79 @@
     return;
   m_model = model;
   m_version = version;
-  m_pieces.assign(pieces, State::Missing);
+  m_pieces.assign(pieces, Piece());
   m_staged = 0;
   m_verified = 0;
-  m_in_flight = 0;
-  m_verification_started_at.reset();
 }
 
 void StageManager::SetState(std::uint32_t piece, State state)
 {
   const auto is_staged = [](State s) { return s >= State::Staged; };
-  State& current = m_pieces[piece];
+  State& current = m_pieces[piece].state;
   m_staged += is_staged(state) - is_staged(current);
   m_verified += (state == State::Verified) - (current == State::Verified);
   current = state;
 }
 
-void StageManager::OnTick(const Distribution::Swarm& swarm, TimePoint now, StageActions* actions)
+void StageManager::OnTick(const Distribution::Swarm& swarm, StageAccess access, TimePoint now,
+                          StageActions* actions)
 {
-  if (now < m_not_before)
+  if (now < m_not_before || access == StageAccess::None)
     return;
-  for (std::uint32_t piece = 0; piece < m_pieces.size() && m_in_flight < MAX_CONCURRENT_CALLS;
+  if (access == StageAccess::ReadAndWrite)
+    WriteMissing(swarm, actions);
+  if (IsStaged() || access == StageAccess::Read)
+    ReadUnverified(now, actions);
+}
+
+void StageManager::WriteMissing(const Distribution::Swarm& swarm, StageActions* actions)
+{
+  for (std::uint32_t piece = 0; piece < m_pieces.size() && m_calls.size() < MAX_CONCURRENT_CALLS;
        ++piece)
   {
-    if (m_pieces[piece] != State::Missing)
+    if (m_pieces[piece].state != State::Missing)
       continue;
-    const Common::Bytes data = swarm.Piece(piece);
+    // A write of another version that is still under way could overwrite this one.
+    const bool is_busy =
+        std::ranges::any_of(m_calls, [piece](const auto& call) { return call.second == piece; });
+    const Common::Bytes data = is_busy ? nullptr : swarm.Piece(piece);
     if (!data)
       continue;
     SetState(piece, State::Staging);
-    ++m_in_flight;
-    actions->push_back(StagePiece{m_model, piece, data});
+    m_pieces[piece].ticket = IssueTicket();
+    m_calls[m_last_ticket] = piece;
+    ++m_writes;
+    actions->push_back(StagePiece{m_last_ticket, m_model, piece, data});
   }
-  if (!IsStaged())
-    return;
-  for (std::uint32_t piece = 0; piece < m_pieces.size() && m_in_flight < MAX_CONCURRENT_CALLS;
+}
+
+void StageManager::ReadUnverified(TimePoint now, StageActions* actions)
+{
+  for (std::uint32_t piece = 0; piece < m_pieces.size() && m_calls.size() < MAX_CONCURRENT_CALLS;
        ++piece)
   {
-    if (m_pieces[piece] != State::Staged)
+    if (m_pieces[piece].state != State::Staged)
       continue;
-    if (!m_verification_started_at)
-      m_verification_started_at = now;
     SetState(piece, State::Reading);
-    ++m_in_flight;
-    actions->push_back(ReadStaged{m_model, piece});
+    m_pieces[piece].ticket = IssueTicket();
+    m_pieces[piece].reading_began = now;
+    m_calls[m_last_ticket] = piece;
+    actions->push_back(ReadStaged{m_last_ticket, m_model, piece});
   }
 }
 
+StageManager::Piece* StageManager::EndCall(CallTicket ticket, std::uint32_t piece, State expected)
+{
+  m_calls.erase(ticket);
+  if (piece >= m_pieces.size())
+    return nullptr;
+  Piece& called = m_pieces[piece];
+  return called.ticket == ticket && called.state == expected ? &called : nullptr;
+}
+
 void StageManager::OnStaged(const PieceStaged& staged, TimePoint now)
 {
-  m_in_flight -= std::min(m_in_flight, 1U);
-  if (staged.piece >= m_pieces.size() || m_pieces[staged.piece] != State::Staging)
+  if (!EndCall(staged.ticket, staged.piece, State::Staging))
     return;
   const bool is_accepted = Common::Succeeded(staged.result);
   SetState(staged.piece, is_accepted ? State::Staged : State::Missing);
@@ -82,35 +104,42 @@
 
 void StageManager::OnRead(const StagedRead& read, const Distribution::Swarm& swarm, TimePoint now)
 {
-  m_in_flight -= std::min(m_in_flight, 1U);
-  if (read.piece >= m_pieces.size() || m_pieces[read.piece] != State::Reading)
+  if (!EndCall(read.ticket, read.piece, State::Reading))
     return;
-  const auto* data = std::get_if<Common::Bytes>(&read.result);
-  if (data && swarm.IsValidPiece(read.piece, **data))
+  if (const auto* error = std::get_if<Common::Error>(&read.result))
   {
-    SetState(read.piece, State::Verified);
-    if (VerifiedSince())
-      LogVerified(now);
-    return;
+    m_not_before = now + RETRY_DELAY;
+    if (error->kind == Common::ErrorKind::NotFound)
+      return OnBadPiece(read.piece, error->message, now);
+    // The engine was not reached: this says nothing about the piece.
+    return SetState(read.piece, State::Staged);
   }
+  if (!swarm.IsValidPiece(read.piece, *std::get<Common::Bytes>(read.result)))
+    return OnBadPiece(read.piece, "corrupt", now);
+  m_last_read_at = now;
+  SetState(read.piece, State::Verified);
+  if (Verified())
+    LogVerified(now);
+}
+
+// The piece was lost or is corrupt: it is staged again.
+void StageManager::OnBadPiece(std::uint32_t piece, std::string_view reason, TimePoint now)
+{
   ++m_bad_reads;
-  LogEvent(Weight::Important, now, "stage.piece_bad", "version", m_version, "piece", read.piece,
-           "reason", data ? "corrupt" : std::get<Common::Error>(read.result).message);
-  // The piece was lost or is corrupt: it is staged again.
-  SetState(read.piece, State::Missing);
-  if (!data)
-    m_not_before = now + RETRY_DELAY;
+  LogEvent(Weight::Important, now, "stage.piece_bad", "version", m_version, "piece", piece,
+           "reason", reason);
+  SetState(piece, State::Missing);
 }
 
 void StageManager::LogVerified(TimePoint now) const
 {
   LogEvent(Weight::Important, now, "stage.verified", "version", m_version, "pieces",
-           m_pieces.size(), "took_ms", now - *m_verification_started_at);
+           m_pieces.size(), "took_ms", Verified()->Took());
 }
 
 void StageManager::OnFound(std::uint32_t piece)
 {
-  if (piece < m_pieces.size() && m_pieces[piece] == State::Missing)
+  if (piece < m_pieces.size() && m_pieces[piece].state == State::Missing)
     SetState(piece, State::Staged);
 }
 
@@ -118,16 +147,27 @@
 {
   for (std::uint32_t piece = 0; piece < m_pieces.size(); ++piece)
   {
-    if (m_pieces[piece] == State::Verified)
+    if (m_pieces[piece].state == State::Verified || m_pieces[piece].state == State::Reading)
       SetState(piece, State::Staged);
   }
-  m_verification_started_at.reset();
 }
 
-std::optional<TimePoint> StageManager::VerifiedSince() const
+bool StageManager::IsReadCompletely() const
+{
+  return std::ranges::none_of(m_pieces,
+                              [](const Piece& piece)
+                              {
+                                return piece.state == State::Staged ||
+                                       piece.state == State::Reading ||
+                                       piece.state == State::Staging;
+                              });
+}
+
+std::optional<Verification> StageManager::Verified() const
 {
   if (m_pieces.empty() || m_verified != m_pieces.size())
     return std::nullopt;
-  return m_verification_started_at;
+  const auto first = std::ranges::min_element(m_pieces, {}, &Piece::reading_began);
+  return Verification{first->reading_began, m_last_read_at};
 }
 } // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/StageManager.h
+++ b/Source/Core/Sidecar/StageManager.h
@@ -19,28 +19,54 @@
 using StageAction = std::variant<ListStaged, ReadStaged, StagePiece>;
 using StageActions = std::vector<StageAction>;
 
+// What may be done with the stage.
+enum class StageAccess
+{
+  None,
+  // Pieces are read back, but none is written.
+  Read,
+  ReadAndWrite,
+};
+
+// When the pieces on the stage were read back. All of them were correct.
+struct Verification
+{
+  // The first of the readings that still count began at this time, and the last one ended.
+  Common::TimePoint began{};
+  Common::TimePoint ended{};
+
+  Common::Duration Took() const { return ended - began; }
+};
+
 class StageManager
 {
 public:
   // Sets the version that the stage should hold. Staged pieces of another version are overwritten.
   void SetVersion(const std::string& model, std::uint64_t version, std::uint32_t pieces);
   // Requests the next calls to the engine. `swarm` holds the verified pieces of the wanted version.
-  void OnTick(const Distribution::Swarm& swarm, Common::TimePoint now, StageActions* actions);
+  void OnTick(const Distribution::Swarm& swarm, StageAccess access, Common::TimePoint now,
+              StageActions* actions);
 
   void OnStaged(const PieceStaged& staged, Common::TimePoint now);
   // Processes the content of a piece that was read back: a correct piece is marked as verified, any
-  // other one is staged again.
+  // other one is staged again. A reading that brought no content is repeated.
   void OnRead(const StagedRead& read, const Distribution::Swarm& swarm, Common::TimePoint now);
   // Marks a piece that was on the stage already as staged.
   void OnFound(std::uint32_t piece);
 
-  // The time at which the current verification began, if every piece has been read back and found
-  // correct since then; otherwise empty.
-  std::optional<Common::TimePoint> VerifiedSince() const;
-  // Discards the verification, so that all pieces are read back once more.
+  // The readings of the pieces; empty until every piece has been read back and found correct.
+  std::optional<Verification> Verified() const;
+  // Discards the verification, so that all pieces are read back once more. Answers to calls that
+  // are still under way no longer count.
   void VerifyAgain();
+  // Whether no reading is under way or due.
+  bool IsReadCompletely() const;
+  // A ticket for a call of the stage that somebody else makes.
+  CallTicket IssueTicket() { return ++m_last_ticket; }
   // Number of pieces that were read back and were missing or not correct, since the start.
   std::uint64_t BadReads() const { return m_bad_reads; }
+  // Number of pieces that were written to the stage, since the start.
+  std::uint64_t Writes() const { return m_writes; }
   std::size_t StagedCount() const { return m_staged; }
   std::size_t VerifiedCount() const { return m_verified; }
   bool IsStaged() const { return m_staged == m_pieces.size() && !m_pieces.empty(); }
@@ -55,17 +81,33 @@
     Verified,
   };
 
+  struct Piece
+  {
+    State state = State::Missing;
+    // The call under way that decides on the state; 0 if there is none.
+    CallTicket ticket = 0;
+    Common::TimePoint reading_began{};
+  };
+
   void SetState(std::uint32_t piece, State state);
+  void WriteMissing(const Distribution::Swarm& swarm, StageActions* actions);
+  void ReadUnverified(Common::TimePoint now, StageActions* actions);
+  // Ends the call. Returns the piece if the answer still counts for it, otherwise null.
+  Piece* EndCall(CallTicket ticket, std::uint32_t piece, State expected);
+  void OnBadPiece(std::uint32_t piece, std::string_view reason, Common::TimePoint now);
   void LogVerified(Common::TimePoint now) const;
 
   std::string m_model;
   std::uint64_t m_version = 0;
-  std::vector<State> m_pieces;
+  std::vector<Piece> m_pieces;
   std::size_t m_staged = 0; // pieces that are Staged, Reading or Verified
   std::size_t m_verified = 0;
-  std::uint32_t m_in_flight = 0;
+  CallTicket m_last_ticket = 0;
+  // The calls under way, including those whose answers no longer count, with their pieces.
+  std::map<CallTicket, std::uint32_t> m_calls;
   std::uint64_t m_bad_reads = 0;
-  std::optional<Common::TimePoint> m_verification_started_at;
+  std::uint64_t m_writes = 0;
+  Common::TimePoint m_last_read_at{};
   Common::TimePoint m_not_before{};
 };
 } // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -38,12 +38,13 @@
            now - m_staged.verified_since, "orders", m_orders_seen);
   // The engine's order count is also used as the fencing token. It never decreases during one
   // incarnation, and a new incarnation forgets the tokens.
-  return LoadStagedWeights{m_staged.model, m_staged.version, m_orders_seen, m_orders_seen};
+  return LoadStagedWeights{++m_last_ticket, m_staged.model, m_staged.version, m_orders_seen,
+                           m_orders_seen};
 }
 
 void WeightsLoader::OnAnswered(const LoadAnswered& answered, TimePoint now)
 {
-  if (m_state != LoaderState::Ordered || answered.version != m_staged.version)
+  if (m_state != LoaderState::Ordered || answered.ticket != m_last_ticket)
     return;
   if (Common::Succeeded(answered.result))
   {
--- a/Source/Core/Sidecar/WeightsLoader.h
+++ b/Source/Core/Sidecar/WeightsLoader.h
@@ -62,6 +62,7 @@
   std::uint64_t m_orders_seen = 0;
   // The order got no answer: the next report shows whether the engine accepted it.
   bool m_is_unanswered = false;
+  CallTicket m_last_ticket = 0;
   Common::TimePoint m_not_before{};
 };
 } // namespace Holdpost::Sidecar
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -166,24 +166,26 @@
 void SidecarNode::Do(const Sidecar::ReadStaged& read)
 {
   m_engine.ReadStaged(read,
-                      [this, piece = read.piece](Result<Common::Bytes> result) {
-                        Feed(Sidecar::StagedRead{piece, std::move(result)});
+                      [this, ticket = read.ticket, piece = read.piece](Result<Common::Bytes> result)
+                      {
+                        Feed(Sidecar::StagedRead{ticket, piece, std::move(result)});
                       });
 }
 
 void SidecarNode::Do(const Sidecar::StagePiece& stage)
 {
-  m_engine.StagePiece(stage,
-                      [this, piece = stage.piece](Result<std::monostate> result) {
-                        Feed(Sidecar::PieceStaged{piece, std::move(result)});
-                      });
+  m_engine.StagePiece(
+      stage,
+      [this, ticket = stage.ticket, piece = stage.piece](Result<std::monostate> result) {
+        Feed(Sidecar::PieceStaged{ticket, piece, std::move(result)});
+      });
 }
 
 void SidecarNode::Do(const Sidecar::LoadStagedWeights& start)
 {
   m_engine.Start(start,
-                 [this, version = start.version](Result<std::monostate> result) {
-                   Feed(Sidecar::LoadAnswered{version, std::move(result)});
+                 [this, ticket = start.ticket](Result<std::monostate> result) {
+                   Feed(Sidecar::LoadAnswered{ticket, std::move(result)});
                  });
 }
 
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -35,7 +35,8 @@
 // The size of messages that carry no piece.
 static constexpr std::size_t SMALL_MESSAGE_BYTES = 120;
 
-SidecarWorld::SidecarWorld(const WorldOptions& options) : m_options(options), m_random(options.seed)
+SidecarWorld::SidecarWorld(const WorldOptions& options)
+    : m_options(options), m_stage_read_time(LOCAL_CALL_TIME), m_random(options.seed)
 {
   m_origin = MakeLink();
   m_gateway = MakeLink();
@@ -292,11 +293,12 @@
 
 void SidecarWorld::Execute(std::size_t node, const Sidecar::ReadStaged& read)
 {
-  Schedule(m_now + LOCAL_CALL_TIME,
-           [this, node, piece = read.piece, incarnation = m_nodes[node].incarnation]
+  Schedule(m_now + m_stage_read_time,
+           [this, node, ticket = read.ticket, piece = read.piece,
+            incarnation = m_nodes[node].incarnation]
            {
              if (m_nodes[node].incarnation == incarnation)
-               Deliver(node, Sidecar::StagedRead{piece, m_nodes[node].stage[piece]});
+               Deliver(node, Sidecar::StagedRead{ticket, piece, m_nodes[node].stage[piece]});
            });
 }
 
@@ -307,7 +309,7 @@
            {
              m_nodes[node].stage[stage.piece] = stage.data;
              if (m_nodes[node].incarnation == incarnation)
-               Deliver(node, Sidecar::PieceStaged{stage.piece, std::monostate()});
+               Deliver(node, Sidecar::PieceStaged{stage.ticket, stage.piece, std::monostate()});
            });
 }
 
@@ -330,10 +332,10 @@
              m_nodes[node].loaded = version;
            });
   Schedule(m_now + LOCAL_CALL_TIME,
-           [this, node, version = start.version, incarnation = self.incarnation]
+           [this, node, ticket = start.ticket, incarnation = self.incarnation]
            {
              if (m_nodes[node].incarnation == incarnation)
-               Deliver(node, Sidecar::LoadAnswered{version, std::monostate()});
+               Deliver(node, Sidecar::LoadAnswered{ticket, std::monostate()});
            });
 }
 
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -78,6 +78,8 @@
   // While the origin is down, it refuses connections and breaks the open ones.
   void SetOriginDown(bool is_down) { m_is_origin_down = is_down; }
   void CorruptStage(std::size_t node, std::uint32_t piece);
+  // Reading a piece back from a stage takes this time.
+  void SetStageReadTime(Common::Duration time) { m_stage_read_time = time; }
   // The engine restarts without weights.
   void LoseWeights(std::size_t node) { m_nodes[node].loaded = 0; }
   // Bytes of pieces that sidecars have sent to each other, in copies.
@@ -180,6 +182,7 @@
   // The link of the gateways.
   std::unique_ptr<QueueLink> m_gateway;
   double m_corrupt_share = 0;
+  Common::Duration m_stage_read_time;
   bool m_is_origin_down = false;
   std::uint64_t m_origin_bytes = 0;
   std::uint64_t m_cross_hall_bytes = 0;
--- a/Source/UnitTests/Core/Sidecar/StageTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -62,20 +62,20 @@
   for (int turn = 0; turn < 100; ++turn)
   {
     StageActions actions;
-    manager.OnTick(*weights.swarm, START, &actions);
+    manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
     for (const StageAction& action : actions)
     {
       if (const auto* put = std::get_if<StagePiece>(&action))
       {
         stage[put->piece] = put->data;
-        manager.OnStaged({put->piece, std::monostate()}, START);
+        manager.OnStaged({put->ticket, put->piece, std::monostate()}, START);
       }
       if (const auto* get = std::get_if<ReadStaged>(&action))
       {
         const auto found = stage.find(get->piece);
-        manager.OnRead({get->piece, found == stage.end()
-                                        ? Common::Result<Bytes>(Error{ErrorKind::NotFound, ""})
-                                        : Common::Result<Bytes>(found->second)},
+        manager.OnRead({get->ticket, get->piece,
+                        found == stage.end() ? Common::Result<Bytes>(Error{ErrorKind::NotFound, ""})
+                                             : Common::Result<Bytes>(found->second)},
                        *weights.swarm, START);
       }
     }
@@ -93,23 +93,23 @@
   manager.SetVersion("m", 2, PIECES);
   ExecuteCalls(manager, weights, stage);
   CHECK(manager.IsStaged());
-  CHECK(manager.VerifiedSince().has_value());
+  CHECK(manager.Verified().has_value());
 
   SUBCASE("a piece that is corrupted on the stage is detected by the next verification and staged "
           "again")
   {
     stage[2] = Common::MakeBytes("spoilt");
     manager.VerifyAgain();
-    CHECK_FALSE(manager.VerifiedSince().has_value());
+    CHECK_FALSE(manager.Verified().has_value());
     ExecuteCalls(manager, weights, stage);
-    CHECK(manager.VerifiedSince().has_value());
+    CHECK(manager.Verified().has_value());
     CHECK(*stage[2] == *weights.pieces[2]);
   }
   SUBCASE("another version starts from nothing: no piece of it is staged")
   {
     manager.SetVersion("m", 3, PIECES);
     CHECK_FALSE(manager.IsStaged());
-    CHECK_FALSE(manager.VerifiedSince().has_value());
+    CHECK_FALSE(manager.Verified().has_value());
   }
 }
 
@@ -121,7 +121,7 @@
   for (std::uint32_t piece = 0; piece < PIECES; ++piece)
     manager.OnFound(piece);
   StageActions actions;
-  manager.OnTick(*weights.swarm, START, &actions);
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   CHECK(Testing::Only<StagePiece>(actions).empty());
   CHECK_FALSE(Take<ReadStaged>(actions).empty());
 }
@@ -132,16 +132,99 @@
   StageManager manager;
   manager.SetVersion("m", 1, PIECES);
   StageActions actions;
-  manager.OnTick(*weights.swarm, START, &actions);
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   const auto first = Take<StagePiece>(actions);
   REQUIRE_FALSE(first.empty());
-  manager.OnStaged({first[0].piece, Error{ErrorKind::Unreachable, ""}}, START);
-  manager.OnTick(*weights.swarm, START, &actions);
+  manager.OnStaged({first[0].ticket, first[0].piece, Error{ErrorKind::Unreachable, ""}}, START);
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   CHECK(Take<StagePiece>(actions).empty());
-  manager.OnTick(*weights.swarm, START + Milliseconds(150), &actions);
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START + Milliseconds(150), &actions);
   CHECK(Take<StagePiece>(actions).at(0).piece == first[0].piece);
 }
 
+TEST_CASE("Answers of calls that were made before the state changed do not count")
+{
+  const Weights weights;
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
+    manager.OnFound(piece);
+  StageActions actions;
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+  const auto reads = Take<ReadStaged>(actions);
+  REQUIRE_FALSE(reads.empty());
+
+  SUBCASE("a reading of the verification before")
+  {
+    manager.VerifyAgain();
+    manager.OnRead({reads[0].ticket, reads[0].piece, weights.pieces[reads[0].piece]},
+                   *weights.swarm, START);
+    CHECK(manager.VerifiedCount() == 0);
+    manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+    CHECK(Take<ReadStaged>(actions).at(0).piece == reads[0].piece);
+  }
+  SUBCASE("a reading of another version")
+  {
+    manager.SetVersion("m", 2, PIECES);
+    manager.OnRead({reads[0].ticket, reads[0].piece, weights.pieces[reads[0].piece]},
+                   *weights.swarm, START);
+    CHECK(manager.StagedCount() == 0);
+  }
+  SUBCASE("a write of another version: the piece is not written again until it has ended")
+  {
+    StageManager writer;
+    writer.SetVersion("m", 1, PIECES);
+    writer.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+    const auto writes = Take<StagePiece>(actions);
+    REQUIRE(writes.size() == 2);
+    writer.SetVersion("m", 2, PIECES);
+    writer.OnStaged({writes[1].ticket, writes[1].piece, std::monostate()}, START);
+    CHECK(writer.StagedCount() == 0);
+    writer.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+    const auto next = Take<StagePiece>(actions);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].piece != writes[0].piece);
+  }
+}
+
+TEST_CASE("A reading that brings no content is repeated and writes nothing")
+{
+  const Weights weights;
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
+    manager.OnFound(piece);
+  StageActions actions;
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+  const ReadStaged read = Take<ReadStaged>(actions).at(0);
+  manager.OnRead({read.ticket, read.piece, Error{ErrorKind::Unreachable, ""}}, *weights.swarm,
+                 START);
+  CHECK(manager.IsStaged());
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START + Milliseconds(150), &actions);
+  CHECK(Testing::Only<StagePiece>(actions).empty());
+  CHECK(Take<ReadStaged>(actions).at(0).piece == read.piece);
+}
+
+TEST_CASE("The age of a verification is that of its first reading")
+{
+  const Weights weights;
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
+    manager.OnFound(piece);
+  Common::TimePoint now = START;
+  while (!manager.Verified())
+  {
+    StageActions actions;
+    manager.OnTick(*weights.swarm, StageAccess::Read, now, &actions);
+    now += Milliseconds(700);
+    for (const ReadStaged& read : Take<ReadStaged>(actions))
+      manager.OnRead({read.ticket, read.piece, weights.pieces[read.piece]}, *weights.swarm, now);
+  }
+  CHECK(manager.Verified()->began == START);
+  CHECK(manager.Verified()->Took() == Milliseconds(1400));
+}
+
 TEST_CASE("An engine gets one load order for each version")
 {
   WeightsLoader loader;
@@ -160,7 +243,7 @@
 
   SUBCASE("accepted: the loader waits until the engine has the version")
   {
-    loader.OnAnswered({2, std::monostate()}, START);
+    loader.OnAnswered({1, std::monostate()}, START);
     report.is_busy = true;
     report.orders = 5;
     report.weights_version = 0;
@@ -173,7 +256,7 @@
   }
   SUBCASE("without an answer: the next report shows that the order was accepted")
   {
-    loader.OnAnswered({2, Error{ErrorKind::Unreachable, ""}}, START);
+    loader.OnAnswered({1, Error{ErrorKind::Unreachable, ""}}, START);
     CHECK(loader.IsUnderWay());
     report.orders = 5;
     report.is_busy = true;
@@ -182,7 +265,7 @@
   }
   SUBCASE("without an answer: the next report shows that the order was not accepted")
   {
-    loader.OnAnswered({2, Error{ErrorKind::Unreachable, ""}}, START);
+    loader.OnAnswered({1, Error{ErrorKind::Unreachable, ""}}, START);
     loader.OnReport(report, START);
     CHECK_FALSE(loader.IsUnderWay());
     loader.Begin({"m", 2, START}, START);
@@ -192,12 +275,12 @@
   }
   SUBCASE("refused: the order may be sent again later")
   {
-    loader.OnAnswered({2, Error{ErrorKind::Conflict, ""}}, START);
+    loader.OnAnswered({1, Error{ErrorKind::Conflict, ""}}, START);
     CHECK_FALSE(loader.IsUnderWay());
   }
   SUBCASE("a restarted engine has forgotten the order")
   {
-    loader.OnAnswered({2, std::monostate()}, START);
+    loader.OnAnswered({1, std::monostate()}, START);
     report.orders = 0;
     report.weights_version = 0;
     loader.OnReport(report, START);
