--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -65,6 +65,8 @@
   std::uint64_t origin_bytes_per_second = 0;
   // The HTTP path at which the targets of the service identify themselves; empty if there is none.
   std::string health_path = {};
+  // Number of layers of the model; 0 if unknown.
+  std::uint32_t layers = 0;
 
   bool operator==(const WeightsPlan&) const = default;
 };
--- a/Source/Core/Settings/Document.h
+++ b/Source/Core/Settings/Document.h
@@ -81,6 +81,7 @@
   std::uint32_t piece_bytes = 0;
   // From the order to load until requests are taken again.
   Common::Milliseconds warm_up{0};
+  std::uint32_t layers = 0; // 0 if not known
 };
 
 struct ServiceSettings
--- a/Source/Core/Sidecar/EngineMessages.h
+++ b/Source/Core/Sidecar/EngineMessages.h
@@ -18,6 +18,22 @@
 // Identifies a call, so that an answer counts only for the call that it belongs to.
 using CallTicket = std::uint64_t;
 
+// The layers from `first` up to but not including `end`.
+struct LayerRange
+{
+  std::uint32_t first = 0;
+  std::uint32_t end = 0;
+
+  bool operator==(const LayerRange&) const = default;
+};
+
+// Layers that the engine has loaded, all of one version.
+struct LoadedLayers
+{
+  LayerRange range;
+  std::uint64_t version = 0;
+};
+
 // The state that the engine reports.
 struct EngineReport
 {
@@ -36,8 +52,15 @@
   double pace = 1;
   // The engine leaves and wants no more requests.
   bool is_leaving = false;
+  // The layers that it has loaded; empty if it does not report them.
+  std::vector<LoadedLayers> layers = {};
 };
 
+// Whether the engine reports that it holds exactly these layers of the version.
+bool HoldsExactly(const EngineReport& report, const LayerRange& range, std::uint64_t version);
+// Whether the engine reports that it holds some of the layers of a model only.
+bool HoldsPart(const EngineReport& report, std::uint32_t layers);
+
 // --- requests to the engine ---
 
 struct ReadReport
@@ -84,6 +107,9 @@
   // The fencing token: an engine that checks fences refuses a token that is lower than one it has
   // seen.
   std::uint64_t fence = 0;
+  // The layers to hold afterwards; empty for all. Layers that the engine holds already are kept,
+  // and the others are given up.
+  std::optional<LayerRange> layers = {};
 };
 
 // --- the engine's answers ---
@@ -117,10 +143,17 @@
   Common::Result<std::monostate> result;
 };
 
+enum class OrderOutcome
+{
+  Accepted,
+  // The engine holds what was ordered, so it has accepted another order for it before.
+  AlreadyHeld,
+};
+
 // The engine may have accepted an order even if no answer to it arrived.
 struct LoadAnswered
 {
   CallTicket ticket = 0;
-  Common::Result<std::monostate> result;
+  Common::Result<OrderOutcome> result;
 };
 } // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -330,8 +330,9 @@
   if (!m_is_reading_report && now >= m_report_due)
   {
     m_is_reading_report = true;
-    m_report_due =
-        now + (m_loader.IsUnderWay() ? ENGINE_REPORT_PERIOD_LOADING : ENGINE_REPORT_PERIOD);
+    m_report_asked_at = now;
+    const bool is_loading = m_loader.IsUnderWay() && m_reports_failed == 0;
+    m_report_due = now + (is_loading ? ENGINE_REPORT_PERIOD_LOADING : ENGINE_REPORT_PERIOD);
     actions->push_back(ReadReport{});
   }
   if (m_load_due && now >= *m_load_due)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -116,7 +116,11 @@
 
   bool HasPlan() const { return !m_plan.model.empty(); }
   std::uint64_t WantedVersion() const { return m_wanted; }
-  std::uint64_t LoadedVersion() const { return m_report ? m_report->weights_version : 0; }
+  // The version of which the engine holds all layers; 0 if there is none.
+  std::uint64_t LoadedVersion() const
+  {
+    return m_report && !HoldsPart(*m_report, m_plan.layers) ? m_report->weights_version : 0;
+  }
   const Distribution::Exchange& Weights() const { return m_exchange; }
   const Crashes::CrashLedger& CrashLedger() const { return m_crashes; }
   // When the engine can begin requests with the wanted version; empty if it has the version, or if
@@ -225,7 +229,8 @@
   void UpdateOriginState(const Common::Result<Common::Bytes>& result, Common::TimePoint now);
   // Reads the id under which the engine is listed, once for each start of the engine.
   void TickIdentity(Common::TimePoint now, Actions* actions);
-  void OnEngineRestarted();
+  // Discards what is known of an engine that has restarted or does not answer.
+  void ForgetEngine();
   // Remembers which start of the engine has ended, if it was known to run.
   void OnEngineLost();
   // Tells all known gateways that the engine has ended without notice.
@@ -236,8 +241,23 @@
   void SendCrashChanges(Common::TimePoint now, Actions* actions);
   // Passes a piece that was found on the stage on to the exchange.
   void OnFoundRead(const StagedRead& event, Common::TimePoint now, Actions* actions);
+  StageAccess AllowedStageAccess() const;
   void TickStage(Common::TimePoint now, Actions* actions);
+  // Checks a load that an earlier incarnation of the sidecar ordered by the pieces found on the
+  // stage, before any of them is written.
+  void CheckInheritedLoad(Common::TimePoint now);
+  // Reads the pieces that were on the stage at the start; returns whether all have been read.
+  bool TickFoundPieces(Actions* actions);
   void TickLoader(Common::TimePoint now, Actions* actions);
+  // Whether the engine should load the wanted version now.
+  bool IsLoadDue(Common::TimePoint now) const;
+  // The wanted version if the verification of the stage can be used for an order. A verification
+  // that is too old is discarded.
+  std::optional<StagedVersion> TakeVerified(Common::TimePoint now);
+  void BeginLoad(Common::TimePoint now, Actions* actions);
+  void ContinueLoad(Common::TimePoint now);
+  // Tells the loader what the stage holds once all of it has been read.
+  void ConfirmLoad(Common::TimePoint now);
   void LogProgress(Common::TimePoint now);
   // Logs the totals of all transfers since the start, so that the difference between two lines
   // shows the transfers of one push.
@@ -294,6 +314,7 @@
   std::optional<Common::TimePoint> m_load_due;
   Common::TimePoint m_load_sent_at{};
   bool m_is_reading_report = false;
+  Common::TimePoint m_report_asked_at{};
   std::uint32_t m_reports_failed = 0;
   // The id under which the engine is listed; empty until the engine has reported it.
   Gateway::TargetId m_target_id;
@@ -309,6 +330,10 @@
   bool m_has_listed_stage = false;
   bool m_is_listing = false;
   std::set<CallTicket> m_found_reads;
+  // The engine was loading weights when it first reported.
+  bool m_has_inherited_load = false;
+  // The stage is being read to find out whether the engine has loaded correct pieces.
+  bool m_is_confirming_load = false;
   std::optional<Gateway::TargetLoad> m_sent_load;
   Common::TimePoint m_progress_due{};
   // Piece requests of peers, by the tag under which the exchange knows them.
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -39,7 +39,8 @@
                "reason", std::get<Error>(event.result).message);
       OnEngineLost();
       m_report.reset();
-      OnEngineRestarted();
+      m_loader.OnEngineUnreachable();
+      ForgetEngine();
     }
     // Repeated, as messages may be lost.
     if (m_end_reports < MAX_END_REPORTS)
@@ -63,12 +64,17 @@
              report->weights_version);
     OnEngineLost();
     ReportEngineEnd(actions);
-    OnEngineRestarted();
+    if (!m_loader.IsUnderWay())
+      m_loader.OnEngineRestarted();
+    m_stage.OnEngineRestarted();
+    ForgetEngine();
   }
   m_end_reports = MAX_END_REPORTS;
+  if (!m_report && report->is_busy && !m_loader.IsUnderWay())
+    m_has_inherited_load = true;
   m_report = *report;
   m_requests_at_report = TotalWork(now).requests;
-  m_loader.OnReport(*report, now);
+  m_loader.OnReport(*report, m_report_asked_at, now);
   ChooseVersion(now, actions);
   SendLoadReports(now, actions);
 }
@@ -81,9 +87,9 @@
   m_end_reports = 0;
 }
 
-void Sidecar::OnEngineRestarted()
+void Sidecar::ForgetEngine()
 {
-  m_loader.OnEngineLost();
+  m_has_inherited_load = false;
   m_stage.VerifyAgain();
   m_target_id.clear();
   m_permits.Reset();
@@ -185,14 +191,49 @@
     LogEvent(Weight::Important, now, "origin.regained", "origin", origin);
 }
 
-void Sidecar::TickStage(TimePoint now, Actions* actions)
+StageAccess Sidecar::AllowedStageAccess() const
 {
   const Distribution::Swarm* swarm = WantedSwarm();
+  if (!swarm || !swarm->ManifestHeld() || !m_report)
+    return StageAccess::None;
   // While the engine loads weights from the stage, the stage must not change.
-  if (!swarm || !swarm->ManifestHeld() || m_loader.IsUnderWay() || !m_report || m_report->is_busy)
+  const StageAccess access = m_loader.AllowedAccess();
+  if (m_report->is_busy && access == StageAccess::ReadAndWrite)
+    return StageAccess::None;
+  const bool is_done = LoadedVersion() >= m_wanted && swarm->IsHeld() && m_stage.IsStaged();
+  return is_done && !m_loader.IsUnderWay() ? StageAccess::None : access;
+}
+
+void Sidecar::TickStage(TimePoint now, Actions* actions)
+{
+  const bool was_confirming = std::exchange(m_is_confirming_load, m_loader.AwaitsConfirmation());
+  // What was read before the engine accepted the order does not show what it has loaded.
+  if (m_is_confirming_load && !was_confirming)
+    m_stage.VerifyAgain();
+  const StageAccess access = AllowedStageAccess();
+  if (access == StageAccess::None)
     return;
-  if (LoadedVersion() >= m_wanted && swarm->IsHeld() && m_stage.IsStaged())
+  if (access == StageAccess::ReadAndWrite && !TickFoundPieces(actions))
     return;
+  CheckInheritedLoad(now);
+  StageActions new_actions;
+  m_stage.OnTick(*WantedSwarm(), access, now, &new_actions);
+  for (StageAction& action : new_actions)
+    std::visit([&](auto& typed) { actions->push_back(std::move(typed)); }, action);
+}
+
+void Sidecar::CheckInheritedLoad(TimePoint now)
+{
+  const std::uint64_t loaded = LoadedVersion();
+  if (!m_has_inherited_load || loaded == 0)
+    return;
+  m_has_inherited_load = false;
+  if (loaded == m_wanted && !m_stage.IsStaged())
+    m_loader.Repair({m_plan.model, m_wanted, m_plan.layers, {now, now}, m_stage.Writes()}, now);
+}
+
+bool Sidecar::TickFoundPieces(Actions* actions)
+{
   // Pieces that an earlier incarnation of the sidecar left on the stage need not be fetched again.
   if (!m_has_listed_stage && !m_is_listing)
   {
@@ -206,34 +247,70 @@
     actions->push_back(ReadStaged{ticket, m_plan.model, m_found_staged.back()});
     m_found_staged.pop_back();
   }
-  if (!m_has_listed_stage || !m_found_reads.empty())
-    return;
-  StageActions new_actions;
-  m_stage.OnTick(*swarm, StageAccess::ReadAndWrite, now, &new_actions);
-  for (StageAction& action : new_actions)
-    std::visit([&](auto& typed) { actions->push_back(std::move(typed)); }, action);
+  return m_has_listed_stage && m_found_reads.empty();
 }
 
 void Sidecar::TickLoader(TimePoint now, Actions* actions)
 {
-  if (m_wanted > 0 && m_report && !m_report->is_busy && LoadedVersion() < m_wanted &&
-      !m_loader.IsUnderWay())
+  if (m_loader.AwaitsStage(now))
+    ContinueLoad(now);
+  else if (m_loader.State() == LoaderState::Confirming)
+    ConfirmLoad(now);
+  else if (IsLoadDue(now))
+    BeginLoad(now, actions);
+  if (const auto order = m_loader.OnTick(now))
   {
-    const auto verified = m_stage.Verified();
-    const std::optional<TimePoint> switch_at = SwitchAt(now);
-    const bool is_due = switch_at && now >= *switch_at;
-    if (verified && now - verified->began > VERIFICATION_LIFETIME && is_due)
-      m_stage.VerifyAgain();
-    else if (verified && is_due)
-      m_loader.Begin({m_plan.model, m_wanted, verified->began}, now);
-    if (m_loader.IsUnderWay())
-      SendLoadReports(now, actions);
+    m_metrics.Add("holdpost_orders_total");
+    m_metrics.Record("holdpost_order_verified_seconds", now - m_loader.Verified().began);
+    actions->push_back(*order);
   }
-  if (const auto start = m_loader.OnTick(now))
+}
+
+bool Sidecar::IsLoadDue(TimePoint now) const
+{
+  if (m_wanted == 0 || !m_report || m_report->is_busy || LoadedVersion() >= m_wanted ||
+      m_loader.IsUnderWay())
+    return false;
+  const std::optional<TimePoint> switch_at = SwitchAt(now);
+  return switch_at && now >= *switch_at;
+}
+
+std::optional<StagedVersion> Sidecar::TakeVerified(TimePoint now)
+{
+  const std::optional<Verification> verified = m_stage.Verified();
+  if (!verified)
+    return std::nullopt;
+  if (now - verified->began > VERIFICATION_LIFETIME)
   {
-    m_metrics.Add("holdpost_orders_total");
-    m_metrics.Record("holdpost_order_verified_seconds", now - m_loader.VerifiedSince());
-    actions->push_back(*start);
+    m_stage.VerifyAgain();
+    return std::nullopt;
   }
+  return StagedVersion{m_plan.model, m_wanted,         m_plan.layers,
+                       *verified,    m_stage.Writes(), m_stage.MayBeOverwritten()};
+}
+
+void Sidecar::BeginLoad(TimePoint now, Actions* actions)
+{
+  const auto staged = TakeVerified(now);
+  if (!staged)
+    return;
+  m_loader.Begin(*staged, now);
+  if (m_loader.IsUnderWay())
+    SendLoadReports(now, actions);
+}
+
+void Sidecar::ContinueLoad(TimePoint now)
+{
+  if (const auto staged = TakeVerified(now))
+    m_loader.Continue(*staged, now);
+}
+
+void Sidecar::ConfirmLoad(TimePoint now)
+{
+  if (!m_stage.IsReadCompletely())
+    return;
+  const bool is_sound = m_loader.OnStageRead(m_stage.Verified().has_value(), m_stage.Writes(), now);
+  m_metrics.Add("holdpost_loads_confirmed_total",
+                is_sound ? "outcome=\"sound\"" : "outcome=\"unsound\"");
 }
 } // namespace Holdpost::Sidecar
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -103,7 +103,7 @@
   Gateway::TargetLoad load;
   load.address = m_options.target;
   load.id = m_target_id;
-  load.is_switching = m_loader.IsUnderWay();
+  load.is_switching = m_loader.IsUnderWay() || m_loader.IsUnsound();
   load.next_version = m_loader.IsUnderWay() ? m_loader.Version() : 0;
   if (m_report)
   {
--- a/Source/Core/Sidecar/StageManager.cpp
+++ b/Source/Core/Sidecar/StageManager.cpp
@@ -2,6 +2,7 @@
 #include "Core/Sidecar/StageManager.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/EventLog.h"
 
@@ -22,6 +23,7 @@
     return;
   m_model = model;
   m_version = version;
+  m_may_be_overwritten = std::exchange(m_has_unanswered_writes, false) || m_may_be_overwritten;
   m_pieces.assign(pieces, Piece());
   m_staged = 0;
   m_verified = 0;
@@ -55,14 +57,14 @@
     if (m_pieces[piece].state != State::Missing)
       continue;
     // A write of another version that is still under way could overwrite this one.
-    const bool is_busy =
-        std::ranges::any_of(m_calls, [piece](const auto& call) { return call.second == piece; });
+    const bool is_busy = std::ranges::any_of(m_calls, [piece](const auto& call)
+                                             { return call.second.piece == piece; });
     const Common::Bytes data = is_busy ? nullptr : swarm.Piece(piece);
     if (!data)
       continue;
     SetState(piece, State::Staging);
     m_pieces[piece].ticket = IssueTicket();
-    m_calls[m_last_ticket] = piece;
+    m_calls[m_last_ticket] = {piece, m_version};
     ++m_writes;
     actions->push_back(StagePiece{m_last_ticket, m_model, piece, data});
   }
@@ -78,7 +80,7 @@
     SetState(piece, State::Reading);
     m_pieces[piece].ticket = IssueTicket();
     m_pieces[piece].reading_began = now;
-    m_calls[m_last_ticket] = piece;
+    m_calls[m_last_ticket] = {piece, m_version};
     actions->push_back(ReadStaged{m_last_ticket, m_model, piece});
   }
 }
@@ -92,8 +94,25 @@
   return called.ticket == ticket && called.state == expected ? &called : nullptr;
 }
 
+void StageManager::OnEngineRestarted()
+{
+  m_has_unanswered_writes = false;
+  m_may_be_overwritten = false;
+}
+
+void StageManager::NoteUnanswered(const PieceStaged& staged)
+{
+  const auto* error = std::get_if<Common::Error>(&staged.result);
+  if (!error || Common::AnswerFor(error->kind).outcome != Common::Outcome::Unknown)
+    return;
+  const auto call = m_calls.find(staged.ticket);
+  const bool is_current = call != m_calls.end() && call->second.version == m_version;
+  (is_current ? m_has_unanswered_writes : m_may_be_overwritten) = true;
+}
+
 void StageManager::OnStaged(const PieceStaged& staged, TimePoint now)
 {
+  NoteUnanswered(staged);
   if (!EndCall(staged.ticket, staged.piece, State::Staging))
     return;
   const bool is_accepted = Common::Succeeded(staged.result);
--- a/Source/Core/Sidecar/StageManager.h
+++ b/Source/Core/Sidecar/StageManager.h
@@ -61,6 +61,10 @@
   void VerifyAgain();
   // Whether no reading is under way or due.
   bool IsReadCompletely() const;
+  // Whether a write of another version got no answer, so that the engine may still carry it out.
+  bool MayBeOverwritten() const { return m_may_be_overwritten; }
+  // The engine has restarted: it carries out no earlier call.
+  void OnEngineRestarted();
   // A ticket for a call of the stage that somebody else makes.
   CallTicket IssueTicket() { return ++m_last_ticket; }
   // Number of pieces that were read back and were missing or not correct, since the start.
@@ -94,6 +98,8 @@
   void ReadUnverified(Common::TimePoint now, StageActions* actions);
   // Ends the call. Returns the piece if the answer still counts for it, otherwise null.
   Piece* EndCall(CallTicket ticket, std::uint32_t piece, State expected);
+  // A write without an answer may still be carried out.
+  void NoteUnanswered(const PieceStaged& staged);
   void OnBadPiece(std::uint32_t piece, std::string_view reason, Common::TimePoint now);
   void LogVerified(Common::TimePoint now) const;
 
@@ -103,8 +109,16 @@
   std::size_t m_staged = 0; // pieces that are Staged, Reading or Verified
   std::size_t m_verified = 0;
   CallTicket m_last_ticket = 0;
-  // The calls under way, including those whose answers no longer count, with their pieces.
-  std::map<CallTicket, std::uint32_t> m_calls;
+  struct Call
+  {
+    std::uint32_t piece = 0;
+    std::uint64_t version = 0;
+  };
+  // The calls under way, including those whose answers no longer count.
+  std::map<CallTicket, Call> m_calls;
+  // A write of the current version got no answer.
+  bool m_has_unanswered_writes = false;
+  bool m_may_be_overwritten = false;
   std::uint64_t m_bad_reads = 0;
   std::uint64_t m_writes = 0;
   Common::TimePoint m_last_read_at{};
--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -2,11 +2,13 @@
 #include "Core/Sidecar/WeightsLoader.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/EventLog.h"
 
 namespace Holdpost::Sidecar
 {
+using Common::Duration;
 using Common::LogEvent;
 using Common::Milliseconds;
 using Common::TimePoint;
@@ -14,85 +16,345 @@
 
 // The time until gateways know that the target accepts no new requests.
 static constexpr Milliseconds ANNOUNCEMENT_LEAD_TIME = Milliseconds(30);
+// If the order could not leave within this time after its announcement, the process stood still:
+// the verification has to be looked at again.
+static constexpr Milliseconds MAX_ANNOUNCEMENT_TIME = Milliseconds(500);
 static constexpr Milliseconds ORDER_RETRY_DELAY = Milliseconds(150);
+// A piece may have turned bad this time before the engine loads it. So the oldest reading may be
+// this old when the engine accepts the order.
+static constexpr Milliseconds MAX_VERIFICATION_AGE = Milliseconds(3000);
+// If an engine that is not busy has not reported what was ordered this time after it accepted the
+// order, the load has failed.
+static constexpr Milliseconds LOAD_TIMEOUT = Milliseconds(5000);
+static constexpr std::uint32_t MAX_REPAIR_FAILURES = 5;
+
+bool HoldsExactly(const EngineReport& report, const LayerRange& range, std::uint64_t version)
+{
+  return report.layers.size() == 1 && report.layers.front().range == range &&
+         report.layers.front().version == version;
+}
+
+bool HoldsPart(const EngineReport& report, std::uint32_t layers)
+{
+  std::uint32_t held = 0;
+  for (const LoadedLayers& loaded : report.layers)
+    held += loaded.range.end - std::min(loaded.range.first, loaded.range.end);
+  return held > 0 && held < layers;
+}
+
+// An engine takes only layers that it does not hold. So each half is given up and loaded again.
+// Empty if the layers cannot be divided.
+static std::deque<LayerRange> RepairOrders(std::uint32_t layers)
+{
+  if (layers < 2)
+    return {};
+  const LayerRange all{0, layers};
+  const std::uint32_t middle = layers / 2;
+  return {{0, middle}, all, {middle, layers}, all};
+}
+
+void WeightsLoader::SetState(LoaderState state, TimePoint now)
+{
+  m_state = state;
+  m_since = now;
+}
 
 void WeightsLoader::Begin(const StagedVersion& staged, TimePoint now)
 {
   if (IsUnderWay() || now < m_not_before)
     return;
+  ForgetOrders();
   m_staged = staged;
-  m_state = LoaderState::Announced;
-  m_since = now;
+  m_began = now;
+  // A repair was interrupted, so the layers that the engine kept may be bad.
+  if (HoldsPart(m_report, staged.layers))
+    m_repair_orders = RepairOrders(staged.layers);
+  SetState(LoaderState::Announced, now);
   LogEvent(Weight::Important, now, "switch.begun", "model", staged.model, "version", staged.version,
-           "verified_ms", now - staged.verified_since, "orders", m_orders_seen);
+           "verified_ms", now - staged.verified.began, "orders", m_orders_seen);
+}
+
+void WeightsLoader::Continue(const StagedVersion& staged, TimePoint now)
+{
+  if (!AwaitsStage(now))
+    return;
+  m_staged = staged;
+  m_is_order_due = true;
+}
+
+bool WeightsLoader::AwaitsStage(TimePoint now) const
+{
+  const bool is_waiting = m_state == LoaderState::Unsettled || m_state == LoaderState::Repairing;
+  return is_waiting && !m_is_order_due && now >= m_not_before;
+}
+
+bool WeightsLoader::AwaitsConfirmation() const
+{
+  if (m_state == LoaderState::Confirming)
+    return true;
+  return m_state == LoaderState::Loading && m_stage_writes_at_load && m_repair_orders.size() <= 1;
+}
+
+StageAccess WeightsLoader::AllowedAccess() const
+{
+  switch (m_state)
+  {
+  case LoaderState::Idle:
+  case LoaderState::Unsettled:
+  case LoaderState::Repairing:
+    return StageAccess::ReadAndWrite;
+  case LoaderState::Announced:
+  case LoaderState::Ordered:
+    return StageAccess::None;
+  case LoaderState::Loading:
+  case LoaderState::Confirming:
+    break;
+  }
+  return AwaitsConfirmation() ? StageAccess::Read : StageAccess::None;
+}
+
+std::optional<LayerRange> WeightsLoader::DueLayers() const
+{
+  const LayerRange all{0, m_staged.layers};
+  if (m_repair_orders.empty() || m_repair_orders.front() == all)
+    return std::nullopt;
+  return m_repair_orders.front();
 }
 
 std::optional<LoadStagedWeights> WeightsLoader::OnTick(TimePoint now)
 {
-  if (m_state != LoaderState::Announced || now - m_since < ANNOUNCEMENT_LEAD_TIME)
+  const bool was_announced =
+      m_state == LoaderState::Announced && now - m_since >= ANNOUNCEMENT_LEAD_TIME;
+  if (was_announced && now - m_since > MAX_ANNOUNCEMENT_TIME)
+  {
+    LogEvent(Weight::Important, now, "switch.delayed", "version", m_staged.version, "verified_ms",
+             now - m_staged.verified.began, "announced_ms", now - m_since);
+    SetState(LoaderState::Idle, now);
     return std::nullopt;
-  m_state = LoaderState::Ordered;
-  m_since = now;
-  m_is_unanswered = false;
+  }
+  if (!was_announced && !std::exchange(m_is_order_due, false))
+    return std::nullopt;
+  m_order = {++m_last_ticket, m_orders_seen, DueLayers()};
+  m_unanswered_at.reset();
+  if (!m_oldest_order)
+    m_oldest_order = m_staged;
+  SetState(LoaderState::Ordered, now);
   LogEvent(Weight::Important, now, "switch.ordered", "version", m_staged.version, "verified_ms",
-           now - m_staged.verified_since, "orders", m_orders_seen);
+           now - m_staged.verified.began, "orders", m_orders_seen, "first_layer",
+           m_order.layers ? m_order.layers->first : 0, "end_layer",
+           m_order.layers ? m_order.layers->end : m_staged.layers);
   // The engine's order count is also used as the fencing token. It never decreases during one
   // incarnation, and a new incarnation forgets the tokens.
-  return LoadStagedWeights{++m_last_ticket, m_staged.model, m_staged.version, m_orders_seen,
-                           m_orders_seen};
+  return LoadStagedWeights{m_order.ticket,          m_staged.model, m_staged.version,
+                           m_order.expected_orders, m_orders_seen,  m_order.layers};
 }
 
 void WeightsLoader::OnAnswered(const LoadAnswered& answered, TimePoint now)
 {
-  if (m_state != LoaderState::Ordered || answered.ticket != m_last_ticket)
-    return;
-  if (Common::Succeeded(answered.result))
-  {
-    LogEvent(Weight::Important, now, "switch.accepted", "version", m_staged.version, "verified_ms",
-             now - m_staged.verified_since, "answered_ms", now - m_since);
-    m_state = LoaderState::Loading;
+  if (m_state != LoaderState::Ordered || answered.ticket != m_order.ticket)
     return;
-  }
-  const auto& error = std::get<Common::Error>(answered.result);
+  if (const auto* error = std::get_if<Common::Error>(&answered.result))
+    return OnOrderFailed(*error, now);
+  m_is_already_held = std::get<OrderOutcome>(answered.result) == OrderOutcome::AlreadyHeld;
+  OnAccepted(m_is_already_held ? Acceptance::OfUnknownOrder : Acceptance::OfLastOrder, now);
+}
+
+void WeightsLoader::OnOrderFailed(const Common::Error& error, TimePoint now)
+{
   LogEvent(Weight::Important, now, "switch.order_failed", "version", m_staged.version, "reason",
            Common::AnswerFor(error.kind).name, "message", error.message, "verified_ms",
-           now - m_staged.verified_since, "answered_ms", now - m_since);
+           now - m_staged.verified.began, "answered_ms", now - m_since);
   if (Common::AnswerFor(error.kind).outcome == Common::Outcome::Unknown)
   {
-    m_is_unanswered = true;
+    m_unanswered_at = now;
+    m_has_unanswered_orders = true;
     return;
   }
-  m_state = LoaderState::Idle;
   m_not_before = now + ORDER_RETRY_DELAY;
+  if (m_has_unanswered_orders)
+    return SetState(LoaderState::Unsettled, now);
+  m_oldest_order.reset();
+  OnLoadFailed(now);
+}
+
+void WeightsLoader::OnLoadFailed(TimePoint now)
+{
+  if (m_repair_orders.empty())
+    return SetState(LoaderState::Idle, now);
+  if (++m_repair_failures < MAX_REPAIR_FAILURES)
+    return SetState(LoaderState::Repairing, now);
+  GiveUpRepair(now);
 }
 
-void WeightsLoader::OnReport(const EngineReport& report, TimePoint now)
+void WeightsLoader::OnAccepted(Acceptance acceptance, TimePoint now)
 {
-  const bool is_accepted = report.is_busy || report.orders > m_orders_seen;
-  if (m_state == LoaderState::Ordered && m_is_unanswered)
+  const bool is_last = acceptance == Acceptance::OfLastOrder;
+  const StagedVersion& basis = is_last ? m_staged : *m_oldest_order;
+  const Duration age = now - basis.verified.began;
+  const bool is_confirmed =
+      age < MAX_VERIFICATION_AGE && !m_is_already_held && !m_staged.may_be_overwritten;
+  LogEvent(Weight::Important, now, "switch.accepted", "version", m_staged.version, "verified_ms",
+           age, "answered_ms", now - m_since, "last_order", is_last, "in_time", is_confirmed);
+  if (!is_confirmed)
+    m_stage_writes_at_load =
+        std::min(m_stage_writes_at_load.value_or(basis.stage_writes), basis.stage_writes);
+  m_oldest_order.reset();
+  m_unanswered_at.reset();
+  m_has_unanswered_orders = false;
+  SetState(LoaderState::Loading, now);
+}
+
+bool WeightsLoader::ShowsAcceptance(const EngineReport& report) const
+{
+  return report.orders > m_order.expected_orders || (report.is_busy && m_has_unanswered_orders);
+}
+
+bool WeightsLoader::ShowsCompletion(const EngineReport& report) const
+{
+  const bool has_accepted = m_is_already_held || report.orders > m_order.expected_orders;
+  if (!has_accepted || report.is_busy || report.weights_version != m_staged.version)
+    return false;
+  return m_repair_orders.empty() || HoldsExactly(report, m_repair_orders.front(), m_staged.version);
+}
+
+void WeightsLoader::OnReport(const EngineReport& report, TimePoint asked_at, TimePoint now)
+{
+  if (report.incarnation != m_incarnation || report.orders < m_orders_seen)
+    OnRestartReported(report, now);
+  m_incarnation = report.incarnation;
+  m_report = report;
+  const bool is_order_open = m_state == LoaderState::Ordered || m_state == LoaderState::Unsettled;
+  if (is_order_open && ShowsAcceptance(report))
+    OnAccepted(Acceptance::OfUnknownOrder, now);
+  // A report that was requested while the order was under way may be older than the order.
+  else if (m_state == LoaderState::Ordered && m_unanswered_at && asked_at >= *m_unanswered_at)
   {
-    LogEvent(Weight::Important, now, "switch.unanswered", "version", m_staged.version, "accepted",
-             is_accepted, "verified_ms", now - m_staged.verified_since, "orders", report.orders);
-    m_state = is_accepted ? LoaderState::Loading : LoaderState::Idle;
+    LogEvent(Weight::Important, now, "switch.unanswered", "version", m_staged.version,
+             "verified_ms", now - m_staged.verified.began, "orders", report.orders);
     m_not_before = now + ORDER_RETRY_DELAY;
+    SetState(LoaderState::Unsettled, now);
   }
-  const bool is_done = report.weights_version == m_staged.version && !report.is_busy;
-  if (m_state == LoaderState::Loading && is_done)
+  if (m_state == LoaderState::Loading)
+    OnReportWhileLoading(report, asked_at, now);
+  if (m_state == LoaderState::Idle || m_state == LoaderState::Announced)
+    m_orders_seen = report.orders;
+}
+
+void WeightsLoader::OnRestartReported(const EngineReport& report, TimePoint now)
+{
+  const bool was_ordered = m_state == LoaderState::Ordered || m_state == LoaderState::Unsettled ||
+                           m_state == LoaderState::Loading;
+  const bool has_accepted = was_ordered && (report.orders > 0 || report.is_busy);
+  OnEngineRestarted();
+  if (!has_accepted)
+    return;
+  // The order was accepted by the new start, on whose stage nothing has been read.
+  LogEvent(Weight::Important, now, "switch.accepted", "version", m_staged.version, "verified_ms",
+           now - m_staged.verified.began, "last_order", false, "in_time", false);
+  m_order = {m_order.ticket, 0, {}};
+  m_stage_writes_at_load = m_staged.stage_writes;
+  SetState(LoaderState::Loading, now);
+}
+
+void WeightsLoader::OnReportWhileLoading(const EngineReport& report, TimePoint asked_at,
+                                         TimePoint now)
+{
+  if (!ShowsCompletion(report))
   {
-    LogEvent(Weight::Important, now, "switch.done", "version", m_staged.version, "took_ms",
-             now - m_since, "orders", report.orders);
-    m_state = LoaderState::Idle;
+    if (report.is_busy || asked_at - m_since < LOAD_TIMEOUT)
+      return;
+    LogEvent(Weight::Important, now, "switch.not_loaded", "version", m_staged.version, "orders",
+             report.orders, "weights", report.weights_version);
+    m_orders_seen = report.orders;
+    return OnLoadFailed(now);
   }
-  // A restarted engine has forgotten the order.
-  if (m_state == LoaderState::Loading && !report.is_busy && report.orders < m_orders_seen)
+  m_orders_seen = report.orders;
+  m_is_already_held = false;
+  if (!m_repair_orders.empty())
+    m_repair_orders.pop_front();
+  if (!m_repair_orders.empty())
+    return SetState(LoaderState::Repairing, now);
+  if (m_stage_writes_at_load)
+    return SetState(LoaderState::Confirming, now);
+  Finish(now);
+}
+
+void WeightsLoader::Repair(const StagedVersion& staged, TimePoint now)
+{
+  if (IsUnderWay())
+    return;
+  ForgetOrders();
+  m_staged = staged;
+  m_began = now;
+  BeginRepair(now);
+}
+
+void WeightsLoader::BeginRepair(TimePoint now)
+{
+  LogEvent(Weight::Important, now, "load.unsound", "version", m_staged.version, "after_ms",
+           now - m_began);
+  m_repair_failures = 0;
+  m_repair_orders = RepairOrders(m_staged.layers);
+  if (m_repair_orders.empty())
+    GiveUpRepair(now);
+  else
+    SetState(LoaderState::Repairing, now);
+}
+
+bool WeightsLoader::OnStageRead(bool are_correct, std::uint64_t stage_writes, TimePoint now)
+{
+  // A piece that was written since may have been bad when the engine loaded it.
+  const bool is_sound = are_correct && stage_writes == m_stage_writes_at_load;
+  m_stage_writes_at_load.reset();
+  if (!is_sound)
+  {
+    BeginRepair(now);
+    return false;
+  }
+  LogEvent(Weight::Important, now, "load.confirmed", "version", m_staged.version, "after_ms",
+           now - m_began);
+  Finish(now);
+  return true;
+}
+
+void WeightsLoader::GiveUpRepair(TimePoint now)
+{
+  LogEvent(Weight::Important, now, "load.unrepaired", "version", m_staged.version);
+  ForgetOrders();
+  m_is_unsound = true;
+  SetState(LoaderState::Idle, now);
+}
+
+void WeightsLoader::Finish(TimePoint now)
+{
+  LogEvent(Weight::Important, now, "switch.done", "version", m_staged.version, "took_ms",
+           now - m_began, "orders", m_orders_seen);
+  m_is_unsound = false;
+  SetState(LoaderState::Idle, now);
+}
+
+void WeightsLoader::ForgetOrders()
+{
+  m_is_order_due = false;
+  m_is_already_held = false;
+  m_unanswered_at.reset();
+  m_has_unanswered_orders = false;
+  m_oldest_order.reset();
+  m_stage_writes_at_load.reset();
+  m_repair_orders.clear();
+  m_repair_failures = 0;
+}
+
+void WeightsLoader::OnEngineUnreachable()
+{
+  if (m_state == LoaderState::Announced)
     m_state = LoaderState::Idle;
-  // A report that arrives while an order is open may be older than the order.
-  if (m_state == LoaderState::Idle || m_state == LoaderState::Announced)
-    m_orders_seen = report.orders;
 }
 
-void WeightsLoader::OnEngineLost()
+void WeightsLoader::OnEngineRestarted()
 {
+  ForgetOrders();
+  m_is_unsound = false;
   m_state = LoaderState::Idle;
   m_orders_seen = 0;
 }
--- a/Source/Node/MeshPlan.cpp
+++ b/Source/Node/MeshPlan.cpp
@@ -22,6 +22,7 @@
       plan.origin_bytes_per_second = document.origin->bytes_per_second;
     }
     plan.health_path = settings.health_path;
+    plan.layers = model.layers;
     return plan;
   }
   return std::nullopt;
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -184,7 +184,7 @@
 void SidecarNode::Do(const Sidecar::LoadStagedWeights& start)
 {
   m_engine.Start(start,
-                 [this, ticket = start.ticket](Result<std::monostate> result) {
+                 [this, ticket = start.ticket](Result<Sidecar::OrderOutcome> result) {
                    Feed(Sidecar::LoadAnswered{ticket, std::move(result)});
                  });
 }
--- a/Source/OperatorTool/LogStory.cpp
+++ b/Source/OperatorTool/LogStory.cpp
@@ -179,7 +179,8 @@
   {
     const auto sidecar = sidecars.find(line.process);
     const bool is_meant = sidecar != sidecars.end() &&
-                          (line.event.starts_with("switch.") || line.event.starts_with("engine."));
+                          (line.event.starts_with("switch.") || line.event.starts_with("engine.") ||
+                           line.event.starts_with("load.") || line.event.starts_with("stage."));
     if (!is_meant)
       continue;
     const std::optional<double> at = line.TimeOfDay();
--- a/Source/Peers/Control/EngineControl.h
+++ b/Source/Peers/Control/EngineControl.h
@@ -29,7 +29,7 @@
                           Done<std::vector<std::uint32_t>> done) = 0;
   virtual void ReadStaged(const Sidecar::ReadStaged& read, Done<Common::Bytes> done) = 0;
   virtual void StagePiece(const Sidecar::StagePiece& stage, Done<std::monostate> done) = 0;
-  virtual void Start(const Sidecar::LoadStagedWeights& start, Done<std::monostate> done) = 0;
+  virtual void Start(const Sidecar::LoadStagedWeights& start, Done<Sidecar::OrderOutcome> done) = 0;
   // The manifest comes in the product's own form.
   virtual CallId FetchFromOrigin(const Sidecar::FetchFromOrigin& fetch,
                                  Done<Common::Bytes> done) = 0;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -32,6 +32,8 @@
   originBytesPerSecond @7 :UInt64;
   # Where the service's targets say who they are; empty if nowhere.
   healthPath @8 :Text;
+  # Of the model; 0 if not known.
+  layers @9 :UInt32;
 }
 
 struct Peer {
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -617,6 +617,8 @@
   inline bool hasHealthPath() const;
   inline  ::capnp::Text::Reader getHealthPath() const;
 
+  inline  ::uint32_t getLayers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -692,6 +694,9 @@
   inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
 
+  inline  ::uint32_t getLayers();
+  inline void setLayers( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3373,6 +3378,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t WeightsPlan::Reader::getLayers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WeightsPlan::Builder::getLayers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WeightsPlan::Builder::setLayers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -18,13 +18,21 @@
   out.setOriginHall(plan.origin_hall);
   out.setOriginBytesPerSecond(plan.origin_bytes_per_second);
   out.setHealthPath(plan.health_path);
+  out.setLayers(plan.layers);
 }
 
 static Mesh::WeightsPlan Read(MeshWire::WeightsPlan::Reader in)
 {
-  return {ToText(in.getService()),    ToText(in.getModel()),          in.getPieces(),
-          in.getPieceBytes(),         Milliseconds(in.getWarmUpMs()), Read(in.getOrigin()),
-          ToText(in.getOriginHall()), in.getOriginBytesPerSecond(),   ToText(in.getHealthPath())};
+  return {ToText(in.getService()),
+          ToText(in.getModel()),
+          in.getPieces(),
+          in.getPieceBytes(),
+          Milliseconds(in.getWarmUpMs()),
+          Read(in.getOrigin()),
+          ToText(in.getOriginHall()),
+          in.getOriginBytesPerSecond(),
+          ToText(in.getHealthPath()),
+          in.getLayers()};
 }
 
 static void WritePeers(const std::vector<Mesh::Peer>& peers, MeshWire::Hello::Builder out)
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -335,7 +335,7 @@
            [this, node, ticket = start.ticket, incarnation = self.incarnation]
            {
              if (m_nodes[node].incarnation == incarnation)
-               Deliver(node, Sidecar::LoadAnswered{ticket, std::monostate()});
+               Deliver(node, Sidecar::LoadAnswered{ticket, Sidecar::OrderOutcome::Accepted});
            });
 }
 
--- a/Source/UnitTests/Core/Sidecar/StageTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -187,6 +187,50 @@
   }
 }
 
+// The engine carries a write of the version before out behind the reading of the next one.
+TEST_CASE("A write of another version without an answer may still overwrite the stage")
+{
+  const Weights weights;
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  StageActions actions;
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+  const auto writes = Take<StagePiece>(actions);
+  REQUIRE(writes.size() == 2);
+  const auto answer = [&](const StagePiece& write, Common::Result<std::monostate> result) {
+    manager.OnStaged({write.ticket, write.piece, std::move(result)}, START);
+  };
+
+  SUBCASE("the call ended before the next version")
+  {
+    answer(writes[0], Error{ErrorKind::Unreachable, ""});
+    CHECK_FALSE(manager.MayBeOverwritten());
+    manager.SetVersion("m", 2, PIECES);
+  }
+  SUBCASE("the call ends after it")
+  {
+    manager.SetVersion("m", 2, PIECES);
+    CHECK_FALSE(manager.MayBeOverwritten());
+    answer(writes[0], Error{ErrorKind::Unreachable, ""});
+  }
+  CHECK(manager.MayBeOverwritten());
+  manager.OnEngineRestarted();
+  CHECK_FALSE(manager.MayBeOverwritten());
+}
+
+TEST_CASE("A write that was refused cannot overwrite the stage")
+{
+  const Weights weights;
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  StageActions actions;
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+  const StagePiece write = Take<StagePiece>(actions).at(0);
+  manager.OnStaged({write.ticket, write.piece, Error{ErrorKind::SourceBusy, ""}}, START);
+  manager.SetVersion("m", 2, PIECES);
+  CHECK_FALSE(manager.MayBeOverwritten());
+}
+
 TEST_CASE("A reading that brings no content is repeated and writes nothing")
 {
   const Weights weights;
@@ -225,66 +269,322 @@
   CHECK(manager.Verified()->Took() == Milliseconds(1400));
 }
 
-TEST_CASE("An engine gets one load order for each version")
+namespace
+{
+// A loader whose engine has accepted four orders, and its verified stage.
+struct LoaderFixture
 {
+  LoaderFixture()
+  {
+    report.incarnation = 7;
+    report.weights_version = 1;
+    report.orders = 4;
+    loader.OnReport(report, START, START);
+  }
+
+  StagedVersion StagedAt(Common::TimePoint read_at) const
+  {
+    return {"m", 2, LAYERS, {read_at, read_at}, writes, may_be_overwritten};
+  }
+  LoadStagedWeights Order()
+  {
+    loader.Begin(StagedAt(now), now);
+    now += Milliseconds(40);
+    const auto order = loader.OnTick(now);
+    REQUIRE(order.has_value());
+    return *order;
+  }
+  // The next order of a load that awaits a verified stage.
+  LoadStagedWeights OrderAgain()
+  {
+    now += Milliseconds(200);
+    REQUIRE(loader.AwaitsStage(now));
+    loader.Continue(StagedAt(now), now);
+    const auto order = loader.OnTick(now);
+    REQUIRE(order.has_value());
+    return *order;
+  }
+  void Answer(const LoadStagedWeights& order, Common::Result<OrderOutcome> result,
+              Milliseconds after)
+  {
+    now += after;
+    loader.OnAnswered({order.ticket, std::move(result)}, now);
+  }
+  void Report() { loader.OnReport(report, now, now); }
+  // The engine accepts an order and reports that it has carried it out.
+  void Load(const LoadStagedWeights& order)
+  {
+    Answer(order, OrderOutcome::Accepted, Milliseconds(5));
+    ++report.orders;
+    report.weights_version = 2;
+    report.layers = {{order.layers.value_or(LayerRange{0, LAYERS}), 2}};
+    Report();
+  }
+
+  // The engine carries out an order that it has accepted too late.
+  void LoadAfterAcceptance()
+  {
+    report.is_busy = true;
+    ++report.orders;
+    Report();
+    CHECK(loader.State() == LoaderState::Loading);
+    CHECK(loader.AwaitsConfirmation());
+    CHECK(loader.AllowedAccess() == StageAccess::Read);
+    report.is_busy = false;
+    report.weights_version = 2;
+    report.layers = {{{0, LAYERS}, 2}};
+    Report();
+    CHECK(loader.State() == LoaderState::Confirming);
+  }
+
+  static constexpr std::uint32_t LAYERS = 6;
+  static constexpr Milliseconds TOO_LATE = Milliseconds(3100);
+
   WeightsLoader loader;
   EngineReport report;
-  report.weights_version = 1;
-  report.orders = 4;
-  loader.OnReport(report, START);
-  loader.Begin({"m", 2, START}, START);
+  Common::TimePoint now = START;
+  std::uint64_t writes = 24;
+  bool may_be_overwritten = false;
+};
+} // namespace
+
+TEST_CASE("An engine gets one load order for each version")
+{
+  LoaderFixture fixture;
+  WeightsLoader& loader = fixture.loader;
+  EngineReport& report = fixture.report;
+  loader.Begin(fixture.StagedAt(START), START);
   CHECK(loader.State() == LoaderState::Announced);
   CHECK_FALSE(loader.OnTick(START).has_value());
   const auto order = loader.OnTick(START + Milliseconds(40));
   REQUIRE(order.has_value());
   CHECK(order->version == 2);
   CHECK(order->expected_orders == 4);
+  CHECK_FALSE(order->layers.has_value());
   CHECK_FALSE(loader.OnTick(START + Milliseconds(80)).has_value());
+  fixture.now = START + Milliseconds(80);
 
   SUBCASE("accepted: the loader waits until the engine has the version")
   {
-    loader.OnAnswered({1, std::monostate()}, START);
+    fixture.Answer(*order, OrderOutcome::Accepted, Milliseconds(1));
     report.is_busy = true;
     report.orders = 5;
     report.weights_version = 0;
-    loader.OnReport(report, START);
+    fixture.Report();
     CHECK(loader.IsUnderWay());
     report.is_busy = false;
     report.weights_version = 2;
-    loader.OnReport(report, START);
+    fixture.Report();
     CHECK_FALSE(loader.IsUnderWay());
   }
-  SUBCASE("without an answer: the next report shows that the order was accepted")
+  SUBCASE("without an answer: a report shows that the order was accepted")
   {
-    loader.OnAnswered({1, Error{ErrorKind::Unreachable, ""}}, START);
+    fixture.Answer(*order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1));
     CHECK(loader.IsUnderWay());
     report.orders = 5;
     report.is_busy = true;
-    loader.OnReport(report, START);
+    fixture.Report();
     CHECK(loader.State() == LoaderState::Loading);
   }
-  SUBCASE("without an answer: the next report shows that the order was not accepted")
+  SUBCASE("without an answer: a report that was requested later shows that the order was not "
+          "accepted, and the next order tells whether it still is")
   {
-    loader.OnAnswered({1, Error{ErrorKind::Unreachable, ""}}, START);
-    loader.OnReport(report, START);
-    CHECK_FALSE(loader.IsUnderWay());
-    loader.Begin({"m", 2, START}, START);
-    CHECK_FALSE(loader.IsUnderWay());
-    loader.Begin({"m", 2, START}, START + Milliseconds(200));
-    CHECK(loader.IsUnderWay());
+    fixture.Answer(*order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1));
+    fixture.Report();
+    CHECK(loader.State() == LoaderState::Unsettled);
+    CHECK_FALSE(loader.AwaitsStage(fixture.now));
+    const LoadStagedWeights next = fixture.OrderAgain();
+    CHECK(next.version == 2);
+    CHECK(next.expected_orders == 4);
   }
   SUBCASE("refused: the order may be sent again later")
   {
-    loader.OnAnswered({1, Error{ErrorKind::Conflict, ""}}, START);
+    fixture.Answer(*order, Error{ErrorKind::Conflict, ""}, Milliseconds(1));
+    CHECK_FALSE(loader.IsUnderWay());
+    loader.Begin(fixture.StagedAt(fixture.now), fixture.now);
     CHECK_FALSE(loader.IsUnderWay());
+    loader.Begin(fixture.StagedAt(fixture.now), fixture.now + Milliseconds(200));
+    CHECK(loader.IsUnderWay());
   }
   SUBCASE("a restarted engine has forgotten the order")
   {
-    loader.OnAnswered({1, std::monostate()}, START);
+    fixture.Answer(*order, OrderOutcome::Accepted, Milliseconds(1));
     report.orders = 0;
     report.weights_version = 0;
-    loader.OnReport(report, START);
+    fixture.Report();
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+  SUBCASE("accepted, but not loaded: the order may be sent again later")
+  {
+    fixture.Answer(*order, OrderOutcome::Accepted, Milliseconds(1));
+    report.orders = 5;
+    fixture.Report();
+    CHECK(loader.IsUnderWay());
+    fixture.now += Milliseconds(6000);
+    fixture.Report();
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+}
+
+// A paused process sends an order that was decided on before.
+TEST_CASE("An order does not leave long after its stage was verified")
+{
+  LoaderFixture fixture;
+  fixture.loader.Begin(fixture.StagedAt(START), START);
+  CHECK_FALSE(fixture.loader.OnTick(START + Milliseconds(5000)).has_value());
+  CHECK(fixture.loader.State() == LoaderState::Idle);
+}
+
+// An order is under way while the engine stands still, and a piece turns bad meanwhile.
+TEST_CASE("A load of pieces that were verified too long ago is confirmed by reading them again")
+{
+  LoaderFixture fixture;
+  WeightsLoader& loader = fixture.loader;
+  const LoadStagedWeights order = fixture.Order();
+  CHECK(loader.AllowedAccess() == StageAccess::None);
+  SUBCASE("the answer is late")
+  {
+    fixture.Answer(order, OrderOutcome::Accepted, LoaderFixture::TOO_LATE);
+  }
+  SUBCASE("the answer is lost, and a late report shows that the order was accepted")
+  {
+    fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+    loader.OnEngineUnreachable();
+    fixture.now += LoaderFixture::TOO_LATE;
+    fixture.report.is_busy = true;
+  }
+  SUBCASE("the answer is in time, but a write of another version may have come between")
+  {
+    fixture.may_be_overwritten = true;
+    fixture.now += Milliseconds(200);
+    loader.OnEngineRestarted();
+    fixture.Report();
+    fixture.Answer(fixture.Order(), OrderOutcome::Accepted, Milliseconds(5));
+  }
+  SUBCASE("the engine answers the next order that it holds the version")
+  {
+    fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+    fixture.Report();
+    fixture.Answer(fixture.OrderAgain(), OrderOutcome::AlreadyHeld, Milliseconds(5));
+  }
+  SUBCASE("the engine refuses the next order, as it has accepted the first one")
+  {
+    fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+    fixture.Report();
+    fixture.Answer(fixture.OrderAgain(), Error{ErrorKind::Conflict, ""}, LoaderFixture::TOO_LATE);
+    CHECK(loader.State() == LoaderState::Unsettled);
+  }
+  fixture.LoadAfterAcceptance();
+}
+
+TEST_CASE("What becomes of a load that is confirmed by reading the stage again")
+{
+  LoaderFixture fixture;
+  WeightsLoader& loader = fixture.loader;
+  fixture.Answer(fixture.Order(), OrderOutcome::Accepted, LoaderFixture::TOO_LATE);
+  fixture.LoadAfterAcceptance();
+
+  SUBCASE("the pieces are correct")
+  {
+    CHECK(loader.OnStageRead(true, fixture.writes, fixture.now));
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+  SUBCASE("a piece is bad: each half of the layers is loaded again from a verified stage")
+  {
+    CHECK_FALSE(loader.OnStageRead(false, fixture.writes, fixture.now));
+    CHECK(loader.AllowedAccess() == StageAccess::ReadAndWrite);
+    const std::vector<std::optional<LayerRange>> expected = {LayerRange{0, 3}, std::nullopt,
+                                                             LayerRange{3, 6}, std::nullopt};
+    for (const std::optional<LayerRange>& layers : expected)
+    {
+      CHECK(loader.IsUnderWay());
+      const LoadStagedWeights repair = fixture.OrderAgain();
+      CHECK(repair.layers == layers);
+      CHECK(repair.expected_orders == fixture.report.orders);
+      fixture.Load(repair);
+    }
     CHECK_FALSE(loader.IsUnderWay());
+    CHECK_FALSE(loader.IsUnsound());
+  }
+  SUBCASE("a piece was written meanwhile: what the engine loaded is not known")
+  {
+    CHECK_FALSE(loader.OnStageRead(true, fixture.writes + 1, fixture.now));
+    CHECK(loader.State() == LoaderState::Repairing);
+  }
+  SUBCASE("an engine that refuses to give layers up is left unsound until its next load")
+  {
+    loader.OnStageRead(false, fixture.writes, fixture.now);
+    while (loader.IsUnderWay())
+      fixture.Answer(fixture.OrderAgain(), Error{ErrorKind::SourceBusy, ""}, Milliseconds(1));
+    CHECK(loader.IsUnsound());
+    ++fixture.writes;
+    fixture.now += Milliseconds(200);
+    fixture.Load(fixture.Order());
+    CHECK_FALSE(loader.IsUnsound());
+  }
+  SUBCASE("the engine restarts and accepts an order of before: that load is confirmed, too")
+  {
+    loader.OnStageRead(true, fixture.writes, fixture.now);
+    fixture.now += Milliseconds(200);
+    const LoadStagedWeights next = fixture.Order();
+    fixture.Answer(next, Error{ErrorKind::Unreachable, ""}, Milliseconds(5));
+    fixture.report = {.incarnation = 8, .is_busy = true, .orders = 1};
+    fixture.Report();
+    CHECK(loader.State() == LoaderState::Loading);
+    CHECK(loader.AwaitsConfirmation());
+  }
+  SUBCASE("the engine restarts: there is nothing to confirm")
+  {
+    fixture.report = {.incarnation = 8};
+    fixture.Report();
+    CHECK_FALSE(loader.IsUnderWay());
+  }
+}
+
+TEST_CASE("A load that was accepted in time is not confirmed")
+{
+  LoaderFixture fixture;
+  const LoadStagedWeights order = fixture.Order();
+  SUBCASE("by the order's answer")
+  {
+    fixture.Answer(order, OrderOutcome::Accepted, Milliseconds(1500));
+  }
+  SUBCASE("by a report that comes before the answer")
+  {
+    ++fixture.report.orders;
+    fixture.now += Milliseconds(100);
+    fixture.Report();
+  }
+  SUBCASE("by the answer to the second order, after which the engine refuses the first one")
+  {
+    fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, Milliseconds(3000));
+    fixture.Report();
+    fixture.Answer(fixture.OrderAgain(), OrderOutcome::Accepted, Milliseconds(5));
+  }
+  CHECK(fixture.loader.State() == LoaderState::Loading);
+  CHECK_FALSE(fixture.loader.AwaitsConfirmation());
+}
+
+// A report that was requested before the order left does not tell what became of it.
+TEST_CASE("An unanswered order is not given up because of an older report")
+{
+  LoaderFixture fixture;
+  const Common::TimePoint asked_at = fixture.now;
+  const LoadStagedWeights order = fixture.Order();
+  fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+  fixture.loader.OnReport(fixture.report, asked_at, fixture.now);
+  CHECK(fixture.loader.State() == LoaderState::Ordered);
+  SUBCASE("nor as its engine does not answer for a while")
+  {
+    fixture.loader.OnEngineUnreachable();
+    CHECK(fixture.loader.State() == LoaderState::Ordered);
+  }
+  SUBCASE("a late answer to an earlier order does not count for the next one")
+  {
+    fixture.Report();
+    fixture.OrderAgain();
+    fixture.Answer(order, OrderOutcome::Accepted, Milliseconds(1));
+    CHECK(fixture.loader.State() == LoaderState::Ordered);
   }
 }
 
