Sidecar: Readings of the stage of more than 2 s end in a load

Cause: a verification counts as too old 2 s after its first reading began. If reading takes longer, none is ever young enough, and the pieces are read again without end.

Fix: a verification that took 2 s or longer may be used for 0.5 s after its end.

--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -25,6 +25,9 @@
 static constexpr std::uint32_t MAX_CONCURRENT_FOUND_READS = 2;
 // A verification that is older than this does not show what is on the stage now.
 static constexpr Milliseconds VERIFICATION_LIFETIME = Milliseconds(2000);
+// If reading all pieces takes longer than that, the verification can be used for this time after
+// its end; the load is then confirmed by reading the stage again.
+static constexpr Milliseconds SLOW_VERIFICATION_LIFETIME = Milliseconds(500);
 
 void Sidecar::Handle(const ReportRead& event, TimePoint now, Actions* actions)
 {
@@ -280,7 +283,10 @@
   const std::optional<Verification> verified = m_stage.Verified();
   if (!verified)
     return std::nullopt;
-  if (now - verified->began > VERIFICATION_LIFETIME)
+  const bool is_slow = verified->Took() >= VERIFICATION_LIFETIME;
+  const bool is_fresh = is_slow ? now - verified->ended <= SLOW_VERIFICATION_LIFETIME
+                                : now - verified->began <= VERIFICATION_LIFETIME;
+  if (!is_fresh)
   {
     m_stage.VerifyAgain();
     return std::nullopt;
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -172,6 +172,30 @@
   CHECK(SecondsUntilLoaded(world, 2) < 8.0);
 }
 
+// No verification of the whole stage is ever younger than the reading of it takes.
+TEST_CASE("Readings of the stage that take long in all still end in a load")
+{
+  WorldOptions options;
+  options.halls = {{"a", 1}};
+  options.pieces = 24;
+  SidecarWorld world(options);
+  world.RunFor(std::chrono::seconds(1));
+  // Twelve readings, one after the other, on each of two calls.
+  Milliseconds each{0};
+  SUBCASE("longer than a verification may be old at the order")
+  {
+    each = Milliseconds(200);
+  }
+  SUBCASE("longer than a piece may be bad before the engine loads it")
+  {
+    each = Milliseconds(400);
+  }
+  world.SetStageReadTime(each);
+  world.LoseWeights(0);
+  CHECK(world.RunUntil([&] { return world.HasLoaded(0, 1); }, std::chrono::seconds(15)));
+  CHECK(world.Fault().empty());
+}
+
 TEST_CASE("A new engine without weights gets the weights from its hall")
 {
   SidecarWorld world = MakeWorld();
