Sidecar: A repair never holds all layers before all are new, and its states have an end

- A repair ordered half, all, half, all: behind the second order the engine reported the whole version with half of it still bad, and a sidecar that was killed there left it so.
It orders the halves in turn now, then all ("An engine that is being repaired does not hold all layers before all of them are new"), and an engine that holds a part is reported as switching.
Orders that rise without an order of this process count now, the target is held for 10 s at most until the stage has been read anew, and a sidecar that starts beside loaded weights checks them by the pieces found ("A load that this process did not order ...", "A target is not kept from requests ...", "A load that explains a refused order is noticed").
- An engine that refuses all orders after one without an answer was switching for good (1,000 orders, 206 s of the test's clock); so were loads that cannot be confirmed or repaired, which give way to a newer version after 10 s now.
- A repair expected an old count of orders; a load by a restarted engine forgot the writes since the oldest order; a target whose order is not settled was told as switching to the version, so that requests were not taken back from its old weights.
Engines that report no layers are repaired, too.

--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -243,6 +243,10 @@
   void OnFoundRead(const StagedRead& event, Common::TimePoint now, Actions* actions);
   StageAccess AllowedStageAccess() const;
   void TickStage(Common::TimePoint now, Actions* actions);
+  // Begins to check a load that nothing explains: the stage is listed and read anew.
+  void NoteInheritedLoad(Common::TimePoint now);
+  // Whether the target gets no requests, as its load has not been checked yet.
+  bool IsHeldForCheck(Common::TimePoint now) const;
   // Checks a load that an earlier incarnation of the sidecar ordered by the pieces found on the
   // stage, before any of them is written.
   void CheckInheritedLoad(Common::TimePoint now);
@@ -330,8 +334,13 @@
   bool m_has_listed_stage = false;
   bool m_is_listing = false;
   std::set<CallTicket> m_found_reads;
-  // The engine was loading weights when it first reported.
+  // The engine has accepted an order of another process of the sidecar; the pieces found on the
+  // stage show whether they were correct.
   bool m_has_inherited_load = false;
+  // When an order of another process was seen to be accepted; empty if none was.
+  std::optional<Common::TimePoint> m_unexplained_load_at;
+  // The start of the engine that reported last; 0 if none has.
+  std::uint64_t m_last_incarnation = 0;
   // The stage is being read to find out whether the engine has loaded correct pieces.
   bool m_is_confirming_load = false;
   std::optional<Gateway::TargetLoad> m_sent_load;
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -28,6 +28,9 @@
 // If reading all pieces takes longer than that, the verification can be used for this time after
 // its end; the load is then confirmed by reading the stage again.
 static constexpr Milliseconds SLOW_VERIFICATION_LIFETIME = Milliseconds(500);
+// For this time a target gets no requests while a load that nothing explains is being checked. The
+// check needs the manifest, which cannot be fetched while the origin is away.
+static constexpr Milliseconds MAX_HOLD_FOR_CHECK = Milliseconds(10000);
 
 void Sidecar::Handle(const ReportRead& event, TimePoint now, Actions* actions)
 {
@@ -69,15 +72,19 @@
     ReportEngineEnd(actions);
     if (!m_loader.IsUnderWay())
       m_loader.OnEngineRestarted();
-    m_stage.OnEngineRestarted();
     ForgetEngine();
   }
   m_end_reports = MAX_END_REPORTS;
-  if (!m_report && report->is_busy && !m_loader.IsUnderWay())
-    m_has_inherited_load = true;
+  if (std::exchange(m_last_incarnation, report->incarnation) != report->incarnation)
+    m_stage.OnEngineRestarted();
+  const bool is_first = !m_report;
   m_report = *report;
   m_requests_at_report = TotalWork(now).requests;
   m_loader.OnReport(*report, m_report_asked_at, now);
+  // An engine that had weights before this process began may have loaded them for an earlier one.
+  if (is_first && report->orders > 0 && !m_loader.IsUnderWay())
+    m_has_inherited_load = true;
+  NoteInheritedLoad(now);
   ChooseVersion(now, actions);
   SendLoadReports(now, actions);
 }
@@ -93,6 +100,7 @@
 void Sidecar::ForgetEngine()
 {
   m_has_inherited_load = false;
+  m_unexplained_load_at.reset();
   m_stage.VerifyAgain();
   m_target_id.clear();
   m_permits.Reset();
@@ -203,8 +211,9 @@
   const StageAccess access = m_loader.AllowedAccess();
   if (m_report->is_busy && access == StageAccess::ReadAndWrite)
     return StageAccess::None;
-  const bool is_done = LoadedVersion() >= m_wanted && swarm->IsHeld() && m_stage.IsStaged();
-  return is_done && !m_loader.IsUnderWay() ? StageAccess::None : access;
+  const bool is_done = LoadedVersion() >= m_wanted && swarm->IsHeld() && m_stage.IsStaged() &&
+                       !m_has_inherited_load && !m_loader.IsUnderWay();
+  return is_done ? StageAccess::None : access;
 }
 
 void Sidecar::TickStage(TimePoint now, Actions* actions)
@@ -225,14 +234,41 @@
     std::visit([&](auto& typed) { actions->push_back(std::move(typed)); }, action);
 }
 
+void Sidecar::NoteInheritedLoad(TimePoint now)
+{
+  if (!m_loader.HasUnexplainedLoad())
+    return m_unexplained_load_at.reset();
+  if (m_unexplained_load_at)
+    return;
+  m_unexplained_load_at = now;
+  m_has_inherited_load = true;
+  // Readings of before do not show what the engine has loaded.
+  m_has_listed_stage = false;
+  m_found_staged.clear();
+  m_found_reads.clear();
+  m_stage.Forget();
+}
+
+bool Sidecar::IsHeldForCheck(TimePoint now) const
+{
+  return m_unexplained_load_at && now - *m_unexplained_load_at < MAX_HOLD_FOR_CHECK;
+}
+
 void Sidecar::CheckInheritedLoad(TimePoint now)
 {
-  const std::uint64_t loaded = LoadedVersion();
-  if (!m_has_inherited_load || loaded == 0)
+  // A newer version takes the place of one that cannot be checked any more.
+  if (!m_has_inherited_load || LoadedVersion() != m_wanted || m_loader.IsUnderWay())
+    return;
+  // A piece that this process wrote may have been bad when the engine loaded it.
+  const bool is_sound = m_stage.IsStaged() && m_stage.Writes() == 0;
+  // Without a sign of a recent load the engine serves until all pieces for a repair are there.
+  if (!is_sound && !m_unexplained_load_at && !WantedSwarm()->IsHeld())
     return;
   m_has_inherited_load = false;
-  if (loaded == m_wanted && !m_stage.IsStaged())
-    m_loader.Repair({m_plan.model, m_wanted, m_plan.layers, {now, now}, m_stage.Writes()}, now);
+  m_unexplained_load_at.reset();
+  if (is_sound)
+    return m_loader.OnUnexplainedLoadConfirmed();
+  m_loader.Repair({m_plan.model, m_wanted, m_plan.layers, {now, now}, m_stage.Writes()}, now);
 }
 
 bool Sidecar::TickFoundPieces(Actions* actions)
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -103,8 +103,10 @@
   Gateway::TargetLoad load;
   load.address = m_options.target;
   load.id = m_target_id;
-  load.is_switching = m_loader.IsUnderWay() || m_loader.IsUnsound();
-  load.next_version = m_loader.IsUnderWay() ? m_loader.Version() : 0;
+  load.is_switching = m_loader.IsUnderWay() || m_loader.IsUnsound() || IsHeldForCheck(now);
+  // An engine that has not accepted the order yet still begins requests on its old weights.
+  const bool is_unsettled = m_loader.State() == LoaderState::Unsettled;
+  load.next_version = m_loader.IsUnderWay() && !is_unsettled ? m_loader.Version() : 0;
   if (m_report)
   {
     const Gateway::GatewayWork work = TotalWork(now);
@@ -114,9 +116,10 @@
     load.running = m_report->running - std::min(m_report->running, ended);
     load.queued = m_report->queued + announced;
     load.unread_prompt_tokens = work.unread_prompt_tokens;
-    load.weights_version = m_report->weights_version;
+    load.weights_version = LoadedVersion();
     load.incarnation = m_report->incarnation;
-    load.is_switching = load.is_switching || m_report->is_busy;
+    load.is_switching =
+        load.is_switching || m_report->is_busy || HoldsPart(*m_report, m_plan.layers);
     load.pace = m_report->pace;
     load.is_leaving = m_report->is_leaving;
   }
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -45,7 +45,7 @@
 bool Sidecar::MayReplaceWanted(TimePoint now) const
 {
   const Distribution::Swarm* swarm = WantedSwarm();
-  if (m_loader.IsUnderWay() || (swarm && swarm->IsHeld()))
+  if (!m_loader.MayBeReplaced(now) || (swarm && swarm->IsHeld()))
     return false;
   const TimePoint deadline = m_named.at(m_wanted).time + m_options.switch_within;
   // A newer version that can replace the wanted one in time saves each target a switch. However,
@@ -107,7 +107,7 @@
   if (newest <= m_wanted || MayDelayFetching(newest, now))
     return;
   const bool is_wanted_done = m_wanted == 0 || LoadedVersion() >= m_wanted;
-  if ((is_wanted_done && !m_loader.IsUnderWay()) || (!is_wanted_done && MayReplaceWanted(now)))
+  if ((is_wanted_done && m_loader.MayBeReplaced(now)) || (!is_wanted_done && MayReplaceWanted(now)))
     return SetWantedVersion(newest, now, actions);
   if (MaySkipToPrefetched(now))
     return SetWantedVersion(m_prefetched, now, actions);
@@ -120,7 +120,8 @@
 
 bool Sidecar::MayDelayFetching(std::uint64_t newest, TimePoint now) const
 {
-  if (m_wanted > 0 || !m_started_at)
+  // The pieces of a load that has to be checked are needed at once.
+  if (m_wanted > 0 || !m_started_at || m_unexplained_load_at)
     return false;
   const Duration running = now - *m_started_at;
   if (!m_report)
@@ -135,7 +136,7 @@
 {
   // The time until the version that was copied ahead is staged, verified and loaded.
   static constexpr Milliseconds SKIP_TIME = Milliseconds(1000);
-  if (m_prefetched <= m_wanted || m_loader.IsUnderWay() || LoadedVersion() >= m_wanted)
+  if (m_prefetched <= m_wanted || !m_loader.MayBeReplaced(now) || LoadedVersion() >= m_wanted)
     return false;
   const Distribution::Swarm* swarm = m_exchange.Find(VersionDigest(m_plan.model, m_prefetched));
   return swarm && swarm->IsHeld() && now + SKIP_TIME <= EarliestSwitchDeadline(m_wanted);
@@ -166,6 +167,7 @@
   // A copy that was abandoned must not use the links any longer.
   if (const Distribution::Swarm* swarm = WantedSwarm(); swarm && swarm->IsHeld())
     m_previous = m_wanted;
+  m_loader.GiveWay(now);
   m_wanted = version;
   m_prefetched = std::max(m_prefetched, version);
   m_stage.SetVersion(m_plan.model, version, m_plan.pieces);
@@ -190,6 +192,8 @@
 {
   if (m_wanted == 0)
     return Urgency::Normal;
+  if (m_loader.State() == LoaderState::Repairing)
+    return Urgency::Urgent;
   if (LoadedVersion() >= m_wanted)
   {
     const bool is_stage_checked =
--- a/Source/Core/Sidecar/StageManager.cpp
+++ b/Source/Core/Sidecar/StageManager.cpp
@@ -16,6 +16,9 @@
 // The maximum number of calls to the engine at once.
 static constexpr std::size_t MAX_CONCURRENT_CALLS = 2;
 static constexpr Milliseconds RETRY_DELAY = Milliseconds(100);
+// If an answer took longer than this, the process or the engine stood still meanwhile: it does not
+// show what is on the stage now.
+static constexpr Milliseconds MAX_READING_TIME = Milliseconds(2000);
 
 void StageManager::SetVersion(const std::string& model, std::uint64_t version, std::uint32_t pieces)
 {
@@ -94,8 +97,17 @@
   return called.ticket == ticket && called.state == expected ? &called : nullptr;
 }
 
+void StageManager::Forget()
+{
+  m_pieces.assign(m_pieces.size(), Piece());
+  m_staged = 0;
+  m_verified = 0;
+}
+
 void StageManager::OnEngineRestarted()
 {
+  for (auto& [ticket, call] : m_calls)
+    call.is_lost = true;
   m_has_unanswered_writes = false;
   m_may_be_overwritten = false;
 }
@@ -106,7 +118,9 @@
   if (!error || Common::AnswerFor(error->kind).outcome != Common::Outcome::Unknown)
     return;
   const auto call = m_calls.find(staged.ticket);
-  const bool is_current = call != m_calls.end() && call->second.version == m_version;
+  if (call == m_calls.end() || call->second.is_lost)
+    return;
+  const bool is_current = call->second.version == m_version;
   (is_current ? m_has_unanswered_writes : m_may_be_overwritten) = true;
 }
 
@@ -133,6 +147,8 @@
     // The engine was not reached: this says nothing about the piece.
     return SetState(read.piece, State::Staged);
   }
+  if (now - m_pieces[read.piece].reading_began > MAX_READING_TIME)
+    return SetState(read.piece, State::Staged);
   if (!swarm.IsValidPiece(read.piece, *std::get<Common::Bytes>(read.result)))
     return OnBadPiece(read.piece, "corrupt", now);
   m_last_read_at = now;
--- a/Source/Core/Sidecar/StageManager.h
+++ b/Source/Core/Sidecar/StageManager.h
@@ -63,6 +63,8 @@
   bool IsReadCompletely() const;
   // Whether a write of another version got no answer, so that the engine may still carry it out.
   bool MayBeOverwritten() const { return m_may_be_overwritten; }
+  // Discards what is known of the stage, as at the start.
+  void Forget();
   // The engine has restarted: it carries out no earlier call.
   void OnEngineRestarted();
   // A ticket for a call of the stage that somebody else makes.
@@ -113,6 +115,8 @@
   {
     std::uint32_t piece = 0;
     std::uint64_t version = 0;
+    // The engine has restarted since.
+    bool is_lost = false;
   };
   // The calls under way, including those whose answers no longer count.
   std::map<CallTicket, Call> m_calls;
--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -27,6 +27,10 @@
 // order, the load has failed.
 static constexpr Milliseconds LOAD_TIMEOUT = Milliseconds(5000);
 static constexpr std::uint32_t MAX_REPAIR_FAILURES = 5;
+// An engine that refuses all orders for this time will not accept an earlier one either.
+static constexpr Milliseconds MAX_UNSETTLED_TIME = Milliseconds(10000);
+// A load that could not be confirmed or repaired within this time gives way to a newer version.
+static constexpr Milliseconds MAX_REPAIR_TIME = Milliseconds(10000);
 
 bool HoldsExactly(const EngineReport& report, const LayerRange& range, std::uint64_t version)
 {
@@ -42,15 +46,14 @@
   return held > 0 && held < layers;
 }
 
-// An engine takes only layers that it does not hold. So each half is given up and loaded again.
-// Empty if the layers cannot be divided.
+// An engine takes only layers that it does not hold, so each half is loaded in place of the other.
+// It does not hold all layers before all of them are new. Empty if the layers cannot be divided.
 static std::deque<LayerRange> RepairOrders(std::uint32_t layers)
 {
   if (layers < 2)
     return {};
-  const LayerRange all{0, layers};
   const std::uint32_t middle = layers / 2;
-  return {{0, middle}, all, {middle, layers}, all};
+  return {{0, middle}, {middle, layers}, {0, layers}};
 }
 
 void WeightsLoader::SetState(LoaderState state, TimePoint now)
@@ -171,8 +174,9 @@
     return;
   }
   m_not_before = now + ORDER_RETRY_DELAY;
-  if (m_has_unanswered_orders)
+  if (m_has_unanswered_orders && now - m_began < MAX_UNSETTLED_TIME)
     return SetState(LoaderState::Unsettled, now);
+  m_has_unanswered_orders = false;
   m_oldest_order.reset();
   OnLoadFailed(now);
 }
@@ -214,13 +218,18 @@
   const bool has_accepted = m_is_already_held || report.orders > m_order.expected_orders;
   if (!has_accepted || report.is_busy || report.weights_version != m_staged.version)
     return false;
-  return m_repair_orders.empty() || HoldsExactly(report, m_repair_orders.front(), m_staged.version);
+  if (m_repair_orders.empty())
+    return true;
+  // An engine need not report its layers. It has begun something, unless it held all before.
+  return report.layers.empty() ? !m_is_already_held
+                               : HoldsExactly(report, m_repair_orders.front(), m_staged.version);
 }
 
 void WeightsLoader::OnReport(const EngineReport& report, TimePoint asked_at, TimePoint now)
 {
   if (report.incarnation != m_incarnation || report.orders < m_orders_seen)
     OnRestartReported(report, now);
+  NoteUnexplainedLoad(report, now);
   m_incarnation = report.incarnation;
   m_report = report;
   const bool is_order_open = m_state == LoaderState::Ordered || m_state == LoaderState::Unsettled;
@@ -236,15 +245,32 @@
   }
   if (m_state == LoaderState::Loading)
     OnReportWhileLoading(report, asked_at, now);
-  if (m_state == LoaderState::Idle || m_state == LoaderState::Announced)
+  const bool is_no_order_open = m_state == LoaderState::Idle || m_state == LoaderState::Announced ||
+                                m_state == LoaderState::Repairing;
+  if (is_no_order_open)
     m_orders_seen = report.orders;
 }
 
+// Another process of the sidecar may have ordered a load, whose verification is not known.
+void WeightsLoader::NoteUnexplainedLoad(const EngineReport& report, TimePoint now)
+{
+  const bool is_idle = m_state == LoaderState::Idle || m_state == LoaderState::Announced;
+  // What the engine accepted before the first report is no sign of a recent order.
+  const bool is_first = !std::exchange(m_has_report, true);
+  const bool has_risen = !is_first && report.orders > m_orders_seen;
+  if (!is_idle || m_has_unexplained_load || (!has_risen && !report.is_busy))
+    return;
+  LogEvent(Weight::Important, now, "load.unexplained", "orders", report.orders, "expected",
+           m_orders_seen, "weights", report.weights_version);
+  m_has_unexplained_load = true;
+}
+
 void WeightsLoader::OnRestartReported(const EngineReport& report, TimePoint now)
 {
   const bool was_ordered = m_state == LoaderState::Ordered || m_state == LoaderState::Unsettled ||
                            m_state == LoaderState::Loading;
   const bool has_accepted = was_ordered && (report.orders > 0 || report.is_busy);
+  const std::uint64_t stage_writes = m_oldest_order.value_or(m_staged).stage_writes;
   OnEngineRestarted();
   if (!has_accepted)
     return;
@@ -252,7 +278,7 @@
   LogEvent(Weight::Important, now, "switch.accepted", "version", m_staged.version, "verified_ms",
            now - m_staged.verified.began, "last_order", false, "in_time", false);
   m_order = {m_order.ticket, 0, {}};
-  m_stage_writes_at_load = m_staged.stage_writes;
+  m_stage_writes_at_load = stage_writes;
   SetState(LoaderState::Loading, now);
 }
 
@@ -266,6 +292,7 @@
     LogEvent(Weight::Important, now, "switch.not_loaded", "version", m_staged.version, "orders",
              report.orders, "weights", report.weights_version);
     m_orders_seen = report.orders;
+    m_has_unexplained_load = true;
     return OnLoadFailed(now);
   }
   m_orders_seen = report.orders;
@@ -284,11 +311,25 @@
   if (IsUnderWay())
     return;
   ForgetOrders();
+  m_has_unexplained_load = false;
   m_staged = staged;
   m_began = now;
   BeginRepair(now);
 }
 
+bool WeightsLoader::MayBeReplaced(TimePoint now) const
+{
+  const bool is_order_open = m_state != LoaderState::Idle && m_state != LoaderState::Confirming &&
+                             m_state != LoaderState::Repairing;
+  return !is_order_open && (m_state == LoaderState::Idle || now - m_began > MAX_REPAIR_TIME);
+}
+
+void WeightsLoader::GiveWay(TimePoint now)
+{
+  if (m_state == LoaderState::Confirming || m_state == LoaderState::Repairing)
+    GiveUpRepair(now);
+}
+
 void WeightsLoader::BeginRepair(TimePoint now)
 {
   LogEvent(Weight::Important, now, "load.unsound", "version", m_staged.version, "after_ms",
@@ -330,6 +371,7 @@
   LogEvent(Weight::Important, now, "switch.done", "version", m_staged.version, "took_ms",
            now - m_began, "orders", m_orders_seen);
   m_is_unsound = false;
+  m_has_unexplained_load = false;
   SetState(LoaderState::Idle, now);
 }
 
@@ -355,6 +397,7 @@
 {
   ForgetOrders();
   m_is_unsound = false;
+  m_has_unexplained_load = false;
   m_state = LoaderState::Idle;
   m_orders_seen = 0;
 }
--- a/Source/Core/Sidecar/WeightsLoader.h
+++ b/Source/Core/Sidecar/WeightsLoader.h
@@ -76,6 +76,10 @@
   bool OnStageRead(bool are_correct, std::uint64_t stage_writes, Common::TimePoint now);
   // Loads the version again: the engine has loaded it from pieces that were not correct.
   void Repair(const StagedVersion& staged, Common::TimePoint now);
+  // Whether a newer version may take the place of the one that is being loaded.
+  bool MayBeReplaced(Common::TimePoint now) const;
+  // A newer version takes the place of the loaded one, which has not been confirmed or repaired.
+  void GiveWay(Common::TimePoint now);
   // The engine does not answer. It may still accept orders that have been sent.
   void OnEngineUnreachable();
   // The engine has restarted: orders and loads of the earlier start are gone.
@@ -91,6 +95,11 @@
   StageAccess AllowedAccess() const;
   // Whether the engine holds pieces that were not correct, and all orders to repair that failed.
   bool IsUnsound() const { return m_is_unsound; }
+  // Whether the engine has accepted an order that this loader has not sent, or has loaded something
+  // else than it ordered.
+  bool HasUnexplainedLoad() const { return m_has_unexplained_load; }
+  // The load that was not explained has been found to be of correct pieces.
+  void OnUnexplainedLoadConfirmed() { m_has_unexplained_load = false; }
   std::uint64_t Version() const { return m_staged.version; }
   const Verification& Verified() const { return m_staged.verified; }
   // The time of the last change of the state.
@@ -117,6 +126,7 @@
   void OnAccepted(Acceptance acceptance, Common::TimePoint now);
   void OnReportWhileLoading(const EngineReport& report, Common::TimePoint asked_at,
                             Common::TimePoint now);
+  void NoteUnexplainedLoad(const EngineReport& report, Common::TimePoint now);
   void OnRestartReported(const EngineReport& report, Common::TimePoint now);
   // The engine refused an order, or has not loaded what it accepted.
   void OnLoadFailed(Common::TimePoint now);
@@ -137,6 +147,7 @@
   Common::TimePoint m_since{};
   Common::TimePoint m_began{};
   std::uint64_t m_incarnation = 0;
+  bool m_has_report = false;
   EngineReport m_report;
   std::uint64_t m_orders_seen = 0;
   Order m_order;
@@ -158,6 +169,7 @@
   std::deque<LayerRange> m_repair_orders;
   std::uint32_t m_repair_failures = 0;
   bool m_is_unsound = false;
+  bool m_has_unexplained_load = false;
   Common::TimePoint m_not_before{};
 };
 } // namespace Holdpost::Sidecar
--- a/Source/UnitTests/Core/Sidecar/SidecarIdentityTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarIdentityTest.cpp
@@ -110,3 +110,113 @@
     CHECK(reads == 3);
   }
 }
+
+namespace
+{
+// What the next report to the gateway says of the engine.
+Gateway::TargetLoad LoadOf(Fixture& f, const EngineReport& report)
+{
+  Gateway::TargetLoad load;
+  f.now += Milliseconds(100);
+  f.actions.clear();
+  f.sidecar.Handle(ReportRead{report}, f.now, &f.actions);
+  f.now += Milliseconds(100);
+  f.sidecar.Handle(ReportRead{report}, f.now, &f.actions);
+  for (const SendMessage& send : Take<SendMessage>(f.actions))
+  {
+    if (const auto* sent = std::get_if<Mesh::LoadReport>(&send.message))
+      load = sent->load;
+  }
+  return load;
+}
+
+Mesh::Hello HelloOfModel()
+{
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.wants_load = true;
+
+  return hello;
+}
+} // namespace
+
+// A sidecar was killed within a repair.
+TEST_CASE("An engine that holds a part of the layers is not reported as one that can serve")
+{
+  Fixture f;
+  f.sidecar.OnPlan({"llm", "m", 4, 1024, Milliseconds(300), {"10.9.0.1", 80}, "here", 0, "", 6},
+                   f.now);
+  const Gateway::TargetLoad load =
+      LoadOf(f, {.incarnation = 1, .weights_version = 2, .orders = 5, .layers = {{{0, 3}, 2}}});
+  REQUIRE(load.incarnation == 1);
+  CHECK(load.is_switching);
+}
+
+// An order of an earlier process of the sidecar is accepted after the first report of the new one.
+TEST_CASE("A load that this process did not order is not reported as usable before it is checked")
+{
+  Fixture f;
+  f.sidecar.OnPlan({"llm", "m", 4, 1024, Milliseconds(300), {"10.9.0.1", 80}, "here", 0, "", 6},
+                   f.now);
+  REQUIRE(LoadOf(f, {.incarnation = 1, .weights_version = 1, .orders = 4}).incarnation == 1);
+  const Gateway::TargetLoad load = LoadOf(f, {.incarnation = 1, .weights_version = 2, .orders = 5});
+  REQUIRE(load.weights_version == 2);
+  CHECK(load.is_switching);
+}
+
+// Another process of the sidecar had ordered a load, and its pieces are all correct.
+TEST_CASE("A target is not kept from requests once an unexplained load is found to be sound")
+{
+  Fixture f;
+  std::string all;
+  std::vector<Common::Bytes> pieces;
+  for (char piece = 'a'; piece < 'e'; ++piece)
+  {
+    pieces.push_back(Common::MakeBytes(std::string(1024, piece)));
+    all += *pieces.back();
+  }
+  const auto manifest =
+      Common::MakeBytes(EncodeManifest(Distribution::MakeManifest("m", all, 1024)));
+  f.sidecar.OnPlan({"llm", "m", 4, 1024, Milliseconds(300), {"10.9.0.1", 80}, "here", 0, "", 6},
+                   f.now);
+  f.sidecar.OnPeers({}, f.now, &f.actions);
+  f.sidecar.OnWeights({"m", 1}, {f.now});
+  EngineReport report{.incarnation = 1, .weights_version = 1, .orders = 4};
+  f.sidecar.Handle(ReportRead{report}, f.now, &f.actions);
+  report.orders = 5;
+  Gateway::TargetLoad load;
+  int reads = 0;
+  for (int turn = 0; turn < 60; ++turn)
+  {
+    f.now += Milliseconds(50);
+    f.sidecar.OnMessage(GATEWAY, HelloOfModel(), f.now, &f.actions);
+    f.sidecar.OnTick(f.now, &f.actions);
+    const Actions actions = std::exchange(f.actions, {});
+    for (const Action& action : actions)
+    {
+      if (std::holds_alternative<ReadReport>(action))
+        f.sidecar.Handle(ReportRead{report}, f.now, &f.actions);
+      if (const auto* fetch = std::get_if<FetchFromOrigin>(&action))
+        f.sidecar.Handle(OriginFetched{fetch->id, fetch->piece == Distribution::MANIFEST_PIECE
+                                                      ? manifest
+                                                      : pieces.at(fetch->piece)},
+                         f.now, &f.actions);
+      if (std::holds_alternative<ListStaged>(action))
+        f.sidecar.Handle(StagedListed{std::vector<std::uint32_t>{0, 1, 2, 3}}, f.now, &f.actions);
+      if (const auto* read = std::get_if<ReadStaged>(&action))
+      {
+        ++reads;
+        f.sidecar.Handle(StagedRead{read->ticket, read->piece, pieces.at(read->piece)}, f.now,
+                         &f.actions);
+      }
+      if (const auto* send = std::get_if<SendMessage>(&action))
+      {
+        if (const auto* sent = std::get_if<Mesh::LoadReport>(&send->message))
+          load = sent->load;
+      }
+    }
+  }
+  MESSAGE(reads << " reads");
+  CHECK(load.weights_version == 1);
+  CHECK_FALSE(load.is_switching);
+}
--- a/Source/UnitTests/Core/Sidecar/StageTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "Core/Sidecar/StageManager.h"
 #include "Core/Sidecar/SwitchSchedule.h"
 #include "Core/Sidecar/WeightsLoader.h"
@@ -249,6 +251,24 @@
   CHECK(Take<ReadStaged>(actions).at(0).piece == read.piece);
 }
 
+// The process stands still between a reading and its answer.
+TEST_CASE("A reading whose answer took long is repeated")
+{
+  const Weights weights;
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
+    manager.OnFound(piece);
+  StageActions actions;
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
+  const ReadStaged read = Take<ReadStaged>(actions).at(0);
+  const Common::TimePoint now = START + Milliseconds(5000);
+  manager.OnRead({read.ticket, read.piece, weights.pieces[read.piece]}, *weights.swarm, now);
+  CHECK(manager.VerifiedCount() == 0);
+  manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, now, &actions);
+  CHECK(Take<ReadStaged>(actions).at(0).piece == read.piece);
+}
+
 TEST_CASE("The age of a verification is that of its first reading")
 {
   const Weights weights;
@@ -489,12 +509,12 @@
     CHECK(loader.OnStageRead(true, fixture.writes, fixture.now));
     CHECK_FALSE(loader.IsUnderWay());
   }
-  SUBCASE("a piece is bad: each half of the layers is loaded again from a verified stage")
+  SUBCASE("a piece is bad: each half of the layers is loaded anew before all are held")
   {
     CHECK_FALSE(loader.OnStageRead(false, fixture.writes, fixture.now));
     CHECK(loader.AllowedAccess() == StageAccess::ReadAndWrite);
-    const std::vector<std::optional<LayerRange>> expected = {LayerRange{0, 3}, std::nullopt,
-                                                             LayerRange{3, 6}, std::nullopt};
+    const std::vector<std::optional<LayerRange>> expected = {LayerRange{0, 3}, LayerRange{3, 6},
+                                                             std::nullopt};
     for (const std::optional<LayerRange>& layers : expected)
     {
       CHECK(loader.IsUnderWay());
@@ -588,6 +608,127 @@
   }
 }
 
+// Another order was accepted while a repair is due, as one of an earlier process of the sidecar.
+TEST_CASE("An order of a repair expects the number of orders that the engine reports")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), OrderOutcome::Accepted, LoaderFixture::TOO_LATE);
+  fixture.LoadAfterAcceptance();
+  fixture.loader.OnStageRead(false, fixture.writes, fixture.now);
+  REQUIRE(fixture.loader.State() == LoaderState::Repairing);
+  ++fixture.report.orders;
+  fixture.Report();
+  CHECK(fixture.OrderAgain().expected_orders == fixture.report.orders);
+}
+
+// The engine serves its weights and refuses all orders, as one that leaves.
+TEST_CASE("An engine that refuses all orders after one without an answer is not switching for good")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+  fixture.Report();
+  int orders = 0;
+  while (fixture.loader.IsUnderWay() && orders < 1000)
+  {
+    fixture.Answer(fixture.OrderAgain(), Error{ErrorKind::SourceBusy, ""}, Milliseconds(5));
+    fixture.Report();
+    ++orders;
+  }
+  MESSAGE(orders << " orders refused, " << (fixture.now - START) / Milliseconds(1) << " ms");
+  CHECK_FALSE(fixture.loader.IsUnderWay());
+}
+
+// A sidecar that is killed then knows nothing of the repair, and takes such an engine for loaded.
+TEST_CASE("An engine that is being repaired does not hold all layers before all of them are new")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), OrderOutcome::Accepted, LoaderFixture::TOO_LATE);
+  fixture.LoadAfterAcceptance();
+  fixture.loader.OnStageRead(false, fixture.writes, fixture.now);
+  std::set<std::uint32_t> bad;
+  std::set<std::uint32_t> held;
+  for (std::uint32_t layer = 0; layer < LoaderFixture::LAYERS; ++layer)
+  {
+    bad.insert(layer);
+    held.insert(layer);
+  }
+  while (fixture.loader.IsUnderWay())
+  {
+    const LoadStagedWeights order = fixture.OrderAgain();
+    const LayerRange range = order.layers.value_or(LayerRange{0, LoaderFixture::LAYERS});
+    for (std::uint32_t layer = 0; layer < LoaderFixture::LAYERS; ++layer)
+    {
+      const bool is_wanted = layer >= range.first && layer < range.end;
+      if (is_wanted && held.insert(layer).second)
+        bad.erase(layer);
+      if (!is_wanted)
+      {
+        held.erase(layer);
+        bad.erase(layer);
+      }
+    }
+    fixture.Load(order);
+    const bool holds_all = held.size() == LoaderFixture::LAYERS;
+    CHECK((!holds_all || bad.empty()));
+  }
+  CHECK(bad.empty());
+}
+
+// An order is taken by the new start of an engine, after a piece was written again.
+TEST_CASE("A load by a restarted engine is confirmed against the stage of the oldest order")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+  fixture.Report();
+  ++fixture.writes;
+  fixture.Answer(fixture.OrderAgain(), Error{ErrorKind::Unreachable, ""}, Milliseconds(5));
+  fixture.report = {.incarnation = 8,
+                    .weights_version = 2,
+                    .orders = 1,
+                    .layers = {{{0, LoaderFixture::LAYERS}, 2}}};
+  fixture.Report();
+  REQUIRE(fixture.loader.State() == LoaderState::Confirming);
+  CHECK_FALSE(fixture.loader.OnStageRead(true, fixture.writes, fixture.now));
+}
+
+// Engines need not report the layers that they hold.
+TEST_CASE("A repair that ends in a whole load by an engine that reports no layers")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), OrderOutcome::Accepted, LoaderFixture::TOO_LATE);
+  fixture.LoadAfterAcceptance();
+  fixture.loader.OnStageRead(false, fixture.writes, fixture.now);
+  const Common::TimePoint began = fixture.now;
+  while (fixture.loader.IsUnderWay())
+  {
+    const LoadStagedWeights order = fixture.OrderAgain();
+    fixture.Answer(order, OrderOutcome::Accepted, Milliseconds(5));
+    ++fixture.report.orders;
+    fixture.report.layers.clear();
+    fixture.Report();
+    while (fixture.loader.State() == LoaderState::Loading)
+    {
+      fixture.now += Milliseconds(100);
+      fixture.Report();
+    }
+  }
+  MESSAGE("unsound: " << fixture.loader.IsUnsound() << " after "
+                      << (fixture.now - began) / Milliseconds(1) << " ms");
+  CHECK_FALSE(fixture.loader.IsUnsound());
+}
+
+// An order of an earlier process of the sidecar was accepted first, at a time that is not known.
+TEST_CASE("A load that explains a refused order is noticed")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), Error{ErrorKind::Conflict, ""}, Milliseconds(5));
+  ++fixture.report.orders;
+  fixture.report.weights_version = 2;
+  fixture.report.layers = {{{0, LoaderFixture::LAYERS}, 2}};
+  fixture.Report();
+  CHECK(fixture.loader.HasUnexplainedLoad());
+}
+
 TEST_CASE("Targets switch one after the other, and all before the switch deadline")
 {
   std::vector<Mesh::Peer> peers;
