HTTP client: Refuse an answer whose head leaves its length unclear

Seen: an answer of the store, of an engine, of the origin or of the platform with two different lengths, with a sign before its length, or with a coding that is not known was handed over as whole, though it was cut there or was longer. Cause: evhttp goes by the first Content-Length of several, reads lengths with strtoll, and takes every Transfer-Encoding but "chunked" for none. The client then saw a Transfer-Encoding and took the close of the connection for a marked end, so such a body could be cut at any byte. Fix: the client looks at the head itself, before any of the body: one coding at most, which is "chunked", and no length beside it; or lengths of digits that are all the same. All else ends the call with an error that says so. Not covered: a chunk's size with a sign ("+0"), which evhttp reads by itself; its length is not in doubt.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 
+#include "Common/HttpMessage.h"
 #include "Common/Socket.h"
 
 namespace Holdpost::Common
@@ -78,6 +79,31 @@
   return body;
 }
 
+static bool IsNumber(std::string_view text)
+{
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+// Whether the head says in one way where the answer ends, or leaves that to the connection. evhttp
+// goes by the first field of several, and takes a coding that it does not know for none.
+static bool HasClearFraming(evhttp_request* raw)
+{
+  std::vector<std::string_view> lengths;
+  std::vector<std::string_view> codings;
+  const evkeyvalq* list = evhttp_request_get_input_headers(raw);
+  for (const evkeyval* header = list->tqh_first; header; header = header->next.tqe_next)
+  {
+    if (EqualsIgnoringCase(header->key, "Content-Length"))
+      lengths.emplace_back(header->value);
+    else if (EqualsIgnoringCase(header->key, "Transfer-Encoding"))
+      codings.emplace_back(header->value);
+  }
+  if (!codings.empty())
+    return lengths.empty() && codings.size() == 1 && EqualsIgnoringCase(codings[0], "chunked");
+  return std::ranges::all_of(lengths, [&](std::string_view length)
+                             { return IsNumber(length) && length == lengths[0]; });
+}
+
 // An answer that ends with the connection could have been cut anywhere, so it is not whole.
 static bool HasMarkedEnd(int status, const HttpHeaders& headers)
 {
@@ -305,7 +331,12 @@
 
 int HttpClient::HandleHeaders(evhttp_request* raw, void* pending)
 {
-  const auto& self = *static_cast<Pending*>(pending);
+  auto& self = *static_cast<Pending*>(pending);
+  if (!HasClearFraming(raw))
+  {
+    self.failure = "the head of the answer leaves its length unclear, from";
+    return -1;
+  }
   if (self.callbacks.on_headers)
     self.callbacks.on_headers(evhttp_request_get_response_code(raw), ReadHeaders(raw));
   return 0;
@@ -333,6 +364,8 @@
 void HttpClient::HandleError(int error, void* pending)
 {
   // evhttp calls HandleDone next, with or without the request; the answer is not whole.
-  static_cast<Pending*>(pending)->failure = FailureOf(error);
+  auto& self = *static_cast<Pending*>(pending);
+  if (self.failure.empty())
+    self.failure = FailureOf(error);
 }
 } // namespace Holdpost::Common
--- a/Source/UnitTests/Common/CutAnswerTest.cpp
+++ b/Source/UnitTests/Common/CutAnswerTest.cpp
@@ -234,6 +234,20 @@
     CHECK_FALSE(reply);
 }
 
+// Regression: two lengths, signs and codings that are not known were taken for a whole answer.
+TEST_CASE("A client takes no answer for whole whose length can be read in two ways")
+{
+  std::vector<CutPlan> plans;
+  for (const std::string& text : UNCLEAR_ANSWERS)
+    plans.push_back({text, CutBy::Close, 1});
+  const auto replies = AnswersTo(plans);
+  for (std::size_t i = 0; i < plans.size(); ++i)
+  {
+    CAPTURE(plans[i].text);
+    CHECK_FALSE(replies[i]);
+  }
+}
+
 namespace
 {
 // A client that makes calls one after the other on a connection that is kept.
