HTTP client: Keep no connection that has bytes behind its answer

Seen: where a peer sent bytes behind a whole answer in the same packet, the next call on that connection got them: a whole answer to no request ("surplus"), or bytes of it in place of the beginning of its own answer ("surpluH" of seven bytes, of which two were the next answer's), framed as whole; else the call failed. Calls on kept connections are reads of the store, reads and writes of staged pieces, reports, and pieces of the origin; pieces are held against their digests, a write's answer and a report are not. Cause: evhttp leaves the bytes in the connection's buffer and parses them as soon as the next request is made. Bytes that come while the connection is idle were noticed, and still are. Fix: a connection whose buffer is not empty when the answer is over is closed.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -273,10 +273,12 @@
 void HttpClient::Release(Pending& pending, bool may_be_reused)
 {
   evhttp_connection* connection = pending.connection;
+  // evhttp would take bytes behind the answer for the next one.
+  const bool has_more = evbuffer_get_length(InputOf(connection)) > 0;
   if (pending.byte_counter)
     evbuffer_remove_cb_entry(InputOf(connection), std::exchange(pending.byte_counter, nullptr));
   auto& idle = m_idle[pending.to];
-  if (may_be_reused && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
+  if (may_be_reused && !has_more && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
   {
     idle.push_back(connection);
     return;
--- a/Source/UnitTests/Common/CutAnswerTest.cpp
+++ b/Source/UnitTests/Common/CutAnswerTest.cpp
@@ -289,6 +289,37 @@
 }
 } // namespace
 
+// Regression: bytes behind a whole answer were taken for the answer to the next call.
+TEST_CASE("Bytes behind a whole answer are no answer to the next call")
+{
+  const std::string surplus = Answer("surplus");
+  SUBCASE("that came with it, up to any byte")
+  {
+    for (std::size_t size = 1; size <= surplus.size(); ++size)
+    {
+      CAPTURE(size);
+      KeptConnection kept({Answer("one") + surplus.substr(0, size), Answer("two")});
+      CHECK(kept.Ask() == "one");
+      CHECK(kept.Ask() == "two");
+    }
+  }
+  SUBCASE("behind one that has no body")
+  {
+    KeptConnection kept(
+        {"HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n" + surplus, Answer("two")});
+    CHECK(kept.Ask() == "");
+    CHECK(kept.Ask() == "two");
+  }
+  SUBCASE("that came later")
+  {
+    KeptConnection kept({Answer("one"), Answer("two")});
+    CHECK(kept.Ask() == "one");
+    kept.server.Connection(0).Write(surplus);
+    RunFor(kept.loop, Milliseconds(20));
+    CHECK(kept.Ask() == "two");
+  }
+}
+
 TEST_CASE("An answer that is cut behind a whole one on the same connection is not whole")
 {
   const std::string second = Answer("second");
