HTTP client: Skip interim answers and their fields

Seen: behind "100 Continue" with a Content-Length the answer was cut to that length and handed over as whole (0 and 2 of its 4 bytes); fields of the interim answer stood among the answer's. on_headers was called for the interim answer, too, so holdpost-agent told its entry a head with status 100. Answers with 102 and 103 were taken for the last one, and the call failed. Cause: evhttp reads on behind 100 only, without clearing the fields, and looks up the first of each name. Fix: the client drops the fields of an interim answer and has evhttp read on behind all of them. Evidence: "A client takes no interim answer for the answer, nor its fields": 9 kinds. Still so: an interim answer, its answer and a close that all come at once fail the call; nothing is taken for whole that is not.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -21,6 +21,9 @@
 static constexpr std::size_t IDLE_CONNECTIONS_PER_ADDRESS = 8;
 // The bytes of an answer's first line and fields, with those of interim answers before it.
 static constexpr std::size_t MAX_HEADER_BYTES = 64 << 10;
+// Answers with a lower status are interim ones: another answer follows.
+static constexpr int MIN_FINAL_STATUS = 200;
+static constexpr int CONTINUE = 100;
 // What a body may have on the way, with the headers of its chunks, for each byte of its own.
 static constexpr std::size_t FRAMING_FACTOR = 2;
 
@@ -334,6 +337,13 @@
 int HttpClient::HandleHeaders(evhttp_request* raw, void* pending)
 {
   auto& self = *static_cast<Pending*>(pending);
+  if (evhttp_request_get_response_code(raw) < MIN_FINAL_STATUS)
+  {
+    // evhttp reads on only behind one kind of interim answer, and keeps its fields.
+    evhttp_clear_headers(evhttp_request_get_input_headers(raw));
+    raw->response_code = CONTINUE;
+    return 0;
+  }
   if (!HasClearFraming(raw))
   {
     self.failure = "the head of the answer leaves its length unclear, from";
--- a/Source/UnitTests/Common/CutAnswerTest.cpp
+++ b/Source/UnitTests/Common/CutAnswerTest.cpp
@@ -248,6 +248,40 @@
   }
 }
 
+// Regression: the fields of an interim answer counted for the answer behind it, and all but one
+// kind of them were taken for the answer.
+TEST_CASE("A client takes no interim answer for the answer, nor its fields")
+{
+  for (const std::string interim : {"100 Continue", "102 Processing", "103 Early Hints"})
+  {
+    for (const std::string field : {"", "Content-Length: 0\r\n", "Content-Length: 2\r\n"})
+    {
+      CAPTURE(interim);
+      CAPTURE(field);
+      Common::EventLoop loop;
+      CuttingServer server(loop, {{"HTTP/1.1 " + interim + "\r\nX-One: 1\r\n" + field +
+                                       "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                                   CutBy::Nothing, 1}});
+      Common::HttpClient client(loop);
+      std::optional<Result<HttpReply>> result;
+      std::vector<int> heads;
+      HttpCall call;
+      call.to = server.Address();
+      call.path = "/0";
+      client.Start(std::move(call),
+                   {[&result](Result<HttpReply> got) { result = std::move(got); },
+                    [&heads](int status, const Common::HttpHeaders&) { heads.push_back(status); }});
+      REQUIRE(RunUntil(loop, [&result] { return result.has_value(); }));
+      REQUIRE(std::holds_alternative<HttpReply>(*result));
+      const auto& reply = std::get<HttpReply>(*result);
+      CHECK(reply.status == 200);
+      CHECK(reply.body == "body");
+      CHECK_FALSE(reply.headers.contains("x-one"));
+      CHECK(heads == std::vector<int>{200});
+    }
+  }
+}
+
 namespace
 {
 // A client that makes calls one after the other on a connection that is kept.
