HTTP server: Answer callers of HTTP/1.0 without chunks, and reset what is cut

Seen: a caller of HTTP/1.0 at holdpost-entry got its answer in chunks, which it does not know, so the lengths of chunks stood in the body; and when the engine's answer broke off behind its head, the entry closed the connection in good order, which is the mark of a whole answer to such a caller. Cause: libevhtp sends chunks to any caller, and Cut() relied on the missing last chunk alone. Fix: an answer to HTTP/1.0 has neither a length nor chunks and ends with its connection; where the close is the mark of the end, Cut() resets the connection. Callers of HTTP/1.1 get what they got, and a stream's last event, with the error, still reaches them. The gateway's own connections (CallerConnection) did so already. Hall can start an agent of another engine, and put a proxy before the platform.

--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -100,6 +100,9 @@
 {
   if (!IsOpen())
     return;
+  // libevhtp would send chunks to any caller.
+  if (m_raw->proto == EVHTP_PROTO_10)
+    return StartUnframed(status, headers);
   AddHeaders(headers);
   evhtp_send_reply_chunk_start(m_raw, static_cast<evhtp_res>(status));
 }
@@ -138,20 +141,37 @@
   if (!IsOpen())
     return;
   if (m_is_unframed)
-    return Cut();
+    return CloseWhenDrained(false);
   m_ended = true;
   evhtp_send_reply_chunk_end(m_raw);
 }
 
 void HttpExchange::Cut()
 {
-  if (!IsOpen())
-    return;
+  if (IsOpen())
+    CloseWhenDrained(m_is_unframed);
+}
+
+void HttpExchange::CloseWhenDrained(bool is_reset)
+{
   m_ended = true;
-  m_cut_when_drained = true;
-  // A shut socket makes libevhtp free the connection by itself, from its own callback.
+  m_closes_when_drained = true;
+  m_is_reset = is_reset;
   if (BufferedBytes() == 0)
+    CloseNow();
+}
+
+void HttpExchange::CloseNow() const
+{
+  // A shut socket makes libevhtp free the connection by itself, from its own callback.
+  if (!m_is_reset)
+  {
     shutdown(m_raw->conn->sock, SHUT_RDWR);
+    return;
+  }
+  const linger at_once = {1, 0};
+  setsockopt(m_raw->conn->sock, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  shutdown(m_raw->conn->sock, SHUT_RD);
 }
 
 std::size_t HttpExchange::BufferedBytes() const
@@ -167,8 +187,8 @@
   const auto& exchange = *static_cast<std::shared_ptr<HttpExchange>*>(self);
   if (exchange->m_raw != connection->request)
     return EVHTP_RES_OK;
-  if (exchange->m_cut_when_drained)
-    shutdown(connection->sock, SHUT_RDWR);
+  if (exchange->m_closes_when_drained)
+    exchange->CloseNow();
   else if (exchange->IsOpen() && exchange->m_on_drained)
     exchange->m_on_drained();
   return EVHTP_RES_OK;
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -45,13 +45,14 @@
   bool IsOpen() const { return m_raw != nullptr && !m_ended; }
 
   void Reply(int status, const HttpHeaders& headers, std::string_view body);
+  // Begins an answer in chunks, or without them to a caller of HTTP/1.0, which knows none.
   void StartStream(int status, const HttpHeaders& headers);
   // Begins an answer with neither a length nor chunks, which ends with its connection.
   void StartUnframed(int status, const HttpHeaders& headers);
   void SendChunk(std::string_view data);
   void EndStream();
   // Sends what is buffered, then closes without the end mark, so that nobody takes the answer for
-  // a whole one.
+  // a whole one. Where the close itself is that mark, the connection is reset.
   void Cut();
 
   // Bytes accepted by SendChunk that the caller has not yet taken off the socket's buffer.
@@ -66,12 +67,15 @@
   static std::uint16_t HandleWrite(evhtp_connection* connection, void* self);
   static std::uint16_t HandleFinished(evhtp_request* raw, void* self);
   void AddHeaders(const HttpHeaders& headers);
+  void CloseWhenDrained(bool is_reset);
+  void CloseNow() const;
 
   evhtp_request* m_raw;
   HttpRequest m_request;
   bool m_ended = false;
   bool m_is_unframed = false;
-  bool m_cut_when_drained = false;
+  bool m_closes_when_drained = false;
+  bool m_is_reset = false; // when it is closed
   std::function<void()> m_on_drained;
   std::function<void()> m_on_gone;
 };
--- a/Source/UnitTests/Process/Hall.cpp
+++ b/Source/UnitTests/Process/Hall.cpp
@@ -131,13 +131,17 @@
   return Get(name);
 }
 
-static json NodeConfig(const std::string& name, const Address& platform)
+json Hall::ConfigOf(const std::string& name, const json& own, std::size_t platform_listener) const
 {
-  return {{"instance", name},
-          {"hall", "oslo-a"},
-          {"listen", LISTEN},
-          {"admin_listen", LISTEN},
-          {"platform", {platform.ToString()}}};
+  const Address platform =
+      m_way_to_platform.value_or(m_daemons.at("platform")->AllAt("address").at(platform_listener));
+  json config = {{"instance", name},
+                 {"hall", "oslo-a"},
+                 {"listen", LISTEN},
+                 {"admin_listen", LISTEN},
+                 {"platform", {platform.ToString()}}};
+  config.update(own);
+  return config;
 }
 
 void Hall::List(const std::string& name, const std::string& role)
@@ -165,20 +169,28 @@
                       const std::string& target_name, bool checks_fence,
                       std::size_t platform_listener)
 {
-  json config = NodeConfig(name, Get("platform").AllAt("address").at(platform_listener));
-  config["pool"] = "runners";
-  config["target"] = Get(engine).At("address").ToString();
-  config["target_name"] = target_name;
-  config["target_checks_fence"] = checks_fence;
-  Start(name, "holdpost-agent", "", config);
+  const json own = {{"pool", "runners"},
+                    {"target", Get(engine).At("address").ToString()},
+                    {"target_name", target_name},
+                    {"target_checks_fence", checks_fence}};
+  Start(name, "holdpost-agent", "", ConfigOf(name, own, platform_listener));
+  List(name, "agent");
+}
+
+void Hall::StartAgentOf(const Address& engine, const std::string& name,
+                        const std::string& target_name)
+{
+  const json own = {{"pool", "runners"},
+                    {"target", engine.ToString()},
+                    {"target_name", target_name},
+                    {"target_checks_fence", true}};
+  Start(name, "holdpost-agent", "", ConfigOf(name, own));
   List(name, "agent");
 }
 
 void Hall::StartEntry(const std::string& name)
 {
-  json config = NodeConfig(name, Get("platform").At("address"));
-  config["caller_listen"] = LISTEN;
-  Start(name, "holdpost-entry", "", config);
+  Start(name, "holdpost-entry", "", ConfigOf(name, {{"caller_listen", LISTEN}}));
   List(name, "entry");
 }
 
--- a/Source/UnitTests/Process/Hall.h
+++ b/Source/UnitTests/Process/Hall.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,8 +67,13 @@
   void StartAgent(const std::string& name, const std::string& engine,
                   const std::string& target_name, bool checks_fence = true,
                   std::size_t platform_listener = 0);
+  // An agent of an engine that is none of the hall's.
+  void StartAgentOf(const Common::Address& engine, const std::string& name,
+                    const std::string& target_name);
   void StartEngine(const std::string& name, const nlohmann::json& extra = {});
   void StartEntry(const std::string& name);
+  // Where agents and entries that are started from now on reach the platform.
+  void SetWayToPlatform(const Common::Address& way) { m_way_to_platform = way; }
   // Makes weights and returns their version.
   std::string MakeWeights(const std::string& name, std::size_t bytes, std::size_t piece_bytes);
   // Publishes a tree that wants the version at every agent; returns the operator's exit code.
@@ -92,11 +98,15 @@
   Daemon& Start(const std::string& name, const std::string& program, const std::string& subcommand,
                 const nlohmann::json& config);
   void List(const std::string& name, const std::string& role);
+  // The configuration of an agent or an entry, with what is particular to it.
+  nlohmann::json ConfigOf(const std::string& name, const nlohmann::json& own,
+                          std::size_t platform_listener = 0) const;
 
   std::string m_dir;
   std::map<std::string, std::unique_ptr<Daemon>> m_daemons;
   Caller m_caller;
   int m_starts = 0;
+  std::optional<Common::Address> m_way_to_platform;
   // Also when the test is over.
   bool m_keeps_files = false;
 };
