--- a/Source/UnitTests/Common/CutAnswerTest.cpp
+++ b/Source/UnitTests/Common/CutAnswerTest.cpp
@@ -99,19 +99,24 @@
 
 TEST_CASE("A parser takes no head for whole that is cut where no body follows it")
 {
-  const std::vector<std::pair<std::string, bool>> heads = {
+  struct BodilessAnswer
+  {
+    std::string head;
+    bool is_head_method;
+  };
+  const std::vector<BodilessAnswer> answers = {
       {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", true},
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
       {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", true},
       {"HTTP/1.1 204 No Content\r\nX-One: 1\r\n\r\n", false},
       {"HTTP/1.1 304 Not Modified\r\nContent-Length: 100\r\n\r\n", false},
   };
-  for (const auto& [head, is_head_method] : heads)
+  for (const BodilessAnswer& answer : answers)
   {
-    CAPTURE(head);
-    for (std::size_t size = 0; size < head.size(); ++size)
-      CHECK_FALSE(ParseAnswer(head.substr(0, size), 1, is_head_method).is_whole);
-    CHECK(ParseAnswer(head, 1, is_head_method).is_whole);
+    CAPTURE(answer.head);
+    for (std::size_t size = 0; size < answer.head.size(); ++size)
+      CHECK_FALSE(ParseAnswer(answer.head.substr(0, size), 1, answer.is_head_method).is_whole);
+    CHECK(ParseAnswer(answer.head, 1, answer.is_head_method).is_whole);
   }
 }
 
@@ -170,6 +175,11 @@
 
 namespace
 {
+std::string Answer(const std::string& body)
+{
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
 // The answers to calls, one for each plan, which are all made at the same time.
 std::vector<std::optional<HttpReply>> AnswersTo(const std::vector<CutPlan>& plans)
 {
@@ -238,6 +248,7 @@
 TEST_CASE("A client takes no answer for whole whose length can be read in two ways")
 {
   std::vector<CutPlan> plans;
+  plans.reserve(UNCLEAR_ANSWERS.size());
   for (const std::string& text : UNCLEAR_ANSWERS)
     plans.push_back({text, CutBy::Close, 1});
   const auto replies = AnswersTo(plans);
@@ -259,9 +270,9 @@
       CAPTURE(interim);
       CAPTURE(field);
       Common::EventLoop loop;
-      CuttingServer server(loop, {{"HTTP/1.1 " + interim + "\r\nX-One: 1\r\n" + field +
-                                       "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
-                                   CutBy::Nothing, 1}});
+      const std::string text =
+          fmt::format("HTTP/1.1 {}\r\nX-One: 1\r\n{}\r\n", interim, field) + Answer("body");
+      CuttingServer server(loop, {{text, CutBy::Nothing, 1}});
       Common::HttpClient client(loop);
       std::optional<Result<HttpReply>> result;
       std::vector<int> heads;
@@ -317,10 +328,6 @@
   Common::HttpClient client{loop};
 };
 
-std::string Answer(const std::string& body)
-{
-  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
-}
 } // namespace
 
 // Regression: bytes behind a whole answer were taken for the answer to the next call.
--- a/Source/UnitTests/Peers/CutTargetAnswerTest.cpp
+++ b/Source/UnitTests/Peers/CutTargetAnswerTest.cpp
@@ -90,6 +90,7 @@
   CuttingServer server(loop, plans);
   Calls calls(loop);
   std::vector<const Outcome*> started;
+  started.reserve(plans.size());
   for (std::size_t number = 0; number < plans.size(); ++number)
   {
     started.push_back(&calls.Start(server.Address(), number, kind));
@@ -99,6 +100,7 @@
   REQUIRE(RunUntil(
       loop, [&] { return std::ranges::all_of(started, [](auto* one) { return one->IsOver(); }); }));
   std::vector<Outcome> outcomes;
+  outcomes.reserve(started.size());
   for (const Outcome* outcome : started)
     outcomes.push_back(*outcome);
   return outcomes;
