--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 
+#include "Common/HttpMessage.h"
 #include "Common/Socket.h"
 
 namespace Holdpost::Common
@@ -20,6 +21,9 @@
 static constexpr std::size_t IDLE_CONNECTIONS_PER_ADDRESS = 8;
 // The bytes of an answer's first line and fields, with those of interim answers before it.
 static constexpr std::size_t MAX_HEADER_BYTES = 64 << 10;
+// Answers with a lower status are interim ones: another answer follows.
+static constexpr int MIN_FINAL_STATUS = 200;
+static constexpr int CONTINUE = 100;
 // What a body may have on the way, with the headers of its chunks, for each byte of its own.
 static constexpr std::size_t FRAMING_FACTOR = 2;
 
@@ -78,6 +82,31 @@
   return body;
 }
 
+static bool IsNumber(std::string_view text)
+{
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+// Whether the head says in one way where the answer ends, or leaves that to the connection. evhttp
+// goes by the first field of several, and takes a coding that it does not know for none.
+static bool HasClearFraming(evhttp_request* raw)
+{
+  std::vector<std::string_view> lengths;
+  std::vector<std::string_view> codings;
+  const evkeyvalq* list = evhttp_request_get_input_headers(raw);
+  for (const evkeyval* header = list->tqh_first; header; header = header->next.tqe_next)
+  {
+    if (EqualsIgnoringCase(header->key, "Content-Length"))
+      lengths.emplace_back(header->value);
+    else if (EqualsIgnoringCase(header->key, "Transfer-Encoding"))
+      codings.emplace_back(header->value);
+  }
+  if (!codings.empty())
+    return lengths.empty() && codings.size() == 1 && EqualsIgnoringCase(codings[0], "chunked");
+  return std::ranges::all_of(lengths, [&](std::string_view length)
+                             { return IsNumber(length) && length == lengths[0]; });
+}
+
 // An answer that ends with the connection could have been cut anywhere, so it is not whole.
 static bool HasMarkedEnd(int status, const HttpHeaders& headers)
 {
@@ -247,10 +276,12 @@
 void HttpClient::Release(Pending& pending, bool may_be_reused)
 {
   evhttp_connection* connection = pending.connection;
+  // evhttp would take bytes behind the answer for the next one.
+  const bool has_more = evbuffer_get_length(InputOf(connection)) > 0;
   if (pending.byte_counter)
     evbuffer_remove_cb_entry(InputOf(connection), std::exchange(pending.byte_counter, nullptr));
   auto& idle = m_idle[pending.to];
-  if (may_be_reused && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
+  if (may_be_reused && !has_more && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
   {
     idle.push_back(connection);
     return;
@@ -305,7 +336,19 @@
 
 int HttpClient::HandleHeaders(evhttp_request* raw, void* pending)
 {
-  const auto& self = *static_cast<Pending*>(pending);
+  auto& self = *static_cast<Pending*>(pending);
+  if (evhttp_request_get_response_code(raw) < MIN_FINAL_STATUS)
+  {
+    // evhttp reads on only behind one kind of interim answer, and keeps its fields.
+    evhttp_clear_headers(evhttp_request_get_input_headers(raw));
+    raw->response_code = CONTINUE;
+    return 0;
+  }
+  if (!HasClearFraming(raw))
+  {
+    self.failure = "the head of the answer leaves its length unclear, from";
+    return -1;
+  }
   if (self.callbacks.on_headers)
     self.callbacks.on_headers(evhttp_request_get_response_code(raw), ReadHeaders(raw));
   return 0;
@@ -333,6 +376,8 @@
 void HttpClient::HandleError(int error, void* pending)
 {
   // evhttp calls HandleDone next, with or without the request; the answer is not whole.
-  static_cast<Pending*>(pending)->failure = FailureOf(error);
+  auto& self = *static_cast<Pending*>(pending);
+  if (self.failure.empty())
+    self.failure = FailureOf(error);
 }
 } // namespace Holdpost::Common
