Mesh: Numbers beyond a field come as the largest, and a plan has limits

A list that one gateway passes on has its slots in 16 bits, a report its counts, pace and times in 16 and 32. A plan of 4,000,000,000 pieces was taken, and the sidecar keeps a state for each piece before the first one has come.

Numbers are clamped now, slots are at least 1, and a plan of more than 1,048,576 pieces or of pieces over 16 MiB is none.

--- a/Source/Core/Distribution/Manifest.h
+++ b/Source/Core/Distribution/Manifest.h
@@ -14,6 +14,8 @@
 {
 constexpr std::uint32_t MIN_PIECE_BYTES = 1024;
 constexpr std::uint32_t MAX_PIECE_BYTES = 16 << 20;
+// What is kept of each piece takes memory before the first one has come.
+constexpr std::uint32_t MAX_PIECES = 1 << 20;
 
 struct Manifest
 {
--- a/Source/Peers/Mesh/MeshControlCodec.cpp
+++ b/Source/Peers/Mesh/MeshControlCodec.cpp
@@ -42,7 +42,7 @@
   out.setService(target.service);
   out.setHall(target.hall);
   Write(target.address, out.initAddress());
-  out.setSlots(static_cast<std::uint16_t>(target.slots));
+  out.setSlots(ToWireCount(target.slots));
   out.setIsLeaving(target.state == Gateway::TargetState::Leaving);
   out.setWeightsVersion(static_cast<std::uint32_t>(target.weights_version));
   out.setIncarnation(target.incarnation);
@@ -78,7 +78,7 @@
   target.service = ToText(in.getService());
   target.hall = ToText(in.getHall());
   target.address = Read(in.getAddress());
-  target.slots = in.getSlots();
+  target.slots = std::max<std::uint32_t>(in.getSlots(), 1);
   target.state = in.getIsLeaving() ? Gateway::TargetState::Leaving : Gateway::TargetState::Ready;
   target.weights_version = in.getWeightsVersion();
   target.incarnation = in.getIncarnation();
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include "Core/Distribution/Manifest.h"
 #include "Peers/Instance/Codec.h"
 #include "Peers/Mesh/MeshWireParts.h"
 
@@ -20,8 +21,12 @@
   out.setHealthPath(plan.health_path);
 }
 
+// A plan of pieces that no weights have is none.
 static Mesh::WeightsPlan Read(MeshWire::WeightsPlan::Reader in)
 {
+  if (in.getPieces() > Distribution::MAX_PIECES ||
+      in.getPieceBytes() > Distribution::MAX_PIECE_BYTES)
+    return {};
   return {ToText(in.getService()),    ToText(in.getModel()),          in.getPieces(),
           in.getPieceBytes(),         Milliseconds(in.getWarmUpMs()), Read(in.getOrigin()),
           ToText(in.getOriginHall()), in.getOriginBytesPerSecond(),   ToText(in.getHealthPath())};
@@ -177,20 +182,20 @@
   auto out = message.initLoad();
   const Gateway::TargetLoad& load = report.load;
   Write(load.address, out.initTarget());
-  out.setRunning(static_cast<std::uint16_t>(load.running));
-  out.setQueued(static_cast<std::uint16_t>(load.queued));
+  out.setRunning(ToWireCount(load.running));
+  out.setQueued(ToWireCount(load.queued));
   if (load.unread_prompt_tokens)
-    out.setUnreadTokens(*load.unread_prompt_tokens + 1);
+    out.setUnreadTokens(std::min(*load.unread_prompt_tokens, MAX_WIRE_NUMBER) + 1);
   out.setWeightsVersion(static_cast<std::uint32_t>(load.weights_version));
   out.setIncarnation(load.incarnation);
   out.setIsSwitching(load.is_switching);
   out.setNextVersion(static_cast<std::uint32_t>(load.next_version));
   if (!load.id.empty())
     out.setTargetId(load.id);
-  out.setPacePercent(static_cast<std::uint16_t>(std::lround(load.pace * PERCENT)));
+  out.setPacePercent(ToWireCount(std::max(load.pace * PERCENT, 1.0)));
   if (load.switch_in)
     out.setSwitchInMs(ToWireMs(*load.switch_in) + 1);
-  out.setGateways(static_cast<std::uint16_t>(report.gateways));
+  out.setGateways(ToWireCount(static_cast<double>(report.gateways)));
   Write(report.stamp, out.initStamp());
   out.setSettings(report.settings);
   if (report.settings_at.IsSet())
@@ -257,7 +262,7 @@
 void Write(const Mesh::WorkUpdate& tell, MeshWire::Message::Builder message)
 {
   auto out = message.initWork();
-  out.setRequests(static_cast<std::uint16_t>(tell.work.requests));
+  out.setRequests(ToWireCount(tell.work.requests));
   out.setUnreadTokens(tell.work.unread_prompt_tokens);
 }
 
--- a/Source/Peers/Mesh/MeshWireParts.h
+++ b/Source/Peers/Mesh/MeshWireParts.h
@@ -70,9 +70,13 @@
   return {reinterpret_cast<const capnp::byte*>(bytes.data()), bytes.size()};
 }
 
+// Fields in which 0 says that there is no number hold one more than the number.
+inline constexpr std::uint32_t MAX_WIRE_NUMBER = UINT32_MAX - 1;
+
 inline std::uint32_t ToWireMs(Milliseconds time)
 {
-  return static_cast<std::uint32_t>(std::max<Milliseconds::rep>(time.count(), 0));
+  return static_cast<std::uint32_t>(
+      std::clamp<Milliseconds::rep>(time.count(), 0, MAX_WIRE_NUMBER));
 }
 
 inline std::uint16_t ToWireCount(double count)
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -201,6 +201,52 @@
   }
 }
 
+// Guards against counts and times that come as small ones because the message has fewer bits.
+TEST_CASE("Numbers that are too large for a message come as the largest that it holds")
+{
+  static constexpr std::uint32_t MAX_COUNT = 65535;
+  Mesh::LoadReport report;
+  report.load.running = report.load.queued = 65536;
+  report.gateways = 65537;
+  report.load.pace = 1e300;
+  report.load.unread_prompt_tokens = UINT32_MAX;
+  report.echo_age = Milliseconds(1LL << 33);
+  report.load.switch_in = Milliseconds(1LL << 40);
+  const Mesh::LoadReport got = There(report);
+  CHECK(got.load.running == MAX_COUNT);
+  CHECK(got.load.queued == MAX_COUNT);
+  CHECK(got.gateways == MAX_COUNT);
+  CHECK(got.load.pace > 600);
+  CHECK(got.load.unread_prompt_tokens.value_or(0) >= UINT32_MAX - 1);
+  CHECK(got.echo_age >= Milliseconds(UINT32_MAX - 1));
+  REQUIRE(got.load.switch_in.has_value());
+  CHECK(*got.load.switch_in >= Milliseconds(UINT32_MAX - 1));
+  report.load.pace = 1e-300;
+  CHECK(There(report).load.pace > 0);
+  CHECK(There(Mesh::WorkUpdate{{65536, 1}}).work.requests == MAX_COUNT);
+  Gateway::ListedTarget target{"i-1", "svc", "oslo-a", {"10.1.0.9", 8001}, 65536};
+  const auto told =
+      There(Mesh::TargetsUpdate{{1, 2, {{"i-1", target, Control::Removal::Gone, {}}}}});
+  CHECK(told.news.changes.at(0).target->slots == MAX_COUNT);
+  target.slots = 0;
+  const auto none =
+      There(Mesh::TargetsUpdate{{1, 2, {{"i-1", target, Control::Removal::Gone, {}}}}});
+  CHECK(none.news.changes.at(0).target->slots == 1);
+}
+
+// Guards against memory that is taken by a number of pieces that no weights have.
+TEST_CASE("A plan of more or larger pieces than weights may have is no plan")
+{
+  Mesh::Hello hello;
+  hello.plan = {"svc", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "bergen-a"};
+  CHECK(There(hello).plan == hello.plan);
+  hello.plan.pieces = 4'000'000'000;
+  CHECK(There(hello).plan.model.empty());
+  hello.plan.pieces = 96;
+  hello.plan.piece_bytes = 4'000'000'000;
+  CHECK(There(hello).plan.model.empty());
+}
+
 TEST_CASE("Bytes that are no message are dropped")
 {
   CHECK_FALSE(MeshPeer::Decode("").has_value());
