Common, Platform: Numbers of other programs are checked before a cast

The JSON library converts without a check: -1 became the largest number, 2^32 + 1 a 1, and a cast of 1e308 is undefined. Configuration, named versions, reports, staged pieces, manifests, crash records, the store's pages, the log and its records were read so. A time could overflow, a configuration name 4 billion pieces, and a manifest without pieces and 2^64 - 1 bytes was sound, as the sum that counts its pieces overflowed.

The readers of fields move from platform/ to Common/JsonFields, beside the parser, and check whole numbers against the range of their type before they convert them. Records of the log are folded as before wherever a number was in range, so that processes of both builds see the same settings.

--- a/Source/Core/Distribution/Manifest.cpp
+++ b/Source/Core/Distribution/Manifest.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/Json.h"
+#include "Common/JsonFields.h"
 
 namespace Holdpost::Distribution
 {
@@ -35,7 +35,7 @@
       .dump();
 }
 
-static std::string FindManifestError(const Manifest& manifest)
+std::string FindManifestError(const Manifest& manifest)
 {
   if (manifest.piece_bytes < MIN_PIECE_BYTES || manifest.piece_bytes > MAX_PIECE_BYTES)
   {
@@ -44,8 +44,7 @@
   }
   if (manifest.total_bytes == 0)
     return "total_bytes: found 0, expected at least 1";
-  const std::uint64_t count =
-      (manifest.total_bytes + manifest.piece_bytes - 1) / manifest.piece_bytes;
+  const std::uint64_t count = (manifest.total_bytes - 1) / manifest.piece_bytes + 1;
   if (count != manifest.pieces.size())
     return fmt::format("pieces: found {}, expected {}", manifest.pieces.size(), count);
   return "";
@@ -55,8 +54,8 @@
 {
   Manifest manifest;
   manifest.name = object.at("name");
-  manifest.total_bytes = object.at("total_bytes");
-  manifest.piece_bytes = object.at("piece_bytes");
+  manifest.total_bytes = Common::RequiredInteger<std::uint64_t>(object, "total_bytes");
+  manifest.piece_bytes = Common::RequiredInteger<std::uint32_t>(object, "piece_bytes");
   for (const json& hex : object.at("pieces"))
   {
     const auto digest = Common::DigestFromHex(hex.get<std::string>());
--- a/Source/Core/Distribution/Manifest.h
+++ b/Source/Core/Distribution/Manifest.h
@@ -30,6 +30,8 @@
 };
 
 std::string EncodeManifest(const Manifest& manifest);
+// What is wrong with the sizes and the number of hashes; empty if nothing is.
+std::string FindManifestError(const Manifest& manifest);
 // Returns an error if the sizes and the number of hashes are inconsistent.
 Common::Result<Manifest> DecodeManifest(const std::string& text);
 // Builds the manifest of `weights`, divided into pieces of `piece_bytes` bytes.
--- a/Source/Core/Gateway/StartEstimate.cpp
+++ b/Source/Core/Gateway/StartEstimate.cpp
@@ -27,10 +27,13 @@
          tokens * tokens / PER_MILLION * engine.prompt_pairs_ms;
 }
 
+// A day; estimates of it are summed up and multiplied by numbers of slots.
+static constexpr double MAX_ESTIMATE_MS = 86'400'000;
+
 static Common::Duration ToDuration(double ms)
 {
   return std::chrono::duration_cast<Common::Duration>(
-      std::chrono::duration<double, std::milli>(ms));
+      std::chrono::duration<double, std::milli>(std::clamp(ms, 0.0, MAX_ESTIMATE_MS)));
 }
 
 // A sequence generates its answer in one of the slots. All other sequences wait while its prompt is
--- a/Source/Core/Settings/Fold.cpp
+++ b/Source/Core/Settings/Fold.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/Json.h"
+#include "Common/JsonFields.h"
 #include "Common/Mailbox.h"
 
 namespace Holdpost::Settings
@@ -170,7 +170,7 @@
   for (const auto& [text, object] : nodes.items())
   {
     Node node;
-    node.offset = object.at("offset");
+    node.offset = Common::RequiredInteger<Offset>(object, "offset");
     for (const auto& [name, value] : object.at("settings").items())
     {
       const FieldRule* rule = FindRule(name);
@@ -192,18 +192,18 @@
   {
     const json object = Common::ParseJson(state);
     Tree tree = TreeFromJson(object.at("nodes"));
-    const Offset accepted = object.at("accepted");
+    const auto accepted = Common::RequiredInteger<Offset>(object, "accepted");
     if (object.at("position") != position || accepted < m_accepted_offset ||
         !CheckTree(tree).empty())
       return Error{ErrorKind::BadSettings, "the state offered does not hold together"};
     std::map<Path, Offset> offsets;
     for (const auto& [text, offset] : object.at("offsets").items())
-      offsets[Path::Parse(text).value_or(Path())] = offset;
+      offsets[Path::Parse(text).value_or(Path())] = Common::ReadInteger<Offset>(offset, text);
     std::map<std::string, ClaimHolder> claims;
     for (const auto& [target, holder] : object.at("claims").items())
     {
-      claims[target] = {holder.at("instance"), holder.at("id"), holder.at("offset"),
-                        holder.at("displaced")};
+      claims[target] = {holder.at("instance"), holder.at("id"),
+                        Common::RequiredInteger<Offset>(holder, "offset"), holder.at("displaced")};
     }
     m_tree = std::move(tree);
     m_node_offsets = std::move(offsets);
--- a/Source/Core/Settings/Record.cpp
+++ b/Source/Core/Settings/Record.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/Json.h"
+#include "Common/JsonFields.h"
 
 namespace Holdpost::Settings
 {
@@ -102,7 +102,7 @@
   if (const std::string problem = Path::Explain(path); !problem.empty())
     throw std::invalid_argument(problem);
   node.path = *Path::Parse(path);
-  node.base = object.at("base");
+  node.base = Common::RequiredInteger<Common::Offset>(object, "base");
   if (!object.at("settings").is_null())
     node.values = ValuesFromJson(object.at("settings"));
   return node;
@@ -118,7 +118,10 @@
 
 static KeyClaims KeysFromJson(const json& object)
 {
-  KeyClaims keys{object.at("id"), object.at("entry"), object.at("incarnation"), {}};
+  KeyClaims keys{object.at("id"),
+                 object.at("entry"),
+                 Common::RequiredInteger<std::uint64_t>(object, "incarnation"),
+                 {}};
   for (const json& claim : object.at("claims"))
     keys.claims.push_back({claim.at("scope"), claim.at("key"), claim.at("request")});
   return keys;
@@ -132,7 +135,7 @@
   if (type == "target")
     return TargetClaim{object.at("id"), object.at("target"), object.at("instance")};
   if (type == "snapshot")
-    return Snapshot{object.at("offset"), object.at("state")};
+    return Snapshot{Common::RequiredInteger<Common::Offset>(object, "offset"), object.at("state")};
   if (type == "keys")
     return KeysFromJson(object);
   throw std::invalid_argument(fmt::format("type: found '{}'", type));
--- a/Source/Peers/Platform/PlatformClient.cpp
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "Common/Json.h"
+#include "Common/JsonFields.h"
 #include "Common/YamlReader.h"
 
 namespace Holdpost::PlatformPeer
@@ -85,10 +85,11 @@
     const json object = Common::ParseJson(body);
     LogRead read;
     read.sent = sent;
-    read.first = object.at("first");
-    read.head = object.at("head");
+    read.first = Common::RequiredInteger<Offset>(object, "first");
+    read.head = Common::RequiredInteger<Offset>(object, "head");
     for (const json& record : object.at("records"))
-      read.records.push_back({record.at("offset"), record.at("text")});
+      read.records.push_back(
+          {Common::RequiredInteger<Offset>(record, "offset"), record.at("text")});
     return read;
   }
   catch (const std::exception& error)
--- a/Source/UnitTests/Core/DistributionTest.cpp
+++ b/Source/UnitTests/Core/DistributionTest.cpp
@@ -10,6 +10,7 @@
 #include "Core/Distribution/PieceSet.h"
 #include "Core/Distribution/Ranking.h"
 #include "Core/Distribution/Uploads.h"
+#include "Support/OddValues.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Distribution;
@@ -50,6 +51,33 @@
     }
     CHECK_FALSE(Common::Succeeded(DecodeManifest(EncodeManifest(wrong))));
   }
+  SUBCASE("a manifest of no pieces is refused, however many bytes it names")
+  {
+    Manifest wrong = manifest;
+    wrong.pieces.clear();
+    for (const std::uint64_t bytes : {UINT64_MAX, UINT64_MAX - 1, UINT64_MAX - 1023})
+    {
+      wrong.total_bytes = bytes;
+      CHECK_FALSE(Common::Succeeded(DecodeManifest(EncodeManifest(wrong))));
+    }
+  }
+  SUBCASE("odd fields are refused, or give pieces that add up")
+  {
+    const auto odd_texts = Testing::OddTexts(
+        nlohmann::json::parse(text),
+        {"/name", "/total_bytes", "/piece_bytes", "/pieces", "/pieces/0"}, 1'000'000);
+    for (const Testing::OddText& odd : odd_texts)
+    {
+      INFO(odd.name);
+      auto decoded = DecodeManifest(odd.text);
+      if (const auto* read = std::get_if<Manifest>(&decoded))
+      {
+        CHECK(read->PieceCount() == 3);
+        CHECK(read->total_bytes == 2500);
+        CHECK(read->piece_bytes == 1024);
+      }
+    }
+  }
   SUBCASE("a truncated manifest is refused")
   {
     CHECK_FALSE(Common::Succeeded(DecodeManifest(text.substr(0, text.size() / 2))));
--- a/Source/UnitTests/Core/SettingsFoldTest.cpp
+++ b/Source/UnitTests/Core/SettingsFoldTest.cpp
@@ -2,8 +2,10 @@
 #include <random>
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include "Core/Settings/Fold.h"
+#include "Support/OddValues.h"
 
 using namespace Holdpost;
 using namespace Holdpost::Settings;
@@ -201,3 +203,55 @@
   CHECK(change.nodes[1].base == 2);
   CHECK_FALSE(change.nodes[1].values.has_value());
 }
+
+// Guards against numbers that are cast out of range, and against a record that is taken for
+// another.
+TEST_CASE("An odd record of the log is passed over, and the fold goes on")
+{
+  static constexpr std::size_t MAX_DEPTH = 1'000'000;
+  using nlohmann::json;
+  const auto play = [](const Record& sound, const std::vector<std::string>& fields)
+  {
+    Fold fold;
+    REQUIRE(std::holds_alternative<Accepted>(fold.Apply(RootChange(1, 0, 100))));
+    Common::Offset offset = 1;
+    const auto texts = Testing::OddTexts(json::parse(EncodeRecord(sound)), fields, MAX_DEPTH);
+    for (const Testing::OddText& odd : texts)
+    {
+      INFO(odd.name);
+      CAPTURE(offset);
+      Verdict verdict;
+      REQUIRE_NOTHROW(verdict = fold.Apply({++offset, odd.text}));
+      REQUIRE_FALSE(std::holds_alternative<OutOfOrder>(verdict));
+      REQUIRE_NOTHROW(SnapshotOffset(odd.text));
+    }
+    CHECK(std::holds_alternative<Accepted>(
+        fold.Apply(RootChange(offset + 1, fold.NodeOffset(Path()), 200))));
+    Fold other;
+    CHECK(Common::Succeeded(other.Adopt(fold.Position(), fold.Serialize())));
+    MESSAGE(texts.size() << " records");
+  };
+  play(Change{"id", "kari", {{Path(), 7, Heartbeat(100)}}},
+       {"/type", "/id", "/author", "/nodes", "/nodes/0", "/nodes/0/path", "/nodes/0/base",
+        "/nodes/0/settings", "/nodes/0/settings/heartbeat_ms"});
+  play(TargetClaim{"id", "target-1", "agent-1"}, {"/type", "/id", "/target", "/instance"});
+  play(Snapshot{1, Fold().Serialize()}, {"/type", "/offset", "/state"});
+  play(KeyClaims{"id", "entry-1", 7, {{"firm/llm", "k", "r"}}},
+       {"/type", "/id", "/entry", "/incarnation", "/claims", "/claims/0", "/claims/0/scope",
+        "/claims/0/key", "/claims/0/request"});
+}
+
+TEST_CASE("A change against an offset that is no whole number from 0 on is rejected")
+{
+  const auto with_base = [](const std::string& base)
+  {
+    return R"({"type":"change","id":"x","author":"a","nodes":[{"path":"/","base":)" + base +
+           R"(,"settings":{"heartbeat_ms":100}}]})";
+  };
+  CHECK(std::holds_alternative<Accepted>(Fold().Apply({1, with_base("0")})));
+  for (const char* base : {"-1", "1e308", "-1e308", "18446744073709551616", "true", "null"})
+  {
+    CAPTURE(std::string(base));
+    CHECK_FALSE(Common::Succeeded(DecodeRecord(with_base(base))));
+  }
+}
--- a/Source/UnitTests/Peers/PlatformClientTest.cpp
+++ b/Source/UnitTests/Peers/PlatformClientTest.cpp
@@ -1,13 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include "Common/HttpServer.h"
 #include "Peers/Platform/PlatformClient.h"
+#include "Support/OddValues.h"
 #include "Support/Sockets.h"
 
 using namespace Holdpost;
 using Common::Offset;
 using Common::Result;
+using nlohmann::json;
 
 // Guards against a process that ends by an exception when the log answers an append with something
 // else than an offset.
@@ -37,3 +40,63 @@
     CHECK(!Common::Succeeded(append(text)));
   }
 }
+
+namespace
+{
+// A client before a platform that answers each call with the same text.
+class OddPlatform
+{
+public:
+  OddPlatform()
+      : m_server(m_loop, Common::HttpServer::Limits{64 << 20, Common::Seconds(600)},
+                 [this](const std::shared_ptr<Common::HttpExchange>& exchange)
+                 { exchange->Reply(200, {}, m_answer); }),
+        m_http(m_loop),
+        m_client(m_http, {std::get<Common::Address>(m_server.Listen({"127.0.0.1", 0}))})
+  {
+  }
+  Result<PlatformPeer::LogRead> Log(const std::string& answer)
+  {
+    m_answer = answer;
+    std::optional<Result<PlatformPeer::LogRead>> result;
+    m_client.ReadLog(0, Common::Milliseconds(0),
+                     [&](Result<PlatformPeer::LogRead> read) { result = std::move(read); });
+    REQUIRE(Testing::RunUntil(m_loop, [&] { return result.has_value(); }));
+    return *result;
+  }
+
+private:
+  Common::EventLoop m_loop;
+  std::string m_answer;
+  Common::HttpServer m_server;
+  Common::HttpClient m_http;
+  PlatformPeer::PlatformClient m_client;
+};
+
+constexpr std::size_t MAX_DEPTH = 1'000'000;
+} // namespace
+
+// Guards against processes that stop following the settings, and against numbers that are cast out
+// of range.
+TEST_CASE("An odd answer to a read of the log is an error or has numbers within their range")
+{
+  OddPlatform platform;
+  const json answer = {{"first", 1}, {"head", 2}, {"records", {{{"offset", 2}, {"text", "{}"}}}}};
+  const auto sound = platform.Log(answer.dump());
+  REQUIRE(Common::Succeeded(sound));
+  for (const Testing::OddText& odd : Testing::OddTexts(
+           answer, {"/first", "/head", "/records", "/records/0", "/records/0/offset"}, MAX_DEPTH))
+  {
+    INFO(odd.name);
+    Result<PlatformPeer::LogRead> read = Common::Error{};
+    REQUIRE_NOTHROW(read = platform.Log(odd.text));
+    const auto* log = std::get_if<PlatformPeer::LogRead>(&read);
+    if (!log)
+      continue;
+    // Each number stands in the answer.
+    CHECK((log->first == 1 || odd.text.find(std::to_string(log->first)) != std::string::npos));
+    CHECK((log->head == 2 || odd.text.find(std::to_string(log->head)) != std::string::npos));
+    for (const Settings::LogRecord& record : log->records)
+      CHECK(odd.text.find(std::to_string(record.offset)) != std::string::npos);
+  }
+}
