Targets: An entry without an address that can be called names no runner

Port 0, 0.0.0.0, 255.255.255.255 and a number with a null character behind it were addresses, and their entries targets like others; 0.0.0.0 is the machine of the caller itself. An address of a peer now has a port and is the number of one host; the list of runners, the origin and the list of instances read it so.

--- a/Source/Common/JsonFields.cpp
+++ b/Source/Common/JsonFields.cpp
@@ -105,7 +105,7 @@
 
 Address RequiredAddress(const json& object, std::string_view name)
 {
-  const std::optional<Address> address = ParseAddress(RequiredText(object, name));
+  const std::optional<Address> address = ParsePeerAddress(RequiredText(object, name));
   if (!address)
     throw FieldError(name, "has no IP number and port");
   return *address;
--- a/Source/Common/YamlReader.cpp
+++ b/Source/Common/YamlReader.cpp
@@ -177,11 +177,23 @@
   const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), address.port);
   in_addr ignored{};
   if (error != std::errc() || end != port.data() + port.size() ||
+      address.host.find('\0') != std::string::npos ||
       inet_pton(AF_INET, address.host.c_str(), &ignored) != 1)
     return std::nullopt;
   return address;
 }
 
+std::optional<Address> ParsePeerAddress(std::string_view text)
+{
+  static constexpr in_addr_t FIRST_MULTICAST = 0xe0000000;
+  const std::optional<Address> address = ParseAddress(text);
+  in_addr raw{};
+  if (!address || address->port == 0 || inet_pton(AF_INET, address->host.c_str(), &raw) != 1)
+    return std::nullopt;
+  const in_addr_t number = ntohl(raw.s_addr);
+  return number != INADDR_ANY && number < FIRST_MULTICAST ? address : std::nullopt;
+}
+
 Address YamlReader::ReadAddress(const std::string& field, bool required, bool allow_port_zero)
 {
   const YAML::Node node = Take(field);
--- a/Source/Common/YamlReader.h
+++ b/Source/Common/YamlReader.h
@@ -69,4 +69,6 @@
 };
 
 std::optional<Address> ParseAddress(std::string_view text);
+// An address that a connection can be made to: it has a port, and an IP number of one host.
+std::optional<Address> ParsePeerAddress(std::string_view text);
 } // namespace Holdpost::Common
