Entry, Agent: An odd entry hides no other of the list of instances

holdpost-entry and holdpost-agent read the list of instances whole or not at all: as long as one entry lacked a field, had one of another type, or nested lists so deep that the list had more than 64 levels, no instance that was listed later was used, and an entry that started used none. An address that could not be read was kept as none, and any role but "entry" was an agent.

An entry that cannot be read is now left out and logged as record.unreadable, at most once a minute for a name. What stands deeper than 64 levels is left out of the list before there is a value of it.

Real processes, on with the tests alone: "However odd the entries on the list of instances are..." fails in all four of its sections, each after a wait of a minute; the unit test "An odd entry hides no other instance" fails, too. Both pass now.

--- a/Source/Common/Json.h
+++ b/Source/Common/Json.h
@@ -47,6 +47,20 @@
   return Json::parse(text, nullptr, false);
 }
 
+// Like ParseJson, but leaves lists and objects out that stand deeper, so that one of them hides
+// nothing else of the text.
+template <typename Json = nlohmann::json>
+Json ParseJsonPruned(std::string_view text)
+{
+  return Json::parse(text,
+                     [](int depth, typename Json::parse_event_t event, Json& /*parsed*/)
+                     {
+                       const bool begins = event == Json::parse_event_t::array_start ||
+                                           event == Json::parse_event_t::object_start;
+                       return !begins || static_cast<std::size_t>(depth) < MAX_JSON_DEPTH;
+                     });
+}
+
 // Runs a decoder that throws what the functions above, or the library's accessors, throw.
 template <typename Decode>
 auto Guarded(std::string_view what, const Decode& decode) -> Result<decltype(decode())>
--- a/Source/Peers/Platform/PlatformClient.cpp
+++ b/Source/Peers/Platform/PlatformClient.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/JsonFields.h"
-#include "Common/YamlReader.h"
+#include "Common/UnreadableRecords.h"
 
 namespace Holdpost::PlatformPeer
 {
@@ -22,6 +22,7 @@
 using nlohmann::json;
 
 static constexpr Milliseconds CALL_TIMEOUT = Milliseconds(3000);
+static constexpr std::size_t MAX_LOGGED_NAME = 256;
 // The origin's limit may hold a piece back for a while; stalls are judged by the exchange.
 static constexpr Milliseconds PIECE_TIMEOUT = Milliseconds(60000);
 
@@ -144,27 +145,52 @@
   m_http.Start(std::move(call), std::move(callbacks));
 }
 
+static Membership::Role RoleFromName(const std::string& name)
+{
+  if (name == "entry")
+    return Membership::Role::Entry;
+  if (name == "agent")
+    return Membership::Role::Agent;
+  throw Common::FieldError("role", "is neither entry nor agent");
+}
+
 static Membership::ListedInstance ListedFromJson(const json& object)
 {
   Membership::ListedInstance listed;
-  listed.instance = object.at("instance");
-  listed.hall = object.at("hall");
+  listed.instance = Common::RequiredText(object, "instance");
+  listed.hall = Common::RequiredText(object, "hall");
   listed.pool = object.value("pool", "");
-  listed.role = object.at("role") == "entry" ? Membership::Role::Entry : Membership::Role::Agent;
-  const std::string address = object.at("address");
-  listed.address = Common::ParseAddress(address).value_or(Common::Address());
+  listed.role = RoleFromName(Common::RequiredText(object, "role"));
+  listed.address = Common::RequiredAddress(object, "address");
   listed.is_leaving = object.value("state", "live") == "leaving";
   return listed;
 }
 
+// An entry that cannot be read is another writer's; it names no instance, and the others hold.
+static void AddListed(const json& object, std::vector<Membership::ListedInstance>* list)
+{
+  try
+  {
+    list->push_back(ListedFromJson(object));
+  }
+  catch (const std::exception& error)
+  {
+    const bool is_named = object.is_object() && object.contains("instance");
+    const std::string name = is_named ? object["instance"].dump() : "";
+    Common::UnreadableRecords::Instance().Note(
+        fmt::format("instance {}", name.substr(0, MAX_LOGGED_NAME)), error.what(),
+        EventLoop::Now());
+  }
+}
+
 static NodeCore::ListRead ParseList(const std::string& text)
 {
   try
   {
     std::vector<Membership::ListedInstance> list;
-    const json body = Common::ParseJson(text);
+    const json body = Common::ParseJsonPruned(text);
     for (const json& object : body.at("instances"))
-      list.push_back(ListedFromJson(object));
+      AddListed(object, &list);
     return list;
   }
   catch (const std::exception& error)
--- a/Source/UnitTests/Peers/PlatformClientTest.cpp
+++ b/Source/UnitTests/Peers/PlatformClientTest.cpp
@@ -55,6 +55,14 @@
         m_client(m_http, {std::get<Common::Address>(m_server.Listen({"127.0.0.1", 0}))})
   {
   }
+  NodeCore::ListRead List(const std::string& answer)
+  {
+    m_answer = answer;
+    std::optional<NodeCore::ListRead> result;
+    m_client.ListInstances([&](NodeCore::ListRead read) { result = std::move(read); });
+    REQUIRE(Testing::RunUntil(m_loop, [&] { return result.has_value(); }));
+    return *result;
+  }
   Result<PlatformPeer::LogRead> Log(const std::string& answer)
   {
     m_answer = answer;
@@ -74,8 +82,51 @@
 };
 
 constexpr std::size_t MAX_DEPTH = 1'000'000;
+const json INSTANCE = {{"instance", "agent-1"}, {"hall", "oslo-a"},         {"pool", "runners"},
+                       {"role", "agent"},       {"address", "10.0.0.1:80"}, {"state", "live"}};
+const std::vector<std::string> INSTANCE_FIELDS = {"/instance", "/hall",    "/pool",
+                                                  "/role",     "/address", "/state"};
 } // namespace
 
+// Guards against processes that stop following the list of instances as long as one entry of
+// another writer stands on it.
+TEST_CASE("An odd entry hides no other instance of the list")
+{
+  OddPlatform platform;
+  json second = INSTANCE;
+  second["instance"] = "agent-2";
+  int left_out = 0;
+  for (const Testing::OddText& odd : Testing::OddTexts(INSTANCE, INSTANCE_FIELDS, MAX_DEPTH))
+  {
+    // What is no JSON cannot stand in a list that is.
+    const std::string text = R"({"instances":[)" + odd.text + "," + second.dump() + "]}";
+    if (!json::accept(text))
+      continue;
+    INFO(odd.name);
+    const auto read = platform.List(text);
+    const auto* list = std::get_if<std::vector<Membership::ListedInstance>>(&read);
+    REQUIRE(list);
+    REQUIRE(!list->empty());
+    CHECK(list->back().instance == "agent-2");
+    CHECK(list->back().address == Common::Address{"10.0.0.1", 80});
+    left_out += list->size() == 1 ? 1 : 0;
+    for (const Membership::ListedInstance& listed : *list)
+    {
+      CHECK(listed.address.IsSet());
+      CHECK(listed.address.port != 0);
+      CHECK(listed.address.host != "0.0.0.0");
+      CHECK(!listed.instance.empty());
+    }
+  }
+  CHECK(left_out > 50);
+  for (const Testing::OddText& odd : Testing::OddValues(MAX_DEPTH))
+  {
+    INFO(odd.name);
+    CHECK_NOTHROW(platform.List(odd.text));
+    CHECK_NOTHROW(platform.List(R"({"instances":)" + odd.text + "}"));
+  }
+}
+
 // Guards against processes that stop following the settings, and against numbers that are cast out
 // of range.
 TEST_CASE("An odd answer to a read of the log is an error or has numbers within their range")
