--- a/Source/Core/Node/Follower.cpp
+++ b/Source/Core/Node/Follower.cpp
@@ -96,7 +96,9 @@
 
 void Follower::Keep(const Settings::LogRecord& record)
 {
-  if (const auto offset = Settings::SnapshotOffset(record.text))
+  // A snapshot is of what stands before it; any other is no sound writer's.
+  const auto offset = Settings::SnapshotOffset(record.text);
+  if (offset && *offset < record.offset)
     m_last_snapshot = std::max(m_last_snapshot, *offset);
   m_recent.push_back(record);
   m_recent_bytes += record.text.size();
--- a/Source/UnitTests/Core/SettingsFoldTest.cpp
+++ b/Source/UnitTests/Core/SettingsFoldTest.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include "Core/Node/Follower.h"
 #include "Core/Settings/Fold.h"
 #include "Support/OddValues.h"
 
@@ -255,3 +256,30 @@
     CHECK_FALSE(Common::Succeeded(DecodeRecord(with_base(base))));
   }
 }
+
+// Guards against a log that no instance writes a snapshot into any more, so that later starts find
+// none.
+TEST_CASE("A snapshot record of an offset that is still to come puts off no snapshot")
+{
+  static constexpr Common::Offset EVERY = 10;
+  Common::Metrics metrics;
+  NodeCore::Follower follower(0, metrics);
+  follower.SetSnapshotEvery(EVERY);
+  NodeCore::LogRead read;
+  read.first = 1;
+  read.head = 2 * EVERY;
+  const std::string odd =
+      EncodeRecord(Snapshot{std::numeric_limits<Common::Offset>::max() / 2, "{}"});
+  read.records.push_back({1, odd});
+  for (Common::Offset offset = 2; offset <= read.head; ++offset)
+    read.records.push_back(RootChange(offset, offset > 2 ? offset - 1 : 0, 100));
+  NodeCore::Actions actions;
+  follower.OnLogRead({read}, Common::TimePoint(), &actions);
+  CHECK(std::ranges::any_of(actions,
+                            [](const auto& action)
+                            {
+                              const auto* append = std::get_if<NodeCore::AppendRecord>(&action);
+                              return append &&
+                                     append->purpose == NodeCore::AppendPurpose::WriteSnapshot;
+                            }));
+}
