Targets: A runner is followed again after one record with a larger birth

Another writer's record under the key of a live runner, sound but for a `born` of 2^53 + 1 or more, made that number the runner's incarnation. The runner's own records named a smaller one and were taken for those of an earlier start: the gateways kept the odd record for good, and sent on when the runner's record said that it leaves. In the log of a gateway: target.restarted with incarnation, and no line of that target after it.

Smaller incarnations are ignored because an agent may report a restart before the list has it, and because a store that comes back from an older copy repeats old records. Within one era the list's order counts, so a record that follows another is the newer one whatever it names. The list now says which larger incarnation a record has taken back, also to processes that are told by others, and the table follows it unless the target's agent has reported the larger one.

--- a/Source/Core/Control/TargetList.cpp
+++ b/Source/Core/Control/TargetList.cpp
@@ -87,11 +87,18 @@
     return std::nullopt;
   }
   m_lapsed.erase(change.id);
-  m_targets[change.id] = *change.target;
   m_records.OnRecord(change.id, version);
+  Put(*change.target);
   return std::nullopt;
 }
 
+void TargetList::Put(Gateway::ListedTarget target)
+{
+  target.superseded_incarnation = m_records.SupersededIncarnation(target.id);
+  const Gateway::TargetId id = target.id;
+  m_targets[id] = std::move(target);
+}
+
 void TargetList::Remove(const Gateway::TargetId& id, TimePoint now)
 {
   m_targets.erase(id);
@@ -203,7 +210,7 @@
   {
     m_records.OnRecord(change.id, change.version);
     if (change.target)
-      m_targets[change.id] = *change.target;
+      Put(*change.target);
     else
       Remove(change.id, now);
   }
--- a/Source/Core/Control/TargetList.h
+++ b/Source/Core/Control/TargetList.h
@@ -48,6 +48,8 @@
   // platform, or were written after the copy from which it has come back.
   void KeepLapsed(std::set<Gateway::TargetId>* gone, bool is_restored, Common::TimePoint now);
   void KeepLapsed(const Gateway::TargetId& id, Common::TimePoint now);
+  // Adds or changes the target of a record that has been noted.
+  void Put(Gateway::ListedTarget target);
   void Remove(const Gateway::TargetId& id, Common::TimePoint now);
   // Drops the targets whose records lapsed and were not written again in time.
   void RemoveLapsed(Common::TimePoint now);
--- a/Source/Core/Control/TargetRecords.cpp
+++ b/Source/Core/Control/TargetRecords.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Core/Control/TargetRecords.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace Holdpost::Control
@@ -27,7 +28,17 @@
 
 void TargetRecords::OnRecord(const Gateway::TargetId& id, const RecordVersion& version)
 {
-  m_records[id] = {version, std::nullopt};
+  Known& known = m_records[id];
+  std::uint64_t largest = known.superseded_incarnation;
+  if (known.version.era == version.era)
+    largest = std::max(largest, known.version.incarnation);
+  known = {version, std::nullopt, largest > version.incarnation ? largest : 0};
+}
+
+std::uint64_t TargetRecords::SupersededIncarnation(const Gateway::TargetId& id) const
+{
+  const auto found = m_records.find(id);
+  return found == m_records.end() ? 0 : found->second.superseded_incarnation;
 }
 
 void TargetRecords::OnRemoved(const Gateway::TargetId& id, TimePoint now)
--- a/Source/Core/Control/TargetRecords.h
+++ b/Source/Core/Control/TargetRecords.h
@@ -23,6 +23,9 @@
   // The target's record was removed.
   void OnRemoved(const Gateway::TargetId& id, Common::TimePoint now);
   RecordVersion VersionOf(const Gateway::TargetId& id) const;
+  // The largest incarnation of earlier records that the known one has taken back; 0 if there is
+  // none. An era's order counts, so a record may name a smaller incarnation than the one before.
+  std::uint64_t SupersededIncarnation(const Gateway::TargetId& id) const;
   // The targets whose records were removed lately.
   std::vector<Gateway::TargetId> Removed() const;
   // Forgets targets whose records were removed so long ago that no copy has them.
@@ -33,6 +36,7 @@
   {
     RecordVersion version;
     std::optional<Common::TimePoint> removed_at;
+    std::uint64_t superseded_incarnation = 0;
   };
 
   std::map<Gateway::TargetId, Known> m_records;
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -37,6 +37,9 @@
   bool needs_weights = false;
   // Increases with each start of the target under its id; 0 if the platform does not report it.
   std::uint64_t incarnation = 0;
+  // The largest incarnation that an earlier record of the target named although this one, which is
+  // smaller, follows it in the list's order; 0 if there is none.
+  std::uint64_t superseded_incarnation = 0;
 
   bool operator==(const ListedTarget&) const = default;
 };
--- a/Source/Core/Gateway/TargetListing.cpp
+++ b/Source/Core/Gateway/TargetListing.cpp
@@ -33,6 +33,14 @@
            listed.hall, "weights", listed.weights_version);
 }
 
+// Whether the list has taken the target's incarnation back: a record of another writer named it.
+// The list may lag behind what the target's agent reports.
+static bool IsTakenBack(const auto& target, const ListedTarget& listed)
+{
+  return !target.is_incarnation_reported &&
+         target.listed.incarnation <= listed.superseded_incarnation;
+}
+
 void TargetTable::SetList(const std::vector<ListedTarget>& list, TimePoint now)
 {
   const bool is_first = m_targets.empty();
@@ -52,12 +60,12 @@
       target.known_since = now;
     target.is_on_list = true;
     target.reported_at.reset();
-    if (listed.incarnation < target.listed.incarnation)
+    if (listed.incarnation < target.listed.incarnation && !IsTakenBack(target, listed))
       continue;
     // This also holds if the target was absent from the list in the meantime and was kept because
     // of its unfinished requests.
     const std::uint64_t known = target.listed.incarnation;
-    const bool is_new_incarnation = known > 0 && listed.incarnation > known;
+    const bool is_new_incarnation = known > 0 && listed.incarnation != known;
     if (is_new_incarnation)
       BeginIncarnation(target, listed.incarnation, now);
     if (!is_first && (!was_listed || target.listed.state != listed.state))
@@ -150,6 +158,7 @@
   added.listed.incarnation = load.incarnation;
   added.is_on_list = true;
   added.reported_at = now;
+  added.is_incarnation_reported = true;
   added.is_used = known.is_used;
   added.tie_break = known.tie_break;
   m_targets[load.id] = std::move(added);
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -105,7 +105,10 @@
     if (has_incarnations && load.incarnation < known)
       continue;
     if (has_incarnations && load.incarnation > known)
+    {
       BeginIncarnation(target, load.incarnation, now);
+      target.is_incarnation_reported = true;
+    }
     target.local_requests_at_load = target.local_requests;
     target.unread_since_load = 0;
     target.local_waiting_at_load = target.expected_starts.size();
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -157,6 +157,8 @@
   struct Target
   {
     ListedTarget listed;
+    // The target's agent reported the incarnation before the list did.
+    bool is_incarnation_reported = false;
     bool is_on_list = false;
     // When the target first appeared on this gateway's target list.
     Common::TimePoint known_since{};
--- a/Source/UnitTests/Common/EventLogTest.cpp
+++ b/Source/UnitTests/Common/EventLogTest.cpp
@@ -27,6 +27,20 @@
   CHECK(line["t"] == 7200);
 }
 
+// Bytes of other programs stand in the lines, and a char has no sign on some processors.
+TEST_CASE("A line of the event log is a JSON object whatever bytes a text has")
+{
+  for (int byte = 0; byte < 256; ++byte)
+  {
+    CAPTURE(byte);
+    LogCapture capture;
+    LogEvent(Weight::Important, TimePoint(std::chrono::hours(2) + Seconds(byte)), "thing.done",
+             "text", std::string("a") + static_cast<char>(byte) + "b");
+    const auto line = nlohmann::json::parse(capture.Text(), nullptr, false);
+    CHECK(line.is_object());
+  }
+}
+
 TEST_CASE("Lines of several processes can be put in order by their time of day")
 {
   EventLog log;
--- a/Source/UnitTests/Core/Control/TargetListTest.cpp
+++ b/Source/UnitTests/Core/Control/TargetListTest.cpp
@@ -130,3 +130,54 @@
     CHECK_FALSE(f.Has("a"));
   }
 }
+
+// Guards against targets that are not followed any more after one record with a larger incarnation.
+TEST_CASE("A record that takes a larger incarnation back says so")
+{
+  static constexpr std::uint64_t BORN = 1788408695000;
+  static constexpr std::uint64_t ODD = std::uint64_t{1} << 63;
+  const auto with = [](std::uint64_t incarnation)
+  {
+    TargetChange change = Listed("a");
+    change.target->incarnation = incarnation;
+    change.version = {0, incarnation, 1};
+    return change;
+  };
+  TargetList list;
+  const auto read = [&](const TargetChange& change)
+  {
+    list.OnRead({false, {change}, list.KnownPosition() + 1}, START);
+    return list.All().empty() ? Gateway::ListedTarget{} : list.All().front();
+  };
+  CHECK(read(with(BORN)).superseded_incarnation == 0);
+  CHECK(read(with(ODD)).superseded_incarnation == 0);
+  CHECK(read(with(BORN)).superseded_incarnation == ODD);
+  CHECK(read(with(BORN + 1)).superseded_incarnation == ODD);
+
+  SUBCASE("also if the larger one's record was removed in between")
+  {
+    TargetList other;
+    other.OnRead({false, {with(ODD)}, 1}, START);
+    other.OnRead({false, {Gone("a")}, 2}, START);
+    other.OnRead({false, {with(BORN)}, 3}, START);
+    CHECK(other.All().at(0).superseded_incarnation == ODD);
+  }
+  SUBCASE("or another process has read the records")
+  {
+    TargetList other;
+    REQUIRE(other.Offer({0, 1, {with(ODD)}}, START));
+    REQUIRE(other.Offer({1, 2, {with(BORN)}}, START));
+    CHECK(other.All().at(0).superseded_incarnation == ODD);
+  }
+  SUBCASE("but not a record of an older copy of the platform")
+  {
+    TargetChange older = with(BORN);
+    older.version.era = 2;
+    TargetList other;
+    TargetChange newer = with(BORN + 5);
+    newer.version.era = 1;
+    REQUIRE(other.Offer({0, MakePosition(1, 1), {newer}}, START));
+    REQUIRE(other.Offer({0, MakePosition(2, 1), {older}}, START));
+    CHECK(other.All().at(0).superseded_incarnation == 0);
+  }
+}
--- a/Source/UnitTests/Core/Gateway/TargetIncarnationsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetIncarnationsTest.cpp
@@ -51,6 +51,25 @@
     CHECK(f.table.WeightsAt("1") == 0);
     CHECK(f.table.IsSameIncarnation("1", 2000));
   }
+  SUBCASE("a list that has taken the larger incarnation back is followed")
+  {
+    f.table.SetList({again, f.two}, f.now);
+    ListedTarget taken_back = f.one;
+    taken_back.superseded_incarnation = 2000;
+    taken_back.state = TargetState::Leaving;
+    f.table.SetList({taken_back, f.two}, f.now);
+    CHECK(f.table.IsSameIncarnation("1", 1000));
+    CHECK(f.table.Listed().at(0).state == TargetState::Leaving);
+  }
+  SUBCASE("but not if the agent has reported a larger one")
+  {
+    load.incarnation = 3000;
+    f.table.OnLoadReport(load, f.now);
+    ListedTarget taken_back = f.one;
+    taken_back.superseded_incarnation = 2000;
+    f.table.SetList({taken_back, f.two}, f.now);
+    CHECK(f.table.IsSameIncarnation("1", 3000));
+  }
   SUBCASE("its agent may report the new incarnation before the target list names it")
   {
     load.incarnation = 2000;
