--- a/Source/Core/Distribution/Manifest.h
+++ b/Source/Core/Distribution/Manifest.h
@@ -14,6 +14,8 @@
 {
 constexpr std::uint32_t MIN_PIECE_BYTES = 1024;
 constexpr std::uint32_t MAX_PIECE_BYTES = 16 << 20;
+// What is kept of each piece takes memory before the first one has come.
+constexpr std::uint32_t MAX_PIECES = 1 << 20;
 
 struct Manifest
 {
@@ -28,6 +30,8 @@
 };
 
 std::string EncodeManifest(const Manifest& manifest);
+// What is wrong with the sizes and the number of hashes; empty if nothing is.
+std::string FindManifestError(const Manifest& manifest);
 // Returns an error if the sizes and the number of hashes are inconsistent.
 Common::Result<Manifest> DecodeManifest(const std::string& text);
 // Builds the manifest of `weights`, divided into pieces of `piece_bytes` bytes.
