Agent: An order that is given up does not decide what the engine has

What callers see: a version is published, and taken back or followed by a newer one while an engine's order to load is still under way, or lies in the socket of an engine that stands still. The engine takes the order later and answers with its version for good, while its agent reports the newer one as ready. Nothing notices.

Cause: an order that the plan no longer wants was dropped by its agent only. Its calls went on (for up to 120 s each), a late one carried the same fence as the newer order, and the version of before counted as still loaded although the engine may have taken the dropped one. An order that ended without an answer left the earlier version as known, too.

Change: each call of an order carries Holdpost-Order, a number that grows within a claim; an engine that checks fences refuses an older one (the stand-in does). Calls of a dropped order are cancelled. The version of an engine is unknown after a dropped order and after one without an answer, so the planned one is ordered again. Statuses from 400 to 499 say that the order was not taken.

--- a/Source/Core/Deployment/Deployment.cpp
+++ b/Source/Core/Deployment/Deployment.cpp
@@ -15,6 +15,12 @@
 static constexpr Duration BACKOFF_LEAST = Milliseconds(200);
 static constexpr Duration BACKOFF_MOST = Milliseconds(10000);
 
+// Whether an order that failed so may have changed what the engine has.
+static bool MayHaveBeenTaken(const Error& error)
+{
+  return Common::AnswerFor(error.kind).outcome != Common::Outcome::NotRun;
+}
+
 bool Deployment::IsHeld(const Digest& version) const
 {
   return std::ranges::find(m_held, version) != m_held.end();
@@ -40,6 +46,14 @@
   actions->push_back(KeepVersions{wanted});
 }
 
+void Deployment::CancelOpenOrder(Actions* actions)
+{
+  actions->push_back(CancelOrder{m_order->order});
+  m_order.reset();
+  // The engine may have taken the order or take it yet.
+  m_serving.version = Digest();
+}
+
 void Deployment::OnPlan(const std::optional<Placement::ServicePlan>& plan, TimePoint now,
                         Actions* actions)
 {
@@ -51,10 +65,7 @@
   const bool is_other_order =
       m_order && (!plan || plan->version != m_order->version || plan->service != m_order->service);
   if (is_other_order)
-  {
-    actions->push_back(CancelOrder{m_order->order});
-    m_order.reset();
-  }
+    CancelOpenOrder(actions);
   // A service that the tree takes away from this target gets no new work at once; a new version of
   // the same service leaves the old one in place until the new one is ready.
   if (!plan || plan->service != m_serving.service)
@@ -105,6 +116,8 @@
   {
     m_backoff = std::clamp(m_backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
     m_order_not_before = now + m_backoff;
+    if (MayHaveBeenTaken(std::get<Error>(result)))
+      m_serving.version = Digest();
     return;
   }
   m_backoff = Duration::zero();
--- a/Source/Core/Deployment/Deployment.h
+++ b/Source/Core/Deployment/Deployment.h
@@ -58,7 +58,8 @@
   // load at once.
   void OnTick(Common::TimePoint now, bool may_order, bool may_switch, Actions* actions);
 
-  // The service and version that requests may be sent to; not ready while there is none.
+  // The service and version that requests may be sent to; not ready while there is none. The
+  // version is zero while it is not known which one a model engine has.
   const Membership::ServiceState& Serving() const { return m_serving; }
   // True if the target should load another version than it has.
   bool IsSwitchWanted() const;
@@ -67,6 +68,7 @@
 private:
   bool IsHeld(const Common::Digest& version) const;
   void KeepWanted(Actions* actions);
+  void CancelOpenOrder(Actions* actions);
 
   std::optional<Placement::ServicePlan> m_plan;
   Membership::ServiceState m_serving;
--- a/Source/Peers/Engine/EngineClient.cpp
+++ b/Source/Peers/Engine/EngineClient.cpp
@@ -19,15 +19,17 @@
 static constexpr Milliseconds ORDER_TIMEOUT = Milliseconds(120000);
 static constexpr Milliseconds RUN_IDLE_TIMEOUT = Milliseconds(60000);
 
-static Common::HttpHeaders FenceHeaders(const NodeCore::Fence& fence)
+static Common::HttpHeaders OrderHeaders(const NodeCore::LoadTarget& order)
 {
-  return {{"Holdpost-Fence", std::to_string(fence.claim)},
-          {"Holdpost-Settings", std::to_string(fence.settings)}};
+  return {{"Holdpost-Fence", std::to_string(order.fence.claim)},
+          {"Holdpost-Settings", std::to_string(order.fence.settings)},
+          {"Holdpost-Order", std::to_string(order.order)}};
 }
 
 void EngineClient::Load(NodeCore::LoadTarget order, std::function<bool()> may_order,
                         std::function<void(Result<std::monostate>)> done)
 {
+  Drop();
   m_loading = std::make_unique<Loading>();
   m_loading->order = std::move(order);
   m_loading->may_order = std::move(may_order);
@@ -37,27 +39,56 @@
 
 void EngineClient::CancelLoad(OrderId id)
 {
-  if (m_loading && m_loading->order.order == id)
-    m_loading.reset();
+  if (IsLoading(id))
+    Drop();
+}
+
+void EngineClient::Drop()
+{
+  const auto dropped = std::move(m_loading);
+  if (!dropped)
+    return;
+  for (const auto& [key, call] : dropped->open_calls)
+    m_http.Cancel(call);
 }
 
 void EngineClient::Finish(Result<std::monostate> result)
 {
-  const auto loading = std::move(m_loading);
-  loading->done(std::move(result));
+  const auto done = std::move(m_loading->done);
+  Drop();
+  done(std::move(result));
 }
 
-void EngineClient::OnReply(OrderId id, const Result<HttpReply>& result,
-                           const std::function<void()>& next)
+void EngineClient::StartCall(Common::HttpCall call, const std::function<void()>& next)
+{
+  call.to = m_target;
+  call.headers = OrderHeaders(m_loading->order);
+  call.idle_timeout = ORDER_TIMEOUT;
+  const OrderId order = m_loading->order.order;
+  const std::size_t key = m_loading->next_call++;
+  m_loading->open_calls[key] = 0;
+  const auto on_done = [this, order, key, next](const Result<HttpReply>& result)
+  {
+    if (!IsLoading(order))
+      return;
+    m_loading->open_calls.erase(key);
+    OnReply(result, next);
+  };
+  const Common::HttpClient::CallId id = m_http.Start(std::move(call), {on_done});
+  // A call may end before Start returns.
+  if (IsLoading(order) && m_loading->open_calls.contains(key))
+    m_loading->open_calls[key] = id;
+}
+
+void EngineClient::OnReply(const Result<HttpReply>& result, const std::function<void()>& next)
 {
-  if (!m_loading || m_loading->order.order != id)
-    return;
-  --m_loading->outstanding;
   if (const auto* error = std::get_if<Error>(&result))
     return Finish(*error);
   const int status = std::get<HttpReply>(result).status;
   if (status == 409)
     return Finish(Error{ErrorKind::Fenced, "the engine has seen a newer order"});
+  if (status >= 400 && status < 500)
+    return Finish(Error{ErrorKind::TargetRefused, fmt::format("the engine answered {}", status)});
   if (status != 200)
     return Finish(Error{ErrorKind::TargetFailed, fmt::format("the engine answered {}", status)});
   next();
@@ -68,28 +99,22 @@
   if (!m_loading->may_order())
     return Finish(Error{ErrorKind::Fenced, "the lease on the target has lapsed"});
   Common::HttpCall call;
-  call.to = m_target;
   call.method = "PUT";
   call.path = fmt::format("/weights/{}/{}", m_loading->order.version.ToHex(), name);
-  call.headers = FenceHeaders(m_loading->order.fence);
   call.body = *data;
-  call.idle_timeout = ORDER_TIMEOUT;
   call.may_reuse_connection = true;
-  ++m_loading->outstanding;
-  const OrderId id = m_loading->order.order;
-  m_http.Start(std::move(call), {[this, id](const Result<HttpReply>& result)
-                                 { OnReply(id, result, [this] { SendMore(); }); }});
+  StartCall(std::move(call), [this] { SendMore(); });
 }
 
 void EngineClient::SendMore()
 {
-  while (m_loading && m_loading->outstanding < PARTS_AT_ONCE &&
+  while (m_loading && m_loading->open_calls.size() < PARTS_AT_ONCE &&
          m_loading->next_piece < m_loading->order.pieces.size())
   {
     const std::size_t piece = m_loading->next_piece++;
     SendPart(fmt::format("pieces/{}", piece), m_loading->order.pieces[piece]);
   }
-  if (m_loading && m_loading->outstanding == 0)
+  if (m_loading && m_loading->open_calls.empty())
     SendLoad();
 }
 
@@ -98,17 +123,11 @@
   if (!m_loading->may_order())
     return Finish(Error{ErrorKind::Fenced, "the lease on the target has lapsed"});
   Common::HttpCall call;
-  call.to = m_target;
   call.method = "POST";
   call.path = "/orders/load";
-  call.headers = FenceHeaders(m_loading->order.fence);
   call.body =
       json{{"model", m_loading->order.model}, {"version", m_loading->order.version.ToHex()}}.dump();
-  call.idle_timeout = ORDER_TIMEOUT;
-  ++m_loading->outstanding;
-  const OrderId id = m_loading->order.order;
-  m_http.Start(std::move(call), {[this, id](const Result<HttpReply>& result)
-                                 { OnReply(id, result, [this] { Finish(std::monostate{}); }); }});
+  StartCall(std::move(call), [this] { Finish(std::monostate{}); });
 }
 
 Common::HttpClient::CallId EngineClient::Run(const Runs::RunRequest& request,
--- a/Source/Peers/Engine/EngineClient.h
+++ b/Source/Peers/Engine/EngineClient.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -32,7 +33,8 @@
   {
   }
 
-  // Sends the weights, then the order to load them. One at a time; a new one drops the old one.
+  // Sends the weights, then the order to load them. One at a time; a new one ends the calls of the
+  // old one.
   // `may_order` is asked before each call, so that an agent that was paused past its lease gives no
   // order.
   void Load(NodeCore::LoadTarget order, std::function<bool()> may_order,
@@ -52,15 +54,18 @@
     NodeCore::LoadTarget order;
     std::function<bool()> may_order;
     std::size_t next_piece = 0;
-    std::size_t outstanding = 0;
+    std::size_t next_call = 0;
+    std::map<std::size_t, Common::HttpClient::CallId> open_calls;
     std::function<void(Common::Result<std::monostate>)> done;
   };
 
+  bool IsLoading(OrderId id) const { return m_loading && m_loading->order.order == id; }
   void SendMore();
   void SendPart(const std::string& name, const Common::Bytes& data);
   void SendLoad();
-  void OnReply(OrderId id, const Common::Result<Common::HttpReply>& result,
-               const std::function<void()>& next);
+  void StartCall(Common::HttpCall call, const std::function<void()>& next);
+  void OnReply(const Common::Result<Common::HttpReply>& result, const std::function<void()>& next);
+  void Drop();
   void Finish(Common::Result<std::monostate> result);
 
   Common::HttpClient& m_http;
--- a/Source/Standin/EngineStandin.cpp
+++ b/Source/Standin/EngineStandin.cpp
@@ -2,6 +2,7 @@
 #include "Standin/EngineStandin.h"
 
 #include <charconv>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -31,6 +32,7 @@
   config.listen = reader.ReadAddress("listen", true, true);
   config.token_time = Milliseconds(reader.Integer("token_ms", 5, 0, 10000));
   config.checks_fence = reader.Boolean("checks_fence", true);
+  config.keeps_weights = reader.Boolean("keeps_weights", false);
   reader.Finish();
   if (!problems.empty())
     return problems;
@@ -72,14 +74,15 @@
 
 bool EngineStandin::IsFenced(const Exchange& exchange)
 {
-  const std::uint64_t fence = ToNumber(exchange->Request().Header("holdpost-fence"));
-  if (m_config.checks_fence && fence < m_highest_fence)
+  const std::pair order(ToNumber(exchange->Request().Header("holdpost-fence")),
+                        ToNumber(exchange->Request().Header("holdpost-order")));
+  if (m_config.checks_fence && order < m_newest_order)
   {
     ++m_fenced;
     exchange->Reply(409, JSON_TYPE, R"({"error":"fenced"})");
     return true;
   }
-  m_highest_fence = std::max(m_highest_fence, fence);
+  m_newest_order = std::max(m_newest_order, order);
   return false;
 }
 
@@ -100,6 +103,15 @@
 }
 
 void EngineStandin::HandleLoad(const Exchange& exchange)
+{
+  if (m_faults.hold_loads == 0)
+    return TakeLoad(exchange);
+  // It counts when it is released, also if its sender has given it up by then.
+  --m_faults.hold_loads;
+  m_held_loads.push_back(exchange);
+}
+
+void EngineStandin::TakeLoad(const Exchange& exchange)
 {
   if (IsFenced(exchange))
     return;
@@ -129,7 +141,8 @@
   m_model = order.value("model", "");
   m_loads.push_back(version);
   // The pieces of other versions are not needed any more; running streams keep their name only.
-  std::erase_if(m_weights, [&](const auto& entry) { return entry.first != version; });
+  if (!m_config.keeps_weights)
+    std::erase_if(m_weights, [&](const auto& entry) { return entry.first != version; });
   exchange->Reply(200, JSON_TYPE, "{}");
 }
 
@@ -198,6 +211,12 @@
   m_faults.refuse_loads = faults.value("refuse_loads", m_faults.refuse_loads);
   m_faults.stall_answers = faults.value("stall_answers", m_faults.stall_answers);
   m_faults.oversize_answers = faults.value("oversize_answers", m_faults.oversize_answers);
+  m_faults.hold_loads = faults.value("hold_loads", m_faults.hold_loads);
+  if (faults.value("release_loads", false))
+  {
+    for (const Exchange& held : std::exchange(m_held_loads, {}))
+      TakeLoad(held);
+  }
   exchange->Reply(200, JSON_TYPE, "{}");
 }
 
@@ -209,9 +228,10 @@
   exchange->Reply(200, JSON_TYPE,
                   json{{"loaded", m_loaded},
                        {"loads", m_loads},
-                       {"fence", m_highest_fence},
+                       {"fence", m_newest_order.first},
                        {"fenced", m_fenced},
                        {"corrupt_pieces_taken", m_corrupt_pieces_taken},
+                       {"loads_held", m_held_loads.size()},
                        {"runs", runs}}
                       .dump());
 }
--- a/Source/Standin/EngineStandin.h
+++ b/Source/Standin/EngineStandin.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,8 @@
   Common::Address listen;
   Common::Milliseconds token_time{5};
   bool checks_fence = true;
+  // Keeps the pieces of versions that are not loaded.
+  bool keeps_weights = false;
 };
 
 std::variant<EngineConfig, Common::Problems> ReadEngineConfig(const std::string& file);
@@ -45,6 +48,7 @@
     int refuse_loads = 0;  // an order to load fails
     int stall_answers = 0; // a stream stops and stays open
     int oversize_answers = 0;
+    int hold_loads = 0; // an order to load is looked at only when it is released
   };
 
   // A completion under way; keeps the version that it began with.
@@ -64,6 +68,7 @@
   bool IsFenced(const Exchange& exchange);
   void TakeWeights(const Exchange& exchange);
   void HandleLoad(const Exchange& exchange);
+  void TakeLoad(const Exchange& exchange);
   void HandleCompletion(const Exchange& exchange);
   void SendToken(const std::shared_ptr<Stream>& stream);
   void HandleFaults(const Exchange& exchange);
@@ -75,11 +80,13 @@
   std::map<std::string, Weights> m_weights;
   std::string m_loaded;
   std::string m_model;
-  std::uint64_t m_highest_fence = 0;
+  // The claim and, within it, the number of the newest order.
+  std::pair<std::uint64_t, std::uint64_t> m_newest_order;
   std::map<std::string, int> m_runs; // by request
   nlohmann::json m_loads = nlohmann::json::array();
   Faults m_faults;
   int m_corrupt_pieces_taken = 0;
+  std::vector<Exchange> m_held_loads;
   int m_fenced = 0;
 };
 } // namespace Holdpost::Standin
--- /dev/null
+++ b/Source/UnitTests/Core/DeploymentTest.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "Core/Deployment/Deployment.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Deployment;
+using Common::Error;
+using Common::ErrorKind;
+using Common::Milliseconds;
+
+namespace
+{
+const Common::Digest V1 = Common::Sha256("v1");
+const Common::Digest V2 = Common::Sha256("v2");
+
+// One agent's target, whose versions are all held at once.
+struct Fixture
+{
+  void Plan(const Common::Digest& version)
+  {
+    deployment.OnPlan(Placement::ServicePlan{"assist", "runners", 0, true, "m", version}, now,
+                      &actions);
+    deployment.OnVersionHeld(version, now, &actions);
+  }
+  // The order that is given at this moment, if any.
+  std::optional<OrderLoad> Tick(Common::Duration time = Milliseconds(0))
+  {
+    now += time;
+    actions.clear();
+    deployment.OnTick(now, true, true, &actions);
+    for (const Action& action : actions)
+    {
+      if (const auto* order = std::get_if<OrderLoad>(&action))
+        return *order;
+    }
+    return std::nullopt;
+  }
+  void Done(std::uint64_t order, const Common::Result<std::monostate>& result = std::monostate{})
+  {
+    deployment.OnOrderDone(order, result, now, &actions);
+  }
+  void Serve(const Common::Digest& version)
+  {
+    Plan(version);
+    const auto order = Tick();
+    REQUIRE(order);
+    Done(order->order);
+    REQUIRE(deployment.Serving().is_ready);
+    REQUIRE(deployment.Serving().version == version);
+  }
+
+  Holdpost::Deployment::Deployment deployment;
+  Common::TimePoint now{std::chrono::hours(1)};
+  Actions actions;
+};
+} // namespace
+
+// Regression: an agent took the version for loaded that it had replaced by an order under way.
+TEST_CASE("A version that is taken back while another one is ordered")
+{
+  Fixture f;
+  f.Serve(V1);
+  f.Plan(V2);
+  const auto second = f.Tick();
+  REQUIRE(second);
+  CHECK(f.deployment.Serving().version == V1);
+
+  SUBCASE("is ordered again")
+  {
+    f.Plan(V1);
+    CHECK(std::ranges::any_of(f.actions, [](const Action& action)
+                              { return std::holds_alternative<CancelOrder>(action); }));
+    CHECK(f.deployment.Serving().is_ready);
+    CHECK(f.deployment.Serving().version.IsZero());
+    const auto again = f.Tick();
+    REQUIRE(again);
+    CHECK(again->version == V1);
+    CHECK(again->order > second->order);
+
+    SUBCASE("whatever the first order's late answer says")
+    {
+      f.Done(second->order);
+      CHECK(f.deployment.Serving().version.IsZero());
+      f.Done(again->order);
+      CHECK(f.deployment.Serving().version == V1);
+      CHECK_FALSE(f.Tick(Milliseconds(20000)));
+    }
+  }
+  SUBCASE("is ordered again after the first order ended without an answer")
+  {
+    f.Done(second->order, Error{ErrorKind::Unreachable, "no whole answer"});
+    f.Plan(V1);
+    CHECK(f.deployment.Serving().is_ready);
+    const auto again = f.Tick(Milliseconds(1));
+    REQUIRE(again);
+    CHECK(again->version == V1);
+  }
+  SUBCASE("is not ordered again after an order that the engine did not take")
+  {
+    f.Done(second->order, Error{ErrorKind::TargetRefused, "the engine answered 422"});
+    CHECK(f.deployment.Serving().version == V1);
+    f.Plan(V1);
+    CHECK_FALSE(f.Tick(Milliseconds(20000)));
+  }
+}
