Agent: An engine that answers with another version loads again

What callers see: answers of a version that nobody named for their service, or of one that was replaced, from an engine that is reported with the newest one, until the next version comes.

Cause: an engine that checks no fences takes an order that was given up, or the order of an agent before, whenever it gets to it. Its answers name the version that it has, and the agent passed that on without looking at it.

Change: the decisions see the head of each answer (TargetAnswered). One that names another version than the engine is known to have is not passed on, the engine is offered no more, and the wanted version is ordered. Known is what the last answered order says; runs that began before it, or since which an order was given, are not compared. Metric holdpost_target_other_version_total.

DeploymentTest (50 assertions) and the scenarios, whose targets' answers now go through the agent, pass (61 assertions, golden transcripts unchanged).

--- a/Source/Core/Deployment/Deployment.cpp
+++ b/Source/Core/Deployment/Deployment.cpp
@@ -34,6 +34,20 @@
          !m_serving.is_ready;
 }
 
+std::optional<Deployment::KnownVersion> Deployment::Known() const
+{
+  if (!m_serving.is_ready || m_serving.version.IsZero() || m_order)
+    return std::nullopt;
+  return KnownVersion{m_serving.version, m_generation};
+}
+
+void Deployment::OnOtherVersion(TimePoint now)
+{
+  m_serving.version = Digest();
+  m_serving.is_ready = false;
+  m_order_not_before = std::min(m_order_not_before, now);
+}
+
 void Deployment::KeepWanted(Actions* actions)
 {
   std::vector<Digest> wanted;
@@ -101,6 +115,7 @@
     return;
   if (!may_order || !may_switch || now < m_order_not_before)
     return;
+  ++m_generation;
   m_order = OrderLoad{m_next_order++, m_plan->service, m_plan->model, m_plan->version};
   actions->push_back(*m_order);
 }
--- a/Source/Core/Deployment/Deployment.h
+++ b/Source/Core/Deployment/Deployment.h
@@ -58,6 +58,22 @@
   // load at once.
   void OnTick(Common::TimePoint now, bool may_order, bool may_switch, Actions* actions);
 
+  // What the engine is known to answer with, as of one moment.
+  struct KnownVersion
+  {
+    Common::Digest version;
+    // Grows with each change of what is known.
+    std::uint64_t generation = 0;
+
+    bool operator==(const KnownVersion&) const = default;
+  };
+
+  // Empty while it is not certain, and for plain services.
+  std::optional<KnownVersion> Known() const;
+  // The engine answers with another version than the known one: it has to load the wanted version
+  // again before it may take requests.
+  void OnOtherVersion(Common::TimePoint now);
+
   // The service and version that requests may be sent to; not ready while there is none. The
   // version is zero while it is not known which one a model engine has.
   const Membership::ServiceState& Serving() const { return m_serving; }
@@ -74,6 +90,7 @@
   Membership::ServiceState m_serving;
   std::vector<Common::Digest> m_held;
   std::uint64_t m_next_order = 1;
+  std::uint64_t m_generation = 0;
   std::optional<OrderLoad> m_order;
   Common::TimePoint m_order_not_before{};
   Common::Duration m_backoff{};
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -61,6 +61,7 @@
                                     actions->push_back(CancelTargetRun{m.tag});
                                   OnRunOver(m.tag, "abandoned");
                                 },
+                                [&](const TargetAnswered& m) { OnAnswered(m, now, actions); },
                                 [&](const TargetRunEnded& m)
                                 {
                                   OnRunOver(m.tag, m.error ? Common::AnswerFor(m.error->kind).name
@@ -291,16 +292,42 @@
     return;
   }
   m_metrics.Add("holdpost_runs_started_total");
-  m_open_runs[requested.tag] = requested.request.key;
+  m_open_runs[requested.tag] = {requested.request.key, m_deployment.Known()};
   actions->push_back(RunOnTarget{requested.tag, requested.request});
 }
 
+void Agent::OnAnswered(const TargetAnswered& answered, TimePoint now, Actions* actions)
+{
+  const auto found = m_open_runs.find(answered.tag);
+  if (found == m_open_runs.end())
+    return;
+  // Nothing is compared where an order was under way since the run began.
+  const auto known = m_deployment.Known();
+  const bool is_other = known && known == found->second.known_version &&
+                        !answered.version.IsZero() && answered.version != known->version;
+  if (!is_other)
+  {
+    actions->push_back(
+        AnswerHead{answered.tag, answered.status, answered.content_type, answered.version});
+    return;
+  }
+  WARN_LOG(ENGINE, "The target answers with version {} instead of {}: it has to load again.",
+           answered.version.Short(), known->version.Short());
+  m_metrics.Add("holdpost_target_other_version_total");
+  m_deployment.OnOtherVersion(now);
+  actions->push_back(CancelTargetRun{answered.tag});
+  OnRunOver(answered.tag, "other_version");
+  actions->push_back(AnswerRunEnd{
+      answered.tag, Error{ErrorKind::TargetFailed, "the target answered with another version"}});
+  ReportSoon();
+}
+
 void Agent::OnRunOver(CallTag tag, std::string_view how)
 {
   const auto found = m_open_runs.find(tag);
   if (found == m_open_runs.end())
     return;
-  m_runs.OnEnded(found->second);
+  m_runs.OnEnded(found->second.key);
   m_open_runs.erase(found);
   m_metrics.Add("holdpost_runs_ended_total", Common::Reason(how));
 }
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -61,6 +61,7 @@
   void OrderLoad(const Deployment::OrderLoad& order, Common::TimePoint now, Actions* actions);
   void OnLoaded(const TargetLoaded& loaded, Common::TimePoint now, Actions* actions);
   void OnRunRequested(const RunRequested& requested, Actions* actions);
+  void OnAnswered(const TargetAnswered& answered, Common::TimePoint now, Actions* actions);
   void OnRunOver(CallTag tag, std::string_view how);
 
   // Whether the hall's limit on targets that load at once lets this one load.
@@ -71,7 +72,13 @@
   Deployment::Deployment m_deployment;
   Membership::Lease m_lease;
   Runs::Runs m_runs;
-  std::map<CallTag, Runs::RunKey> m_open_runs;
+  struct OpenRun
+  {
+    Runs::RunKey key;
+    // As the run began.
+    std::optional<Deployment::Deployment::KnownVersion> known_version;
+  };
+  std::map<CallTag, OpenRun> m_open_runs;
   std::uint32_t m_switch_most = 0;
   // What the entries of the hall said last about loading, with the settings that they went by.
   struct LoadWord
--- a/Source/Core/Node/Events.h
+++ b/Source/Core/Node/Events.h
@@ -26,7 +26,7 @@
     RunRequested, RunAbandoned, BarRequested, ReportAnswered, PeerUnreachable, PieceFetched,
     RecordsFetched, RunHead, RunChunk, RunEnded, BarAnswered, KeyAsked, KeyAnswered,
     // from the target
-    TargetLoaded, TargetRunEnded,
+    TargetLoaded, TargetAnswered, TargetRunEnded,
     // from callers
     CallerArrived, CallerGone,
     // from operators
@@ -43,7 +43,8 @@
     ReadLog, AppendRecord, ReadList, FetchFromPlatform,
     // to other instances
     SendReport, SendAnnouncement, FetchPiece, CancelFetch, FetchRecords, StartRun, CancelRun,
-    AskToBar, AskKey, AnswerKey, AnswerReport, AnswerPiece, AnswerRecords, AnswerRunEnd, AnswerBar,
+    AskToBar, AskKey, AnswerKey, AnswerReport, AnswerPiece, AnswerRecords, AnswerHead, AnswerRunEnd,
+    AnswerBar,
     // to the target
     LoadTarget, CancelLoad, RunOnTarget, CancelTargetRun,
     // to callers
--- a/Source/Core/Node/TargetMessages.h
+++ b/Source/Core/Node/TargetMessages.h
@@ -56,6 +56,15 @@
   CallTag tag = 0;
 };
 
+// The target has begun to answer a run.
+struct TargetAnswered
+{
+  CallTag tag = 0;
+  int status = 0;
+  std::string content_type;
+  Common::Digest version; // zero if the target names none
+};
+
 struct TargetRunEnded
 {
   CallTag tag = 0;
--- a/Source/Node/AgentNode.cpp
+++ b/Source/Node/AgentNode.cpp
@@ -12,7 +12,9 @@
       m_core({MakeIdentity(), config.pool, config.target_name, config.target_checks_fence},
              m_metrics),
       m_engine(m_http, config.target),
-      m_runs(m_rpc, m_engine, [this](NodeCore::TargetRunEnded ended) { Feed(std::move(ended)); })
+      m_runs(m_rpc, m_engine,
+             {[this](NodeCore::TargetAnswered answered) { Feed(std::move(answered)); },
+              [this](NodeCore::TargetRunEnded ended) { Feed(std::move(ended)); }})
 {
 }
 
@@ -23,7 +25,10 @@
           [this](NodeCore::LoadTarget& load) { Load(load); },
           [this](NodeCore::CancelLoad& cancel) { m_engine.CancelLoad(cancel.order); },
           [this](NodeCore::RunOnTarget& run) { m_runs.Start(run); },
-          [this](NodeCore::CancelTargetRun& cancel) { m_runs.Cancel(cancel.tag); }, [](auto&) {}},
+          // The answer's head may be what is being handled, with its call still on the stack.
+          [this](NodeCore::CancelTargetRun& cancel)
+          { m_loop.Defer([this, tag = cancel.tag] { m_runs.Cancel(tag); }); },
+          [](auto&) {}},
       action);
 }
 
--- a/Source/Node/TargetRuns.cpp
+++ b/Source/Node/TargetRuns.cpp
@@ -10,8 +10,8 @@
 static constexpr std::size_t BYTES_ON_THE_WAY_MOST = 256 << 10;
 
 TargetRuns::TargetRuns(InstancePeer::RpcTask& rpc, EnginePeer::EngineClient& engine,
-                       OnEnded on_ended)
-    : m_rpc(rpc), m_engine(engine), m_on_ended(std::move(on_ended))
+                       Handlers handlers)
+    : m_rpc(rpc), m_engine(engine), m_handlers(std::move(handlers))
 {
 }
 
@@ -20,15 +20,17 @@
   const CallTag tag = run.tag;
   m_open[tag];
   EnginePeer::RunCallbacks callbacks;
-  callbacks.on_head = [this, tag](int status, const std::string& type,
-                                  const Common::Digest& version) {
-    m_rpc.Post(NodeCore::AnswerHead{tag, status, type, version});
+  callbacks.on_head =
+      [this, tag](int status, const std::string& type, const Common::Digest& version)
+  {
+    if (m_open.contains(tag))
+      m_handlers.on_answered(NodeCore::TargetAnswered{tag, status, type, version});
   };
   callbacks.on_chunk = [this, tag](std::string_view data) { OnChunk(tag, data); };
   callbacks.on_end = [this, tag](std::optional<Error> error)
   {
     if (m_open.erase(tag) > 0)
-      m_on_ended(NodeCore::TargetRunEnded{tag, std::move(error)});
+      m_handlers.on_ended(NodeCore::TargetRunEnded{tag, std::move(error)});
   };
   m_open[tag].call = m_engine.Run(run.request, callbacks);
 }
--- a/Source/Node/TargetRuns.h
+++ b/Source/Node/TargetRuns.h
@@ -14,9 +14,13 @@
 class TargetRuns
 {
 public:
-  using OnEnded = std::function<void(NodeCore::TargetRunEnded)>;
+  struct Handlers
+  {
+    std::function<void(NodeCore::TargetAnswered)> on_answered;
+    std::function<void(NodeCore::TargetRunEnded)> on_ended;
+  };
 
-  TargetRuns(InstancePeer::RpcTask& rpc, EnginePeer::EngineClient& engine, OnEnded on_ended);
+  TargetRuns(InstancePeer::RpcTask& rpc, EnginePeer::EngineClient& engine, Handlers handlers);
 
   void Start(const NodeCore::RunOnTarget& run);
   void Cancel(NodeCore::CallTag tag);
@@ -35,7 +39,7 @@
 
   InstancePeer::RpcTask& m_rpc;
   EnginePeer::EngineClient& m_engine;
-  OnEnded m_on_ended;
+  Handlers m_handlers;
   std::map<NodeCore::CallTag, OpenRun> m_open;
 };
 } // namespace Holdpost::Node
--- a/Source/UnitTests/Core/DeploymentTest.cpp
+++ b/Source/UnitTests/Core/DeploymentTest.cpp
@@ -106,3 +106,39 @@
     CHECK_FALSE(f.Tick(Milliseconds(20000)));
   }
 }
+
+// Regression: an engine that answered with another version than the ordered one stayed in use.
+TEST_CASE("An engine that answers with another version loads the wanted one again")
+{
+  Fixture f;
+  CHECK_FALSE(f.deployment.Known());
+  f.Serve(V1);
+  const auto known = f.deployment.Known();
+  REQUIRE(known);
+  CHECK(known->version == V1);
+  f.deployment.OnOtherVersion(f.now);
+  CHECK_FALSE(f.deployment.Known());
+  CHECK_FALSE(f.deployment.Serving().is_ready);
+  const auto order = f.Tick();
+  REQUIRE(order);
+  CHECK(order->version == V1);
+  f.Done(order->order);
+  CHECK(f.deployment.Serving().is_ready);
+  REQUIRE(f.deployment.Known());
+  CHECK(f.deployment.Known()->version == V1);
+  // What began before is not compared with what is known now.
+  CHECK(f.deployment.Known() != known);
+}
+
+TEST_CASE("Nothing is known of the version while an order is under way")
+{
+  Fixture f;
+  f.Serve(V1);
+  f.Plan(V2);
+  CHECK(f.deployment.Known());
+  const auto order = f.Tick();
+  REQUIRE(order);
+  CHECK_FALSE(f.deployment.Known());
+  f.Done(order->order, Error{ErrorKind::Unreachable, "no whole answer"});
+  CHECK_FALSE(f.deployment.Known());
+}
--- a/Source/UnitTests/Process/TargetsProcessTest.cpp
+++ b/Source/UnitTests/Process/TargetsProcessTest.cpp
@@ -48,13 +48,22 @@
 // Regression: an order that was given up was taken later, and its version stayed on the engine.
 TEST_CASE("An engine takes an order late")
 {
-  const bool checks_fence = true;
+  bool checks_fence = true;
   bool is_taken_back = false;
   SUBCASE("after it has loaded the next version, and checks fences") {}
+  SUBCASE("after it has loaded the next version, and checks no fences")
+  {
+    checks_fence = false;
+  }
   SUBCASE("after the version was taken back, and checks fences")
   {
     is_taken_back = true;
   }
+  SUBCASE("after the version was taken back, and checks no fences")
+  {
+    is_taken_back = true;
+    checks_fence = false;
+  }
   Hall hall(0, 1);
   hall.StartEngine("engine-1", {{"checks_fence", checks_fence}, {"keeps_weights", true}});
   hall.StartAgent("agent-1", "engine-1", "target-1", checks_fence);
--- a/Source/UnitTests/Scenario/World.h
+++ b/Source/UnitTests/Scenario/World.h
@@ -178,6 +178,7 @@
   void Do(Node& node, NodeCore::AnswerReport& action);
   void Do(Node& node, NodeCore::AnswerPiece& action);
   void Do(Node& node, NodeCore::AnswerRecords& action);
+  void Do(Node& node, NodeCore::AnswerHead& action);
   void Do(Node& node, NodeCore::AnswerRunEnd& action);
   void Do(Node& node, NodeCore::AnswerBar& action);
   void Do(Node& node, NodeCore::LoadTarget& action);
--- a/Source/UnitTests/Scenario/WorldAnswers.cpp
+++ b/Source/UnitTests/Scenario/WorldAnswers.cpp
@@ -67,17 +67,20 @@
   After(TO_TARGET,
         [this, agent = node.name, tag = action.tag, version, text, tokens = asked.tokens]
         {
-          const Run& run = m_runs[tag];
-          if (!run.is_over && Alive(agent))
-          {
-            After(TO_PEER,
-                  [this, entry = run.entry, head = RunHead{run.number, 200, "text/plain", version}]
-                  { Feed(entry, head); });
-          }
+          if (!m_runs[tag].is_over && Alive(agent))
+            Feed(agent, TargetAnswered{tag, 200, "text/plain", version});
           SendToken(agent, tag, 0, tokens, text);
         });
 }
 
+void World::Do(Node& /*node*/, AnswerHead& action)
+{
+  const Run& run = m_runs[action.tag];
+  After(TO_PEER, [this, entry = run.entry,
+                  head = RunHead{run.number, action.status, action.content_type, action.version}]
+        { Feed(entry, head); });
+}
+
 void World::SendToken(const std::string& agent, CallTag tag, int next, int count,
                       const std::string& text)
 {
