Entries and agents: Events do not put the tick off

What callers see: requests are refused with no_target, or wait, though their agents run and are idle; the entry counts a busy agent as gone. Orders that are due, deadlines, leases and reports wait as long as events come.

Cause: NodeBase set its timer anew to 50 ms after each event, so a process with an event each 50 ms or more often never came to its tick.

Change: the time of the next tick is kept, and events can only bring it forward, as in gateways and sidecars.

Seen as an engine without weights was not asked for its version within 60 s while a test asked it all the time.

--- a/Source/Node/NodeBase.cpp
+++ b/Source/Node/NodeBase.cpp
@@ -93,6 +93,7 @@
 
 void NodeBase::Tick()
 {
+  m_tick_due = Now() + TICK;
   NodeCore::Actions actions;
   Core().OnTick(Now(), &actions);
   Carry(std::move(actions));
@@ -101,8 +102,9 @@
 void NodeBase::ScheduleTick()
 {
   const TimePoint now = Now();
-  const TimePoint next = std::min(Core().NextWakeup(now).value_or(now + TICK), now + TICK);
-  m_tick_timer->FireAfter(next - now);
+  // Events bring the next tick forward and never put it off.
+  const TimePoint next = std::min(Core().NextWakeup(now).value_or(m_tick_due), m_tick_due);
+  m_tick_timer->FireAfter(std::max(next - now, Common::Duration::zero()));
 }
 
 void NodeBase::Feed(NodeCore::Event event)
--- a/Source/Node/NodeBase.h
+++ b/Source/Node/NodeBase.h
@@ -70,6 +70,7 @@
   std::unique_ptr<OperatorPeer::AdminPages> m_admin;
   std::unique_ptr<Common::Watch> m_rpc_watch;
   std::unique_ptr<Common::Watch> m_tick_timer;
+  Common::TimePoint m_tick_due{};
   std::vector<std::unique_ptr<Common::Watch>> m_signals;
   std::map<Distribution::FetchId, Common::HttpClient::CallId> m_origin_calls;
   int m_exit_code = 0;
--- a/Source/UnitTests/Process/RequestsProcessTest.cpp
+++ b/Source/UnitTests/Process/RequestsProcessTest.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <chrono>
 #include <csignal>
 
 #include <doctest/doctest.h>
@@ -293,3 +294,25 @@
     CHECK(total_runs() == 1);
   }
 }
+
+// Regression: each event put the next tick off, so an agent with many events sent no report.
+TEST_CASE("An agent reports while requests come without a pause")
+{
+  Hall hall(1, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, 64 << 10);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  WaitForTargets(hall, "entry-1", 1);
+  // Twice the silence after which an agent counts as gone.
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  int whole = 0;
+  int asked = 0;
+  while (std::chrono::steady_clock::now() < until)
+  {
+    ++asked;
+    whole += IsWhole(hall.Http().Call(hall.Completion("entry-1", 1))) ? 1 : 0;
+  }
+  CHECK(whole == asked);
+  CHECK(hall.Status("entry-1")["instances"][0]["alive"] == true);
+  MESSAGE(asked, " requests");
+}
