Agent: An engine that has started again is loaded again

What callers see: 503 "no model is loaded", or 502, for each request that comes to an engine whose process ended and started again while its agent went on; until the next version is named.

Cause: an agent knows what its engine has by the answer to its last order alone. Nothing tells it that the engine has started again without weights.

Change: a run without a whole answer, and a 503 that names no version, put the engine in doubt. A check is not counted against the hall's limit on loads.

--- a/Source/Core/Deployment/Deployment.cpp
+++ b/Source/Core/Deployment/Deployment.cpp
@@ -14,6 +14,8 @@
 
 static constexpr Duration BACKOFF_LEAST = Milliseconds(200);
 static constexpr Duration BACKOFF_MOST = Milliseconds(10000);
+// The least time between two checks of what the engine has.
+static constexpr Duration CHECK_PERIOD = Milliseconds(1000);
 
 // Whether an order that failed so may have changed what the engine has.
 static bool MayHaveBeenTaken(const Error& error)
@@ -41,6 +43,11 @@
   return KnownVersion{m_serving.version, m_generation};
 }
 
+void Deployment::OnDoubt()
+{
+  m_is_doubted = m_serving.is_ready && m_plan && m_plan->is_model;
+}
+
 void Deployment::OnOtherVersion(TimePoint now)
 {
   m_serving.version = Digest();
@@ -111,12 +118,16 @@
 
 void Deployment::OnTick(TimePoint now, bool may_order, bool may_switch, Actions* actions)
 {
-  if (!IsSwitchWanted() || m_order || !IsHeld(m_plan->version))
+  const bool is_check = !IsSwitchWanted() && m_is_doubted;
+  if (m_order || !may_order || (!is_check && !IsSwitchWanted()) || !IsHeld(m_plan->version))
     return;
-  if (!may_order || !may_switch || now < m_order_not_before)
+  // A check switches nothing off, so the limit on loads is not asked.
+  if (is_check ? now < m_check_not_before : !may_switch || now < m_order_not_before)
     return;
   ++m_generation;
-  m_order = OrderLoad{m_next_order++, m_plan->service, m_plan->model, m_plan->version};
+  m_is_doubted = false;
+  m_check_not_before = now + CHECK_PERIOD;
+  m_order = OrderLoad{m_next_order++, m_plan->service, m_plan->model, m_plan->version, is_check};
   actions->push_back(*m_order);
 }
 
@@ -129,6 +140,8 @@
   m_order.reset();
   if (!Common::Succeeded(result))
   {
+    if (done.is_check)
+      return OnOtherVersion(now);
     m_backoff = std::clamp(m_backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
     m_order_not_before = now + m_backoff;
     if (MayHaveBeenTaken(std::get<Error>(result)))
--- a/Source/Core/Deployment/Deployment.h
+++ b/Source/Core/Deployment/Deployment.h
@@ -34,6 +34,8 @@
   std::string service;
   std::string model;
   Common::Digest version;
+  // The engine should have the version: it gets the order without the weights.
+  bool is_check = false;
 };
 
 // Drop what is left of an order that is not wanted any more.
@@ -70,6 +72,9 @@
 
   // Empty while it is not certain, and for plain services.
   std::optional<KnownVersion> Known() const;
+  // A run gave reason to ask whether the engine still has its version, as one that has started
+  // again may have none.
+  void OnDoubt();
   // The engine answers with another version than the known one: it has to load the wanted version
   // again before it may take requests.
   void OnOtherVersion(Common::TimePoint now);
@@ -79,7 +84,7 @@
   const Membership::ServiceState& Serving() const { return m_serving; }
   // True if the target should load another version than it has.
   bool IsSwitchWanted() const;
-  bool IsLoading() const { return m_order.has_value(); }
+  bool IsLoading() const { return m_order && !m_order->is_check; }
 
 private:
   bool IsHeld(const Common::Digest& version) const;
@@ -93,6 +98,8 @@
   std::uint64_t m_generation = 0;
   std::optional<OrderLoad> m_order;
   Common::TimePoint m_order_not_before{};
+  bool m_is_doubted = false;
+  Common::TimePoint m_check_not_before{};
   Common::Duration m_backoff{};
 };
 } // namespace Holdpost::Deployment
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -21,6 +21,8 @@
 // Silence takes an instance out of the candidates without any message.
 static constexpr Milliseconds CANDIDATES_PERIOD = Milliseconds(2000);
 static constexpr Milliseconds CLAIM_RETRY = Milliseconds(1000);
+// The status of an engine's answer while it has no weights.
+static constexpr int NO_MODEL_STATUS = 503;
 
 static std::string ClaimId(const Identity& self)
 {
@@ -64,6 +66,8 @@
                                 [&](const TargetAnswered& m) { OnAnswered(m, now, actions); },
                                 [&](const TargetRunEnded& m)
                                 {
+                                  if (m.error)
+                                    m_deployment.OnDoubt();
                                   OnRunOver(m.tag, m.error ? Common::AnswerFor(m.error->kind).name
                                                            : "whole");
                                   actions->push_back(AnswerRunEnd{m.tag, m.error});
@@ -249,11 +253,14 @@
     OnLoaded({order.order, Error{ErrorKind::Internal, "the weights are gone"}}, now, actions);
     return;
   }
-  INFO_LOG(ENGINE, "Orders the target to load version {}.", order.version.Short());
+  INFO_LOG(ENGINE, "{} version {}.",
+           order.is_check ? "Asks whether the target still has" : "Orders the target to load",
+           order.version.Short());
   LoadTarget load;
   load.order = order.order;
   load.model = order.model;
   load.version = order.version;
+  load.is_check = order.is_check;
   load.manifest = swarm->Piece(Distribution::MANIFEST_PIECE);
   for (std::uint32_t piece = 0; piece < swarm->ManifestHeld()->PieceCount(); ++piece)
     load.pieces.push_back(swarm->Piece(piece));
@@ -307,6 +314,8 @@
                         !answered.version.IsZero() && answered.version != known->version;
   if (!is_other)
   {
+    if (answered.status == NO_MODEL_STATUS && answered.version.IsZero())
+      m_deployment.OnDoubt();
     actions->push_back(
         AnswerHead{answered.tag, answered.status, answered.content_type, answered.version});
     return;
--- a/Source/Core/Node/TargetMessages.h
+++ b/Source/Core/Node/TargetMessages.h
@@ -31,6 +31,8 @@
   Common::Bytes manifest;
   std::vector<Common::Bytes> pieces;
   Fence fence;
+  // Only the order is sent, as the target should have the version.
+  bool is_check = false;
 };
 
 struct CancelLoad
--- a/Source/Peers/Engine/EngineClient.cpp
+++ b/Source/Peers/Engine/EngineClient.cpp
@@ -34,7 +34,10 @@
   m_loading->order = std::move(order);
   m_loading->may_order = std::move(may_order);
   m_loading->done = std::move(done);
-  SendPart("manifest", m_loading->order.manifest);
+  if (m_loading->order.is_check)
+    SendLoad();
+  else
+    SendPart("manifest", m_loading->order.manifest);
 }
 
 void EngineClient::CancelLoad(OrderId id)
--- a/Source/UnitTests/Core/DeploymentTest.cpp
+++ b/Source/UnitTests/Core/DeploymentTest.cpp
@@ -142,3 +142,65 @@
   f.Done(order->order, Error{ErrorKind::Unreachable, "no whole answer"});
   CHECK_FALSE(f.deployment.Known());
 }
+
+// Regression: an engine that had started again without weights was offered as ready.
+TEST_CASE("An engine in doubt is asked whether it still has its version")
+{
+  Fixture f;
+  f.Serve(V1);
+  CHECK_FALSE(f.Tick(Milliseconds(20000)));
+  f.deployment.OnDoubt();
+  const auto check = f.Tick();
+  REQUIRE(check);
+  CHECK(check->is_check);
+  CHECK(check->version == V1);
+  CHECK(f.deployment.Serving().is_ready);
+  CHECK_FALSE(f.deployment.IsLoading());
+
+  SUBCASE("and goes on when it has, with at most one check a second")
+  {
+    f.Done(check->order);
+    CHECK(f.deployment.Serving().is_ready);
+    f.deployment.OnDoubt();
+    CHECK_FALSE(f.Tick(Milliseconds(999)));
+    CHECK(f.Tick(Milliseconds(1)));
+  }
+  SUBCASE("and is loaded again when it has not")
+  {
+    f.Done(check->order, Error{ErrorKind::TargetRefused, "the engine answered 422"});
+    CHECK_FALSE(f.deployment.Serving().is_ready);
+    const auto order = f.Tick();
+    REQUIRE(order);
+    CHECK_FALSE(order->is_check);
+    CHECK(f.deployment.IsLoading());
+  }
+  SUBCASE("and is tried again until it is back when it does not answer")
+  {
+    f.Done(check->order, Error{ErrorKind::Unreachable, "no whole answer"});
+    CHECK_FALSE(f.deployment.Serving().is_ready);
+    const auto order = f.Tick();
+    REQUIRE(order);
+    f.Done(order->order, Error{ErrorKind::Unreachable, "no whole answer"});
+    CHECK_FALSE(f.Tick(Milliseconds(199)));
+    CHECK(f.Tick(Milliseconds(1)));
+  }
+  SUBCASE("and a new version replaces the check")
+  {
+    f.Plan(V2);
+    const auto order = f.Tick();
+    REQUIRE(order);
+    CHECK(order->version == V2);
+    CHECK_FALSE(order->is_check);
+  }
+}
+
+TEST_CASE("A plain service is asked for no version")
+{
+  Fixture f;
+  f.deployment.OnPlan(Placement::ServicePlan{"triage", "runners", 0, false, "", {}}, f.now,
+                      &f.actions);
+  CHECK(f.deployment.Serving().is_ready);
+  CHECK_FALSE(f.deployment.Known());
+  f.deployment.OnDoubt();
+  CHECK_FALSE(f.Tick(Milliseconds(20000)));
+}
--- a/Source/UnitTests/Process/TargetsProcessTest.cpp
+++ b/Source/UnitTests/Process/TargetsProcessTest.cpp
@@ -1,4 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <chrono>
+#include <csignal>
+#include <functional>
+
 #include <doctest/doctest.h>
 
 #include "UnitTests/Process/Hall.h"
@@ -9,7 +13,7 @@
 using Common::Result;
 using nlohmann::json;
 
-// What an agent knows of its engine.
+// What an agent knows of its engine, with engines that take orders late, end and start again.
 
 static constexpr std::size_t MIB = 1 << 20;
 static constexpr std::size_t PIECE = 64 << 10;
@@ -90,3 +94,91 @@
     CHECK(version == newest);
   CHECK(hall.Stats("engine-1")["loaded"] == newest);
 }
+
+// Regression: an agent offered its engine as ready after the engine had started without weights.
+TEST_CASE("An engine that starts again without weights is loaded again")
+{
+  Hall hall(1, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, PIECE);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  AskUntilWhole(hall, version);
+  const std::string address = hall.Get("engine-1").At("address").ToString();
+
+  SUBCASE("while nobody asks")
+  {
+    hall.Get("engine-1").Kill();
+  }
+  SUBCASE("while answers stream")
+  {
+    std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+    for (int i = 0; i < 4; ++i)
+      answers.push_back(hall.Http().Start(hall.Completion("entry-1", 2000)));
+    hall.WaitUntil("requests run", [&] { return hall.Status("agent-1")["running"] == 4; });
+    hall.Get("engine-1").Kill();
+    hall.Http().Finish();
+    for (const auto& answer : answers)
+      CHECK_FALSE(Common::Succeeded(*answer));
+  }
+  hall.StartEngine("engine-1", {{"listen", address}});
+  for (const std::string& named : AskUntilWhole(hall, version))
+    CHECK(named == version);
+  CHECK(hall.Stats("engine-1")["loaded"] == version);
+}
+
+TEST_CASE("A process that is killed while answers stream ends none of them as whole")
+{
+  static constexpr int ROUNDS = 12;
+  static constexpr int REQUESTS = 4;
+  static constexpr int TOKENS = 40;
+  Hall hall(1, 1);
+  const std::string version = hall.MakeWeights("v1", MIB, PIECE);
+  REQUIRE(hall.Publish(version) == 0);
+  hall.WaitServing({"agent-1"}, version);
+  AskUntilWhole(hall, version);
+  std::string victim;
+  std::function<void()> restart;
+  SUBCASE("an engine")
+  {
+    victim = "engine-1";
+    restart = [&hall, address = hall.Get("engine-1").At("address").ToString()] {
+      hall.StartEngine("engine-1", {{"listen", address}});
+    };
+  }
+  SUBCASE("an agent")
+  {
+    victim = "agent-1";
+    restart = [&hall] { hall.StartAgent("agent-1", "engine-1", "target-1"); };
+  }
+  SUBCASE("an entry")
+  {
+    victim = "entry-1";
+    restart = [&hall] { hall.StartEntry("entry-1"); };
+  }
+  int not_whole = 0;
+  int whole = 0;
+  for (int round = 0; round < ROUNDS; ++round)
+  {
+    std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+    for (int i = 0; i < REQUESTS; ++i)
+      answers.push_back(hall.Http().Start(hall.Completion("entry-1", TOKENS)));
+    // Before the first part, between any two, and after the last one.
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(25 * round);
+    while (std::chrono::steady_clock::now() < until)
+      hall.Http().RunDue();
+    hall.Get(victim).Kill();
+    hall.Http().Finish();
+    for (const auto& answer : answers)
+    {
+      const auto* reply = std::get_if<HttpReply>(answer.get());
+      const bool is_passed_on = reply && reply->status == 200;
+      ++(is_passed_on ? whole : not_whole);
+      if (is_passed_on)
+        CHECK_MESSAGE(IsWhole(*answer), reply->body);
+    }
+    restart();
+    AskUntilWhole(hall, version);
+  }
+  MESSAGE(whole, " whole answers, ", not_whole, " others");
+  CHECK(not_whole > 0);
+}
