Common: Only chunks and a length mark the end of an answer

What callers see: a plain service, or an engine, that names a transfer coding other than chunked, and no length, is killed (or closes) in the middle of its answer, and holdpost-entry ends the caller's answer as whole.

Cause: HttpClient took any Transfer-Encoding for a marked end. evhttp reads such an answer up to the end of the connection.

Change: the coding has to be "chunked", by the same field and comparison that evhttp uses.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 
+#include "Common/HttpMessage.h"
 #include "Common/Socket.h"
 
 namespace Holdpost::Common
@@ -79,10 +80,14 @@
 }
 
 // An answer that ends with the connection could have been cut anywhere, so it is not whole.
-static bool HasMarkedEnd(int status, const HttpHeaders& headers)
+static bool HasMarkedEnd(evhttp_request* raw)
 {
-  return headers.contains("content-length") || headers.contains("transfer-encoding") ||
-         status == 204 || status == 304;
+  const int status = evhttp_request_get_response_code(raw);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+  const char* coding = evhttp_find_header(headers, "Transfer-Encoding");
+  // evhttp reads an answer of any other coding up to the end of the connection.
+  return (coding && EqualsIgnoringCase(coding, "chunked")) ||
+         evhttp_find_header(headers, "Content-Length") || status == 204 || status == 304;
 }
 
 HttpClient::HttpClient(EventLoop& loop) : m_loop(loop) {}
@@ -283,7 +288,7 @@
     return;
   }
   HttpReply reply{status, ReadHeaders(raw), TakeBody(raw)};
-  if (!HasMarkedEnd(status, reply.headers))
+  if (!HasMarkedEnd(raw))
   {
     Release(*owned, false);
     owned->callbacks.on_done(
--- a/Source/UnitTests/Peers/EngineClientTest.cpp
+++ b/Source/UnitTests/Peers/EngineClientTest.cpp
@@ -99,3 +99,101 @@
     CHECK(Common::Succeeded(results[0]));
   }
 }
+
+namespace
+{
+struct Answer
+{
+  int status = 0;
+  std::string body;
+  bool is_ended = false;
+  std::optional<Error> error;
+};
+
+// The answer to a run whose target sends these bytes, in two parts if `split` is not 0, and closes
+// the connection in the ordinary way.
+Answer AnswerTo(const std::string& first, const std::string& second)
+{
+  Common::EventLoop loop;
+  FakeServer target(loop,
+                    [](Common::TcpConnection& connection, const std::string& bytes)
+                    {
+                      if (!bytes.empty())
+                        connection.PauseReading();
+                    });
+  Common::HttpClient http(loop);
+  EngineClient client(http, target.Address());
+  Answer answer;
+  EnginePeer::RunCallbacks callbacks;
+  callbacks.on_head = [&](int status, const std::string&, const Common::Digest&)
+  { answer.status = status; };
+  callbacks.on_chunk = [&](std::string_view data) { answer.body.append(data); };
+  callbacks.on_end = [&](std::optional<Error> error)
+  {
+    answer.is_ended = true;
+    answer.error = std::move(error);
+  };
+  Runs::RunRequest request;
+  request.method = "GET";
+  request.path = "/";
+  client.Run(request, callbacks);
+  REQUIRE(RunUntil(loop, [&] { return target.Accepted() == 1 && !target.Bytes(0).empty(); }));
+  target.Connection(0).Write(first);
+  if (!second.empty())
+  {
+    RunFor(loop, Milliseconds(1));
+    target.Connection(0).Write(second);
+  }
+  target.Connection(0).CloseGracefully(Milliseconds(100), nullptr);
+  REQUIRE(RunUntil(loop, [&] { return answer.is_ended; }));
+  return answer;
+}
+} // namespace
+
+TEST_CASE("An answer whose target is killed is not whole, wherever it was cut")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n"
+                              "9\r\ndata: 1\n\n\r\n9\r\ndata: 2\n\n\r\n0\r\n\r\n";
+  const std::string length = "Content-Length: 18\r\n\r\ndata: 1\n\ndata: 2\n\n";
+  std::string whole;
+  SUBCASE("chunks")
+  {
+    whole = head + chunked;
+  }
+  SUBCASE("chunks, named in capitals")
+  {
+    whole = head + "TRANSFER-ENCODING: Chunked" + chunked.substr(chunked.find("\r\n"));
+  }
+  SUBCASE("a length")
+  {
+    whole = head + length;
+  }
+  const Answer answer = AnswerTo(whole, "");
+  CHECK_FALSE(answer.error);
+  CHECK(answer.body == "data: 1\n\ndata: 2\n\n");
+  int cuts = 0;
+  for (std::size_t bytes = 0; bytes < whole.size(); ++bytes, ++cuts)
+  {
+    CAPTURE(whole.substr(0, bytes));
+    CHECK(AnswerTo(whole.substr(0, bytes), "").error);
+  }
+  MESSAGE(cuts, " cuts");
+}
+
+TEST_CASE("An answer that ends with its connection is never whole")
+{
+  const std::string body = "data: 1\n\ndata: 2\n\n";
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  CHECK(AnswerTo(line + "\r\n", body).error);
+  CHECK(AnswerTo(line + "Connection: close\r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Connection: keep-alive\r\n\r\n", body).error);
+  CHECK(AnswerTo("HTTP/1.0 200 OK\r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Transfer-Encoding: identity\r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Transfer-Encoding: gzip\r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Transfer-Encoding: gzip, chunked\r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Transfer-Encoding: \r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Content-Length: \r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Content-Length: 18x\r\n\r\n", body).error);
+  CHECK(AnswerTo(line + "Content-Length: -1\r\n\r\n", body).error);
+}
