Agent: A target that another agent has claimed is offered no more

What callers see: requests are served by an engine through an agent that was stopped while another one took its target over. It goes on reporting the version of before and credits of its own, so that the engine gets the requests of both.

Cause: a lost lease only kept the agent from giving orders.

Change: what the agent offers is not ready once its lease is lost; runs are refused as not run, and not_ready says why.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -116,11 +116,21 @@
   const bool was_lost = m_lease.IsLost();
   m_lease.OnLogRead(m_follower.Fold(), sent, HallSettings().Time(Field::LeaseMs));
   if (m_lease.IsLost() && !was_lost)
+  {
     WARN_LOG(AGENT, "Another agent has claimed the target {}.", m_identity.target_name);
+    ReportSoon();
+  }
   if (!m_lease.HasClaim() && !m_lease.IsLost() && now >= m_claim_not_before)
     ClaimTarget(actions);
 }
 
+Membership::ServiceState Agent::Offered() const
+{
+  Membership::ServiceState state = m_deployment.Serving();
+  state.is_ready = state.is_ready && !m_lease.IsLost();
+  return state;
+}
+
 void Agent::ClaimTarget(Actions* actions)
 {
   if (m_is_claiming || IsLeaving())
@@ -290,7 +300,7 @@
 
 void Agent::OnRunRequested(const RunRequested& requested, Actions* actions)
 {
-  const Runs::Admission admission = m_runs.OnRequest(requested.request, m_deployment.Serving());
+  const Runs::Admission admission = m_runs.OnRequest(requested.request, Offered());
   if (const auto* error = std::get_if<Error>(&admission))
   {
     m_metrics.Add("holdpost_run_refused_total",
@@ -366,7 +376,7 @@
   }
   if (m_deployment.Serving().service.empty() && !m_deployment.IsLoading())
     return;
-  Membership::ServiceState state = m_deployment.Serving();
+  Membership::ServiceState state = Offered();
   state.is_ready = state.is_ready && !IsLeaving();
   state.is_loading = m_deployment.IsLoading();
   state.running = m_runs.Running();
@@ -384,6 +394,8 @@
     return "no settings yet";
   if (IsLeaving())
     return "leaving";
+  if (m_lease.IsLost())
+    return "another agent has the target";
   return m_deployment.Serving().is_ready ? "" : "the target serves nothing yet";
 }
 
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -54,6 +54,8 @@
 
   void HandleOwn(Event& event, Common::TimePoint now, Actions* actions);
   void ClaimTarget(Actions* actions);
+  // What entries may send here: nothing once another agent has the target.
+  Membership::ServiceState Offered() const;
   void Replan(Common::TimePoint now, Actions* actions);
   std::optional<Placement::ServicePlan> OwnPlan(Common::TimePoint now) const;
   void TakeHeldVersions(Common::TimePoint now, Actions* actions);
--- a/Source/UnitTests/Process/TargetsProcessTest.cpp
+++ b/Source/UnitTests/Process/TargetsProcessTest.cpp
@@ -182,3 +182,42 @@
   MESSAGE(whole, " whole answers, ", not_whole, " others");
   CHECK(not_whole > 0);
 }
+
+// Regression: an agent that had lost its target went on to send it requests.
+TEST_CASE("An agent that is stopped while another takes its target over offers it no more")
+{
+  Hall hall(0, 1);
+  hall.StartEngine("engine-1");
+  hall.StartAgent("agent-1", "engine-1", "target-1");
+  const std::string first = hall.MakeWeights("v1", MIB, PIECE);
+  const std::string second = hall.MakeWeights("v2", MIB, PIECE);
+  REQUIRE(hall.Publish(first) == 0);
+  hall.WaitServing({"agent-1"}, first);
+  hall.Get("agent-1").Signal(SIGSTOP);
+  hall.StartAgent("agent-2", "engine-1", "target-1");
+  REQUIRE(hall.Publish(second) == 0);
+  hall.WaitServing({"agent-2"}, second);
+  hall.Get("agent-1").Signal(SIGCONT);
+  const auto row_of = [&](const std::string& agent) -> json
+  {
+    const json status = hall.Status("entry-1");
+    for (const json& row : status["instances"])
+    {
+      if (row["instance"] == agent)
+        return row;
+    }
+    return json::object();
+  };
+  hall.WaitUntil("the entry hears that agent-1 has lost its target",
+                 [&]
+                 {
+                   const json row = row_of("agent-1");
+                   return row.value("alive", false) && !row.value("ready", true);
+                 });
+  for (int i = 0; i < 10; ++i)
+  {
+    const auto result = hall.Http().Call(hall.Completion("entry-1", 5));
+    CHECK(IsWhole(result));
+    CHECK(VersionOf(result) == second);
+  }
+}
