Distribution: Fetches have ids that no earlier process used

What is seen: a sidecar that was killed and starts again takes the answer to a request of the process before for an answer to its own. Another version's manifest is accepted where versions are not named by their content, and a piece that does not fit counts against a peer that sent nothing wrong; two of these shun it for ten minutes.

Cause: ids counted from 1 at each start, sidecars keep their address, and a reply in the mesh names the id alone. Agents fetch over calls that end with their connection, so they are not affected.

Change: an id is at least the time in microseconds since the machine's start.

Evidence: ExchangeTest, "An answer to an earlier instance at the same address is not taken for one's own", accepted the manifest of v1 as that of v2 before (2 checks failed); it passes now. Not shown with real processes. The other tests of ExchangeTest hold before and after: late answers for a version that is not wanted any more, and pieces found on a stage that are bad, short or of another version, which are neither held nor given away. 70 cases of unit tests of exchange, sidecars and agents (2,148 assertions) and the scenarios (61) pass.

--- a/Source/Core/Distribution/Swarm.h
+++ b/Source/Core/Distribution/Swarm.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -84,7 +85,17 @@
 // State that all swarms of one instance share.
 struct SwarmShared
 {
-  FetchId next_fetch_id = 1;
+  // Returns an id that no earlier fetch has, also none of an earlier incarnation on the machine:
+  // peers may answer its requests to this one, as it has the same address.
+  FetchId NextFetchId(Common::TimePoint now)
+  {
+    const auto micros =
+        std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
+    last_fetch_id = std::max(last_fetch_id + 1, static_cast<FetchId>(micros));
+    return last_fetch_id;
+  }
+
+  FetchId last_fetch_id = 0;
   // Observes the local link through the transfers of received pieces.
   LinkTracker downloads;
   // Versions of which the hall still has to fetch pieces from outside.
--- a/Source/Core/Distribution/SwarmSchedule.cpp
+++ b/Source/Core/Distribution/SwarmSchedule.cpp
@@ -240,7 +240,7 @@
 void Swarm::StartFetch(std::uint32_t piece, const std::string& peer, TimePoint now,
                        Actions* actions)
 {
-  const FetchId id = m_shared->next_fetch_id++;
+  const FetchId id = m_shared->NextFetchId(now);
   const PlatformSource source = UsableSource(now).value_or(PlatformSource::Origin);
   const std::size_t concurrent = m_fetches.size() + 1;
   m_fetches[id] = {piece, peer, source, now, false, concurrent};
