--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -108,10 +108,14 @@
 }
 
 // An answer that ends with the connection could have been cut anywhere, so it is not whole.
-static bool HasMarkedEnd(int status, const HttpHeaders& headers)
+static bool HasMarkedEnd(evhttp_request* raw)
 {
-  return headers.contains("content-length") || headers.contains("transfer-encoding") ||
-         status == 204 || status == 304;
+  const int status = evhttp_request_get_response_code(raw);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+  const char* coding = evhttp_find_header(headers, "Transfer-Encoding");
+  // evhttp reads an answer of any other coding up to the end of the connection.
+  return (coding && EqualsIgnoringCase(coding, "chunked")) ||
+         evhttp_find_header(headers, "Content-Length") || status == 204 || status == 304;
 }
 
 HttpClient::HttpClient(EventLoop& loop) : m_loop(loop) {}
@@ -314,7 +318,7 @@
     return;
   }
   HttpReply reply{status, ReadHeaders(raw), TakeBody(raw)};
-  if (!HasMarkedEnd(status, reply.headers))
+  if (!HasMarkedEnd(raw))
   {
     Release(*owned, false);
     owned->callbacks.on_done(
--- a/Source/Core/Deployment/Deployment.cpp
+++ b/Source/Core/Deployment/Deployment.cpp
@@ -14,6 +14,14 @@
 
 static constexpr Duration BACKOFF_LEAST = Milliseconds(200);
 static constexpr Duration BACKOFF_MOST = Milliseconds(10000);
+// The least time between two checks of what the engine has.
+static constexpr Duration CHECK_PERIOD = Milliseconds(1000);
+
+// Whether an order that failed so may have changed what the engine has.
+static bool MayHaveBeenTaken(const Error& error)
+{
+  return Common::AnswerFor(error.kind).outcome != Common::Outcome::NotRun;
+}
 
 bool Deployment::IsHeld(const Digest& version) const
 {
@@ -28,6 +36,25 @@
          !m_serving.is_ready;
 }
 
+std::optional<Deployment::KnownVersion> Deployment::Known() const
+{
+  if (!m_serving.is_ready || m_serving.version.IsZero() || m_order)
+    return std::nullopt;
+  return KnownVersion{m_serving.version, m_generation};
+}
+
+void Deployment::OnDoubt()
+{
+  m_is_doubted = m_serving.is_ready && m_plan && m_plan->is_model;
+}
+
+void Deployment::OnOtherVersion(TimePoint now)
+{
+  m_serving.version = Digest();
+  m_serving.is_ready = false;
+  m_order_not_before = std::min(m_order_not_before, now);
+}
+
 void Deployment::KeepWanted(Actions* actions)
 {
   std::vector<Digest> wanted;
@@ -40,6 +67,14 @@
   actions->push_back(KeepVersions{wanted});
 }
 
+void Deployment::CancelOpenOrder(Actions* actions)
+{
+  actions->push_back(CancelOrder{m_order->order});
+  m_order.reset();
+  // The engine may have taken the order or take it yet.
+  m_serving.version = Digest();
+}
+
 void Deployment::OnPlan(const std::optional<Placement::ServicePlan>& plan, TimePoint now,
                         Actions* actions)
 {
@@ -51,10 +86,7 @@
   const bool is_other_order =
       m_order && (!plan || plan->version != m_order->version || plan->service != m_order->service);
   if (is_other_order)
-  {
-    actions->push_back(CancelOrder{m_order->order});
-    m_order.reset();
-  }
+    CancelOpenOrder(actions);
   // A service that the tree takes away from this target gets no new work at once; a new version of
   // the same service leaves the old one in place until the new one is ready.
   if (!plan || plan->service != m_serving.service)
@@ -86,11 +118,16 @@
 
 void Deployment::OnTick(TimePoint now, bool may_order, bool may_switch, Actions* actions)
 {
-  if (!IsSwitchWanted() || m_order || !IsHeld(m_plan->version))
+  const bool is_check = !IsSwitchWanted() && m_is_doubted;
+  if (m_order || !may_order || (!is_check && !IsSwitchWanted()) || !IsHeld(m_plan->version))
     return;
-  if (!may_order || !may_switch || now < m_order_not_before)
+  // A check switches nothing off, so the limit on loads is not asked.
+  if (is_check ? now < m_check_not_before : !may_switch || now < m_order_not_before)
     return;
-  m_order = OrderLoad{m_next_order++, m_plan->service, m_plan->model, m_plan->version};
+  ++m_generation;
+  m_is_doubted = false;
+  m_check_not_before = now + CHECK_PERIOD;
+  m_order = OrderLoad{m_next_order++, m_plan->service, m_plan->model, m_plan->version, is_check};
   actions->push_back(*m_order);
 }
 
@@ -103,8 +140,12 @@
   m_order.reset();
   if (!Common::Succeeded(result))
   {
+    if (done.is_check)
+      return OnOtherVersion(now);
     m_backoff = std::clamp(m_backoff * 2, BACKOFF_LEAST, BACKOFF_MOST);
     m_order_not_before = now + m_backoff;
+    if (MayHaveBeenTaken(std::get<Error>(result)))
+      m_serving.version = Digest();
     return;
   }
   m_backoff = Duration::zero();
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -21,6 +21,8 @@
 // Silence takes an instance out of the candidates without any message.
 static constexpr Milliseconds CANDIDATES_PERIOD = Milliseconds(2000);
 static constexpr Milliseconds CLAIM_RETRY = Milliseconds(1000);
+// The status of an engine's answer while it has no weights.
+static constexpr int NO_MODEL_STATUS = 503;
 
 static std::string ClaimId(const Identity& self)
 {
@@ -61,8 +63,11 @@
                                     actions->push_back(CancelTargetRun{m.tag});
                                   OnRunOver(m.tag, "abandoned");
                                 },
+                                [&](const TargetAnswered& m) { OnAnswered(m, now, actions); },
                                 [&](const TargetRunEnded& m)
                                 {
+                                  if (m.error)
+                                    m_deployment.OnDoubt();
                                   OnRunOver(m.tag, m.error ? Common::AnswerFor(m.error->kind).name
                                                            : "whole");
                                   actions->push_back(AnswerRunEnd{m.tag, m.error});
@@ -111,11 +116,21 @@
   const bool was_lost = m_lease.IsLost();
   m_lease.OnLogRead(m_follower.Fold(), sent, HallSettings().Time(Field::LeaseMs));
   if (m_lease.IsLost() && !was_lost)
+  {
     WARN_LOG(AGENT, "Another agent has claimed the target {}.", m_identity.target_name);
+    ReportSoon();
+  }
   if (!m_lease.HasClaim() && !m_lease.IsLost() && now >= m_claim_not_before)
     ClaimTarget(actions);
 }
 
+Membership::ServiceState Agent::Offered() const
+{
+  Membership::ServiceState state = m_deployment.Serving();
+  state.is_ready = state.is_ready && !m_lease.IsLost();
+  return state;
+}
+
 void Agent::ClaimTarget(Actions* actions)
 {
   if (m_is_claiming || IsLeaving())
@@ -248,11 +263,14 @@
     OnLoaded({order.order, Error{ErrorKind::Internal, "the weights are gone"}}, now, actions);
     return;
   }
-  INFO_LOG(ENGINE, "Orders the target to load version {}.", order.version.Short());
+  INFO_LOG(ENGINE, "{} version {}.",
+           order.is_check ? "Asks whether the target still has" : "Orders the target to load",
+           order.version.Short());
   LoadTarget load;
   load.order = order.order;
   load.model = order.model;
   load.version = order.version;
+  load.is_check = order.is_check;
   load.manifest = swarm->Piece(Distribution::MANIFEST_PIECE);
   for (std::uint32_t piece = 0; piece < swarm->ManifestHeld()->PieceCount(); ++piece)
     load.pieces.push_back(swarm->Piece(piece));
@@ -282,7 +300,7 @@
 
 void Agent::OnRunRequested(const RunRequested& requested, Actions* actions)
 {
-  const Runs::Admission admission = m_runs.OnRequest(requested.request, m_deployment.Serving());
+  const Runs::Admission admission = m_runs.OnRequest(requested.request, Offered());
   if (const auto* error = std::get_if<Error>(&admission))
   {
     m_metrics.Add("holdpost_run_refused_total",
@@ -291,16 +309,44 @@
     return;
   }
   m_metrics.Add("holdpost_runs_started_total");
-  m_open_runs[requested.tag] = requested.request.key;
+  m_open_runs[requested.tag] = {requested.request.key, m_deployment.Known()};
   actions->push_back(RunOnTarget{requested.tag, requested.request});
 }
 
+void Agent::OnAnswered(const TargetAnswered& answered, TimePoint now, Actions* actions)
+{
+  const auto found = m_open_runs.find(answered.tag);
+  if (found == m_open_runs.end())
+    return;
+  // Nothing is compared where an order was under way since the run began.
+  const auto known = m_deployment.Known();
+  const bool is_other = known && known == found->second.known_version &&
+                        !answered.version.IsZero() && answered.version != known->version;
+  if (!is_other)
+  {
+    if (answered.status == NO_MODEL_STATUS && answered.version.IsZero())
+      m_deployment.OnDoubt();
+    actions->push_back(
+        AnswerHead{answered.tag, answered.status, answered.content_type, answered.version});
+    return;
+  }
+  WARN_LOG(ENGINE, "The target answers with version {} instead of {}: it has to load again.",
+           answered.version.Short(), known->version.Short());
+  m_metrics.Add("holdpost_target_other_version_total");
+  m_deployment.OnOtherVersion(now);
+  actions->push_back(CancelTargetRun{answered.tag});
+  OnRunOver(answered.tag, "other_version");
+  actions->push_back(AnswerRunEnd{
+      answered.tag, Error{ErrorKind::TargetFailed, "the target answered with another version"}});
+  ReportSoon();
+}
+
 void Agent::OnRunOver(CallTag tag, std::string_view how)
 {
   const auto found = m_open_runs.find(tag);
   if (found == m_open_runs.end())
     return;
-  m_runs.OnEnded(found->second);
+  m_runs.OnEnded(found->second.key);
   m_open_runs.erase(found);
   m_metrics.Add("holdpost_runs_ended_total", Common::Reason(how));
 }
@@ -330,7 +376,7 @@
   }
   if (m_deployment.Serving().service.empty() && !m_deployment.IsLoading())
     return;
-  Membership::ServiceState state = m_deployment.Serving();
+  Membership::ServiceState state = Offered();
   state.is_ready = state.is_ready && !IsLeaving();
   state.is_loading = m_deployment.IsLoading();
   state.running = m_runs.Running();
@@ -348,6 +394,8 @@
     return "no settings yet";
   if (IsLeaving())
     return "leaving";
+  if (m_lease.IsLost())
+    return "another agent has the target";
   return m_deployment.Serving().is_ready ? "" : "the target serves nothing yet";
 }
 
--- a/Source/Core/Node/TargetMessages.h
+++ b/Source/Core/Node/TargetMessages.h
@@ -31,6 +31,8 @@
   Common::Bytes manifest;
   std::vector<Common::Bytes> pieces;
   Fence fence;
+  // Only the order is sent, as the target should have the version.
+  bool is_check = false;
 };
 
 struct CancelLoad
@@ -56,6 +58,15 @@
   CallTag tag = 0;
 };
 
+// The target has begun to answer a run.
+struct TargetAnswered
+{
+  CallTag tag = 0;
+  int status = 0;
+  std::string content_type;
+  Common::Digest version; // zero if the target names none
+};
+
 struct TargetRunEnded
 {
   CallTag tag = 0;
