--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -71,6 +71,8 @@
 
 void CrashTracker::OnEndedWithConnection(const Attempt& attempt, bool has_ended, TimePoint now)
 {
+  if (has_ended || IsKnownEnd(attempt, now))
+    NoteEndedWithTarget({attempt, now}, now);
   CountOrAwaitEnd(attempt, has_ended, now, &m_ended_with_connection);
 }
 
@@ -119,7 +121,22 @@
     return true;
   };
   std::erase_if(m_lost, is_counted);
-  std::erase_if(m_ended_with_connection, is_counted);
+  std::erase_if(m_ended_with_connection,
+                [&](const Pending& answer)
+                {
+                  if (!is_counted(answer))
+                    return false;
+                  NoteEndedWithTarget(answer, now);
+                  return true;
+                });
+}
+
+void CrashTracker::NoteEndedWithTarget(const Pending& answer, TimePoint now)
+{
+  ++m_answers_ended_with_target;
+  LogEvent(Weight::Important, now, "answer.ended_with_target", "request", answer.attempt.request,
+           "target", answer.attempt.target, "incarnation", answer.attempt.incarnation,
+           "ended_ms_ago", now - answer.at);
 }
 
 void CrashTracker::Count(const Pending& pending, TimePoint now)
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -37,6 +37,7 @@
   Common::Address address;
   std::uint64_t incarnation = 0;
   Common::TimePoint sent{};
+  std::string request = {}; // its id, for the log
 };
 
 class CrashTracker
@@ -74,6 +75,9 @@
   // known to be crashes yet, because their outcome is known only after the next attempt would be
   // sent.
   bool IsSuspect(const RequestCauses& causes) const;
+  // The number of answers that ended with their connection and whose target is known to have ended
+  // since, so that they may have been incomplete.
+  std::size_t AnswersEndedWithTarget() const { return m_answers_ended_with_target; }
   CrashLedger& Ledger() { return m_ledger; }
   const CrashLedger& Ledger() const { return m_ledger; }
 
@@ -97,6 +101,9 @@
   void CountOrAwaitEnd(const Attempt& attempt, bool has_ended, Common::TimePoint now,
                        std::vector<Pending>* awaiting);
   void Count(const Pending& pending, Common::TimePoint now);
+  // Logs an answer whose target has ended, and of which only the end of its connection marked the
+  // end.
+  void NoteEndedWithTarget(const Pending& answer, Common::TimePoint now);
   // Counts and forgets the pending attempts that meet the condition.
   void CountWhere(const HasEnded& condition, Common::TimePoint now);
   // Takes the answers into account that this process saw before it knew of the crashes.
@@ -107,6 +114,7 @@
   std::vector<Pending> m_lost;
   std::vector<Pending> m_ended_with_connection;
   std::vector<KnownEnd> m_ends;
+  std::size_t m_answers_ended_with_target = 0;
   std::optional<Common::TimePoint> m_started;
 };
 } // namespace Holdpost::Crashes
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -270,7 +270,7 @@
     return;
   m_targets.OnSucceeded(TargetInSameIncarnation(*tracked));
   OnAnswerWhole(*tracked, event.ends_with_connection, now);
-  m_log.OnDone(*tracked, event.ends_with_connection, now);
+  m_log.OnDone(*tracked, event, now);
   ReleaseTarget(*tracked, actions);
   const std::string service = tracked->service;
   Forget(event.number);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -67,6 +67,8 @@
   // Another gateway knows of targets that leave.
   void OnLeavingTargets(const std::vector<LeavingTarget>& targets, Common::TimePoint now);
   Crashes::CrashLedger& CrashLedger() { return m_crashes.Ledger(); }
+  // As of Crashes::CrashTracker.
+  std::size_t AnswersEndedWithTarget() const { return m_crashes.AnswersEndedWithTarget(); }
   // New retry limits apply to all retries from now on, and a new switch period to versions that are
   // named from now on.
   void SetRetryLimits(const RetryLimits& limits, Common::TimePoint now);
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -42,7 +42,7 @@
 {
   const LastAttempt& attempt = *tracked.last_attempt;
   return {tracked.causes, attempt.choice.id, attempt.choice.address, attempt.choice.incarnation,
-          attempt.sent};
+          attempt.sent,   tracked.request.id};
 }
 
 void Gateway::OnAttemptLost(const Tracked& tracked, const AttemptFailed& event, TimePoint now)
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -113,6 +113,8 @@
   // Nothing but the end of its connection marks the end of the answer, so that it looks the same if
   // the target ends.
   bool ends_with_connection = false;
+  // The last event of a stream.
+  std::optional<EventId> last_event = std::nullopt;
 };
 
 enum class AttemptFailure
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -159,10 +159,10 @@
   LogFailure(tracked, now, "request.taken_back", "reason", "old_weights");
 }
 
-void RequestLog::OnDone(const TrackedRequest& tracked, bool ends_with_connection, TimePoint now)
+void RequestLog::OnDone(const TrackedRequest& tracked, const AnswerEnded& event, TimePoint now)
 {
   m_metrics.Add("holdpost_answers_whole_total");
-  if (ends_with_connection)
+  if (event.ends_with_connection)
     m_metrics.Add("holdpost_answers_ended_with_connection_total");
   RecordTime(tracked, "done", now);
   const int status = tracked.last_attempt->answer_status;
@@ -173,8 +173,9 @@
   }
   LogEvent(Weight::Ordinary, now, "request.done", "request", tracked.request.id, "target",
            tracked.target, "first_ms", tracked.answer_passed_at - tracked.arrived, "took_ms",
-           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status, "ended_with",
-           ends_with_connection ? "connection" : "mark");
+           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status, "last_event",
+           event.last_event.value_or(0), "ended_with",
+           event.ends_with_connection ? "connection" : "mark");
 }
 
 void RequestLog::OnCallerLeft(const TrackedRequest& tracked, TimePoint now)
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -62,7 +62,7 @@
   // The request is cancelled at a target that has not begun it and whose weights are about to be
   // too old.
   void OnCancelledAtTarget(const TrackedRequest& tracked, Common::TimePoint now);
-  void OnDone(const TrackedRequest& tracked, bool ends_with_connection, Common::TimePoint now);
+  void OnDone(const TrackedRequest& tracked, const AnswerEnded& event, Common::TimePoint now);
   void OnCallerLeft(const TrackedRequest& tracked, Common::TimePoint now);
   void OnRefused(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
                  const ServiceView& view, Common::TimePoint now);
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -184,9 +184,13 @@
 void GatewayNode::OnCallEnded(RequestNumber number)
 {
   const auto found = m_exchanges.find(number);
-  const bool ends_with_connection =
-      found != m_exchanges.end() && found->second.answer.framing == Common::BodyFraming::UntilClose;
-  Feed(Gateway::AnswerEnded{number, ends_with_connection});
+  Gateway::AnswerEnded ended{number};
+  if (found != m_exchanges.end())
+  {
+    ended.ends_with_connection = found->second.answer.framing == Common::BodyFraming::UntilClose;
+    ended.last_event = found->second.call->LastEvent();
+  }
+  Feed(ended);
   const Exchange exchange = Take(number);
   if (!exchange.caller)
     return;
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -82,6 +82,8 @@
             metrics.Set("holdpost_crash_records", static_cast<double>(m_core.CrashLedger().Size()));
             metrics.Set("holdpost_blocked_requests",
                         static_cast<double>(m_core.CrashLedger().Blocked().size()));
+            metrics.Set("holdpost_answers_ended_with_target",
+                        static_cast<double>(m_core.AnswersEndedWithTarget()));
             m_memory.SetMetrics(metrics);
             metrics.Set("holdpost_unread_fields",
                         static_cast<double>(Common::UnreadFields::Instance().Count()));
