--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -48,6 +48,8 @@
   void StartStream(int status, const HttpHeaders& headers);
   // Begins an answer with neither a length nor chunks, which ends with its connection.
   void StartUnframed(int status, const HttpHeaders& headers);
+  // Begins an answer whose head, framing and end are the caller's own bytes.
+  void StartRaw() { m_is_unframed = true; }
   void SendChunk(std::string_view data);
   void EndStream();
   // Sends what is buffered, then closes without the end mark, so that nobody takes the answer for
