--- a/Source/Bench/Routing/RoutingWorld.h
+++ b/Source/Bench/Routing/RoutingWorld.h
@@ -142,6 +142,9 @@
   void Do(Node& /*node*/, const Gateway::ReportLimitToAgent& /*tell*/) {}
   void Do(Node& /*node*/, const Gateway::ReportLeaving& /*tell*/) {}
   void Do(Node& /*node*/, const Gateway::RecallConnecting& /*recall*/) {}
+  // Its answers have lengths.
+  void Do(Node& /*node*/, const Gateway::EndClosedAnswer& /*end*/) {}
+  void Do(Node& /*node*/, const Gateway::ProbeTarget& /*probe*/) {}
   void ScheduleTick(Node& node);
 
   void StartPass(Target& target);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -83,6 +83,7 @@
 void Gateway::OnTargetLoad(const TargetLoad& load, TimePoint now, Actions* actions)
 {
   m_targets.OnLoadReport(load, now);
+  OnClosedTargetReported(load, now, actions);
   m_crashes.OnEngineRuns({load.address, load.id, load.incarnation}, now);
   CountCrashes(now, actions);
   MoveFromReportedTarget(load, now, actions);
@@ -332,6 +333,7 @@
   StopBlockedRequests(now, actions);
   CancelOnOldWeights(now, actions);
   EndDispatchHold(now, actions);
+  ReviewClosed(now, actions);
   while (!m_timers.empty() && m_timers.top().at <= now)
   {
     const RequestNumber number = m_timers.top().number;
@@ -344,9 +346,12 @@
 
 std::optional<TimePoint> Gateway::NextWakeup() const
 {
-  const std::optional<TimePoint> crashes_due = m_crashes.NextWakeup();
-  if (m_timers.empty())
-    return crashes_due;
-  return std::min(m_timers.top().at, crashes_due.value_or(TimePoint::max()));
+  std::optional<TimePoint> next = m_crashes.NextWakeup();
+  const auto take = [&next](TimePoint at) { next = std::min(next.value_or(at), at); };
+  if (const auto closed_due = m_closed_answers.NextWakeup())
+    take(*closed_due);
+  if (!m_timers.empty())
+    take(m_timers.top().at);
+  return next;
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -14,6 +14,7 @@
 
 #include "Common/Metrics.h"
 #include "Core/Crashes/CrashTracker.h"
+#include "Core/Gateway/ClosedAnswers.h"
 #include "Core/Gateway/DeadlineTracker.h"
 #include "Core/Gateway/Messages.h"
 #include "Core/Gateway/RequestLog.h"
@@ -83,7 +84,9 @@
   void Handle(const CallerLeft& event, Common::TimePoint now, Actions* actions);
   void Handle(const AnswerHead& event, Common::TimePoint now, Actions* actions);
   void Handle(const AnswerBegan& event, Common::TimePoint now, Actions* actions);
+  void Handle(const AnswerClosed& event, Common::TimePoint now, Actions* actions);
   void Handle(const AnswerEnded& event, Common::TimePoint now, Actions* actions);
+  void Handle(const ProbeEnded& event, Common::TimePoint now, Actions* actions);
   void Handle(const AttemptFailed& event, Common::TimePoint now, Actions* actions);
   void OnTick(Common::TimePoint now, Actions* actions);
   // The time of the next timer, at which OnTick has to be called; empty if there is no timer.
@@ -215,6 +218,19 @@
   // The target has asked for rest.
   void BeginRest(const TargetChoice& choice, Common::Duration rest, Common::TimePoint now,
                  Actions* actions);
+  // The path of the service's health page; empty if it has none.
+  const std::string& HealthPathOf(const std::string& service) const;
+  void ConfirmClosed(const std::vector<ClosedAnswer>& answers, RunProof proof,
+                     Common::TimePoint now, Actions* actions);
+  void RefuteClosed(const std::vector<ClosedAnswer>& answers, AttemptEnd reason,
+                    Common::TimePoint now, Actions* actions);
+  // Ends the answers of which the report shows whether their target ran on.
+  void OnClosedTargetReported(const TargetLoad& load, Common::TimePoint now, Actions* actions);
+  // The target of the request has answered it.
+  void OnClosedTargetAnswered(const Tracked& tracked, Common::TimePoint now, Actions* actions);
+  void ProbeClosed(Common::TimePoint now, Actions* actions);
+  // Gives up the closed answers that were not proved in time, and sends the probes that are due.
+  void ReviewClosed(Common::TimePoint now, Actions* actions);
   // Takes a retry from the allowance of the request's service; returns whether it permits one.
   bool TakeRetry(const Tracked& tracked, std::string_view reason, Common::TimePoint now);
   void MoveIfOverdue(Tracked& tracked, Common::TimePoint now, Actions* actions);
@@ -239,6 +255,7 @@
   TargetTable m_targets;
   SwitchDeadlines m_switch_deadlines;
   Crashes::CrashTracker m_crashes;
+  ClosedAnswers m_closed_answers;
   std::map<std::string, ServiceQueue> m_queues;
   std::unordered_map<RequestNumber, Tracked> m_requests;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
--- /dev/null
+++ b/Source/Core/Gateway/GatewayClosedAnswers.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Core/Gateway/Gateway.h"
+
+// The part of the gateway that passes on the end of an answer that nothing but the close of its
+// connection marks.
+namespace Holdpost::Gateway
+{
+using Common::Duration;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// Agents report several times a second, at no cost for the target; it is probed if no report has
+// come by then.
+static constexpr Duration REPORT_PATIENCE = Milliseconds(300);
+// The time in which other answers of a target without an agent may prove that it runs.
+static constexpr Duration ANSWER_PATIENCE = Milliseconds(15);
+
+// The maximum time from the close of a stream to its proof: callers wait for about twice this time
+// for the next event of a stream that is resumed then.
+static constexpr Duration MAX_STREAM_WAIT = Milliseconds(1000);
+// The same for other answers. A full target answers probes and requests as late as it begins them.
+static constexpr Duration MAX_ANSWER_WAIT = Milliseconds(3000);
+
+const std::string& Gateway::HealthPathOf(const std::string& service) const
+{
+  static const std::string NONE;
+  for (const Settings::ServiceSettings& settings : m_document->services)
+  {
+    if (settings.name == service)
+      return settings.health_path;
+  }
+  return NONE;
+}
+
+void Gateway::Handle(const AnswerClosed& event, TimePoint now, Actions* actions)
+{
+  Tracked* tracked = Find(event.number);
+  if (!tracked || tracked->state == State::Waiting)
+    return;
+  tracked->closed_at = now;
+  const TargetChoice& choice = tracked->last_attempt->choice;
+  const bool has_agent = m_targets.HasRecentReport(choice.id, now);
+  m_closed_answers.Add({event.number, choice.id, choice.address, choice.incarnation, now,
+                        now + (has_agent ? REPORT_PATIENCE : ANSWER_PATIENCE),
+                        now + (tracked->route.is_stream ? MAX_STREAM_WAIT : MAX_ANSWER_WAIT),
+                        HealthPathOf(tracked->service)});
+  ProbeClosed(now, actions);
+}
+
+void Gateway::ProbeClosed(TimePoint now, Actions* actions)
+{
+  for (ProbeTarget& probe : m_closed_answers.TakeDueProbes(now))
+  {
+    m_log.OnProbed();
+    actions->push_back(std::move(probe));
+  }
+}
+
+void Gateway::ConfirmClosed(const std::vector<ClosedAnswer>& answers, RunProof proof, TimePoint now,
+                            Actions* actions)
+{
+  for (const ClosedAnswer& answer : answers)
+  {
+    if (!Find(answer.number))
+      continue;
+    m_log.OnEndConfirmed(proof, now - answer.closed_at);
+    actions->push_back(EndClosedAnswer{answer.number});
+  }
+}
+
+void Gateway::RefuteClosed(const std::vector<ClosedAnswer>& answers, AttemptEnd reason,
+                           TimePoint now, Actions* actions)
+{
+  for (const ClosedAnswer& answer : answers)
+  {
+    const Tracked* tracked = Find(answer.number);
+    if (!tracked)
+      continue;
+    m_log.OnEndRefuted(*tracked, answer, reason, now);
+    actions->push_back(EndClosedAnswer{answer.number, reason});
+  }
+}
+
+void Gateway::Handle(const ProbeEnded& event, TimePoint now, Actions* actions)
+{
+  const auto sent_at = m_closed_answers.OnProbeEnded(event.target, now);
+  if (!sent_at)
+    return;
+  switch (event.outcome)
+  {
+  case ProbeOutcome::Runs:
+    ConfirmClosed(m_closed_answers.TakeProved(event.target, 0, *sent_at), RunProof::Probe, now,
+                  actions);
+    break;
+  case ProbeOutcome::Ended:
+    RefuteClosed(m_closed_answers.TakeEnded(event.address, event.target, 0),
+                 AttemptEnd::TargetEnded, now, actions);
+    break;
+  case ProbeOutcome::Unknown:
+    break;
+  }
+  ReviewClosed(now, actions);
+}
+
+void Gateway::OnClosedTargetReported(const TargetLoad& load, TimePoint now, Actions* actions)
+{
+  if (m_closed_answers.IsEmpty())
+    return;
+  if (load.ran_at)
+  {
+    ConfirmClosed(
+        m_closed_answers.TakeProvedAt(load.address, load.id, load.incarnation, *load.ran_at),
+        RunProof::Report, now, actions);
+  }
+  RefuteClosed(
+      m_closed_answers.TakeReplacedAt(load.address, load.id, load.incarnation, load.ran_at),
+      AttemptEnd::TargetEnded, now, actions);
+}
+
+void Gateway::OnClosedTargetAnswered(const Tracked& tracked, TimePoint now, Actions* actions)
+{
+  const LastAttempt& attempt = *tracked.last_attempt;
+  ConfirmClosed(
+      m_closed_answers.TakeProved(attempt.choice.id, attempt.choice.incarnation, attempt.sent),
+      RunProof::Answer, now, actions);
+}
+
+void Gateway::ReviewClosed(TimePoint now, Actions* actions)
+{
+  if (m_closed_answers.IsEmpty())
+    return;
+  RefuteClosed(m_closed_answers.TakeExpired(now), AttemptEnd::UnprovedEnd, now, actions);
+  ProbeClosed(now, actions);
+}
+} // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -81,6 +81,8 @@
 void Gateway::OnEngineEnd(const Crashes::EngineEnd& end, TimePoint now, Actions* actions)
 {
   m_crashes.OnEngineEnd(end, now);
+  RefuteClosed(m_closed_answers.TakeEnded(end.target, end.id, end.incarnation),
+               AttemptEnd::TargetEnded, now, actions);
   StopBlockedRequests(now, actions);
 }
 
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -209,6 +209,8 @@
 
 void Gateway::ReleaseTarget(Tracked& tracked, Actions* actions)
 {
+  m_closed_answers.Forget(tracked.number);
+  tracked.closed_at.reset();
   if (tracked.target.empty())
     return;
   const std::uint32_t unread_tokens = tracked.has_started ? 0 : tracked.PromptTokens();
--- a/Source/Core/Gateway/GatewayNotices.cpp
+++ b/Source/Core/Gateway/GatewayNotices.cpp
@@ -19,6 +19,8 @@
   if (!tracked || !tracked->last_attempt)
     return;
   const TargetChoice& choice = tracked->last_attempt->choice;
+  if (!event.is_foreign && !event.is_other_target)
+    OnClosedTargetAnswered(*tracked, now, actions);
   if (event.is_other_target)
   {
     if (event.is_leaving)
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -111,7 +111,7 @@
   std::vector<RequestNumber> numbers;
   for (const auto& [number, tracked] : m_requests)
   {
-    if (tracked.state == State::Sent && condition(tracked))
+    if (tracked.state == State::Sent && !tracked.closed_at && condition(tracked))
       numbers.push_back(number);
   }
   return numbers;
@@ -196,7 +196,7 @@
 
 void Gateway::MoveIfOverdue(Tracked& tracked, TimePoint now, Actions* actions)
 {
-  if (now < tracked.move_at)
+  if (now < tracked.move_at || tracked.closed_at)
     return;
   const bool is_unproven = m_targets.OnOverdue(TargetInSameIncarnation(tracked), now);
   tracked.move_at = is_unproven ? now + MOVE_RETRY_PERIOD : TimePoint::max();
--- a/Source/Core/Gateway/Messages.cpp
+++ b/Source/Core/Gateway/Messages.cpp
@@ -23,6 +23,10 @@
     return "partial_event";
   case AttemptEnd::Recalled:
     return "recalled";
+  case AttemptEnd::TargetEnded:
+    return "target_ended";
+  case AttemptEnd::UnprovedEnd:
+    return "unproved_end";
   }
   return "none";
 }
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -106,6 +106,30 @@
   std::optional<double> rate_limit = std::nullopt;
 };
 
+// The target has closed the connection in good order, and nothing else marks the end of the answer.
+// The executor keeps the answer open until EndClosedAnswer.
+struct AnswerClosed
+{
+  RequestNumber number = 0;
+};
+
+enum class ProbeOutcome
+{
+  // The target has answered.
+  Runs,
+  // Nothing listens at its address, or another target has answered.
+  Ended,
+  Unknown,
+};
+
+// A probe of a target has ended.
+struct ProbeEnded
+{
+  TargetId target;
+  Common::Address address;
+  ProbeOutcome outcome = ProbeOutcome::Unknown;
+};
+
 // The answer was passed on completely.
 struct AnswerEnded
 {
@@ -142,6 +166,10 @@
   PartialEvent,
   // The gateway took the request back before the connection came up.
   Recalled,
+  // The connection closed as at the end of an answer, but with it the target ended.
+  TargetEnded,
+  // The same, but it did not become known whether the target ran on.
+  UnprovedEnd,
 };
 std::string_view AttemptEndName(AttemptEnd end);
 
@@ -213,6 +241,21 @@
   RequestNumber number = 0;
 };
 
+// Ends the answer of AnswerClosed: as whole, or as broken for the reason.
+struct EndClosedAnswer
+{
+  RequestNumber number = 0;
+  AttemptEnd reason = AttemptEnd::None; // None: it is whole
+};
+
+// Asks the target for its health page, to learn whether it runs.
+struct ProbeTarget
+{
+  TargetId target;
+  Common::Address address;
+  std::string path;
+};
+
 // Reports to the agent beside a target which work this gateway has at the target now.
 struct ReportWorkToAgent
 {
@@ -233,7 +276,8 @@
   LeavingTarget target;
 };
 
-using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer,
-                            ReportWorkToAgent, ReportLimitToAgent, ReportLeaving, RecallConnecting>;
+using Action =
+    std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer, ReportWorkToAgent,
+                 ReportLimitToAgent, ReportLeaving, RecallConnecting, EndClosedAnswer, ProbeTarget>;
 using Actions = std::vector<Action>;
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -178,6 +178,27 @@
            event.ends_with_connection ? "connection" : "mark");
 }
 
+void RequestLog::OnEndConfirmed(RunProof proof, Duration held)
+{
+  m_metrics.Add("holdpost_ends_confirmed_total", Common::Reason(RunProofName(proof)));
+  m_metrics.Record("holdpost_end_held_seconds", held);
+}
+
+void RequestLog::OnEndRefuted(const TrackedRequest& tracked, const ClosedAnswer& answer,
+                              AttemptEnd reason, TimePoint now)
+{
+  m_metrics.Add("holdpost_ends_refuted_total", Common::Reason(AttemptEndName(reason)));
+  LogEvent(Weight::Important, now, "answer.end_refuted", "request", tracked.request.id, "service",
+           tracked.service, "target", answer.target, "incarnation", answer.incarnation, "at",
+           answer.address.ToString(), "reason", AttemptEndName(reason), "held_ms",
+           now - answer.closed_at, "passed", tracked.was_head_passed);
+}
+
+void RequestLog::OnProbed()
+{
+  m_metrics.Add("holdpost_end_probes_total");
+}
+
 void RequestLog::OnCallerLeft(const TrackedRequest& tracked, TimePoint now)
 {
   m_metrics.Add("holdpost_callers_left_total");
--- a/Source/Core/Gateway/RequestLog.h
+++ b/Source/Core/Gateway/RequestLog.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "Common/Metrics.h"
+#include "Core/Gateway/ClosedAnswers.h"
 #include "Core/Gateway/RetryAllowance.h"
 #include "Core/Gateway/TrackedRequest.h"
 
@@ -63,6 +64,12 @@
   // too old.
   void OnCancelledAtTarget(const TrackedRequest& tracked, Common::TimePoint now);
   void OnDone(const TrackedRequest& tracked, const AnswerEnded& event, Common::TimePoint now);
+  // The target of an answer that closed is known to have run after that.
+  void OnEndConfirmed(RunProof proof, Common::Duration held);
+  // It is known to have ended, or did not become known in time.
+  void OnEndRefuted(const TrackedRequest& tracked, const ClosedAnswer& answer, AttemptEnd reason,
+                    Common::TimePoint now);
+  void OnProbed();
   void OnCallerLeft(const TrackedRequest& tracked, Common::TimePoint now);
   void OnRefused(const TrackedRequest& tracked, const Common::ErrorAnswer& answer,
                  const ServiceView& view, Common::TimePoint now);
--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -105,6 +105,9 @@
   bool is_leaving = false;
   // Empty if the target has the newest weights that its agent knows of.
   std::optional<WeightsForecast> weights_forecast = std::nullopt;
+  // The target ran then or later, by the clock of the report's receiver; empty if that is not
+  // known.
+  std::optional<Common::TimePoint> ran_at = std::nullopt;
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -127,6 +127,12 @@
   return target.load && now - target.load_received <= LOAD_LIFETIME;
 }
 
+bool TargetTable::HasRecentReport(const TargetId& id, TimePoint now) const
+{
+  const auto found = m_targets.find(id);
+  return found != m_targets.end() && found->second.load && !IsSilent(found->second, now);
+}
+
 std::uint64_t TargetTable::WeightsOf(const Target& target) const
 {
   if (target.load)
--- a/Source/Core/Gateway/TrackedRequest.h
+++ b/Source/Core/Gateway/TrackedRequest.h
@@ -62,7 +62,9 @@
   // The number of times that the request was sent, and the number of times that it may have run.
   std::uint32_t sends = 0;
   std::uint32_t runs = 0;
-  bool has_started = false;     // the present target has begun to answer
+  bool has_started = false; // the present target has begun to answer
+  // When the present target closed an answer of which only the close marks the end.
+  std::optional<Common::TimePoint> closed_at;
   bool was_head_passed = false; // the head of an answer was passed on to the caller
   std::optional<EventId> last_event;
 
--- a/Source/Core/Mesh/BriefingSender.cpp
+++ b/Source/Core/Mesh/BriefingSender.cpp
@@ -20,6 +20,9 @@
 // A longer round trip is taken to be an error of one of the clocks.
 static constexpr Milliseconds MAX_ROUND_TRIP = Milliseconds(60000);
 
+// Covers the whole milliseconds in which clocks are told, and clocks of different rates.
+static constexpr Milliseconds CLOCK_MARGIN = Milliseconds(2);
+
 // The value fits into 32 bits for 49 days and wraps around after that.
 Milliseconds ClockOf(TimePoint now)
 {
@@ -38,6 +41,15 @@
   return round_trip;
 }
 
+std::optional<TimePoint> RanAt(const LoadReport& report, TimePoint now)
+{
+  // The sidecar sent the report at most a round trip ago.
+  const auto round_trip = RoundTrip(report, now);
+  if (!round_trip || !report.read_age)
+    return std::nullopt;
+  return now - *round_trip - *report.read_age - CLOCK_MARGIN;
+}
+
 void BriefingSender::OnBriefingChanged(TimePoint now)
 {
   if (m_is_reader)
--- a/Source/Core/Mesh/BriefingSender.h
+++ b/Source/Core/Mesh/BriefingSender.h
@@ -28,6 +28,10 @@
 // The round-trip time of a hello and its load report; empty if the report answers no hello.
 std::optional<Common::Milliseconds> RoundTrip(const LoadReport& report, Common::TimePoint now);
 
+// The target of the report ran at this time or later, by the local clock; empty if that is not
+// known.
+std::optional<Common::TimePoint> RanAt(const LoadReport& report, Common::TimePoint now);
+
 // How a gateway uses the targets of its service.
 struct TargetUse
 {
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -153,6 +153,9 @@
   // arrived.
   Common::Milliseconds echo{0};
   Common::Milliseconds echo_age{0};
+  // The time since the target was asked for the state that it last told its agent, which it has
+  // answered; empty if there is none.
+  std::optional<Common::Milliseconds> read_age = std::nullopt;
   // The state hash of the sender's crash ledger.
   std::uint64_t crashes = 0;
 };
--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -330,6 +330,7 @@
   if (!m_is_reading_report && now >= m_report_due)
   {
     m_is_reading_report = true;
+    m_report_asked_at = now;
     m_report_due =
         now + (m_loader.IsUnderWay() ? ENGINE_REPORT_PERIOD_LOADING : ENGINE_REPORT_PERIOD);
     actions->push_back(ReadReport{});
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -292,6 +292,9 @@
   std::optional<Common::TimePoint> m_load_due;
   Common::TimePoint m_load_sent_at{};
   bool m_is_reading_report = false;
+  // When the report that is being read was asked for, and the last one that came.
+  Common::TimePoint m_report_asked_at{};
+  Common::TimePoint m_known_report_asked_at{};
   std::uint32_t m_reports_failed = 0;
   // The id under which the engine is listed; empty until the engine has reported it.
   Gateway::TargetId m_target_id;
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -67,6 +67,7 @@
   }
   m_end_reports = MAX_END_REPORTS;
   m_report = *report;
+  m_known_report_asked_at = m_report_asked_at;
   m_requests_at_report = TotalWork(now).requests;
   m_loader.OnReport(*report, now);
   ChooseVersion(now, actions);
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -164,6 +164,8 @@
   report.gateways = CountGateways();
   report.stamp = m_stamp;
   report.crashes = m_crashes.StateHash();
+  if (m_report)
+    report.read_age = std::chrono::ceil<Milliseconds>(now - m_known_report_asked_at);
   for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
   {
     const auto reported =
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -112,7 +112,8 @@
                         [this, number](TargetPeer::CallFailure failure)
                         { OnCallFailed(number, failure); },
                         [this, number](const Common::HttpHead& head, bool is_foreign)
-                        { OnAnswerHead(number, head, is_foreign); }});
+                        { OnAnswerHead(number, head, is_foreign); },
+                        [this, number] { Feed(Gateway::AnswerClosed{number}); }});
 }
 
 void GatewayNode::OnAnswerHead(RequestNumber number, const Common::HttpHead& head, bool is_foreign)
@@ -243,6 +244,30 @@
   found->second.call->Cancel();
 }
 
+void GatewayNode::Do(const Gateway::EndClosedAnswer& end)
+{
+  const auto found = m_exchanges.find(end.number);
+  if (found == m_exchanges.end() || !found->second.call)
+    return;
+  // This may end the exchange.
+  const std::shared_ptr<TargetPeer::TargetCall> call = found->second.call;
+  call->EndClosed(end.reason);
+}
+
+void GatewayNode::Do(const Gateway::ProbeTarget& probe)
+{
+  auto started = std::make_shared<TargetPeer::HealthProbe>(m_pool, m_names);
+  m_probes[probe.target] = started;
+  started->Start(
+      probe.target, probe.address, probe.path,
+      [this, target = probe.target, address = probe.address](Gateway::ProbeOutcome outcome)
+      {
+        // The probe lives until this call returns.
+        const auto probe_in_call = m_probes.extract(target);
+        Feed(Gateway::ProbeEnded{target, address, outcome});
+      });
+}
+
 // Fractions of a second are allowed: a caller that waits a whole second too long may be too late.
 static std::string RetryAfterLine(const Error& error)
 {
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -18,6 +18,7 @@
 #include "Node/Reload.h"
 #include "Peers/Caller/CallerConnection.h"
 #include "Peers/Operator/AdminPages.h"
+#include "Peers/Target/HealthProbe.h"
 #include "Peers/Target/TargetCall.h"
 #include "Peers/Target/TargetPool.h"
 
@@ -76,6 +77,8 @@
   void Do(const Gateway::ReportLimitToAgent& tell);
   void Do(const Gateway::ReportLeaving& tell);
   void Do(const Gateway::RecallConnecting& recall);
+  void Do(const Gateway::EndClosedAnswer& end);
+  void Do(const Gateway::ProbeTarget& probe);
   // The header lines of a refusal.
   std::string RefusalFields(const Common::HttpHead& request, const Common::Error& error) const;
   // Refuses a request that is not whole, for want of memory.
@@ -117,6 +120,7 @@
   CallerPeer::CallerConnectionLimits m_limits;
   std::map<CallerPeer::CallerConnection*, std::shared_ptr<CallerPeer::CallerConnection>> m_callers;
   std::unordered_map<Gateway::RequestNumber, Exchange> m_exchanges;
+  std::map<Gateway::TargetId, std::shared_ptr<TargetPeer::HealthProbe>> m_probes;
   Gateway::RequestNumber m_next_number = 1;
   std::unique_ptr<Common::Watch> m_tick_timer;
   std::vector<std::unique_ptr<Common::Watch>> m_signals;
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -167,6 +167,7 @@
     ApplyOperator();
   Gateway::TargetLoad load = report.load;
   load.round_trip = Mesh::RoundTrip(report, now).value_or(Milliseconds(0));
+  load.ran_at = Mesh::RanAt(report, now);
   m_handlers.on_load(load);
 }
 
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -107,6 +107,8 @@
   isLeaving @26 :Bool;
   # Not set if the target has the newest weights that the sender knows of.
   weightsForecast @27 :WeightsForecast;
+  # One more than the time since the target was asked for what it last told; 0 if that is not known.
+  readAgeMs @28 :UInt32;
 }
 
 # When a target is expected to have loaded new weights.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -1132,6 +1132,8 @@
   inline bool hasWeightsForecast() const;
   inline  ::Holdpost::MeshWire::WeightsForecast::Reader getWeightsForecast() const;
 
+  inline  ::uint32_t getReadAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1276,6 +1278,9 @@
   inline void adoptWeightsForecast(::capnp::Orphan< ::Holdpost::MeshWire::WeightsForecast>&& value);
   inline ::capnp::Orphan< ::Holdpost::MeshWire::WeightsForecast> disownWeightsForecast();
 
+  inline  ::uint32_t getReadAgeMs();
+  inline void setReadAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4327,6 +4332,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Load::Reader::getReadAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getReadAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setReadAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t WeightsForecast::Reader::getVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -204,6 +204,8 @@
   if (load.weights_forecast)
     Write(*load.weights_forecast, out.initWeightsForecast());
   out.setCrashes(report.crashes);
+  if (report.read_age)
+    out.setReadAgeMs(ToWireMs(*report.read_age) + 1);
   out.setEchoMs(ToWireMs(report.echo));
   out.setEchoAgeMs(ToWireMs(report.echo_age));
   out.setInboundDelayMs(ToWireMs(load.inbound_delay));
@@ -247,6 +249,8 @@
   report.settings = in.getSettings();
   report.settings_at = Read(in.getSettingsAt());
   report.crashes = in.getCrashes();
+  if (in.getReadAgeMs() > 0)
+    report.read_age = Milliseconds(in.getReadAgeMs() - 1);
   report.echo = Milliseconds(in.getEchoMs());
   report.echo_age = Milliseconds(in.getEchoAgeMs());
   report.weights = Read(in.getWeights());
--- a/Source/Peers/Target/HeaderNames.h
+++ b/Source/Peers/Target/HeaderNames.h
@@ -34,6 +34,8 @@
   std::string rate_limit = "Holdpost-Rate-Limit";
   // From the target: 1 if it leaves and wants no more requests.
   std::string leaving = "Holdpost-Leaving";
+  // From the target: its id, on its health page.
+  std::string target_id = "Holdpost-Target-Id";
   // From the target, and passed on without being read.
   std::vector<std::string> passed_on = {};
 };
--- /dev/null
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Peers/Target/HealthProbe.h"
+
+namespace Holdpost::TargetPeer
+{
+using Common::ConnectionEnd;
+using Common::HttpHead;
+using Common::Milliseconds;
+using Gateway::ProbeOutcome;
+
+// A full target lets a probe wait for a slot.
+static constexpr Milliseconds MAX_PROBE_TIME = Milliseconds(1000);
+// Shorter than the time for connecting, so that a connection that fails before was refused.
+static constexpr Milliseconds MAX_REFUSAL_TIME = Milliseconds(350);
+static constexpr int MISDIRECTED = 421;
+
+HealthProbe::~HealthProbe()
+{
+  if (m_connection)
+    m_connection->Close();
+}
+
+void HealthProbe::Start(const Gateway::TargetId& target, const Common::Address& address,
+                        const std::string& path, OnEnded on_ended)
+{
+  m_target = target;
+  m_on_ended = std::move(on_ended);
+  m_started = Common::EventLoop::Now();
+  // A kept connection was opened to the same start of the target, and costs no new one.
+  const TargetPool::Lease lease = m_pool.Acquire(target, address, true);
+  m_connection = lease.connection;
+  const std::weak_ptr<HealthProbe> weak = weak_from_this();
+  m_connection->SetHandlers(
+      {[weak](std::string_view data)
+       {
+         const auto self = weak.lock();
+         if (!self)
+           return data.size();
+         self->m_parser.Feed(data);
+         if (self->m_outcome || self->m_parser.Error() != Common::HttpParseError::None)
+           self->End(self->m_outcome.value_or(ProbeOutcome::Unknown));
+         return data.size();
+       },
+       [weak](ConnectionEnd end)
+       {
+         const auto self = weak.lock();
+         if (!self)
+           return;
+         self->m_connection.reset();
+         // A target closes kept connections, and resets those beyond its limit.
+         const bool is_refused = end == ConnectionEnd::NotConnected &&
+                                 Common::EventLoop::Now() - self->m_started < MAX_REFUSAL_TIME;
+         self->End(is_refused ? ProbeOutcome::Ended : ProbeOutcome::Unknown);
+       },
+       nullptr, nullptr});
+  m_timer = m_pool.Loop().MakeTimer(
+      [weak]
+      {
+        if (const auto self = weak.lock())
+          self->End(ProbeOutcome::Unknown);
+      });
+  m_timer->FireAfter(MAX_PROBE_TIME);
+  std::string text = "GET " + path + " HTTP/1.1\r\n";
+  Common::AppendField(&text, "Host", address.ToString());
+  Common::AppendField(&text, m_names.expected_target, target);
+  Common::AppendField(&text, "Connection", "close");
+  text.append("\r\n");
+  m_connection->Write(text);
+}
+
+void HealthProbe::OnHead(HttpHead head)
+{
+  const std::string* id = head.fields.Find(m_names.target_id);
+  const bool is_other = head.status == MISDIRECTED || (id && *id != m_target);
+  m_outcome = is_other ? ProbeOutcome::Ended : ProbeOutcome::Runs;
+}
+
+void HealthProbe::End(ProbeOutcome outcome)
+{
+  if (m_connection)
+    m_connection->Close();
+  m_connection.reset();
+  m_timer->Cancel();
+  if (const OnEnded on_ended = std::exchange(m_on_ended, nullptr))
+    on_ended(outcome);
+}
+} // namespace Holdpost::TargetPeer
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -20,6 +20,7 @@
 // A call that is given up without a byte on a kept connection after this time says that the
 // connection may have gone silent.
 static constexpr Milliseconds MAX_SILENCE = Milliseconds(400);
+static constexpr int MISDIRECTED = 421;
 
 void TargetCall::Start(CallRequest request, Handlers handlers)
 {
@@ -204,18 +205,47 @@
   if (end == ConnectionEnd::NotConnected)
     return Fail(CallFailure::NotSent, AttemptEnd::NoConnection);
   // One that was reset on the way is not whole, whatever came of it.
-  const bool is_whole = end == ConnectionEnd::Finished && !m_is_foreign && m_parser.FinishAtClose();
+  if (end != ConnectionEnd::Finished)
+    return Fail(CallFailure::Broken, AttemptEnd::Reset);
+  if (!EndsByClose())
+    return FinishAtClose();
+  if (m_events.HasPartialEvent())
+    return Fail(CallFailure::Broken, AttemptEnd::PartialEvent);
+  m_is_closed = true;
+  const auto on_closed = m_handlers.on_closed;
+  on_closed();
+}
+
+bool TargetCall::EndsByClose() const
+{
+  if (!m_handlers.on_closed || !m_head || m_is_foreign || m_parser.IsDone() ||
+      m_head->framing != Common::BodyFraming::UntilClose)
+    return false;
+  // A target that has not run the request says so in the head.
+  return m_head->status != MISDIRECTED && !m_head->fields.Find(m_names.not_run);
+}
+
+void TargetCall::FinishAtClose()
+{
+  const bool is_whole = !m_is_foreign && m_parser.FinishAtClose();
   if (m_is_over)
     return;
   if (!is_whole)
-  {
-    const bool is_closed = end == ConnectionEnd::Finished;
-    return Fail(CallFailure::Broken, is_closed ? AttemptEnd::ClosedEarly : AttemptEnd::Reset);
-  }
+    return Fail(CallFailure::Broken, AttemptEnd::ClosedEarly);
   if (m_is_passing)
     Finish();
 }
 
+void TargetCall::EndClosed(AttemptEnd reason)
+{
+  if (m_is_over || !std::exchange(m_is_closed, false))
+    return;
+  const std::shared_ptr<TargetCall> self = shared_from_this();
+  if (reason != AttemptEnd::None)
+    return Fail(CallFailure::Broken, reason);
+  FinishAtClose();
+}
+
 void TargetCall::Finish()
 {
   if (std::exchange(m_is_over, true))
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -59,6 +59,9 @@
     // The head of an answer has come, before anything else is told of it. It is foreign if it
     // answers an earlier request on the same connection.
     std::function<void(const Common::HttpHead& head, bool is_foreign)> on_head = nullptr;
+    // The connection has closed in good order, and nothing else marks the end of the answer.
+    // EndClosed follows. Without this handler the answer is whole then.
+    std::function<void()> on_closed = nullptr;
   };
 
   TargetCall(TargetPool& pool, const HeaderNames& names)
@@ -69,6 +72,8 @@
   void Start(CallRequest request, Handlers handlers);
   // Hands over what was held back and then everything as it comes.
   void Pass();
+  // After on_closed: the answer is whole, or broken for a reason other than None.
+  void EndClosed(Gateway::AttemptEnd reason);
   // No call follows. A target that still works on the request is told by a reset.
   void Cancel();
   // Whether no byte of the request can have reached the target yet.
@@ -103,6 +108,9 @@
   // nothing does.
   std::optional<Gateway::AttemptEnd> EndByBytes(std::size_t consumed);
   void OnConnectionEnd(Common::ConnectionEnd end);
+  // Whether only the close of the connection tells that the answer is whole.
+  bool EndsByClose() const;
+  void FinishAtClose();
   void Answer(bool is_whole);
   void Finish();
   void Fail(CallFailure failure, Gateway::AttemptEnd end);
@@ -132,6 +140,7 @@
   bool m_is_answered = false;
   bool m_is_passing = false;
   bool m_is_whole = false;
+  bool m_is_closed = false; // EndClosed is to follow
   bool m_is_over = false;
 };
 } // namespace Holdpost::TargetPeer
--- a/Source/Peers/Target/TargetPool.h
+++ b/Source/Peers/Target/TargetPool.h
@@ -37,6 +37,7 @@
   // Closes connections that were idle for too long.
   void CloseExpired(Common::TimePoint now);
   std::size_t Opened() const { return m_opened; }
+  Common::EventLoop& Loop() { return m_loop; }
 
 private:
   struct Idle
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "GatewayFixture.h"
+
+using namespace Holdpost;
+using namespace Holdpost::Gateway;
+using Testing::Only;
+using Testing::Take;
+
+namespace
+{
+constexpr std::uint64_t BORN = 7;
+
+// Targets with known starts, and services with health pages.
+struct Fixture : GatewayFixture
+{
+  Fixture()
+  {
+    auto document = MakeDocument(2);
+    for (Settings::ServiceSettings& service : document->services)
+      service.health_path = "/health";
+    gateway.OfferDocument(document, now);
+    std::vector<ListedTarget> targets = {
+        MakeTarget("llm-1", "llm", 1), MakeTarget("desk-1", "desk"), MakeTarget("desk-2", "desk")};
+    for (ListedTarget& target : targets)
+      target.incarnation = BORN;
+    SetTargets(targets);
+    Report(now);
+    actions.clear();
+  }
+  // The agent beside llm-1 reports what it read at a time.
+  void Report(std::optional<Common::TimePoint> ran_at, std::uint64_t incarnation = BORN,
+              const TargetId& id = "llm-1")
+  {
+    TargetLoad load;
+    load.address = MakeTarget("llm-1", "llm", 1).address;
+    load.id = id;
+    load.incarnation = incarnation;
+    load.weights_version = 1;
+    load.ran_at = ran_at;
+    gateway.OnTargetLoad(load, now, &actions);
+  }
+  // A stream that has begun, and whose target has closed its connection.
+  RequestNumber ClosedStream()
+  {
+    const RequestNumber number = Arrive("/chat/");
+    Feed(Began(number));
+    now += Milliseconds(100);
+    Feed(AnswerClosed{number});
+    return number;
+  }
+  std::optional<AttemptEnd> EndOf(RequestNumber number)
+  {
+    for (const EndClosedAnswer& end : Only<EndClosedAnswer>(actions))
+    {
+      if (end.number == number)
+        return end.reason;
+    }
+    return std::nullopt;
+  }
+};
+} // namespace
+
+TEST_CASE("A closed answer ends as whole once its target is known to have run after the close")
+{
+  Fixture f;
+  const RequestNumber number = f.ClosedStream();
+  const Common::TimePoint closed = f.now;
+  CHECK_FALSE(f.EndOf(number));
+
+  SUBCASE("by a report that was read after it")
+  {
+    f.now += Milliseconds(40);
+    f.Report(closed - Milliseconds(1));
+    CHECK_FALSE(f.EndOf(number));
+    f.Report(std::nullopt);
+    CHECK_FALSE(f.EndOf(number));
+    f.Report(closed);
+    CHECK(f.EndOf(number) == AttemptEnd::None);
+  }
+  SUBCASE("by a report of an agent that does not know the target's id")
+  {
+    f.now += Milliseconds(40);
+    f.Report(f.now, 0, "");
+    CHECK_FALSE(f.EndOf(number));
+    f.Report(f.now, BORN, "");
+    CHECK(f.EndOf(number) == AttemptEnd::None);
+  }
+  SUBCASE("by an answer to a request that was sent after it")
+  {
+    const RequestNumber later = f.Arrive("/chat/");
+    f.now += Milliseconds(1);
+    const RequestNumber next = f.ClosedStream();
+    f.Feed(AnswerHead{later});
+    CHECK(f.EndOf(number) == AttemptEnd::None);
+    // The other one closed after that request was sent.
+    CHECK_FALSE(f.EndOf(next));
+  }
+  SUBCASE("not by the head of an earlier answer, or of another target")
+  {
+    const RequestNumber later = f.Arrive("/chat/");
+    AnswerHead head{later};
+    head.is_foreign = true;
+    f.Feed(head);
+    head = AnswerHead{later};
+    head.is_other_target = true;
+    f.Feed(head);
+    CHECK_FALSE(f.EndOf(number));
+  }
+  SUBCASE("by a probe, if the agent is silent")
+  {
+    f.Advance(Milliseconds(290));
+    CHECK(Only<ProbeTarget>(f.actions).empty());
+    f.Advance(Milliseconds(20));
+    const auto probes = Only<ProbeTarget>(f.actions);
+    REQUIRE(probes.size() == 1);
+    CHECK(probes[0].target == "llm-1");
+    CHECK(probes[0].path == "/health");
+    f.Feed(ProbeEnded{"llm-1", probes[0].address, ProbeOutcome::Runs});
+    CHECK(f.EndOf(number) == AttemptEnd::None);
+  }
+}
+
+TEST_CASE("A closed answer whose target has ended is broken")
+{
+  Fixture f;
+  const RequestNumber number = f.ClosedStream();
+  const Common::TimePoint closed = f.now;
+  f.now += Milliseconds(40);
+  const Common::Address address = MakeTarget("llm-1", "llm", 1).address;
+
+  SUBCASE("by its agent")
+  {
+    f.gateway.OnEngineEnd({address, "llm-1", BORN}, f.now, &f.actions);
+    CHECK(f.EndOf(number) == AttemptEnd::TargetEnded);
+  }
+  SUBCASE("not by the end of another start")
+  {
+    f.gateway.OnEngineEnd({address, "llm-1", BORN - 1}, f.now, &f.actions);
+    CHECK_FALSE(f.EndOf(number));
+  }
+  SUBCASE("by a report of a later start under its id")
+  {
+    f.Report(f.now, BORN + 1);
+    CHECK(f.EndOf(number) == AttemptEnd::TargetEnded);
+  }
+  SUBCASE("by a report of another target at its address, read after the close")
+  {
+    f.Report(closed - Milliseconds(1), 0, "llm-9");
+    CHECK_FALSE(f.EndOf(number));
+    f.Report(closed, 0, "llm-9");
+    CHECK(f.EndOf(number) == AttemptEnd::TargetEnded);
+  }
+  SUBCASE("if nothing is known of it in time")
+  {
+    f.Advance(Milliseconds(950));
+    CHECK_FALSE(f.EndOf(number));
+    f.Advance(Milliseconds(20));
+    CHECK(f.EndOf(number) == AttemptEnd::UnprovedEnd);
+    // The stream goes on elsewhere, or is cut.
+    f.Feed(AttemptFailed{number, AttemptFailure::Lost, EventId(3), AttemptEnd::UnprovedEnd});
+    f.Advance(Milliseconds(2000));
+    CHECK(Only<AbortAnswer>(f.actions).size() == 1);
+  }
+}
+
+TEST_CASE("A target without an agent is probed once for all answers that it has closed")
+{
+  Fixture f;
+  const RequestNumber first = f.Arrive("/status/");
+  const RequestNumber second = f.Arrive("/status/");
+  const RequestNumber third = f.Arrive("/status/");
+  std::map<RequestNumber, TargetId> targets;
+  for (const Dispatch& sent : Take<Dispatch>(f.actions))
+    targets[sent.number] = sent.target;
+  for (const RequestNumber number : {first, second, third})
+    f.Feed(AnswerClosed{number});
+  f.Advance(Milliseconds(20));
+  const auto probes = Take<ProbeTarget>(f.actions);
+  REQUIRE(probes.size() == 2);
+  CHECK(probes[0].target != probes[1].target);
+  const TargetId target = targets.at(first);
+  const Common::Address address = probes[probes[0].target == target ? 0 : 1].address;
+
+  SUBCASE("that answers")
+  {
+    f.Feed(ProbeEnded{target, address, ProbeOutcome::Runs});
+    for (const RequestNumber number : {first, second, third})
+      CHECK(f.EndOf(number).has_value() == (targets.at(number) == target));
+  }
+  SUBCASE("that has ended")
+  {
+    f.Feed(ProbeEnded{target, address, ProbeOutcome::Ended});
+    CHECK(f.EndOf(first) == AttemptEnd::TargetEnded);
+  }
+  SUBCASE("and again after a while, if the probe tells nothing")
+  {
+    f.Feed(ProbeEnded{target, address, ProbeOutcome::Unknown});
+    CHECK(Take<ProbeTarget>(f.actions).empty());
+    f.Advance(Milliseconds(60));
+    REQUIRE(Only<ProbeTarget>(f.actions).size() == 1);
+    CHECK_FALSE(f.EndOf(first));
+  }
+  SUBCASE("and again for an answer that it closed after the probe was sent")
+  {
+    const auto count = [&] { return Only<ProbeTarget>(f.actions).size(); };
+    f.Feed(AnswerBegan{first, 200, true});
+    f.Feed(AnswerEnded{first, true});
+    const RequestNumber later = f.Arrive("/status/");
+    const auto sent = Take<Dispatch>(f.actions);
+    REQUIRE(sent.size() == 1);
+    f.now += Milliseconds(1);
+    f.Feed(AnswerClosed{later});
+    f.Feed(ProbeEnded{sent[0].target, sent[0].address, ProbeOutcome::Runs});
+    CHECK_FALSE(f.EndOf(later));
+    f.Advance(Milliseconds(60));
+    CHECK(count() >= 1);
+  }
+}
+
+TEST_CASE("A request whose answer has closed is not moved to another target")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/status/");
+  f.actions.clear();
+  f.Feed(AnswerClosed{number});
+  f.Advance(Milliseconds(2900));
+  CHECK(Only<CancelAttempt>(f.actions).empty());
+  CHECK(Only<Dispatch>(f.actions).empty());
+}
--- a/Source/UnitTests/Core/Mesh/BriefingSenderTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingSenderTest.cpp
@@ -167,6 +167,25 @@
   CHECK_FALSE(RoundTrip(report, START + Milliseconds(200)).has_value());
 }
 
+TEST_CASE("A report proves that its target ran, not before the sidecar asked for it")
+{
+  LoadReport report;
+  report.read_age = Milliseconds(20);
+  CHECK_FALSE(RanAt(report, START));
+  report.echo = ClockOf(START);
+  report.echo_age = Milliseconds(300);
+  // However long the report is under way.
+  for (const Milliseconds delay : {Milliseconds(0), Milliseconds(10), Milliseconds(900)})
+  {
+    const auto ran_at = RanAt(report, START + Milliseconds(300) + delay);
+    REQUIRE(ran_at);
+    CHECK(*ran_at <= START + Milliseconds(280));
+    CHECK(*ran_at >= START + Milliseconds(270));
+  }
+  report.read_age.reset();
+  CHECK_FALSE(RanAt(report, START + Milliseconds(310)));
+}
+
 TEST_CASE("A sidecar that knows few gateways does not lower the count of gateways")
 {
   GatewayCount count(Milliseconds(2000));
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -237,3 +237,20 @@
   }
   CHECK(round_trip == Milliseconds(0));
 }
+
+TEST_CASE("A report tells how long ago its engine was asked for the state")
+{
+  Fixture f;
+  f.AdvanceBy(Milliseconds(100)); // asks
+  f.now += Milliseconds(30);
+  f.ReadReport(2, 0);
+  f.now += Milliseconds(15);
+  f.AnnounceWork(LOCAL_GATEWAY, 1, 1200);
+  std::optional<Milliseconds> read_age;
+  for (const SendMessage& send : Take<SendMessage>(f.actions))
+  {
+    if (const auto* report = std::get_if<Mesh::LoadReport>(&send.message))
+      read_age = report->read_age;
+  }
+  CHECK(read_age == Milliseconds(45));
+}
--- /dev/null
+++ b/Source/UnitTests/Peers/HealthProbeTest.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <doctest/doctest.h>
+
+#include "Peers/Target/HealthProbe.h"
+#include "Support/Sockets.h"
+
+using namespace Holdpost;
+using namespace Holdpost::TargetPeer;
+using Gateway::ProbeOutcome;
+
+namespace
+{
+struct Fixture
+{
+  std::optional<ProbeOutcome> Probe(const Common::Address& address)
+  {
+    std::optional<ProbeOutcome> outcome;
+    const auto probe = std::make_shared<HealthProbe>(pool, names);
+    probe->Start("t1", address, "/health", [&](ProbeOutcome got) { outcome = got; });
+    Testing::RunUntil(loop, [&] { return outcome.has_value(); });
+    return outcome;
+  }
+  // A server that answers a request with the text, and closes if that is empty.
+  std::optional<ProbeOutcome> ProbeOf(const std::string& answer)
+  {
+    Testing::FakeServer server(loop,
+                               [&](Common::TcpConnection& connection, const std::string& bytes)
+                               {
+                                 asked = bytes;
+                                 if (!bytes.ends_with("\r\n\r\n") || answer == "silent")
+                                   return;
+                                 if (answer.empty())
+                                   return connection.Reset();
+                                 connection.Write(answer);
+                               });
+    return Probe(server.Address());
+  }
+
+  Common::EventLoop loop;
+  HeaderNames names;
+  TargetPool pool{loop};
+  std::string asked;
+};
+} // namespace
+
+TEST_CASE("A target that answers its health page runs, whatever it answers")
+{
+  Fixture f;
+  CHECK(f.ProbeOf("HTTP/1.1 200 OK\r\nHoldpost-Target-Id: t1\r\nContent-Length: 0\r\n\r\n") ==
+        ProbeOutcome::Runs);
+  CHECK(f.asked.starts_with("GET /health HTTP/1.1\r\n"));
+  CHECK(f.asked.find("Holdpost-Expected-Target: t1\r\n") != std::string::npos);
+  CHECK(f.ProbeOf("HTTP/1.1 503 Full\r\nHoldpost-Not-Run: 1\r\nContent-Length: 0\r\n\r\n") ==
+        ProbeOutcome::Runs);
+}
+
+TEST_CASE("A target has ended if nothing listens at its address, or another target does")
+{
+  Fixture f;
+  Common::Address free;
+  {
+    Testing::FakeServer server(f.loop, nullptr);
+    free = server.Address();
+  }
+  CHECK(f.Probe(free) == ProbeOutcome::Ended);
+  CHECK(f.ProbeOf("HTTP/1.1 200 OK\r\nHoldpost-Target-Id: t2\r\nContent-Length: 0\r\n\r\n") ==
+        ProbeOutcome::Ended);
+  CHECK(f.ProbeOf("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n") == ProbeOutcome::Ended);
+}
+
+TEST_CASE("A probe without an answer tells nothing")
+{
+  Fixture f;
+  CHECK(f.ProbeOf("") == ProbeOutcome::Unknown);
+  CHECK(f.ProbeOf("silent") == ProbeOutcome::Unknown);
+  CHECK(f.ProbeOf("no HTTP at all, whatever this is\r\n\r\n") == ProbeOutcome::Unknown);
+}
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -81,6 +81,7 @@
     report.near_gateways = {{"10.1.0.4", 7700}, {"10.1.0.5", 7700}};
     report.echo = Milliseconds(1000);
     report.echo_age = Milliseconds(40);
+    report.read_age = Milliseconds(0);
     report.crashes = 12;
     const Mesh::LoadReport got = There(report);
     CHECK(got.load == report.load);
@@ -95,6 +96,7 @@
     CHECK(got.near_gateways == report.near_gateways);
     CHECK(got.echo == report.echo);
     CHECK(got.echo_age == report.echo_age);
+    CHECK(got.read_age == report.read_age);
     CHECK(got.crashes == 12);
   }
   SUBCASE("the work of a gateway")
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -64,7 +64,8 @@
                    if (pauses)
                      started->PauseReading();
                  },
-                 [this] { ended = true; }, [this](CallFailure how) { failure = how; }});
+                 [this] { ended = true; }, [this](CallFailure how) { failure = how; }, nullptr,
+                 awaits_end ? [this] { ++closes_seen; } : std::function<void()>()});
   }
   bool Run()
   {
@@ -79,6 +80,8 @@
   bool resets = false;
   bool may_repeat = true;
   Common::Bytes request_body;
+  bool awaits_end = false; // of an answer that only the close marks
+  int closes_seen = 0;
   bool pauses = false; // reading, when bytes of the body have come
   FakeServer server;
   TargetPool pool{loop};
@@ -298,6 +301,69 @@
   CHECK(f.body == "all of it");
 }
 
+TEST_CASE("An answer without a length is open at the close until its end is told")
+{
+  Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n\r\nall of it"});
+  f.closes = true;
+  f.awaits_end = true;
+  f.Start();
+  REQUIRE(RunUntil(f.loop, [&] { return f.closes_seen == 1; }));
+  CHECK(f.heads == 0);
+  SUBCASE("as whole")
+  {
+    f.call->EndClosed(Gateway::AttemptEnd::None);
+    CHECK(f.ended);
+    CHECK(f.whole_at_head);
+    CHECK(f.body == "all of it");
+  }
+  SUBCASE("as broken")
+  {
+    f.call->EndClosed(Gateway::AttemptEnd::TargetEnded);
+    CHECK(f.failure == CallFailure::Broken);
+    CHECK(f.call->EndedBy() == Gateway::AttemptEnd::TargetEnded);
+    CHECK(f.heads == 0);
+  }
+  SUBCASE("not after it was cancelled")
+  {
+    f.call->Cancel();
+    f.call->EndClosed(Gateway::AttemptEnd::None);
+    CHECK_FALSE(f.ended);
+  }
+}
+
+TEST_CASE("Events go out at once though the end of their stream is not known")
+{
+  Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
+             "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n"});
+  f.closes = true;
+  f.awaits_end = true;
+  f.Start(true);
+  REQUIRE(RunUntil(f.loop, [&] { return f.closes_seen == 1; }));
+  CHECK(f.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK_FALSE(f.ended);
+  f.call->EndClosed(Gateway::AttemptEnd::None);
+  CHECK(f.ended);
+}
+
+TEST_CASE("Only the close of an answer that nothing else ends needs a proof")
+{
+  const auto closes_seen = [](const std::string& answer, bool is_stream = false)
+  {
+    Fixture f({answer});
+    f.closes = true;
+    f.awaits_end = true;
+    f.Start(is_stream);
+    RunUntil(f.loop, [&] { return f.closes_seen > 0 || f.ended || f.failure; });
+    return f.closes_seen;
+  };
+  CHECK(closes_seen(Answer("one")) == 0);
+  CHECK(closes_seen("HTTP/1.1 503 Full\r\nHoldpost-Not-Run: 1\r\n\r\nfull") == 0);
+  CHECK(closes_seen("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r0\r\n\r\nforeign") == 0);
+  CHECK(closes_seen("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n") == 0);
+  CHECK(closes_seen(StreamHead() + Chunk("id: 1\ndata: a\n\n"), true) == 0);
+  CHECK(closes_seen("HTTP/1.1 500 Failed\r\nHoldpost-Request-Id: r1\r\n\r\nfailed") == 1);
+}
+
 TEST_CASE("Streams are passed on by whole events")
 {
   Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\n")});
