Target calls: The id of an event is its last id field, and the whole of it

'id: 12ab' was read as 12, and of several id fields the first counted, where the last does by the format. A stream that broke behind such an event was resumed at the wrong one. The new cases of EventStreamTest cover both, ids beyond 64 bits, and streams that are parted at each byte with either kind of line end.

--- a/Source/Peers/Target/EventStream.cpp
+++ b/Source/Peers/Target/EventStream.cpp
@@ -21,20 +21,44 @@
   return std::string_view::npos;
 }
 
-static std::optional<std::uint64_t> IdOfEvent(std::string_view event)
+// The fields of an event that matter here.
+struct EventFields
+{
+  bool has_data = false;
+  // Of the last id field; empty if there is none.
+  std::optional<std::string_view> id;
+};
+
+static EventFields FieldsOf(std::string_view event)
+{
+  EventFields fields;
+  while (!event.empty())
+  {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = colon == std::string_view::npos ? "" : line.substr(colon + 1);
+    if (value.starts_with(' '))
+      value.remove_prefix(1);
+    if (name == "data")
+      fields.has_data = true;
+    else if (name == "id")
+      fields.id = value;
+  }
+  return fields;
+}
+
+// Empty if the text is no number of 64 bits.
+static std::optional<std::uint64_t> ReadId(std::string_view text)
 {
-  static constexpr std::string_view FIELD = "id:";
-  std::size_t line = event.starts_with(FIELD) ? 0 : event.find("\nid:");
-  if (line == std::string_view::npos)
-    return std::nullopt;
-  if (event[line] == '\n')
-    ++line;
-  std::string_view value = event.substr(line + FIELD.size());
-  if (value.starts_with(' '))
-    value.remove_prefix(1);
   std::uint64_t id = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), id);
-  if (error != std::errc() || end == value.data())
+  const char* end = text.data() + text.size();
+  const auto [read_to, error] = std::from_chars(text.data(), end, id);
+  if (error != std::errc() || read_to != end)
     return std::nullopt;
   return id;
 }
@@ -51,7 +75,8 @@
     if (end == std::string_view::npos)
       break;
     const std::string_view event = rest.substr(0, end);
-    const auto id = IdOfEvent(event);
+    const EventFields fields = FieldsOf(event);
+    const auto id = fields.id ? ReadId(*fields.id) : std::nullopt;
     const bool is_known = id && m_last && *id <= *m_last;
     if (!is_known)
       m_whole.append(event);
--- a/Source/UnitTests/Peers/EventStreamTest.cpp
+++ b/Source/UnitTests/Peers/EventStreamTest.cpp
@@ -39,3 +39,55 @@
   CHECK(stream.Take("data: id: 99\nid:5\n\n") == "data: id: 99\nid:5\n\n");
   CHECK(stream.LastEvent() == 5);
 }
+
+TEST_CASE("The id of an event is its last id field, and the whole of it")
+{
+  EventStream stream;
+  SUBCASE("the last of several")
+  {
+    stream.Take("id: 3\ndata: a\nid: 4\n\n");
+    CHECK(stream.LastEvent() == 4);
+  }
+  SUBCASE("not the digits before other text")
+  {
+    stream.Take("id: 3\ndata: a\n\nid: 12ab\ndata: b\n\n");
+    CHECK(stream.LastEvent() == 3);
+  }
+  SUBCASE("not a field whose name begins like it")
+  {
+    stream.Take("id: 3\ndata: a\nidle: 9\n\n");
+    CHECK(stream.LastEvent() == 3);
+  }
+  SUBCASE("not a number of more than 64 bits")
+  {
+    stream.Take("id: 3\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n");
+    CHECK(stream.LastEvent() == 3);
+    stream.Take("id: 18446744073709551615\ndata: c\n\n");
+    CHECK(stream.LastEvent() == 18446744073709551615ULL);
+  }
+  SUBCASE("with either kind of line end")
+  {
+    stream.Take("data: a\r\nid: 5\r\n\r\n");
+    CHECK(stream.LastEvent() == 5);
+  }
+}
+
+TEST_CASE("A stream is the same wherever its bytes are parted")
+{
+  const std::string text =
+      "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\ndata: id: 7\n\n: idle\n\nid:3\ndata: c\n\n";
+  for (std::size_t at = 0; at <= text.size(); ++at)
+  {
+    EventStream stream;
+    std::string passed(stream.Take(text.substr(0, at)));
+    passed.append(stream.Take(text.substr(at)));
+    CHECK(passed == text);
+    CHECK(stream.LastEvent() == 3);
+    CHECK_FALSE(stream.HasPartialEvent());
+  }
+  EventStream stream;
+  std::string passed;
+  for (const char byte : text)
+    passed.append(stream.Take({&byte, 1}));
+  CHECK(passed == text);
+}
