Target calls: Pass on what a caller names as its last event

A caller's Last-Event-Id that is no number of 64 bits was dropped, so that a stream that its caller asked to go on began anew and repeated its events. It is passed on as it came unless the gateway itself knows a later event. TargetMessageTest has the case.

--- a/Source/Peers/Target/TargetMessage.cpp
+++ b/Source/Peers/Target/TargetMessage.cpp
@@ -129,9 +129,9 @@
 
 static bool IsPassedOn(const HttpHead& head, std::string_view name, const HeaderNames& names)
 {
-  const std::array<std::string_view, 7> replaced = {
-      names.credential,       names.deadline_ms, names.organisation, names.expected_target,
-      names.expected_weights, names.urgency,     names.last_event};
+  const std::array<std::string_view, 6> replaced = {names.credential,       names.deadline_ms,
+                                                    names.organisation,     names.expected_target,
+                                                    names.expected_weights, names.urgency};
   for (const std::string_view own : replaced)
   {
     if (EqualsIgnoringCase(own, name))
@@ -149,7 +149,9 @@
   text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
   for (const Common::HttpField& field : head.fields)
   {
-    if (IsPassedOn(head, field.name, names))
+    const bool is_replaced =
+        dispatch.resume_after && EqualsIgnoringCase(field.name, names.last_event);
+    if (!is_replaced && IsPassedOn(head, field.name, names))
       AppendField(&text, field.name, field.value);
   }
   AppendField(&text, names.deadline_ms, fmt::format_int(dispatch.time_left.count()).c_str());
--- a/Source/UnitTests/Peers/TargetMessageTest.cpp
+++ b/Source/UnitTests/Peers/TargetMessageTest.cpp
@@ -71,6 +71,28 @@
   CHECK_FALSE(has("Transfer-Encoding"));
 }
 
+// Guards against streams that begin anew for a caller that asks to go on.
+TEST_CASE("The last event that a caller names is passed on as it came unless a later one is known")
+{
+  const auto sent = [](const std::string& named, std::optional<std::uint64_t> resume_after)
+  {
+    Common::HttpHead head;
+    head.method = "GET";
+    head.target = "/";
+    head.fields.Add("Last-Event-Id", named);
+    Gateway::Dispatch dispatch;
+    dispatch.resume_after = resume_after;
+    return WriteTargetHead(head, 0, dispatch, HeaderNames());
+  };
+  CHECK(sent("evt-7", std::nullopt).find("Last-Event-Id: evt-7\r\n") != std::string::npos);
+  CHECK(
+      sent("99999999999999999999", std::nullopt).find("Last-Event-Id: 99999999999999999999\r\n") !=
+      std::string::npos);
+  const std::string later = sent("7", 12);
+  CHECK(later.find("Last-Event-Id: 12\r\n") != std::string::npos);
+  CHECK(later.find("Last-Event-Id: 7\r\n") == std::string::npos);
+}
+
 TEST_CASE("Fields of the target's connection stay with it")
 {
   Common::HttpHead answer;
