Gateway: A stream is continued only where the ids of its events tell where to go on

Three faults of one kind, found by reading, shown by runs of the old EventStream alone (trial): a run that continued a stream behind event 3 with event 5 was passed on and could end as whole; a stream whose ids are no numbers had no place to go on from, so it was begun anew in the middle of the answer and its events came twice; and a second event with the id of the one before was left out of a first run.

EventStream tells whether the ids of all events so far rise, and whether by one. A resumed run of a stream whose ids rose by one has to begin with the next id, else it is broken (event_gap) before anything of it is passed on; a stream whose ids do not tell where to go on is cut, as is an answer that is no event stream; and only events up to the point of resumption are left out.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -287,7 +287,11 @@
   if (event.end != AttemptEnd::Recalled)
     m_targets.OnFailed(TargetInSameIncarnation(*tracked), now);
   if (event.last_event)
+  {
     tracked->last_event = event.last_event;
+    tracked->ids_rise_by_one = event.ids_rise_by_one;
+  }
+  tracked->may_continue = event.may_continue;
   if (event.failure == AttemptFailure::NotSent)
     return OnNotRun(*tracked, "not_sent", now, actions);
   OnAttemptLost(*tracked, event, now);
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -199,6 +199,7 @@
   dispatch.organisation = tracked.organisation;
   dispatch.expected_start = choice->expected_start;
   dispatch.resume_after = tracked.last_event;
+  dispatch.ids_rise_by_one = tracked.ids_rise_by_one;
   dispatch.is_stream = tracked.route.is_stream;
   dispatch.may_repeat = tracked.route.repetition == Settings::Repetition::Idempotent;
   dispatch.needs_new_connection = choice->is_probe;
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -44,7 +44,8 @@
 void Gateway::RetryOrGiveUp(Tracked& tracked, std::string_view reason,
                             const Error& error_if_not_retried, TimePoint now, Actions* actions)
 {
-  const bool may_resume = !tracked.was_head_passed || tracked.route.is_resumable;
+  const bool may_resume =
+      !tracked.was_head_passed || (tracked.route.is_resumable && tracked.may_continue);
   if (!may_resume || !MayRunAgain(tracked) || !TakeRetry(tracked, reason, now))
     return GiveUp(tracked, error_if_not_retried, now, actions);
   Retry(tracked, reason, now, actions);
--- a/Source/Core/Gateway/Messages.cpp
+++ b/Source/Core/Gateway/Messages.cpp
@@ -21,6 +21,8 @@
     return "too_many_bytes";
   case AttemptEnd::PartialEvent:
     return "partial_event";
+  case AttemptEnd::EventGap:
+    return "event_gap";
   case AttemptEnd::Recalled:
     return "recalled";
   case AttemptEnd::TargetEnded:
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -164,6 +164,8 @@
   TooManyBytes,
   // The answer ended in the middle of an event.
   PartialEvent,
+  // The events of a continued stream did not follow on those before.
+  EventGap,
   // The gateway took the request back before the connection came up.
   Recalled,
   // The connection closed as at the end of an answer, but with it the target ended.
@@ -181,6 +183,11 @@
   // The last whole event of a stream that was passed on to the caller, in any attempt.
   std::optional<EventId> last_event;
   AttemptEnd end = AttemptEnd::None;
+  // Another attempt may continue a stream that was passed on in part, as the ids of its events tell
+  // where.
+  bool may_continue = true;
+  // The ids of its events rose by one.
+  bool ids_rise_by_one = false;
 };
 
 // --- actions ---
@@ -198,6 +205,8 @@
   Common::Duration expected_start{};
   // The target is to continue the stream after this event.
   std::optional<EventId> resume_after;
+  // The ids rose by one until there.
+  bool ids_rise_by_one = false;
   std::uint64_t weights_version = 0; // 0 if any version is acceptable
   bool is_stream = false;
   // The request may be sent again if the connection turns out to be dead.
--- a/Source/Core/Gateway/TrackedRequest.h
+++ b/Source/Core/Gateway/TrackedRequest.h
@@ -67,6 +67,9 @@
   std::optional<Common::TimePoint> closed_at;
   bool was_head_passed = false; // the head of an answer was passed on to the caller
   std::optional<EventId> last_event;
+  // As the last attempt that failed has told of the stream that was passed on in part.
+  bool may_continue = true;
+  bool ids_rise_by_one = false;
 
   std::uint32_t PromptTokens() const
   {
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -96,7 +96,8 @@
     request.request_id = *id;
   request.is_head_method = caller.Head().method == "HEAD";
   request.is_stream = dispatch.is_stream;
-  request.resume_after = dispatch.resume_after;
+  if (dispatch.resume_after)
+    request.resume = {*dispatch.resume_after, dispatch.ids_rise_by_one};
   request.may_repeat = dispatch.may_repeat;
   if (dispatch.needs_new_connection)
     m_pool.Forget(dispatch.target);
@@ -189,7 +190,7 @@
   if (found != m_exchanges.end())
   {
     ended.ends_with_connection = found->second.answer.framing == Common::BodyFraming::UntilClose;
-    ended.last_event = found->second.call->LastEvent();
+    ended.last_event = found->second.call->Events().LastEvent();
   }
   Feed(ended);
   const Exchange exchange = Take(number);
@@ -212,7 +213,14 @@
                                                                : Gateway::AttemptFailure::Lost;
   failed.end = found->second.call->EndedBy();
   if (found->second.has_begun)
-    failed.last_event = found->second.call->LastEvent();
+  {
+    const TargetPeer::TargetCall& call = *found->second.call;
+    failed.last_event = call.Events().LastEvent();
+    failed.ids_rise_by_one = call.Events().IdsRiseByOne();
+    // An attempt that failed before its answer began leaves the answer as it was.
+    failed.may_continue =
+        !call.HasAnswered() || (call.IsEventStream() && call.Events().IsResumable());
+  }
   Feed(failed);
 }
 
--- a/Source/Peers/Target/EventStream.cpp
+++ b/Source/Peers/Target/EventStream.cpp
@@ -63,28 +63,60 @@
   return id;
 }
 
+EventStream::EventStream(std::optional<ResumePoint> resume) : m_resume(resume)
+{
+  if (!resume)
+    return;
+  m_last = resume->after;
+  m_has_risen = resume->ids_rise_by_one;
+}
+
 std::string_view EventStream::Take(std::string_view data)
 {
   m_partial.append(data);
   m_whole.clear();
   std::size_t taken = 0;
-  for (;;)
+  while (!m_has_gap)
   {
     const std::string_view rest = std::string_view(m_partial).substr(taken);
     const std::size_t end = EndOfEvent(rest);
     if (end == std::string_view::npos)
       break;
-    const std::string_view event = rest.substr(0, end);
-    const EventFields fields = FieldsOf(event);
-    const auto id = fields.id ? ReadId(*fields.id) : std::nullopt;
-    const bool is_known = id && m_last && *id <= *m_last;
-    if (!is_known)
-      m_whole.append(event);
-    if (id && !is_known)
-      m_last = id;
+    TakeEvent(rest.substr(0, end));
     taken += end;
   }
   m_partial.erase(0, taken);
   return m_whole;
 }
+
+void EventStream::TakeEvent(std::string_view event)
+{
+  const EventFields fields = FieldsOf(event);
+  const auto id = fields.id ? ReadId(*fields.id) : std::nullopt;
+  if (id && m_resume && *id <= m_resume->after)
+    return;
+  if (id)
+    OnId(*id);
+  else if (fields.has_data || fields.id)
+    m_is_resumable = false;
+  if (!m_has_gap)
+    m_whole.append(event);
+}
+
+void EventStream::OnId(std::uint64_t id)
+{
+  const bool is_next = m_last && id == *m_last + 1;
+  const bool is_first_of_continued = m_resume && m_last == m_resume->after;
+  if (is_first_of_continued && m_resume->ids_rise_by_one && !is_next)
+  {
+    m_has_gap = true;
+    return;
+  }
+  if (m_last && id <= *m_last)
+    m_is_resumable = false;
+  if (m_last && !is_next)
+    m_ids_rise_by_one = false;
+  m_has_risen = m_has_risen || is_next;
+  m_last = id;
+}
 } // namespace Holdpost::TargetPeer
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -27,7 +27,7 @@
   m_request = std::move(request);
   m_handlers = std::move(handlers);
   m_started = Common::EventLoop::Now();
-  m_events = EventStream(m_request.resume_after);
+  m_events = EventStream(m_request.resume);
   m_parser.Restart(m_request.is_head_method);
   const TargetPool::Lease lease =
       m_pool.Acquire(m_request.target, m_request.address, m_request.may_repeat);
@@ -101,6 +101,8 @@
     m_bytes_before_answer += consumed;
   if (m_bytes_before_answer > MAX_BYTES_BEFORE_ANSWER || m_events.IsEventTooLong())
     return AttemptEnd::TooManyBytes;
+  if (m_events.HasGap())
+    return AttemptEnd::EventGap;
   switch (m_parser.Error())
   {
   case Common::HttpParseError::None:
@@ -168,6 +170,8 @@
 {
   if (m_is_foreign || m_is_over || !m_head || m_head->status < 200)
     return;
+  if (m_events.HasGap())
+    return Fail(CallFailure::Broken, AttemptEnd::EventGap);
   if (m_events.HasPartialEvent())
     return Fail(CallFailure::Broken, AttemptEnd::PartialEvent);
   m_is_whole = true;
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -34,8 +34,8 @@
   std::string request_id;
   bool is_head_method = false;
   bool is_stream = false;
-  // Events up to this one are not passed on again.
-  std::optional<std::uint64_t> resume_after;
+  // Events up to this point are not passed on again.
+  std::optional<ResumePoint> resume;
   // It may be sent again: a kept connection is good enough, and a target that goes silent without a
   // sign is given up.
   bool may_repeat = false;
@@ -92,10 +92,12 @@
   void PauseReading();
   void ResumeReading();
 
-  std::optional<std::uint64_t> LastEvent() const { return m_events.LastEvent(); }
+  const EventStream& Events() const { return m_events; }
   // What a call that failed ended by.
   Gateway::AttemptEnd EndedBy() const { return m_ended_by; }
   bool IsEventStream() const { return m_is_event_stream; }
+  // Whether on_answer was called.
+  bool HasAnswered() const { return m_is_answered; }
 
 private:
   void OnHead(Common::HttpHead head) override;
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -157,6 +157,20 @@
   }
 }
 
+// Guards against streams that begin anew in the middle of an answer, as their ids are no numbers.
+TEST_CASE("A broken stream whose ids do not tell where to go on is cut")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/");
+  f.Feed(f.Began(number));
+  f.actions.clear();
+  AttemptFailed failed{number, AttemptFailure::Lost};
+  failed.may_continue = false;
+  f.Feed(failed);
+  CHECK(Testing::Only<Dispatch>(f.actions).empty());
+  CHECK(Take<AbortAnswer>(f.actions).size() == 1);
+}
+
 TEST_CASE("A broken stream is continued after its last event")
 {
   Fixture f;
--- a/Source/UnitTests/Peers/EventStreamTest.cpp
+++ b/Source/UnitTests/Peers/EventStreamTest.cpp
@@ -4,6 +4,7 @@
 #include "Peers/Target/EventStream.h"
 
 using Holdpost::TargetPeer::EventStream;
+using Holdpost::TargetPeer::ResumePoint;
 
 TEST_CASE("Only whole events are passed on")
 {
@@ -26,7 +27,7 @@
 
 TEST_CASE("A continued stream leaves out what the caller has")
 {
-  EventStream stream(3);
+  EventStream stream(ResumePoint{3});
   CHECK(stream.LastEvent() == 3);
   CHECK(stream.Take("id: 2\ndata: x\n\nid: 3\ndata: y\n\nid: 4\ndata: z\n\n") ==
         "id: 4\ndata: z\n\n");
@@ -91,3 +92,60 @@
     passed.append(stream.Take({&byte, 1}));
   CHECK(passed == text);
 }
+
+// Guards against continued streams that look whole and lack events.
+TEST_CASE("A continued stream goes on with the next id if the ids rose by one before")
+{
+  EventStream stream(ResumePoint{3, true});
+  SUBCASE("with the next event")
+  {
+    CHECK(stream.Take("id: 3\ndata: x\n\nid: 4\ndata: y\n\n") == "id: 4\ndata: y\n\n");
+    CHECK_FALSE(stream.HasGap());
+    CHECK(stream.IdsRiseByOne());
+  }
+  SUBCASE("a gap is told and not passed on")
+  {
+    CHECK(stream.Take("id: 2\ndata: x\n\nid: 5\ndata: y\n\nid: 6\ndata: z\n\n").empty());
+    CHECK(stream.HasGap());
+    CHECK(stream.LastEvent() == 3);
+  }
+  SUBCASE("only the first event is held to it")
+  {
+    CHECK(stream.Take("id: 4\ndata: y\n\nid: 9\ndata: z\n\n").size() > 0);
+    CHECK_FALSE(stream.HasGap());
+    CHECK_FALSE(stream.IdsRiseByOne());
+  }
+}
+
+TEST_CASE("Ids that do not rise by one are continued at any later id")
+{
+  EventStream first;
+  first.Take("id: 10\ndata: a\n\nid: 20\ndata: b\n\n");
+  CHECK(first.IsResumable());
+  CHECK_FALSE(first.IdsRiseByOne());
+  EventStream next(ResumePoint{20, first.IdsRiseByOne()});
+  CHECK(next.Take("id: 30\ndata: c\n\n") == "id: 30\ndata: c\n\n");
+  CHECK_FALSE(next.HasGap());
+  // One event does not tell how the ids rise.
+  EventStream single;
+  single.Take("id: 1\ndata: a\n\n");
+  CHECK_FALSE(single.IdsRiseByOne());
+}
+
+TEST_CASE("A stream whose ids do not tell where to go on is not resumable")
+{
+  const auto is_resumable = [](std::string_view text)
+  {
+    EventStream stream;
+    CHECK(stream.Take(text) == text);
+    return stream.IsResumable();
+  };
+  CHECK(is_resumable("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+  CHECK(is_resumable(": idle\n\nretry: 5\n\nid: 1\ndata: a\n\n"));
+  CHECK_FALSE(is_resumable("data: a\n\n"));
+  CHECK_FALSE(is_resumable("id: 1\ndata: a\n\ndata: b\n\n"));
+  CHECK_FALSE(is_resumable("id: evt-1\ndata: a\n\n"));
+  CHECK_FALSE(is_resumable("id: 99999999999999999999\ndata: a\n\n"));
+  // Events of a run are passed on as they are.
+  CHECK_FALSE(is_resumable("id: 2\ndata: a\n\nid: 2\ndata: b\n\n"));
+}
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -33,7 +33,7 @@
   {
   }
 
-  void Start(bool is_stream = false, std::optional<std::uint64_t> resume_after = std::nullopt,
+  void Start(bool is_stream = false, std::optional<ResumePoint> resume = std::nullopt,
              bool passes = true)
   {
     CallRequest request;
@@ -43,7 +43,7 @@
     request.body = request_body;
     request.request_id = "r1";
     request.is_stream = is_stream;
-    request.resume_after = resume_after;
+    request.resume = resume;
     request.may_repeat = may_repeat;
     call = std::make_shared<TargetCall>(pool, names);
     body.clear();
@@ -331,6 +331,23 @@
   }
 }
 
+TEST_CASE("A continued stream with a gap is broken before anything of it is passed on")
+{
+  const std::string gap = Chunk("id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+  Fixture f({StreamHead() + gap + "0\r\n\r\n"});
+  SUBCASE("in one piece") {}
+  SUBCASE("that goes on")
+  {
+    f.answers = {StreamHead() + gap};
+  }
+  f.Start(true, ResumePoint{1, true});
+  REQUIRE(f.Run());
+  CHECK(f.failure == CallFailure::Broken);
+  CHECK(f.call->EndedBy() == Gateway::AttemptEnd::EventGap);
+  CHECK(f.heads == 0);
+  CHECK(f.body.empty());
+}
+
 TEST_CASE("Events go out at once though the end of their stream is not known")
 {
   Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
@@ -371,7 +388,7 @@
   REQUIRE(RunUntil(f.loop, [&] { return !f.body.empty(); }));
   CHECK(f.body == "id: 1\ndata: a\n\n");
   CHECK_FALSE(f.whole_at_head);
-  CHECK(f.call->LastEvent() == 1);
+  CHECK(f.call->Events().LastEvent() == 1);
   f.server.Connection(0).Write(Chunk("data: b\n\n") + "0\r\n\r\n");
   REQUIRE(f.Run());
   CHECK(f.ended);
@@ -393,7 +410,7 @@
 TEST_CASE("A continued stream leaves out what the caller has")
 {
   Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + "0\r\n\r\n"});
-  f.Start(true, 1);
+  f.Start(true, ResumePoint{1});
   REQUIRE(f.Run());
   CHECK(f.ended);
   CHECK(f.body == "id: 2\ndata: b\n\n");
