--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -83,6 +83,7 @@
 void Gateway::OnTargetLoad(const TargetLoad& load, TimePoint now, Actions* actions)
 {
   m_targets.OnLoadReport(load, now);
+  OnClosedTargetReported(load, now, actions);
   m_crashes.OnEngineRuns({load.address, load.id, load.incarnation}, now);
   CountCrashes(now, actions);
   MoveFromReportedTarget(load, now, actions);
@@ -270,7 +271,7 @@
     return;
   m_targets.OnSucceeded(TargetInSameIncarnation(*tracked));
   OnAnswerWhole(*tracked, event.ends_with_connection, now);
-  m_log.OnDone(*tracked, event.ends_with_connection, now);
+  m_log.OnDone(*tracked, event, now);
   ReleaseTarget(*tracked, actions);
   const std::string service = tracked->service;
   Forget(event.number);
@@ -286,7 +287,11 @@
   if (event.end != AttemptEnd::Recalled)
     m_targets.OnFailed(TargetInSameIncarnation(*tracked), now);
   if (event.last_event)
+  {
     tracked->last_event = event.last_event;
+    tracked->ids_rise_by_one = event.ids_rise_by_one;
+  }
+  tracked->may_continue = event.may_continue;
   if (event.failure == AttemptFailure::NotSent)
     return OnNotRun(*tracked, "not_sent", now, actions);
   OnAttemptLost(*tracked, event, now);
@@ -332,6 +337,7 @@
   StopBlockedRequests(now, actions);
   CancelOnOldWeights(now, actions);
   EndDispatchHold(now, actions);
+  ReviewClosed(now, actions);
   while (!m_timers.empty() && m_timers.top().at <= now)
   {
     const RequestNumber number = m_timers.top().number;
@@ -344,9 +350,12 @@
 
 std::optional<TimePoint> Gateway::NextWakeup() const
 {
-  const std::optional<TimePoint> crashes_due = m_crashes.NextWakeup();
-  if (m_timers.empty())
-    return crashes_due;
-  return std::min(m_timers.top().at, crashes_due.value_or(TimePoint::max()));
+  std::optional<TimePoint> next = m_crashes.NextWakeup();
+  const auto take = [&next](TimePoint at) { next = std::min(next.value_or(at), at); };
+  if (const auto closed_due = m_closed_answers.NextWakeup())
+    take(*closed_due);
+  if (!m_timers.empty())
+    take(m_timers.top().at);
+  return next;
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -42,7 +42,7 @@
 {
   const LastAttempt& attempt = *tracked.last_attempt;
   return {tracked.causes, attempt.choice.id, attempt.choice.address, attempt.choice.incarnation,
-          attempt.sent};
+          attempt.sent,   tracked.request.id};
 }
 
 void Gateway::OnAttemptLost(const Tracked& tracked, const AttemptFailed& event, TimePoint now)
@@ -81,6 +81,8 @@
 void Gateway::OnEngineEnd(const Crashes::EngineEnd& end, TimePoint now, Actions* actions)
 {
   m_crashes.OnEngineEnd(end, now);
+  RefuteClosed(m_closed_answers.TakeEnded(end.target, end.id, end.incarnation),
+               AttemptEnd::TargetEnded, now, actions);
   StopBlockedRequests(now, actions);
 }
 
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -44,7 +44,8 @@
 void Gateway::RetryOrGiveUp(Tracked& tracked, std::string_view reason,
                             const Error& error_if_not_retried, TimePoint now, Actions* actions)
 {
-  const bool may_resume = !tracked.was_head_passed || tracked.route.is_resumable;
+  const bool may_resume =
+      !tracked.was_head_passed || (tracked.route.is_resumable && tracked.may_continue);
   if (!may_resume || !MayRunAgain(tracked) || !TakeRetry(tracked, reason, now))
     return GiveUp(tracked, error_if_not_retried, now, actions);
   Retry(tracked, reason, now, actions);
@@ -111,7 +112,7 @@
   std::vector<RequestNumber> numbers;
   for (const auto& [number, tracked] : m_requests)
   {
-    if (tracked.state == State::Sent && condition(tracked))
+    if (tracked.state == State::Sent && !tracked.closed_at && condition(tracked))
       numbers.push_back(number);
   }
   return numbers;
@@ -196,7 +197,7 @@
 
 void Gateway::MoveIfOverdue(Tracked& tracked, TimePoint now, Actions* actions)
 {
-  if (now < tracked.move_at)
+  if (now < tracked.move_at || tracked.closed_at)
     return;
   const bool is_unproven = m_targets.OnOverdue(TargetInSameIncarnation(tracked), now);
   tracked.move_at = is_unproven ? now + MOVE_RETRY_PERIOD : TimePoint::max();
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -106,6 +106,30 @@
   std::optional<double> rate_limit = std::nullopt;
 };
 
+// The target has closed the connection in good order, and nothing else marks the end of the answer.
+// The executor keeps the answer open until EndClosedAnswer.
+struct AnswerClosed
+{
+  RequestNumber number = 0;
+};
+
+enum class ProbeOutcome
+{
+  // The target has answered.
+  Runs,
+  // Nothing listens at its address, or another target has answered.
+  Ended,
+  Unknown,
+};
+
+// A probe of a target has ended.
+struct ProbeEnded
+{
+  TargetId target;
+  Common::Address address;
+  ProbeOutcome outcome = ProbeOutcome::Unknown;
+};
+
 // The answer was passed on completely.
 struct AnswerEnded
 {
@@ -113,6 +137,8 @@
   // Nothing but the end of its connection marks the end of the answer, so that it looks the same if
   // the target ends.
   bool ends_with_connection = false;
+  // The last event of a stream.
+  std::optional<EventId> last_event = std::nullopt;
 };
 
 enum class AttemptFailure
@@ -138,8 +164,14 @@
   TooManyBytes,
   // The answer ended in the middle of an event.
   PartialEvent,
+  // The events of a continued stream did not follow on those before.
+  EventGap,
   // The gateway took the request back before the connection came up.
   Recalled,
+  // The connection closed as at the end of an answer, but with it the target ended.
+  TargetEnded,
+  // The same, but it did not become known whether the target ran on.
+  UnprovedEnd,
 };
 std::string_view AttemptEndName(AttemptEnd end);
 
@@ -151,6 +183,11 @@
   // The last whole event of a stream that was passed on to the caller, in any attempt.
   std::optional<EventId> last_event;
   AttemptEnd end = AttemptEnd::None;
+  // Another attempt may continue a stream that was passed on in part, as the ids of its events tell
+  // where.
+  bool may_continue = true;
+  // The ids of its events rose by one.
+  bool ids_rise_by_one = false;
 };
 
 // --- actions ---
@@ -168,6 +205,8 @@
   Common::Duration expected_start{};
   // The target is to continue the stream after this event.
   std::optional<EventId> resume_after;
+  // The ids rose by one until there.
+  bool ids_rise_by_one = false;
   std::uint64_t weights_version = 0; // 0 if any version is acceptable
   bool is_stream = false;
   // The request may be sent again if the connection turns out to be dead.
@@ -211,6 +250,21 @@
   RequestNumber number = 0;
 };
 
+// Ends the answer of AnswerClosed: as whole, or as broken for the reason.
+struct EndClosedAnswer
+{
+  RequestNumber number = 0;
+  AttemptEnd reason = AttemptEnd::None; // None: it is whole
+};
+
+// Asks the target for its health page, to learn whether it runs.
+struct ProbeTarget
+{
+  TargetId target;
+  Common::Address address;
+  std::string path;
+};
+
 // Reports to the agent beside a target which work this gateway has at the target now.
 struct ReportWorkToAgent
 {
@@ -231,7 +285,8 @@
   LeavingTarget target;
 };
 
-using Action = std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer,
-                            ReportWorkToAgent, ReportLimitToAgent, ReportLeaving, RecallConnecting>;
+using Action =
+    std::variant<Dispatch, PassAnswer, CancelAttempt, Refuse, AbortAnswer, ReportWorkToAgent,
+                 ReportLimitToAgent, ReportLeaving, RecallConnecting, EndClosedAnswer, ProbeTarget>;
 using Actions = std::vector<Action>;
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/RequestLog.cpp
+++ b/Source/Core/Gateway/RequestLog.cpp
@@ -159,10 +159,10 @@
   LogFailure(tracked, now, "request.taken_back", "reason", "old_weights");
 }
 
-void RequestLog::OnDone(const TrackedRequest& tracked, bool ends_with_connection, TimePoint now)
+void RequestLog::OnDone(const TrackedRequest& tracked, const AnswerEnded& event, TimePoint now)
 {
   m_metrics.Add("holdpost_answers_whole_total");
-  if (ends_with_connection)
+  if (event.ends_with_connection)
     m_metrics.Add("holdpost_answers_ended_with_connection_total");
   RecordTime(tracked, "done", now);
   const int status = tracked.last_attempt->answer_status;
@@ -173,8 +173,30 @@
   }
   LogEvent(Weight::Ordinary, now, "request.done", "request", tracked.request.id, "target",
            tracked.target, "first_ms", tracked.answer_passed_at - tracked.arrived, "took_ms",
-           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status, "ended_with",
-           ends_with_connection ? "connection" : "mark");
+           now - tracked.arrived, "attempts", tracked.sends, "answer_status", status, "last_event",
+           event.last_event.value_or(0), "ended_with",
+           event.ends_with_connection ? "connection" : "mark");
+}
+
+void RequestLog::OnEndConfirmed(RunProof proof, Duration held)
+{
+  m_metrics.Add("holdpost_ends_confirmed_total", Common::Reason(RunProofName(proof)));
+  m_metrics.Record("holdpost_end_held_seconds", held);
+}
+
+void RequestLog::OnEndRefuted(const TrackedRequest& tracked, const ClosedAnswer& answer,
+                              AttemptEnd reason, TimePoint now)
+{
+  m_metrics.Add("holdpost_ends_refuted_total", Common::Reason(AttemptEndName(reason)));
+  LogEvent(Weight::Important, now, "answer.end_refuted", "request", tracked.request.id, "service",
+           tracked.service, "target", answer.target, "incarnation", answer.incarnation, "at",
+           answer.address.ToString(), "reason", AttemptEndName(reason), "held_ms",
+           now - answer.closed_at, "passed", tracked.was_head_passed);
+}
+
+void RequestLog::OnProbed()
+{
+  m_metrics.Add("holdpost_end_probes_total");
 }
 
 void RequestLog::OnCallerLeft(const TrackedRequest& tracked, TimePoint now)
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -79,6 +79,7 @@
     m_stage.OnEngineRestarted();
   const bool is_first = !m_report;
   m_report = *report;
+  m_known_report_asked_at = m_report_asked_at;
   m_requests_at_report = TotalWork(now).requests;
   m_loader.OnReport(*report, m_report_asked_at, now);
   // An engine that had weights before this process began may have loaded them for an earlier one.
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -96,7 +96,8 @@
     request.request_id = *id;
   request.is_head_method = caller.Head().method == "HEAD";
   request.is_stream = dispatch.is_stream;
-  request.resume_after = dispatch.resume_after;
+  if (dispatch.resume_after)
+    request.resume = {*dispatch.resume_after, dispatch.ids_rise_by_one};
   request.may_repeat = dispatch.may_repeat;
   if (dispatch.needs_new_connection)
     m_pool.Forget(dispatch.target);
@@ -112,7 +113,8 @@
                         [this, number](TargetPeer::CallFailure failure)
                         { OnCallFailed(number, failure); },
                         [this, number](const Common::HttpHead& head, bool is_foreign)
-                        { OnAnswerHead(number, head, is_foreign); }});
+                        { OnAnswerHead(number, head, is_foreign); },
+                        [this, number] { Feed(Gateway::AnswerClosed{number}); }});
 }
 
 void GatewayNode::OnAnswerHead(RequestNumber number, const Common::HttpHead& head, bool is_foreign)
@@ -184,9 +186,13 @@
 void GatewayNode::OnCallEnded(RequestNumber number)
 {
   const auto found = m_exchanges.find(number);
-  const bool ends_with_connection =
-      found != m_exchanges.end() && found->second.answer.framing == Common::BodyFraming::UntilClose;
-  Feed(Gateway::AnswerEnded{number, ends_with_connection});
+  Gateway::AnswerEnded ended{number};
+  if (found != m_exchanges.end())
+  {
+    ended.ends_with_connection = found->second.answer.framing == Common::BodyFraming::UntilClose;
+    ended.last_event = found->second.call->Events().LastEvent();
+  }
+  Feed(ended);
   const Exchange exchange = Take(number);
   if (!exchange.caller)
     return;
@@ -207,7 +213,14 @@
                                                                : Gateway::AttemptFailure::Lost;
   failed.end = found->second.call->EndedBy();
   if (found->second.has_begun)
-    failed.last_event = found->second.call->LastEvent();
+  {
+    const TargetPeer::TargetCall& call = *found->second.call;
+    failed.last_event = call.Events().LastEvent();
+    failed.ids_rise_by_one = call.Events().IdsRiseByOne();
+    // An attempt that failed before its answer began leaves the answer as it was.
+    failed.may_continue =
+        !call.HasAnswered() || (call.IsEventStream() && call.Events().IsResumable());
+  }
   Feed(failed);
 }
 
@@ -239,6 +252,30 @@
   found->second.call->Cancel();
 }
 
+void GatewayNode::Do(const Gateway::EndClosedAnswer& end)
+{
+  const auto found = m_exchanges.find(end.number);
+  if (found == m_exchanges.end() || !found->second.call)
+    return;
+  // This may end the exchange.
+  const std::shared_ptr<TargetPeer::TargetCall> call = found->second.call;
+  call->EndClosed(end.reason);
+}
+
+void GatewayNode::Do(const Gateway::ProbeTarget& probe)
+{
+  auto started = std::make_shared<TargetPeer::HealthProbe>(m_pool, m_names);
+  m_probes[probe.target] = started;
+  started->Start(
+      probe.target, probe.address, probe.path,
+      [this, target = probe.target, address = probe.address](Gateway::ProbeOutcome outcome)
+      {
+        // The probe lives until this call returns.
+        const auto probe_in_call = m_probes.extract(target);
+        Feed(Gateway::ProbeEnded{target, address, outcome});
+      });
+}
+
 // Fractions of a second are allowed: a caller that waits a whole second too long may be too late.
 static std::string RetryAfterLine(const Error& error)
 {
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -33,7 +33,7 @@
   {
   }
 
-  void Start(bool is_stream = false, std::optional<std::uint64_t> resume_after = std::nullopt,
+  void Start(bool is_stream = false, std::optional<ResumePoint> resume = std::nullopt,
              bool passes = true)
   {
     CallRequest request;
@@ -43,7 +43,7 @@
     request.body = request_body;
     request.request_id = "r1";
     request.is_stream = is_stream;
-    request.resume_after = resume_after;
+    request.resume = resume;
     request.may_repeat = may_repeat;
     call = std::make_shared<TargetCall>(pool, names);
     body.clear();
@@ -64,7 +64,8 @@
                    if (pauses)
                      started->PauseReading();
                  },
-                 [this] { ended = true; }, [this](CallFailure how) { failure = how; }});
+                 [this] { ended = true; }, [this](CallFailure how) { failure = how; }, nullptr,
+                 awaits_end ? [this] { ++closes_seen; } : std::function<void()>()});
   }
   bool Run()
   {
@@ -79,6 +80,8 @@
   bool resets = false;
   bool may_repeat = true;
   Common::Bytes request_body;
+  bool awaits_end = false; // of an answer that only the close marks
+  int closes_seen = 0;
   bool pauses = false; // reading, when bytes of the body have come
   FakeServer server;
   TargetPool pool{loop};
@@ -298,6 +301,86 @@
   CHECK(f.body == "all of it");
 }
 
+TEST_CASE("An answer without a length is open at the close until its end is told")
+{
+  Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n\r\nall of it"});
+  f.closes = true;
+  f.awaits_end = true;
+  f.Start();
+  REQUIRE(RunUntil(f.loop, [&] { return f.closes_seen == 1; }));
+  CHECK(f.heads == 0);
+  SUBCASE("as whole")
+  {
+    f.call->EndClosed(Gateway::AttemptEnd::None);
+    CHECK(f.ended);
+    CHECK(f.whole_at_head);
+    CHECK(f.body == "all of it");
+  }
+  SUBCASE("as broken")
+  {
+    f.call->EndClosed(Gateway::AttemptEnd::TargetEnded);
+    CHECK(f.failure == CallFailure::Broken);
+    CHECK(f.call->EndedBy() == Gateway::AttemptEnd::TargetEnded);
+    CHECK(f.heads == 0);
+  }
+  SUBCASE("not after it was cancelled")
+  {
+    f.call->Cancel();
+    f.call->EndClosed(Gateway::AttemptEnd::None);
+    CHECK_FALSE(f.ended);
+  }
+}
+
+TEST_CASE("A continued stream with a gap is broken before anything of it is passed on")
+{
+  const std::string gap = Chunk("id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+  Fixture f({StreamHead() + gap + "0\r\n\r\n"});
+  SUBCASE("in one piece") {}
+  SUBCASE("that goes on")
+  {
+    f.answers = {StreamHead() + gap};
+  }
+  f.Start(true, ResumePoint{1, true});
+  REQUIRE(f.Run());
+  CHECK(f.failure == CallFailure::Broken);
+  CHECK(f.call->EndedBy() == Gateway::AttemptEnd::EventGap);
+  CHECK(f.heads == 0);
+  CHECK(f.body.empty());
+}
+
+TEST_CASE("Events go out at once though the end of their stream is not known")
+{
+  Fixture f({"HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
+             "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n"});
+  f.closes = true;
+  f.awaits_end = true;
+  f.Start(true);
+  REQUIRE(RunUntil(f.loop, [&] { return f.closes_seen == 1; }));
+  CHECK(f.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK_FALSE(f.ended);
+  f.call->EndClosed(Gateway::AttemptEnd::None);
+  CHECK(f.ended);
+}
+
+TEST_CASE("Only the close of an answer that nothing else ends needs a proof")
+{
+  const auto closes_seen = [](const std::string& answer, bool is_stream = false)
+  {
+    Fixture f({answer});
+    f.closes = true;
+    f.awaits_end = true;
+    f.Start(is_stream);
+    RunUntil(f.loop, [&] { return f.closes_seen > 0 || f.ended || f.failure; });
+    return f.closes_seen;
+  };
+  CHECK(closes_seen(Answer("one")) == 0);
+  CHECK(closes_seen("HTTP/1.1 503 Full\r\nHoldpost-Not-Run: 1\r\n\r\nfull") == 0);
+  CHECK(closes_seen("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r0\r\n\r\nforeign") == 0);
+  CHECK(closes_seen("HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\n") == 0);
+  CHECK(closes_seen(StreamHead() + Chunk("id: 1\ndata: a\n\n"), true) == 0);
+  CHECK(closes_seen("HTTP/1.1 500 Failed\r\nHoldpost-Request-Id: r1\r\n\r\nfailed") == 1);
+}
+
 TEST_CASE("Streams are passed on by whole events")
 {
   Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\n")});
@@ -305,7 +388,7 @@
   REQUIRE(RunUntil(f.loop, [&] { return !f.body.empty(); }));
   CHECK(f.body == "id: 1\ndata: a\n\n");
   CHECK_FALSE(f.whole_at_head);
-  CHECK(f.call->LastEvent() == 1);
+  CHECK(f.call->Events().LastEvent() == 1);
   f.server.Connection(0).Write(Chunk("data: b\n\n") + "0\r\n\r\n");
   REQUIRE(f.Run());
   CHECK(f.ended);
@@ -327,7 +410,7 @@
 TEST_CASE("A continued stream leaves out what the caller has")
 {
   Fixture f({StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + "0\r\n\r\n"});
-  f.Start(true, 1);
+  f.Start(true, ResumePoint{1});
   REQUIRE(f.Run());
   CHECK(f.ended);
   CHECK(f.body == "id: 2\ndata: b\n\n");
