Gateway: The answer of a target that nothing can prove to run ends with its connection

Found by the reviewer of: a service that names no health page and has no agent had each answer that ends with its connection held for 3 s and then refuted, though sound; repeatable requests ran again, others were lost. Such an answer is passed on as before, and counted as unprovable.

--- a/Source/Core/Gateway/ClosedAnswers.cpp
+++ b/Source/Core/Gateway/ClosedAnswers.cpp
@@ -20,6 +20,8 @@
     return "report";
   case RunProof::Answer:
     return "answer";
+  case RunProof::Unprovable:
+    return "unprovable";
   case RunProof::Probe:
     break;
   }
--- a/Source/Core/Gateway/ClosedAnswers.h
+++ b/Source/Core/Gateway/ClosedAnswers.h
@@ -37,6 +37,8 @@
   Answer,
   // The answer to a probe.
   Probe,
+  // None: the target has neither an agent nor a health page that could tell.
+  Unprovable,
 };
 std::string_view RunProofName(RunProof proof);
 
--- a/Source/Core/Gateway/GatewayClosedAnswers.cpp
+++ b/Source/Core/Gateway/GatewayClosedAnswers.cpp
@@ -39,6 +39,12 @@
     return;
   tracked->closed_at = now;
   const TargetChoice& choice = tracked->last_attempt->choice;
+  if (!m_targets.HasAgent(choice.id) && HealthPathOf(tracked->service).empty())
+  {
+    m_log.OnEndConfirmed(RunProof::Unprovable, Duration::zero());
+    actions->push_back(EndClosedAnswer{event.number});
+    return;
+  }
   const bool has_agent = m_targets.HasRecentReport(choice.id, now);
   m_closed_answers.Add({event.number, choice.id, choice.address, choice.incarnation, now,
                         now + (has_agent ? REPORT_PATIENCE : ANSWER_PATIENCE),
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -130,6 +130,12 @@
   return target.load && now - target.load_received <= LOAD_LIFETIME;
 }
 
+bool TargetTable::HasAgent(const TargetId& id) const
+{
+  const auto found = m_targets.find(id);
+  return found != m_targets.end() && (found->second.load || found->second.listed.needs_weights);
+}
+
 bool TargetTable::HasRecentReport(const TargetId& id, TimePoint now) const
 {
   const auto found = m_targets.find(id);
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -84,6 +84,8 @@
   // Whether a recent report says that the target is switching to this version, or to a later one,
   // before it starts any other request.
   bool IsSwitchingTo(const TargetId& id, std::uint64_t version, Common::TimePoint now) const;
+  // Whether an agent reports on the target.
+  bool HasAgent(const TargetId& id) const;
   // Whether the target's agent reports at present.
   bool HasRecentReport(const TargetId& id, Common::TimePoint now) const;
   // Whether the target still has this incarnation: after a restart, a target has no state of
--- a/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
@@ -229,3 +229,16 @@
   CHECK(Only<CancelAttempt>(f.actions).empty());
   CHECK(Only<Dispatch>(f.actions).empty());
 }
+
+// Services need not name a health page, and plain targets have no agent.
+TEST_CASE("A sound answer of a target that cannot be probed is not taken for a broken one")
+{
+  Fixture f;
+  f.gateway.OfferDocument(MakeDocument(3), f.now);
+  const RequestNumber number = f.Arrive("/status/");
+  f.actions.clear();
+  f.Feed(AnswerClosed{number});
+  f.Advance(Milliseconds(3100));
+  CHECK(Only<ProbeTarget>(f.actions).empty());
+  CHECK(f.EndOf(number) == AttemptEnd::None);
+}
