Tests: Answers that end while a slow caller has yet to read them

An answer that is aborted while megabytes of it wait in the gateway ends with a reset, in chunks and at HTTP/1.0, and a caller whose connection breaks meanwhile has left.

--- a/Source/UnitTests/Peers/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Peers/CallerConnectionTest.cpp
@@ -178,6 +178,52 @@
   CHECK_FALSE(client.Has("0\r\n\r\n"));
 }
 
+TEST_CASE("An answer that is aborted while a slow caller has yet to read it does not look whole")
+{
+  std::string request = Get("/1");
+  SUBCASE("in chunks") {}
+  SUBCASE("that ends with its connection")
+  {
+    request = "GET /1 HTTP/1.0\r\nHost: x\r\n\r\n";
+  }
+  Fixture f;
+  FakeClient client(f.loop, f.address);
+  client.Send(request);
+  REQUIRE(f.Run([&] { return f.targets.size() == 1; }));
+  client.Connection().PauseReading();
+  f.caller->BeginAnswer(200, "OK", "");
+  const std::string part(1 << 20, 'a');
+  for (int i = 0; i < 32; ++i)
+    f.caller->SendPart(part);
+  REQUIRE(f.caller->UnsentBytes() > 0);
+  f.caller->AbortAnswer();
+  client.Connection().ResumeReading();
+  REQUIRE(f.Run([&] { return client.End().has_value(); }));
+  CHECK(client.End() == Common::ConnectionEnd::Broken);
+  CHECK_FALSE(client.Bytes().ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("A slow caller whose connection breaks while bytes wait has left")
+{
+  Fixture f;
+  FakeClient client(f.loop, f.address);
+  client.Send(Get("/1"));
+  REQUIRE(f.Run([&] { return f.targets.size() == 1; }));
+  client.Connection().PauseReading();
+  f.caller->BeginAnswer(200, "OK", "");
+  const std::string part(1 << 20, 'a');
+  for (int i = 0; i < 32; ++i)
+    f.caller->SendPart(part);
+  REQUIRE(f.caller->UnsentBytes() > 0);
+  client.Connection().Reset();
+  REQUIRE(f.Run([&] { return f.left == 1; }));
+  CHECK(f.closed == 1);
+  // What comes of the answer now goes nowhere.
+  f.caller->SendPart("more");
+  f.caller->EndAnswer();
+  CHECK(f.closed == 1);
+}
+
 TEST_CASE("A connection that is to end ends after the open answer")
 {
   Fixture f;
