Sidecar: A sound load is not repaired because of a restart of the sidecar or a silence of the engine

Found by reading. A sidecar that starts beside loaded weights checks them by the pieces found. The check stayed due through the next push, and behind it the pieces had been written by this process, so the engine would have been made to load again without need; so it would after an engine that did not answer for three reports. The check is for the first report of the process alone now, and ends as the process gives an order itself.

Test: "A sidecar that restarts beside a sound load gives no order for it". It was not run on the code before.

--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -341,6 +341,7 @@
   bool m_has_inherited_load = false;
   // When an order of another process was seen to be accepted; empty if none was.
   std::optional<Common::TimePoint> m_unexplained_load_at;
+  bool m_has_engine_reported = false;
   // The start of the engine that reported last; 0 if none has.
   std::uint64_t m_last_incarnation = 0;
   // The stage is being read to find out whether the engine has loaded correct pieces.
--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -77,7 +77,7 @@
   m_end_reports = MAX_END_REPORTS;
   if (std::exchange(m_last_incarnation, report->incarnation) != report->incarnation)
     m_stage.OnEngineRestarted();
-  const bool is_first = !m_report;
+  const bool is_first = !std::exchange(m_has_engine_reported, true);
   m_report = *report;
   m_known_report_asked_at = m_report_asked_at;
   m_requests_at_report = TotalWork(now).requests;
@@ -338,8 +338,10 @@
   if (!staged)
     return;
   m_loader.Begin(*staged, now);
-  if (m_loader.IsUnderWay())
-    SendLoadReports(now, actions);
+  if (!m_loader.IsUnderWay())
+    return;
+  m_has_inherited_load = false;
+  SendLoadReports(now, actions);
 }
 
 void Sidecar::ContinueLoad(TimePoint now)
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -246,6 +246,22 @@
   CHECK(world.Fault().empty());
 }
 
+// What a sidecar finds at its start must not make it load again what is sound.
+TEST_CASE("A sidecar that restarts beside a sound load gives no order for it")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.NameVersion(2);
+  SecondsUntilLoaded(world, 2);
+  world.Restart(0, Milliseconds(100));
+  world.RunFor(std::chrono::seconds(25));
+  CHECK(world.OrdersOf(0) == 1);
+  world.NameVersion(3);
+  SecondsUntilLoaded(world, 3);
+  world.RunFor(std::chrono::seconds(5));
+  CHECK(world.OrdersOf(0) == 2);
+}
+
 TEST_CASE("Pieces on the stage are not fetched again after a restart")
 {
   SidecarWorld world = MakeWorld();
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -26,6 +26,7 @@
 static constexpr std::size_t WINDOW_BYTES = 16384;
 static constexpr std::uint64_t GATEWAY_LINK_BYTES_PER_SECOND = 125'000'000;
 static constexpr std::size_t HELLO_BYTES = 500;
+static constexpr std::uint32_t LAYERS = 16;
 static constexpr Duration WARM_UP_TIME = Milliseconds(300);
 // For this time before a switch deadline, gateways send no requests to engines with old weights,
 // because such a request might start only after the deadline.
@@ -195,6 +196,7 @@
                 std::chrono::duration_cast<Milliseconds>(WARM_UP_TIME),
                 ORIGIN,
                 m_options.origin_hall};
+  hello.plan.layers = LAYERS;
   hello.clock = Mesh::ClockOf(m_now);
   for (const auto& [version, since] : m_named)
     hello.weights.push_back(
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -87,6 +87,8 @@
 
   Sidecar::Sidecar& SidecarAt(std::size_t node) { return *m_nodes[node].sidecar; }
   std::uint64_t TicksOf(std::size_t node) const { return m_nodes[node].ticks; }
+  // Number of load orders that the engine has accepted.
+  std::uint64_t OrdersOf(std::size_t node) const { return m_nodes[node].orders; }
 
 private:
   struct Node
