--- a/Source/UnitTests/Peers/CutTargetAnswerTest.cpp
+++ b/Source/UnitTests/Peers/CutTargetAnswerTest.cpp
@@ -37,7 +37,7 @@
 {
   bool is_stream = false;
   bool is_head_method = false;
-  std::optional<std::uint64_t> resume_after = std::nullopt;
+  std::optional<ResumePoint> resume = std::nullopt;
 };
 
 class Calls
@@ -56,7 +56,7 @@
     request.request_id = "r1";
     request.is_stream = kind.is_stream;
     request.is_head_method = kind.is_head_method;
-    request.resume_after = kind.resume_after;
+    request.resume = kind.resume;
     request.may_repeat = true;
     m_outcomes.push_back(std::make_unique<Outcome>());
     Outcome& outcome = *m_outcomes.back();
@@ -178,7 +178,7 @@
   // The run that continues another one.
   WholeAnswer resumed = with_chunks;
   resumed.body = "id: 2\ndata: b\n\n";
-  CheckCuts(resumed, {.is_stream = true, .resume_after = 1});
+  CheckCuts(resumed, {.is_stream = true, .resume = ResumePoint{1, true}});
 }
 
 TEST_CASE("No answer of a target without a body is taken for whole that is cut in its head")
