--- a/Source/UnitTests/Process/TargetsProcessTest.cpp
+++ b/Source/UnitTests/Process/TargetsProcessTest.cpp
@@ -112,6 +112,7 @@
   SUBCASE("while answers stream")
   {
     std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+    answers.reserve(4);
     for (int i = 0; i < 4; ++i)
       answers.push_back(hall.Http().Start(hall.Completion("entry-1", 2000)));
     hall.WaitUntil("requests run", [&] { return hall.Status("agent-1")["running"] == 4; });
@@ -160,6 +161,7 @@
   for (int round = 0; round < ROUNDS; ++round)
   {
     std::vector<std::shared_ptr<Result<HttpReply>>> answers;
+    answers.reserve(REQUESTS);
     for (int i = 0; i < REQUESTS; ++i)
       answers.push_back(hall.Http().Start(hall.Completion("entry-1", TOKENS)));
     // Before the first part, between any two, and after the last one.
