--- a/Source/UnitTests/Process/TargetsProcessTest.cpp
+++ b/Source/UnitTests/Process/TargetsProcessTest.cpp
@@ -216,6 +216,8 @@
                    const json row = row_of("agent-1");
                    return row.value("alive", false) && !row.value("ready", true);
                  });
+  // The entry may hear of the one agent's loss some ms before it may use the other one.
+  AskUntilWhole(hall, second);
   for (int i = 0; i < 10; ++i)
   {
     const auto result = hall.Http().Call(hall.Completion("entry-1", 5));
