--- a/Source/UnitTests/Core/Sidecar/StageTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -85,6 +85,16 @@
       return;
   }
 }
+
+// A manager that has found all pieces of version 1 on the stage.
+StageManager FoundStage()
+{
+  StageManager manager;
+  manager.SetVersion("m", 1, PIECES);
+  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
+    manager.OnFound(piece);
+  return manager;
+}
 } // namespace
 
 TEST_CASE("The stage is filled and verified by reading it back")
@@ -118,10 +128,7 @@
 TEST_CASE("Pieces that are already on the stage are not staged again, but verified")
 {
   const Weights weights;
-  StageManager manager;
-  manager.SetVersion("m", 1, PIECES);
-  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
-    manager.OnFound(piece);
+  StageManager manager = FoundStage();
   StageActions actions;
   manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   CHECK(Testing::Only<StagePiece>(actions).empty());
@@ -147,10 +154,7 @@
 TEST_CASE("Answers of calls that were made before the state changed do not count")
 {
   const Weights weights;
-  StageManager manager;
-  manager.SetVersion("m", 1, PIECES);
-  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
-    manager.OnFound(piece);
+  StageManager manager = FoundStage();
   StageActions actions;
   manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   const auto reads = Take<ReadStaged>(actions);
@@ -236,10 +240,7 @@
 TEST_CASE("A reading that brings no content is repeated and writes nothing")
 {
   const Weights weights;
-  StageManager manager;
-  manager.SetVersion("m", 1, PIECES);
-  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
-    manager.OnFound(piece);
+  StageManager manager = FoundStage();
   StageActions actions;
   manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   const ReadStaged read = Take<ReadStaged>(actions).at(0);
@@ -255,10 +256,7 @@
 TEST_CASE("A reading whose answer took long is repeated")
 {
   const Weights weights;
-  StageManager manager;
-  manager.SetVersion("m", 1, PIECES);
-  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
-    manager.OnFound(piece);
+  StageManager manager = FoundStage();
   StageActions actions;
   manager.OnTick(*weights.swarm, StageAccess::ReadAndWrite, START, &actions);
   const ReadStaged read = Take<ReadStaged>(actions).at(0);
@@ -272,10 +270,7 @@
 TEST_CASE("The age of a verification is that of its first reading")
 {
   const Weights weights;
-  StageManager manager;
-  manager.SetVersion("m", 1, PIECES);
-  for (std::uint32_t piece = 0; piece < PIECES; ++piece)
-    manager.OnFound(piece);
+  StageManager manager = FoundStage();
   Common::TimePoint now = START;
   while (!manager.Verified())
   {
