Tests: Connections of EngineClientTest end before their event loop does

A connection that closes gracefully keeps itself until its peer has closed, too, or the linger time is over; the tests' event loop was destroyed before. The tests now wait for the end of the connection. No program ends an event loop with such connections but at its exit.

--- a/Source/UnitTests/Peers/EngineClientTest.cpp
+++ b/Source/UnitTests/Peers/EngineClientTest.cpp
@@ -144,8 +144,10 @@
     RunFor(loop, Milliseconds(1));
     target.Connection(0).Write(second);
   }
-  target.Connection(0).CloseGracefully(Milliseconds(100), nullptr);
-  REQUIRE(RunUntil(loop, [&] { return answer.is_ended; }));
+  // A connection that closes keeps itself until it is over.
+  bool is_over = false;
+  target.Connection(0).CloseGracefully(Milliseconds(100), [&] { is_over = true; });
+  REQUIRE(RunUntil(loop, [&] { return answer.is_ended && is_over; }));
   return answer;
 }
 } // namespace
