Gateway: The end of a target without an agent is known before the list tells of it

What callers saw: engines without agents ended one after the other under requests with one part in their prompts, for longer than the gateways may take to know of it.

Cause: a lost answer becomes evidence when the list tells that its target has ended, 1.5 to 3.6 s later, and a gateway that is killed before has counted none.

Such a target is now probed 15 ms after the loss, as one that closed an answer without length is already: a refused connection or another target at the address is its end. Targets whose agents report are not probed.

The new unit test was not run without the fix, and the fix not with sanitizers.

--- a/Source/Core/Crashes/CrashTracker.cpp
+++ b/Source/Core/Crashes/CrashTracker.cpp
@@ -88,6 +88,16 @@
   CountWhere([&](const Attempt& attempt) { return IsOf(attempt, end); }, now);
 }
 
+void CrashTracker::OnTargetGone(const Gateway::TargetId& target, const Common::Address& address,
+                                TimePoint gone_since, TimePoint now)
+{
+  CountWhere(
+      [&](const Attempt& attempt) {
+        return attempt.target == target && attempt.address == address && attempt.sent <= gone_since;
+      },
+      now);
+}
+
 void CrashTracker::OnEngineRuns(const EngineEnd& engine, TimePoint now)
 {
   // Another start of the engine may have the same address.
--- a/Source/Core/Crashes/CrashTracker.h
+++ b/Source/Core/Crashes/CrashTracker.h
@@ -14,7 +14,7 @@
 // Decides which attempts of a gateway's requests are evidence of a crash, and which are evidence
 // against one. A lost answer alone is none: connections are reset, answers break off and paths are
 // cut while the engine runs on. It becomes evidence when the engine is known to have ended, by its
-// agent or by the target list.
+// agent, by the target list, or by a probe that does not find it at its address any more.
 namespace Holdpost::Crashes
 {
 // An engine has ended without notice, as the agent beside it reports.
@@ -57,6 +57,9 @@
   void OnAnswered(const RequestCauses& causes, Common::TimePoint answered_at,
                   Common::TimePoint now);
   void OnEngineEnd(const EngineEnd& end, Common::TimePoint now);
+  // The target was not at its address any more at the time or later.
+  void OnTargetGone(const Gateway::TargetId& target, const Common::Address& address,
+                    Common::TimePoint gone_since, Common::TimePoint now);
   // The agent beside an engine reports that this incarnation of it runs.
   void OnEngineRuns(const EngineEnd& engine, Common::TimePoint now);
   // The number of gateways that send to the same targets has changed.
--- a/Source/Core/Gateway/ClosedAnswers.cpp
+++ b/Source/Core/Gateway/ClosedAnswers.cpp
@@ -2,6 +2,7 @@
 #include "Core/Gateway/ClosedAnswers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Holdpost::Gateway
 {
@@ -113,31 +114,53 @@
   return TakeWhere([now](const ClosedAnswer& answer) { return now >= answer.expires; });
 }
 
-std::optional<TimePoint> ClosedAnswers::ProbeDue(const ClosedAnswer& answer) const
+void ClosedAnswers::AddLost(ProbeTarget target, TimePoint probe_from, TimePoint expires)
 {
-  if (answer.health_path.empty())
-    return std::nullopt;
-  const auto probe = m_probes.find(answer.target);
+  const TargetId id = target.target;
+  m_lost[id] = {std::move(target), probe_from, expires};
+}
+
+void ClosedAnswers::ForgetLost(const TargetId& target, TimePoint sent_at)
+{
+  const auto found = m_lost.find(target);
+  if (found != m_lost.end() && found->second.probe_from <= sent_at)
+    m_lost.erase(found);
+}
+
+std::optional<TimePoint> ClosedAnswers::ProbeDue(const TargetId& target, TimePoint probe_from) const
+{
+  const auto probe = m_probes.find(target);
   if (probe == m_probes.end())
-    return answer.probe_from;
+    return probe_from;
   if (probe->second.sent_at)
     return std::nullopt;
-  return std::max(answer.probe_from, probe->second.next);
+  return std::max(probe_from, probe->second.next);
+}
+
+std::optional<TimePoint> ClosedAnswers::ProbeDue(const ClosedAnswer& answer) const
+{
+  if (answer.health_path.empty())
+    return std::nullopt;
+  return ProbeDue(answer.target, answer.probe_from);
 }
 
 std::vector<ProbeTarget> ClosedAnswers::TakeDueProbes(TimePoint now)
 {
   std::erase_if(m_probes, [now](const auto& entry)
                 { return !entry.second.sent_at && entry.second.next <= now; });
+  std::erase_if(m_lost, [now](const auto& entry) { return now >= entry.second.expires; });
   std::vector<ProbeTarget> probes;
-  for (const auto& [number, answer] : m_answers)
+  const auto take = [&](const std::optional<TimePoint>& due, const ProbeTarget& target)
   {
-    const auto due = ProbeDue(answer);
     if (!due || *due > now)
-      continue;
-    m_probes[answer.target].sent_at = now;
-    probes.push_back({answer.target, answer.address, answer.health_path});
-  }
+      return;
+    m_probes[target.target].sent_at = now;
+    probes.push_back(target);
+  };
+  for (const auto& [number, answer] : m_answers)
+    take(ProbeDue(answer), {answer.target, answer.address, answer.health_path});
+  for (const auto& [id, lost] : m_lost)
+    take(ProbeDue(id, lost.probe_from), lost.target);
   return probes;
 }
 
@@ -160,6 +183,11 @@
     if (const auto due = ProbeDue(answer))
       take(*due);
   }
+  for (const auto& [id, lost] : m_lost)
+  {
+    if (const auto due = ProbeDue(id, lost.probe_from))
+      take(*due);
+  }
   return next;
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/ClosedAnswers.h
+++ b/Source/Core/Gateway/ClosedAnswers.h
@@ -11,7 +11,8 @@
 // Answers with neither a length nor chunks whose connections have closed. The kernel closes the
 // sockets of a process that is killed in the same way, so such an answer counts as whole only once
 // it is known that the same incarnation of the target still ran after the close. One proof serves
-// all answers that closed before it.
+// all answers that closed before it. The same probes tell whether a target that lost an answer has
+// ended.
 namespace Holdpost::Gateway
 {
 struct ClosedAnswer
@@ -47,7 +48,12 @@
 public:
   void Add(ClosedAnswer answer);
   void Forget(RequestNumber number) { m_answers.erase(number); }
-  bool IsEmpty() const { return m_answers.empty(); }
+  bool IsEmpty() const { return m_answers.empty() && m_lost.empty(); }
+  // A target without an agent has lost an answer. It is probed from `probe_from` on, until a probe
+  // tells whether it has ended, or until `expires`.
+  void AddLost(ProbeTarget target, Common::TimePoint probe_from, Common::TimePoint expires);
+  // A probe that was sent at the time has told whether the target has ended.
+  void ForgetLost(const TargetId& target, Common::TimePoint sent_at);
 
   // The target ran at the time or later; returns the answers that this proves.
   std::vector<ClosedAnswer> TakeProved(const TargetId& target, std::uint64_t incarnation,
@@ -78,11 +84,22 @@
     Common::TimePoint next{};
   };
 
+  struct LostTarget
+  {
+    ProbeTarget target;
+    Common::TimePoint probe_from{};
+    Common::TimePoint expires{};
+  };
+
   template <typename Condition>
   std::vector<ClosedAnswer> TakeWhere(const Condition& condition);
+  // When a target that waits for a probe from a time on may be probed; empty while a probe is open.
+  std::optional<Common::TimePoint> ProbeDue(const TargetId& target,
+                                            Common::TimePoint probe_from) const;
   std::optional<Common::TimePoint> ProbeDue(const ClosedAnswer& answer) const;
 
   std::map<RequestNumber, ClosedAnswer> m_answers;
+  std::map<TargetId, LostTarget> m_lost;
   std::map<TargetId, Probe> m_probes;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -229,6 +229,8 @@
   // The target of the request has answered it.
   void OnClosedTargetAnswered(const Tracked& tracked, Common::TimePoint now, Actions* actions);
   void ProbeClosed(Common::TimePoint now, Actions* actions);
+  // Finds out whether the target of a lost attempt has ended, if no agent tells.
+  void ProbeLost(const Tracked& tracked, Common::TimePoint now);
   // Gives up the closed answers that were not proved in time, and sends the probes that are due.
   void ReviewClosed(Common::TimePoint now, Actions* actions);
   // Takes a retry from the allowance of the request's service; returns whether it permits one.
--- a/Source/Core/Gateway/GatewayClosedAnswers.cpp
+++ b/Source/Core/Gateway/GatewayClosedAnswers.cpp
@@ -20,6 +20,9 @@
 static constexpr Duration MAX_STREAM_WAIT = Milliseconds(1000);
 // The same for other answers. A full target answers probes and requests as late as it begins them.
 static constexpr Duration MAX_ANSWER_WAIT = Milliseconds(3000);
+// How long a target that lost an answer is probed. The listening socket of one that ends may be
+// closed after its connections.
+static constexpr Duration LOST_PATIENCE = Milliseconds(500);
 
 const std::string& Gateway::HealthPathOf(const std::string& service) const
 {
@@ -62,6 +65,16 @@
   }
 }
 
+void Gateway::ProbeLost(const Tracked& tracked, TimePoint now)
+{
+  const TargetChoice& choice = tracked.last_attempt->choice;
+  const std::string& path = HealthPathOf(tracked.service);
+  if (path.empty() || m_targets.HasRecentReport(choice.id, now))
+    return;
+  m_closed_answers.AddLost({choice.id, choice.address, path}, now + ANSWER_PATIENCE,
+                           now + LOST_PATIENCE);
+}
+
 void Gateway::ConfirmClosed(const std::vector<ClosedAnswer>& answers, RunProof proof, TimePoint now,
                             Actions* actions)
 {
@@ -92,6 +105,8 @@
   const auto sent_at = m_closed_answers.OnProbeEnded(event.target, now);
   if (!sent_at)
     return;
+  if (event.outcome != ProbeOutcome::Unknown)
+    m_closed_answers.ForgetLost(event.target, *sent_at);
   switch (event.outcome)
   {
   case ProbeOutcome::Runs:
@@ -101,6 +116,8 @@
   case ProbeOutcome::Ended:
     RefuteClosed(m_closed_answers.TakeEnded(event.address, event.target, 0),
                  AttemptEnd::TargetEnded, now, actions);
+    m_crashes.OnTargetGone(event.target, event.address, *sent_at, now);
+    StopBlockedRequests(now, actions);
     break;
   case ProbeOutcome::Unknown:
     break;
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -55,7 +55,10 @@
   const TargetChoice& choice = tracked.last_attempt->choice;
   if (!m_targets.MayHaveCrashed(choice.id))
     return;
-  m_crashes.OnLost(AttemptOf(tracked), m_targets.HasEnded(choice.id, choice.incarnation), now);
+  const bool has_ended = m_targets.HasEnded(choice.id, choice.incarnation);
+  m_crashes.OnLost(AttemptOf(tracked), has_ended, now);
+  if (!has_ended)
+    ProbeLost(tracked, now);
 }
 
 void Gateway::OnAnswerWhole(const Tracked& tracked, bool ends_with_connection, TimePoint now)
--- a/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
@@ -50,6 +50,12 @@
     Feed(AnswerClosed{number});
     return number;
   }
+  // The number of targets that ended under the requests, which all have the same content.
+  std::size_t Crashes()
+  {
+    const auto all = gateway.CrashLedger().All(now);
+    return all.empty() ? 0 : all[0].crashes.size();
+  }
   std::optional<AttemptEnd> EndOf(RequestNumber number)
   {
     for (const EndClosedAnswer& end : Only<EndClosedAnswer>(actions))
@@ -219,6 +225,65 @@
   }
 }
 
+// Only the list told of such ends, and a gateway that was killed before had counted none.
+TEST_CASE("The end of a target without an agent is counted before the list tells of it")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/status/");
+  const auto sent = Take<Dispatch>(f.actions);
+  REQUIRE(sent.size() == 1);
+  f.now += Milliseconds(5);
+  f.Feed(AttemptFailed{number, AttemptFailure::Lost, {}, AttemptEnd::ClosedEarly});
+  REQUIRE(f.Crashes() == 0);
+  f.Advance(Milliseconds(20));
+  const auto probes = Take<ProbeTarget>(f.actions);
+  REQUIRE(probes.size() == 1);
+  CHECK(probes[0].target == sent[0].target);
+  CHECK(probes[0].path == "/health");
+  const auto end_probe = [&](ProbeOutcome outcome) {
+    f.Feed(ProbeEnded{probes[0].target, probes[0].address, outcome});
+  };
+
+  SUBCASE("if a probe does not find it")
+  {
+    end_probe(ProbeOutcome::Ended);
+    CHECK(f.Crashes() == 1);
+    f.Advance(Milliseconds(400));
+    CHECK(Only<ProbeTarget>(f.actions).empty());
+  }
+  SUBCASE("but not if it answers the probe")
+  {
+    end_probe(ProbeOutcome::Runs);
+    f.Advance(Milliseconds(400));
+    CHECK(f.Crashes() == 0);
+    CHECK(Only<ProbeTarget>(f.actions).empty());
+  }
+  SUBCASE("if a later probe does not find it")
+  {
+    end_probe(ProbeOutcome::Unknown);
+    CHECK(Only<ProbeTarget>(f.actions).empty());
+    f.Advance(Milliseconds(60));
+    CHECK(Only<ProbeTarget>(f.actions).size() == 1);
+    end_probe(ProbeOutcome::Ended);
+    CHECK(f.Crashes() == 1);
+  }
+  SUBCASE("but is not waited for without end")
+  {
+    end_probe(ProbeOutcome::Unknown);
+    f.Advance(Milliseconds(600));
+    CHECK(Only<ProbeTarget>(f.actions).empty());
+  }
+}
+
+TEST_CASE("A target whose agent reports is not probed when it loses an answer")
+{
+  Fixture f;
+  const RequestNumber number = f.Arrive("/chat/");
+  f.Feed(AttemptFailed{number, AttemptFailure::Lost, {}, AttemptEnd::ClosedEarly});
+  f.Advance(Milliseconds(100));
+  CHECK(Only<ProbeTarget>(f.actions).empty());
+}
+
 TEST_CASE("A request whose answer has closed is not moved to another target")
 {
   Fixture f;
