Gateway: A target that was taken for replaced is used again once its agent shows that it runs

Callers saw: a sound engine gets nothing more from a gateway, for good.

Cause: an engine that does not hold its layers answers 421, which is also how another target at an address says that it is not the expected one. The gateway took every 421 for the second, marked the target as replaced, and only another incarnation lifts that. Gateways send to such an engine if its agent has just started and does not know the plan, or has been silent for 2 s and the list names weights.

Now a report that names the target and its incarnation, from an answer of the engine that was asked for after the 421, lifts the mark. A report of the target that really replaced it names another id. Events logged: target.not_replaced.

Test: "A target that was taken for replaced is used again once its agent shows that it runs".

--- a/Source/Core/Gateway/TargetListing.cpp
+++ b/Source/Core/Gateway/TargetListing.cpp
@@ -185,6 +185,7 @@
   if (found == m_targets.end())
     return;
   found->second.is_replaced = true;
+  found->second.replaced_at = now;
   LogEvent(Weight::Important, now, "target.replaced", "target", id, "at",
            found->second.listed.address.ToString());
 }
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -5,11 +5,15 @@
 #include <cmath>
 #include <utility>
 
+#include "Common/EventLog.h"
+
 namespace Holdpost::Gateway
 {
 using Common::Duration;
+using Common::LogEvent;
 using Common::Milliseconds;
 using Common::TimePoint;
+using Common::Weight;
 using Settings::EngineProfile;
 
 // The divisor of an answer's lateness: each answer changes the target's lag by this fraction of it.
@@ -83,11 +87,23 @@
   return all;
 }
 
+bool TargetTable::IsShownToRun(const Target& target, const TargetLoad& load)
+{
+  return target.is_replaced && target.listed.address == load.address && load.incarnation > 0 &&
+         load.incarnation == target.listed.incarnation && load.ran_at &&
+         *load.ran_at >= target.replaced_at;
+}
+
 void TargetTable::OnLoadReport(const TargetLoad& load, TimePoint now)
 {
   m_last_report = now;
   AddReported(load, now);
   const auto named = m_targets.find(load.id);
+  if (named != m_targets.end() && IsShownToRun(named->second, load))
+  {
+    LogEvent(Weight::Important, now, "target.not_replaced", "target", load.id);
+    named->second.is_replaced = false;
+  }
   const bool names_listed = named != m_targets.end() && named->second.IsListed();
   for (auto& [id, target] : m_targets)
   {
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -175,8 +175,10 @@
     // targets.
     Common::Duration tie_break{};
     // Another target has the address of this target. The record of this target may stay on the list
-    // for a while; the target becomes available again only with a new incarnation.
+    // for a while; the target becomes available again with a new incarnation, or if its agent says
+    // that it still runs.
     bool is_replaced = false;
+    Common::TimePoint replaced_at{};
     std::uint32_t local_requests = 0;
     double unread_prompt_tokens = 0;
     // Prompt tokens of the requests that this gateway sent after the last load report.
@@ -228,6 +230,8 @@
   {
     return m_services.empty() || m_services.contains(service);
   }
+  // Whether the report shows that the target, which was taken for replaced, has run since.
+  static bool IsShownToRun(const Target& target, const TargetLoad& load);
   void UpdateSubset();
   // Adds a target that its agent reports before the platform lists it.
   void AddReported(const TargetLoad& load, Common::TimePoint now);
--- a/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ReportedTargetsTest.cpp
@@ -80,6 +80,46 @@
   CHECK(f.Choose()->id == "next");
 }
 
+// An engine that lacks layers answers with the status by which another target at the address says
+// who it is not; it was never used again.
+TEST_CASE("A target that was taken for replaced is used again once its agent shows that it runs")
+{
+  Fixture f;
+  f.one.incarnation = 7;
+  f.table.SetList({f.one, f.two}, f.now);
+  f.table.OnReplaced("1", f.now);
+  TargetLoad load = MakeLoad(f.one, 0);
+  load.id = "1";
+  load.incarnation = 7;
+  const Common::TimePoint replaced_at = f.now;
+  f.now += Milliseconds(200);
+  f.table.OnLoadReport(MakeLoad(f.two, 16), f.now);
+  SUBCASE("by a report of what it answered since")
+  {
+    load.ran_at = replaced_at + Milliseconds(100);
+    f.table.OnLoadReport(load, f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("not by a report of what it answered before")
+  {
+    load.ran_at = replaced_at - Milliseconds(1);
+    f.table.OnLoadReport(load, f.now);
+    CHECK(f.Choose()->id == "2");
+  }
+  SUBCASE("not by a report of an age that is not known")
+  {
+    f.table.OnLoadReport(load, f.now);
+    CHECK(f.Choose()->id == "2");
+  }
+  SUBCASE("not by a report of another target at its address")
+  {
+    load.id = "next";
+    load.ran_at = f.now;
+    f.table.OnLoadReport(load, f.now);
+    CHECK(f.Choose()->id == "next");
+  }
+}
+
 // After a start of all machines, the target list contains records of engines that have ended.
 TEST_CASE(
     "A listed target of which nothing is reported, though others are, gets nothing for a while")
