Gateway: A target whose agent fell silent within a switch is used only if no other serves

Callers saw: answers made with bad weights.

Cause: reports count for 2 s, so after that the gateway forgot that the target's last word was that it switches, and went by the list, which named the weights as soon as the engine had loaded them.

Now such a target is left out for 10 s after that report, as long as an agent reports another target of the service that serves.

Test: "A target whose agent fell silent within a switch is used only if no other serves".

--- a/Source/Core/Gateway/TargetAvailability.cpp
+++ b/Source/Core/Gateway/TargetAvailability.cpp
@@ -31,6 +31,10 @@
 // not be sent to it.
 static constexpr Duration SILENT_AFTER = Milliseconds(800);
 static constexpr Duration SILENT_AVOID_TIME = Milliseconds(2000);
+// For this time, a target whose agent fell silent within a switch is used only if no agent reports
+// a target that serves: the agent may have had to find out whether the target loaded correct
+// weights.
+static constexpr Duration MAX_SWITCH_SILENCE = Milliseconds(10000);
 // The time for which an answer shows that a target without reports runs.
 static constexpr Duration PROOF_LIFETIME = Milliseconds(2000);
 
@@ -58,6 +62,24 @@
   return target.load && now - target.load_received > SILENT_AFTER;
 }
 
+bool TargetTable::IsSwitchUnconfirmed(const Target& target, TimePoint now) const
+{
+  return target.load && target.load->is_switching && !HasValidLoad(target, now) &&
+         now - target.load_received <= MAX_SWITCH_SILENCE;
+}
+
+bool TargetTable::IsAnyReportedToServe(const std::string& service, TimePoint now) const
+{
+  return std::ranges::any_of(m_targets,
+                             [&](const auto& entry)
+                             {
+                               const Target& target = entry.second;
+                               return target.listed.service == service && target.IsListed() &&
+                                      !IsLeaving(target) && HasValidLoad(target, now) &&
+                                      !target.load->is_switching && WeightsOf(target) > 0;
+                             });
+}
+
 bool TargetTable::IsLeaving(const Target& target) const
 {
   return target.listed.state != TargetState::Ready ||
@@ -74,6 +96,8 @@
     return Availability::Avoided;
   if (HasValidLoad(target, now) && target.load->is_switching)
     return Availability::Switching;
+  if (IsSwitchUnconfirmed(target, now) && IsAnyReportedToServe(target.listed.service, now))
+    return Availability::Switching;
   // Without proof that the target runs, one request at a time tries it.
   if (IsUnreported(target, now) || (LacksProof(target, now) && !target.expected_starts.empty()))
     return Availability::Unreported;
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -287,6 +287,11 @@
                     Common::TimePoint now, Candidates* candidates) const;
   bool IsOpenFor(const TargetId& id, const Target& target, const TargetQuery& query,
                  Common::TimePoint now) const;
+  // Whether the agent's last word of the target is that it switches, and nothing tells how the
+  // switch has ended.
+  bool IsSwitchUnconfirmed(const Target& target, Common::TimePoint now) const;
+  // Whether an agent reports that a target of the service serves.
+  bool IsAnyReportedToServe(const std::string& service, Common::TimePoint now) const;
   // Whether a plain service's target that is avoided after failures may be used because there is no
   // other target.
   bool IsLastResortFor(const TargetId& id, const Target& target, const TargetQuery& query,
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -177,3 +177,47 @@
     CHECK(f.Choose()->id == "1");
   }
 }
+
+// It may have loaded bad weights, of which only its agent can tell.
+TEST_CASE("A target whose agent fell silent within a switch is used only if no other serves")
+{
+  Fixture f;
+  TargetLoad load = MakeLoad(f.one, 0);
+  load.is_switching = true;
+  f.table.OnLoadReport(load, f.now);
+  const auto report_full = [&](Milliseconds later)
+  {
+    f.now += later;
+    f.table.OnLoadReport(MakeLoad(f.two, 60), f.now);
+  };
+  SUBCASE("for some seconds, though the other one is full")
+  {
+    report_full(Milliseconds(2500));
+    CHECK(f.Choose()->id == "2");
+    report_full(Milliseconds(7000));
+    CHECK(f.Choose()->id == "2");
+    report_full(Milliseconds(1000));
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("the other one falls silent, too")
+  {
+    report_full(Milliseconds(500));
+    f.now += Milliseconds(2500);
+    CHECK(f.Choose({"llm", 1000, 100, {"2"}, {}})->id == "1");
+  }
+  SUBCASE("the other one switches, too")
+  {
+    f.now += Milliseconds(2500);
+    TargetLoad other = MakeLoad(f.two, 0);
+    other.is_switching = true;
+    f.table.OnLoadReport(other, f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("until its agent reports the end of the switch")
+  {
+    report_full(Milliseconds(2500));
+    load.is_switching = false;
+    f.table.OnLoadReport(load, f.now);
+    CHECK(f.Choose()->id == "1");
+  }
+}
