Sidecar: An engine gives up layers of a bad load before its stage is made correct

Callers saw: answers made with bad weights, until the next version.

Cause: a repair began with the stage and ordered once the whole stage had been read again. The next process of the sidecar checks a load that it has not ordered by the stage, finds all pieces correct, and takes the load for sound. Pieces were also written to the stage while such a check waited for the pieces of a repair.

The first order of a repair takes nothing from the stage: the engine keeps half of its layers and gives up the others. So it needs no verified stage, leaves at once, and the stage stays as it is until the engine has taken it. From then on the engine itself shows that it is being repaired, to whichever process follows, and can make no token: it lacks layers. It is given again each 0.5 s if it is refused, and not to an engine that does not answer.

Changed with it: StageTest expected that the stage may be written right after a load was found bad, which is the fault; it now expects that it may not before the first order, and may afterwards. The engine of SidecarWorld took all layers whatever the order named; it now takes those that the order names and that it does not hold, as the engines' protocol says, and checks each piece of them as before.

--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -229,6 +229,9 @@
   if (access == StageAccess::ReadAndWrite && !TickFoundPieces(actions))
     return;
   CheckInheritedLoad(now);
+  // Only the stage shows that the engine's layers may be bad, until it is ordered to give them up.
+  if (m_has_inherited_load && LoadedVersion() == m_wanted && !m_loader.IsUnderWay())
+    return;
   StageActions new_actions;
   m_stage.OnTick(*WantedSwarm(), access, now, &new_actions);
   for (StageAction& action : new_actions)
@@ -301,7 +304,8 @@
   if (const auto order = m_loader.OnTick(now))
   {
     m_metrics.Add("holdpost_orders_total");
-    m_metrics.Record("holdpost_order_verified_seconds", now - m_loader.Verified().began);
+    if (m_loader.TakesPieces())
+      m_metrics.Record("holdpost_order_verified_seconds", now - m_loader.Verified().began);
     actions->push_back(*order);
   }
 }
--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -20,6 +20,8 @@
 // the verification has to be looked at again.
 static constexpr Milliseconds MAX_ANNOUNCEMENT_TIME = Milliseconds(500);
 static constexpr Milliseconds ORDER_RETRY_DELAY = Milliseconds(150);
+// The same delay for an order that needs no verified stage.
+static constexpr Milliseconds GIVE_UP_RETRY_DELAY = Milliseconds(500);
 // A piece may have turned bad this time before the engine loads it. So the oldest reading may be
 // this old when the engine accepts the order.
 static constexpr Milliseconds MAX_VERIFICATION_AGE = Milliseconds(3000);
@@ -87,8 +89,22 @@
 
 bool WeightsLoader::AwaitsStage(TimePoint now) const
 {
-  const bool is_waiting = m_state == LoaderState::Unsettled || m_state == LoaderState::Repairing;
-  return is_waiting && !m_is_order_due && now >= m_not_before;
+  return IsNextOrderPending() && !OnlyGivesUpLayers() && !m_is_order_due && now >= m_not_before;
+}
+
+bool WeightsLoader::OnlyGivesUpLayers() const
+{
+  const bool is_first =
+      !m_repair_orders.empty() && m_repair_orders.size() == RepairOrders(m_staged.layers).size();
+  return IsNextOrderPending() && is_first && m_report.weights_version == m_staged.version &&
+         !HoldsPart(m_report, m_staged.layers);
+}
+
+bool WeightsLoader::TakeDueOrder(TimePoint now)
+{
+  if (OnlyGivesUpLayers())
+    return m_is_reachable && !m_report.is_busy && now >= m_not_before;
+  return std::exchange(m_is_order_due, false);
 }
 
 bool WeightsLoader::AwaitsConfirmation() const
@@ -105,7 +121,8 @@
   case LoaderState::Idle:
   case LoaderState::Unsettled:
   case LoaderState::Repairing:
-    return StageAccess::ReadAndWrite;
+    // As long as the engine holds all layers, only the stage shows that they may be bad.
+    return OnlyGivesUpLayers() ? StageAccess::None : StageAccess::ReadAndWrite;
   case LoaderState::Announced:
   case LoaderState::Ordered:
     return StageAccess::None;
@@ -135,17 +152,18 @@
     SetState(LoaderState::Idle, now);
     return std::nullopt;
   }
-  if (!was_announced && !std::exchange(m_is_order_due, false))
+  const bool takes_pieces = !OnlyGivesUpLayers();
+  if (!was_announced && !TakeDueOrder(now))
     return std::nullopt;
-  m_order = {++m_last_ticket, m_orders_seen, DueLayers()};
+  m_order = {++m_last_ticket, m_orders_seen, DueLayers(), takes_pieces};
   m_unanswered_at.reset();
-  if (!m_oldest_order)
+  if (!m_oldest_order && takes_pieces)
     m_oldest_order = m_staged;
   SetState(LoaderState::Ordered, now);
   LogEvent(Weight::Important, now, "switch.ordered", "version", m_staged.version, "verified_ms",
            now - m_staged.verified.began, "orders", m_orders_seen, "first_layer",
            m_order.layers ? m_order.layers->first : 0, "end_layer",
-           m_order.layers ? m_order.layers->end : m_staged.layers);
+           m_order.layers ? m_order.layers->end : m_staged.layers, "takes_pieces", takes_pieces);
   // The engine's order count is also used as the fencing token. It never decreases during one
   // incarnation, and a new incarnation forgets the tokens.
   return LoadStagedWeights{m_order.ticket,          m_staged.model, m_staged.version,
@@ -173,7 +191,7 @@
     m_has_unanswered_orders = true;
     return;
   }
-  m_not_before = now + ORDER_RETRY_DELAY;
+  m_not_before = now + (m_order.takes_pieces ? ORDER_RETRY_DELAY : GIVE_UP_RETRY_DELAY);
   if (m_has_unanswered_orders && now - m_began < MAX_UNSETTLED_TIME)
     return SetState(LoaderState::Unsettled, now);
   m_has_unanswered_orders = false;
@@ -193,10 +211,11 @@
 void WeightsLoader::OnAccepted(Acceptance acceptance, TimePoint now)
 {
   const bool is_last = acceptance == Acceptance::OfLastOrder;
-  const StagedVersion& basis = is_last ? m_staged : *m_oldest_order;
+  const StagedVersion& basis = is_last || !m_oldest_order ? m_staged : *m_oldest_order;
   const Duration age = now - basis.verified.began;
   const bool is_confirmed =
-      age < MAX_VERIFICATION_AGE && !m_is_already_held && !m_staged.may_be_overwritten;
+      !m_order.takes_pieces ||
+      (age < MAX_VERIFICATION_AGE && !m_is_already_held && !m_staged.may_be_overwritten);
   LogEvent(Weight::Important, now, "switch.accepted", "version", m_staged.version, "verified_ms",
            age, "answered_ms", now - m_since, "last_order", is_last, "in_time", is_confirmed);
   if (!is_confirmed)
@@ -232,6 +251,7 @@
   NoteUnexplainedLoad(report, now);
   m_incarnation = report.incarnation;
   m_report = report;
+  m_is_reachable = true;
   const bool is_order_open = m_state == LoaderState::Ordered || m_state == LoaderState::Unsettled;
   if (is_order_open && ShowsAcceptance(report))
     OnAccepted(Acceptance::OfUnknownOrder, now);
@@ -277,7 +297,7 @@
   // The order was accepted by the new start, on whose stage nothing has been read.
   LogEvent(Weight::Important, now, "switch.accepted", "version", m_staged.version, "verified_ms",
            now - m_staged.verified.began, "last_order", false, "in_time", false);
-  m_order = {m_order.ticket, 0, {}};
+  m_order = {m_order.ticket, 0, {}, true};
   m_stage_writes_at_load = stage_writes;
   SetState(LoaderState::Loading, now);
 }
@@ -362,6 +382,8 @@
 {
   LogEvent(Weight::Important, now, "load.unrepaired", "version", m_staged.version);
   ForgetOrders();
+  // Nothing but another version is loaded next.
+  m_not_before = std::min(m_not_before, now + ORDER_RETRY_DELAY);
   m_is_unsound = true;
   SetState(LoaderState::Idle, now);
 }
@@ -389,6 +411,7 @@
 
 void WeightsLoader::OnEngineUnreachable()
 {
+  m_is_reachable = false;
   if (m_state == LoaderState::Announced)
     m_state = LoaderState::Idle;
 }
--- a/Source/Core/Sidecar/WeightsLoader.h
+++ b/Source/Core/Sidecar/WeightsLoader.h
@@ -87,6 +87,8 @@
 
   LoaderState State() const { return m_state; }
   bool IsUnderWay() const { return m_state != LoaderState::Idle; }
+  // Whether the order that was sent last takes layers from the stage.
+  bool TakesPieces() const { return m_order.takes_pieces; }
   // Whether the next order needs a verified stage.
   bool AwaitsStage(Common::TimePoint now) const;
   // Whether the stage is to be read again to confirm the load.
@@ -112,6 +114,8 @@
     CallTicket ticket = 0;
     std::uint64_t expected_orders = 0;
     std::optional<LayerRange> layers;
+    // The engine takes layers from its stage.
+    bool takes_pieces = true;
   };
 
   // Which of the orders that were sent the engine has accepted.
@@ -137,6 +141,16 @@
   void Finish(Common::TimePoint now);
   void BeginRepair(Common::TimePoint now);
   void GiveUpRepair(Common::TimePoint now);
+  // Whether a load or a repair waits for its next order.
+  bool IsNextOrderPending() const
+  {
+    return m_state == LoaderState::Unsettled || m_state == LoaderState::Repairing;
+  }
+  // Whether the next order is the first one of a repair of layers that the engine holds: it gives
+  // up some of them and takes nothing from the stage.
+  bool OnlyGivesUpLayers() const;
+  // Whether an order that was not announced is due now. Returns true once for each order.
+  bool TakeDueOrder(Common::TimePoint now);
   // Forgets all orders and what is to be done about them.
   void ForgetOrders();
   // The layers of the order that is due; empty for all.
@@ -149,6 +163,7 @@
   std::uint64_t m_incarnation = 0;
   bool m_has_report = false;
   EngineReport m_report;
+  bool m_is_reachable = false;
   std::uint64_t m_orders_seen = 0;
   Order m_order;
   CallTicket m_last_ticket = 0;
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -54,6 +54,7 @@
       node.uplink = MakeLink();
       node.downlink = MakeLink();
       node.loaded = 1;
+      node.held = {0, LAYERS};
       for (std::uint32_t piece = 0; piece < options.pieces; ++piece)
         node.stage[piece] = PieceOf(1, piece);
       m_by_address[node.address] = m_nodes.size();
@@ -244,7 +245,7 @@
         return node.loaded < named.first &&
                m_now >= named.second + m_options.switch_within - DEADLINE_MARGIN;
       });
-  return !node.is_busy && node.loaded > 0 && !is_too_old;
+  return !node.is_busy && HoldsAllLayers(node) && !is_too_old;
 }
 
 void SidecarWorld::SampleService()
@@ -270,6 +271,8 @@
              Sidecar::EngineReport report;
              report.model = MODEL;
              report.weights_version = self.is_busy ? 0 : self.loaded;
+             if (self.loaded > 0)
+               report.layers = {{self.held, self.loaded}};
              report.is_busy = self.is_busy;
              report.orders = self.orders;
              const bool have_requests_ended = m_now - self.last_accepted >= m_options.run_time;
@@ -315,23 +318,43 @@
            });
 }
 
+bool SidecarWorld::HoldsAllLayers(const Node& node)
+{
+  return node.loaded > 0 && node.held == Sidecar::LayerRange{0, LAYERS};
+}
+
+void SidecarWorld::TakeLayer(std::size_t node, std::uint64_t version, std::uint32_t layer)
+{
+  const auto& stage = m_nodes[node].stage;
+  const std::uint32_t end = ((layer + 1) * m_options.pieces + LAYERS - 1) / LAYERS;
+  for (std::uint32_t piece = layer * m_options.pieces / LAYERS; piece < end; ++piece)
+  {
+    const auto found = stage.find(piece);
+    if (found == stage.end() || *found->second != *PieceOf(version, piece))
+      m_fault = fmt::format("node {} took version {} with a wrong piece {}", node, version, piece);
+  }
+}
+
 void SidecarWorld::Execute(std::size_t node, const Sidecar::LoadStagedWeights& start)
 {
   Node& self = m_nodes[node];
-  for (std::uint32_t piece = 0; piece < m_options.pieces; ++piece)
+  const Sidecar::LayerRange ordered = start.layers.value_or(Sidecar::LayerRange{0, LAYERS});
+  for (std::uint32_t layer = ordered.first; layer < ordered.end; ++layer)
   {
-    const auto found = self.stage.find(piece);
-    if (found == self.stage.end() || *found->second != *PieceOf(start.version, piece))
-      m_fault =
-          fmt::format("node {} took version {} with a wrong piece {}", node, start.version, piece);
+    // An engine takes only layers that it does not hold.
+    const bool is_held =
+        self.loaded == start.version && layer >= self.held.first && layer < self.held.end;
+    if (!is_held)
+      TakeLayer(node, start.version, layer);
   }
   self.is_busy = true;
   ++self.orders;
   Schedule(std::max(m_now, self.last_accepted + m_options.run_time) + WARM_UP_TIME,
-           [this, node, version = start.version]
+           [this, node, version = start.version, ordered]
            {
              m_nodes[node].is_busy = false;
              m_nodes[node].loaded = version;
+             m_nodes[node].held = ordered;
            });
   Schedule(m_now + LOCAL_CALL_TIME,
            [this, node, ticket = start.ticket, incarnation = self.incarnation]
@@ -452,7 +475,7 @@
 
 bool SidecarWorld::HasLoaded(std::size_t node, std::uint64_t version) const
 {
-  return !m_nodes[node].is_busy && m_nodes[node].loaded >= version;
+  return !m_nodes[node].is_busy && HoldsAllLayers(m_nodes[node]) && m_nodes[node].loaded >= version;
 }
 
 bool SidecarWorld::HaveAllLoaded(std::uint64_t version,
@@ -470,7 +493,7 @@
 std::size_t SidecarWorld::ServingEngines() const
 {
   return static_cast<std::size_t>(std::ranges::count_if(
-      m_nodes, [](const Node& node) { return !node.is_busy && node.loaded > 0; }));
+      m_nodes, [](const Node& node) { return !node.is_busy && HoldsAllLayers(node); }));
 }
 
 double SidecarWorld::CopiesFromOrigin() const
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -105,6 +105,7 @@
     // The state of the engine.
     std::map<std::uint32_t, Common::Bytes> stage;
     std::uint64_t loaded = 0;
+    Sidecar::LayerRange held; // of the loaded version
     bool is_busy = false;
     std::uint64_t orders = 0;
     Common::TimePoint last_accepted{};
@@ -144,6 +145,9 @@
   void Tick(std::size_t node, std::uint64_t incarnation);
   void ScheduleTick(std::size_t node);
   void SendHellos();
+  static bool HoldsAllLayers(const Node& node);
+  // Takes the pieces of a layer from the stage.
+  void TakeLayer(std::size_t node, std::uint64_t version, std::uint32_t layer);
   // Whether the engine would start a request now.
   bool AcceptsRequests(const Node& node) const;
   void SampleService();
--- a/Source/UnitTests/Core/Sidecar/StageTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/StageTest.cpp
@@ -319,6 +319,23 @@
     REQUIRE(order.has_value());
     return *order;
   }
+  // The order by which the engine gives layers up. It takes nothing from the stage, which has to
+  // stay as it is until then.
+  LoadStagedWeights OrderGivingUp()
+  {
+    now += Milliseconds(500);
+    CHECK_FALSE(loader.AwaitsStage(now));
+    CHECK(loader.AllowedAccess() == StageAccess::None);
+    const auto order = loader.OnTick(now);
+    REQUIRE(order.has_value());
+    CHECK(order->layers == LayerRange{0, LAYERS / 2});
+    return *order;
+  }
+  // The next order of a repair.
+  LoadStagedWeights RepairOrder()
+  {
+    return loader.AllowedAccess() == StageAccess::None ? OrderGivingUp() : OrderAgain();
+  }
   void Answer(const LoadStagedWeights& order, Common::Result<OrderOutcome> result,
               Milliseconds after)
   {
@@ -507,13 +524,15 @@
   SUBCASE("a piece is bad: each half of the layers is loaded anew before all are held")
   {
     CHECK_FALSE(loader.OnStageRead(false, fixture.writes, fixture.now));
-    CHECK(loader.AllowedAccess() == StageAccess::ReadAndWrite);
     const std::vector<std::optional<LayerRange>> expected = {LayerRange{0, 3}, LayerRange{3, 6},
                                                              std::nullopt};
     for (const std::optional<LayerRange>& layers : expected)
     {
       CHECK(loader.IsUnderWay());
-      const LoadStagedWeights repair = fixture.OrderAgain();
+      const bool is_first = layers == expected.front();
+      CHECK(loader.AllowedAccess() == (is_first ? StageAccess::None : StageAccess::ReadAndWrite));
+      const LoadStagedWeights repair = fixture.RepairOrder();
+      CHECK(loader.TakesPieces() != is_first);
       CHECK(repair.layers == layers);
       CHECK(repair.expected_orders == fixture.report.orders);
       fixture.Load(repair);
@@ -530,7 +549,7 @@
   {
     loader.OnStageRead(false, fixture.writes, fixture.now);
     while (loader.IsUnderWay())
-      fixture.Answer(fixture.OrderAgain(), Error{ErrorKind::SourceBusy, ""}, Milliseconds(1));
+      fixture.Answer(fixture.RepairOrder(), Error{ErrorKind::SourceBusy, ""}, Milliseconds(1));
     CHECK(loader.IsUnsound());
     ++fixture.writes;
     fixture.now += Milliseconds(200);
@@ -613,7 +632,7 @@
   REQUIRE(fixture.loader.State() == LoaderState::Repairing);
   ++fixture.report.orders;
   fixture.Report();
-  CHECK(fixture.OrderAgain().expected_orders == fixture.report.orders);
+  CHECK(fixture.RepairOrder().expected_orders == fixture.report.orders);
 }
 
 // The engine serves its weights and refuses all orders, as one that leaves.
@@ -649,7 +668,7 @@
   }
   while (fixture.loader.IsUnderWay())
   {
-    const LoadStagedWeights order = fixture.OrderAgain();
+    const LoadStagedWeights order = fixture.RepairOrder();
     const LayerRange range = order.layers.value_or(LayerRange{0, LoaderFixture::LAYERS});
     for (std::uint32_t layer = 0; layer < LoaderFixture::LAYERS; ++layer)
     {
@@ -669,6 +688,55 @@
   CHECK(bad.empty());
 }
 
+// A sidecar is killed behind the writing that makes the stage correct: all that its successor sees
+// is an engine with all layers and a correct stage.
+TEST_CASE("The stage is not made correct before an engine that is to be repaired lacks layers")
+{
+  LoaderFixture fixture;
+  fixture.Answer(fixture.Order(), OrderOutcome::Accepted, LoaderFixture::TOO_LATE);
+  fixture.LoadAfterAcceptance();
+  fixture.loader.OnStageRead(false, fixture.writes, fixture.now);
+  CHECK(fixture.loader.AllowedAccess() == StageAccess::None);
+  const LoadStagedWeights order = fixture.OrderGivingUp();
+  SUBCASE("accepted: then the pieces may be written")
+  {
+    fixture.Answer(order, OrderOutcome::Accepted, Milliseconds(5));
+    CHECK(fixture.loader.AllowedAccess() == StageAccess::None);
+    ++fixture.report.orders;
+    fixture.report.layers = {{{0, LoaderFixture::LAYERS / 2}, 2}};
+    fixture.Report();
+  }
+  SUBCASE("refused: it is given again")
+  {
+    fixture.Answer(order, Error{ErrorKind::Conflict, ""}, Milliseconds(5));
+    CHECK(fixture.loader.AllowedAccess() == StageAccess::None);
+    fixture.Load(fixture.OrderGivingUp());
+  }
+  SUBCASE("without an answer: it is given again, and the engine accepts one of them")
+  {
+    fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, Milliseconds(1500));
+    fixture.Report();
+    CHECK(fixture.loader.State() == LoaderState::Unsettled);
+    const LoadStagedWeights next = fixture.OrderGivingUp();
+    CHECK(next.expected_orders == order.expected_orders);
+    fixture.Load(next);
+  }
+  SUBCASE("without an answer, and accepted much later")
+  {
+    fixture.Answer(order, Error{ErrorKind::Unreachable, ""}, LoaderFixture::TOO_LATE);
+    ++fixture.report.orders;
+    fixture.report.layers = {{{0, LoaderFixture::LAYERS / 2}, 2}};
+    fixture.Report();
+  }
+  CHECK(fixture.loader.AllowedAccess() == StageAccess::ReadAndWrite);
+  // The written pieces do not count against the loads that follow.
+  ++fixture.writes;
+  fixture.Load(fixture.OrderAgain());
+  fixture.Load(fixture.OrderAgain());
+  CHECK_FALSE(fixture.loader.IsUnderWay());
+  CHECK_FALSE(fixture.loader.IsUnsound());
+}
+
 // An order is taken by the new start of an engine, after a piece was written again.
 TEST_CASE("A load by a restarted engine is confirmed against the stage of the oldest order")
 {
@@ -696,7 +764,7 @@
   const Common::TimePoint began = fixture.now;
   while (fixture.loader.IsUnderWay())
   {
-    const LoadStagedWeights order = fixture.OrderAgain();
+    const LoadStagedWeights order = fixture.RepairOrder();
     fixture.Answer(order, OrderOutcome::Accepted, Milliseconds(5));
     ++fixture.report.orders;
     fixture.report.layers.clear();
