Sidecar: A load of an earlier process is checked as the sidecar starts

Callers saw: answers made with bad weights for 13 to 18 s. A sidecar is killed as its engine takes an order late and is started 0.3 s later: 622, 865 and 643 requests of one engine ran on the bad load, which was repaired 13.3, 18.2 and 13.7 s after it.

Cause: a sidecar that starts beside an engine with the newest version waits 10 to 20 s before it fetches anything, so that sidecars that start together leave the links to callers. The check of an inherited load waited with it, though all that it needs besides the stage is the manifest.

A load of which the engine's first report tells (it has accepted orders) is checked at once. Pieces are fetched early only if the stage turns out to be bad.

--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -372,7 +372,8 @@
       }
     }
     m_exchange.SetCandidates(std::move(candidates), now, &new_actions);
-    m_exchange.OnViewConfirmed(now, &new_actions);
+    if (MayUseOrigin(now))
+      m_exchange.OnViewConfirmed(now, &new_actions);
     Translate(std::move(new_actions), now, actions);
   }
 }
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -185,6 +185,12 @@
   // Whether the sidecar need not fetch anything yet, because the engine has the newest version or
   // may have it.
   bool MayDelayFetching(std::uint64_t newest, Common::TimePoint now) const;
+  // Whether the links have settled after a start of all processes, so that the sidecar may fetch
+  // what only its peers need.
+  bool HasSettled(Common::TimePoint now) const;
+  // Whether anything may be fetched from the origin. The manifest for the check of a load that an
+  // earlier process ordered comes from peers until the links have settled.
+  bool MayUseOrigin(Common::TimePoint now) const;
   // Whether the sidecar should copy a newer version instead of the wanted one.
   bool MayReplaceWanted(Common::TimePoint now) const;
   // Whether the hall holds so many pieces of the wanted version that the remaining ones will soon
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -120,16 +120,28 @@
 
 bool Sidecar::MayDelayFetching(std::uint64_t newest, TimePoint now) const
 {
-  // The pieces of a load that has to be checked are needed at once.
-  if (m_wanted > 0 || !m_started_at || m_unexplained_load_at)
+  // A load that has to be checked is checked at once.
+  if (m_wanted > 0 || !m_started_at || m_has_inherited_load)
     return false;
   const Duration running = now - *m_started_at;
   if (!m_report)
     return m_reports_failed == 0 && running < FIRST_REPORT_TIME;
+  return LoadedVersion() >= newest && !HasSettled(now);
+}
+
+bool Sidecar::HasSettled(TimePoint now) const
+{
   // The delay differs between sidecars, so that sidecars that start together do not fetch together.
   const auto spread = static_cast<Milliseconds::rep>(
       Common::StableHash(m_options.address.ToString()) % SETTLING_TIME.count());
-  return LoadedVersion() >= newest && running < SETTLING_TIME + Milliseconds(spread);
+  return m_started_at && now - *m_started_at >= SETTLING_TIME + Milliseconds(spread);
+}
+
+bool Sidecar::MayUseOrigin(TimePoint now) const
+{
+  const bool is_only_checking =
+      m_has_inherited_load && !m_unexplained_load_at && LoadedVersion() >= m_wanted;
+  return !is_only_checking || HasSettled(now);
 }
 
 bool Sidecar::MaySkipToPrefetched(TimePoint now) const
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -262,6 +262,35 @@
   CHECK(world.OrdersOf(0) == 2);
 }
 
+// An earlier process may have been killed before it had found out whether a load was sound.
+TEST_CASE("A sidecar that starts again beside loaded weights checks its stage at once")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  world.NameVersion(2);
+  SecondsUntilLoaded(world, 2);
+  world.RunFor(Milliseconds(3000));
+  const double fetched_before = world.CopiesFromOrigin();
+  const std::uint64_t orders_before = world.OrdersOf(0);
+  SUBCASE("which is correct")
+  {
+    world.Restart(0, Milliseconds(100));
+    world.RunFor(Milliseconds(2500));
+    CHECK(world.SidecarAt(0).PiecesHeld(2) == 96);
+    CHECK(world.OrdersOf(0) == orders_before);
+  }
+  SUBCASE("which holds a bad piece")
+  {
+    world.Restart(0, Milliseconds(100));
+    world.CorruptStage(0, 7);
+    world.RunFor(Milliseconds(4000));
+    CHECK(world.OrdersOf(0) == orders_before + 3);
+    CHECK(world.HasLoaded(0, 2));
+  }
+  CHECK(world.CopiesFromOrigin() == fetched_before);
+  CHECK(world.Fault().empty());
+}
+
 TEST_CASE("Pieces on the stage are not fetched again after a restart")
 {
   SidecarWorld world = MakeWorld();
