Gateway: Crash records that waited while a gateway stood still do not clear new crashes

What callers saw: engine after engine ended under a request that all gateways but the suspended one had blocked.

Cause: records carry ages, taken from when they are read. A record "answered whole 0.1 s ago" that had waited three seconds in the socket of a suspended gateway became an answer after the crashes that followed, and cleared them there and, by the exchange, everywhere: by the logs, five gateways blocked the request, the woken one caught up without a crash of it and sent six waiting requests, and 110 ms after it woke the five sent it, too.

A gateway that awaits the ledgers of sidecars after it stood still passes over other crash records, which these ledgers hold, and checks for a standstill before it reads a message. What is missing after that is made up for by the hash.

--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -40,7 +40,10 @@
                    MeshAddressesOf(config.seeds, config.mesh_listen)),
       m_crash_recorder(Common::StableHash(config.instance)),
       m_mesh(loop, {[this](const Mesh::Sender& from, Mesh::Message& message)
-                    { OnMessage(from, message); },
+                    {
+                      m_handlers.on_message();
+                      OnMessage(from, message);
+                    },
                     [](const Address&) {}})
 {
 }
--- a/Source/Node/GatewayControl.h
+++ b/Source/Node/GatewayControl.h
@@ -53,6 +53,8 @@
     std::function<Crashes::CrashLedger&()> crash_ledger;
     // The targets that are sent to, whether those of other halls are needed, and what comes.
     std::function<TargetsInUse()> targets_in_use;
+    // A message is about to be handled.
+    std::function<void()> on_message;
     // The crash ledger is up to date again.
     std::function<void()> on_caught_up;
     // Something is to be done earlier than was said.
@@ -115,6 +117,7 @@
   // Sends changes of the crash ledger to the gateways of the hall and to the sidecars in use.
   void SendCrashChanges(Common::TimePoint now);
   void AskForCrashRecords(Common::TimePoint now);
+  void OnCrashRecords(const std::vector<Crashes::CrashRecord>& records);
   void OnCrashRecordsAnswer(const Mesh::Sender& from, const Mesh::CrashRecordsAnswer& tell);
   // Keeps the records of blocked requests on the platform.
   void RecordCrashes(Common::TimePoint now);
--- a/Source/Node/GatewayCrashRecords.cpp
+++ b/Source/Node/GatewayCrashRecords.cpp
@@ -39,6 +39,14 @@
     m_mesh.SendDatagram(replica, Mesh::CrashRecordsRequest{});
 }
 
+void GatewayControl::OnCrashRecords(const std::vector<Crashes::CrashRecord>& records)
+{
+  // What was sent while the process stood still has waited since, so that its ages are too small:
+  // an old whole answer would clear later crashes. The answers that are awaited hold all of it.
+  if (!m_catch_up.IsUnderWay(EventLoop::Now()))
+    m_handlers.on_crash_records(records);
+}
+
 void GatewayControl::OnCrashRecordsAnswer(const Mesh::Sender& from,
                                           const Mesh::CrashRecordsAnswer& tell)
 {
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -175,6 +175,8 @@
     m_core.OnCrashRecords(records, EventLoop::Now(), &actions);
     Carry(actions);
   };
+  // Messages may have waited while the process stood still.
+  handlers.on_message = [this] { CheckedNow(); };
   handlers.on_engine_end = [this](const Crashes::EngineEnd& end)
   {
     Gateway::Actions actions;
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -135,7 +135,7 @@
           [&](const Mesh::GatewaysReply& tell) { OnGateways(tell.gateways); },
           [&](const Mesh::BriefingRequest&)
           { m_mesh.Send(from.address, m_briefing.FullHello(EventLoop::Now())); },
-          [&](const Mesh::CrashRecords& told) { m_handlers.on_crash_records(told.records); },
+          [&](const Mesh::CrashRecords& told) { OnCrashRecords(told.records); },
           [&](const Mesh::CrashRecordsAnswer& tell) { OnCrashRecordsAnswer(from, tell); },
           [&](const Mesh::EngineEnded& told) { m_handlers.on_engine_end(told.end); },
           [&](const Mesh::LeavingTargets& told) { m_handlers.on_leaving(told.targets); },
