WeightsLoader: Confirmation and repair of loads in a unit of their own

Two steps that stood inside other functions have names: ResumeInterruptedRepair and OnRepairOrderFailed. ORDER_RETRY_DELAY, which both units use, is a constant of the class. No change in behaviour.

--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -6,6 +6,7 @@
 
 #include "Common/EventLog.h"
 
+// The load orders of a sidecar and their outcome.
 namespace Holdpost::Sidecar
 {
 using Common::Duration;
@@ -19,8 +20,7 @@
 // If the order could not leave within this time after its announcement, the process stood still:
 // the verification has to be looked at again.
 static constexpr Milliseconds MAX_ANNOUNCEMENT_TIME = Milliseconds(500);
-static constexpr Milliseconds ORDER_RETRY_DELAY = Milliseconds(150);
-// The same delay for an order that needs no verified stage.
+// The retry delay of an order that needs no verified stage.
 static constexpr Milliseconds GIVE_UP_RETRY_DELAY = Milliseconds(500);
 // A piece may have turned bad this time before the engine loads it. So the oldest reading may be
 // this old when the engine accepts the order.
@@ -28,11 +28,8 @@
 // If an engine that is not busy has not reported what was ordered this time after it accepted the
 // order, the load has failed.
 static constexpr Milliseconds LOAD_TIMEOUT = Milliseconds(5000);
-static constexpr std::uint32_t MAX_REPAIR_FAILURES = 5;
 // An engine that refuses all orders for this time will not accept an earlier one either.
 static constexpr Milliseconds MAX_UNSETTLED_TIME = Milliseconds(10000);
-// A load that could not be confirmed or repaired within this time gives way to a newer version.
-static constexpr Milliseconds MAX_REPAIR_TIME = Milliseconds(10000);
 
 bool HoldsExactly(const EngineReport& report, const LayerRange& range, std::uint64_t version)
 {
@@ -48,16 +45,6 @@
   return held > 0 && held < layers;
 }
 
-// An engine takes only layers that it does not hold, so each half is loaded in place of the other.
-// It does not hold all layers before all of them are new. Empty if the layers cannot be divided.
-static std::deque<LayerRange> RepairOrders(std::uint32_t layers)
-{
-  if (layers < 2)
-    return {};
-  const std::uint32_t middle = layers / 2;
-  return {{0, middle}, {middle, layers}, {0, layers}};
-}
-
 void WeightsLoader::SetState(LoaderState state, TimePoint now)
 {
   m_state = state;
@@ -71,9 +58,7 @@
   ForgetOrders();
   m_staged = staged;
   m_began = now;
-  // A repair was interrupted, so the layers that the engine kept may be bad.
-  if (HoldsPart(m_report, staged.layers))
-    m_repair_orders = RepairOrders(staged.layers);
+  ResumeInterruptedRepair();
   SetState(LoaderState::Announced, now);
   LogEvent(Weight::Important, now, "switch.begun", "model", staged.model, "version", staged.version,
            "verified_ms", now - staged.verified.began, "orders", m_orders_seen);
@@ -92,14 +77,6 @@
   return IsNextOrderPending() && !OnlyGivesUpLayers() && !m_is_order_due && now >= m_not_before;
 }
 
-bool WeightsLoader::OnlyGivesUpLayers() const
-{
-  const bool is_first =
-      !m_repair_orders.empty() && m_repair_orders.size() == RepairOrders(m_staged.layers).size();
-  return IsNextOrderPending() && is_first && m_report.weights_version == m_staged.version &&
-         !HoldsPart(m_report, m_staged.layers);
-}
-
 bool WeightsLoader::TakeDueOrder(TimePoint now)
 {
   if (OnlyGivesUpLayers())
@@ -107,13 +84,6 @@
   return std::exchange(m_is_order_due, false);
 }
 
-bool WeightsLoader::AwaitsConfirmation() const
-{
-  if (m_state == LoaderState::Confirming)
-    return true;
-  return m_state == LoaderState::Loading && m_stage_writes_at_load && m_repair_orders.size() <= 1;
-}
-
 StageAccess WeightsLoader::AllowedAccess() const
 {
   switch (m_state)
@@ -133,14 +103,6 @@
   return AwaitsConfirmation() ? StageAccess::Read : StageAccess::None;
 }
 
-std::optional<LayerRange> WeightsLoader::DueLayers() const
-{
-  const LayerRange all{0, m_staged.layers};
-  if (m_repair_orders.empty() || m_repair_orders.front() == all)
-    return std::nullopt;
-  return m_repair_orders.front();
-}
-
 std::optional<LoadStagedWeights> WeightsLoader::OnTick(TimePoint now)
 {
   const bool was_announced =
@@ -202,10 +164,9 @@
 void WeightsLoader::OnLoadFailed(TimePoint now)
 {
   if (m_repair_orders.empty())
-    return SetState(LoaderState::Idle, now);
-  if (++m_repair_failures < MAX_REPAIR_FAILURES)
-    return SetState(LoaderState::Repairing, now);
-  GiveUpRepair(now);
+    SetState(LoaderState::Idle, now);
+  else
+    OnRepairOrderFailed(now);
 }
 
 void WeightsLoader::OnAccepted(Acceptance acceptance, TimePoint now)
@@ -326,68 +287,6 @@
   Finish(now);
 }
 
-void WeightsLoader::Repair(const StagedVersion& staged, TimePoint now)
-{
-  if (IsUnderWay())
-    return;
-  ForgetOrders();
-  m_has_unexplained_load = false;
-  m_staged = staged;
-  m_began = now;
-  BeginRepair(now);
-}
-
-bool WeightsLoader::MayBeReplaced(TimePoint now) const
-{
-  const bool is_order_open = m_state != LoaderState::Idle && m_state != LoaderState::Confirming &&
-                             m_state != LoaderState::Repairing;
-  return !is_order_open && (m_state == LoaderState::Idle || now - m_began > MAX_REPAIR_TIME);
-}
-
-void WeightsLoader::GiveWay(TimePoint now)
-{
-  if (m_state == LoaderState::Confirming || m_state == LoaderState::Repairing)
-    GiveUpRepair(now);
-}
-
-void WeightsLoader::BeginRepair(TimePoint now)
-{
-  LogEvent(Weight::Important, now, "load.unsound", "version", m_staged.version, "after_ms",
-           now - m_began);
-  m_repair_failures = 0;
-  m_repair_orders = RepairOrders(m_staged.layers);
-  if (m_repair_orders.empty())
-    GiveUpRepair(now);
-  else
-    SetState(LoaderState::Repairing, now);
-}
-
-bool WeightsLoader::OnStageRead(bool are_correct, std::uint64_t stage_writes, TimePoint now)
-{
-  // A piece that was written since may have been bad when the engine loaded it.
-  const bool is_sound = are_correct && stage_writes == m_stage_writes_at_load;
-  m_stage_writes_at_load.reset();
-  if (!is_sound)
-  {
-    BeginRepair(now);
-    return false;
-  }
-  LogEvent(Weight::Important, now, "load.confirmed", "version", m_staged.version, "after_ms",
-           now - m_began);
-  Finish(now);
-  return true;
-}
-
-void WeightsLoader::GiveUpRepair(TimePoint now)
-{
-  LogEvent(Weight::Important, now, "load.unrepaired", "version", m_staged.version);
-  ForgetOrders();
-  // Nothing but another version is loaded next.
-  m_not_before = std::min(m_not_before, now + ORDER_RETRY_DELAY);
-  m_is_unsound = true;
-  SetState(LoaderState::Idle, now);
-}
-
 void WeightsLoader::Finish(TimePoint now)
 {
   LogEvent(Weight::Important, now, "switch.done", "version", m_staged.version, "took_ms",
--- a/Source/Core/Sidecar/WeightsLoader.h
+++ b/Source/Core/Sidecar/WeightsLoader.h
@@ -108,6 +108,9 @@
   Common::TimePoint Since() const { return m_since; }
 
 private:
+  // The time from a failed order to the next one.
+  static constexpr Common::Milliseconds ORDER_RETRY_DELAY = Common::Milliseconds(150);
+
   // The order that was sent last.
   struct Order
   {
@@ -140,6 +143,10 @@
   bool ShowsCompletion(const EngineReport& report) const;
   void Finish(Common::TimePoint now);
   void BeginRepair(Common::TimePoint now);
+  // Makes the load a repair if the engine holds only some of the layers, since an earlier repair
+  // was interrupted then.
+  void ResumeInterruptedRepair();
+  void OnRepairOrderFailed(Common::TimePoint now);
   void GiveUpRepair(Common::TimePoint now);
   // Whether a load or a repair waits for its next order.
   bool IsNextOrderPending() const
