--- a/Source/Core/Sidecar/WeightsLoader.cpp
+++ b/Source/Core/Sidecar/WeightsLoader.cpp
@@ -31,20 +31,6 @@
 // An engine that refuses all orders for this time will not accept an earlier one either.
 static constexpr Milliseconds MAX_UNSETTLED_TIME = Milliseconds(10000);
 
-bool HoldsExactly(const EngineReport& report, const LayerRange& range, std::uint64_t version)
-{
-  return report.layers.size() == 1 && report.layers.front().range == range &&
-         report.layers.front().version == version;
-}
-
-bool HoldsPart(const EngineReport& report, std::uint32_t layers)
-{
-  std::uint32_t held = 0;
-  for (const LoadedLayers& loaded : report.layers)
-    held += loaded.range.end - std::min(loaded.range.first, loaded.range.end);
-  return held > 0 && held < layers;
-}
-
 void WeightsLoader::SetState(LoaderState state, TimePoint now)
 {
   m_state = state;
