--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -124,7 +124,7 @@
   Gateway::AnswerHead arrived;
   arrived.number = number;
   arrived.is_foreign = is_foreign;
-  arrived.is_other_target = head.status == 421;
+  arrived.is_other_target = head.status == TargetPeer::MISDIRECTED_STATUS;
   arrived.is_leaving = TargetPeer::SaysLeaving(head, m_names);
   arrived.rest = TargetPeer::ReadRest(head);
   arrived.is_rejected = arrived.rest || head.fields.Find(m_names.not_run) != nullptr;
@@ -143,7 +143,7 @@
   began.status = head.status;
   began.is_whole = is_whole;
   began.is_not_run = head.fields.Find(m_names.not_run) != nullptr;
-  began.is_other_target = head.status == 421;
+  began.is_other_target = head.status == TargetPeer::MISDIRECTED_STATUS;
   began.is_event_stream = found->second.call->IsEventStream();
   began.rate_limit = TargetPeer::ReadRateLimit(head, m_names);
   began.weights_version = head.fields.FindNumber(m_names.weights_version).value_or(0);
--- a/Source/Peers/Target/HealthProbe.cpp
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Peers/Target/HealthProbe.h"
 
+#include "Peers/Target/TargetMessage.h"
+
 namespace Holdpost::TargetPeer
 {
 using Common::ConnectionEnd;
@@ -12,7 +14,6 @@
 static constexpr Milliseconds MAX_PROBE_TIME = Milliseconds(1000);
 // Shorter than the time for connecting, so that a connection that fails before was refused.
 static constexpr Milliseconds MAX_REFUSAL_TIME = Milliseconds(350);
-static constexpr int MISDIRECTED = 421;
 
 HealthProbe::~HealthProbe()
 {
@@ -71,7 +72,7 @@
 void HealthProbe::OnHead(HttpHead head)
 {
   const std::string* id = head.fields.Find(m_names.target_id);
-  const bool is_other = head.status == MISDIRECTED || (id && *id != m_target);
+  const bool is_other = head.status == MISDIRECTED_STATUS || (id && *id != m_target);
   m_outcome = is_other ? ProbeOutcome::Ended : ProbeOutcome::Runs;
 }
 
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Peers/Target/TargetCall.h"
 
+#include "Peers/Target/TargetMessage.h"
+
 namespace Holdpost::TargetPeer
 {
 using Common::ConnectionEnd;
@@ -20,7 +22,6 @@
 // A call that is given up without a byte on a kept connection after this time says that the
 // connection may have gone silent.
 static constexpr Milliseconds MAX_SILENCE = Milliseconds(400);
-static constexpr int MISDIRECTED = 421;
 
 void TargetCall::Start(CallRequest request, Handlers handlers)
 {
@@ -226,7 +227,7 @@
       m_head->framing != Common::BodyFraming::UntilClose)
     return false;
   // A target that has not run the request says so in the head.
-  return m_head->status != MISDIRECTED && !m_head->fields.Find(m_names.not_run);
+  return m_head->status != MISDIRECTED_STATUS && !m_head->fields.Find(m_names.not_run);
 }
 
 void TargetCall::FinishAtClose()
--- a/Source/Peers/Target/TargetMessage.h
+++ b/Source/Peers/Target/TargetMessage.h
@@ -13,6 +13,9 @@
 // Translates between HTTP heads and the requests that a gateway decides on.
 namespace Holdpost::TargetPeer
 {
+// The status by which a target says that the request was meant for another one at its address.
+inline constexpr int MISDIRECTED_STATUS = 421;
+
 // What the gateway needs to know of a caller's whole request.
 Gateway::CallerRequest ReadCallerRequest(const Common::HttpHead& head, std::string_view body,
                                          const HeaderNames& names);
