--- a/Source/Peers/Target/HealthProbe.cpp
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -31,29 +31,18 @@
   const TargetPool::Lease lease = m_pool.Acquire(target, address, true);
   m_connection = lease.connection;
   const std::weak_ptr<HealthProbe> weak = weak_from_this();
-  m_connection->SetHandlers(
-      {[weak](std::string_view data)
-       {
-         const auto self = weak.lock();
-         if (!self)
-           return data.size();
-         self->m_parser.Feed(data);
-         if (self->m_outcome || self->m_parser.Error() != Common::HttpParseError::None)
-           self->End(self->m_outcome.value_or(ProbeOutcome::Unknown));
-         return data.size();
-       },
-       [weak](ConnectionEnd end)
-       {
-         const auto self = weak.lock();
-         if (!self)
-           return;
-         self->m_connection.reset();
-         // A target closes kept connections, and resets those beyond its limit.
-         const bool is_refused = end == ConnectionEnd::NotConnected &&
-                                 Common::EventLoop::Now() - self->m_started < MAX_REFUSAL_TIME;
-         self->End(is_refused ? ProbeOutcome::Ended : ProbeOutcome::Unknown);
-       },
-       nullptr, nullptr});
+  m_connection->SetHandlers({[weak](std::string_view data)
+                             {
+                               if (const auto self = weak.lock())
+                                 self->OnData(data);
+                               return data.size();
+                             },
+                             [weak](ConnectionEnd end)
+                             {
+                               if (const auto self = weak.lock())
+                                 self->OnConnectionEnd(end);
+                             },
+                             nullptr, nullptr});
   m_timer = m_pool.Loop().MakeTimer(
       [weak]
       {
@@ -61,12 +50,33 @@
           self->End(ProbeOutcome::Unknown);
       });
   m_timer->FireAfter(MAX_PROBE_TIME);
+  m_connection->Write(RequestText(address, path));
+}
+
+std::string HealthProbe::RequestText(const Common::Address& address, const std::string& path) const
+{
   std::string text = "GET " + path + " HTTP/1.1\r\n";
   Common::AppendField(&text, "Host", address.ToString());
-  Common::AppendField(&text, m_names.expected_target, target);
+  Common::AppendField(&text, m_names.expected_target, m_target);
   Common::AppendField(&text, "Connection", "close");
   text.append("\r\n");
-  m_connection->Write(text);
+  return text;
+}
+
+void HealthProbe::OnData(std::string_view data)
+{
+  m_parser.Feed(data);
+  if (m_outcome || m_parser.Error() != Common::HttpParseError::None)
+    End(m_outcome.value_or(ProbeOutcome::Unknown));
+}
+
+void HealthProbe::OnConnectionEnd(ConnectionEnd end)
+{
+  m_connection.reset();
+  // A target closes kept connections, and resets those beyond its limit.
+  const bool is_refused =
+      end == ConnectionEnd::NotConnected && Common::EventLoop::Now() - m_started < MAX_REFUSAL_TIME;
+  End(is_refused ? ProbeOutcome::Ended : ProbeOutcome::Unknown);
 }
 
 void HealthProbe::OnHead(HttpHead head)
--- a/Source/Peers/Target/HealthProbe.h
+++ b/Source/Peers/Target/HealthProbe.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "Common/HttpParser.h"
 #include "Common/TcpConnection.h"
@@ -38,6 +39,10 @@
   void OnBody(std::string_view /*data*/) override {}
   void OnMessageEnd() override {}
 
+  // The request for the health page.
+  std::string RequestText(const Common::Address& address, const std::string& path) const;
+  void OnData(std::string_view data);
+  void OnConnectionEnd(Common::ConnectionEnd end);
   void End(Gateway::ProbeOutcome outcome);
 
   TargetPool& m_pool;
