--- a/Source/Core/Deployment/Deployment.cpp
+++ b/Source/Core/Deployment/Deployment.cpp
@@ -43,9 +43,9 @@
   return KnownVersion{m_serving.version, m_generation};
 }
 
-void Deployment::OnDoubt()
+void Deployment::RequestCheck()
 {
-  m_is_doubted = m_serving.is_ready && m_plan && m_plan->is_model;
+  m_is_check_requested = m_serving.is_ready && m_plan && m_plan->is_model;
 }
 
 void Deployment::OnOtherVersion(TimePoint now)
@@ -118,14 +118,14 @@
 
 void Deployment::OnTick(TimePoint now, bool may_order, bool may_switch, Actions* actions)
 {
-  const bool is_check = !IsSwitchWanted() && m_is_doubted;
+  const bool is_check = !IsSwitchWanted() && m_is_check_requested;
   if (m_order || !may_order || (!is_check && !IsSwitchWanted()) || !IsHeld(m_plan->version))
     return;
   // A check switches nothing off, so the limit on loads is not asked.
   if (is_check ? now < m_check_not_before : !may_switch || now < m_order_not_before)
     return;
   ++m_generation;
-  m_is_doubted = false;
+  m_is_check_requested = false;
   m_check_not_before = now + CHECK_PERIOD;
   m_order = OrderLoad{m_next_order++, m_plan->service, m_plan->model, m_plan->version, is_check};
   actions->push_back(*m_order);
--- a/Source/Core/Deployment/Deployment.h
+++ b/Source/Core/Deployment/Deployment.h
@@ -72,9 +72,9 @@
 
   // Empty while it is not certain, and for plain services.
   std::optional<KnownVersion> Known() const;
-  // A run gave reason to ask whether the engine still has its version, as one that has started
-  // again may have none.
-  void OnDoubt();
+  // Has the engine asked whether it still has its version: a run gave reason to, as an engine that
+  // has started again may have none.
+  void RequestCheck();
   // The engine answers with another version than the known one: it has to load the wanted version
   // again before it may take requests.
   void OnOtherVersion(Common::TimePoint now);
@@ -98,7 +98,7 @@
   std::uint64_t m_generation = 0;
   std::optional<OrderLoad> m_order;
   Common::TimePoint m_order_not_before{};
-  bool m_is_doubted = false;
+  bool m_is_check_requested = false;
   Common::TimePoint m_check_not_before{};
   Common::Duration m_backoff{};
 };
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -67,7 +67,7 @@
                                 [&](const TargetRunEnded& m)
                                 {
                                   if (m.error)
-                                    m_deployment.OnDoubt();
+                                    m_deployment.RequestCheck();
                                   OnRunOver(m.tag, m.error ? Common::AnswerFor(m.error->kind).name
                                                            : "whole");
                                   actions->push_back(AnswerRunEnd{m.tag, m.error});
@@ -325,7 +325,7 @@
   if (!is_other)
   {
     if (answered.status == NO_MODEL_STATUS && answered.version.IsZero())
-      m_deployment.OnDoubt();
+      m_deployment.RequestCheck();
     actions->push_back(
         AnswerHead{answered.tag, answered.status, answered.content_type, answered.version});
     return;
--- a/Source/UnitTests/Core/DeploymentTest.cpp
+++ b/Source/UnitTests/Core/DeploymentTest.cpp
@@ -149,7 +149,7 @@
   Fixture f;
   f.Serve(V1);
   CHECK_FALSE(f.Tick(Milliseconds(20000)));
-  f.deployment.OnDoubt();
+  f.deployment.RequestCheck();
   const auto check = f.Tick();
   REQUIRE(check);
   CHECK(check->is_check);
@@ -161,7 +161,7 @@
   {
     f.Done(check->order);
     CHECK(f.deployment.Serving().is_ready);
-    f.deployment.OnDoubt();
+    f.deployment.RequestCheck();
     CHECK_FALSE(f.Tick(Milliseconds(999)));
     CHECK(f.Tick(Milliseconds(1)));
   }
@@ -201,6 +201,6 @@
                       &f.actions);
   CHECK(f.deployment.Serving().is_ready);
   CHECK_FALSE(f.deployment.Known());
-  f.deployment.OnDoubt();
+  f.deployment.RequestCheck();
   CHECK_FALSE(f.Tick(Milliseconds(20000)));
 }
