--- a/Source/UnitTests/Peers/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Peers/CallerConnectionTest.cpp
@@ -57,6 +57,17 @@
 {
   return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
 }
+
+// Begins an answer to a client that does not read it, so that bytes of it wait.
+void AnswerUnread(Fixture& f, FakeClient& client)
+{
+  client.Connection().PauseReading();
+  f.caller->BeginAnswer(200, "OK", "");
+  const std::string part(1 << 20, 'a');
+  for (int i = 0; i < 32; ++i)
+    f.caller->SendPart(part);
+  REQUIRE(f.caller->UnsentBytes() > 0);
+}
 } // namespace
 
 TEST_CASE("Requests on one connection are answered in order, also those sent ahead")
@@ -190,12 +201,7 @@
   FakeClient client(f.loop, f.address);
   client.Send(request);
   REQUIRE(f.Run([&] { return f.targets.size() == 1; }));
-  client.Connection().PauseReading();
-  f.caller->BeginAnswer(200, "OK", "");
-  const std::string part(1 << 20, 'a');
-  for (int i = 0; i < 32; ++i)
-    f.caller->SendPart(part);
-  REQUIRE(f.caller->UnsentBytes() > 0);
+  AnswerUnread(f, client);
   f.caller->AbortAnswer();
   client.Connection().ResumeReading();
   REQUIRE(f.Run([&] { return client.End().has_value(); }));
@@ -209,12 +215,7 @@
   FakeClient client(f.loop, f.address);
   client.Send(Get("/1"));
   REQUIRE(f.Run([&] { return f.targets.size() == 1; }));
-  client.Connection().PauseReading();
-  f.caller->BeginAnswer(200, "OK", "");
-  const std::string part(1 << 20, 'a');
-  for (int i = 0; i < 32; ++i)
-    f.caller->SendPart(part);
-  REQUIRE(f.caller->UnsentBytes() > 0);
+  AnswerUnread(f, client);
   client.Connection().Reset();
   REQUIRE(f.Run([&] { return f.left == 1; }));
   CHECK(f.closed == 1);
