Gateway, Sidecar: A target whose sidecar restarts within a switch is left out until its load is checked

Callers saw: answers made with bad weights.

Cause: the check of an inherited load takes about a second, and until it is done the new process reports a target that serves. Its first report took the place of the last one of the killed process, which had spoken of a switch.

The report now says whether the sidecar has checked what the target loaded before the sidecar started (`isLoadUnchecked`, false in reports of older processes). A gateway whose last report of the target spoke of a switch leaves it out until a report says that the load is checked, for 10 s at most, and only while another target is reported to serve; such targets do not count as serving for each other. A restart outside of a switch changes nothing.

New unit tests of the gateway's table and of the report; they need the new field and were not run on the code before.

--- a/Source/Core/Gateway/Target.h
+++ b/Source/Core/Gateway/Target.h
@@ -106,6 +106,9 @@
   std::uint32_t permits = 0;
   // The target has told its agent that it leaves.
   bool is_leaving = false;
+  // The agent has not found out yet whether the weights are correct that the target loaded before
+  // the agent started.
+  bool is_load_unchecked = false;
   // Empty if the target has the newest weights that its agent knows of.
   std::optional<WeightsForecast> weights_forecast = std::nullopt;
   // The target ran then or later, by the clock of the report's receiver; empty if that is not
--- a/Source/Core/Gateway/TargetAvailability.cpp
+++ b/Source/Core/Gateway/TargetAvailability.cpp
@@ -31,9 +31,9 @@
 // not be sent to it.
 static constexpr Duration SILENT_AFTER = Milliseconds(800);
 static constexpr Duration SILENT_AVOID_TIME = Milliseconds(2000);
-// For this time, a target whose agent fell silent within a switch is used only if no agent reports
-// a target that serves: the agent may have had to find out whether the target loaded correct
-// weights.
+// For this time, a target whose agent fell silent or started anew within a switch is used only if
+// no agent reports a target that serves: the agent may have had to find out whether the target
+// loaded correct weights.
 static constexpr Duration MAX_SWITCH_SILENCE = Milliseconds(10000);
 // The time for which an answer shows that a target without reports runs.
 static constexpr Duration PROOF_LIFETIME = Milliseconds(2000);
@@ -64,8 +64,10 @@
 
 bool TargetTable::IsSwitchUnconfirmed(const Target& target, TimePoint now) const
 {
-  return target.load && target.load->is_switching && !HasValidLoad(target, now) &&
-         now - target.load_received <= MAX_SWITCH_SILENCE;
+  std::optional<TimePoint> reported_at = target.switch_reported_at;
+  if (target.load && target.load->is_switching && !HasValidLoad(target, now))
+    reported_at = target.load_received;
+  return reported_at && now - *reported_at <= MAX_SWITCH_SILENCE;
 }
 
 bool TargetTable::IsAnyReportedToServe(const std::string& service, TimePoint now) const
@@ -76,7 +78,8 @@
                                const Target& target = entry.second;
                                return target.listed.service == service && target.IsListed() &&
                                       !IsLeaving(target) && HasValidLoad(target, now) &&
-                                      !target.load->is_switching && WeightsOf(target) > 0;
+                                      !target.load->is_switching &&
+                                      !IsSwitchUnconfirmed(target, now) && WeightsOf(target) > 0;
                              });
 }
 
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -189,6 +189,9 @@
     // Requests of this gateway whose answers had not started when the last load report arrived.
     std::size_t local_waiting_at_load = 0;
     Common::TimePoint load_received{};
+    // When the agent last reported a switch; empty unless it then started anew and does not know
+    // yet how the switch has ended.
+    std::optional<Common::TimePoint> switch_reported_at;
     // The unanswered requests, each with the time at which its answer was expected to start.
     std::map<std::uint64_t, Common::TimePoint> expected_starts;
     // The latest of these times among the answers that have started.
@@ -290,6 +293,8 @@
   // Whether the agent's last word of the target is that it switches, and nothing tells how the
   // switch has ended.
   bool IsSwitchUnconfirmed(const Target& target, Common::TimePoint now) const;
+  // Called before the report takes the place of the last one.
+  static void UpdateSwitchReported(Target& target, const TargetLoad& load, Common::TimePoint now);
   // Whether an agent reports that a target of the service serves.
   bool IsAnyReportedToServe(const std::string& service, Common::TimePoint now) const;
   // Whether a plain service's target that is avoided after failures may be used because there is no
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -106,6 +106,7 @@
   load.is_switching = m_loader.IsUnderWay() || m_loader.IsUnsound() || IsHeldForCheck(now);
   // An engine that has not accepted the order yet still begins requests on its old weights.
   const bool is_unsettled = m_loader.State() == LoaderState::Unsettled;
+  load.is_load_unchecked = !m_report || (m_has_inherited_load && !m_unexplained_load_at);
   load.next_version = m_loader.IsUnderWay() && !is_unsettled ? m_loader.Version() : 0;
   if (m_report)
   {
@@ -157,6 +158,7 @@
                         m_sent_load->id != load.id ||
                         are_arriving(*m_sent_load) != are_arriving(load) ||
                         m_sent_load->is_leaving != load.is_leaving ||
+                        m_sent_load->is_load_unchecked != load.is_load_unchecked ||
                         m_sent_load->rate_limit.has_value() != load.rate_limit.has_value();
   m_sent_load = load;
   m_load_sent_at = now;
--- a/Source/Peers/Mesh/Mesh.capnp
+++ b/Source/Peers/Mesh/Mesh.capnp
@@ -111,6 +111,9 @@
   weightsForecast @27 :WeightsForecast;
   # One more than the time since the target was asked for what it last told; 0 if that is not known.
   readAgeMs @28 :UInt32;
+  # The sender has not found out yet whether the weights are correct that the target loaded before
+  # the sender started.
+  isLoadUnchecked @29 :Bool;
 }
 
 # When a target is expected to have loaded new weights.
--- a/Source/Peers/Mesh/Mesh.capnp.h
+++ b/Source/Peers/Mesh/Mesh.capnp.h
@@ -1139,6 +1139,8 @@
 
   inline  ::uint32_t getReadAgeMs() const;
 
+  inline bool getIsLoadUnchecked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1286,6 +1288,9 @@
   inline  ::uint32_t getReadAgeMs();
   inline void setReadAgeMs( ::uint32_t value);
 
+  inline bool getIsLoadUnchecked();
+  inline void setIsLoadUnchecked(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4365,6 +4370,20 @@
       ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::getIsLoadUnchecked() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getIsLoadUnchecked() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setIsLoadUnchecked(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t WeightsForecast::Reader::getVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Peers/Mesh/MeshLoadCodec.cpp
+++ b/Source/Peers/Mesh/MeshLoadCodec.cpp
@@ -214,6 +214,7 @@
     Write(load.rate_limit, out.initRateLimit());
   out.setPermits(ToWireCount(load.permits));
   out.setIsLeaving(load.is_leaving);
+  out.setIsLoadUnchecked(load.is_load_unchecked);
   if (load.weights_forecast)
     Write(*load.weights_forecast, out.initWeightsForecast());
   out.setCrashes(report.crashes);
@@ -253,6 +254,7 @@
   load.rate_limit = ReadLimit(in.getRateLimit());
   load.permits = in.getPermits();
   load.is_leaving = in.getIsLeaving();
+  load.is_load_unchecked = in.getIsLoadUnchecked();
   if (in.hasWeightsForecast())
     load.weights_forecast = Read(in.getWeightsForecast());
   Mesh::LoadReport report;
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -221,3 +221,64 @@
     CHECK(f.Choose()->id == "1");
   }
 }
+
+// The agent that saw the switch begin was killed; the next one does not know of it.
+TEST_CASE("A target whose agent started anew within a switch is used only if no other serves")
+{
+  Fixture f;
+  f.one.incarnation = 1;
+  f.table.SetList({f.one, f.two}, f.now);
+  TargetLoad load = MakeLoad(f.one, 0);
+  load.incarnation = 1;
+  load.is_switching = true;
+  f.table.OnLoadReport(load, f.now);
+  load.is_switching = false;
+  load.is_load_unchecked = true;
+  const auto report_both = [&](Milliseconds later)
+  {
+    f.now += later;
+    f.table.OnLoadReport(load, f.now);
+    f.table.OnLoadReport(MakeLoad(f.two, 60), f.now);
+  };
+  report_both(Milliseconds(500));
+  CHECK(f.Choose()->id == "2");
+  SUBCASE("for some seconds, though the other one is full")
+  {
+    report_both(Milliseconds(9000));
+    CHECK(f.Choose()->id == "2");
+    report_both(Milliseconds(1000));
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("until the agent has checked the load")
+  {
+    load.is_load_unchecked = false;
+    report_both(Milliseconds(500));
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("until the target has started anew")
+  {
+    load.incarnation = 2;
+    report_both(Milliseconds(500));
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("the agent of the other one started anew within a switch, too")
+  {
+    TargetLoad other = MakeLoad(f.two, 0);
+    other.is_switching = true;
+    f.table.OnLoadReport(other, f.now);
+    other.is_switching = false;
+    other.is_load_unchecked = true;
+    f.table.OnLoadReport(other, f.now);
+    CHECK(f.Choose({"llm", 1000, 100, {"2"}, {}})->id == "1");
+  }
+}
+
+TEST_CASE("A target whose load is not checked is used if no switch was reported before")
+{
+  Fixture f;
+  TargetLoad load = MakeLoad(f.one, 0);
+  load.is_load_unchecked = true;
+  f.table.OnLoadReport(load, f.now);
+  f.table.OnLoadReport(MakeLoad(f.two, 60), f.now);
+  CHECK(f.Choose()->id == "1");
+}
--- a/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarTest.cpp
@@ -274,8 +274,17 @@
   const std::uint64_t orders_before = world.OrdersOf(0);
   SUBCASE("which is correct")
   {
+    REQUIRE(world.LoadReportedBy(0).has_value());
+    CHECK_FALSE(world.LoadReportedBy(0)->is_load_unchecked);
     world.Restart(0, Milliseconds(100));
-    world.RunFor(Milliseconds(2500));
+    bool was_unchecked = false;
+    for (int step = 0; step < 500; ++step)
+    {
+      world.RunFor(Milliseconds(5));
+      was_unchecked = was_unchecked || world.LoadReportedBy(0)->is_load_unchecked;
+    }
+    CHECK(was_unchecked);
+    CHECK_FALSE(world.LoadReportedBy(0)->is_load_unchecked);
     CHECK(world.SidecarAt(0).PiecesHeld(2) == 96);
     CHECK(world.OrdersOf(0) == orders_before);
   }
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.cpp
@@ -448,6 +448,8 @@
 
 void SidecarWorld::Execute(std::size_t node, const Sidecar::SendMessage& send)
 {
+  if (const auto* report = std::get_if<Mesh::LoadReport>(&send.message))
+    m_nodes[node].reported = report->load;
   const auto found = m_by_address.find(send.to);
   if (found == m_by_address.end())
     return;
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -86,6 +86,11 @@
   double CopiesBetweenNodes() const;
 
   Sidecar::Sidecar& SidecarAt(std::size_t node) { return *m_nodes[node].sidecar; }
+  // The last report of the node's target; empty if its sidecar has made none.
+  const std::optional<Gateway::TargetLoad>& LoadReportedBy(std::size_t node) const
+  {
+    return m_nodes[node].reported;
+  }
   std::uint64_t TicksOf(std::size_t node) const { return m_nodes[node].ticks; }
   // Number of load orders that the engine has accepted.
   std::uint64_t OrdersOf(std::size_t node) const { return m_nodes[node].orders; }
@@ -109,6 +114,8 @@
     bool is_busy = false;
     std::uint64_t orders = 0;
     Common::TimePoint last_accepted{};
+    // What the sidecar last told a gateway.
+    std::optional<Gateway::TargetLoad> reported;
   };
 
   // A connection that sends bytes in one direction, with at most one window of bytes that have not
--- a/Source/UnitTests/Peers/MeshCodecTest.cpp
+++ b/Source/UnitTests/Peers/MeshCodecTest.cpp
@@ -66,6 +66,7 @@
     report.load.weights_version = 2;
     report.load.is_switching = true;
     report.load.next_version = 3;
+    report.load.is_load_unchecked = true;
     report.load.id = "i-7f3a91c2";
     report.load.switch_in = Milliseconds(0);
     report.load.pace = 1.25;
