Gateway: Sound streams of full targets whose sidecars are silent are not cut

Cause: the end of such a stream was held for 1 s, and a probe given up after 1 s, but a full target answers a probe as late as it begins it. The next probe began at the end of the target's queue, so no probe was answered by a target whose queue is longer than a second.

A probe waits for 3 s, as long as plain answers are held. A stream that could not go on at once, because no target has a free slot or it may not be run again, is held for as long; others for 1 s as before ("if nothing is known of it in time" is unchanged). Nothing is passed on as whole without a proof, as before.

Process, scenario and soak tests were not run.

--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -174,6 +174,8 @@
   // allowance.
   void Retry(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
   bool MayRunAgain(const Tracked& tracked) const;
+  // Whether nothing was passed on yet, or another run may continue what was.
+  static bool MayResume(const Tracked& tracked);
   // Cancels a request that has not begun at its target and enqueues it for another target. Returns
   // false, and changes nothing, if the request may not be sent again.
   bool Move(Tracked& tracked, std::string_view reason, Common::TimePoint now, Actions* actions);
@@ -231,6 +233,8 @@
   void ProbeClosed(Common::TimePoint now, Actions* actions);
   // Finds out whether the target of a lost attempt has ended, if no agent tells.
   void ProbeLost(const Tracked& tracked, Common::TimePoint now);
+  // Whether another run could continue the answer now.
+  bool MayGoOnAtOnce(const Tracked& tracked, Common::TimePoint now);
   // Gives up the closed answers that were not proved in time, and sends the probes that are due.
   void ReviewClosed(Common::TimePoint now, Actions* actions);
   // Takes a retry from the allowance of the request's service; returns whether it permits one.
--- a/Source/Core/Gateway/GatewayClosedAnswers.cpp
+++ b/Source/Core/Gateway/GatewayClosedAnswers.cpp
@@ -15,11 +15,14 @@
 // The time in which other answers of a target without an agent may prove that it runs.
 static constexpr Duration ANSWER_PATIENCE = Milliseconds(15);
 
-// The maximum time from the close of a stream to its proof: callers wait for about twice this time
-// for the next event of a stream that is resumed then.
+// The maximum time from the close of a stream to its proof if it could go on at once: callers
+// wait for about twice this time for the next event of a stream that is resumed then.
 static constexpr Duration MAX_STREAM_WAIT = Milliseconds(1000);
-// The same for other answers. A full target answers probes and requests as late as it begins them.
+// The same for all other answers. A full target answers probes and requests as late as it begins
+// them.
 static constexpr Duration MAX_ANSWER_WAIT = Milliseconds(3000);
+// How often it is looked again whether a stream that is held longer could go on.
+static constexpr Duration RESUME_CHECK_PERIOD = Milliseconds(100);
 // How long a target that lost an answer is probed. The listening socket of one that ends may be
 // closed after its connections.
 static constexpr Duration LOST_PATIENCE = Milliseconds(500);
@@ -148,11 +151,35 @@
       RunProof::Answer, now, actions);
 }
 
+bool Gateway::MayGoOnAtOnce(const Tracked& tracked, TimePoint now)
+{
+  if (!MayResume(tracked) || !MayRunAgain(tracked))
+    return false;
+  TargetQuery query = QueryFor(tracked, now);
+  // Its own target counts, too: with a free slot it would have answered a probe.
+  query.tried.clear();
+  const auto choice = m_targets.Choose(query, now);
+  return choice && choice->has_free_slot;
+}
+
 void Gateway::ReviewClosed(TimePoint now, Actions* actions)
 {
   if (m_closed_answers.IsEmpty())
     return;
-  RefuteClosed(m_closed_answers.TakeExpired(now), AttemptEnd::UnprovedEnd, now, actions);
+  std::vector<ClosedAnswer> unproved;
+  for (ClosedAnswer& answer : m_closed_answers.TakeExpired(now))
+  {
+    const TimePoint last = answer.closed_at + MAX_ANSWER_WAIT;
+    const Tracked* tracked = Find(answer.number);
+    if (!tracked || now >= last || MayGoOnAtOnce(*tracked, now))
+    {
+      unproved.push_back(std::move(answer));
+      continue;
+    }
+    answer.expires = std::min(last, now + RESUME_CHECK_PERIOD);
+    m_closed_answers.Add(std::move(answer));
+  }
+  RefuteClosed(unproved, AttemptEnd::UnprovedEnd, now, actions);
   ProbeClosed(now, actions);
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/GatewayRetries.cpp
+++ b/Source/Core/Gateway/GatewayRetries.cpp
@@ -31,6 +31,11 @@
          !m_crashes.IsSuspect(tracked.causes);
 }
 
+bool Gateway::MayResume(const Tracked& tracked)
+{
+  return !tracked.was_head_passed || (tracked.route.is_resumable && tracked.may_continue);
+}
+
 bool Gateway::TakeRetry(const Tracked& tracked, std::string_view reason, TimePoint now)
 {
   RetryAllowance& allowance = QueueOf(tracked.service).retries;
@@ -44,9 +49,7 @@
 void Gateway::RetryOrGiveUp(Tracked& tracked, std::string_view reason,
                             const Error& error_if_not_retried, TimePoint now, Actions* actions)
 {
-  const bool may_resume =
-      !tracked.was_head_passed || (tracked.route.is_resumable && tracked.may_continue);
-  if (!may_resume || !MayRunAgain(tracked) || !TakeRetry(tracked, reason, now))
+  if (!MayResume(tracked) || !MayRunAgain(tracked) || !TakeRetry(tracked, reason, now))
     return GiveUp(tracked, error_if_not_retried, now, actions);
   Retry(tracked, reason, now, actions);
 }
--- a/Source/Peers/Target/HealthProbe.cpp
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -10,8 +10,9 @@
 using Common::Milliseconds;
 using Gateway::ProbeOutcome;
 
-// A full target lets a probe wait for a slot.
-static constexpr Milliseconds MAX_PROBE_TIME = Milliseconds(1000);
+// A full target lets a probe wait for a slot. A probe that is sent again loses its place in the
+// target's queue.
+static constexpr Milliseconds MAX_PROBE_TIME = Milliseconds(3000);
 // Shorter than the time for connecting, so that a connection that fails before was refused.
 static constexpr Milliseconds MAX_REFUSAL_TIME = Milliseconds(350);
 
--- a/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ClosedAnswersTest.cpp
@@ -42,9 +42,9 @@
     gateway.OnTargetLoad(load, now, &actions);
   }
   // A stream that has begun, and whose target has closed its connection.
-  RequestNumber ClosedStream()
+  RequestNumber ClosedStream(const std::string& path = "/chat/")
   {
-    const RequestNumber number = Arrive("/chat/");
+    const RequestNumber number = Arrive(path);
     Feed(Began(number));
     now += Milliseconds(100);
     Feed(AnswerClosed{number});
@@ -171,6 +171,51 @@
   }
 }
 
+// Full targets answered probes later than the ends of sound streams were held, which were cut.
+TEST_CASE("The end of a stream that could not go on at once is held for longer")
+{
+  Fixture f;
+  const RequestNumber other = f.Arrive("/chat/");
+  f.Feed(f.Began(other));
+
+  SUBCASE("as no slot is free")
+  {
+    const RequestNumber number = f.ClosedStream();
+    f.Advance(Milliseconds(310));
+    REQUIRE(Only<ProbeTarget>(f.actions).size() == 1);
+    f.Advance(Milliseconds(1000));
+    CHECK_FALSE(f.EndOf(number));
+
+    SUBCASE("until the probe is answered")
+    {
+      f.Advance(Milliseconds(1600));
+      CHECK_FALSE(f.EndOf(number));
+      f.Feed(ProbeEnded{"llm-1", MakeTarget("llm-1", "llm", 1).address, ProbeOutcome::Runs});
+      CHECK(f.EndOf(number) == AttemptEnd::None);
+    }
+    SUBCASE("until a slot is free")
+    {
+      f.Feed(AnswerEnded{other});
+      f.Advance(Milliseconds(110));
+      CHECK(f.EndOf(number) == AttemptEnd::UnprovedEnd);
+    }
+    SUBCASE("but not without end")
+    {
+      f.Advance(Milliseconds(1700));
+      CHECK(f.EndOf(number) == AttemptEnd::UnprovedEnd);
+    }
+  }
+  SUBCASE("as it may not be resumed")
+  {
+    f.Feed(AnswerEnded{other});
+    const RequestNumber number = f.ClosedStream("/draft/");
+    f.Advance(Milliseconds(2900));
+    CHECK_FALSE(f.EndOf(number));
+    f.Advance(Milliseconds(110));
+    CHECK(f.EndOf(number) == AttemptEnd::UnprovedEnd);
+  }
+}
+
 TEST_CASE("A target without an agent is probed once for all answers that it has closed")
 {
   Fixture f;
--- a/Source/UnitTests/Peers/HealthProbeTest.cpp
+++ b/Source/UnitTests/Peers/HealthProbeTest.cpp
@@ -75,3 +75,19 @@
   CHECK(f.ProbeOf("silent") == ProbeOutcome::Unknown);
   CHECK(f.ProbeOf("no HTTP at all, whatever this is\r\n\r\n") == ProbeOutcome::Unknown);
 }
+
+// Such probes were given up after a second, and the next one waited from the end of the queue.
+TEST_CASE("A probe waits for a full target that answers once it has a free slot")
+{
+  Fixture f;
+  std::unique_ptr<Common::Watch> slot;
+  Testing::FakeServer server(
+      f.loop,
+      [&](Common::TcpConnection& connection, const std::string& /*bytes*/)
+      {
+        slot = f.loop.MakeTimer(
+            [&connection] { connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+        slot->FireAfter(Common::Milliseconds(2000));
+      });
+  CHECK(f.Probe(server.Address()) == ProbeOutcome::Runs);
+}
