Gateway: Targets in an unconfirmed switch wait only for targets that may begin the request

Callers would see: requests that wait for half of the start goal and are refused with no_weights, for up to 10 s.

Cause: any target that was reported to serve kept those in an unconfirmed switch out, also one with old weights after the switch deadline, or one that fails, which may take nothing. Besides, each such target looked at all targets at each choice. And the time was counted from the last report of the killed process, so a sidecar that was away for 10 s came back unguarded.

Now a target counts only if it may begin the request (deadlines of the query, no failures; a full one counts, as it says so itself), one look at all targets answers for all candidates of a choice, and the time counts from the new process's first report.

Tests: "A target whose agent started anew within a switch is used only if no other serves", of whose subcases "for some seconds" and "the other one may not begin requests with its old weights any more" failed on; the first had its last steps moved, as the 10 s begin later: they are checked to 0.1 s as before to 0.5 s.

--- a/Source/Core/Gateway/TargetAvailability.cpp
+++ b/Source/Core/Gateway/TargetAvailability.cpp
@@ -64,23 +64,31 @@
 
 bool TargetTable::IsSwitchUnconfirmed(const Target& target, TimePoint now) const
 {
-  std::optional<TimePoint> reported_at = target.switch_reported_at;
+  std::optional<TimePoint> since = target.unchecked_since;
   if (target.load && target.load->is_switching && !HasValidLoad(target, now))
-    reported_at = target.load_received;
-  return reported_at && now - *reported_at <= MAX_SWITCH_SILENCE;
+    since = target.load_received;
+  return since && now - *since <= MAX_SWITCH_SILENCE;
 }
 
-bool TargetTable::IsAnyReportedToServe(const std::string& service, TimePoint now) const
+bool TargetTable::IsReportedToServe(const Target& target, const TargetQuery& query,
+                                    TimePoint now) const
 {
-  return std::ranges::any_of(m_targets,
-                             [&](const auto& entry)
-                             {
-                               const Target& target = entry.second;
-                               return target.listed.service == service && target.IsListed() &&
-                                      !IsLeaving(target) && HasValidLoad(target, now) &&
-                                      !target.load->is_switching &&
-                                      !IsSwitchUnconfirmed(target, now) && WeightsOf(target) > 0;
-                             });
+  return target.listed.service == query.service && target.IsListed() && !IsLeaving(target) &&
+         HasValidLoad(target, now) && !target.load->is_switching &&
+         !IsSwitchUnconfirmed(target, now) && target.failures == 0 && WeightsOf(target) > 0 &&
+         MeetsSwitchDeadlines(target, query, Duration::zero(), now);
+}
+
+bool TargetTable::ExcludesUnconfirmed(const TargetQuery& query, TimePoint now) const
+{
+  const auto is_unconfirmed = [&](const auto& entry)
+  {
+    const Target& target = entry.second;
+    return target.listed.service == query.service && IsSwitchUnconfirmed(target, now);
+  };
+  return std::ranges::any_of(m_targets, is_unconfirmed) &&
+         std::ranges::any_of(m_targets, [&](const auto& entry)
+                             { return IsReportedToServe(entry.second, query, now); });
 }
 
 bool TargetTable::IsLeaving(const Target& target) const
@@ -99,8 +107,6 @@
     return Availability::Avoided;
   if (HasValidLoad(target, now) && target.load->is_switching)
     return Availability::Switching;
-  if (IsSwitchUnconfirmed(target, now) && IsAnyReportedToServe(target.listed.service, now))
-    return Availability::Switching;
   // Without proof that the target runs, one request at a time tries it.
   if (IsUnreported(target, now) || (LacksProof(target, now) && !target.expected_starts.empty()))
     return Availability::Unreported;
--- a/Source/Core/Gateway/TargetCandidates.cpp
+++ b/Source/Core/Gateway/TargetCandidates.cpp
@@ -108,7 +108,8 @@
   {
     return IsOpenFor(id, target, query, now) &&
            !(filter.excludes_rejecting && target.is_rejecting) &&
-           !(filter.excludes_unproven && LacksProof(target, now));
+           !(filter.excludes_unproven && LacksProof(target, now)) &&
+           !(filter.excludes_unconfirmed && IsSwitchUnconfirmed(target, now));
   };
   const bool is_subset_open = std::ranges::any_of(
       m_targets, [&](const auto& entry)
@@ -141,14 +142,16 @@
 
 TargetTable::Candidates TargetTable::CandidatesFor(const TargetQuery& query, TimePoint now) const
 {
-  const CandidateFilter preferred = PreferredFor(query, now);
+  const CandidateFilter required{.excludes_unconfirmed = ExcludesUnconfirmed(query, now)};
+  CandidateFilter preferred = PreferredFor(query, now);
+  preferred.excludes_unconfirmed = required.excludes_unconfirmed;
   if (preferred.excludes_rejecting || preferred.excludes_unproven)
   {
     Candidates candidates = OpenCandidatesFor(query, now, preferred);
     if (std::ranges::any_of(candidates.choices, &TargetChoice::has_free_slot))
       return candidates;
   }
-  Candidates candidates = OpenCandidatesFor(query, now, {});
+  Candidates candidates = OpenCandidatesFor(query, now, required);
   if (!candidates.choices.empty())
     return candidates;
   for (const auto& [id, target] : m_targets)
--- a/Source/Core/Gateway/TargetSummary.cpp
+++ b/Source/Core/Gateway/TargetSummary.cpp
@@ -60,6 +60,7 @@
 TargetSummary TargetTable::SummaryOf(const TargetQuery& query, TimePoint now) const
 {
   TargetSummary summary;
+  const bool excludes_unconfirmed = ExcludesUnconfirmed(query, now);
   std::vector<ExpectedWeights> expected_weights;
   for (const auto& [id, target] : m_targets)
   {
@@ -68,7 +69,11 @@
     ++summary.listed;
     if (const auto expected = WeightsExpectedAt(target, query, now))
       expected_weights.push_back(*expected);
-    switch (AvailabilityOf(target, now))
+    Availability availability = AvailabilityOf(target, now);
+    if (availability == Availability::Open && excludes_unconfirmed &&
+        IsSwitchUnconfirmed(target, now))
+      availability = Availability::Switching;
+    switch (availability)
     {
     case Availability::Open:
     {
--- a/Source/Core/Gateway/TargetTable.cpp
+++ b/Source/Core/Gateway/TargetTable.cpp
@@ -131,7 +131,7 @@
     // The target's agent reports again, so the network path to it works.
     if (IsSilent(target, now))
       target.avoid_until = std::min(target.avoid_until, now);
-    UpdateSwitchReported(target, load, now);
+    UpdateUnchecked(target, load, now);
     target.load = load;
     target.load_received = now;
     target.limit.OnReport(load.rate_limit, load.permits, now);
@@ -142,13 +142,13 @@
   }
 }
 
-void TargetTable::UpdateSwitchReported(Target& target, const TargetLoad& load, TimePoint now)
+void TargetTable::UpdateUnchecked(Target& target, const TargetLoad& load, TimePoint now)
 {
   if (load.is_switching || !load.is_load_unchecked)
-    return target.switch_reported_at.reset();
+    return target.unchecked_since.reset();
   if (!target.load || !target.load->is_switching)
     return;
-  target.switch_reported_at = target.load_received;
+  target.unchecked_since = now;
   LogEvent(Weight::Important, now, "target.load_unchecked", "target", target.listed.id, "weights",
            load.weights_version);
 }
--- a/Source/Core/Gateway/TargetTable.h
+++ b/Source/Core/Gateway/TargetTable.h
@@ -189,9 +189,9 @@
     // Requests of this gateway whose answers had not started when the last load report arrived.
     std::size_t local_waiting_at_load = 0;
     Common::TimePoint load_received{};
-    // When the agent last reported a switch; empty unless it then started anew and does not know
-    // yet how the switch has ended.
-    std::optional<Common::TimePoint> switch_reported_at;
+    // When the first report arrived of an agent that started anew within a switch; empty once it
+    // knows how the switch has ended.
+    std::optional<Common::TimePoint> unchecked_since;
     // The unanswered requests, each with the time at which its answer was expected to start.
     std::map<std::uint64_t, Common::TimePoint> expected_starts;
     // The latest of these times among the answers that have started.
@@ -274,6 +274,7 @@
   {
     bool excludes_rejecting = false;
     bool excludes_unproven = false;
+    bool excludes_unconfirmed = false;
   };
   // The open targets in the subset that this gateway uses, or all open targets if none of the
   // subset is open.
@@ -283,7 +284,8 @@
   CandidateFilter PreferredFor(const TargetQuery& query, Common::TimePoint now) const;
   // The open candidates. While another target has a free slot, a request that cannot be retried
   // does not go to a target that may reject it again, and a retry does not go to a target of which
-  // nothing shows that it runs. If no target is open, the candidates are avoided targets that
+  // nothing shows that it runs. A target within an unconfirmed switch is no candidate while another
+  // one is reported to serve. If no target is open, the candidates are avoided targets that
   // qualify as a last resort.
   Candidates CandidatesFor(const TargetQuery& query, Common::TimePoint now) const;
   void AddCandidate(const TargetId& id, const Target& target, const TargetQuery& query,
@@ -294,9 +296,13 @@
   // switch has ended.
   bool IsSwitchUnconfirmed(const Target& target, Common::TimePoint now) const;
   // Called before the report takes the place of the last one.
-  static void UpdateSwitchReported(Target& target, const TargetLoad& load, Common::TimePoint now);
-  // Whether an agent reports that a target of the service serves.
-  bool IsAnyReportedToServe(const std::string& service, Common::TimePoint now) const;
+  static void UpdateUnchecked(Target& target, const TargetLoad& load, Common::TimePoint now);
+  // Whether the target's agent reports that it serves, and nothing is known that keeps it from
+  // beginning the request, except that others may have filled it.
+  bool IsReportedToServe(const Target& target, const TargetQuery& query,
+                         Common::TimePoint now) const;
+  // Whether targets within an unconfirmed switch are left out, because another one serves.
+  bool ExcludesUnconfirmed(const TargetQuery& query, Common::TimePoint now) const;
   // Whether a plain service's target that is avoided after failures may be used because there is no
   // other target.
   bool IsLastResortFor(const TargetId& id, const Target& target, const TargetQuery& query,
--- a/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
+++ b/Source/UnitTests/Core/Gateway/TargetTableTest.cpp
@@ -244,9 +244,23 @@
   CHECK(f.Choose()->id == "2");
   SUBCASE("for some seconds, though the other one is full")
   {
-    report_both(Milliseconds(9000));
+    report_both(Milliseconds(9900));
     CHECK(f.Choose()->id == "2");
-    report_both(Milliseconds(1000));
+    report_both(Milliseconds(200));
+    CHECK(f.Choose()->id == "1");
+  }
+  SUBCASE("the other one may not begin requests with its old weights any more")
+  {
+    load.weights_version = 2;
+    report_both(Milliseconds(100));
+    TargetQuery query{"llm", 1000, 100, {}, {{2, f.now - Milliseconds(1)}}};
+    CHECK(f.Choose(query)->id == "1");
+    query.weights = {{2, f.now + Milliseconds(60000)}};
+    CHECK(f.Choose(query)->id == "2");
+  }
+  SUBCASE("the other one fails")
+  {
+    f.table.OnFailed("2", f.now);
     CHECK(f.Choose()->id == "1");
   }
   SUBCASE("until the agent has checked the load")
