Sidecar: A load of an earlier process is still checked after its engine was out of reach

Callers would see: answers made with bad weights until the next switch.

Cause: three reports without an answer made the sidecar forget that the load was still to be checked.

Only another start of the engine ends the check now.

--- a/Source/Core/Sidecar/SidecarEngine.cpp
+++ b/Source/Core/Sidecar/SidecarEngine.cpp
@@ -73,10 +73,14 @@
     if (!m_loader.IsUnderWay())
       m_loader.OnEngineRestarted();
     ForgetEngine();
+    m_has_inherited_load = false;
   }
   m_end_reports = MAX_END_REPORTS;
   if (std::exchange(m_last_incarnation, report->incarnation) != report->incarnation)
+  {
     m_stage.OnEngineRestarted();
+    m_has_inherited_load = false;
+  }
   const bool is_first = !std::exchange(m_has_engine_reported, true);
   m_report = *report;
   m_known_report_asked_at = m_report_asked_at;
@@ -100,7 +104,6 @@
 
 void Sidecar::ForgetEngine()
 {
-  m_has_inherited_load = false;
   m_unexplained_load_at.reset();
   m_stage.VerifyAgain();
   m_target_id.clear();
--- a/Source/UnitTests/Core/Sidecar/SidecarIdentityTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarIdentityTest.cpp
@@ -220,3 +220,25 @@
   CHECK(load.weights_version == 1);
   CHECK_FALSE(load.is_switching);
 }
+
+// The engine's connection broke while the check waited for the manifest.
+TEST_CASE("A load of an earlier process is still to be checked after the engine was out of reach")
+{
+  Fixture f;
+  const EngineReport report{.incarnation = 1, .weights_version = 1, .orders = 4};
+  REQUIRE(LoadOf(f, report).is_load_unchecked);
+  for (int failures = 0; failures < 3; ++failures)
+  {
+    f.now += Milliseconds(100);
+    f.sidecar.Handle(ReportRead{Common::Error{Common::ErrorKind::SourceBusy, "refused"}}, f.now,
+                     &f.actions);
+  }
+  SUBCASE("if the engine is the same")
+  {
+    CHECK(LoadOf(f, report).is_load_unchecked);
+  }
+  SUBCASE("but not if it has started again")
+  {
+    CHECK_FALSE(LoadOf(f, {.incarnation = 2, .weights_version = 0}).is_load_unchecked);
+  }
+}
