--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -106,6 +106,7 @@
   load.is_switching = m_loader.IsUnderWay() || m_loader.IsUnsound() || IsHeldForCheck(now);
   // An engine that has not accepted the order yet still begins requests on its old weights.
   const bool is_unsettled = m_loader.State() == LoaderState::Unsettled;
+  // A load by an order of another process is reported as a switch while it is held for its check.
   load.is_load_unchecked = !m_report || (m_has_inherited_load && !m_unexplained_load_at);
   load.next_version = m_loader.IsUnderWay() && !is_unsettled ? m_loader.Version() : 0;
   if (m_report)
