--- a/review/common-2/models.py
+++ b/review/common-2/models.py
@@ -19,6 +19,10 @@
     return (seed * (PIECE_BYTES // len(seed) + 1))[:PIECE_BYTES]
 
 
+def pieces_of_layer(layer):
+    return range(layer * PIECES // LAYERS, -(-(layer + 1) * PIECES // LAYERS))
+
+
 class Origin(standin.Server):
     """Sends at the rate of its link. What is two versions back is gone."""
 
@@ -66,6 +70,7 @@
         self.name, self.service, self.zone, self.model = name, service, zone, model
         self.record = record
         self.version = 1
+        self.range = (0, LAYERS)  # of the layers that it holds
         self.stage = {n: piece_of(model, 1, n) for n in range(PIECES)}
         self.orders = 0
         self.busy = False
@@ -77,13 +82,14 @@
         # Added to the head of each answer to a caller's request.
         self.answer_fields = {}
         self.begun = []  # (seconds, request id, version)
+        self.is_changed = asyncio.Event()
 
     def models(self):
         return ([{"Name": self.model, "Version": self.version, "Adapters": []}]
                 if self.version else [])
 
     def layers(self):
-        return [{"From": 0, "TargetVersion": LAYERS, "Version": self.version}] \
+        return [{"From": self.range[0], "TargetVersion": self.range[1], "Version": self.version}] \
             if self.version else []
 
     def entry(self):
@@ -93,15 +99,24 @@
         made["layers"] = self.layers()
         return made
 
-    async def load(self, version):
-        taken = dict(self.stage)
+    def layers_to_take(self, version, wanted):
+        """Layers of the same version that it holds are kept."""
+        kept = range(*self.range) if self.version == version else range(0)
+        return [layer for layer in range(*wanted) if layer not in kept]
+
+    async def load(self, version, wanted):
+        pieces = sorted({n for layer in self.layers_to_take(version, wanted)
+                         for n in pieces_of_layer(layer)})
+        taken = {n: self.stage.get(n) for n in pieces}
         while self.running:
             await asyncio.sleep(0.01)
         self.version = 0
-        await asyncio.sleep(0.3)
-        self.version, self.busy = version, False
-        wrong = [n for n in range(PIECES) if taken.get(n) != piece_of(self.model, version, n)]
-        self.record.note(f"{self.name} has loaded version {version}, wrong pieces: {wrong}")
+        await asyncio.sleep(0.3 * len(pieces) / PIECES)
+        self.version, self.range, self.busy = version, wanted, False
+        wrong = [n for n in pieces if taken[n] != piece_of(self.model, version, n)]
+        self.record.note(f"{self.name} has loaded version {version}, layers {wanted[0]} to "
+                         f"{wanted[1]}, wrong pieces: {wrong}")
+        self.is_changed.set()
 
     async def handle(self, message, writer, reader):
         path = message.path
@@ -124,15 +139,16 @@
                 writer.write(standin.answer(404))
         elif path == "/holdpost/order":
             order = json.loads(message.body)
+            wanted = (order.get("From", 0), order.get("TargetVersion", LAYERS))
             if order.get("ExpectedRev", self.orders) != self.orders or self.busy:
                 writer.write(standin.answer(409))
-            elif order["Version"] == self.version:
+            elif order["Version"] == self.version and wanted == self.range:
                 writer.write(standin.answer(200))
             else:
                 self.orders += 1
                 self.busy = True
                 self.record.note(f"{self.name} takes the order for version {order['Version']}")
-                asyncio.ensure_future(self.load(order["Version"]))
+                asyncio.ensure_future(self.load(order["Version"], wanted))
                 writer.write(standin.answer(202))
         elif path == "/health":
             writer.write(standin.answer(200, X_Instance_Id=self.name))
@@ -149,6 +165,9 @@
         if number is None:
             writer.write(standin.answer(400, X_Not_Executed=1))
             return True
+        if self.version and self.range != (0, LAYERS):
+            writer.write(standin.answer(421, X_Request_Id=number, X_Instance_Id=self.name))
+            return True
         if self.busy or not self.version or self.running >= 48:
             writer.write(standin.answer(503, X_Request_Id=number, X_Not_Executed=1))
             return True
@@ -175,4 +194,12 @@
     async def beat(self, store):
         while True:
             await store.beat(self.name, self.entry())
-            await asyncio.sleep(standin.HEARTBEAT_S)
+            await self.until_next_beat()
+
+    async def until_next_beat(self):
+        """Its entry is written each 1.2 s, and as soon as it holds other layers."""
+        try:
+            await asyncio.wait_for(self.is_changed.wait(), standin.HEARTBEAT_S)
+        except asyncio.TimeoutError:
+            pass
+        self.is_changed.clear()
