--- a/review/common-2/models.py
+++ b/review/common-2/models.py
@@ -160,7 +160,8 @@
         fields = message.fields
         number = fields.get("x-request-id")
         if fields.get("x-expect-instance", self.name) != self.name:
-            writer.write(standin.answer(421, X_Instance_Id=self.name, X_Not_Executed=1))
+            named = {} if number is None else {"X_Request_Id": number}
+            writer.write(standin.answer(421, X_Instance_Id=self.name, X_Not_Executed=1, **named))
             return True
         if number is None:
             writer.write(standin.answer(400, X_Not_Executed=1))
--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -31,18 +31,26 @@
     async def handle(self, message, writer, reader):
         fields = message.fields
         expected = fields.get("x-expect-instance", self.name)
+        number = fields.get("x-request-id")
+        named = {} if number is None else {"X_Request_Id": number}
+        is_health = message.path == "/health"
         if expected != self.name:
-            writer.write(standin.answer(421, X_Instance_Id=self.name, X_Not_Executed=1))
-            return True
-        if message.path == "/health":
-            writer.write(standin.answer(200, X_Instance_Id=self.name))
+            writer.write(standin.answer(421, X_Instance_Id=self.name, X_Not_Executed=1, **named))
             return True
-        number = fields.get("x-request-id")
-        if number is None:
+        if number is None and not is_health:
             writer.write(standin.answer(400, X_Not_Executed=1))
             return True
+        # A health check waits for a slot or is rejected, as a request is.
         if self.open >= self.slots + 24:
-            writer.write(standin.answer(503, X_Request_Id=number, X_Not_Executed=1))
+            writer.write(standin.answer(503, X_Instance_Id=self.name, X_Not_Executed=1, **named))
+            return True
+        if is_health:
+            self.open += 1
+            try:
+                async with self.free:
+                    writer.write(standin.answer(200, X_Instance_Id=self.name))
+            finally:
+                self.open -= 1
             return True
         self.open += 1
         try:
--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -20,7 +20,8 @@
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-PROGRAM = os.path.join(ROOT, "target", "bin", "holdpost-platform")
+# As deploy/system.toml starts it: at the root, with the settings file named by a variable.
+PROGRAM = "target/bin/holdpost-platform"
 
 CALLERS_PORT = 21001
 READY_PORT = 21002
@@ -279,8 +280,9 @@
         with open(path, "w") as file:
             file.write(fill(template, values, [f"{host(s)}:1" for s in seeds]))
         log = open(self.log_of(name), "a")
-        self.processes[name] = subprocess.Popen([PROGRAM, role, "--config", path], stdout=log,
-                                                stderr=log, stdin=subprocess.DEVNULL)
+        self.processes[name] = subprocess.Popen([PROGRAM, role], cwd=ROOT, stdout=log, stderr=log,
+                                                stdin=subprocess.DEVNULL,
+                                                env=dict(os.environ, HOLDPOST_NODE_FILE=path))
         self.record.note(f"start {name}")
         return self.processes[name]
 
@@ -407,9 +409,17 @@
 def run_case(main, folder):
     """Ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run."""
     record = Record(folder)
+
+    async def run():
+        # A script that is told to end leaves no process behind either.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(main(record), 115)
+
     try:
-        verdict = asyncio.run(asyncio.wait_for(main(record), 115))
-    except Exception as error:  # the case could not run
+        verdict = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record.note(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
--- a/review/8/run.py
+++ b/review/entries-2/server-limit/run.py
@@ -7,7 +7,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "common-2"))
+sys.path.insert(0, os.path.join(FOLDER, "..", "..", "common-2"))
 import models
 import standin
 from standin import call, host
