Targets: A reset that a failing send has found first is no end of an answer

Cause: the kernel reports the error of a reset once, to the next call on the socket. TcpConnection dropped what a failing send had told, as the read behind it was to tell the end; but that read then finds the bytes that are left and after them an end like that of a close (ConnectionEnd::Finished), which TargetCall takes for the end of a body without a length. Where both wait, libevent runs the write event first, as it was added last.

Fix: TcpConnection keeps the errno of the first send that failed, and an input that ends after it counts as closed in good order only if that was EPIPE, the error of a reset that came behind the peer's close (tcp_reset, CLOSE_WAIT). Any other error, a time-out too, is Broken. What ends by a length or by chunks is whole as before.

--- a/Source/Common/TcpConnection.cpp
+++ b/Source/Common/TcpConnection.cpp
@@ -138,7 +138,7 @@
     if (count < 0)
       return End(ConnectionEnd::Broken);
     if (count == 0)
-      return End(ConnectionEnd::Finished);
+      return End(EndOfInput());
     if (m_is_closing)
       continue;
     const auto size = static_cast<std::size_t>(count);
@@ -267,7 +267,7 @@
   event_add(m_write_event, nullptr);
 }
 
-std::optional<std::size_t> TcpConnection::Send(std::string_view data) const
+std::optional<std::size_t> TcpConnection::Send(std::string_view data)
 {
   std::size_t sent = 0;
   while (sent < data.size())
@@ -278,7 +278,11 @@
     if (count < 0 && errno == EAGAIN)
       break;
     if (count < 0)
+    {
+      if (m_send_error == 0)
+        m_send_error = errno;
       return std::nullopt;
+    }
     sent += static_cast<std::size_t>(count);
   }
   return sent;
@@ -325,6 +329,15 @@
   m_loop.Defer([held = shared_from_this()] { held->End(ConnectionEnd::Broken); });
 }
 
+ConnectionEnd TcpConnection::EndOfInput() const
+{
+  // The kernel reports the error of a reset once. If a send has taken it, reads find the bytes that
+  // are left and then an end like that of a close. EPIPE is the error of a reset that came behind
+  // the peer's close.
+  const bool was_closed_first = m_send_error == 0 || m_send_error == EPIPE;
+  return was_closed_first ? ConnectionEnd::Finished : ConnectionEnd::Broken;
+}
+
 void TcpConnection::UpdateReading()
 {
   if (!m_read_event || m_is_connecting)
--- a/Source/Common/TcpConnection.h
+++ b/Source/Common/TcpConnection.h
@@ -111,10 +111,12 @@
   bool MaySendNow() const { return !m_is_connecting && !m_is_write_armed && m_output.IsEmpty(); }
   // Hands bytes to the kernel until it takes no more; returns how many it took, or nothing if the
   // connection is broken.
-  std::optional<std::size_t> Send(std::string_view data) const;
+  std::optional<std::size_t> Send(std::string_view data);
   void Flush();
   void OnAllSent();
   void OnSendFailed();
+  // How the peer ended the connection if a read finds no more bytes and no error.
+  ConnectionEnd EndOfInput() const;
   void OnLingerOver();
   void WaitForWritable();
   void End(ConnectionEnd end);
@@ -129,6 +131,8 @@
   bool m_is_reading_armed = false;
   bool m_is_offering = false;
   bool m_is_write_armed = false;
+  // The errno of the first send that failed; 0 if none has.
+  int m_send_error = 0;
   Milliseconds m_linger{0};
   event* m_read_event = nullptr;
   event* m_write_event = nullptr;
--- a/Source/UnitTests/Common/TcpConnectionTest.cpp
+++ b/Source/UnitTests/Common/TcpConnectionTest.cpp
@@ -86,6 +86,49 @@
   }
 }
 
+// Regression: a send that failed took the error of a reset, and the read behind it found a close.
+TEST_CASE("A connection tells a close from a reset that a failing send has found first")
+{
+  EventLoop loop;
+  Server server(loop);
+  const auto client =
+      TcpConnection::Connect(loop, server.address, Milliseconds(1000), Milliseconds(1000));
+  std::string got;
+  std::optional<ConnectionEnd> end;
+  client->SetHandlers({[&got](std::string_view data)
+                       {
+                         got.append(data);
+                         return data.size();
+                       },
+                       [&end](ConnectionEnd how) { end = how; }, nullptr, nullptr});
+  RunUntil(loop, [&] { return !server.accepted.empty() && client->IsConnected(); });
+  TcpConnection& peer = *server.accepted.front();
+  peer.Write("answer");
+  // The client looks at its socket only after the peer has ended the connection.
+  const auto send_twice = [&client]
+  {
+    client->Write("more");
+    client->Write("and more");
+  };
+
+  SUBCASE("a reset")
+  {
+    peer.Reset();
+    send_twice();
+    RunUntil(loop, [&end] { return end.has_value(); });
+    CHECK(end == ConnectionEnd::Broken);
+  }
+  SUBCASE("a close, and a reset behind it")
+  {
+    peer.CloseGracefully(Milliseconds(100));
+    peer.Reset();
+    send_twice();
+    RunUntil(loop, [&end] { return end.has_value(); });
+    CHECK(end == ConnectionEnd::Finished);
+  }
+  CHECK(got == "answer");
+}
+
 // Guards against answers that are cut when their connection closes before the peer has read them.
 TEST_CASE("What a slow peer has yet to read is sent however long that takes")
 {
