Targets: An early answer that a slow caller holds back is not dropped when its upload fails

What callers saw: found by the test of early answers, not reported. A runner answers a long upload early and in full, then ends the connection; the caller takes the answer slowly, so the gateway has paused reading. Sending the rest of the upload fails, and the gateway broke the answer off though its bytes lay whole in the socket.

Cause: TcpConnection ended a connection at once as Broken where a send failed while reading was paused.

Fix: it leaves the end to the read, as it does when reading is not paused. Whoever pauses reads on or closes: TargetCall when its caller has drained or left, CallerConnection when it answers.

--- a/Source/Common/TcpConnection.cpp
+++ b/Source/Common/TcpConnection.cpp
@@ -321,12 +321,10 @@
 
 void TcpConnection::OnSendFailed()
 {
+  // What the peer sent before it went away is read first, once reading is not paused; the read then
+  // tells the end.
   m_output.Clear();
   CountHeld();
-  // What the peer sent before it went away is read first; the read then tells the end.
-  if (!m_is_reading_paused)
-    return;
-  m_loop.Defer([held = shared_from_this()] { held->End(ConnectionEnd::Broken); });
 }
 
 ConnectionEnd TcpConnection::EndOfInput() const
--- a/Source/UnitTests/Peers/EarlyAnswerTest.cpp
+++ b/Source/UnitTests/Peers/EarlyAnswerTest.cpp
@@ -106,21 +106,20 @@
   Reset,
 };
 
-std::string EarlyAnswer(Framing framing)
+std::string EarlyAnswer(Framing framing, const std::string& body = ANSWER_BODY)
 {
-  const std::string head =
-      "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nConnection: close\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nHoldpost-Request-Id: r1\r\nConnection: close\r\n";
   switch (framing)
   {
   case Framing::Length:
-    return head + fmt::format("Content-Length: {}\r\n\r\n", ANSWER_BODY.size()) + ANSWER_BODY;
+    return head + fmt::format("Content-Length: {}\r\n\r\n", body.size()) + body;
   case Framing::Chunks:
     return head + "Transfer-Encoding: chunked\r\n\r\n" +
-           fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", ANSWER_BODY.size(), ANSWER_BODY);
+           fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
   case Framing::Close:
     break;
   }
-  return head + "\r\n" + ANSWER_BODY;
+  return head + "\r\n" + body;
 }
 
 // A call with a long upload, of which the target has read a number of bytes.
@@ -154,21 +153,46 @@
   // Sends the answer and ends the connection before the call runs again.
   void Answer(std::string_view text, Ending ending)
   {
-    m_target.Write(text);
-    if (ending != Ending::Reset)
-      m_target.Finish();
-    if (ending != Ending::Finish)
-      m_target.Reset();
+    Send(text, ending);
+    RunUntil(m_loop, [this] { return m_is_whole || m_is_broken; });
+  }
+  // The same, where the caller takes the first part before the rest is sent, and then nothing for a
+  // while.
+  void AnswerSlowCaller(std::string_view text, std::size_t first_part, Ending ending)
+  {
+    m_pauses = true;
+    m_target.Write(text.substr(0, first_part));
+    REQUIRE(RunUntil(m_loop, [this] { return !m_body.empty(); }));
+    Send(text.substr(first_part), ending);
+    RunFor(m_loop, Milliseconds(20));
+    m_pauses = false;
+    m_call->ResumeReading();
     RunUntil(m_loop, [this] { return m_is_whole || m_is_broken; });
   }
-  bool IsWhole() const { return m_is_whole && !m_is_broken && m_body == ANSWER_BODY; }
+  bool IsWhole(const std::string& body = ANSWER_BODY) const
+  {
+    return m_is_whole && !m_is_broken && m_body == body;
+  }
   bool IsBrokenByReset() const
   {
     return m_is_broken && !m_is_whole && m_call->EndedBy() == Gateway::AttemptEnd::Reset;
   }
 
 private:
-  void OnBody(std::string_view data) { m_body.append(data); }
+  void Send(std::string_view text, Ending ending)
+  {
+    m_target.Write(text);
+    if (ending != Ending::Reset)
+      m_target.Finish();
+    if (ending != Ending::Finish)
+      m_target.Reset();
+  }
+  void OnBody(std::string_view data)
+  {
+    m_body.append(data);
+    if (m_pauses)
+      m_call->PauseReading();
+  }
 
   Common::EventLoop m_loop;
   HeaderNames m_names;
@@ -176,6 +200,7 @@
   EarlyTarget m_target;
   std::shared_ptr<TargetCall> m_call;
   std::string m_body;
+  bool m_pauses = false;
   bool m_is_whole = false;
   bool m_is_broken = false;
 };
@@ -220,3 +245,29 @@
     }
   }
 }
+
+// Regression: sending the upload failed while a slow caller held the answer back, and the rest of
+// the answer was dropped.
+TEST_CASE("An early answer that a slow caller has yet to take is whole though its upload failed")
+{
+  // The call passes the answer on once it has this much of it.
+  static constexpr std::size_t FIRST_PART = 72 << 10;
+  const std::string body(FIRST_PART + (16 << 10), 's');
+  for (const Framing framing : {Framing::Length, Framing::Chunks})
+  {
+    for (const Ending ending : {Ending::Finish, Ending::FinishThenReset, Ending::Reset})
+    {
+      CAPTURE(static_cast<int>(framing));
+      CAPTURE(static_cast<int>(ending));
+      EarlyCall call(0);
+      call.AnswerSlowCaller(EarlyAnswer(framing, body), FIRST_PART, ending);
+      CHECK(call.IsWhole(body));
+    }
+  }
+  EarlyCall finished(0);
+  finished.AnswerSlowCaller(EarlyAnswer(Framing::Close, body), FIRST_PART, Ending::FinishThenReset);
+  CHECK(finished.IsWhole(body));
+  EarlyCall reset(0);
+  reset.AnswerSlowCaller(EarlyAnswer(Framing::Close, body), FIRST_PART, Ending::Reset);
+  CHECK(reset.IsBrokenByReset());
+}
