Targets: An answer whose status HTTP does not have is no answer

What callers saw: a status of 600, 700 or 999 was passed on with the runner's body. A status below 100 (000, 001, 099) did not reach them, but was taken for an interim answer: the request heard nothing until its deadline, also if the runner closed the connection.

Cause: HttpParser took each number of three digits, and TargetCall each status below 200 for one that another answer follows.

Fix: the parser refuses a status outside 100 to 599 as malformed, before anything of the head is told, for all that read answers by it (targets, health probes). HTTP has no such codes (RFC 9110, section 15; a client treats them as a server's failure): a caller is helped by a second run or by a 502 with its outcome, not by a code that no client knows.

--- a/Source/Common/HttpParser.cpp
+++ b/Source/Common/HttpParser.cpp
@@ -11,6 +11,10 @@
 using beast::error_code;
 using beast::string_view;
 
+// RFC 9110, section 15: no other code is a status.
+static constexpr int MIN_STATUS = 100;
+static constexpr int MAX_STATUS = 599;
+
 static std::string_view ToStd(string_view text)
 {
   return {text.data(), text.size()};
@@ -58,8 +62,10 @@
     m_head.is_http_1_0 = version == 10;
   }
 
-  void on_response_impl(int code, string_view reason, int version, error_code& /*error*/) override
+  void on_response_impl(int code, string_view reason, int version, error_code& error) override
   {
+    if (code < MIN_STATUS || code > MAX_STATUS)
+      error = http::error::bad_status;
     m_head.status = code;
     m_head.reason = ToStd(reason);
     m_head.is_http_1_0 = version == 10;
--- a/Source/Common/HttpParser.h
+++ b/Source/Common/HttpParser.h
@@ -20,6 +20,7 @@
 enum class HttpParseError
 {
   None,
+  // Of answers, also one with a status outside 100 to 599.
   Malformed,
   HeaderTooLarge,
   BodyTooLarge,
--- a/Source/UnitTests/Common/HttpParserTest.cpp
+++ b/Source/UnitTests/Common/HttpParserTest.cpp
@@ -3,8 +3,10 @@
 #include <vector>
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "Common/HttpParser.h"
+#include "Support/BrokenHeads.h"
 
 using namespace Holdpost::Common;
 
@@ -97,6 +99,43 @@
         HttpParseError::Malformed);
 }
 
+namespace
+{
+void CheckRefused(const std::vector<Holdpost::Testing::BrokenAnswer>& answers)
+{
+  for (const auto& answer : answers)
+  {
+    CAPTURE(answer.name);
+    for (const std::size_t size : {1, 2, 3, 7, 10000})
+    {
+      CAPTURE(size);
+      Collected got;
+      HttpParser parser(HttpMessageKind::Answer, got);
+      FeedInPieces(parser, answer.text, size);
+      CHECK(parser.Error() == HttpParseError::Malformed);
+      CHECK(got.heads.empty());
+      CHECK(got.body.empty());
+    }
+  }
+}
+} // namespace
+
+// Regression: a status of 600 or more was passed on, and one below 100 was taken for an interim
+// one.
+TEST_CASE("Answers with a status that HTTP does not have are refused")
+{
+  CheckRefused(Holdpost::Testing::AnswersWithBrokenStatus("X-Id: r1", "hello"));
+  for (const int status : {100, 199, 200, 299, 300, 399, 400, 499, 500, 599})
+  {
+    CAPTURE(status);
+    Collected got;
+    HttpParser parser(HttpMessageKind::Answer, got);
+    parser.Feed(fmt::format("HTTP/1.1 {} Status\r\nContent-Length: 0\r\n\r\n", status));
+    REQUIRE(parser.IsDone());
+    CHECK(got.heads.front().status == status);
+  }
+}
+
 TEST_CASE("Sizes are bounded")
 {
   Collected got;
