Targets: An answer with a folded field is no answer

What callers saw: a line of a head that begins with a blank or a tab was joined to the value of the field before it, so that a caller got the runner's stamp with ' X-Bad: 1' behind it; a field with an empty value took the next line's.

Cause: Boost.Beast reads such lines as obsolete folding and joins them.

Fix: HttpParser refuses them in answers as malformed, before anything of the head is told. A gateway has to discard a folded answer or to change its value (RFC 9112, section 5.2); a value that was changed under way helps nobody, and a runner that sends one is in trouble. Requests are read as before.

Blanks, control bytes and others in names and values, and broken lines behind the last chunk, were refused before; the tests stay.

--- a/Source/Common/HttpParser.cpp
+++ b/Source/Common/HttpParser.cpp
@@ -14,12 +14,24 @@
 // RFC 9110, section 15: no other code is a status.
 static constexpr int MIN_STATUS = 100;
 static constexpr int MAX_STATUS = 599;
+static constexpr std::string_view LINE_END = "\r\n";
 
 static std::string_view ToStd(string_view text)
 {
   return {text.data(), text.size()};
 }
 
+// Whether a field goes on in a further line, in the bytes of a message from within its head on.
+// Boost.Beast joins such lines to one value.
+static bool HasFoldedField(std::string_view unread)
+{
+  if (unread.starts_with(LINE_END)) // the end of the head
+    return false;
+  const std::string_view head = unread.substr(0, unread.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 // What the parser needs of a message, whichever kind it has.
 class HttpParser::Message
 {
@@ -161,8 +173,15 @@
   std::size_t consumed = 0;
   while (consumed < data.size() && m_error == HttpParseError::None && !m_message->IsDone())
   {
+    const std::string_view unread = data.substr(consumed);
+    if (m_kind == HttpMessageKind::Answer && !m_message->HasHead() && HasFoldedField(unread))
+    {
+      // RFC 9112, section 5.2: a gateway discards such an answer or changes the value.
+      m_error = HttpParseError::Malformed;
+      break;
+    }
     error_code error;
-    const std::size_t taken = m_message->Put(data.substr(consumed), error);
+    const std::size_t taken = m_message->Put(unread, error);
     consumed += taken;
     m_has_begun = true;
     if (error == http::error::need_more)
--- a/Source/Common/HttpParser.h
+++ b/Source/Common/HttpParser.h
@@ -20,7 +20,8 @@
 enum class HttpParseError
 {
   None,
-  // Of answers, also one with a status outside 100 to 599.
+  // Of answers, also one with a status outside 100 to 599, or with a field that goes on in a
+  // further line.
   Malformed,
   HeaderTooLarge,
   BodyTooLarge,
--- a/Source/UnitTests/Common/HttpParserTest.cpp
+++ b/Source/UnitTests/Common/HttpParserTest.cpp
@@ -136,6 +136,39 @@
   }
 }
 
+// Regression: a line that begins with a blank became a part of the value of the field before it.
+TEST_CASE("Answers with a line that is no field of HTTP are refused")
+{
+  CheckRefused(Holdpost::Testing::AnswersWithBrokenLine("X-Id: r1", "hello"));
+  // Blanks that begin a body are no folded line.
+  const std::string text = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\n\r\n a\t";
+  for (const std::size_t size : {1, 2, 3, 7, 10000})
+  {
+    CAPTURE(size);
+    Collected got;
+    HttpParser parser(HttpMessageKind::Answer, got);
+    FeedInPieces(parser, text, size);
+    CHECK(parser.IsDone());
+    CHECK(got.body == "\r\n a\t");
+  }
+}
+
+TEST_CASE("Answers with a line behind their last chunk that is no field are never whole")
+{
+  for (const auto& answer : Holdpost::Testing::AnswersWithBrokenTrailer("X-Id: r1", "hello"))
+  {
+    CAPTURE(answer.name);
+    for (const std::size_t size : {1, 7, 10000})
+    {
+      Collected got;
+      HttpParser parser(HttpMessageKind::Answer, got);
+      FeedInPieces(parser, answer.text, size);
+      CHECK(parser.Error() == HttpParseError::Malformed);
+      CHECK(got.ends == 0);
+    }
+  }
+}
+
 TEST_CASE("Sizes are bounded")
 {
   Collected got;
--- a/Source/UnitTests/Peers/BrokenAnswerTest.cpp
+++ b/Source/UnitTests/Peers/BrokenAnswerTest.cpp
@@ -73,3 +73,14 @@
 {
   CheckCallsBroken(Testing::AnswersWithBrokenStatus(ID_FIELD, BODY));
 }
+
+// Regression: a folded line was passed on as a part of the field before it.
+TEST_CASE("An answer of a target with a line that is no field of HTTP breaks the call at once")
+{
+  CheckCallsBroken(Testing::AnswersWithBrokenLine(ID_FIELD, BODY));
+}
+
+TEST_CASE("An answer of a target with a broken trailer breaks the call at once")
+{
+  CheckCallsBroken(Testing::AnswersWithBrokenTrailer(ID_FIELD, BODY), true);
+}
