Targets: A probe's answer whose head comes in two packets is read

What callers saw: nothing by itself. A probe whose answer came in two packets told nothing, so that an answer that waits for the proof that its target still ran (an answer that ends with its connection) was held until it was probed again, or counted as broken.

Cause: HealthProbe said that it had consumed all bytes, though the parser leaves what is not whole to be given again.

Fix: it returns what the parser consumed; the parser's limit on a head bounds the rest.

--- a/Source/Peers/Target/HealthProbe.cpp
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -34,9 +34,8 @@
   const std::weak_ptr<HealthProbe> weak = weak_from_this();
   m_connection->SetHandlers({[weak](std::string_view data)
                              {
-                               if (const auto self = weak.lock())
-                                 self->OnData(data);
-                               return data.size();
+                               const auto self = weak.lock();
+                               return self ? self->OnData(data) : data.size();
                              },
                              [weak](ConnectionEnd end)
                              {
@@ -64,11 +63,12 @@
   return text;
 }
 
-void HealthProbe::OnData(std::string_view data)
+std::size_t HealthProbe::OnData(std::string_view data)
 {
-  m_parser.Feed(data);
+  const std::size_t consumed = m_parser.Feed(data);
   if (m_outcome || m_parser.Error() != Common::HttpParseError::None)
     End(m_outcome.value_or(ProbeOutcome::Unknown));
+  return consumed;
 }
 
 void HealthProbe::OnConnectionEnd(ConnectionEnd end)
--- a/Source/Peers/Target/HealthProbe.h
+++ b/Source/Peers/Target/HealthProbe.h
@@ -41,7 +41,7 @@
 
   // The request for the health page.
   std::string RequestText(const Common::Address& address, const std::string& path) const;
-  void OnData(std::string_view data);
+  std::size_t OnData(std::string_view data);
   void OnConnectionEnd(Common::ConnectionEnd end);
   void End(Gateway::ProbeOutcome outcome);
 
--- a/Source/UnitTests/Peers/HealthProbeTest.cpp
+++ b/Source/UnitTests/Peers/HealthProbeTest.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "Peers/Target/HealthProbe.h"
+#include "Support/BrokenHeads.h"
 #include "Support/Sockets.h"
 
 using namespace Holdpost;
@@ -35,6 +36,21 @@
                                });
     return Probe(server.Address());
   }
+  // A server that answers in two packets.
+  std::optional<ProbeOutcome> ProbeOfParts(const std::string& first, const std::string& second)
+  {
+    Testing::FakeServer server(loop,
+                               [&](Common::TcpConnection& connection, const std::string& bytes)
+                               {
+                                 if (!bytes.ends_with("\r\n\r\n"))
+                                   return;
+                                 connection.Write(first);
+                                 loop.After(Common::Milliseconds(1),
+                                            [&second, held = connection.shared_from_this()]
+                                            { held->Write(second); });
+                               });
+    return Probe(server.Address());
+  }
 
   Common::EventLoop loop;
   HeaderNames names;
@@ -91,3 +107,30 @@
       });
   CHECK(f.Probe(server.Address()) == ProbeOutcome::Runs);
 }
+
+// Regression: what came of a head before its end was dropped.
+TEST_CASE("A probe understands an answer whose head comes in two packets")
+{
+  Fixture f;
+  const std::string answer = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t size = 1; size < answer.size(); ++size)
+  {
+    CAPTURE(size);
+    CHECK(f.ProbeOfParts(answer.substr(0, size), answer.substr(size)) == ProbeOutcome::Ended);
+  }
+}
+
+TEST_CASE("A probe's answer with a broken head tells nothing")
+{
+  Fixture f;
+  const auto check = [&f](const std::vector<Testing::BrokenAnswer>& answers)
+  {
+    for (const Testing::BrokenAnswer& answer : answers)
+    {
+      CAPTURE(answer.name);
+      CHECK(f.ProbeOf(answer.text) == ProbeOutcome::Unknown);
+    }
+  };
+  check(Testing::AnswersWithBrokenStatus("Holdpost-Target-Id: t1", "hello"));
+  check(Testing::AnswersWithBrokenLine("Holdpost-Target-Id: t1", "hello"));
+}
