Targets: A probe goes by the answer behind interim ones

What callers saw: nothing reported. A target that sends an interim answer before a 421, or before the id of another target, was taken for the one that was asked, and its running proved answers whole that had ended with their connection. Interim answers alone proved it, too.

Cause: HealthProbe took the first head of any status for the answer, and had no limit on what comes before one.

Fix: heads below 200 are skipped, and 64 KiB without an answer end the probe without an outcome.

--- a/Source/Peers/Target/HealthProbe.cpp
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -15,6 +15,10 @@
 static constexpr Milliseconds MAX_PROBE_TIME = Milliseconds(3000);
 // Shorter than the time for connecting, so that a connection that fails before was refused.
 static constexpr Milliseconds MAX_REFUSAL_TIME = Milliseconds(350);
+// The bytes of interim heads and of the head of the answer.
+static constexpr std::size_t MAX_ANSWER_BYTES = 64 << 10;
+// Answers with a lower status are interim ones: another answer follows.
+static constexpr int MIN_FINAL_STATUS = 200;
 
 HealthProbe::~HealthProbe()
 {
@@ -66,8 +70,13 @@
 std::size_t HealthProbe::OnData(std::string_view data)
 {
   const std::size_t consumed = m_parser.Feed(data);
-  if (m_outcome || m_parser.Error() != Common::HttpParseError::None)
+  m_received_bytes += consumed;
+  const bool is_no_answer =
+      m_parser.Error() != Common::HttpParseError::None || m_received_bytes > MAX_ANSWER_BYTES;
+  if (m_outcome || is_no_answer)
     End(m_outcome.value_or(ProbeOutcome::Unknown));
+  else if (m_parser.IsDone())
+    m_parser.Restart();
   return consumed;
 }
 
@@ -82,6 +91,8 @@
 
 void HealthProbe::OnHead(HttpHead head)
 {
+  if (head.status < MIN_FINAL_STATUS)
+    return;
   const std::string* id = head.fields.Find(m_names.target_id);
   const bool is_other = head.status == MISDIRECTED_STATUS || (id && *id != m_target);
   m_outcome = is_other ? ProbeOutcome::Ended : ProbeOutcome::Runs;
--- a/Source/Peers/Target/HealthProbe.h
+++ b/Source/Peers/Target/HealthProbe.h
@@ -53,6 +53,7 @@
   std::unique_ptr<Common::Watch> m_timer;
   Common::TimePoint m_started{};
   Common::HttpParser m_parser;
+  std::size_t m_received_bytes = 0;
   std::optional<Gateway::ProbeOutcome> m_outcome;
 };
 } // namespace Holdpost::TargetPeer
--- a/Source/UnitTests/Peers/HealthProbeTest.cpp
+++ b/Source/UnitTests/Peers/HealthProbeTest.cpp
@@ -120,6 +120,18 @@
   }
 }
 
+// Regression: an interim answer was taken for the answer.
+TEST_CASE("A probe goes by the answer behind interim ones")
+{
+  Fixture f;
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-One: 1\r\n\r\n";
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nHoldpost-Target-Id: t2\r\nContent-Length: 0\r\n\r\n";
+  CHECK(f.ProbeOf(interim + other) == ProbeOutcome::Ended);
+  CHECK(f.ProbeOfParts(interim, interim + other) == ProbeOutcome::Ended);
+  CHECK(f.ProbeOf(interim) == ProbeOutcome::Unknown);
+}
+
 TEST_CASE("A probe's answer with a broken head tells nothing")
 {
   Fixture f;
@@ -134,3 +146,15 @@
   check(Testing::AnswersWithBrokenStatus("Holdpost-Target-Id: t1", "hello"));
   check(Testing::AnswersWithBrokenLine("Holdpost-Target-Id: t1", "hello"));
 }
+
+// Guards against a probe that reads for as long as a target sends.
+TEST_CASE("Interim answers without end are no answer to a probe")
+{
+  Fixture f;
+  std::string block;
+  for (int i = 0; i < 4000; ++i)
+    block += "HTTP/1.1 102 Processing\r\n\r\n";
+  const Common::TimePoint started = Common::EventLoop::Now();
+  CHECK(f.ProbeOf(block) == ProbeOutcome::Unknown);
+  CHECK(Common::EventLoop::Now() - started < Common::Milliseconds(1000));
+}
