HTTP client: Answers that are none of HTTP are refused

What callers saw: nothing reported; the same class as the answers of targets. Sidecars, gateways, agents and the operator's tool read the store, the list, the origin, engines and plain services by evhttp. It took names with blanks and control bytes, no name at all, bytes over 127, folded lines, control bytes in values, and codes such as 2O0, -20 or 2000 for fields and statuses; those below 100 made the call wait for another answer. A blank behind the name of the length or of the coding hid it, so that the body was read by another framing than the peer's.

Cause: evhttp splits lines at the first colon and reads the status by atoi.

Fix: AnswerCheck parses the bytes of each call beside evhttp by the parser of the gateways (Boost.Beast), as they come into the buffer and before evhttp reads them. What it finds malformed ends the call with an error that says so: no head, no chunk and no reply is told of it. It takes the place of HasClearFraming, as the parser refuses unclear lengths itself (CutAnswerTest, UNCLEAR_ANSWERS, for the parser and the client). Limits on bytes stay where they were.

Evidence: BrokenAnswerClientTest. Before: 93 of 116 answers with a broken line were taken for answers, and the first status below 100 held the call for the 5 s of the test; now 0 of 40 statuses, 0 of 116 lines and 0 of 48 trailers, each in one and three packets, with the body as a whole and in chunks.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 
+#include "Common/AnswerCheck.h"
 #include "Common/HttpMessage.h"
 #include "Common/Socket.h"
 
@@ -21,8 +22,6 @@
 static constexpr std::size_t IDLE_CONNECTIONS_PER_ADDRESS = 8;
 // The bytes of an answer's first line and fields, with those of interim answers before it.
 static constexpr std::size_t MAX_HEADER_BYTES = 64 << 10;
-// Answers with a lower status are interim ones: another answer follows.
-static constexpr int MIN_FINAL_STATUS = 200;
 static constexpr int CONTINUE = 100;
 // What a body may have on the way, with the headers of its chunks, for each byte of its own.
 static constexpr std::size_t FRAMING_FACTOR = 2;
@@ -42,7 +41,8 @@
   // evhttp limits the head and the body, but not interim answers and the headers of chunks.
   std::size_t received_bytes = 0;
   std::size_t max_received_bytes = 0;
-  evbuffer_cb_entry* byte_counter = nullptr;
+  std::optional<AnswerCheck> check;
+  evbuffer_cb_entry* input_watch = nullptr;
   std::unique_ptr<Watch> total_timer;
 };
 
@@ -82,31 +82,6 @@
   return body;
 }
 
-static bool IsNumber(std::string_view text)
-{
-  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
-}
-
-// Whether the head says in one way where the answer ends, or leaves that to the connection. evhttp
-// goes by the first field of several, and takes a coding that it does not know for none.
-static bool HasClearFraming(evhttp_request* raw)
-{
-  std::vector<std::string_view> lengths;
-  std::vector<std::string_view> codings;
-  const evkeyvalq* list = evhttp_request_get_input_headers(raw);
-  for (const evkeyval* header = list->tqh_first; header; header = header->next.tqe_next)
-  {
-    if (EqualsIgnoringCase(header->key, "Content-Length"))
-      lengths.emplace_back(header->value);
-    else if (EqualsIgnoringCase(header->key, "Transfer-Encoding"))
-      codings.emplace_back(header->value);
-  }
-  if (!codings.empty())
-    return lengths.empty() && codings.size() == 1 && EqualsIgnoringCase(codings[0], "chunked");
-  return std::ranges::all_of(lengths, [&](std::string_view length)
-                             { return IsNumber(length) && length == lengths[0]; });
-}
-
 // An answer that ends with the connection could have been cut anywhere, so it is not whole.
 static bool HasMarkedEnd(evhttp_request* raw)
 {
@@ -185,7 +160,9 @@
   evhttp_connection_set_max_headers_size(pending->connection, MAX_HEADER_BYTES);
   evhttp_connection_set_max_body_size(pending->connection,
                                       static_cast<ev_ssize_t>(call.max_body_bytes));
-  CountBytes(*pending, MAX_HEADER_BYTES + FRAMING_FACTOR * call.max_body_bytes);
+  pending->check.emplace(call.method == "HEAD",
+                         HttpParserLimits{MAX_HEADER_BYTES, call.max_body_bytes});
+  WatchInput(*pending, MAX_HEADER_BYTES + FRAMING_FACTOR * call.max_body_bytes);
   if (call.total_timeout)
     StartTotalTimer(*pending, *call.total_timeout);
   const CallId id = pending->id;
@@ -210,21 +187,44 @@
   return id;
 }
 
-void HttpClient::CountBytes(Pending& pending, std::size_t max_bytes)
+void HttpClient::WatchInput(Pending& pending, std::size_t max_bytes)
 {
   pending.max_received_bytes = max_bytes;
-  const auto count = [](evbuffer* /*input*/, const evbuffer_cb_info* info, void* call)
-  {
-    auto& self = *static_cast<Pending*>(call);
-    const bool was_within_limit = self.received_bytes <= self.max_received_bytes;
-    self.received_bytes += info->n_added;
-    if (!was_within_limit || self.received_bytes <= self.max_received_bytes)
-      return;
-    // evhttp is still on the stack.
-    self.client->m_loop.Defer([client = self.client, id = self.id]
-                              { client->GiveUp(id, "the answer has too many bytes, from"); });
-  };
-  pending.byte_counter = evbuffer_add_cb(InputOf(pending.connection), count, &pending);
+  pending.input_watch =
+      evbuffer_add_cb(InputOf(pending.connection), &HttpClient::HandleInput, &pending);
+}
+
+// Whether the bytes at the end of the input go on with an answer.
+static bool CheckNewBytes(AnswerCheck& check, evbuffer* input, std::size_t count)
+{
+  evbuffer_ptr at;
+  if (evbuffer_ptr_set(input, &at, evbuffer_get_length(input) - count, EVBUFFER_PTR_SET) != 0)
+    return true;
+  std::vector<evbuffer_iovec> parts(
+      static_cast<std::size_t>(evbuffer_peek(input, -1, &at, nullptr, 0)));
+  evbuffer_peek(input, -1, &at, parts.data(), static_cast<int>(parts.size()));
+  return std::ranges::all_of(
+      parts,
+      [&check](const evbuffer_iovec& part) {
+        return check.Take({static_cast<const char*>(part.iov_base), part.iov_len});
+      });
+}
+
+void HttpClient::HandleInput(evbuffer* input, const evbuffer_cb_info* info, void* pending)
+{
+  auto& self = *static_cast<Pending*>(pending);
+  if (info->n_added == 0 || !self.failure.empty())
+    return;
+  self.received_bytes += info->n_added;
+  if (self.received_bytes > self.max_received_bytes)
+    self.failure = "the answer has too many bytes, from";
+  else if (!CheckNewBytes(*self.check, input, info->n_added))
+    self.failure = "the answer is not one of HTTP, from";
+  if (self.failure.empty())
+    return;
+  // evhttp is still on the stack.
+  self.client->m_loop.Defer([client = self.client, id = self.id, reason = self.failure]
+                            { client->GiveUp(id, reason); });
 }
 
 void HttpClient::StartTotalTimer(Pending& pending, Milliseconds timeout)
@@ -282,8 +282,8 @@
   evhttp_connection* connection = pending.connection;
   // evhttp would take bytes behind the answer for the next one.
   const bool has_more = evbuffer_get_length(InputOf(connection)) > 0;
-  if (pending.byte_counter)
-    evbuffer_remove_cb_entry(InputOf(connection), std::exchange(pending.byte_counter, nullptr));
+  if (pending.input_watch)
+    evbuffer_remove_cb_entry(InputOf(connection), std::exchange(pending.input_watch, nullptr));
   auto& idle = m_idle[pending.to];
   if (may_be_reused && !has_more && idle.size() < IDLE_CONNECTIONS_PER_ADDRESS)
   {
@@ -341,6 +341,8 @@
 int HttpClient::HandleHeaders(evhttp_request* raw, void* pending)
 {
   auto& self = *static_cast<Pending*>(pending);
+  if (!self.failure.empty())
+    return -1;
   if (evhttp_request_get_response_code(raw) < MIN_FINAL_STATUS)
   {
     // evhttp reads on only behind one kind of interim answer, and keeps its fields.
@@ -348,11 +350,6 @@
     raw->response_code = CONTINUE;
     return 0;
   }
-  if (!HasClearFraming(raw))
-  {
-    self.failure = "the head of the answer leaves its length unclear, from";
-    return -1;
-  }
   if (self.callbacks.on_headers)
     self.callbacks.on_headers(evhttp_request_get_response_code(raw), ReadHeaders(raw));
   return 0;
@@ -361,7 +358,8 @@
 void HttpClient::HandleChunk(evhttp_request* raw, void* pending)
 {
   const auto& self = *static_cast<Pending*>(pending);
-  self.callbacks.on_chunk(TakeBody(raw));
+  if (self.failure.empty())
+    self.callbacks.on_chunk(TakeBody(raw));
 }
 
 static std::string_view FailureOf(int error)
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -14,6 +14,8 @@
 #include "Common/EventLoop.h"
 #include "Common/HttpServer.h"
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -80,8 +82,9 @@
   void Connect(const HttpCall& call, Pending& pending);
   void CloseIdle(const Address& peer);
   void StartTotalTimer(Pending& pending, Milliseconds timeout);
-  // Ends the call when its connection has brought more bytes.
-  void CountBytes(Pending& pending, std::size_t max_bytes);
+  // Ends the call when its connection brings more bytes, or some that are no answer.
+  void WatchInput(Pending& pending, std::size_t max_bytes);
+  static void HandleInput(evbuffer* input, const evbuffer_cb_info* info, void* pending);
   // Ends the call without an answer; the peer's address is added to the reason.
   void GiveUp(CallId id, std::string_view reason);
   void Release(Pending& pending, bool may_be_reused);
--- a/Source/Common/HttpMessage.h
+++ b/Source/Common/HttpMessage.h
@@ -59,6 +59,9 @@
   HttpFields fields;
 };
 
+// Answers with a lower status are interim ones: another answer follows.
+inline constexpr int MIN_FINAL_STATUS = 200;
+
 // Compares without regard to case, for ASCII.
 bool EqualsIgnoringCase(std::string_view a, std::string_view b);
 // True for fields that concern one connection only and are never passed on.
--- a/Source/Peers/Target/HealthProbe.cpp
+++ b/Source/Peers/Target/HealthProbe.cpp
@@ -17,8 +17,6 @@
 static constexpr Milliseconds MAX_REFUSAL_TIME = Milliseconds(350);
 // The bytes of interim heads and of the head of the answer.
 static constexpr std::size_t MAX_ANSWER_BYTES = 64 << 10;
-// Answers with a lower status are interim ones: another answer follows.
-static constexpr int MIN_FINAL_STATUS = 200;
 
 HealthProbe::~HealthProbe()
 {
@@ -91,7 +89,7 @@
 
 void HealthProbe::OnHead(HttpHead head)
 {
-  if (head.status < MIN_FINAL_STATUS)
+  if (head.status < Common::MIN_FINAL_STATUS)
     return;
   const std::string* id = head.fields.Find(m_names.target_id);
   const bool is_other = head.status == MISDIRECTED_STATUS || (id && *id != m_target);
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -80,7 +80,7 @@
   }
   if (!m_parser.IsDone())
     return consumed;
-  const bool is_informational = m_head && m_head->status < 200;
+  const bool is_informational = m_head && m_head->status < Common::MIN_FINAL_STATUS;
   if (m_is_foreign || is_informational)
   {
     m_is_foreign = false;
@@ -97,7 +97,7 @@
 
 std::optional<AttemptEnd> TargetCall::EndByBytes(std::size_t consumed)
 {
-  const bool has_own_head = m_head && !m_is_foreign && m_head->status >= 200;
+  const bool has_own_head = m_head && !m_is_foreign && m_head->status >= Common::MIN_FINAL_STATUS;
   if (!has_own_head)
     m_bytes_before_answer += consumed;
   if (m_bytes_before_answer > MAX_BYTES_BEFORE_ANSWER || m_events.IsEventTooLong())
@@ -123,13 +123,13 @@
   if (id)
     return *id == m_request.request_id;
   // One that rejects what it could not read knows no id.
-  return head.status < 200 || head.fields.Find(m_names.not_run) != nullptr;
+  return head.status < Common::MIN_FINAL_STATUS || head.fields.Find(m_names.not_run) != nullptr;
 }
 
 void TargetCall::OnHead(HttpHead head)
 {
   m_is_foreign = !IsOurs(head);
-  if (head.status >= 200 && m_handlers.on_head)
+  if (head.status >= Common::MIN_FINAL_STATUS && m_handlers.on_head)
     m_handlers.on_head(head, m_is_foreign);
   if (m_is_foreign)
   {
@@ -137,7 +137,7 @@
     return;
   }
   m_head = std::move(head);
-  if (m_head->status < 200)
+  if (m_head->status < Common::MIN_FINAL_STATUS)
     return;
   const std::string* type = m_head->fields.Find("Content-Type");
   m_is_event_stream = m_request.is_stream && m_head->status == 200 && type &&
@@ -169,7 +169,7 @@
 
 void TargetCall::OnMessageEnd()
 {
-  if (m_is_foreign || m_is_over || !m_head || m_head->status < 200)
+  if (m_is_foreign || m_is_over || !m_head || m_head->status < Common::MIN_FINAL_STATUS)
     return;
   if (m_events.HasGap())
     return Fail(CallFailure::Broken, AttemptEnd::EventGap);
