Gateway: A planned stop answers each request before the process ends

Cause: StopPlan ends the process 0.3 s before the kill whatever is open, while requests kept the time of their route and caller, and all that came within 2.8 s of the signal was passed on however much time it had.

Fix: from the request to stop on no request has time beyond 0.5 s before the kill. What is open then takes the usual way of a request whose time is over: 504 with an unknown outcome, or an answer that is broken off visibly. A new request that may run only once and has more time than that is refused with 503 before anything is passed on; one that may run again is sent with the time that is left, which its target is told, too.

GatewayTest plays the decisions.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -36,6 +36,11 @@
     .usual_answer_tokens = 100,
 };
 
+Error LeavingError()
+{
+  return {ErrorKind::Leaving, "the gateway is stopping", LEAVING_RETRY_AFTER};
+}
+
 Gateway::Gateway(GatewayOptions options, Common::Metrics& metrics)
     : m_options(std::move(options)), m_log(metrics), m_targets(m_options.hall, m_options.seed),
       m_switch_deadlines(m_options.switch_within)
@@ -135,10 +140,7 @@
 {
   m_log.OnArrived();
   if (!m_accepts_requests)
-  {
-    return RefuseArrival(
-        event, {ErrorKind::Leaving, "the gateway is stopping", LEAVING_RETRY_AFTER}, now, actions);
-  }
+    return RefuseArrival(event, LeavingError(), now, actions);
   if (event.is_memory_full)
     return RefuseArrival(event, MemoryFullError(), now, actions);
   if (!m_document)
@@ -151,6 +153,11 @@
       m_routes.FindOrganisation(event.request.credential);
   if (!organisation && !route->allows_anonymous && m_routes.HasOrganisations())
     return RefuseArrival(event, {ErrorKind::BadCredential, "unknown credential"}, now, actions);
+  const Milliseconds time =
+      std::min(route->timeout, event.request.deadline.value_or(route->timeout));
+  const bool may_be_cut = m_answers_due && now + time > *m_answers_due;
+  if (may_be_cut && route->repetition == Settings::Repetition::Once)
+    return RefuseArrival(event, LeavingError(), now, actions);
 
   const std::string caller = organisation ? organisation->name : "";
   const std::string service = RouteTable::ServiceFor(*route, Common::StableHash(event.request.id));
@@ -174,9 +181,7 @@
       tracked.request.deadline
           ? now - m_deadline_tracker.OnRequest(route->name, *tracked.request.deadline)
           : now;
-  const Milliseconds time =
-      std::min(route->timeout, tracked.request.deadline.value_or(route->timeout));
-  tracked.deadline = now + time;
+  tracked.deadline = may_be_cut ? *m_answers_due : now + time;
   tracked.last_event = tracked.request.last_event;
   QueueOf(tracked.service).retries.OnRequest(now);
   m_targets.OnArrival(tracked.service, now);
@@ -185,6 +190,20 @@
   EnqueueNotRun(placed, false, now, actions);
 }
 
+void Gateway::SetAnswersDue(TimePoint due)
+{
+  if (m_answers_due == due)
+    return;
+  m_answers_due = due;
+  for (auto& [number, tracked] : m_requests)
+  {
+    if (tracked.deadline <= due)
+      continue;
+    tracked.deadline = due;
+    m_timers.push({due, number});
+  }
+}
+
 void Gateway::DispatchAllWaiting(TimePoint now, Actions* actions)
 {
   for (const auto& [service, queue] : m_queues)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -30,6 +30,9 @@
 // of a settings document. The state machine takes events with the current time and returns actions.
 namespace Holdpost::Gateway
 {
+// The refusal of a process that stops: another one can serve the request at once.
+Common::Error LeavingError();
+
 struct GatewayOptions
 {
   std::string hall;
@@ -79,6 +82,9 @@
   void HoldDispatch(Common::TimePoint until);
   // Refuses all new requests from now on, as the process is about to end.
   void StopAccepting() { m_accepts_requests = false; }
+  // The process ends soon after the time, so that no request has time beyond it. Requests that run
+  // at most once and have more time are refused from now on.
+  void SetAnswersDue(Common::TimePoint due);
 
   void Handle(RequestArrived event, Common::TimePoint now, Actions* actions);
   void Handle(const CallerLeft& event, Common::TimePoint now, Actions* actions);
@@ -268,5 +274,6 @@
   GatewayCounts m_gateways;
   Common::TimePoint m_dispatch_from{};
   bool m_accepts_requests = true;
+  std::optional<Common::TimePoint> m_answers_due;
 };
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/StopPlan.h
+++ b/Source/Core/Gateway/StopPlan.h
@@ -33,6 +33,14 @@
       m_stop_requested_at = now;
   }
   bool IsStopRequested() const { return m_stop_requested_at.has_value(); }
+  // By when each request has to have its final answer, so that it leaves before the process ends;
+  // empty without a request to stop.
+  std::optional<Common::TimePoint> AnswersDue() const
+  {
+    if (!m_stop_requested_at)
+      return std::nullopt;
+    return *m_stop_requested_at + m_stop_within - END_MARGIN - SEND_MARGIN;
+  }
   // `open_answers` counts requests without a whole answer, and answers of which callers have yet to
   // take bytes.
   StopPhase PhaseAt(Common::TimePoint now, std::size_t open_answers) const
@@ -52,6 +60,8 @@
   // fails, and a request that is accepted in it still has most of the stop time to end.
   static constexpr Common::Milliseconds ACCEPT_PERIOD = Common::Milliseconds(2800);
   static constexpr Common::Milliseconds END_MARGIN = Common::Milliseconds(300);
+  // Time in which callers take the answers that were due.
+  static constexpr Common::Milliseconds SEND_MARGIN = Common::Milliseconds(200);
 
   Common::Duration m_stop_within;
   std::optional<Common::TimePoint> m_stop_requested_at;
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -255,6 +255,7 @@
   using Gateway::StopPhase;
   if (!m_stop.IsStopRequested())
     return;
+  m_core.SetAnswersDue(*m_stop.AnswersDue());
   const std::size_t unsent = UnsentAnswers();
   const StopPhase phase = m_stop.PhaseAt(EventLoop::Now(), m_exchanges.size() + unsent);
   if (phase != StopPhase::Leaving)
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -63,6 +63,57 @@
   }
 }
 
+// Regression: what ran at the end of a planned stop was cut without an answer.
+TEST_CASE("A gateway that stops answers each request before its time to stop is over")
+{
+  Fixture f;
+  const Milliseconds long_time(6000);
+  const Milliseconds time_to_stop(4000);
+  const RequestNumber before = f.Arrive("/book/", "key-1", long_time);
+  REQUIRE(Take<Dispatch>(f.actions).size() == 1);
+  const Common::TimePoint due = f.now + time_to_stop;
+  f.gateway.SetAnswersDue(due);
+
+  SUBCASE("one that has been sent ends by then, with an outcome that is not known")
+  {
+    f.Advance(time_to_stop - Milliseconds(1));
+    CHECK(Testing::Only<Refuse>(f.actions).empty());
+    CHECK(f.gateway.NextWakeup() <= due);
+    f.Advance(Milliseconds(1));
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].number == before);
+    CHECK(Common::AnswerFor(refused[0].error.kind).outcome == Common::Outcome::Unknown);
+    CHECK(f.gateway.OpenRequests() == 0);
+  }
+  SUBCASE("a new one that may run only once is refused if it has more time")
+  {
+    f.Arrive("/book/", "key-1", long_time);
+    CHECK(Testing::Only<Dispatch>(f.actions).empty());
+    const auto refused = Take<Refuse>(f.actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error.kind == ErrorKind::Leaving);
+    CHECK(refused[0].error.retry_after.has_value());
+  }
+  SUBCASE("a new one that may run only once is sent if it has no more time")
+  {
+    f.Arrive("/book/", "key-1", time_to_stop);
+    CHECK(Take<Dispatch>(f.actions).size() == 1);
+  }
+  SUBCASE("a new one that may run again is sent with the time that is left")
+  {
+    const RequestNumber number = f.Arrive("/status/", "key-1", long_time);
+    const auto sent = Take<Dispatch>(f.actions);
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].time_left == time_to_stop);
+    f.Feed(f.Began(number));
+    Take<PassAnswer>(f.actions);
+    f.Advance(time_to_stop);
+    // Its answer has begun, so that its end has to show that it is not whole.
+    CHECK(Testing::Only<AbortAnswer>(f.actions).size() == 1);
+  }
+}
+
 TEST_CASE("A gateway never replaces its settings by an older version")
 {
   Fixture f;
--- a/Source/UnitTests/Core/Gateway/StopPlanTest.cpp
+++ b/Source/UnitTests/Core/Gateway/StopPlanTest.cpp
@@ -32,6 +32,12 @@
     CHECK(plan.PhaseAt(START + Milliseconds(5000), 1) == StopPhase::Draining);
     CHECK(plan.PhaseAt(START + Milliseconds(5000), 0) == StopPhase::Ended);
   }
+  SUBCASE("wants the last answers before it ends")
+  {
+    CHECK_FALSE(StopPlan(Milliseconds(8000)).AnswersDue().has_value());
+    REQUIRE(plan.AnswersDue() < START + Milliseconds(7700));
+    CHECK(plan.PhaseAt(*plan.AnswersDue() + Milliseconds(100), 1) == StopPhase::Draining);
+  }
   SUBCASE("ends before the process is killed")
   {
     CHECK(plan.PhaseAt(START + Milliseconds(7800), 1) == StopPhase::Ended);
