Gateway: A planned stop refuses requests that are still being read

What callers saw: a caller whose body was still coming 2.8 s after a request to stop was cut without an answer, as soon as no other request was open, or with 503 only if its body ended before.

Cause: a stop counted requests that had been read whole and answers with unsent bytes.

Fix: once a gateway that stops accepts no more, each request whose head has come and whose body has not is refused at once with 503, a time to come back and Connection: close; nothing of it was passed on. The process lingers for such callers as it does without a stop (1 s at most), as a reset would take the answer from one that still sends. Counted in holdpost_requests_not_read_total and logged as request.not_read with reason leaving.

Evidence: StopGraceTest, real processes: one caller that has sent half of its body and one that goes on to send; none of the two got an answer before, both get 503 now, and neither request reaches the runner.

--- a/Source/Core/Gateway/StopPlan.h
+++ b/Source/Core/Gateway/StopPlan.h
@@ -33,6 +33,11 @@
       m_stop_requested_at = now;
   }
   bool IsStopRequested() const { return m_stop_requested_at.has_value(); }
+  // Whether requests that arrive now are served.
+  bool Accepts(Common::TimePoint now) const
+  {
+    return !m_stop_requested_at || now - *m_stop_requested_at < ACCEPT_PERIOD;
+  }
   // By when each request has to have its final answer, so that it leaves before the process ends;
   // empty without a request to stop.
   std::optional<Common::TimePoint> AnswersDue() const
@@ -50,7 +55,7 @@
     const Common::Duration elapsed = now - *m_stop_requested_at;
     if (elapsed >= m_stop_within - END_MARGIN)
       return StopPhase::Ended;
-    if (elapsed < ACCEPT_PERIOD)
+    if (Accepts(now))
       return StopPhase::Leaving;
     return open_answers == 0 ? StopPhase::Ended : StopPhase::Draining;
   }
--- a/Source/Node/GatewayExchanges.cpp
+++ b/Source/Node/GatewayExchanges.cpp
@@ -296,13 +296,22 @@
   return fields;
 }
 
-void GatewayNode::RefusePartial(CallerConnection& caller) const
+void GatewayNode::RefusePartial(CallerConnection& caller, const Error& error) const
 {
-  const Error error = Gateway::MemoryFullError();
   const int status = Common::AnswerFor(error.kind).http_status;
   caller.RefusePartial(status, Common::ReasonPhrase(status), RefusalFields(caller.Head(), error));
 }
 
+void GatewayNode::RefuseUpload(CallerConnection& caller)
+{
+  m_metrics.Add("holdpost_requests_not_read_total");
+  Common::LogEvent(Common::Weight::Important, EventLoop::Now(), "request.not_read", "reason",
+                   "leaving", "read_bytes", caller.ReadBytes(), "declared_bytes",
+                   caller.DeclaredBytes().value_or(0));
+  m_memory.OnReadEnded(caller);
+  RefusePartial(caller, Gateway::LeavingError());
+}
+
 void GatewayNode::Do(const Gateway::Refuse& refuse)
 {
   const Exchange exchange = Take(refuse.number);
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -42,7 +42,8 @@
               Common::StableHash(config.mesh.instance), EventLoop::Now()},
              m_metrics),
       m_memory(loop.Buffers(), MaxBufferBytes(config.memory_bytes), m_metrics,
-               [this](CallerPeer::CallerConnection& caller) { RefusePartial(caller); }),
+               [this](CallerPeer::CallerConnection& caller)
+               { RefusePartial(caller, Gateway::MemoryFullError()); }),
       m_control(loop, config.mesh, control, ControlHandlers()), m_pool(loop),
       m_listener(loop, [this](int fd) { OnAccepted(fd); }),
       m_ready_server(loop, Common::HttpServer::Limits{},
@@ -256,20 +257,24 @@
   if (!m_stop.IsStopRequested())
     return;
   m_core.SetAnswersDue(*m_stop.AnswersDue());
-  const std::size_t unsent = UnsentAnswers();
-  const StopPhase phase = m_stop.PhaseAt(EventLoop::Now(), m_exchanges.size() + unsent);
-  if (phase != StopPhase::Leaving)
+  const TimePoint now = EventLoop::Now();
+  const bool accepts = m_stop.Accepts(now);
+  if (!accepts)
     m_core.StopAccepting();
   for (const auto& [raw, caller] : std::map(m_callers))
   {
+    if (!accepts && caller->IsReadingBody())
+      RefuseUpload(*caller);
     // Callers are told of the end with their answer; idle connections go once no new ones come.
-    if (!caller->IsIdle() || phase != StopPhase::Leaving)
+    if (!caller->IsIdle() || !accepts)
       caller->CloseSoon();
   }
+  const std::size_t unsent = UnsentAnswers();
+  const StopPhase phase = m_stop.PhaseAt(now, m_exchanges.size() + unsent);
   if (phase != StopPhase::Ended)
     return;
-  LogEvent(Weight::Important, EventLoop::Now(), "stop", "open_requests", m_exchanges.size(),
-           "unsent_answers", unsent);
+  LogEvent(Weight::Important, now, "stop", "open_requests", m_exchanges.size(), "unsent_answers",
+           unsent);
   m_loop.Stop();
 }
 
--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -82,7 +82,9 @@
   // The header lines of a refusal.
   std::string RefusalFields(const Common::HttpHead& request, const Common::Error& error) const;
   // Refuses a request that is not whole, for want of memory.
-  void RefusePartial(CallerPeer::CallerConnection& caller) const;
+  void RefusePartial(CallerPeer::CallerConnection& caller, const Common::Error& error) const;
+  // The process stops: the request is not read to its end.
+  void RefuseUpload(CallerPeer::CallerConnection& caller);
   // The exchange, given up: the caller may send its next request.
   Exchange Take(Gateway::RequestNumber number);
 
--- a/Source/Peers/Caller/CallerConnection.cpp
+++ b/Source/Peers/Caller/CallerConnection.cpp
@@ -191,6 +191,7 @@
   // Where the next request would begin is not known after this.
   m_state = State::Answering;
   m_is_closing_soon = true;
+  m_was_refused_early = true;
   Answer(status, reason, fields, "");
 }
 
--- a/Source/Peers/Caller/CallerConnection.h
+++ b/Source/Peers/Caller/CallerConnection.h
@@ -64,6 +64,8 @@
   // caller is not held to its time meanwhile.
   void HoldBack();
   void ReadOn();
+  // Whether the head of a request has come, and not yet the whole body.
+  bool IsReadingBody() const { return m_state == State::Reading && m_parser.HasHead(); }
   // Refuses a request that is being read, and closes the connection after the answer.
   void RefusePartial(int status, std::string_view reason, std::string_view fields);
 
@@ -76,8 +78,12 @@
   // Ends an answer that has begun so that it cannot be taken for whole.
   void AbortAnswer();
   std::size_t UnsentBytes() const { return m_connection->UnsentBytes(); }
-  // An answer has ended, and the caller has yet to take bytes of it.
-  bool HasUnsentAnswer() const { return !IsAnswering() && UnsentBytes() > 0; }
+  // An answer has ended, and the caller has yet to take bytes of it, or may lose them to a reset as
+  // it still sends the request that was refused.
+  bool HasUnsentAnswer() const
+  {
+    return !IsAnswering() && (UnsentBytes() > 0 || (m_was_refused_early && !IsOver()));
+  }
 
   // The connection closes after the present answer, or now if nothing is open.
   void CloseSoon();
@@ -114,6 +120,7 @@
   void OnOver();
   std::string HeadLines(int status, std::string_view reason, std::string_view fields) const;
   void ArmTimer(Common::Milliseconds delay);
+  bool IsOver() const { return m_state == State::Closed; }
 
   Common::EventLoop& m_loop;
   CallerConnectionLimits m_limits;
@@ -129,5 +136,6 @@
   Common::HeldBytes m_held; // of the body
   State m_state = State::Idle;
   bool m_is_closing_soon = false;
+  bool m_was_refused_early = false; // before its request was read
 };
 } // namespace Holdpost::CallerPeer
