Gateway: A stop with little time accepts new requests for a part of it only

What callers saw: nothing reported (the deployments have 8 s). With less than 3.1 s to stop, requests were accepted until the process ended, and cut then.

Cause: the time in which a gateway that stops still accepts was 2.8 s whatever it has.

Fix: it is 35% of the time to stop, 2.8 s at most, so with 8 s as before.

Evidence: StopPlanTest, 4 of 4 checks at 1 and 3 s failed before and hold now.

--- a/Source/Core/Gateway/StopPlan.h
+++ b/Source/Core/Gateway/StopPlan.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "Common/Types.h"
@@ -36,7 +37,7 @@
   // Whether requests that arrive now are served.
   bool Accepts(Common::TimePoint now) const
   {
-    return !m_stop_requested_at || now - *m_stop_requested_at < ACCEPT_PERIOD;
+    return !m_stop_requested_at || now - *m_stop_requested_at < AcceptPeriod();
   }
   // By when each request has to have its final answer, so that it leaves before the process ends;
   // empty without a request to stop.
@@ -63,7 +64,13 @@
 private:
   // Time in which new requests are still accepted: callers need it to see that the ready check
   // fails, and a request that is accepted in it still has most of the stop time to end.
-  static constexpr Common::Milliseconds ACCEPT_PERIOD = Common::Milliseconds(2800);
+  Common::Duration AcceptPeriod() const
+  {
+    return std::min<Common::Duration>(MAX_ACCEPT_PERIOD, m_stop_within * MAX_ACCEPT_PERCENT / 100);
+  }
+
+  static constexpr Common::Milliseconds MAX_ACCEPT_PERIOD = Common::Milliseconds(2800);
+  static constexpr int MAX_ACCEPT_PERCENT = 35;
   static constexpr Common::Milliseconds END_MARGIN = Common::Milliseconds(300);
   // Time in which callers take the answers that were due.
   static constexpr Common::Milliseconds SEND_MARGIN = Common::Milliseconds(200);
--- a/Source/UnitTests/Core/Gateway/StopPlanTest.cpp
+++ b/Source/UnitTests/Core/Gateway/StopPlanTest.cpp
@@ -12,6 +12,25 @@
 const Common::TimePoint START{std::chrono::hours(1)};
 }
 
+// Regression: with 3 s to stop, requests were accepted until the process ended.
+TEST_CASE("A planned stop with little time accepts new requests for a part of it only")
+{
+  for (const Milliseconds within : {Milliseconds(1000), Milliseconds(3000), Milliseconds(8000)})
+  {
+    CAPTURE(within.count());
+    StopPlan plan(within);
+    plan.RequestStop(START);
+    CHECK(plan.Accepts(START + within / 4));
+    CHECK_FALSE(plan.Accepts(START + within / 2));
+    REQUIRE(plan.AnswersDue().has_value());
+    CHECK_FALSE(plan.Accepts(*plan.AnswersDue()));
+  }
+  // Callers learn of a stop no later where it may take longer.
+  StopPlan patient(Milliseconds(60000));
+  patient.RequestStop(START);
+  CHECK_FALSE(patient.Accepts(START + Milliseconds(3000)));
+}
+
 TEST_CASE("A planned stop")
 {
   StopPlan plan(Milliseconds(8000));
