Gateway: A connection closes behind the answer whose head says so

Cause: CallerConnection closed after an answer once it was told to close soon, whatever the head had said.

Fix: it closes after the answer whose head says so. If the open answer's head was sent before, the connection stays for one more request, whose answer says it, or is closed while it is idle, as the gateway does once it accepts no more.

Evidence: CallerConnectionTest, the second request was never read before, and is answered with Connection: close now.

--- a/Source/Peers/Caller/CallerConnection.cpp
+++ b/Source/Peers/Caller/CallerConnection.cpp
@@ -230,11 +230,12 @@
 }
 
 std::string CallerConnection::HeadLines(int status, std::string_view reason,
-                                        std::string_view fields) const
+                                        std::string_view fields)
 {
+  m_closes_after_answer = m_is_closing_soon || !m_head.keeps_alive;
   std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
   text.append(fields);
-  if (m_is_closing_soon || !m_head.keeps_alive)
+  if (m_closes_after_answer)
     text.append("Connection: close\r\n");
   return text;
 }
@@ -292,7 +293,7 @@
 
 void CallerConnection::FinishAnswer()
 {
-  if (m_is_closing_soon || !m_head.keeps_alive)
+  if (m_closes_after_answer)
     return CloseGracefully();
   BecomeIdle();
   // A request that was sent ahead is here already; it gets its turn when this call has returned.
--- a/Source/Peers/Caller/CallerConnection.h
+++ b/Source/Peers/Caller/CallerConnection.h
@@ -85,7 +85,8 @@
     return !IsAnswering() && (UnsentBytes() > 0 || (m_was_refused_early && !IsOver()));
   }
 
-  // The connection closes after the present answer, or now if nothing is open.
+  // The connection closes after the next answer whose head has yet to be sent, so that it says so;
+  // or now if nothing is open.
   void CloseSoon();
   bool IsIdle() const { return m_state == State::Idle; }
   // Nothing more is read or answered.
@@ -118,7 +119,7 @@
   void BecomeIdle();
   void CloseGracefully();
   void OnOver();
-  std::string HeadLines(int status, std::string_view reason, std::string_view fields) const;
+  std::string HeadLines(int status, std::string_view reason, std::string_view fields);
   void ArmTimer(Common::Milliseconds delay);
   bool IsOver() const { return m_state == State::Closed; }
 
@@ -136,6 +137,7 @@
   Common::HeldBytes m_held; // of the body
   State m_state = State::Idle;
   bool m_is_closing_soon = false;
-  bool m_was_refused_early = false; // before its request was read
+  bool m_closes_after_answer = false; // as the head of the answer says
+  bool m_was_refused_early = false;   // before its request was read
 };
 } // namespace Holdpost::CallerPeer
--- a/Source/UnitTests/Peers/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Peers/CallerConnectionTest.cpp
@@ -241,6 +241,38 @@
   CHECK(client.End() == Common::ConnectionEnd::Finished);
 }
 
+// Regression: a connection was closed behind a stream whose head did not say so, and the caller's
+// next request got nothing.
+TEST_CASE("A connection that is to end answers one more request if the open answer's head was sent")
+{
+  Fixture f;
+  FakeClient client(f.loop, f.address);
+  client.Send(Get("/1"));
+  REQUIRE(f.Run([&] { return f.targets.size() == 1; }));
+  f.caller->BeginAnswer(200, "OK", "");
+  f.caller->CloseSoon();
+  f.caller->SendPart("first");
+  f.caller->EndAnswer();
+  REQUIRE(f.Run([&] { return client.Bytes().ends_with("\r\n0\r\n\r\n"); }));
+  CHECK_FALSE(client.Has("Connection: close"));
+  SUBCASE("with a head that says so")
+  {
+    client.Send(Get("/2"));
+    REQUIRE(f.Run([&] { return f.targets.size() == 2; }));
+    f.caller->Answer(503, "Service Unavailable", "", "second");
+    REQUIRE(f.Run([&] { return client.End().has_value(); }));
+    CHECK(client.Has("Connection: close"));
+    CHECK(client.Has("second"));
+    CHECK(client.End() == Common::ConnectionEnd::Finished);
+  }
+  SUBCASE("or ends while it is idle")
+  {
+    f.caller->CloseSoon();
+    REQUIRE(f.Run([&] { return client.End().has_value(); }));
+    CHECK(client.End() == Common::ConnectionEnd::Finished);
+  }
+}
+
 TEST_CASE("A caller of HTTP/1.0 gets its stream without chunks")
 {
   Fixture f;
