Targets: What the calls to one target hold together is bounded

One call held 1 MiB of an event at most, so that a faulty runner could make a gateway hold that much for each of its calls: 48 MB with 48 calls, 100 MB at MaxConns 100, of the 260 MB that a gateway has.

Cause: the limits of bytes without end count for a single call.

Fix: TargetPool keeps an account for each target of what its calls hold of answers that cannot be passed on yet. A call that holds more than 64 KiB while the account has more than 8 MiB ends as too_many_bytes; smaller ones go on, so that sound answers of the target still arrive.

--- a/Source/Peers/Target/EventStream.h
+++ b/Source/Peers/Target/EventStream.h
@@ -37,6 +37,7 @@
   bool HasGap() const { return m_has_gap; }
   // Part of an event has come that is not whole yet.
   bool HasPartialEvent() const { return !m_partial.empty(); }
+  std::size_t PartialBytes() const { return m_partial.size(); }
   // The event that is not whole yet has more bytes than an event may have.
   bool IsEventTooLong() const { return m_partial.size() > MAX_EVENT_BYTES; }
 
--- a/Source/Peers/Target/TargetCall.cpp
+++ b/Source/Peers/Target/TargetCall.cpp
@@ -14,6 +14,8 @@
 static constexpr std::size_t HELD_BYTES_MOST = 64 << 10;
 // The bytes of interim heads, and of answers to other requests, that may precede an answer.
 static constexpr std::size_t MAX_BYTES_BEFORE_ANSWER = 1 << 20;
+// What all calls to one target may hold. A call that holds no more than HELD_BYTES_MOST goes on.
+static constexpr std::size_t MAX_HELD_BYTES_OF_TARGET = 8 << 20;
 // A body up to this size goes out in one piece with its head.
 static constexpr std::size_t MAX_COPIED_BYTES = 16 << 10;
 static constexpr Milliseconds IDLE_MOST = Milliseconds(8000);
@@ -29,6 +31,8 @@
   m_handlers = std::move(handlers);
   m_started = Common::EventLoop::Now();
   m_events = EventStream(m_request.resume);
+  m_held_by_target = m_pool.HeldAnswersOf(m_request.target);
+  m_held_bytes.emplace(*m_held_by_target);
   m_parser.Restart(m_request.is_head_method);
   const TargetPool::Lease lease =
       m_pool.Acquire(m_request.target, m_request.address, m_request.may_repeat);
@@ -100,7 +104,7 @@
   const bool has_own_head = m_head && !m_is_foreign && m_head->status >= Common::MIN_FINAL_STATUS;
   if (!has_own_head)
     m_bytes_before_answer += consumed;
-  if (m_bytes_before_answer > MAX_BYTES_BEFORE_ANSWER || m_events.IsEventTooLong())
+  if (m_bytes_before_answer > MAX_BYTES_BEFORE_ANSWER || m_events.IsEventTooLong() || !CountHeld())
     return AttemptEnd::TooManyBytes;
   if (m_events.HasGap())
     return AttemptEnd::EventGap;
@@ -117,6 +121,13 @@
   return AttemptEnd::TooManyBytes;
 }
 
+bool TargetCall::CountHeld()
+{
+  const std::size_t held = m_held.size() + m_events.PartialBytes();
+  m_held_bytes->Set(held);
+  return held <= HELD_BYTES_MOST || m_held_by_target->Held() <= MAX_HELD_BYTES_OF_TARGET;
+}
+
 bool TargetCall::IsOurs(const HttpHead& head) const
 {
   const std::string* id = head.fields.Find(m_names.request_id);
@@ -255,6 +266,7 @@
 {
   if (std::exchange(m_is_over, true))
     return;
+  m_held_bytes.reset();
   GiveBack();
   const Handlers handlers = std::exchange(m_handlers, {});
   handlers.on_end();
@@ -264,6 +276,7 @@
 {
   if (std::exchange(m_is_over, true))
     return;
+  m_held_bytes.reset();
   m_ended_by = end;
   if (m_connection)
     m_connection->Reset();
@@ -284,6 +297,7 @@
   const auto unanswered = UnansweredFor(Common::EventLoop::Now());
   if (std::exchange(m_is_over, true))
     return;
+  m_held_bytes.reset();
   m_handlers = {};
   // The other kept connections are as old as this one.
   if (m_is_reused && !m_has_bytes && unanswered && *unanswered >= MAX_SILENCE)
--- a/Source/Peers/Target/TargetCall.h
+++ b/Source/Peers/Target/TargetCall.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "Common/BufferAccount.h"
 #include "Common/HttpParser.h"
 #include "Common/TcpConnection.h"
 #include "Core/Gateway/Messages.h"
@@ -116,6 +117,8 @@
   void Answer(bool is_whole);
   void Finish();
   void Fail(CallFailure failure, Gateway::AttemptEnd end);
+  // Counts what is held of the answer; returns whether the call may hold that much.
+  bool CountHeld();
   void GiveBack();
   bool IsOurs(const Common::HttpHead& head) const;
 
@@ -128,6 +131,9 @@
   std::optional<Common::HttpHead> m_head;
   std::string m_held;
   EventStream m_events;
+  // The target's account, and this call's part of it.
+  std::shared_ptr<Common::BufferAccount> m_held_by_target;
+  std::optional<Common::HeldBytes> m_held_bytes;
   Gateway::AttemptEnd m_ended_by = Gateway::AttemptEnd::None;
   Common::TimePoint m_started{};
   bool m_has_bytes = false; // some have come from the target
--- a/Source/Peers/Target/TargetPool.cpp
+++ b/Source/Peers/Target/TargetPool.cpp
@@ -80,8 +80,21 @@
     idle.connection->Close();
 }
 
+std::shared_ptr<Common::BufferAccount> TargetPool::HeldAnswersOf(const std::string& target)
+{
+  std::weak_ptr<Common::BufferAccount>& known = m_held_answers[target];
+  std::shared_ptr<Common::BufferAccount> account = known.lock();
+  if (!account)
+  {
+    account = std::make_shared<Common::BufferAccount>();
+    known = account;
+  }
+  return account;
+}
+
 void TargetPool::CloseExpired(Common::TimePoint now)
 {
+  std::erase_if(m_held_answers, [](const auto& entry) { return entry.second.expired(); });
   for (auto& [target, idle] : m_idle)
   {
     for (const Idle& candidate : idle)
--- a/Source/Peers/Target/TargetPool.h
+++ b/Source/Peers/Target/TargetPool.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/BufferAccount.h"
 #include "Common/EventLoop.h"
 #include "Common/TcpConnection.h"
 
@@ -37,6 +38,8 @@
   // Closes connections that were idle for too long.
   void CloseExpired(Common::TimePoint now);
   std::size_t Opened() const { return m_opened; }
+  // What all calls to the target hold of answers that cannot be passed on yet.
+  std::shared_ptr<Common::BufferAccount> HeldAnswersOf(const std::string& target);
   Common::EventLoop& Loop() { return m_loop; }
 
 private:
@@ -50,6 +53,8 @@
 
   Common::EventLoop& m_loop;
   std::map<std::string, std::vector<Idle>> m_idle;
+  // Expired for targets without calls.
+  std::map<std::string, std::weak_ptr<Common::BufferAccount>> m_held_answers;
   std::size_t m_opened = 0;
 };
 } // namespace Holdpost::TargetPeer
--- a/Source/UnitTests/Peers/TargetCallTest.cpp
+++ b/Source/UnitTests/Peers/TargetCallTest.cpp
@@ -606,3 +606,74 @@
     CHECK(f.body == "next");
   }
 }
+
+// Regression: each of many calls to one target held an event that was as long as one may be.
+TEST_CASE("What the calls to one target hold together is bounded")
+{
+  constexpr std::size_t CALLS = 48;
+  constexpr std::size_t EVENT_BYTES = 1'000'000; // one event may have more
+  constexpr std::size_t MAX_HELD_BYTES = 9 << 20;
+  Common::EventLoop loop;
+  const HeaderNames names;
+  TargetPool pool(loop);
+  FakeServer server(loop,
+                    [](Common::TcpConnection& connection, const std::string& bytes)
+                    {
+                      if (bytes.starts_with("GET /sound"))
+                        return connection.Write(Answer(std::string(20000, 's')));
+                      connection.Write(StreamHead() +
+                                       "ffffff\r\ndata: " + std::string(EVENT_BYTES, 'x'));
+                    });
+  std::vector<std::shared_ptr<TargetCall>> calls;
+  std::size_t failed = 0;
+  const auto start = [&](const std::string& head, bool is_stream, std::function<void()> on_end)
+  {
+    CallRequest request;
+    request.target = "t1";
+    request.address = server.Address();
+    request.head = head;
+    request.request_id = "r1";
+    request.is_stream = is_stream;
+    calls.push_back(std::make_shared<TargetCall>(pool, names));
+    TargetCall* call = calls.back().get();
+    call->Start(std::move(request), {[call](const Common::HttpHead&, bool) { call->Pass(); },
+                                     [](std::string_view) {}, std::move(on_end),
+                                     [&failed, call](CallFailure)
+                                     {
+                                       ++failed;
+                                       CHECK(call->EndedBy() == Gateway::AttemptEnd::TooManyBytes);
+                                     }});
+  };
+  for (std::size_t i = 0; i < CALLS; ++i)
+    start(REQUEST, true, [] { FAIL("an event without end was taken for an answer"); });
+  const auto received = [&calls]
+  {
+    std::size_t bytes = 0;
+    for (const auto& call : calls)
+      bytes += call->EndedBy() == Gateway::AttemptEnd::None ? call->ReceivedBytes() : 0;
+    return bytes;
+  };
+  Testing::RunFor(loop, Common::Milliseconds(500));
+  MESSAGE(failed << " of " << CALLS << " calls ended, " << received() << " bytes held");
+  CHECK(received() > EVENT_BYTES);
+  CHECK(received() <= MAX_HELD_BYTES);
+
+  SUBCASE("and its sound answers arrive")
+  {
+    failed = 0;
+    bool is_whole = false;
+    start("GET /sound HTTP/1.1\r\nHost: x\r\n\r\n", false, [&is_whole] { is_whole = true; });
+    CHECK(RunUntil(loop, [&is_whole] { return is_whole; }));
+    CHECK(failed == 0);
+  }
+  SUBCASE("and what ended calls held does not count any more")
+  {
+    for (const auto& call : calls)
+      call->Cancel();
+    calls.clear();
+    failed = 0;
+    start(REQUEST, true, [] {});
+    RunUntil(loop, [&] { return failed > 0 || calls.back()->ReceivedBytes() > EVENT_BYTES; });
+    CHECK(failed == 0);
+  }
+}
