--- a/Source/UnitTests/Common/HttpParserTest.cpp
+++ b/Source/UnitTests/Common/HttpParserTest.cpp
@@ -106,15 +106,20 @@
   for (const auto& answer : answers)
   {
     CAPTURE(answer.name);
-    for (const std::size_t size : {1, 2, 3, 7, 10000})
+    for (const bool is_head_method : {false, true})
     {
-      CAPTURE(size);
-      Collected got;
-      HttpParser parser(HttpMessageKind::Answer, got);
-      FeedInPieces(parser, answer.text, size);
-      CHECK(parser.Error() == HttpParseError::Malformed);
-      CHECK(got.heads.empty());
-      CHECK(got.body.empty());
+      CAPTURE(is_head_method);
+      for (const std::size_t size : {1, 2, 3, 7, 10000})
+      {
+        CAPTURE(size);
+        Collected got;
+        HttpParser parser(HttpMessageKind::Answer, got);
+        parser.Restart(is_head_method);
+        FeedInPieces(parser, answer.text, size);
+        CHECK(parser.Error() == HttpParseError::Malformed);
+        CHECK(got.heads.empty());
+        CHECK(got.body.empty());
+      }
     }
   }
 }
--- a/Source/UnitTests/Peers/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Peers/CallerConnectionTest.cpp
@@ -241,8 +241,7 @@
   CHECK(client.End() == Common::ConnectionEnd::Finished);
 }
 
-// Regression: a connection was closed behind a stream whose head did not say so, and the caller's
-// next request got nothing.
+// Regression: the request behind a stream whose head did not announce the close got no answer.
 TEST_CASE("A connection that is to end answers one more request if the open answer's head was sent")
 {
   Fixture f;
--- a/Source/UnitTests/Peers/EarlyAnswerTest.cpp
+++ b/Source/UnitTests/Peers/EarlyAnswerTest.cpp
@@ -246,8 +246,7 @@
   }
 }
 
-// Regression: sending the upload failed while a slow caller held the answer back, and the rest of
-// the answer was dropped.
+// Regression: an answer that a slow caller held back was dropped when sending its upload failed.
 TEST_CASE("An early answer that a slow caller has yet to take is whole though its upload failed")
 {
   // The call passes the answer on once it has this much of it.
--- a/Source/UnitTests/Peers/HealthProbeTest.cpp
+++ b/Source/UnitTests/Peers/HealthProbeTest.cpp
@@ -148,13 +148,23 @@
 }
 
 // Guards against a probe that reads for as long as a target sends.
-TEST_CASE("Interim answers without end are no answer to a probe")
+TEST_CASE("Bytes without end before an answer are no answer to a probe")
 {
   Fixture f;
-  std::string block;
-  for (int i = 0; i < 4000; ++i)
-    block += "HTTP/1.1 102 Processing\r\n\r\n";
-  const Common::TimePoint started = Common::EventLoop::Now();
-  CHECK(f.ProbeOf(block) == ProbeOutcome::Unknown);
-  CHECK(Common::EventLoop::Now() - started < Common::Milliseconds(1000));
+  const auto check = [&f](const std::string& first, const std::string& again)
+  {
+    CAPTURE(first);
+    CAPTURE(again);
+    std::string block = first;
+    while (block.size() < (128 << 10))
+      block += again;
+    const Common::TimePoint started = Common::EventLoop::Now();
+    CHECK(f.ProbeOf(block) == ProbeOutcome::Unknown);
+    // It does not wait until its time is over.
+    CHECK(Common::EventLoop::Now() - started < Common::Milliseconds(1000));
+  };
+  check("", "HTTP/1.1 102 Processing\r\n\r\n");
+  check("HTTP/1.1 200 ", "OK");
+  check("HTTP/1.1 200 OK\r\n", "X-Field: some value\r\n");
+  check("HTTP/1.1 200 OK\r\nX-Field: ", "value");
 }
