--- a/Source/Node/GatewayNode.h
+++ b/Source/Node/GatewayNode.h
@@ -81,7 +81,7 @@
   void Do(const Gateway::ProbeTarget& probe);
   // The header lines of a refusal.
   std::string RefusalFields(const Common::HttpHead& request, const Common::Error& error) const;
-  // Refuses a request that is not whole, for want of memory.
+  // Refuses a request that is not whole.
   void RefusePartial(CallerPeer::CallerConnection& caller, const Common::Error& error) const;
   // The process stops: the request is not read to its end.
   void RefuseUpload(CallerPeer::CallerConnection& caller);
