Gateway: A switch deadline that is dropped is logged

What a gateway forgot could not be told from what it never knew: the log had `weights.named` for each version, and nothing more when one left the list.

The log of one gateway, in which version 2 was named at t=1307.527:

t=1313.2272 weights.deadline_dropped version=1 left_ms=-8801.2 t=1315.1275 weights.named version=6 t=1315.1275 weights.deadline_dropped version=2 left_ms=399.6

--- a/Source/Core/Gateway/SwitchDeadlines.cpp
+++ b/Source/Core/Gateway/SwitchDeadlines.cpp
@@ -44,7 +44,11 @@
   else
     deadlines.insert(position, switch_deadline);
   if (deadlines.size() > MAX_DEADLINES_PER_MODEL)
+  {
+    LogEvent(Weight::Important, now, "weights.deadline_dropped", "model", model, "version",
+             deadlines.front().version, "left_ms", TimeLeft(deadlines.front(), now));
     deadlines.erase(deadlines.begin());
+  }
   return due;
 }
 
