Gateway: No switch deadline is forgotten when many versions are named

What callers saw: requests were answered by weights whose replacement had been due.

Cause: lists of versions with a limit dropped their oldest entry when they were full, and the oldest is the one whose deadline comes next.

A version goes when a newer one whose time was observed makes it irrelevant: that one's deadline has passed, or is no later. If there are still too many, the two whose times are closest become the newer version at the earlier time, which is as strict as both. A time that is only assumed makes no version irrelevant, as it may be replaced by a later one. SwitchDeadlines uses the same list.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -195,7 +195,7 @@
 
 bool ControlFollower::OfferWeights(const NamedWeights& named, const KnownSince& since)
 {
-  return m_weights[named.model].Offer({named.version, since});
+  return m_weights[named.model].Offer({named.version, since}, m_options.switch_within);
 }
 
 bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -27,6 +27,8 @@
   // The age that a version named before the start of this process is assumed to have at the start,
   // until a process that observed the naming reports its age.
   Common::Milliseconds assumed_age{0};
+  // The time from the naming of a version to its switch deadline.
+  Common::Milliseconds switch_within = DEFAULT_SWITCH_WITHIN;
 };
 
 // Computes the pauses between retries of a failing operation. The pause doubles up to a maximum and
@@ -108,6 +110,7 @@
   Common::TimePoint LastAnswer() const { return m_last_answer; }
   bool IsReachable() const { return m_is_reachable; }
   void SetListPeriod(Common::Milliseconds period) { m_options.list_period = period; }
+  void SetSwitchWithin(Common::Milliseconds within) { m_options.switch_within = within; }
 
 private:
   void NoteReachable(bool is_reachable, Common::TimePoint now);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -100,6 +100,7 @@
 
   std::size_t OpenRequests() const { return m_requests.size(); }
   const TargetTable& Targets() const { return m_targets; }
+  const SwitchDeadlines& Deadlines() const { return m_switch_deadlines; }
 
 private:
   // The request number in timers that do not belong to a request.
--- a/Source/Core/Gateway/SwitchDeadlines.cpp
+++ b/Source/Core/Gateway/SwitchDeadlines.cpp
@@ -2,6 +2,7 @@
 #include "Core/Gateway/SwitchDeadlines.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/EventLog.h"
 
@@ -20,43 +21,70 @@
 // switch deadline, or after it learns of the version if that is later. The period is longer than
 // SWITCH_MARGIN, so that it ends after the real deadline.
 static constexpr Duration SWEEP_PERIOD = Milliseconds(500);
-// The maximum number of versions of a model whose switch deadlines are kept.
-static constexpr std::size_t MAX_DEADLINES_PER_MODEL = 4;
 
 std::optional<TimePoint> SwitchDeadlines::OnVersionNamed(const std::string& model,
                                                          const Control::KnownVersion& known,
                                                          TimePoint now)
 {
-  std::vector<SwitchDeadline>& deadlines = m_deadlines[model];
-  const auto position =
-      std::ranges::lower_bound(deadlines, known.version, {}, &SwitchDeadline::version);
-  const bool is_known = position != deadlines.end() && position->version == known.version;
-  if (is_known && !known.since.Replaces(position->since))
+  ModelDeadlines& entry = m_models[model];
+  const std::uint64_t newest = entry.versions.Newest();
+  const std::uint64_t merged = entry.versions.MergedCount();
+  const bool is_known = entry.versions.IsKnown(known.version);
+  if (!entry.versions.Offer(known, m_switch_within))
     return std::nullopt;
-  const TimePoint due = known.since.time + m_switch_within - SWITCH_MARGIN;
+  UpdateDeadlines(entry, now);
   LogEvent(Weight::Important, now, "weights.named", "model", model, "version", known.version,
-           "newest", deadlines.empty() ? 0 : deadlines.back().version, "known_before", is_known,
-           "age_ms", now - known.since.time, "is_assumed", known.since.is_assumed);
-  const SwitchDeadline switch_deadline{known.version, due, known.since,
-                                       std::max(due, now) + SWEEP_PERIOD};
-  if (is_known)
-    *position = switch_deadline;
-  else
-    deadlines.insert(position, switch_deadline);
-  if (deadlines.size() > MAX_DEADLINES_PER_MODEL)
+           "newest", newest, "known_before", is_known, "age_ms", now - known.since.time,
+           "is_assumed", known.since.is_assumed, "deadlines", entry.deadlines.size());
+  if (entry.versions.MergedCount() > merged)
   {
-    LogEvent(Weight::Important, now, "weights.deadline_dropped", "model", model, "version",
-             deadlines.front().version, "left_ms", TimeLeft(deadlines.front(), now));
-    deadlines.erase(deadlines.begin());
+    LogEvent(Weight::Important, now, "weights.deadlines_merged", "model", model, "version",
+             known.version, "deadlines", entry.deadlines.size(), "merged",
+             entry.versions.MergedCount());
   }
-  return due;
+  return known.since.time + m_switch_within - SWITCH_MARGIN;
+}
+
+void SwitchDeadlines::UpdateDeadlines(ModelDeadlines& model, TimePoint now) const
+{
+  std::vector<SwitchDeadline> deadlines;
+  for (const Control::KnownVersion& known : model.versions.RestrictingAt(now, m_switch_within))
+  {
+    const TimePoint due = known.since.time + m_switch_within - SWITCH_MARGIN;
+    const auto before = std::ranges::find(model.deadlines, known.version, &SwitchDeadline::version);
+    const bool is_unchanged = before != model.deadlines.end() && before->since == known.since;
+    // After a reload that makes the switch period longer, known deadlines stay as they are.
+    if (is_unchanged && before->due <= due)
+    {
+      deadlines.push_back(*before);
+      continue;
+    }
+    deadlines.push_back({known.version, due, known.since, std::max(due, now) + SWEEP_PERIOD});
+  }
+  model.deadlines = std::move(deadlines);
 }
 
 const std::vector<SwitchDeadline>& SwitchDeadlines::DeadlinesOf(const std::string& model) const
 {
   static const std::vector<SwitchDeadline> NONE;
-  const auto found = m_deadlines.find(model);
-  return found == m_deadlines.end() ? NONE : found->second;
+  const auto found = m_models.find(model);
+  return found == m_models.end() ? NONE : found->second.deadlines;
+}
+
+std::size_t SwitchDeadlines::Count() const
+{
+  std::size_t count = 0;
+  for (const auto& [name, model] : m_models)
+    count += model.deadlines.size();
+  return count;
+}
+
+std::uint64_t SwitchDeadlines::MergedCount() const
+{
+  std::uint64_t count = 0;
+  for (const auto& [name, model] : m_models)
+    count += model.versions.MergedCount();
+  return count;
 }
 
 std::optional<SwitchDeadline> SwitchDeadlines::EarliestReplacing(const std::string& model,
@@ -80,15 +108,15 @@
 {
   const auto is_overdue = [version, now](const SwitchDeadline& switch_deadline)
   { return switch_deadline.version > version && now >= switch_deadline.due; };
-  return std::ranges::any_of(m_deadlines, [&](const auto& entry)
-                             { return std::ranges::any_of(entry.second, is_overdue); });
+  return std::ranges::any_of(m_models, [&](const auto& entry)
+                             { return std::ranges::any_of(entry.second.deadlines, is_overdue); });
 }
 
 bool SwitchDeadlines::IsAnyDue(TimePoint now) const
 {
   const auto is_due = [now](const SwitchDeadline& switch_deadline)
   { return now >= switch_deadline.due - MAX_NETWORK_DELAY && now < switch_deadline.sweep_until; };
-  return std::ranges::any_of(m_deadlines, [&](const auto& entry)
-                             { return std::ranges::any_of(entry.second, is_due); });
+  return std::ranges::any_of(m_models, [&](const auto& entry)
+                             { return std::ranges::any_of(entry.second.deadlines, is_due); });
 }
 } // namespace Holdpost::Gateway
--- a/Source/Core/Gateway/SwitchDeadlines.h
+++ b/Source/Core/Gateway/SwitchDeadlines.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/Types.h"
+#include "Core/Control/NamedVersions.h"
 #include "Core/Gateway/TargetTable.h"
 
 // Keeps the switch deadlines of each model. From the switch deadline of a version on, requests have
@@ -25,7 +26,8 @@
   std::optional<Common::TimePoint> OnVersionNamed(const std::string& model,
                                                   const Control::KnownVersion& known,
                                                   Common::TimePoint now);
-  // The switch deadlines of the model; the oldest version is first.
+  // The switch deadlines of the model that restrict requests since the last change; the oldest
+  // version is first.
   const std::vector<SwitchDeadline>& DeadlinesOf(const std::string& model) const;
   // Of the versions that replace this one, the version with the earliest switch deadline; empty if
   // there is none.
@@ -38,10 +40,24 @@
   bool IsOverdue(std::uint64_t version, Common::TimePoint now) const;
   // Whether the gateway has to look for requests that may begin with old weights.
   bool IsAnyDue(Common::TimePoint now) const;
+  // The number of switch deadlines that restrict requests, and the number of those that were merged
+  // into others because a model had too many; for all models together.
+  std::size_t Count() const;
+  std::uint64_t MergedCount() const;
 
 private:
+  struct ModelDeadlines
+  {
+    Control::NamedVersions versions;
+    // The deadlines of those versions that restrict requests.
+    std::vector<SwitchDeadline> deadlines;
+  };
+
+  // Computes the deadlines anew after the versions have changed.
+  void UpdateDeadlines(ModelDeadlines& model, Common::TimePoint now) const;
+
   Common::Milliseconds m_switch_within;
-  std::map<std::string, std::vector<SwitchDeadline>> m_deadlines; // by model
+  std::map<std::string, ModelDeadlines> m_models; // by name
 };
 
 // Requests at a target are cancelled before the switch deadline by the network delay to the target,
--- a/Source/Core/Mesh/BriefingSender.cpp
+++ b/Source/Core/Mesh/BriefingSender.cpp
@@ -95,7 +95,7 @@
 void BriefingSender::SetWeights(const Control::NamedWeights& named,
                                 const Control::KnownSince& since)
 {
-  if (m_weights[named.model].Offer({named.version, since}))
+  if (m_weights[named.model].Offer({named.version, since}, m_switch_within))
     SendSoon();
 }
 
--- a/Source/Core/Mesh/BriefingSender.h
+++ b/Source/Core/Mesh/BriefingSender.h
@@ -57,6 +57,7 @@
   }
 
   void SetSettings(Settings::DocumentVersion version) { m_settings = version; }
+  void SetSwitchWithin(Common::Milliseconds within) { m_switch_within = within; }
   // A changed value is sent immediately, except that a gateway that does not read the platform
   // waits before it sends a changed plan or list of sidecars to known sidecars. `settings` and
   // `changed` are the settings version and the target list position from which the value was read.
@@ -117,6 +118,7 @@
   // A gateway that does not read the platform sends a changed briefing to a known sidecar only if
   // the sidecar has reported an outdated stamp at or after this time.
   Common::TimePoint m_non_reader_due{};
+  Common::Milliseconds m_switch_within = Control::DEFAULT_SWITCH_WITHIN;
   std::map<std::string, Control::NamedVersions> m_weights;  // by model
   std::map<Common::Address, SidecarState> m_sidecar_states; // sidecars of the local hall
   bool m_has_new_sidecars = false;
--- a/Source/Node/GatewayControl.cpp
+++ b/Source/Node/GatewayControl.cpp
@@ -25,6 +25,7 @@
   Control::FollowerOptions options;
   options.list_period = Control::ListPeriod(config.drain_within);
   options.assumed_age = Control::AssumedAge(config.switch_within, config.start_grace);
+  options.switch_within = config.switch_within;
   return options;
 }
 
@@ -46,6 +47,7 @@
                     },
                     [](const Address&) {}})
 {
+  m_briefing.SetSwitchWithin(config.switch_within);
 }
 
 Result<Address> GatewayControl::Listen()
@@ -67,6 +69,8 @@
   m_config.seeds = config.seeds;
   m_config.drain_within = config.drain_within;
   m_control.SetAddress(config.platform);
+  m_follower.SetSwitchWithin(config.switch_within);
+  m_briefing.SetSwitchWithin(config.switch_within);
   m_seed_query.SetPeers(MeshAddressesOf(config.seeds, m_config.mesh_listen));
   m_membership.SetSeeds(MeshAddressesOf(config.seeds, m_config.mesh_listen));
   m_follower.SetListPeriod(Control::ListPeriod(config.drain_within));
--- a/Source/Node/GatewayNode.cpp
+++ b/Source/Node/GatewayNode.cpp
@@ -80,6 +80,10 @@
             metrics.Set("holdpost_targets_known", static_cast<double>(m_core.Targets().Size()));
             metrics.Set("holdpost_targets_reported",
                         static_cast<double>(m_core.Targets().ReportedCount()));
+            metrics.Set("holdpost_switch_deadlines",
+                        static_cast<double>(m_core.Deadlines().Count()));
+            metrics.Set("holdpost_switch_deadlines_merged",
+                        static_cast<double>(m_core.Deadlines().MergedCount()));
             metrics.Set("holdpost_crash_records", static_cast<double>(m_core.CrashLedger().Size()));
             metrics.Set("holdpost_blocked_requests",
                         static_cast<double>(m_core.CrashLedger().Blocked().size()));
