Sidecar: The list of named versions is limited

A sidecar kept each version that was ever named, some 50 bytes a version for as long as it runs, and looked through all of them in each tick. The list now is the limited one of the gateways, which makes no switch deadline later. Where the wanted version has been merged into a newer one, the sidecar goes by the deadline of that one, which is as strict.

--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -234,11 +234,8 @@
 
 void Sidecar::OnWeights(const Control::NamedWeights& named, const Control::KnownSince& since)
 {
-  if (named.model != m_plan.model)
-    return;
-  const auto [found, is_new] = m_named.try_emplace(named.version, since);
-  if (!is_new && since.Replaces(found->second))
-    found->second = since;
+  if (named.model == m_plan.model)
+    m_named.Offer({named.version, since}, m_options.switch_within);
 }
 
 void Sidecar::OnPeers(const std::vector<Mesh::Peer>& peers, TimePoint now, Actions* actions)
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -10,6 +10,7 @@
 
 #include "Common/Metrics.h"
 #include "Core/Control/ControlMessages.h"
+#include "Core/Control/NamedVersions.h"
 #include "Core/Crashes/CrashExchange.h"
 #include "Core/Distribution/Exchange.h"
 #include "Core/Mesh/MeshMessages.h"
@@ -106,7 +107,7 @@
   // The model that the plan names, and its named versions with the time since which each is known;
   // the model is empty until a plan is known.
   const std::string& Model() const { return m_plan.model; }
-  const std::map<std::uint64_t, Control::KnownSince>& NamedVersions() const { return m_named; }
+  const Control::NamedVersions& NamedVersions() const { return m_named; }
   // The time up to which gateways of the hall have reported all named versions; empty if they have
   // never done so.
   const std::optional<Common::TimePoint>& VersionsReportedUntil() const
@@ -203,6 +204,8 @@
   // The earliest switch deadline of the named versions up to `newest` that the engine has not
   // loaded.
   Common::TimePoint EarliestSwitchDeadline(std::uint64_t newest) const;
+  // The time since which the wanted version is known, or the version that has taken its place.
+  Common::TimePoint WantedSince() const { return m_named.Covering(m_wanted)->since.time; }
   Common::Duration CopyTime() const;
   // How urgently the sidecar needs the pieces of the wanted version.
   enum class Urgency
@@ -296,7 +299,7 @@
   // The stamp of the plan and the peers that gateways have sent.
   Mesh::BriefingStamp m_stamp;
   // The named versions, and the time since which any process knows each.
-  std::map<std::uint64_t, Control::KnownSince> m_named;
+  Control::NamedVersions m_named;
   std::optional<Common::TimePoint> m_versions_reported_until;
   // The version that the engine should load next, a newer version that is copied in the meantime,
   // and the last completely copied version that was wanted before.
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -172,10 +172,10 @@
   report.crashes = m_crashes.StateHash();
   if (m_report)
     report.read_age = std::chrono::ceil<Milliseconds>(now - m_known_report_asked_at);
-  for (auto named = m_named.rbegin(); named != m_named.rend(); ++named)
+  for (auto named = m_named.All().rbegin(); named != m_named.All().rend(); ++named)
   {
     const auto reported =
-        Mesh::AdvertisedVersion::Of(m_plan.model, named->first, named->second, now);
+        Mesh::AdvertisedVersion::Of(m_plan.model, named->version, named->since, now);
     if (report.weights.size() == Mesh::MAX_ADVERTISED_VERSIONS ||
         reported.known > MAX_REPORTED_VERSION_AGE)
       break;
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -47,7 +47,7 @@
   const Distribution::Swarm* swarm = WantedSwarm();
   if (!m_loader.MayBeReplaced(now) || (swarm && swarm->IsHeld()))
     return false;
-  const TimePoint deadline = m_named.at(m_wanted).time + m_options.switch_within;
+  const TimePoint deadline = WantedSince() + m_options.switch_within;
   // A newer version that can replace the wanted one in time saves each target a switch. However,
   // the origin may fail before the newer version is complete, and then the pieces of the older
   // version are the only ones that the hall has.
@@ -75,8 +75,7 @@
   const double fetched = pieces - swarm->UnavailablePieces();
   if (fetched >= MOSTLY_FETCHED_SHARE * pieces)
     return true;
-  const std::chrono::duration<double> gap =
-      m_named.rbegin()->second.time - m_named.at(m_wanted).time;
+  const std::chrono::duration<double> gap = m_named.All().back().since.time - WantedSince();
   const std::chrono::duration<double> copy =
       pieces * std::chrono::duration<double>(OriginPieceTime());
   return fetched >= HALF_FETCHED_SHARE * pieces && gap >= MIN_GAP_IN_COPIES * copy;
@@ -101,9 +100,9 @@
 
 void Sidecar::ChooseVersion(TimePoint now, Actions* actions)
 {
-  if (m_plan.model.empty() || m_named.empty())
+  if (m_plan.model.empty() || m_named.Newest() == 0)
     return;
-  const std::uint64_t newest = m_named.rbegin()->first;
+  const std::uint64_t newest = m_named.Newest();
   if (newest <= m_wanted || MayDelayFetching(newest, now))
     return;
   const bool is_wanted_done = m_wanted == 0 || LoadedVersion() >= m_wanted;
@@ -157,10 +156,11 @@
 TimePoint Sidecar::EarliestSwitchDeadline(std::uint64_t newest) const
 {
   TimePoint earliest = TimePoint::max();
-  for (const auto& [version, since] : m_named)
+  const Control::KnownVersion* last = m_named.Covering(newest);
+  for (const Control::KnownVersion& known : m_named.All())
   {
-    if (version > LoadedVersion() && version <= newest)
-      earliest = std::min(earliest, since.time + m_options.switch_within);
+    if (known.version > LoadedVersion() && last && known.version <= last->version)
+      earliest = std::min(earliest, known.since.time + m_options.switch_within);
   }
   return earliest;
 }
@@ -175,7 +175,7 @@
 void Sidecar::SetWantedVersion(std::uint64_t version, TimePoint now, Actions* actions)
 {
   LogEvent(Weight::Important, now, "weights.wanted", "version", version, "before", m_wanted,
-           "loaded", LoadedVersion(), "known_ms", now - m_named.at(version).time);
+           "loaded", LoadedVersion(), "known_ms", now - m_named.Covering(version)->since.time);
   // A copy that was abandoned must not use the links any longer.
   if (const Distribution::Swarm* swarm = WantedSwarm(); swarm && swarm->IsHeld())
     m_previous = m_wanted;
@@ -231,7 +231,7 @@
     return now;
   // A version that replaces a skipped one has to be in use before the switch deadline of the
   // skipped version.
-  const TimePoint named = m_named.at(m_wanted).time;
+  const TimePoint named = WantedSince();
   const SwitchWindow window{named, EarliestSwitchDeadline(m_wanted) - named, CopyTime()};
   const TimePoint planned = PlannedSwitchTime(
       window, SwitchOrderRank(m_options.address, m_peers, m_wanted), m_peers.size());
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -42,7 +42,8 @@
                       Carry(actions);
                     }}),
       m_follower(
-          {.assumed_age = Control::AssumedAge(config.mesh.switch_within, config.mesh.start_grace)},
+          {.assumed_age = Control::AssumedAge(config.mesh.switch_within, config.mesh.start_grace),
+           .switch_within = config.mesh.switch_within},
           Common::StableHash(config.mesh.instance)),
       m_config_file(config.mesh.file)
 {
@@ -223,8 +224,8 @@
   if (!m_core->IsIsolated(now))
     return;
   // What the platform tells is compared with what gateways have told.
-  for (const auto& [version, since] : m_core->NamedVersions())
-    m_follower.OfferWeights({m_core->Model(), version}, since);
+  for (const Control::KnownVersion& known : m_core->NamedVersions().All())
+    m_follower.OfferWeights({m_core->Model(), known.version}, known.since);
   if (const auto& told = m_core->VersionsReportedUntil())
     m_follower.OnAllVersionsAnnounced(*told);
   Control::Actions actions;
@@ -291,6 +292,7 @@
   m_config.mesh.stop_within = fresh.mesh.stop_within;
   m_control.SetAddress(fresh.mesh.platform);
   m_core->SetSwitchWithin(fresh.mesh.switch_within);
+  m_follower.SetSwitchWithin(fresh.mesh.switch_within);
   m_core->SetSeeds(MeshAddressesOf(fresh.mesh.seeds, m_mesh.Self().address));
 }
 
--- a/Source/UnitTests/Core/Sidecar/SidecarVersionsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/SidecarVersionsTest.cpp
@@ -110,3 +110,24 @@
     CHECK(seconds_each() < 4.0);
   }
 }
+
+// Guards against sidecars that keep every version ever named, or that lose the one that they copy.
+TEST_CASE("A sidecar copies a version on when its entry has been merged into a newer one")
+{
+  SidecarWorld world = MakeWorld();
+  world.RunFor(Milliseconds(3000));
+  static constexpr std::uint64_t NEWEST = 25;
+  for (std::uint64_t version = 2; version <= NEWEST; ++version)
+  {
+    world.NameVersion(version);
+    world.RunFor(Milliseconds(100));
+  }
+  for (std::size_t node = 0; node < world.Count(); ++node)
+  {
+    const Control::NamedVersions& named = world.SidecarAt(node).NamedVersions();
+    CHECK(named.All().size() <= Control::NamedVersions::MAX_VERSIONS);
+    CHECK(named.Newest() == NEWEST);
+  }
+  CHECK(SecondsUntilLoaded(world, NEWEST) < 20.0);
+  CHECK(world.Fault().empty());
+}
