Mesh: Processes tell each other of all switch deadlines

Cause: gateways and sidecars told each other of the three newest versions of a model, and sidecars of none that was older than 20 s. The platform holds only the newest. A gateway that starts takes that one to be older than all that it has missed, until another process reports when it was named. From then on it needs the deadlines of the versions before, and nobody told it of them.

Now hellos, beats, documents and load reports carry all versions that restrict requests: those whose deadlines have not passed, and the newest of the others.

BriefingSenderTest and LoadReportsTest with the old limits behind the new signatures: both new cases failed.

--- a/Source/Core/Mesh/BriefingSender.cpp
+++ b/Source/Core/Mesh/BriefingSender.cpp
@@ -99,21 +99,14 @@
     SendSoon();
 }
 
-// Appends the newest versions of the model with their ages at `now`.
-static void AppendVersions(const std::string& model, const Control::NamedVersions& versions,
-                           TimePoint now, std::vector<AdvertisedVersion>* advertised)
-{
-  const std::vector<Control::KnownVersion>& all = versions.All();
-  for (std::size_t i = all.size() - std::min(all.size(), MAX_ADVERTISED_VERSIONS); i < all.size();
-       ++i)
-    advertised->push_back(AdvertisedVersion::Of(model, all[i].version, all[i].since, now));
-}
-
 std::vector<AdvertisedVersion> BriefingSender::AdvertisedVersionsAt(TimePoint now) const
 {
   std::vector<AdvertisedVersion> advertised;
   for (const auto& [model, versions] : m_weights)
-    AppendVersions(model, versions, now, &advertised);
+  {
+    for (const Control::KnownVersion& known : versions.RestrictingAt(now, m_switch_within))
+      advertised.push_back(AdvertisedVersion::Of(model, known.version, known.since, now));
+  }
   return advertised;
 }
 
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -30,10 +30,6 @@
   std::uint64_t incarnation = 0;
 };
 
-// The number of newest versions of a model that are sent to other processes. There are several,
-// because pushes of the previous versions may still be in progress.
-inline constexpr std::size_t MAX_ADVERTISED_VERSIONS = 3;
-
 // A named version of weights, and how long any process has known it.
 struct AdvertisedVersion
 {
@@ -146,8 +142,8 @@
   // that gateway.
   Settings::DocumentVersion settings = 0;
   Common::Address settings_at;
-  // The newest versions named for the target's model, sent only for a limited time after the
-  // naming.
+  // The versions of the target's model that restrict requests, sent only for a limited time after
+  // the naming.
   std::vector<AdvertisedVersion> weights;
   // The gateways of the sidecar's hall, sent periodically to gateways of that hall.
   std::vector<Common::Address> near_gateways;
@@ -198,8 +194,8 @@
   // `base`; `base` is 0 if there is none.
   Settings::DocumentVersion base = 0;
   Common::Bytes packed;
-  // The newest versions that the sender knows. The receiver needs them as soon as it has the
-  // settings, because it selects targets by them.
+  // The versions that restrict requests, as far as the sender knows. The receiver needs them as
+  // soon as it has the settings, because it selects targets by them.
   std::vector<AdvertisedVersion> weights = {};
 };
 
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -275,6 +275,8 @@
   // Logs the totals of all transfers since the start, so that the difference between two lines
   // shows the transfers of one push.
   void LogHeld(std::uint64_t version, Common::TimePoint now) const;
+  // The named versions that are reported to gateways.
+  std::vector<Mesh::AdvertisedVersion> ReportedVersions(Common::TimePoint now) const;
   void SendLoadReports(Common::TimePoint now, Actions* actions);
   std::vector<Common::Address> GatewaysOfLocalHall() const;
   // The permits under the engine's rate limit for the gateways to which a report is due.
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -28,7 +28,8 @@
 static constexpr Milliseconds WORK_LIFETIME = Milliseconds(1500);
 // The period at which a sidecar sends the gateways of its hall the list of these gateways.
 static constexpr Milliseconds GATEWAY_LIST_PERIOD = Milliseconds(1000);
-// A sidecar reports a version to gateways if it has been known for no longer than this time.
+// A sidecar reports versions to gateways if one of them has been known for no longer than this
+// time, or if its switch deadline has not passed.
 static constexpr Milliseconds MAX_REPORTED_VERSION_AGE = Milliseconds(20000);
 static constexpr Milliseconds GATEWAY_LIFETIME = Milliseconds(3000);
 // A sidecar announces a switch to gateways this time in advance.
@@ -149,6 +150,20 @@
   return now - gateway.last_report >= period || (gateway.wants_load && m_load_due);
 }
 
+std::vector<Mesh::AdvertisedVersion> Sidecar::ReportedVersions(TimePoint now) const
+{
+  const Milliseconds max_age = std::max(MAX_REPORTED_VERSION_AGE, m_options.switch_within);
+  std::vector<Mesh::AdvertisedVersion> reported;
+  for (const Control::KnownVersion& known : m_named.RestrictingAt(now, m_options.switch_within))
+    reported.push_back(Mesh::AdvertisedVersion::Of(m_plan.model, known.version, known.since, now));
+  // A gateway that learns the time of one version has to learn the older ones, too: until then, it
+  // takes that version to be older than all it has missed.
+  const bool is_any_recent =
+      std::ranges::any_of(reported, [max_age](const Mesh::AdvertisedVersion& version)
+                          { return version.known <= max_age; });
+  return is_any_recent ? reported : std::vector<Mesh::AdvertisedVersion>();
+}
+
 void Sidecar::SendLoadReports(TimePoint now, Actions* actions)
 {
   const Gateway::TargetLoad load = CurrentLoad(now);
@@ -172,15 +187,7 @@
   report.crashes = m_crashes.StateHash();
   if (m_report)
     report.read_age = std::chrono::ceil<Milliseconds>(now - m_known_report_asked_at);
-  for (auto named = m_named.All().rbegin(); named != m_named.All().rend(); ++named)
-  {
-    const auto reported =
-        Mesh::AdvertisedVersion::Of(m_plan.model, named->version, named->since, now);
-    if (report.weights.size() == Mesh::MAX_ADVERTISED_VERSIONS ||
-        reported.known > MAX_REPORTED_VERSION_AGE)
-      break;
-    report.weights.push_back(reported);
-  }
+  report.weights = ReportedVersions(now);
   for (const auto& [address, gateway] : m_gateways)
   {
     if (gateway.settings > report.settings)
--- a/Source/UnitTests/Core/Mesh/BriefingSenderTest.cpp
+++ b/Source/UnitTests/Core/Mesh/BriefingSenderTest.cpp
@@ -209,3 +209,29 @@
   CHECK(hello.stamp == BriefingStamp{7, 40});
   CHECK(hello.weights.at(0).named.version == 2);
 }
+
+// Guards against a gateway that learns from others of no switch deadline but the last three.
+TEST_CASE("All versions whose switch deadlines have not passed are told to other processes")
+{
+  constexpr Milliseconds GAP{1900};
+  BriefingSender briefing("here");
+  auto now = START;
+  for (std::uint64_t version = 2; version <= 6; ++version, now += GAP)
+    briefing.SetWeights({"m", version}, {now});
+  const auto advertised = briefing.AdvertisedVersionsAt(now);
+  REQUIRE(advertised.size() == 5);
+  CHECK(advertised.front().named.version == 2);
+  CHECK(advertised.front().Since(now).time == START);
+
+  SUBCASE("and the newest of those that have passed")
+  {
+    now = START + Control::DEFAULT_SWITCH_WITHIN + GAP;
+    CHECK(briefing.AdvertisedVersionsAt(now).front().named.version == 3);
+    CHECK(briefing.AdvertisedVersionsAt(now + std::chrono::hours(1)).size() == 1);
+  }
+  SUBCASE("also after the settings have named a longer time until the deadline")
+  {
+    briefing.SetSwitchWithin(Milliseconds(60000));
+    CHECK(briefing.AdvertisedVersionsAt(now + Milliseconds(20000)).size() == 5);
+  }
+}
--- a/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
+++ b/Source/UnitTests/Core/Sidecar/LoadReportsTest.cpp
@@ -254,3 +254,58 @@
   }
   CHECK(read_age == Milliseconds(45));
 }
+
+// Guards against gateways that learn from sidecars of no switch deadline but the last three.
+TEST_CASE("A load report contains all versions whose switch deadlines have not passed")
+{
+  Fixture f;
+  Mesh::Hello hello;
+  hello.is_gateway = true;
+  hello.wants_load = true;
+  hello.plan = {"llm", "m", 96, 24576, Milliseconds(300), {"10.9.0.1", 80}, "here"};
+  for (std::uint64_t version = 2; version <= 6; ++version)
+    hello.weights.push_back({{"m", version}, Milliseconds(1000 * (7 - version)), false});
+  f.sidecar.OnMessage(LOCAL_GATEWAY, hello, f.now, &f.actions);
+  const auto reported = [&f]
+  {
+    f.ReadReport(2, 0);
+    std::vector<std::uint64_t> versions;
+    for (const SendMessage& send : Take<SendMessage>(f.actions))
+    {
+      const auto* report = std::get_if<Mesh::LoadReport>(&send.message);
+      if (report && send.to == LOCAL_GATEWAY.address)
+      {
+        for (const Mesh::AdvertisedVersion& version : report->weights)
+          versions.push_back(version.named.version);
+      }
+    }
+    return versions;
+  };
+  f.now += Milliseconds(100);
+  CHECK(reported() == std::vector<std::uint64_t>{2, 3, 4, 5, 6});
+
+  SUBCASE("and the newest of those that have passed, as long as one of them is recent")
+  {
+    f.now += Milliseconds(5000);
+    f.sidecar.OnMessage(LOCAL_GATEWAY, hello, f.now, &f.actions);
+    CHECK(reported() == std::vector<std::uint64_t>{4, 5, 6});
+    f.now += Milliseconds(10000);
+    f.sidecar.OnMessage(LOCAL_GATEWAY, hello, f.now, &f.actions);
+    CHECK(reported() == std::vector<std::uint64_t>{6});
+  }
+  SUBCASE("and the one that is in force, when another is named long after it")
+  {
+    f.now += Milliseconds(30000);
+    hello.weights = {{{"m", 7}, Milliseconds(0), false}};
+    f.sidecar.OnMessage(LOCAL_GATEWAY, hello, f.now, &f.actions);
+    CHECK(reported() == std::vector<std::uint64_t>{6, 7});
+  }
+  SUBCASE("but none once all are old")
+  {
+    f.now += Milliseconds(30000);
+    f.sidecar.OnMessage(LOCAL_GATEWAY, hello, f.now, &f.actions);
+    hello.weights.clear();
+    f.now += Milliseconds(100);
+    CHECK(reported().empty());
+  }
+}
