Tests: Random histories of named versions

At each step the deadlines of each gateway that is in touch are compared with those of a plain list of all names.

--- /dev/null
+++ b/Source/UnitTests/Core/Mesh/NamingHistory.cpp
@@ -0,0 +1,439 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "NamingHistory.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "Support/Actions.h"
+
+namespace Holdpost::Testing
+{
+using Common::Duration;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+static constexpr TimePoint START{std::chrono::hours(1)};
+static constexpr Milliseconds STEP{20};
+static constexpr Milliseconds SWITCH_WITHIN{8000};
+// A process that starts, or comes back, is bound by switch deadlines after this time.
+static constexpr Milliseconds GRACE{3000};
+// The time before the first naming, in which all processes find each other.
+static constexpr Milliseconds SETTLING_TIME{6000};
+static constexpr Milliseconds BEAT_PERIOD{300};
+// A reader that is silent for this time is replaced; each gateway waits a little longer than the
+// one before it.
+static constexpr Milliseconds READER_TIMEOUT{1000};
+static constexpr Milliseconds READER_TIMEOUT_STEP{200};
+static constexpr Milliseconds READ_TIMEOUT{1500};
+static constexpr int MAX_DELAY_MS = 60;
+static constexpr int LOST_PERCENT = 10;
+static constexpr const char* HALL = "here";
+static constexpr const char* MODEL = "m";
+static const Mesh::WeightsPlan PLAN{"svc", MODEL, 96, 24576, Milliseconds(300), {"10.9.0.1", 80},
+                                    HALL};
+
+static Milliseconds ToMilliseconds(Duration time)
+{
+  return std::chrono::duration_cast<Milliseconds>(time);
+}
+
+NamingHistory::NamingHistory(const NamingHistoryOptions& options)
+    : m_options(options), m_random(options.seed), m_now(START)
+{
+  for (int i = 0; i < options.sidecars; ++i)
+  {
+    const Common::Address address{fmt::format("10.0.1.{}", i + 1), 7700};
+    m_sidecars.push_back({{fmt::format("side-{}", i), HALL, address, 1}, 0, nullptr});
+    m_peers.push_back({address, HALL});
+  }
+  for (int i = 0; i < options.gateways; ++i)
+  {
+    GatewayNode gateway;
+    gateway.self = {fmt::format("front-{}", i), HALL, {fmt::format("10.0.0.{}", i + 1), 7700}, 1};
+    m_gateways.push_back(std::move(gateway));
+  }
+  m_namings.push_back({1, START});
+  for (GatewayNode& gateway : m_gateways)
+    StartGateway(gateway);
+  for (SidecarNode& node : m_sidecars)
+    StartSidecar(node);
+  ScheduleNamings();
+  ScheduleDisturbances();
+}
+
+Milliseconds NamingHistory::MessageDelay()
+{
+  return Milliseconds(Draw(1, MAX_DELAY_MS));
+}
+
+void NamingHistory::Schedule(Duration delay, std::function<void()> run)
+{
+  m_calls.push({m_now + delay, m_order++, std::move(run)});
+}
+
+void NamingHistory::ScheduleNamings()
+{
+  Duration at = SETTLING_TIME;
+  std::uint64_t version = 1;
+  for (std::size_t i = 0; i < m_options.versions; ++i)
+  {
+    version += static_cast<std::uint64_t>(Draw(1, 3));
+    Schedule(at, [this, version] { m_namings.push_back({version, m_now}); });
+    at += Milliseconds(Draw(static_cast<int>(m_options.min_gap.count()),
+                            static_cast<int>(m_options.max_gap.count())));
+  }
+  m_namings_end = at;
+}
+
+void NamingHistory::ScheduleDisturbances()
+{
+  static constexpr int MAX_TIME_MS = 10000;
+  const Duration span = m_namings_end + SWITCH_WITHIN;
+  for (int i = 0; i < m_options.disturbances; ++i)
+  {
+    const Milliseconds at(Draw(0, static_cast<int>(ToMilliseconds(span).count())));
+    GatewayNode& gateway = m_gateways[static_cast<std::size_t>(Draw(0, m_options.gateways - 1))];
+    SidecarNode& sidecar = m_sidecars[static_cast<std::size_t>(Draw(0, m_options.sidecars - 1))];
+    const Milliseconds time(Draw(500, MAX_TIME_MS));
+    const std::function<void()> disturbances[] = {
+        [this, &gateway] { StartGateway(gateway); },
+        [this, &sidecar] { StartSidecar(sidecar); },
+        [this, &gateway, time] { CutOff(gateway, time); },
+        [this, &gateway, time] { StopStill(gateway, time); },
+        [this, &sidecar, time] { sidecar.stands_still_until = m_now + time; },
+        [this] { std::ranges::for_each(m_gateways, [&](auto& node) { StartGateway(node); }); },
+        [this] { std::ranges::for_each(m_sidecars, [&](auto& node) { StartSidecar(node); }); },
+    };
+    Schedule(at, disturbances[Draw(0, static_cast<int>(std::size(disturbances)) - 1)]);
+  }
+}
+
+void NamingHistory::StartGateway(GatewayNode& gateway)
+{
+  ++gateway.incarnation;
+  const std::uint64_t seed = m_random();
+  Control::FollowerOptions options;
+  options.assumed_age = Control::AssumedAge(SWITCH_WITHIN, GRACE);
+  options.switch_within = SWITCH_WITHIN;
+  gateway.follower = std::make_unique<Control::ControlFollower>(options, seed);
+  gateway.follower->Begin(m_now);
+  gateway.follower->SetReading(false);
+  gateway.briefing = std::make_unique<Mesh::BriefingSender>(HALL, seed);
+  gateway.briefing->SetSwitchWithin(SWITCH_WITHIN);
+  gateway.briefing->SetPlan(PLAN, 1, m_now);
+  gateway.briefing->SetSidecars(m_peers, 1, m_now);
+  Mesh::TargetUse use;
+  for (const Mesh::Peer& peer : m_peers)
+    use.sidecars.insert(peer.address);
+  gateway.briefing->SetTargetUse(use);
+  gateway.deadlines = std::make_unique<Gateway::SwitchDeadlines>(SWITCH_WITHIN);
+  gateway.stands_still_until = m_now;
+  gateway.is_reader = false;
+  gateway.reader_heard_at.reset();
+  gateway.beat_due = m_now;
+  gateway.in_touch_at = std::max(m_now, gateway.cut_off_until) + GRACE;
+  // A gateway that has heard no reader yet reads itself.
+  SetReader(gateway, true);
+}
+
+void NamingHistory::StartSidecar(SidecarNode& node)
+{
+  ++node.incarnation;
+  node.stands_still_until = m_now;
+  Sidecar::SidecarOptions options;
+  options.address = node.self.address;
+  options.hall = HALL;
+  options.target = {node.self.address.host, 8000};
+  options.service = PLAN.service;
+  options.link_bytes_per_second = 912500;
+  options.switch_within = SWITCH_WITHIN;
+  node.sidecar = std::make_unique<Sidecar::Sidecar>(options, m_metrics);
+}
+
+void NamingHistory::CutOff(GatewayNode& gateway, Duration time)
+{
+  gateway.cut_off_until = std::max(gateway.cut_off_until, m_now + time);
+  gateway.in_touch_at = std::max(gateway.in_touch_at, gateway.cut_off_until + GRACE);
+}
+
+void NamingHistory::StopStill(GatewayNode& gateway, Duration time)
+{
+  gateway.stands_still_until = m_now + time;
+  gateway.in_touch_at = std::max(gateway.in_touch_at, gateway.stands_still_until + GRACE);
+}
+
+NamingHistoryOutcome NamingHistory::Play()
+{
+  const TimePoint end = START + m_namings_end + SWITCH_WITHIN + GRACE;
+  while (m_now < end)
+  {
+    while (!m_calls.empty() && m_calls.top().at <= m_now)
+    {
+      const std::function<void()> run = m_calls.top().run;
+      m_calls.pop();
+      run();
+    }
+    for (GatewayNode& gateway : m_gateways)
+    {
+      Tick(gateway);
+      Compare(gateway);
+    }
+    for (SidecarNode& node : m_sidecars)
+      Tick(node);
+    m_now += STEP;
+  }
+  return m_outcome;
+}
+
+template <typename Node>
+void NamingHistory::ScheduleAt(Node& node, Duration delay, std::function<void()> run)
+{
+  Schedule(delay,
+           [this, &node, incarnation = node.incarnation, run = std::move(run)]
+           {
+             if (node.incarnation != incarnation)
+               return;
+             if (m_now < node.stands_still_until)
+               return ScheduleAt(node, node.stands_still_until - m_now, run);
+             run();
+           });
+}
+
+template <typename Node>
+void NamingHistory::Deliver(const GatewayNode& gateway, Node& to, std::function<void()> receive)
+{
+  if (!IsCutOff(gateway) && Draw(1, 100) > LOST_PERCENT)
+    ScheduleAt(to, MessageDelay(), std::move(receive));
+}
+
+void NamingHistory::Tick(GatewayNode& gateway)
+{
+  if (m_now < gateway.stands_still_until)
+    return;
+  UpdateReader(gateway);
+  Control::Actions actions;
+  gateway.follower->OnTick(m_now, &actions);
+  for (const auto& read : Only<Control::ReadOperatorChanges>(actions))
+    Read(gateway, read);
+  if (!Only<Control::ReadTargets>(actions).empty() && !IsCutOff(gateway))
+  {
+    ScheduleAt(gateway, MessageDelay(),
+               [this, &gateway] {
+                 gateway.follower->OnTargetsRead(Control::TargetsRead{true, {}, 1}, m_now);
+               });
+  }
+  if (gateway.is_reader && m_now >= gateway.beat_due && gateway.follower->HasReadAll())
+    Beat(gateway);
+  SendHellos(gateway);
+}
+
+void NamingHistory::SendHellos(GatewayNode& gateway)
+{
+  std::vector<Mesh::Outgoing> hellos;
+  gateway.briefing->SetIsReader(gateway.is_reader);
+  gateway.briefing->OnTick(m_now, &hellos);
+  for (const Mesh::Outgoing& hello : hellos)
+  {
+    const auto to = std::ranges::find(m_sidecars, hello.to,
+                                      [](const SidecarNode& node) { return node.self.address; });
+    Deliver(gateway, *to,
+            [this, &node = *to, from = gateway.self, message = hello.message]
+            {
+              Sidecar::Actions made;
+              node.sidecar->OnMessage(from, message, m_now, &made);
+              Carry(node, made);
+            });
+  }
+}
+
+void NamingHistory::UpdateReader(GatewayNode& gateway)
+{
+  const auto rank = &gateway - m_gateways.data();
+  const Duration timeout = READER_TIMEOUT + rank * READER_TIMEOUT_STEP;
+  if (!gateway.is_reader && gateway.reader_heard_at && m_now - *gateway.reader_heard_at > timeout)
+    SetReader(gateway, true);
+}
+
+void NamingHistory::SetReader(GatewayNode& gateway, bool is_reader)
+{
+  gateway.is_reader = is_reader;
+  gateway.follower->SetReading(is_reader);
+}
+
+void NamingHistory::Beat(GatewayNode& gateway)
+{
+  gateway.beat_due = m_now + BEAT_PERIOD;
+  Mesh::ReaderBeat beat;
+  beat.weights = gateway.briefing->AdvertisedVersionsAt(m_now);
+  beat.answer_age = ToMilliseconds(m_now - gateway.follower->LastAnswer());
+  const auto from = static_cast<std::size_t>(&gateway - m_gateways.data());
+  for (GatewayNode& other : m_gateways)
+  {
+    if (&other != &gateway && !IsCutOff(other))
+      Deliver(gateway, other, [this, &other, from, beat] { OnBeat(other, from, beat); });
+  }
+}
+
+void NamingHistory::OnBeat(GatewayNode& gateway, std::size_t from, const Mesh::ReaderBeat& beat)
+{
+  const auto rank = static_cast<std::size_t>(&gateway - m_gateways.data());
+  // Of two readers, the one with the lower number goes on, unless the platform is out of its reach.
+  const bool is_answered = beat.answer_age < READER_TIMEOUT + Milliseconds(2500);
+  if (gateway.is_reader && (rank < from || !is_answered))
+    return;
+  if (is_answered)
+    gateway.reader_heard_at = m_now;
+  if (gateway.is_reader)
+    SetReader(gateway, false);
+  OnVersionsTold(gateway, beat.weights);
+  gateway.follower->OnAllVersionsAnnounced(m_now - beat.answer_age);
+}
+
+void NamingHistory::OnVersionsTold(GatewayNode& gateway,
+                                   const std::vector<Mesh::AdvertisedVersion>& versions)
+{
+  bool is_news = false;
+  for (const Mesh::AdvertisedVersion& told : versions)
+    is_news = gateway.follower->OfferWeights(told.named, told.Since(m_now)) || is_news;
+  if (is_news)
+    Apply(gateway);
+}
+
+void NamingHistory::Apply(GatewayNode& gateway)
+{
+  for (const auto& [model, versions] : gateway.follower->Weights())
+  {
+    for (const Control::KnownVersion& known : versions.All())
+    {
+      gateway.deadlines->OnVersionNamed(model, known, m_now);
+      gateway.briefing->SetWeights({model, known.version}, known.since);
+    }
+  }
+}
+
+void NamingHistory::Read(GatewayNode& gateway, const Control::ReadOperatorChanges& read)
+{
+  if (IsCutOff(gateway))
+    return Fail(gateway, read);
+  Schedule(MessageDelay(),
+           [this, &gateway, read, until = m_now + read.wait, incarnation = gateway.incarnation]
+           { AnswerRead(gateway, incarnation, read, until); });
+}
+
+void NamingHistory::Fail(GatewayNode& gateway, const Control::ReadOperatorChanges& read)
+{
+  ScheduleAt(gateway, READ_TIMEOUT,
+             [this, &gateway, number = read.number]
+             {
+               const Common::Error error{Common::ErrorKind::Unreachable, "cut off"};
+               gateway.follower->OnOperatorRead(error, m_now, number);
+             });
+}
+
+void NamingHistory::AnswerRead(GatewayNode& gateway, std::uint64_t incarnation,
+                               const Control::ReadOperatorChanges& read, TimePoint until)
+{
+  if (gateway.incarnation != incarnation)
+    return;
+  if (IsCutOff(gateway))
+    return Fail(gateway, read);
+  // Position 1 is that of the settings, and each naming has the next one.
+  const Control::Position next = m_namings.size() + 1;
+  if (read.from == next && m_now < until)
+  {
+    return Schedule(STEP, [this, &gateway, incarnation, read, until]
+                    { AnswerRead(gateway, incarnation, read, until); });
+  }
+  Control::OperatorChanges changes;
+  changes.next = next;
+  if (read.from == 0)
+  {
+    auto document = std::make_shared<Settings::Document>();
+    document->version = 1;
+    changes.document = document;
+    changes.text = Common::MakeBytes("text");
+    changes.weights = {{MODEL, m_namings.back().version}};
+  }
+  for (std::size_t i = read.from; i > 0 && i <= m_namings.size(); ++i)
+    changes.weights.push_back({MODEL, m_namings[i - 1].version});
+  ScheduleAt(gateway, MessageDelay(),
+             [this, &gateway, number = read.number, changes]
+             {
+               if (gateway.follower->OnOperatorRead(changes, m_now, number))
+                 Apply(gateway);
+             });
+}
+
+void NamingHistory::Tick(SidecarNode& node)
+{
+  if (m_now < node.stands_still_until)
+    return;
+  Sidecar::Actions actions;
+  node.sidecar->OnTick(m_now, &actions);
+  Carry(node, actions);
+  m_outcome.max_kept = std::max(m_outcome.max_kept, node.sidecar->NamedVersions().All().size());
+}
+
+void NamingHistory::Carry(SidecarNode& node, Sidecar::Actions& actions)
+{
+  for (const auto& sent : Only<Sidecar::SendMessage>(actions))
+  {
+    const auto* report = std::get_if<Mesh::LoadReport>(&sent.message);
+    const auto to = std::ranges::find(
+        m_gateways, sent.to, [](const GatewayNode& gateway) { return gateway.self.address; });
+    if (!report || to == m_gateways.end())
+      continue;
+    Deliver(*to, *to,
+            [this, &gateway = *to, from = node.self.address, report = *report]
+            {
+              gateway.briefing->OnReported(from, report.stamp, m_now);
+              OnVersionsTold(gateway, report.weights);
+            });
+  }
+  if (Only<Sidecar::ReadReport>(actions).empty())
+    return;
+  Sidecar::EngineReport report;
+  report.weights_version = 1;
+  Sidecar::Actions made;
+  node.sidecar->Handle(Sidecar::ReportRead{report}, m_now, &made);
+  Carry(node, made);
+}
+
+std::uint64_t NamingHistory::RequiredAt(TimePoint at) const
+{
+  std::uint64_t required = 0;
+  for (const Naming& naming : m_namings)
+  {
+    if (naming.at + SWITCH_WITHIN <= at)
+      required = std::max(required, naming.version);
+  }
+  return required;
+}
+
+void NamingHistory::Compare(const GatewayNode& gateway)
+{
+  if (m_now < gateway.in_touch_at)
+    return;
+  ++m_outcome.checks;
+  std::uint64_t required = 0;
+  for (const Gateway::SwitchDeadline& deadline : gateway.deadlines->DeadlinesOf(MODEL))
+  {
+    if (m_now >= deadline.due)
+      required = std::max(required, deadline.version);
+  }
+  m_outcome.max_kept = std::max(m_outcome.max_kept, gateway.deadlines->Count());
+  const std::uint64_t expected = RequiredAt(m_now);
+  if (required < expected && ++m_outcome.too_late == 1)
+  {
+    m_outcome.first_too_late =
+        fmt::format("{} requires version {} instead of {} at {} ms", gateway.self.instance,
+                    required, expected, ToMilliseconds(m_now - START).count());
+  }
+  // The first version was named before the processes started, so its deadline is assumed.
+  const auto naming = std::ranges::find(m_namings, required, &Naming::version);
+  if (naming != m_namings.end() && naming != m_namings.begin())
+    m_outcome.max_early =
+        std::max<Duration>(m_outcome.max_early, naming->at + SWITCH_WITHIN - m_now);
+}
+} // namespace Holdpost::Testing
--- /dev/null
+++ b/Source/UnitTests/Core/Mesh/NamingHistory.h
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Core/Control/ControlFollower.h"
+#include "Core/Gateway/SwitchDeadlines.h"
+#include "Core/Mesh/BriefingSender.h"
+#include "Core/Sidecar/Sidecar.h"
+
+// Random histories of named versions, for tests of the switch deadlines that gateways keep.
+namespace Holdpost::Testing
+{
+struct NamingHistoryOptions
+{
+  std::uint64_t seed = 1;
+  int gateways = 3;
+  int sidecars = 4;
+  std::size_t versions = 5;
+  // Each gap between two namings is drawn from this range.
+  Common::Milliseconds min_gap{500};
+  Common::Milliseconds max_gap{2000};
+  // How many times gateways or sidecars restart or stand still, or a gateway is cut off from all
+  // others.
+  int disturbances = 0;
+};
+
+// Sums over one history.
+struct NamingHistoryOutcome
+{
+  // The times at which the deadlines of a gateway were compared with those of all namings.
+  std::size_t checks = 0;
+  // Those at which a gateway let requests begin on a version whose replacement was due.
+  std::size_t too_late = 0;
+  // The first of them, in words.
+  std::string first_too_late;
+  // The longest time by which a gateway required a version before its deadline.
+  Common::Duration max_early{};
+  std::size_t max_kept = 0;
+};
+
+// A hall of gateways and sidecars on a virtual clock, and the platform that names versions. One
+// gateway at a time reads the platform. Messages are delayed, reordered and lost.
+class NamingHistory
+{
+public:
+  explicit NamingHistory(const NamingHistoryOptions& options);
+  NamingHistoryOutcome Play();
+
+private:
+  struct GatewayNode
+  {
+    Mesh::Sender self;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<Control::ControlFollower> follower;
+    std::unique_ptr<Mesh::BriefingSender> briefing;
+    std::unique_ptr<Gateway::SwitchDeadlines> deadlines;
+    bool is_reader = false;
+    // Empty until the reader has answered once.
+    std::optional<Common::TimePoint> reader_heard_at;
+    Common::TimePoint beat_due{};
+    // The gateway is bound by switch deadlines from this time on.
+    Common::TimePoint in_touch_at{};
+    Common::TimePoint cut_off_until{};
+    Common::TimePoint stands_still_until{};
+  };
+  struct SidecarNode
+  {
+    Mesh::Sender self;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<Sidecar::Sidecar> sidecar;
+    Common::TimePoint stands_still_until{};
+  };
+  struct ScheduledCall
+  {
+    Common::TimePoint at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator>(const ScheduledCall& other) const
+    {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Naming
+  {
+    std::uint64_t version;
+    Common::TimePoint at;
+  };
+
+  int Draw(int from, int to) { return std::uniform_int_distribution<int>(from, to)(m_random); }
+  Common::Milliseconds MessageDelay();
+  void Schedule(Common::Duration delay, std::function<void()> run);
+  // Lets a process do something after the delay, unless it has restarted by then. A process that
+  // stands still does it later.
+  template <typename Node>
+  void ScheduleAt(Node& node, Common::Duration delay, std::function<void()> run);
+  void ScheduleNamings();
+  void ScheduleDisturbances();
+  void StartGateway(GatewayNode& gateway);
+  void StartSidecar(SidecarNode& node);
+  void CutOff(GatewayNode& gateway, Common::Duration time);
+  void StopStill(GatewayNode& gateway, Common::Duration time);
+  bool IsCutOff(const GatewayNode& gateway) const { return m_now < gateway.cut_off_until; }
+
+  void Tick(GatewayNode& gateway);
+  void Tick(SidecarNode& node);
+  void SendHellos(GatewayNode& gateway);
+  void UpdateReader(GatewayNode& gateway);
+  void SetReader(GatewayNode& gateway, bool is_reader);
+  void Beat(GatewayNode& gateway);
+  void Read(GatewayNode& gateway, const Control::ReadOperatorChanges& read);
+  // The read ends without an answer.
+  void Fail(GatewayNode& gateway, const Control::ReadOperatorChanges& read);
+  // Answers the read of this incarnation of the gateway, or waits for a naming until the time.
+  void AnswerRead(GatewayNode& gateway, std::uint64_t incarnation,
+                  const Control::ReadOperatorChanges& read, Common::TimePoint until);
+  void Carry(SidecarNode& node, Sidecar::Actions& actions);
+  // Delivers a message that this gateway sends or receives, unless it is lost.
+  template <typename Node>
+  void Deliver(const GatewayNode& gateway, Node& to, std::function<void()> receive);
+  void OnBeat(GatewayNode& gateway, std::size_t from, const Mesh::ReaderBeat& beat);
+  void OnVersionsTold(GatewayNode& gateway, const std::vector<Mesh::AdvertisedVersion>& versions);
+  void Apply(GatewayNode& gateway);
+
+  // The newest version whose deadline has passed at `at`, of all that were named.
+  std::uint64_t RequiredAt(Common::TimePoint at) const;
+  void Compare(const GatewayNode& gateway);
+
+  NamingHistoryOptions m_options;
+  std::mt19937_64 m_random;
+  Common::Metrics m_metrics;
+  Common::TimePoint m_now;
+  std::uint64_t m_order = 0;
+  std::priority_queue<ScheduledCall, std::vector<ScheduledCall>, std::greater<>> m_calls;
+  std::vector<GatewayNode> m_gateways;
+  std::vector<SidecarNode> m_sidecars;
+  std::vector<Mesh::Peer> m_peers;
+  std::vector<Naming> m_namings;
+  Common::Duration m_namings_end{};
+  NamingHistoryOutcome m_outcome;
+};
+} // namespace Holdpost::Testing
