Control: What is read after a suspension counts as named before it

What callers see: requests may begin on weights whose replacement was due, at any gateway, after the gateway that reads the platform stood still while a version was named.

Cause: the platform's records carry no time, so a version counts as named when the read that returns it is answered. An answer that has waited in a socket while the process was suspended counted as fresh. So did what the next read returned at once, and announcements that had waited. The process then told the late time to all others as one that it had observed, which replaces an earlier one that others had assumed.

Now the follower notices that its process did not run for more than 300 ms (it runs every 250 ms at least). What it reads right after counts as named when it last ran; if that was over a second ago, as an assumption, which others that saw the naming correct. Then the next read does not wait, and its versions count as missed ones, as after a takeover. Announcements read right after are ignored.

The histories now keep what happened, and print it when one fails.

--- a/Source/Core/Control/ControlFollower.cpp
+++ b/Source/Core/Control/ControlFollower.cpp
@@ -39,7 +39,7 @@
 
 void ControlFollower::OnTick(TimePoint now, Actions* actions)
 {
-  Begin(now);
+  OnRunning(now);
   if (!m_is_reader)
     return;
   if (!m_is_reading_operator_changes && now >= m_operator_due)
@@ -47,8 +47,10 @@
     m_is_reading_operator_changes = true;
     const bool has_state = m_operator_next > 0 && m_document;
     m_naming_tracker.OnOperatorRequested(!has_state, now);
+    // What was missed is read without waiting, so that the next read returns new versions only.
+    const bool may_wait = has_state && !m_naming_tracker.MayHaveMissedNamings();
     actions->push_back(ReadOperatorChanges{has_state ? m_operator_next : 0,
-                                           has_state ? m_options.long_poll : Milliseconds(0),
+                                           may_wait ? m_options.long_poll : Milliseconds(0),
                                            ++m_operator_read});
   }
   if (!m_is_reading_targets && now >= m_targets_due)
@@ -126,6 +128,7 @@
 bool ControlFollower::OnOperatorRead(const Result<OperatorChanges>& result, TimePoint now,
                                      std::optional<std::uint64_t> number)
 {
+  OnRunning(now);
   if (number.value_or(m_operator_read) != m_operator_read)
     return false;
   m_is_reading_operator_changes = false;
@@ -200,6 +203,7 @@
 
 bool ControlFollower::OnTargetsRead(const Result<TargetsRead>& result, TimePoint now)
 {
+  OnRunning(now);
   m_is_reading_targets = false;
   m_naming_tracker.OnListAnswered(now);
   if (const auto* error = std::get_if<Error>(&result))
--- a/Source/Core/Control/ControlFollower.h
+++ b/Source/Core/Control/ControlFollower.h
@@ -50,8 +50,9 @@
 public:
   ControlFollower(FollowerOptions options, std::uint64_t seed);
 
-  // Records the start of the process, which may be earlier than its first read of the platform.
-  void Begin(Common::TimePoint now) { m_naming_tracker.Begin(now); }
+  // Records that the process runs; the first call records its start, which may be earlier than its
+  // first read of the platform.
+  void OnRunning(Common::TimePoint now) { m_naming_tracker.OnRunning(now); }
   void OnTick(Common::TimePoint now, Actions* actions);
   Common::TimePoint NextWakeup() const;
   // While another process reads for this one, nothing is requested from the platform.
--- a/Source/Core/Control/NamingTracker.h
+++ b/Source/Core/Control/NamingTracker.h
@@ -23,8 +23,9 @@
 public:
   explicit NamingTracker(Common::Milliseconds assumed_age) : m_assumed_age(assumed_age) {}
 
-  // Records the start of the process; later calls have no effect.
-  void Begin(Common::TimePoint now);
+  // Records that the process runs; the first call records its start. A long time between two calls
+  // means that the process was suspended.
+  void OnRunning(Common::TimePoint now);
   // Record that the platform is asked for its target list, and that it has answered. It answers
   // such requests immediately.
   void OnListRequested(Common::TimePoint now);
@@ -37,6 +38,9 @@
   // Records that another process has announced all versions that were named until this time.
   void OnAllVersionsAnnounced(Common::TimePoint until);
 
+  // Whether versions may have been named while the process was suspended, and no read that was sent
+  // since then has been answered.
+  bool MayHaveMissedNamings() const { return m_may_have_missed; }
   // Whether the current read may return versions that were named before the read was sent.
   bool MayReturnOldNamings() const { return m_may_return_old_namings; }
   // The time since which versions returned by the current read are known, if they were not known
@@ -46,9 +50,18 @@
 private:
   // The current network delay of the platform's answers.
   Common::Duration AnswerDelay(Common::TimePoint now) const;
+  // Whether the time is so soon after a suspension that what is received then may have waited in a
+  // socket meanwhile.
+  bool IsCatchingUp(Common::TimePoint now) const;
 
   Common::Milliseconds m_assumed_age;
   std::optional<Common::TimePoint> m_started_at;
+  Common::TimePoint m_ran_at{};
+  // The last suspension of the process: the last time at which it ran before, and the first time
+  // after.
+  std::optional<Common::TimePoint> m_suspended_at;
+  Common::TimePoint m_resumed_at{};
+  bool m_may_have_missed = false;
   // All versions that were named until this time are known, from whatever source.
   std::optional<Common::TimePoint> m_announced_until;
   // The value of `m_announced_until` after the last answer to this process's reads of the
--- a/Source/Node/GatewayPeers.cpp
+++ b/Source/Node/GatewayPeers.cpp
@@ -120,6 +120,7 @@
 
 void GatewayControl::OnMessage(const Mesh::Sender& from, Mesh::Message& message)
 {
+  m_follower.OnRunning(EventLoop::Now());
   std::visit(
       Common::Overloaded{
           [&](const Mesh::LoadReport& report) { OnLoadReport(from, report); },
--- a/Source/Node/SidecarNode.cpp
+++ b/Source/Node/SidecarNode.cpp
@@ -219,7 +219,7 @@
 void SidecarNode::FollowControl()
 {
   const TimePoint now = EventLoop::Now();
-  m_follower.Begin(now);
+  m_follower.OnRunning(now);
   // Gateways of the hall tell what is needed; without them the platform is asked directly.
   if (!m_core->IsIsolated(now))
     return;
--- a/Source/UnitTests/Core/Control/VersionAgesTest.cpp
+++ b/Source/UnitTests/Core/Control/VersionAgesTest.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "FollowerFixture.h"
+#include "Support/Actions.h"
 
 // Tests the naming times that a follower assigns to the versions that it reads.
 using namespace Holdpost;
@@ -236,3 +237,58 @@
   f.follower.OnOperatorRead(NameVersion(2, 2, 10), f.now);
   CHECK(SinceOf(f, 2).time <= announced_at);
 }
+
+// Guards against switch deadlines that are late by the time for which the reading process stood
+// still.
+TEST_CASE("A version that was named while the process was suspended counts as named before")
+{
+  FollowerOptions options;
+  options.assumed_age = Milliseconds(5000);
+  Fixture f;
+  f.follower = ControlFollower(options, 1);
+  f.Tick();
+  f.follower.OnOperatorRead(MakeRead(1, 9), f.now);
+  f.follower.OnTargetsRead(TargetsRead{true, {}, 1}, f.now);
+  f.Tick(Milliseconds(100));
+  const Common::TimePoint suspended_at = f.now;
+
+  SUBCASE("for a long time: the answer has waited in a socket")
+  {
+    f.now += Milliseconds(4000);
+    SUBCASE("and is the first thing that the process reads") {}
+    SUBCASE("and is read after an announcement that has waited, too")
+    {
+      f.follower.OnRunning(f.now);
+      f.follower.OnAllVersionsAnnounced(f.now - Milliseconds(50));
+    }
+    f.follower.OnOperatorRead(NameVersion(2, 2, 10), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{suspended_at, true});
+    SUBCASE("and a read that is sent then does not wait, as it may return more of them")
+    {
+      f.actions.clear();
+      f.Tick(Milliseconds(10));
+      const auto reads = Testing::Take<ReadOperatorChanges>(f.actions);
+      REQUIRE(reads.size() == 1);
+      CHECK(reads.front().from == 10);
+      CHECK(reads.front().wait == Milliseconds(0));
+      f.now += Milliseconds(20);
+      f.follower.OnTargetsRead(TargetsRead{false, {}, 1}, f.now);
+      f.follower.OnOperatorRead(NameVersion(3, 3, 11), f.now);
+      CHECK(SinceOf(f, 3).is_assumed);
+      CHECK(SinceOf(f, 3).time <= suspended_at);
+      SUBCASE("while the next one returns new versions")
+      {
+        f.Tick(Milliseconds(3000));
+        f.follower.OnTargetsRead(TargetsRead{false, {}, 1}, f.now);
+        f.follower.OnOperatorRead(NameVersion(4, 4, 12), f.now);
+        CHECK(SinceOf(f, 4) == KnownSince{f.now});
+      }
+    }
+  }
+  SUBCASE("for less than a second")
+  {
+    f.now += Milliseconds(800);
+    f.follower.OnOperatorRead(NameVersion(2, 2, 10), f.now);
+    CHECK(SinceOf(f, 2) == KnownSince{suspended_at});
+  }
+}
--- a/Source/UnitTests/Core/Mesh/NamingHistory.h
+++ b/Source/UnitTests/Core/Mesh/NamingHistory.h
@@ -9,8 +9,11 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include <fmt/format.h>
+
 #include "Core/Control/ControlFollower.h"
 #include "Core/Gateway/SwitchDeadlines.h"
 #include "Core/Mesh/BriefingSender.h"
@@ -40,8 +43,9 @@
   std::size_t checks = 0;
   // Those at which a gateway let requests begin on a version whose replacement was due.
   std::size_t too_late = 0;
-  // The first of them, in words.
+  // The first of them, in words, and what happened before.
   std::string first_too_late;
+  std::string events;
   // The longest time by which a gateway required a version before its deadline.
   Common::Duration max_early{};
   std::size_t max_kept = 0;
@@ -133,11 +137,20 @@
   // The newest version whose deadline has passed at `at`, of all that were named.
   std::uint64_t RequiredAt(Common::TimePoint at) const;
   void Compare(const GatewayNode& gateway);
+  // Adds a line to the events of the outcome.
+  template <typename... Args>
+  void Note(fmt::format_string<Args...> text, Args&&... args)
+  {
+    const auto time = std::chrono::duration_cast<Common::Milliseconds>(m_now - m_started);
+    m_outcome.events += fmt::format("\n{:6} ms: ", time.count());
+    m_outcome.events += fmt::format(text, std::forward<Args>(args)...);
+  }
 
   NamingHistoryOptions m_options;
   std::mt19937_64 m_random;
   Common::Metrics m_metrics;
-  Common::TimePoint m_now;
+  const Common::TimePoint m_started;
+  Common::TimePoint m_now = m_started;
   std::uint64_t m_order = 0;
   std::priority_queue<ScheduledCall, std::vector<ScheduledCall>, std::greater<>> m_calls;
   std::vector<GatewayNode> m_gateways;
--- a/Source/UnitTests/Core/Mesh/NamingHistoryTest.cpp
+++ b/Source/UnitTests/Core/Mesh/NamingHistoryTest.cpp
@@ -50,7 +50,7 @@
   const NamingHistoryOutcome outcome = NamingHistory(options).Play();
   INFO("seed ", options.seed, ": ", options.versions, " versions, ", options.min_gap.count(),
        " to ", options.max_gap.count(), " ms apart, ", options.disturbances, " disturbances; ",
-       outcome.first_too_late);
+       outcome.first_too_late, outcome.too_late > 0 ? outcome.events : "");
   CHECK(outcome.checks > 0);
   CHECK(outcome.too_late == 0);
   CHECK(outcome.max_kept <= Control::NamedVersions::MAX_VERSIONS);
