Tests, KNOWN-RED: Lists with a limit that forget crashes

Two of the crash tracker drop their oldest entry, as the lists of versions did: the lost answers whose engines are not known to have ended, and the known ends, 512 each.

--- a/Source/UnitTests/Core/Crashes/CrashTrackerTest.cpp
+++ b/Source/UnitTests/Core/Crashes/CrashTrackerTest.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include "Core/Crashes/CrashTracker.h"
@@ -78,3 +80,32 @@
   CHECK(tracker.IsSuspect(RequestCauses{REQUEST}));
   CHECK_FALSE(tracker.IsBlocked(RequestCauses{REQUEST}));
 }
+
+// Guards against limits that forget what the next retry is decided by.
+TEST_CASE("A crash is counted however many answers and engines are lost at once" * doctest::skip())
+{
+  static constexpr int COUNT = 600;
+  CrashTracker tracker;
+  const Attempt lost = LostAt("llm-1", 8001);
+  const auto others = [](const auto& act)
+  {
+    for (int i = 0; i < COUNT; ++i)
+      act(LostAt("other-" + std::to_string(i), static_cast<std::uint16_t>(9000 + i)));
+  };
+  SUBCASE("answers are lost before the ends of their engines are known")
+  {
+    tracker.OnLost(lost, false, START);
+    others([&](const Attempt& other) { tracker.OnLost(other, false, START); });
+    tracker.OnEngineEnd({lost.address, lost.target, lost.incarnation}, START + Milliseconds(300));
+  }
+  SUBCASE("the ends of engines are known before their answers are lost")
+  {
+    tracker.OnEngineEnd({lost.address, lost.target, lost.incarnation}, START);
+    others(
+        [&](const Attempt& other) {
+          tracker.OnEngineEnd({other.address, other.target, other.incarnation}, START);
+        });
+    tracker.OnLost(lost, false, START + Milliseconds(300));
+  }
+  CHECK(tracker.Ledger().CrashesOf(REQUEST) == 1);
+}
