Tests: The calls of both virtual clocks have one type

NamingHistory had repeated ScheduledCall of SidecarWorld. Processes that do not run for a while are called suspended there, as in NamingTracker.

--- a/Source/UnitTests/Core/Mesh/NamingHistory.cpp
+++ b/Source/UnitTests/Core/Mesh/NamingHistory.cpp
@@ -107,8 +107,8 @@
         [this, &gateway] { StartGateway(gateway); },
         [this, &sidecar] { StartSidecar(sidecar); },
         [this, &gateway, time] { CutOff(gateway, time); },
-        [this, &gateway, time] { StopStill(gateway, time); },
-        [this, &sidecar, time] { sidecar.stands_still_until = m_now + time; },
+        [this, &gateway, time] { Suspend(gateway, time); },
+        [this, &sidecar, time] { sidecar.suspended_until = m_now + time; },
         [this] { std::ranges::for_each(m_gateways, [&](auto& node) { StartGateway(node); }); },
         [this] { std::ranges::for_each(m_sidecars, [&](auto& node) { StartSidecar(node); }); },
     };
@@ -136,7 +136,7 @@
     use.sidecars.insert(peer.address);
   gateway.briefing->SetTargetUse(use);
   gateway.deadlines = std::make_unique<Gateway::SwitchDeadlines>(SWITCH_WITHIN);
-  gateway.stands_still_until = m_now;
+  gateway.suspended_until = m_now;
   gateway.is_reader = false;
   gateway.reader_heard_at.reset();
   gateway.beat_due = m_now;
@@ -149,7 +149,7 @@
 {
   Note("{} starts", node.self.instance);
   ++node.incarnation;
-  node.stands_still_until = m_now;
+  node.suspended_until = m_now;
   Sidecar::SidecarOptions options;
   options.address = node.self.address;
   options.hall = HALL;
@@ -167,11 +167,11 @@
   gateway.in_touch_at = std::max(gateway.in_touch_at, gateway.cut_off_until + GRACE);
 }
 
-void NamingHistory::StopStill(GatewayNode& gateway, Duration time)
+void NamingHistory::Suspend(GatewayNode& gateway, Duration time)
 {
-  Note("{} stands still for {} ms", gateway.self.instance, ToMilliseconds(time).count());
-  gateway.stands_still_until = m_now + time;
-  gateway.in_touch_at = std::max(gateway.in_touch_at, gateway.stands_still_until + GRACE);
+  Note("{} is suspended for {} ms", gateway.self.instance, ToMilliseconds(time).count());
+  gateway.suspended_until = m_now + time;
+  gateway.in_touch_at = std::max(gateway.in_touch_at, gateway.suspended_until + GRACE);
 }
 
 NamingHistoryOutcome NamingHistory::Play()
@@ -205,8 +205,8 @@
            {
              if (node.incarnation != incarnation)
                return;
-             if (m_now < node.stands_still_until)
-               return ScheduleAt(node, node.stands_still_until - m_now, run);
+             if (m_now < node.suspended_until)
+               return ScheduleAt(node, node.suspended_until - m_now, run);
              run();
            });
 }
@@ -220,7 +220,7 @@
 
 void NamingHistory::Tick(GatewayNode& gateway)
 {
-  if (m_now < gateway.stands_still_until)
+  if (m_now < gateway.suspended_until)
     return;
   UpdateReader(gateway);
   Control::Actions actions;
@@ -386,7 +386,7 @@
 
 void NamingHistory::Tick(SidecarNode& node)
 {
-  if (m_now < node.stands_still_until)
+  if (m_now < node.suspended_until)
     return;
   Sidecar::Actions actions;
   node.sidecar->OnTick(m_now, &actions);
--- a/Source/UnitTests/Core/Mesh/NamingHistory.h
+++ b/Source/UnitTests/Core/Mesh/NamingHistory.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 #include <utility>
@@ -18,6 +17,7 @@
 #include "Core/Gateway/SwitchDeadlines.h"
 #include "Core/Mesh/BriefingSender.h"
 #include "Core/Sidecar/Sidecar.h"
+#include "Support/ScheduledCalls.h"
 
 // Random histories of named versions, for tests of the switch deadlines that gateways keep.
 namespace Holdpost::Testing
@@ -31,7 +31,7 @@
   // Each gap between two namings is drawn from this range.
   Common::Milliseconds min_gap{500};
   Common::Milliseconds max_gap{2000};
-  // How many times gateways or sidecars restart or stand still, or a gateway is cut off from all
+  // How many times gateways or sidecars restart or are suspended, or a gateway is cut off from all
   // others.
   int disturbances = 0;
 };
@@ -74,24 +74,14 @@
     // The gateway is bound by switch deadlines from this time on.
     Common::TimePoint in_touch_at{};
     Common::TimePoint cut_off_until{};
-    Common::TimePoint stands_still_until{};
+    Common::TimePoint suspended_until{};
   };
   struct SidecarNode
   {
     Mesh::Sender self;
     std::uint64_t incarnation = 0;
     std::unique_ptr<Sidecar::Sidecar> sidecar;
-    Common::TimePoint stands_still_until{};
-  };
-  struct ScheduledCall
-  {
-    Common::TimePoint at;
-    std::uint64_t order;
-    std::function<void()> run;
-    bool operator>(const ScheduledCall& other) const
-    {
-      return at != other.at ? at > other.at : order > other.order;
-    }
+    Common::TimePoint suspended_until{};
   };
   struct Naming
   {
@@ -103,7 +93,7 @@
   Common::Milliseconds MessageDelay();
   void Schedule(Common::Duration delay, std::function<void()> run);
   // Lets a process do something after the delay, unless it has restarted by then. A process that
-  // stands still does it later.
+  // is suspended does it later.
   template <typename Node>
   void ScheduleAt(Node& node, Common::Duration delay, std::function<void()> run);
   void ScheduleNamings();
@@ -111,7 +101,7 @@
   void StartGateway(GatewayNode& gateway);
   void StartSidecar(SidecarNode& node);
   void CutOff(GatewayNode& gateway, Common::Duration time);
-  void StopStill(GatewayNode& gateway, Common::Duration time);
+  void Suspend(GatewayNode& gateway, Common::Duration time);
   bool IsCutOff(const GatewayNode& gateway) const { return m_now < gateway.cut_off_until; }
 
   void Tick(GatewayNode& gateway);
@@ -152,7 +142,7 @@
   const Common::TimePoint m_started;
   Common::TimePoint m_now = m_started;
   std::uint64_t m_order = 0;
-  std::priority_queue<ScheduledCall, std::vector<ScheduledCall>, std::greater<>> m_calls;
+  ScheduledCalls m_calls;
   std::vector<GatewayNode> m_gateways;
   std::vector<SidecarNode> m_sidecars;
   std::vector<Mesh::Peer> m_peers;
--- a/Source/UnitTests/Core/Mesh/NamingHistoryTest.cpp
+++ b/Source/UnitTests/Core/Mesh/NamingHistoryTest.cpp
@@ -67,7 +67,7 @@
     for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed)
       PlayChecked(DrawOptions(seed));
   }
-  SUBCASE("while gateways and sidecars restart or stand still, and gateways are cut off")
+  SUBCASE("while gateways and sidecars restart or are suspended, and gateways are cut off")
   {
     for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed)
     {
--- a/Source/UnitTests/Core/Sidecar/SidecarWorld.h
+++ b/Source/UnitTests/Core/Sidecar/SidecarWorld.h
@@ -6,13 +6,13 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "Core/Sidecar/Sidecar.h"
 #include "Support/QueueLink.h"
+#include "Support/ScheduledCalls.h"
 
 // A simulation on a virtual clock for tests of sidecars: it contains the sidecars' links and
 // engines and the origin of weights.
@@ -133,17 +133,6 @@
     std::size_t in_flight = 0;
   };
 
-  struct ScheduledCall
-  {
-    Common::TimePoint at;
-    std::uint64_t order;
-    std::function<void()> run;
-    bool operator>(const ScheduledCall& other) const
-    {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
-
   // Connections to the origin have numbers above the numbers of connections between sidecars.
   static constexpr std::uint64_t FIRST_ORIGIN_CONNECTION = 1'000'000;
 
@@ -185,7 +174,7 @@
   WorldOptions m_options;
   Common::TimePoint m_now{std::chrono::hours(1)};
   std::uint64_t m_order = 0;
-  std::priority_queue<ScheduledCall, std::vector<ScheduledCall>, std::greater<>> m_queue;
+  ScheduledCalls m_queue;
   Common::Metrics m_metrics;
   std::vector<Node> m_nodes;
   std::map<Common::Address, std::size_t> m_by_address;
