--- a/Source/UnitTests/Core/Mesh/NamingHistoryTest.cpp
+++ b/Source/UnitTests/Core/Mesh/NamingHistoryTest.cpp
@@ -47,7 +47,7 @@
 
 NamingHistoryOutcome PlayChecked(const NamingHistoryOptions& options)
 {
-  const NamingHistoryOutcome outcome = NamingHistory(options).Play();
+  NamingHistoryOutcome outcome = NamingHistory(options).Play();
   INFO("seed ", options.seed, ": ", options.versions, " versions, ", options.min_gap.count(),
        " to ", options.max_gap.count(), " ms apart, ", options.disturbances, " disturbances; ",
        outcome.first_too_late, outcome.too_late > 0 ? outcome.events : "");
