Control, Mesh: What versions are known, and since when, is asked in one place

- NamedVersions::SinceOf takes the place of Covering, whose pointer could be null by its comment and was never checked.
The loop of Sidecar::EarliestSwitchDeadline ends at the first version that is new enough, so it needs no second search, and Sidecar::WantedSince is gone.
- Gateways and sidecars each had a loop that turns versions into what is told of them; AdvertisedVersion::AllOf is that loop.
- DEFAULT_SWITCH_WITHIN had been added beside three copies of its 8,000 ms.

--- a/Source/Core/Control/NamedVersions.cpp
+++ b/Source/Core/Control/NamedVersions.cpp
@@ -69,10 +69,9 @@
   return restricting;
 }
 
-const KnownVersion* NamedVersions::Covering(std::uint64_t version) const
+TimePoint NamedVersions::SinceOf(std::uint64_t version) const
 {
-  const auto found = std::ranges::lower_bound(m_known, version, {}, &KnownVersion::version);
-  return found == m_known.end() ? nullptr : &*found;
+  return std::ranges::lower_bound(m_known, version, {}, &KnownVersion::version)->since.time;
 }
 
 TimePoint NamedVersions::LatestNaming() const
--- a/Source/Core/Control/NamedVersions.h
+++ b/Source/Core/Control/NamedVersions.h
@@ -54,9 +54,9 @@
   // newest version is always one of them.
   std::vector<KnownVersion> RestrictingAt(Common::TimePoint now,
                                           Common::Milliseconds switch_within) const;
-  // The oldest kept version that is this one or newer: the version itself, or the one that has
-  // taken its place. Null if no such version is named.
-  const KnownVersion* Covering(std::uint64_t version) const;
+  // The time since which the version is known, or the newer one that has taken its place. The
+  // version must not be newer than the newest one.
+  Common::TimePoint SinceOf(std::uint64_t version) const;
   std::uint64_t Newest() const { return m_known.empty() ? 0 : m_known.back().version; }
   // The number of versions that were merged into newer ones because the list was full.
   std::uint64_t MergedCount() const { return m_merged; }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -38,7 +38,7 @@
   std::string hall;
   RetryLimits retries;
   // Time after the naming of a version of weights by which all targets have to use it.
-  Common::Milliseconds switch_within{8000};
+  Common::Milliseconds switch_within = Control::DEFAULT_SWITCH_WITHIN;
   // Seeds the random choice between equally good targets.
   std::uint64_t seed = 0;
   // The start of this process, before which it knows of no retries.
--- a/Source/Core/Mesh/BriefingSender.cpp
+++ b/Source/Core/Mesh/BriefingSender.cpp
@@ -104,8 +104,8 @@
   std::vector<AdvertisedVersion> advertised;
   for (const auto& [model, versions] : m_weights)
   {
-    for (const Control::KnownVersion& known : versions.RestrictingAt(now, m_switch_within))
-      advertised.push_back(AdvertisedVersion::Of(model, known.version, known.since, now));
+    const auto all = AdvertisedVersion::AllOf(model, versions, now, m_switch_within);
+    advertised.insert(advertised.end(), all.begin(), all.end());
   }
   return advertised;
 }
--- a/Source/Core/Mesh/MeshMessages.h
+++ b/Source/Core/Mesh/MeshMessages.h
@@ -38,11 +38,19 @@
   // Whether the age is assumed because no process that observed the naming has reported it.
   bool is_assumed = false;
 
-  static AdvertisedVersion Of(const std::string& model, std::uint64_t version,
-                              const Control::KnownSince& since, Common::TimePoint now)
+  // The versions of a model that restrict requests, oldest first, with their ages at `now`.
+  static std::vector<AdvertisedVersion> AllOf(const std::string& model,
+                                              const Control::NamedVersions& versions,
+                                              Common::TimePoint now,
+                                              Common::Milliseconds switch_within)
   {
-    const auto known = std::chrono::duration_cast<Common::Milliseconds>(now - since.time);
-    return {{model, version}, std::max(known, Common::Milliseconds(0)), since.is_assumed};
+    std::vector<AdvertisedVersion> all;
+    for (const auto& [version, since] : versions.RestrictingAt(now, switch_within))
+    {
+      const auto known = std::chrono::duration_cast<Common::Milliseconds>(now - since.time);
+      all.push_back({{model, version}, std::max(known, Common::Milliseconds(0)), since.is_assumed});
+    }
+    return all;
   }
   Control::KnownSince Since(Common::TimePoint now) const { return {now - known, is_assumed}; }
 };
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -35,7 +35,7 @@
   Common::Address target;
   std::string service;
   std::uint64_t link_bytes_per_second = 0;
-  Common::Milliseconds switch_within{8000};
+  Common::Milliseconds switch_within = Control::DEFAULT_SWITCH_WITHIN;
   // Gateways of any hall, from the settings; these addresses may be stale.
   std::vector<Common::Address> seeds = {};
 };
@@ -204,8 +204,6 @@
   // The earliest switch deadline of the named versions up to `newest` that the engine has not
   // loaded.
   Common::TimePoint EarliestSwitchDeadline(std::uint64_t newest) const;
-  // The time since which the wanted version is known, or the version that has taken its place.
-  Common::TimePoint WantedSince() const { return m_named.Covering(m_wanted)->since.time; }
   Common::Duration CopyTime() const;
   // How urgently the sidecar needs the pieces of the wanted version.
   enum class Urgency
--- a/Source/Core/Sidecar/SidecarReports.cpp
+++ b/Source/Core/Sidecar/SidecarReports.cpp
@@ -153,9 +153,8 @@
 std::vector<Mesh::AdvertisedVersion> Sidecar::ReportedVersions(TimePoint now) const
 {
   const Milliseconds max_age = std::max(MAX_REPORTED_VERSION_AGE, m_options.switch_within);
-  std::vector<Mesh::AdvertisedVersion> reported;
-  for (const Control::KnownVersion& known : m_named.RestrictingAt(now, m_options.switch_within))
-    reported.push_back(Mesh::AdvertisedVersion::Of(m_plan.model, known.version, known.since, now));
+  const auto reported =
+      Mesh::AdvertisedVersion::AllOf(m_plan.model, m_named, now, m_options.switch_within);
   // A gateway that learns the time of one version has to learn the older ones, too: until then, it
   // takes that version to be older than all it has missed.
   const bool is_any_recent =
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -47,7 +47,7 @@
   const Distribution::Swarm* swarm = WantedSwarm();
   if (!m_loader.MayBeReplaced(now) || (swarm && swarm->IsHeld()))
     return false;
-  const TimePoint deadline = WantedSince() + m_options.switch_within;
+  const TimePoint deadline = m_named.SinceOf(m_wanted) + m_options.switch_within;
   // A newer version that can replace the wanted one in time saves each target a switch. However,
   // the origin may fail before the newer version is complete, and then the pieces of the older
   // version are the only ones that the hall has.
@@ -75,7 +75,8 @@
   const double fetched = pieces - swarm->UnavailablePieces();
   if (fetched >= MOSTLY_FETCHED_SHARE * pieces)
     return true;
-  const std::chrono::duration<double> gap = m_named.All().back().since.time - WantedSince();
+  const std::chrono::duration<double> gap =
+      m_named.SinceOf(m_named.Newest()) - m_named.SinceOf(m_wanted);
   const std::chrono::duration<double> copy =
       pieces * std::chrono::duration<double>(OriginPieceTime());
   return fetched >= HALF_FETCHED_SHARE * pieces && gap >= MIN_GAP_IN_COPIES * copy;
@@ -156,11 +157,13 @@
 TimePoint Sidecar::EarliestSwitchDeadline(std::uint64_t newest) const
 {
   TimePoint earliest = TimePoint::max();
-  const Control::KnownVersion* last = m_named.Covering(newest);
   for (const Control::KnownVersion& known : m_named.All())
   {
-    if (known.version > LoadedVersion() && last && known.version <= last->version)
+    if (known.version > LoadedVersion())
       earliest = std::min(earliest, known.since.time + m_options.switch_within);
+    // This is the newest version, or the one that has taken its place.
+    if (known.version >= newest)
+      break;
   }
   return earliest;
 }
@@ -175,7 +178,7 @@
 void Sidecar::SetWantedVersion(std::uint64_t version, TimePoint now, Actions* actions)
 {
   LogEvent(Weight::Important, now, "weights.wanted", "version", version, "before", m_wanted,
-           "loaded", LoadedVersion(), "known_ms", now - m_named.Covering(version)->since.time);
+           "loaded", LoadedVersion(), "known_ms", now - m_named.SinceOf(version));
   // A copy that was abandoned must not use the links any longer.
   if (const Distribution::Swarm* swarm = WantedSwarm(); swarm && swarm->IsHeld())
     m_previous = m_wanted;
@@ -231,7 +234,7 @@
     return now;
   // A version that replaces a skipped one has to be in use before the switch deadline of the
   // skipped version.
-  const TimePoint named = WantedSince();
+  const TimePoint named = m_named.SinceOf(m_wanted);
   const SwitchWindow window{named, EarliestSwitchDeadline(m_wanted) - named, CopyTime()};
   const TimePoint planned = PlannedSwitchTime(
       window, SwitchOrderRank(m_options.address, m_peers, m_wanted), m_peers.size());
--- a/Source/Node/GatewayConfig.h
+++ b/Source/Node/GatewayConfig.h
@@ -7,6 +7,7 @@
 
 #include "Common/Types.h"
 #include "Common/YamlReader.h"
+#include "Core/Control/NamedVersions.h"
 #include "Core/Gateway/RetryAllowance.h"
 
 // The settings of one gateway or sidecar process: what it is, where its peers are, and the bounds
@@ -28,7 +29,7 @@
   // Addresses of some other processes; they may be stale.
   std::vector<Common::Address> seeds;
   // New weights have to be in use everywhere so long after they were named.
-  Common::Milliseconds switch_within{8000};
+  Common::Milliseconds switch_within = Control::DEFAULT_SWITCH_WITHIN;
   // A process is not held to bounds for so long after its start.
   Common::Milliseconds start_grace{3000};
   // A leaving target gets no new requests after so long.
