Sidecar: The version of a swarm is derived instead of kept

m_versions had an entry for each version that was ever copied, for as long as the process runs. A swarm is of the wanted version, of the one that is copied ahead, or of the one before: FetchVersion drops all others. So the version follows from its digest, and nothing grows.

--- a/Source/Core/Sidecar/Sidecar.cpp
+++ b/Source/Core/Sidecar/Sidecar.cpp
@@ -66,6 +66,16 @@
   return Common::Sha256(fmt::format("{}@{}", model, version));
 }
 
+std::uint64_t Sidecar::VersionOf(const Digest& digest) const
+{
+  for (const std::uint64_t version : {m_wanted, m_prefetched})
+  {
+    if (VersionDigest(m_plan.model, version) == digest)
+      return version;
+  }
+  return m_previous;
+}
+
 Sidecar::Sidecar(SidecarOptions options, Common::Metrics& metrics)
     : m_options(std::move(options)), m_metrics(metrics),
       m_exchange(m_options.address.ToString(), m_options.hall,
@@ -267,7 +277,7 @@
               if (fetch.peer.empty())
               {
                 actions->push_back(FetchFromOrigin{fetch.id, m_plan.origin, m_plan.model,
-                                                   m_versions[fetch.version], fetch.piece});
+                                                   VersionOf(fetch.version), fetch.piece});
                 m_origin_fetches.insert(fetch.id);
                 return;
               }
@@ -302,7 +312,7 @@
                 m_piece_requests.erase(found_request);
             },
             [](Distribution::PieceHeld&) {},
-            [&](Distribution::VersionHeld& held) { LogHeld(m_versions[held.version], now); },
+            [&](Distribution::VersionHeld& held) { LogHeld(VersionOf(held.version), now); },
             [&](Distribution::CountTransfer& count)
             {
               const std::string label =
--- a/Source/Core/Sidecar/Sidecar.h
+++ b/Source/Core/Sidecar/Sidecar.h
@@ -282,6 +282,8 @@
   void Translate(Distribution::Actions new_actions, Common::TimePoint now, Actions* actions);
   // The digest by which swarms identify a version.
   static Common::Digest VersionDigest(const std::string& model, std::uint64_t version);
+  // The version that a swarm of this sidecar copies.
+  std::uint64_t VersionOf(const Common::Digest& digest) const;
   const Distribution::Swarm* WantedSwarm() const;
   Distribution::ExchangeOptions MakeExchangeOptions() const;
   Common::Duration PieceTime() const;
@@ -307,7 +309,6 @@
   std::uint64_t m_prefetched = 0;
   std::uint64_t m_previous = 0;
   Urgency m_urgency = Urgency::Normal;
-  std::map<Common::Digest, std::uint64_t> m_versions;
   // When the last piece of any version arrived from the origin or a peer.
   std::optional<Common::TimePoint> m_last_piece_at;
   std::map<Common::Address, KnownGateway> m_gateways;
--- a/Source/Core/Sidecar/SidecarVersions.cpp
+++ b/Source/Core/Sidecar/SidecarVersions.cpp
@@ -192,7 +192,6 @@
 void Sidecar::FetchVersion(std::uint64_t version, TimePoint now, Actions* actions)
 {
   const Digest digest = VersionDigest(m_plan.model, version);
-  m_versions[digest] = version;
   Distribution::Actions new_actions;
   // The previous version is kept for peers that still need it.
   m_exchange.KeepOnly(
