Control: A refusal right after a suspension tells nothing of the time before

What callers would see: requests that begin on weights whose replacement was due.

Cause: a platform that refuses at once is taken to be down, so that nothing is named until it answers, and all versions of before count as known. After a suspension of over a second they are not. A version that was named meanwhile then counted as named when the refusal came, as one that was observed.

Now such a refusal leaves open what may have been missed, as a lost answer does. "A version that was named while the process was suspended counts as named before" has a section for it: 2 of its checks fail without the condition, none with it (build/bin/holdpost-unit-tests -sf="*Control*", 39 cases). All unit cases: 483 of 483.

"A version that the previous reader missed was named after its last announcement" failed with the condition at first: it set the clock forward by 1.2 and 8 s, which is a suspension to the follower, where it means a process that runs beside a platform that does not answer. It says so now by the fixture's Run; its expectations are the same to the letter.

--- a/Source/Core/Control/NamingTracker.cpp
+++ b/Source/Core/Control/NamingTracker.cpp
@@ -68,8 +68,9 @@
 {
   m_has_failed = true;
   // A platform that refuses requests immediately is down, and no version is named meanwhile. A
-  // platform that does not respond may be behind a saturated link.
-  if (m_announced_until && now - m_operator_requested_at < MAX_ANSWER_DELAY)
+  // platform that does not respond may be behind a saturated link. What was named before the
+  // refusal while the process was suspended is still not known.
+  if (m_announced_until && !m_may_have_missed && now - m_operator_requested_at < MAX_ANSWER_DELAY)
     OnAllVersionsAnnounced(m_operator_requested_at);
 }
 
--- a/Source/UnitTests/Core/Control/FollowerFixture.h
+++ b/Source/UnitTests/Core/Control/FollowerFixture.h
@@ -25,20 +25,24 @@
   return target;
 }
 
-// A follower with a simulated clock, which advances only through Tick or by assignment. Its process
-// runs while Tick advances the clock, and is suspended while a test sets it forward.
+// A follower with a simulated clock, which advances only through Run, Tick or by assignment. Its
+// process runs while Run or Tick advances the clock, and is suspended while a test sets it forward.
 struct FollowerFixture
 {
   Control::ControlFollower follower{{Common::Milliseconds(600), Common::Milliseconds(2500)}, 1};
   Common::TimePoint now = FOLLOWER_START;
   Control::Actions actions;
 
-  void Tick(Common::Duration time = Common::Milliseconds(0))
+  void Run(Common::Duration time)
   {
     static constexpr Common::Duration MAX_STEP = Common::Milliseconds(250);
     for (; time > MAX_STEP; time -= MAX_STEP)
       follower.OnRunning(now += MAX_STEP);
-    now += time;
+    follower.OnRunning(now += time);
+  }
+  void Tick(Common::Duration time = Common::Milliseconds(0))
+  {
+    Run(time);
     follower.OnTick(now, &actions);
   }
 };
--- a/Source/UnitTests/Core/Control/VersionAgesTest.cpp
+++ b/Source/UnitTests/Core/Control/VersionAgesTest.cpp
@@ -117,7 +117,7 @@
   f.Tick();
   const Common::TimePoint announced_at = f.now;
   f.follower.OnAllVersionsAnnounced(announced_at);
-  f.now += Milliseconds(1200);
+  f.Run(Milliseconds(1200));
   f.follower.SetReading(true);
   f.Tick();
   f.follower.OnTargetsRead(TargetsRead{true, {}, 1}, f.now);
@@ -128,13 +128,13 @@
   }
   SUBCASE("after a long silence the version may have been named at any time since")
   {
-    f.now += Milliseconds(9000);
+    f.Run(Milliseconds(9000));
     f.follower.OnOperatorRead(NameVersion(2, 1, 9), f.now);
     CHECK(SinceOf(f, 2) == KnownSince{f.now - ASSUMED_AGE, true});
   }
   SUBCASE("but not while the platform refused requests")
   {
-    f.now += Milliseconds(8000);
+    f.Run(Milliseconds(8000));
     f.follower.OnOperatorRead(Error{ErrorKind::PlatformUnavailable, "timeout"}, f.now);
     f.Tick(Milliseconds(200));
     const Common::TimePoint refused = f.now;
@@ -238,8 +238,7 @@
   CHECK(SinceOf(f, 2).time <= announced_at);
 }
 
-// Guards against switch deadlines that are late by the time for which the reading process stood
-// still.
+// Guards against switch deadlines that are late by the time of a suspension of the reader.
 TEST_CASE("A version that was named while the process was suspended counts as named before")
 {
   FollowerOptions options;
@@ -285,6 +284,17 @@
       }
     }
   }
+  SUBCASE("for a long time: the platform refuses the next read and answers the one after it")
+  {
+    f.now += Milliseconds(4000);
+    f.follower.OnOperatorRead(Error{ErrorKind::PlatformUnavailable, "timeout"}, f.now);
+    f.Tick(Milliseconds(200));
+    f.follower.OnOperatorRead(Error{ErrorKind::PlatformUnavailable, "down"}, f.now);
+    f.Tick(Milliseconds(500));
+    f.follower.OnOperatorRead(NameVersion(2, 2, 10), f.now);
+    CHECK(SinceOf(f, 2).is_assumed);
+    CHECK(SinceOf(f, 2).time <= suspended_at);
+  }
   SUBCASE("for less than a second")
   {
     f.now += Milliseconds(800);
