Tests: What the processes of a history do has a file of its own

NamingHistory.cpp had grown to 459 lines and did two jobs: what happens when, and what each process does.

--- a/Source/UnitTests/Core/Mesh/NamingHistory.h
+++ b/Source/UnitTests/Core/Mesh/NamingHistory.h
@@ -56,10 +56,16 @@
 class NamingHistory
 {
 public:
+  // The name of the model whose versions are named.
+  static constexpr const char* MODEL = "m";
+
   explicit NamingHistory(const NamingHistoryOptions& options);
   NamingHistoryOutcome Play();
 
 private:
+  static constexpr Common::Milliseconds STEP{20};
+  static constexpr int LOST_PERCENT = 10;
+
   struct GatewayNode
   {
     Mesh::Sender self;
@@ -89,6 +95,10 @@
     Common::TimePoint at;
   };
 
+  static Common::Milliseconds ToMilliseconds(Common::Duration time)
+  {
+    return std::chrono::duration_cast<Common::Milliseconds>(time);
+  }
   int Draw(int from, int to) { return std::uniform_int_distribution<int>(from, to)(m_random); }
   Common::Milliseconds MessageDelay();
   void Schedule(Common::Duration delay, std::function<void()> run);
@@ -131,8 +141,7 @@
   template <typename... Args>
   void Note(fmt::format_string<Args...> text, Args&&... args)
   {
-    const auto time = std::chrono::duration_cast<Common::Milliseconds>(m_now - m_started);
-    m_outcome.events += fmt::format("\n{:6} ms: ", time.count());
+    m_outcome.events += fmt::format("\n{:6} ms: ", ToMilliseconds(m_now - m_started).count());
     m_outcome.events += fmt::format(text, std::forward<Args>(args)...);
   }
 
@@ -150,4 +159,25 @@
   Common::Duration m_namings_end{};
   NamingHistoryOutcome m_outcome;
 };
+
+template <typename Node>
+void NamingHistory::ScheduleAt(Node& node, Common::Duration delay, std::function<void()> run)
+{
+  Schedule(delay,
+           [this, &node, incarnation = node.incarnation, run = std::move(run)]
+           {
+             if (node.incarnation != incarnation)
+               return;
+             if (m_now < node.suspended_until)
+               return ScheduleAt(node, node.suspended_until - m_now, run);
+             run();
+           });
+}
+
+template <typename Node>
+void NamingHistory::Deliver(const GatewayNode& gateway, Node& to, std::function<void()> receive)
+{
+  if (!IsCutOff(gateway) && Draw(1, 100) > LOST_PERCENT)
+    ScheduleAt(to, MessageDelay(), std::move(receive));
+}
 } // namespace Holdpost::Testing
